--- /dev/null
+++ b/common/buf.c
@@ -0,0 +1,142 @@
+#include "common/buf.h"
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  BUF_FIRST_BYTES = 64,
+};
+
+static void
+die_without_memory (void)
+{
+  fputs ("out of memory\n", stderr);
+  abort ();
+}
+
+/* calloc that aborts on exhausted memory.  */
+void *
+xcalloc (size_t count, size_t size)
+{
+  void *block = calloc (count, size);
+
+  if (!block)
+    die_without_memory ();
+  return block;
+}
+
+/* realloc that aborts on exhausted memory.  */
+void *
+xrealloc (void *old, size_t size)
+{
+  void *block = realloc (old, size);
+
+  if (!block)
+    die_without_memory ();
+  return block;
+}
+
+/* strdup that aborts on exhausted memory; NULL stays NULL.  */
+char *
+xstrdup (const char *text)
+{
+  char *copy;
+
+  if (!text)
+    return NULL;
+  copy = strdup (text);
+  if (!copy)
+    die_without_memory ();
+  return copy;
+}
+
+/* asprintf that returns the text, which the caller frees.  */
+char *
+xasprintf (const char *format, ...)
+{
+  char *text = NULL;
+  va_list args;
+  int len;
+
+  va_start (args, format);
+  len = vasprintf (&text, format, args);
+  va_end (args);
+  if (len < 0 || !text)
+    die_without_memory ();
+  return text;
+}
+
+static void
+reserve (struct buf *buf, size_t extra)
+{
+  size_t need = buf->len + extra + 1;
+  size_t capacity = buf->capacity ? buf->capacity : BUF_FIRST_BYTES;
+
+  if (need <= buf->capacity)
+    return;
+  while (capacity < need)
+    capacity *= 2;
+  buf->data = xrealloc (buf->data, capacity);
+  buf->capacity = capacity;
+}
+
+/* Appends LEN bytes; the buffer always ends in a NUL past its length.  */
+void
+buf_append (struct buf *buf, const void *data, size_t len)
+{
+  reserve (buf, len);
+  if (len)
+    memcpy (buf->data + buf->len, data, len);
+  buf->len += len;
+  buf->data[buf->len] = '\0';
+}
+
+/* Appends a string without its NUL.  */
+void
+buf_append_str (struct buf *buf, const char *text)
+{
+  buf_append (buf, text, strlen (text));
+}
+
+/* Appends formatted text.  */
+void
+buf_printf (struct buf *buf, const char *format, ...)
+{
+  va_list args;
+  int len;
+
+  va_start (args, format);
+  len = vsnprintf (NULL, 0, format, args);
+  va_end (args);
+  if (len < 0)
+    return;
+  reserve (buf, (size_t)len);
+  va_start (args, format);
+  vsnprintf (buf->data + buf->len, (size_t)len + 1, format, args);
+  va_end (args);
+  buf->len += (size_t)len;
+}
+
+/* Drops LEN bytes from the front.  */
+void
+buf_consume (struct buf *buf, size_t len)
+{
+  if (len >= buf->len)
+    {
+      buf->len = 0;
+      return;
+    }
+  memmove (buf->data, buf->data + len, buf->len - len);
+  buf->len -= len;
+  buf->data[buf->len] = '\0';
+}
+
+/* Frees the bytes and leaves an empty buffer.  */
+void
+buf_release (struct buf *buf)
+{
+  free (buf->data);
+  *buf = (struct buf){ 0 };
+}
--- /dev/null
+++ b/common/counters.c
@@ -0,0 +1,72 @@
+#include "common/counters.h"
+#include <ck_pr.h>
+
+static const char *const counter_names[COUNTER_COUNT] = {
+  [COUNTER_REQUESTS] = "requests",
+  [COUNTER_CALLS_STARTED] = "calls_started",
+  [COUNTER_CALLS_FINISHED] = "calls_finished",
+  [COUNTER_CALLS_REPLAYED] = "calls_replayed",
+  [COUNTER_TOKENS] = "tokens",
+  [COUNTER_PROGRAMS_OPENED] = "programs_opened",
+  [COUNTER_PROGRAMS_CLOSED] = "programs_closed",
+  [COUNTER_FORWARDED] = "forwarded",
+  [COUNTER_TAKEOVERS] = "takeovers",
+  [COUNTER_STREAMS_OPEN] = "streams_open",
+  [COUNTER_STREAMS_ENDED_BY_KEY] = "streams_ended_by_key",
+  [COUNTER_PEER_FRAMES_SENT] = "peer_frames_sent",
+  [COUNTER_PEER_BYTES_SENT] = "peer_bytes_sent",
+  [COUNTER_PEER_FRAMES_REFUSED] = "peer_frames_refused",
+  [COUNTER_PLATFORM_CALLS] = "platform_calls",
+  [COUNTER_TOKEN_PULLS] = "token_pulls",
+  [COUNTER_TOKEN_GRANTS] = "token_grants",
+  [COUNTER_STORE_APPENDS] = "store_appends",
+  [COUNTER_STORE_SYNCS] = "store_syncs",
+  [COUNTER_ENDPOINT_RETRIES] = "endpoint_retries",
+  [COUNTER_ENDPOINT_FAILURES] = "endpoint_failures",
+};
+
+static uint64_t counter_values[COUNTER_COUNT];
+static uint64_t refusals[ERROR_KIND_COUNT];
+
+/* Adds AMOUNT, which may be negative for a gauge.  */
+void
+counter_add (enum counter counter, int64_t amount)
+{
+  ck_pr_add_64 (&counter_values[counter], (uint64_t)amount);
+}
+
+/* Returns the present value.  */
+int64_t
+counter_get (enum counter counter)
+{
+  return (int64_t)ck_pr_load_64 (&counter_values[counter]);
+}
+
+/* Counts a refusal of KIND.  */
+void
+counter_refusal (enum error_kind kind)
+{
+  ck_pr_inc_64 (&refusals[kind]);
+}
+
+/* Returns every counter, and the refusals by kind, as a new reference.  */
+json_t *
+counters_to_json (void)
+{
+  json_t *root = json_object ();
+  json_t *by_kind = json_object ();
+
+  for (int i = 0; i < COUNTER_COUNT; i++)
+    json_object_set_new (root, counter_names[i],
+                         json_integer (counter_get ((enum counter)i)));
+  for (int i = 0; i < ERROR_KIND_COUNT; i++)
+    {
+      uint64_t count = ck_pr_load_64 (&refusals[i]);
+
+      if (count > 0)
+        json_object_set_new (by_kind, error_kind_name ((enum error_kind)i),
+                             json_integer ((json_int_t)count));
+    }
+  json_object_set_new (root, "refusals", by_kind);
+  return root;
+}
--- /dev/null
+++ b/common/fetch.c
@@ -0,0 +1,378 @@
+#include "common/fetch.h"
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  RECEIVE_BUFFER_BYTES = 4096,
+  MAX_IDLE_HANDLES = 256,
+  MAX_KEPT_CONNECTIONS = 1024,
+  DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024,
+};
+
+struct socket_watch
+{
+  ev_io io;
+  struct fetcher *fetcher;
+};
+
+struct fetcher
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timer;
+  ev_prepare before_wait;
+  struct fetch *cancelled; /* list through next */
+  struct fetch *active;    /* doubly linked list */
+  CURL *idle[MAX_IDLE_HANDLES];
+  uint32_t idle_count;
+  uint32_t active_count;
+};
+
+/* Owned by its fetcher. */
+struct fetch
+{
+  struct fetcher *fetcher;
+  CURL *easy;
+  struct curl_slist *headers;
+  char *request_body;
+  struct buf body;
+  size_t max_body_bytes;
+  fetch_data_handler *handle_data;
+  fetch_done_handler *handle_done;
+  void *data;
+  bool is_cancelled;
+  struct fetch *next_cancelled;
+  struct fetch *prev;
+  struct fetch *next;
+};
+
+static void
+unlink_fetch (struct fetch *fetch)
+{
+  struct fetcher *fetcher = fetch->fetcher;
+
+  if (fetch->prev)
+    fetch->prev->next = fetch->next;
+  else
+    fetcher->active = fetch->next;
+  if (fetch->next)
+    fetch->next->prev = fetch->prev;
+  fetcher->active_count--;
+}
+
+static void
+link_fetch (struct fetch *fetch)
+{
+  struct fetcher *fetcher = fetch->fetcher;
+
+  fetch->next = fetcher->active;
+  if (fetcher->active)
+    fetcher->active->prev = fetch;
+  fetcher->active = fetch;
+  fetcher->active_count++;
+}
+
+static void
+fetch_destroy (struct fetch *fetch)
+{
+  struct fetcher *fetcher = fetch->fetcher;
+
+  unlink_fetch (fetch);
+  curl_multi_remove_handle (fetcher->multi, fetch->easy);
+  if (fetcher->idle_count < MAX_IDLE_HANDLES)
+    {
+      curl_easy_reset (fetch->easy);
+      fetcher->idle[fetcher->idle_count++] = fetch->easy;
+    }
+  else
+    curl_easy_cleanup (fetch->easy);
+  curl_slist_free_all (fetch->headers);
+  free (fetch->request_body);
+  buf_release (&fetch->body);
+  free (fetch);
+}
+
+static void
+finish (struct fetch *fetch, CURLcode code)
+{
+  struct fetch_result result = { .body = &fetch->body };
+  long request_bytes = 0;
+
+  curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &result.status);
+  curl_easy_getinfo (fetch->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  result.complete = code == CURLE_OK;
+  result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  result.sent = request_bytes > 0;
+  result.reason = curl_easy_strerror (code);
+  if (!fetch->is_cancelled && fetch->handle_done)
+    fetch->handle_done (fetch->data, &result);
+  if (!fetch->is_cancelled)
+    fetch_destroy (fetch);
+}
+
+static void
+reap_finished (struct fetcher *fetcher)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (fetcher->multi, &left)))
+    {
+      struct fetch *fetch = NULL;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &fetch);
+      finish (fetch, message->data.result);
+    }
+}
+
+static void
+handle_socket_ready (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct socket_watch *watch = watcher->data;
+  struct fetcher *fetcher = watch->fetcher;
+  int action = 0;
+  int running;
+
+  if (events & EV_READ)
+    action |= CURL_CSELECT_IN;
+  if (events & EV_WRITE)
+    action |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (fetcher->multi, watcher->fd, action, &running);
+  reap_finished (fetcher);
+}
+
+static int
+handle_socket (CURL *easy, curl_socket_t fd, int what, void *data,
+               void *socket_data)
+{
+  struct fetcher *fetcher = data;
+  struct socket_watch *watch = socket_data;
+  int events = 0;
+
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (watch)
+        ev_io_stop (fetcher->loop, &watch->io);
+      curl_multi_assign (fetcher->multi, fd, NULL);
+      free (watch);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    events |= EV_READ;
+  if (what & CURL_POLL_OUT)
+    events |= EV_WRITE;
+  if (!watch)
+    {
+      watch = xcalloc (1, sizeof *watch);
+      watch->fetcher = fetcher;
+      ev_init (&watch->io, handle_socket_ready);
+      watch->io.data = watch;
+      curl_multi_assign (fetcher->multi, fd, watch);
+    }
+  ev_io_stop (fetcher->loop, &watch->io);
+  ev_io_set (&watch->io, fd, events);
+  ev_io_start (fetcher->loop, &watch->io);
+  return 0;
+}
+
+static void
+handle_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct fetcher *fetcher = watcher->data;
+  int running;
+
+  curl_multi_socket_action (fetcher->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  reap_finished (fetcher);
+}
+
+static int
+handle_timer_change (CURLM *multi, long timeout_ms, void *data)
+{
+  struct fetcher *fetcher = data;
+
+  ev_timer_stop (fetcher->loop, &fetcher->timer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set (&fetcher->timer, (double)timeout_ms / 1000.0, 0);
+  ev_timer_start (fetcher->loop, &fetcher->timer);
+  return 0;
+}
+
+/* libcurl forbids removing a handle inside its callbacks, so cancelled
+   transfers are removed here.  */
+static void
+handle_before_wait (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  struct fetcher *fetcher = watcher->data;
+
+  while (fetcher->cancelled)
+    {
+      struct fetch *fetch = fetcher->cancelled;
+
+      fetcher->cancelled = fetch->next_cancelled;
+      fetch_destroy (fetch);
+    }
+}
+
+static size_t
+handle_bytes (char *bytes, size_t size, size_t count, void *data)
+{
+  struct fetch *fetch = data;
+  size_t len = size * count;
+
+  if (fetch->is_cancelled)
+    return 0;
+  if (fetch->handle_data)
+    return fetch->handle_data (fetch->data, bytes, len) ? len : 0;
+  if (fetch->body.len + len > fetch->max_body_bytes)
+    return 0;
+  buf_append (&fetch->body, bytes, len);
+  return len;
+}
+
+/* Creates a client on LOOP.  */
+struct fetcher *
+fetcher_create (struct ev_loop *loop)
+{
+  struct fetcher *fetcher = xcalloc (1, sizeof *fetcher);
+
+  fetcher->loop = loop;
+  fetcher->multi = curl_multi_init ();
+  curl_multi_setopt (fetcher->multi, CURLMOPT_SOCKETFUNCTION, handle_socket);
+  curl_multi_setopt (fetcher->multi, CURLMOPT_SOCKETDATA, fetcher);
+  curl_multi_setopt (fetcher->multi, CURLMOPT_TIMERFUNCTION,
+                     handle_timer_change);
+  curl_multi_setopt (fetcher->multi, CURLMOPT_TIMERDATA, fetcher);
+  curl_multi_setopt (fetcher->multi, CURLMOPT_MAXCONNECTS,
+                     (long)MAX_KEPT_CONNECTIONS);
+  ev_timer_init (&fetcher->timer, handle_timer, 0, 0);
+  fetcher->timer.data = fetcher;
+  ev_prepare_init (&fetcher->before_wait, handle_before_wait);
+  fetcher->before_wait.data = fetcher;
+  ev_prepare_start (loop, &fetcher->before_wait);
+  return fetcher;
+}
+
+/* Returns how many transfers are under way.  */
+uint32_t
+fetcher_active (const struct fetcher *fetcher)
+{
+  return fetcher->active_count;
+}
+
+/* Gives up every transfer, without calling its handlers, and frees the
+   client.  */
+void
+fetcher_destroy (struct fetcher *fetcher)
+{
+  if (!fetcher)
+    return;
+  while (fetcher->active)
+    fetch_destroy (fetcher->active);
+  for (uint32_t i = 0; i < fetcher->idle_count; i++)
+    curl_easy_cleanup (fetcher->idle[i]);
+  curl_multi_cleanup (fetcher->multi);
+  ev_timer_stop (fetcher->loop, &fetcher->timer);
+  ev_prepare_stop (fetcher->loop, &fetcher->before_wait);
+  free (fetcher);
+}
+
+static void
+set_body (struct fetch *fetch, const struct fetch_options *options)
+{
+  fetch->request_body = xcalloc (options->body_len + 1, 1);
+  if (options->body_len)
+    memcpy (fetch->request_body, options->body, options->body_len);
+  curl_easy_setopt (fetch->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t)options->body_len);
+  curl_easy_setopt (fetch->easy, CURLOPT_POSTFIELDS, fetch->request_body);
+}
+
+static void
+set_headers (struct fetch *fetch, const struct fetch_options *options)
+{
+  for (size_t i = 0; options->headers && options->headers[i]; i++)
+    fetch->headers = curl_slist_append (fetch->headers, options->headers[i]);
+  fetch->headers = curl_slist_append (fetch->headers, "Expect:");
+  curl_easy_setopt (fetch->easy, CURLOPT_HTTPHEADER, fetch->headers);
+}
+
+static void
+set_limits (CURL *easy, const struct fetch_options *options)
+{
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)options->connect_timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
+  if (options->stall_timeout_ms > 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME,
+                        (long)((options->stall_timeout_ms + 999) / 1000));
+    }
+  /* libcurl sends a request again when a kept connection turns out dead; a
+     fresh connection rules that out.  */
+  if (options->single_attempt)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+/* Starts a transfer; OPTIONS may go out of scope.  The handlers are called on
+   the loop's thread, never from inside this call.  The result is valid until
+   handle_done has been called or fetch_cancel.  */
+struct fetch *
+fetch_start (struct fetcher *fetcher, const struct fetch_options *options)
+{
+  struct fetch *fetch = xcalloc (1, sizeof *fetch);
+
+  fetch->fetcher = fetcher;
+  fetch->easy = fetcher->idle_count > 0
+                    ? fetcher->idle[--fetcher->idle_count]
+                    : curl_easy_init ();
+  fetch->handle_data = options->handle_data;
+  fetch->handle_done = options->handle_done;
+  fetch->data = options->data;
+  fetch->max_body_bytes = options->max_body_bytes ? options->max_body_bytes
+                                                  : DEFAULT_MAX_BODY_BYTES;
+  link_fetch (fetch);
+  curl_easy_setopt (fetch->easy, CURLOPT_URL, options->url);
+  curl_easy_setopt (fetch->easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (fetch->easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (fetch->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (fetch->easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (fetch->easy, CURLOPT_BUFFERSIZE,
+                    (long)RECEIVE_BUFFER_BYTES);
+  curl_easy_setopt (fetch->easy, CURLOPT_WRITEFUNCTION, handle_bytes);
+  curl_easy_setopt (fetch->easy, CURLOPT_WRITEDATA, fetch);
+  curl_easy_setopt (fetch->easy, CURLOPT_PRIVATE, fetch);
+  if (options->body || strcmp (options->method, "POST") == 0)
+    set_body (fetch, options);
+  if (strcmp (options->method, "GET") != 0)
+    curl_easy_setopt (fetch->easy, CURLOPT_CUSTOMREQUEST, options->method);
+  set_headers (fetch, options);
+  set_limits (fetch->easy, options);
+  curl_multi_add_handle (fetcher->multi, fetch->easy);
+  return fetch;
+}
+
+/* Gives a transfer up; its handlers are not called any more.  */
+void
+fetch_cancel (struct fetch *fetch)
+{
+  if (fetch->is_cancelled)
+    return;
+  fetch->is_cancelled = true;
+  fetch->next_cancelled = fetch->fetcher->cancelled;
+  fetch->fetcher->cancelled = fetch;
+}
+
+/* Returns the HTTP status seen so far, 0 where none.  */
+long
+fetch_status (const struct fetch *fetch)
+{
+  long status = 0;
+
+  curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &status);
+  return status;
+}
--- /dev/null
+++ b/common/fields.c
@@ -0,0 +1,200 @@
+#include "common/fields.h"
+#include "common/buf.h"
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const type_names[] = {
+  [FIELD_STRING] = "a string",
+  [FIELD_INT64] = "a whole number",
+  [FIELD_BOOL] = "true or false",
+  [FIELD_STRINGS] = "a list of strings",
+  [FIELD_JSON] = "an object or a list",
+};
+
+static const struct field *
+find_field (const struct field *fields, size_t count, const char *name)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (fields[i].name, name) == 0)
+      return &fields[i];
+  return NULL;
+}
+
+static bool
+type_matches (const struct field *field, const json_t *value)
+{
+  size_t i;
+  json_t *item;
+
+  switch (field->type)
+    {
+    case FIELD_STRING:
+      return json_is_string (value);
+    case FIELD_INT64:
+      return json_is_integer (value);
+    case FIELD_BOOL:
+      return json_is_boolean (value);
+    case FIELD_JSON:
+      return json_is_object (value) || json_is_array (value);
+    case FIELD_STRINGS:
+      if (!json_is_array (value))
+        return false;
+      json_array_foreach (value, i, item) if (!json_is_string (item))
+          return false;
+      return true;
+    }
+  return false;
+}
+
+static bool
+check_range (const struct field *field, const json_t *value,
+             const char *where, struct error *error)
+{
+  json_int_t number;
+
+  if (field->type != FIELD_INT64)
+    return true;
+  number = json_integer_value (value);
+  if (number >= field->min && number <= field->max)
+    return true;
+  error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+             "%s: \"%s\" is %lld; set it between %lld and %lld", where,
+             field->name, (long long)number, (long long)field->min,
+             (long long)field->max);
+  return false;
+}
+
+static void
+store_value (const struct field *field, json_t *value, void *out)
+{
+  char *slot = (char *)out + field->offset;
+  struct strings *strings;
+
+  switch (field->type)
+    {
+    case FIELD_STRING:
+      *(char **)(void *)slot = xstrdup (json_string_value (value));
+      break;
+    case FIELD_INT64:
+      *(int64_t *)(void *)slot = json_integer_value (value);
+      break;
+    case FIELD_BOOL:
+      *(bool *)slot = json_is_true (value);
+      break;
+    case FIELD_JSON:
+      *(json_t **)(void *)slot = json_incref (value);
+      break;
+    case FIELD_STRINGS:
+      strings = (struct strings *)(void *)slot;
+      strings->count = json_array_size (value);
+      strings->items = xcalloc (strings->count + 1, sizeof (char *));
+      for (size_t i = 0; i < strings->count; i++)
+        strings->items[i]
+            = xstrdup (json_string_value (json_array_get (value, i)));
+      break;
+    }
+}
+
+static bool
+check_required (const json_t *object, const struct field *fields,
+                size_t count, const char *where, struct error *error)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!fields[i].required || json_object_get (object, fields[i].name))
+        continue;
+      error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+                 "%s: \"%s\" is missing; %s", where, fields[i].name,
+                 fields[i].remedy ? fields[i].remedy : "add it");
+      return false;
+    }
+  return true;
+}
+
+/* Checks every key of OBJECT against FIELDS and stores the values in OUT,
+   whose other fields keep their defaults.  WHERE opens the error messages.
+   On false nothing stays allocated in OUT that fields_release would not
+   free.  */
+bool
+fields_read (const json_t *object, const struct field *fields, size_t count,
+             const char *where, void *out, struct error *error)
+{
+  const char *name;
+  json_t *value;
+
+  if (!json_is_object (object))
+    {
+      error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+                 "%s: not a JSON object; write { ... }", where);
+      return false;
+    }
+  if (!check_required (object, fields, count, where, error))
+    return false;
+  json_object_foreach ((json_t *)object, name, value)
+  {
+    const struct field *field = find_field (fields, count, name);
+
+    if (!field)
+      {
+        error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+                   "%s: unknown key \"%s\"; remove it or correct its name",
+                   where, name);
+        return false;
+      }
+    if (!type_matches (field, value))
+      {
+        error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+                   "%s: \"%s\" must be %s", where, name,
+                   type_names[field->type]);
+        return false;
+      }
+    if (!check_range (field, value, where, error))
+      return false;
+  }
+  json_object_foreach ((json_t *)object, name, value)
+      store_value (find_field (fields, count, name), value, out);
+  return true;
+}
+
+/* Frees what fields_read stored in OUT.  */
+void
+fields_release (const struct field *fields, size_t count, void *out)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      char *slot = (char *)out + fields[i].offset;
+      struct strings *strings;
+
+      switch (fields[i].type)
+        {
+        case FIELD_STRING:
+          free (*(char **)(void *)slot);
+          *(char **)(void *)slot = NULL;
+          break;
+        case FIELD_JSON:
+          json_decref (*(json_t **)(void *)slot);
+          *(json_t **)(void *)slot = NULL;
+          break;
+        case FIELD_STRINGS:
+          strings = (struct strings *)(void *)slot;
+          for (size_t j = 0; j < strings->count; j++)
+            free (strings->items[j]);
+          free (strings->items);
+          *strings = (struct strings){ 0 };
+          break;
+        case FIELD_INT64:
+        case FIELD_BOOL:
+          break;
+        }
+    }
+}
+
+/* Whether ITEM is one of STRINGS.  */
+bool
+strings_contain (const struct strings *strings, const char *item)
+{
+  for (size_t i = 0; i < strings->count; i++)
+    if (strcmp (strings->items[i], item) == 0)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/common/httpd.c
@@ -0,0 +1,466 @@
+#include "common/httpd.h"
+#include "common/log.h"
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  STREAM_BLOCK_BYTES = 2048,
+  STREAM_BACKLOG_BYTES = 256 * 1024,
+  LISTEN_BACKLOG = 1024,
+};
+
+struct httpd
+{
+  struct MHD_Daemon *daemon;
+  struct httpd_options options;
+  ev_io readable;
+  ev_timer timeout;
+  ev_prepare before_wait;
+  bool needs_run;
+  bool leaving;
+  uint32_t open_requests;
+};
+
+static void
+wake (struct httpd_request *request)
+{
+  if (!request->suspended)
+    return;
+  request->suspended = false;
+  MHD_resume_connection (request->connection);
+  request->httpd->needs_run = true;
+}
+
+static void
+request_destroy (struct httpd_request *request)
+{
+  buf_release (&request->body);
+  buf_release (&request->out);
+  free (request->method);
+  free (request->path);
+  free (request->content_type);
+  free (request->extra_header);
+  free (request->extra_value);
+  free (request);
+}
+
+static struct httpd_request *
+request_create (struct httpd *httpd, struct MHD_Connection *connection,
+                const char *url, const char *method)
+{
+  struct httpd_request *request = xcalloc (1, sizeof *request);
+
+  request->httpd = httpd;
+  request->connection = connection;
+  request->method = xstrdup (method);
+  request->path = xstrdup (url);
+  httpd->open_requests++;
+  return request;
+}
+
+static ssize_t
+handle_read_stream (void *data, uint64_t position, char *out, size_t max)
+{
+  struct httpd_request *request = data;
+  size_t len = request->out.len < max ? request->out.len : max;
+
+  if (len > 0)
+    {
+      memcpy (out, request->out.data, len);
+      buf_consume (&request->out, len);
+      if (request->out.len == 0)
+        buf_release (&request->out);
+      return (ssize_t)len;
+    }
+  if (request->stream_aborted)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (request->stream_ended)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  request->suspended = true;
+  MHD_suspend_connection (request->connection);
+  return 0;
+}
+
+static enum MHD_Result
+queue_response (struct httpd_request *request)
+{
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  if (request->streaming)
+    response = MHD_create_response_from_callback (
+        MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, handle_read_stream, request,
+        NULL);
+  else
+    response = MHD_create_response_from_buffer (
+        request->out.len, request->out.data, MHD_RESPMEM_MUST_COPY);
+  if (!response)
+    return MHD_NO;
+  if (!request->streaming)
+    buf_release (&request->out);
+  MHD_add_response_header (response, "Content-Type", request->content_type);
+  if (request->extra_header)
+    MHD_add_response_header (response, request->extra_header,
+                             request->extra_value);
+  if (request->httpd->leaving && !request->streaming)
+    MHD_add_response_header (response, "Connection", "close");
+  result = MHD_queue_response (request->connection, request->status, response);
+  MHD_destroy_response (response);
+  request->state = HTTPD_QUEUED;
+  return result;
+}
+
+static bool
+append_body (struct httpd_request *request, const char *data, size_t len)
+{
+  if (request->body.len + len <= request->httpd->options.max_body_bytes)
+    {
+      buf_append (&request->body, data, len);
+      return true;
+    }
+  request->body_too_large = true;
+  buf_release (&request->body);
+  return false;
+}
+
+static void
+respond_too_large (struct httpd_request *request)
+{
+  struct error error;
+
+  error_set (&error, ERROR_TOO_LARGE, RUN_NOT_RUN,
+             "the body is larger than %zu bytes; send a smaller one",
+             request->httpd->options.max_body_bytes);
+  httpd_respond_error (request, &error);
+}
+
+static enum MHD_Result
+handle_access (void *data, struct MHD_Connection *connection,
+               const char *url, const char *method, const char *version,
+               const char *upload, size_t *upload_len, void **slot)
+{
+  struct httpd *httpd = data;
+  struct httpd_request *request = *slot;
+
+  if (!request)
+    {
+      request = request_create (httpd, connection, url, method);
+      *slot = request;
+      if (httpd->options.handle_headers)
+        httpd->options.handle_headers (httpd->options.data, request);
+      if (request->state == HTTPD_RESPONDED)
+        return queue_response (request);
+      return MHD_YES;
+    }
+  if (*upload_len > 0)
+    {
+      if (!request->body_too_large)
+        append_body (request, upload, *upload_len);
+      *upload_len = 0;
+      return MHD_YES;
+    }
+  if (request->state == HTTPD_READING)
+    {
+      request->state = HTTPD_WAITING;
+      if (request->body_too_large)
+        respond_too_large (request);
+      else
+        httpd->options.handle_request (httpd->options.data, request);
+    }
+  if (request->state == HTTPD_RESPONDED)
+    return queue_response (request);
+  if (request->state == HTTPD_WAITING && !request->suspended)
+    {
+      request->suspended = true;
+      MHD_suspend_connection (connection);
+    }
+  return MHD_YES;
+}
+
+static void
+handle_completed (void *data, struct MHD_Connection *connection, void **slot,
+                  enum MHD_RequestTerminationCode code)
+{
+  struct httpd *httpd = data;
+  struct httpd_request *request = *slot;
+
+  if (!request)
+    return;
+  *slot = NULL;
+  httpd->open_requests--;
+  if (request->handle_gone)
+    request->handle_gone (request);
+  request_destroy (request);
+}
+
+static void
+arm_timeout (struct httpd *httpd)
+{
+  MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+  ev_timer_stop (httpd->options.loop, &httpd->timeout);
+  if (MHD_get_timeout (httpd->daemon, &timeout_ms) != MHD_YES)
+    return;
+  ev_timer_set (&httpd->timeout, (double)timeout_ms / 1000.0, 0);
+  ev_timer_start (httpd->options.loop, &httpd->timeout);
+}
+
+static void
+run_daemon (struct httpd *httpd)
+{
+  httpd->needs_run = false;
+  MHD_run (httpd->daemon);
+  arm_timeout (httpd);
+}
+
+static void
+handle_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  ((struct httpd *)watcher->data)->needs_run = true;
+}
+
+static void
+handle_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  ((struct httpd *)watcher->data)->needs_run = true;
+}
+
+/* Runs the daemon once for everything that became ready in this turn of the
+   loop, so that a turn with many tokens costs one run.  */
+static void
+handle_before_wait (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  struct httpd *httpd = watcher->data;
+
+  if (httpd->needs_run)
+    run_daemon (httpd);
+}
+
+static struct MHD_Daemon *
+start_daemon (struct httpd *httpd, const struct sockaddr_in *address)
+{
+  const struct httpd_options *options = &httpd->options;
+  unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+  struct MHD_OptionItem tls[] = {
+    { MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)(uintptr_t)options->cert_pem },
+    { MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)(uintptr_t)options->key_pem },
+    { options->ca_pem ? MHD_OPTION_HTTPS_MEM_TRUST : MHD_OPTION_END, 0,
+      (void *)(uintptr_t)options->ca_pem },
+    { MHD_OPTION_END, 0, NULL },
+  };
+  struct MHD_OptionItem none[] = { { MHD_OPTION_END, 0, NULL } };
+
+  if (options->cert_pem)
+    flags |= MHD_USE_TLS;
+  return MHD_start_daemon (
+      flags, options->port, NULL, NULL, handle_access, httpd,
+      MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
+      MHD_OPTION_NOTIFY_COMPLETED, handle_completed, httpd,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, options->connection_memory_bytes,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)options->idle_timeout_s,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)options->max_connections,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)LISTEN_BACKLOG,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 0U, MHD_OPTION_ARRAY,
+      options->cert_pem ? tls : none, MHD_OPTION_END);
+}
+
+/* Starts listening.  The strings in OPTIONS must outlive the server.  NULL
+   and ERROR where the address cannot be bound.  */
+struct httpd *
+httpd_create (const struct httpd_options *options, struct error *error)
+{
+  struct httpd *httpd = xcalloc (1, sizeof *httpd);
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  const union MHD_DaemonInfo *info;
+
+  httpd->options = *options;
+  address.sin_port = htons (options->port);
+  if (inet_pton (AF_INET, options->address, &address.sin_addr) != 1)
+    {
+      error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+                 "\"%s\" is no IP number; write one such as 127.0.0.1",
+                 options->address);
+      free (httpd);
+      return NULL;
+    }
+  httpd->daemon = start_daemon (httpd, &address);
+  if (!httpd->daemon)
+    {
+      error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+                 "cannot listen on %s:%u; free the port or name another, "
+                 "and check the certificate and key where TLS is set",
+                 options->address, options->port);
+      free (httpd);
+      return NULL;
+    }
+  info = MHD_get_daemon_info (httpd->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  ev_io_init (&httpd->readable, handle_readable, info->epoll_fd, EV_READ);
+  httpd->readable.data = httpd;
+  ev_io_start (options->loop, &httpd->readable);
+  ev_timer_init (&httpd->timeout, handle_timeout, 0, 0);
+  httpd->timeout.data = httpd;
+  ev_prepare_init (&httpd->before_wait, handle_before_wait);
+  httpd->before_wait.data = httpd;
+  ev_prepare_start (options->loop, &httpd->before_wait);
+  return httpd;
+}
+
+/* Stops taking new connections; open ones end after their response.  */
+void
+httpd_begin_destroy (struct httpd *httpd)
+{
+  MHD_socket listener;
+
+  if (httpd->leaving)
+    return;
+  httpd->leaving = true;
+  listener = MHD_quiesce_daemon (httpd->daemon);
+  if (listener != MHD_INVALID_SOCKET)
+    close (listener);
+}
+
+/* Whether no request is open.  */
+bool
+httpd_is_idle (const struct httpd *httpd)
+{
+  return httpd->open_requests == 0;
+}
+
+/* Returns how many requests are open.  */
+uint32_t
+httpd_open_requests (const struct httpd *httpd)
+{
+  return httpd->open_requests;
+}
+
+/* Returns the port that the server listens on.  */
+uint16_t
+httpd_port (const struct httpd *httpd)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (httpd->daemon, MHD_DAEMON_INFO_BIND_PORT);
+
+  return info ? info->port : httpd->options.port;
+}
+
+/* Closes every connection and frees the server.  Suspended requests must
+   have been responded to before.  */
+void
+httpd_destroy (struct httpd *httpd)
+{
+  if (!httpd)
+    return;
+  ev_io_stop (httpd->options.loop, &httpd->readable);
+  ev_timer_stop (httpd->options.loop, &httpd->timeout);
+  ev_prepare_stop (httpd->options.loop, &httpd->before_wait);
+  MHD_run (httpd->daemon);
+  MHD_stop_daemon (httpd->daemon);
+  free (httpd);
+}
+
+/* Returns a request header, or NULL.  The request owns it.  */
+const char *
+httpd_header (const struct httpd_request *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND,
+                                      name);
+}
+
+/* Returns a query argument, or NULL.  The request owns it.  */
+const char *
+httpd_query (const struct httpd_request *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection,
+                                      MHD_GET_ARGUMENT_KIND, name);
+}
+
+static bool
+set_status (struct httpd_request *request, unsigned status,
+            const char *content_type)
+{
+  if (request->state == HTTPD_RESPONDED || request->state == HTTPD_QUEUED)
+    return false;
+  request->status = status;
+  free (request->content_type);
+  request->content_type = xstrdup (content_type);
+  request->state = HTTPD_RESPONDED;
+  return true;
+}
+
+/* Gives the whole response.  A second response to a request is dropped.  */
+void
+httpd_respond (struct httpd_request *request, unsigned status,
+               const char *content_type, const char *body, size_t len)
+{
+  if (!set_status (request, status, content_type))
+    return;
+  request->out.len = 0;
+  buf_append (&request->out, body, len);
+  wake (request);
+}
+
+/* Responds with ERROR as its JSON body, and a Retry-After where one is
+   known.  */
+void
+httpd_respond_error (struct httpd_request *request, const struct error *error)
+{
+  char *body = error_to_json (error);
+
+  if (error->retry_after_ms > 0 && !request->extra_header)
+    {
+      request->extra_header = xstrdup ("Retry-After");
+      request->extra_value
+          = xasprintf ("%u", (error->retry_after_ms + 999) / 1000);
+    }
+  httpd_respond (request, error_http_status (error->kind),
+                 "application/json", body, strlen (body));
+  free (body);
+}
+
+/* Opens a response whose body follows by httpd_stream_write.  */
+void
+httpd_stream_begin (struct httpd_request *request, unsigned status,
+                    const char *content_type)
+{
+  if (!set_status (request, status, content_type))
+    return;
+  request->streaming = true;
+  wake (request);
+}
+
+/* Appends to the response body.  False where the reader is so slow that its
+   backlog is full; the caller then aborts the stream.  */
+bool
+httpd_stream_write (struct httpd_request *request, const void *data,
+                    size_t len)
+{
+  if (request->out.len + len > STREAM_BACKLOG_BYTES)
+    return false;
+  buf_append (&request->out, data, len);
+  if (request->state == HTTPD_QUEUED)
+    wake (request);
+  return true;
+}
+
+/* Ends the body once what was written has been sent.  */
+void
+httpd_stream_end (struct httpd_request *request)
+{
+  request->stream_ended = true;
+  if (request->state == HTTPD_QUEUED)
+    wake (request);
+}
+
+/* Cuts the body so that the caller sees that it is not whole.  */
+void
+httpd_stream_abort (struct httpd_request *request)
+{
+  request->stream_aborted = true;
+  buf_release (&request->out);
+  if (request->state == HTTPD_QUEUED)
+    wake (request);
+}
--- /dev/null
+++ b/common/mailbox.c
@@ -0,0 +1,52 @@
+#include "common/mailbox.h"
+#include "common/buf.h"
+#include <stdlib.h>
+
+static void
+handle_wake (struct ev_loop *loop, ev_async *watcher, int events)
+{
+  struct mailbox *mailbox = watcher->data;
+  void *message;
+
+  while (
+      ck_ring_dequeue_mpsc (&mailbox->ring, mailbox->slots, &message))
+    mailbox->handle_message (mailbox->data, message);
+}
+
+/* Creates a mailbox that hands each message to HANDLE_MESSAGE on LOOP.  */
+struct mailbox *
+mailbox_create (struct ev_loop *loop, mailbox_handler *handle_message,
+                void *data)
+{
+  struct mailbox *mailbox = xcalloc (1, sizeof *mailbox);
+
+  ck_ring_init (&mailbox->ring, MAILBOX_SLOTS);
+  mailbox->loop = loop;
+  mailbox->handle_message = handle_message;
+  mailbox->data = data;
+  ev_async_init (&mailbox->wake, handle_wake);
+  mailbox->wake.data = mailbox;
+  ev_async_start (loop, &mailbox->wake);
+  return mailbox;
+}
+
+/* Posts MESSAGE from any thread; false where the ring is full, and then the
+   caller still owns it.  */
+bool
+mailbox_post (struct mailbox *mailbox, void *message)
+{
+  if (!ck_ring_enqueue_mpsc (&mailbox->ring, mailbox->slots, message))
+    return false;
+  ev_async_send (mailbox->loop, &mailbox->wake);
+  return true;
+}
+
+/* Frees the mailbox; call it on the loop's thread, with no more posters.  */
+void
+mailbox_destroy (struct mailbox *mailbox)
+{
+  if (!mailbox)
+    return;
+  ev_async_stop (mailbox->loop, &mailbox->wake);
+  free (mailbox);
+}
--- /dev/null
+++ b/include/common/address.h
@@ -0,0 +1,12 @@
+/* "IP:port" texts. */
+#ifndef GALENA_COMMON_ADDRESS_H
+#define GALENA_COMMON_ADDRESS_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+
+bool address_parse (const char *text, struct sockaddr_in *address);
+bool address_split (const char *text, char ip[INET_ADDRSTRLEN],
+                    uint16_t *port);
+
+#endif
--- /dev/null
+++ b/include/common/buf.h
@@ -0,0 +1,29 @@
+/* Growing byte buffer. */
+#ifndef GALENA_COMMON_BUF_H
+#define GALENA_COMMON_BUF_H
+
+#include <stddef.h>
+
+/* The holder of the struct owns the bytes. */
+struct buf
+{
+  char *data;
+  size_t len;
+  size_t capacity;
+};
+
+void buf_append (struct buf *buf, const void *data, size_t len);
+void buf_append_str (struct buf *buf, const char *text);
+void buf_printf (struct buf *buf, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+void buf_consume (struct buf *buf, size_t len);
+void buf_release (struct buf *buf);
+
+/* These abort on exhausted memory; the caller frees the result. */
+void *xcalloc (size_t count, size_t size);
+void *xrealloc (void *old, size_t size);
+char *xstrdup (const char *text);
+char *xasprintf (const char *format, ...)
+    __attribute__ ((format (printf, 1, 2)));
+
+#endif
--- /dev/null
+++ b/include/common/counters.h
@@ -0,0 +1,40 @@
+/* Process counters, written by any thread. */
+#ifndef GALENA_COMMON_COUNTERS_H
+#define GALENA_COMMON_COUNTERS_H
+
+#include "common/error.h"
+#include <jansson.h>
+#include <stdint.h>
+
+enum counter
+{
+  COUNTER_REQUESTS,
+  COUNTER_CALLS_STARTED,
+  COUNTER_CALLS_FINISHED,
+  COUNTER_CALLS_REPLAYED,
+  COUNTER_TOKENS,
+  COUNTER_PROGRAMS_OPENED,
+  COUNTER_PROGRAMS_CLOSED,
+  COUNTER_FORWARDED,
+  COUNTER_TAKEOVERS,
+  COUNTER_STREAMS_OPEN,
+  COUNTER_STREAMS_ENDED_BY_KEY,
+  COUNTER_PEER_FRAMES_SENT,
+  COUNTER_PEER_BYTES_SENT,
+  COUNTER_PEER_FRAMES_REFUSED,
+  COUNTER_PLATFORM_CALLS,
+  COUNTER_TOKEN_PULLS,
+  COUNTER_TOKEN_GRANTS,
+  COUNTER_STORE_APPENDS,
+  COUNTER_STORE_SYNCS,
+  COUNTER_ENDPOINT_RETRIES,
+  COUNTER_ENDPOINT_FAILURES,
+  COUNTER_COUNT,
+};
+
+void counter_add (enum counter counter, int64_t amount);
+int64_t counter_get (enum counter counter);
+void counter_refusal (enum error_kind kind);
+json_t *counters_to_json (void);
+
+#endif
--- /dev/null
+++ b/include/common/fields.h
@@ -0,0 +1,41 @@
+/* Checked reading of JSON objects into plain structs. */
+#ifndef GALENA_COMMON_FIELDS_H
+#define GALENA_COMMON_FIELDS_H
+
+#include "common/error.h"
+#include <jansson.h>
+#include <stddef.h>
+
+enum field_type
+{
+  FIELD_STRING,  /* char *, owned by the struct */
+  FIELD_INT64,   /* int64_t within [min, max] */
+  FIELD_BOOL,    /* bool */
+  FIELD_STRINGS, /* struct strings, owned by the struct */
+  FIELD_JSON,    /* json_t *, a reference owned by the struct */
+};
+
+struct strings
+{
+  char **items;
+  size_t count;
+};
+
+struct field
+{
+  const char *name;
+  enum field_type type;
+  size_t offset;
+  bool required;
+  int64_t min;
+  int64_t max;
+  const char *remedy;
+};
+
+bool fields_read (const json_t *object, const struct field *fields,
+                  size_t count, const char *where, void *out,
+                  struct error *error);
+void fields_release (const struct field *fields, size_t count, void *out);
+bool strings_contain (const struct strings *strings, const char *item);
+
+#endif
--- /dev/null
+++ b/include/common/httpd.h
@@ -0,0 +1,88 @@
+/* HTTP server on one event loop, over libmicrohttpd. */
+#ifndef GALENA_COMMON_HTTPD_H
+#define GALENA_COMMON_HTTPD_H
+
+#include "common/buf.h"
+#include "common/error.h"
+#include <ev.h>
+#include <microhttpd.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct httpd;
+struct httpd_request;
+typedef void httpd_handler (void *data, struct httpd_request *request);
+
+struct httpd_options
+{
+  struct ev_loop *loop;
+  const char *address;
+  uint16_t port;
+  size_t connection_memory_bytes;
+  size_t max_body_bytes;
+  uint32_t idle_timeout_s;
+  uint32_t max_connections;
+  const char *cert_pem;    /* NULL for plain HTTP */
+  const char *key_pem;     /* NULL for plain HTTP */
+  const char *ca_pem;      /* asks peers for a certificate; may be NULL */
+  httpd_handler *handle_headers; /* may respond early; may be NULL */
+  httpd_handler *handle_request;
+  void *data;
+};
+
+enum httpd_state
+{
+  HTTPD_READING,
+  HTTPD_WAITING,   /* handed to the handler, no response yet */
+  HTTPD_RESPONDED, /* response ready, not yet queued */
+  HTTPD_QUEUED,
+};
+
+/* Owned by its httpd; valid until handle_gone or until the response that
+   ends it has been given. */
+struct httpd_request
+{
+  struct httpd *httpd;
+  struct MHD_Connection *connection;
+  char *method;
+  char *path;
+  struct buf body;
+  struct buf out;
+  char *content_type;
+  char *extra_header;
+  char *extra_value;
+  unsigned status;
+  enum httpd_state state;
+  bool suspended;
+  bool streaming;
+  bool stream_ended;
+  bool stream_aborted;
+  bool body_too_large;
+  void *user;
+  void (*handle_gone) (struct httpd_request *request);
+};
+
+struct httpd *httpd_create (const struct httpd_options *options,
+                            struct error *error);
+void httpd_begin_destroy (struct httpd *httpd);
+bool httpd_is_idle (const struct httpd *httpd);
+void httpd_destroy (struct httpd *httpd);
+uint16_t httpd_port (const struct httpd *httpd);
+uint32_t httpd_open_requests (const struct httpd *httpd);
+
+const char *httpd_header (const struct httpd_request *request,
+                          const char *name);
+const char *httpd_query (const struct httpd_request *request,
+                         const char *name);
+void httpd_respond (struct httpd_request *request, unsigned status,
+                    const char *content_type, const char *body, size_t len);
+void httpd_respond_error (struct httpd_request *request,
+                          const struct error *error);
+void httpd_stream_begin (struct httpd_request *request, unsigned status,
+                         const char *content_type);
+bool httpd_stream_write (struct httpd_request *request, const void *data,
+                         size_t len);
+void httpd_stream_end (struct httpd_request *request);
+void httpd_stream_abort (struct httpd_request *request);
+
+#endif
--- /dev/null
+++ b/include/common/log.h
@@ -0,0 +1,30 @@
+/* JSON-lines logger.  Never pass it a key, a prompt or an answer. */
+#ifndef GALENA_COMMON_LOG_H
+#define GALENA_COMMON_LOG_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum log_level
+{
+  LOG_ERROR,
+  LOG_WARN,
+  LOG_INFO,
+  LOG_DEBUG,
+};
+
+/* Ids that a line may carry; unset ones are left out. */
+struct log_ids
+{
+  const char *request;
+  const char *program;
+  const char *customer;
+};
+
+void log_init (const char *host, enum log_level level);
+bool log_level_parse (const char *name, enum log_level *level);
+void log_write (enum log_level level, const char *module,
+                const struct log_ids *ids, const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+
+#endif
--- /dev/null
+++ b/include/peer/link.h
@@ -0,0 +1,71 @@
+/* One TCP connection between two hosts. */
+#ifndef GALENA_PEER_LINK_H
+#define GALENA_PEER_LINK_H
+
+#include "common/buf.h"
+#include "peer/peer.pb-c.h"
+#include "peer/seal.h"
+#include <ev.h>
+#include <netinet/in.h>
+
+enum link_state
+{
+  LINK_CONNECTING,
+  LINK_HELLO, /* waits for the other side's hello */
+  LINK_OPEN,
+};
+
+struct link;
+
+struct link_identity
+{
+  const char *host;
+  const char *data_centre;
+  uint64_t process;
+};
+
+/* Callbacks of the link's owner.  After handle_closed the link is gone. */
+struct link_owner
+{
+  void (*handle_open) (void *data, struct link *link, const char *host);
+  void (*handle_frame) (void *data, struct link *link,
+                        const Peer__Frame *frame);
+  void (*handle_closed) (void *data, struct link *link);
+  void *data;
+};
+
+/* Owned by the mesh, or by the peer that it leads to. */
+struct link
+{
+  int fd;
+  enum link_state state;
+  bool opener;
+  struct ev_loop *loop;
+  ev_io readable;
+  ev_io writable;
+  ev_timer hello_timer;
+  struct buf in;
+  struct buf out;
+  struct seal seal;
+  uint8_t own_nonce[SEAL_NONCE_BYTES];
+  const struct keyring *keyring;
+  struct link_identity self;
+  struct link_owner owner;
+  char *host; /* the other side's, once it is known */
+  uint64_t process;
+  struct link *next;
+};
+
+struct link *link_connect (struct ev_loop *loop,
+                           const struct sockaddr_in *address,
+                           const struct keyring *keyring,
+                           const struct link_identity *self,
+                           const struct link_owner *owner);
+struct link *link_accept (struct ev_loop *loop, int fd,
+                          const struct keyring *keyring,
+                          const struct link_identity *self,
+                          const struct link_owner *owner);
+bool link_send (struct link *link, const uint8_t *packed, size_t len);
+void link_destroy (struct link *link);
+
+#endif
--- /dev/null
+++ b/include/peer/mesh.h
@@ -0,0 +1,60 @@
+/* Links to the other hosts: framed protobuf-c over TCP, encrypted and
+   authenticated under keys that each link derives from the fleet key.
+
+   A host sends over links that it opened and receives over links that others
+   opened.  Frames that were queued on a broken link are lost; the layers above
+   treat them as lost messages.  */
+#ifndef GALENA_PEER_MESH_H
+#define GALENA_PEER_MESH_H
+
+#include "common/error.h"
+#include "peer/peer.pb-c.h"
+#include "policy/cursor.h"
+#include <ev.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct mesh;
+
+struct mesh_host
+{
+  const char *name;
+  const char *address; /* "IP:port" */
+};
+
+typedef void mesh_frame_handler (void *data, const char *host,
+                                 const Peer__Frame *frame);
+/* HOST has stopped answering, or its link broke. */
+typedef void mesh_down_handler (void *data, const char *host);
+
+struct mesh_options
+{
+  struct ev_loop *loop;
+  const char *host;
+  const char *data_centre;
+  uint64_t process;
+  const char *listen_address;
+  uint16_t listen_port;
+  const struct keyring *keyring; /* outlives the mesh */
+  mesh_frame_handler *handle_frame;
+  mesh_down_handler *handle_down;
+  void *data;
+};
+
+struct mesh *mesh_create (const struct mesh_options *options,
+                          struct error *error);
+void mesh_destroy (struct mesh *mesh);
+void mesh_set_hosts (struct mesh *mesh, const struct mesh_host *hosts,
+                     size_t count);
+bool mesh_send (struct mesh *mesh, const char *host, const Peer__Frame *frame);
+bool mesh_is_suspect (const struct mesh *mesh, const char *host);
+bool mesh_is_leaving (const struct mesh *mesh, const char *host);
+void mesh_set_status (struct mesh *mesh, uint64_t config_revision,
+                      bool leaving);
+void mesh_probe (struct mesh *mesh, const char *host);
+void mesh_block (struct mesh *mesh, const char *host, bool blocked);
+json_t *mesh_to_json (const struct mesh *mesh);
+
+#endif
--- /dev/null
+++ b/include/policy/budget.h
@@ -0,0 +1,49 @@
+/* A program's budget, spent from grants that are recorded first.
+
+   Spent and reserved never exceed what was granted, and what is granted never
+   exceeds the limit.  A new owner counts the recorded grant as spent, so it
+   need not know how far the one before it got.  */
+#ifndef GALENA_POLICY_BUDGET_H
+#define GALENA_POLICY_BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  BUDGET_GRANT_PARTS = 8, /* a grant is this part of the limit, or the need */
+};
+
+struct budget_amount
+{
+  int64_t tokens;
+  int64_t calls;
+  int64_t cost_micros;
+};
+
+struct budget
+{
+  struct budget_amount limit;
+  struct budget_amount granted;
+  struct budget_amount spent;
+  struct budget_amount reserved;
+};
+
+enum budget_verdict
+{
+  BUDGET_OK,
+  BUDGET_NEEDS_GRANT, /* record budget_next_grant first */
+  BUDGET_EXHAUSTED,
+};
+
+void budget_init (struct budget *budget, struct budget_amount limit);
+void budget_adopt (struct budget *budget, struct budget_amount recorded);
+enum budget_verdict budget_reserve (struct budget *budget,
+                                    struct budget_amount amount);
+void budget_settle (struct budget *budget, struct budget_amount reserved,
+                    struct budget_amount actual);
+struct budget_amount budget_next_grant (const struct budget *budget,
+                                        struct budget_amount amount);
+void budget_grant (struct budget *budget, struct budget_amount recorded);
+
+#endif
--- /dev/null
+++ b/include/policy/cursor.h
@@ -0,0 +1,52 @@
+/* The cursor: the authenticated position of a branch, carried by the caller.
+
+   Whoever holds a cursor can name the program, branch and turn of the next
+   call, the process that may run it if it is not idempotent, and the history
+   that it follows.  Callers treat it as opaque.  */
+#ifndef GALENA_POLICY_CURSOR_H
+#define GALENA_POLICY_CURSOR_H
+
+#include "common/error.h"
+#include <stddef.h>
+#include <stdint.h>
+
+enum
+{
+  KEYRING_MAX_KEYS = 4,
+  KEYRING_KEY_BYTES = 32,
+  CURSOR_TEXT_BYTES = 256,
+};
+
+struct keyring_key
+{
+  uint8_t id;
+  uint8_t secret[KEYRING_KEY_BYTES];
+};
+
+/* The first key seals; all of them open. */
+struct keyring
+{
+  struct keyring_key keys[KEYRING_MAX_KEYS];
+  uint32_t count;
+};
+
+struct cursor
+{
+  uint64_t program;      /* hash of the program id */
+  uint64_t customer;     /* hash of the customer's name */
+  uint32_t branch;
+  uint32_t turn;         /* of the next call */
+  uint64_t incarnation;  /* of the program's state in its owner's memory */
+  uint64_t process;      /* the process that holds it; names its journal */
+  uint64_t history_hash; /* over all turns before this one */
+  uint64_t spent_tokens;
+  bool journaled; /* its owner dispatches only after a recorded intent */
+};
+
+bool cursor_seal (const struct keyring *keyring, const struct cursor *cursor,
+                  char out[CURSOR_TEXT_BYTES]);
+bool cursor_open (const struct keyring *keyring, const char *text,
+                  struct cursor *cursor, struct error *error);
+uint64_t cursor_chain (uint64_t history_hash, const void *turn, size_t len);
+
+#endif
--- /dev/null
+++ b/include/policy/limit.h
@@ -0,0 +1,56 @@
+/* One customer's token bucket in one slot, and loans made from it.
+
+   The customer's rate and burst are divided over slots; each slot has one
+   holder, so the buckets' capacities add up to the burst and their refills
+   to the rate.  A host without tokens borrows from a holder.  The holder
+   debits before it answers and keeps the loan under its capacity until the
+   borrower has confirmed, so level + lent never exceeds the capacity.  */
+#ifndef GALENA_POLICY_LIMIT_H
+#define GALENA_POLICY_LIMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  LIMIT_UTOKENS = 1000000,   /* micro-tokens in a token */
+  LIMIT_MAX_LOANS = 64,      /* loans out at once from one bucket */
+  LIMIT_LOAN_MS = 1000,      /* a borrower uses a loan within this time */
+  LIMIT_LOAN_LAPSE_MS = 3000, /* the holder then counts it as spent */
+  LIMIT_SETTLE_MS = 20000,   /* raised limits wait until old ones are gone */
+};
+
+struct limit_loan
+{
+  uint64_t nonce;
+  int64_t utokens;
+  int64_t lapses_ms;
+};
+
+struct limit
+{
+  int64_t rate_utokens_per_s;
+  int64_t capacity_utokens;
+  int64_t level_utokens;
+  int64_t lent_utokens;
+  int64_t refilled_ms;
+  int64_t remainder; /* of the refill division, in utokens/1000 */
+  int64_t pending_rate_utokens_per_s;
+  int64_t pending_capacity_utokens;
+  int64_t pending_from_ms; /* 0: nothing pending */
+  struct limit_loan loans[LIMIT_MAX_LOANS];
+  uint32_t loan_count;
+};
+
+void limit_init (struct limit *limit, int64_t now_ms);
+void limit_configure (struct limit *limit, int64_t rate_utokens_per_s,
+                      int64_t capacity_utokens, int64_t settle_ms,
+                      int64_t now_ms);
+bool limit_take (struct limit *limit, int64_t utokens, int64_t now_ms);
+int64_t limit_lend (struct limit *limit, uint64_t nonce, int64_t utokens,
+                    int64_t now_ms);
+void limit_confirm (struct limit *limit, uint64_t nonce,
+                    int64_t unused_utokens, int64_t now_ms);
+int64_t limit_wait_ms (struct limit *limit, int64_t utokens, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/include/policy/slots.h
@@ -0,0 +1,35 @@
+/* Which slots carry a customer's rate and burst, and how much each carries. */
+#ifndef GALENA_POLICY_SLOTS_H
+#define GALENA_POLICY_SLOTS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum
+{
+  SLOTS_MIN_TOKENS = 8,   /* a slot carries at least so much burst, if it can */
+  SLOTS_MAX_PER_DC = 64,
+  SLOTS_MAX_DCS = 16,
+};
+
+/* The slots of one data centre. */
+struct slots_dc
+{
+  uint64_t dc_hash;
+  uint32_t slot_count;
+};
+
+struct slot_part
+{
+  uint32_t dc;   /* index into the data centres given */
+  uint32_t slot;
+  int64_t rate_utokens_per_s;
+  int64_t capacity_utokens;
+};
+
+uint32_t slots_for_customer (const struct slots_dc *dcs, uint32_t dc_count,
+                             uint64_t customer_hash, int64_t rate_milli,
+                             int64_t burst_tokens, struct slot_part *parts,
+                             uint32_t max_parts);
+
+#endif
--- /dev/null
+++ b/peer/mesh.c
@@ -0,0 +1,526 @@
+#include "peer/mesh.h"
+#include "common/address.h"
+#include "common/buf.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "peer/link.h"
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  PING_MS = 500,
+  SUSPECT_MS = 1500,
+  SUSPECT_HOLD_MS = 3000, /* after a failed connection */
+  IDLE_MS = 30000,
+  PENDING_BYTES = 8 * 1024 * 1024,
+  ACCEPT_BACKLOG = 256,
+};
+
+/* Another host.  Owned by the mesh. */
+struct peer
+{
+  struct mesh *mesh;
+  char *name;
+  char *address;
+  struct link *link;   /* opened by this host; owned here */
+  struct buf pending;  /* length-prefixed frames until the link opens */
+  uint64_t ping_sequence;
+  int64_t ping_sent_ms; /* of the unanswered ping; 0 for none */
+  int64_t last_used_ms;
+  int64_t suspect_until_ms;
+  bool suspect;
+  bool leaving;
+  bool blocked;
+  bool listed;
+  struct peer *next;
+};
+
+struct mesh
+{
+  struct mesh_options options;
+  int listener;
+  ev_io acceptable;
+  ev_timer tick;
+  struct peer *peers;
+  struct link *inbound; /* list; owned here */
+  uint64_t config_revision;
+  bool leaving;
+};
+
+static struct peer *
+find_peer (const struct mesh *mesh, const char *name)
+{
+  for (struct peer *peer = mesh->peers; peer; peer = peer->next)
+    if (strcmp (peer->name, name) == 0)
+      return peer;
+  return NULL;
+}
+
+static void
+send_frame (struct peer *peer, const Peer__Frame *frame)
+{
+  size_t len = peer__frame__get_packed_size (frame);
+  uint8_t *packed = xcalloc (1, len + 1);
+  uint32_t prefix = (uint32_t)len;
+
+  peer__frame__pack (frame, packed);
+  if (peer->link && peer->link->state == LINK_OPEN)
+    link_send (peer->link, packed, len);
+  else if (peer->pending.len + len < PENDING_BYTES)
+    {
+      buf_append (&peer->pending, &prefix, sizeof prefix);
+      buf_append (&peer->pending, packed, len);
+    }
+  free (packed);
+}
+
+static void
+mark_suspect (struct peer *peer, int64_t hold_ms)
+{
+  bool was_suspect = peer->suspect;
+
+  peer->suspect = true;
+  peer->suspect_until_ms = clock_now_ms () + hold_ms;
+  if (was_suspect)
+    return;
+  log_write (LOG_WARN, "mesh", NULL, "host %s does not answer", peer->name);
+  peer->mesh->options.handle_down (peer->mesh->options.data, peer->name);
+}
+
+static void
+mark_answering (struct peer *peer)
+{
+  peer->ping_sent_ms = 0;
+  if (!peer->suspect)
+    return;
+  peer->suspect = false;
+  log_write (LOG_INFO, "mesh", NULL, "host %s answers again", peer->name);
+}
+
+static void
+drop_link (struct peer *peer)
+{
+  link_destroy (peer->link);
+  peer->link = NULL;
+  peer->ping_sent_ms = 0;
+  buf_release (&peer->pending);
+}
+
+static void
+handle_outbound_open (void *data, struct link *link, const char *host)
+{
+  struct peer *peer = data;
+  size_t offset = 0;
+
+  while (offset + sizeof (uint32_t) <= peer->pending.len)
+    {
+      uint32_t len;
+
+      memcpy (&len, peer->pending.data + offset, sizeof len);
+      offset += sizeof len;
+      link_send (link, (const uint8_t *)peer->pending.data + offset, len);
+      offset += len;
+    }
+  buf_release (&peer->pending);
+}
+
+static void
+handle_outbound_frame (void *data, struct link *link,
+                       const Peer__Frame *frame)
+{
+}
+
+static void
+handle_outbound_closed (void *data, struct link *link)
+{
+  struct peer *peer = data;
+  bool was_open = link->state == LINK_OPEN;
+
+  drop_link (peer);
+  mark_suspect (peer, was_open ? PING_MS : SUSPECT_HOLD_MS);
+}
+
+static struct link_identity
+own_identity (const struct mesh *mesh)
+{
+  return (struct link_identity){ .host = mesh->options.host,
+                                 .data_centre = mesh->options.data_centre,
+                                 .process = mesh->options.process };
+}
+
+static bool
+open_link (struct peer *peer)
+{
+  struct mesh *mesh = peer->mesh;
+  struct link_identity self = own_identity (mesh);
+  struct link_owner owner = { .handle_open = handle_outbound_open,
+                              .handle_frame = handle_outbound_frame,
+                              .handle_closed = handle_outbound_closed,
+                              .data = peer };
+  struct sockaddr_in address;
+
+  if (peer->link)
+    return true;
+  if (!address_parse (peer->address, &address))
+    return false;
+  peer->link = link_connect (mesh->options.loop, &address,
+                             mesh->options.keyring, &self, &owner);
+  return peer->link != NULL;
+}
+
+static void
+send_ping (struct peer *peer)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__Ping ping = PEER__PING__INIT;
+
+  ping.sequence = ++peer->ping_sequence;
+  ping.config_revision = peer->mesh->config_revision;
+  ping.leaving = peer->mesh->leaving;
+  frame.body_case = PEER__FRAME__BODY_PING;
+  frame.ping = &ping;
+  peer->ping_sent_ms = clock_now_ms ();
+  send_frame (peer, &frame);
+}
+
+static void
+send_pong (struct peer *peer, uint64_t sequence)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__Pong pong = PEER__PONG__INIT;
+
+  pong.sequence = sequence;
+  pong.config_revision = peer->mesh->config_revision;
+  pong.leaving = peer->mesh->leaving;
+  frame.body_case = PEER__FRAME__BODY_PONG;
+  frame.pong = &pong;
+  if (open_link (peer))
+    send_frame (peer, &frame);
+}
+
+static void
+take_pong (struct peer *peer, const Peer__Pong *pong)
+{
+  peer->leaving = pong->leaving;
+  if (pong->sequence == peer->ping_sequence)
+    mark_answering (peer);
+}
+
+static void
+handle_inbound_open (void *data, struct link *link, const char *host)
+{
+  struct mesh *mesh = data;
+  struct peer *peer = find_peer (mesh, host);
+
+  if (peer && peer->blocked)
+    shutdown (link->fd, SHUT_RDWR);
+}
+
+static void
+handle_inbound_frame (void *data, struct link *link, const Peer__Frame *frame)
+{
+  struct mesh *mesh = data;
+  struct peer *peer = find_peer (mesh, link->host);
+
+  if (peer && peer->blocked)
+    return;
+  if (peer && frame->body_case == PEER__FRAME__BODY_PING)
+    {
+      peer->leaving = frame->ping->leaving;
+      send_pong (peer, frame->ping->sequence);
+    }
+  if (peer && frame->body_case == PEER__FRAME__BODY_PONG)
+    take_pong (peer, frame->pong);
+  mesh->options.handle_frame (mesh->options.data, link->host, frame);
+}
+
+static void
+handle_inbound_closed (void *data, struct link *link)
+{
+  struct mesh *mesh = data;
+  struct link **slot = &mesh->inbound;
+
+  while (*slot && *slot != link)
+    slot = &(*slot)->next;
+  if (*slot)
+    *slot = link->next;
+  if (link->host)
+    mesh->options.handle_down (mesh->options.data, link->host);
+  link_destroy (link);
+}
+
+static void
+handle_acceptable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct mesh *mesh = watcher->data;
+  struct link_identity self = own_identity (mesh);
+  struct link_owner owner = { .handle_open = handle_inbound_open,
+                              .handle_frame = handle_inbound_frame,
+                              .handle_closed = handle_inbound_closed,
+                              .data = mesh };
+  struct link *link;
+  int fd = accept4 (mesh->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  if (fd < 0)
+    return;
+  link = link_accept (loop, fd, mesh->options.keyring, &self, &owner);
+  link->next = mesh->inbound;
+  mesh->inbound = link;
+}
+
+static void
+tick_peer (struct peer *peer, int64_t now_ms)
+{
+  if (peer->suspect && now_ms >= peer->suspect_until_ms && peer->listed
+      && !peer->blocked && !peer->link && open_link (peer))
+    send_ping (peer);
+  if (!peer->link)
+    return;
+  if (peer->ping_sent_ms && now_ms - peer->ping_sent_ms > SUSPECT_MS)
+    mark_suspect (peer, SUSPECT_MS);
+  if (!peer->suspect && now_ms - peer->last_used_ms > IDLE_MS)
+    drop_link (peer);
+  else if (!peer->ping_sent_ms || peer->suspect)
+    send_ping (peer);
+}
+
+static void
+handle_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct mesh *mesh = watcher->data;
+  int64_t now_ms = clock_now_ms ();
+
+  for (struct peer *peer = mesh->peers; peer; peer = peer->next)
+    tick_peer (peer, now_ms);
+}
+
+static int
+listen_on (const struct mesh_options *options, struct error *error)
+{
+  struct sockaddr_in address;
+  char *text = xasprintf ("%s:%u", options->listen_address,
+                          options->listen_port);
+  bool parsed = address_parse (text, &address);
+  int on = 1;
+  int fd;
+
+  free (text);
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd >= 0)
+    setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (parsed && fd >= 0
+      && bind (fd, (struct sockaddr *)&address, sizeof address) == 0
+      && listen (fd, ACCEPT_BACKLOG) == 0)
+    return fd;
+  error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+             "cannot listen for hosts on %s:%u: %s; free the port or set "
+             "another \"peer_listen\"",
+             options->listen_address, options->listen_port, strerror (errno));
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+/* Starts listening for the other hosts.  The strings and the keyring in
+   OPTIONS outlive the mesh.  */
+struct mesh *
+mesh_create (const struct mesh_options *options, struct error *error)
+{
+  struct mesh *mesh = xcalloc (1, sizeof *mesh);
+
+  mesh->options = *options;
+  mesh->listener = listen_on (options, error);
+  if (mesh->listener < 0)
+    {
+      free (mesh);
+      return NULL;
+    }
+  ev_io_init (&mesh->acceptable, handle_acceptable, mesh->listener, EV_READ);
+  mesh->acceptable.data = mesh;
+  ev_io_start (options->loop, &mesh->acceptable);
+  ev_timer_init (&mesh->tick, handle_tick, PING_MS / 1000.0,
+                 PING_MS / 1000.0);
+  mesh->tick.data = mesh;
+  ev_timer_start (options->loop, &mesh->tick);
+  return mesh;
+}
+
+static void
+peer_destroy (struct peer *peer)
+{
+  link_destroy (peer->link);
+  buf_release (&peer->pending);
+  free (peer->name);
+  free (peer->address);
+  free (peer);
+}
+
+/* Closes every link and frees the mesh.  */
+void
+mesh_destroy (struct mesh *mesh)
+{
+  if (!mesh)
+    return;
+  ev_io_stop (mesh->options.loop, &mesh->acceptable);
+  ev_timer_stop (mesh->options.loop, &mesh->tick);
+  close (mesh->listener);
+  while (mesh->inbound)
+    {
+      struct link *link = mesh->inbound;
+
+      mesh->inbound = link->next;
+      link_destroy (link);
+    }
+  while (mesh->peers)
+    {
+      struct peer *peer = mesh->peers;
+
+      mesh->peers = peer->next;
+      peer_destroy (peer);
+    }
+  free (mesh);
+}
+
+static struct peer *
+add_peer (struct mesh *mesh, const char *name)
+{
+  struct peer *peer = xcalloc (1, sizeof *peer);
+
+  peer->mesh = mesh;
+  peer->name = xstrdup (name);
+  peer->next = mesh->peers;
+  mesh->peers = peer;
+  return peer;
+}
+
+/* Names the hosts that there are.  A host that is not named any more gets no
+   further frames; one with a new address gets a new link.  */
+void
+mesh_set_hosts (struct mesh *mesh, const struct mesh_host *hosts, size_t count)
+{
+  for (struct peer *peer = mesh->peers; peer; peer = peer->next)
+    peer->listed = false;
+  for (size_t i = 0; i < count; i++)
+    {
+      struct peer *peer;
+
+      if (strcmp (hosts[i].name, mesh->options.host) == 0)
+        continue;
+      peer = find_peer (mesh, hosts[i].name);
+      if (!peer)
+        peer = add_peer (mesh, hosts[i].name);
+      peer->listed = true;
+      if (peer->address && strcmp (peer->address, hosts[i].address) == 0)
+        continue;
+      drop_link (peer);
+      free (peer->address);
+      peer->address = xstrdup (hosts[i].address);
+      peer->suspect = false;
+    }
+  for (struct peer *peer = mesh->peers; peer; peer = peer->next)
+    if (!peer->listed)
+      drop_link (peer);
+}
+
+/* Sends FRAME to HOST; false where HOST is unknown, cut off or not reachable
+   now.  True does not mean that it arrives.  */
+bool
+mesh_send (struct mesh *mesh, const char *host, const Peer__Frame *frame)
+{
+  struct peer *peer = find_peer (mesh, host);
+
+  if (!peer || !peer->listed || peer->blocked)
+    return false;
+  if (peer->suspect && !peer->link
+      && clock_now_ms () < peer->suspect_until_ms)
+    return false;
+  if (!open_link (peer))
+    return false;
+  peer->last_used_ms = clock_now_ms ();
+  if (!peer->ping_sent_ms)
+    send_ping (peer);
+  send_frame (peer, frame);
+  return true;
+}
+
+/* Whether HOST is unknown or has not answered lately.  */
+bool
+mesh_is_suspect (const struct mesh *mesh, const char *host)
+{
+  const struct peer *peer = find_peer (mesh, host);
+
+  return !peer || !peer->listed || peer->blocked || peer->suspect;
+}
+
+/* Whether HOST has said that it is stopping.  */
+bool
+mesh_is_leaving (const struct mesh *mesh, const char *host)
+{
+  const struct peer *peer = find_peer (mesh, host);
+
+  return peer && peer->leaving;
+}
+
+/* Sets what pings and pongs say of this host.  */
+void
+mesh_set_status (struct mesh *mesh, uint64_t config_revision, bool leaving)
+{
+  mesh->config_revision = config_revision;
+  mesh->leaving = leaving;
+}
+
+/* Asks HOST for a sign of life, which also tells it this host's status.  */
+void
+mesh_probe (struct mesh *mesh, const char *host)
+{
+  struct peer *peer = find_peer (mesh, host);
+
+  if (!peer || !peer->listed || peer->blocked || !open_link (peer))
+    return;
+  peer->last_used_ms = clock_now_ms ();
+  send_ping (peer);
+}
+
+/* Cuts HOST off, or joins it again, so that tests can make a partition.  */
+void
+mesh_block (struct mesh *mesh, const char *host, bool blocked)
+{
+  struct peer *peer = find_peer (mesh, host);
+
+  if (!peer)
+    peer = add_peer (mesh, host);
+  if (peer->blocked == blocked)
+    return;
+  peer->blocked = blocked;
+  if (!blocked)
+    {
+      peer->suspect = false;
+      return;
+    }
+  drop_link (peer);
+  for (struct link *link = mesh->inbound; link; link = link->next)
+    if (link->host && strcmp (link->host, host) == 0)
+      shutdown (link->fd, SHUT_RDWR);
+  mark_suspect (peer, SUSPECT_HOLD_MS);
+}
+
+/* Returns the state of every link as a new reference.  */
+json_t *
+mesh_to_json (const struct mesh *mesh)
+{
+  json_t *list = json_array ();
+
+  for (const struct peer *peer = mesh->peers; peer; peer = peer->next)
+    json_array_append_new (
+        list, json_pack ("{s:s, s:s?, s:b, s:b, s:b, s:b, s:b}", "host",
+                         peer->name, "address", peer->address, "listed",
+                         peer->listed, "linked",
+                         peer->link && peer->link->state == LINK_OPEN,
+                         "suspect", peer->suspect, "leaving", peer->leaving,
+                         "blocked", peer->blocked));
+  return list;
+}
--- /dev/null
+++ b/peer/seal.c
@@ -0,0 +1,83 @@
+#include "peer/seal.h"
+#include <sodium.h>
+#include <string.h>
+
+/* Derives the key of one direction of a link from the fleet key and both
+   sides' nonces.  */
+void
+seal_init (struct seal *seal, const struct keyring_key *fleet_key,
+           const uint8_t *opener_nonce, const uint8_t *acceptor_nonce)
+{
+  crypto_generichash_state state;
+
+  crypto_generichash_init (&state, fleet_key->secret, KEYRING_KEY_BYTES,
+                           sizeof seal->key);
+  crypto_generichash_update (&state, opener_nonce, SEAL_NONCE_BYTES);
+  crypto_generichash_update (&state, acceptor_nonce, SEAL_NONCE_BYTES);
+  crypto_generichash_final (&state, seal->key, sizeof seal->key);
+  seal->sequence = 0;
+}
+
+static void
+next_nonce (struct seal *seal, unsigned char *nonce)
+{
+  memset (nonce, 0, crypto_aead_chacha20poly1305_IETF_NPUBBYTES);
+  memcpy (nonce, &seal->sequence, sizeof seal->sequence);
+  seal->sequence++;
+}
+
+/* Encrypts LEN bytes into OUT, which has room for LEN + SEAL_TAG_BYTES.
+   Returns the length.  */
+size_t
+seal_encrypt (struct seal *seal, const void *plain, size_t len,
+              unsigned char *out)
+{
+  unsigned char nonce[crypto_aead_chacha20poly1305_IETF_NPUBBYTES];
+  unsigned long long out_len;
+
+  next_nonce (seal, nonce);
+  crypto_aead_chacha20poly1305_ietf_encrypt (out, &out_len, plain, len, NULL,
+                                             0, NULL, nonce, seal->key);
+  return (size_t)out_len;
+}
+
+/* Decrypts in place.  False where the bytes are not the next ones that the
+   other side sealed.  */
+bool
+seal_decrypt (struct seal *seal, unsigned char *data, size_t len,
+              size_t *plain_len)
+{
+  unsigned char nonce[crypto_aead_chacha20poly1305_IETF_NPUBBYTES];
+  unsigned long long out_len;
+
+  if (len < SEAL_TAG_BYTES)
+    return false;
+  next_nonce (seal, nonce);
+  if (crypto_aead_chacha20poly1305_ietf_decrypt (data, &out_len, NULL, data,
+                                                 len, NULL, 0, nonce,
+                                                 seal->key)
+      != 0)
+    return false;
+  *plain_len = (size_t)out_len;
+  return true;
+}
+
+/* Writes the authenticator of a hello.  */
+void
+seal_sign (const struct keyring_key *fleet_key, const void *data, size_t len,
+           uint8_t out[SEAL_SIGN_BYTES])
+{
+  crypto_generichash (out, SEAL_SIGN_BYTES, data, len, fleet_key->secret,
+                      KEYRING_KEY_BYTES);
+}
+
+/* Whether SIGN is the authenticator of a hello.  */
+bool
+seal_verify (const struct keyring_key *fleet_key, const void *data,
+             size_t len, const uint8_t *sign)
+{
+  uint8_t expected[SEAL_SIGN_BYTES];
+
+  seal_sign (fleet_key, data, len, expected);
+  return sodium_memcmp (expected, sign, sizeof expected) == 0;
+}
--- /dev/null
+++ b/policy/budget.c
@@ -0,0 +1,112 @@
+#include "policy/budget.h"
+
+static int64_t
+max64 (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
+static int64_t
+min64 (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+static struct budget_amount
+add (struct budget_amount a, struct budget_amount b)
+{
+  return (struct budget_amount){ a.tokens + b.tokens, a.calls + b.calls,
+                                 a.cost_micros + b.cost_micros };
+}
+
+static struct budget_amount
+subtract (struct budget_amount a, struct budget_amount b)
+{
+  return (struct budget_amount){ a.tokens - b.tokens, a.calls - b.calls,
+                                 a.cost_micros - b.cost_micros };
+}
+
+static struct budget_amount
+least (struct budget_amount a, struct budget_amount b)
+{
+  return (struct budget_amount){ min64 (a.tokens, b.tokens),
+                                 min64 (a.calls, b.calls),
+                                 min64 (a.cost_micros, b.cost_micros) };
+}
+
+static struct budget_amount
+most (struct budget_amount a, struct budget_amount b)
+{
+  return (struct budget_amount){ max64 (a.tokens, b.tokens),
+                                 max64 (a.calls, b.calls),
+                                 max64 (a.cost_micros, b.cost_micros) };
+}
+
+static bool
+fits (struct budget_amount a, struct budget_amount b)
+{
+  return a.tokens <= b.tokens && a.calls <= b.calls
+         && a.cost_micros <= b.cost_micros;
+}
+
+/* Prepares a budget of which nothing is granted yet.  */
+void
+budget_init (struct budget *budget, struct budget_amount limit)
+{
+  *budget = (struct budget){ .limit = limit };
+}
+
+/* Takes over a program whose owner before had RECORDED granted: all of it
+   counts as spent.  */
+void
+budget_adopt (struct budget *budget, struct budget_amount recorded)
+{
+  budget->granted = most (budget->granted, recorded);
+  budget->spent = most (budget->spent, recorded);
+}
+
+/* Reserves the most that a call can use.  */
+enum budget_verdict
+budget_reserve (struct budget *budget, struct budget_amount amount)
+{
+  struct budget_amount used
+      = add (add (budget->spent, budget->reserved), amount);
+
+  if (!fits (used, budget->limit))
+    return BUDGET_EXHAUSTED;
+  if (!fits (used, budget->granted))
+    return BUDGET_NEEDS_GRANT;
+  budget->reserved = add (budget->reserved, amount);
+  return BUDGET_OK;
+}
+
+/* Turns a reservation into what was used; ACTUAL is cut at RESERVED.  */
+void
+budget_settle (struct budget *budget, struct budget_amount reserved,
+               struct budget_amount actual)
+{
+  budget->reserved = subtract (budget->reserved, reserved);
+  budget->spent = add (budget->spent, least (actual, reserved));
+}
+
+/* Returns the total grant to record before AMOUNT can be reserved.  */
+struct budget_amount
+budget_next_grant (const struct budget *budget, struct budget_amount amount)
+{
+  struct budget_amount need
+      = add (add (budget->spent, budget->reserved), amount);
+  struct budget_amount step
+      = { budget->limit.tokens / BUDGET_GRANT_PARTS,
+          budget->limit.calls / BUDGET_GRANT_PARTS,
+          budget->limit.cost_micros / BUDGET_GRANT_PARTS };
+
+  need = most (need, add (budget->granted, step));
+  return least (need, budget->limit);
+}
+
+/* A grant of RECORDED in total has been recorded.  */
+void
+budget_grant (struct budget *budget, struct budget_amount recorded)
+{
+  budget->granted = most (budget->granted, least (recorded, budget->limit));
+}
--- /dev/null
+++ b/policy/limit.c
@@ -0,0 +1,186 @@
+#include "policy/limit.h"
+#include <string.h>
+
+enum
+{
+  MS_PER_S = 1000,
+};
+
+static int64_t
+min64 (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+/* Prepares an empty bucket: a holder starts with nothing, because the one
+   before it may have just spent everything.  */
+void
+limit_init (struct limit *limit, int64_t now_ms)
+{
+  memset (limit, 0, sizeof *limit);
+  limit->refilled_ms = now_ms;
+}
+
+static void
+clamp_level (struct limit *limit)
+{
+  int64_t room = limit->capacity_utokens - limit->lent_utokens;
+
+  if (room < 0)
+    room = 0;
+  limit->level_utokens = min64 (limit->level_utokens, room);
+}
+
+static void
+accrue (struct limit *limit, int64_t until_ms)
+{
+  int64_t elapsed_ms = until_ms - limit->refilled_ms;
+  int64_t fill_ms;
+
+  if (elapsed_ms <= 0)
+    return;
+  limit->refilled_ms = until_ms;
+  if (limit->rate_utokens_per_s <= 0)
+    return;
+  /* Longer than it takes to fill makes no difference, and cannot overflow. */
+  fill_ms = limit->capacity_utokens * MS_PER_S / limit->rate_utokens_per_s + 1;
+  elapsed_ms = min64 (elapsed_ms, fill_ms);
+  limit->remainder += elapsed_ms * limit->rate_utokens_per_s;
+  limit->level_utokens += limit->remainder / MS_PER_S;
+  limit->remainder %= MS_PER_S;
+  clamp_level (limit);
+}
+
+static void
+drop_loan (struct limit *limit, uint32_t i)
+{
+  limit->lent_utokens -= limit->loans[i].utokens;
+  limit->loans[i] = limit->loans[--limit->loan_count];
+}
+
+static void
+drop_lapsed (struct limit *limit, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < limit->loan_count;)
+    if (limit->loans[i].lapses_ms <= now_ms)
+      drop_loan (limit, i);
+    else
+      i++;
+}
+
+static void
+advance (struct limit *limit, int64_t now_ms)
+{
+  if (limit->pending_from_ms && limit->pending_from_ms <= now_ms)
+    {
+      accrue (limit, limit->pending_from_ms);
+      limit->rate_utokens_per_s = limit->pending_rate_utokens_per_s;
+      limit->capacity_utokens = limit->pending_capacity_utokens;
+      limit->pending_from_ms = 0;
+      clamp_level (limit);
+    }
+  accrue (limit, now_ms);
+  drop_lapsed (limit, now_ms);
+}
+
+/* Changes rate and capacity.  What falls does so now; what rises does so
+   after SETTLE_MS, when no host uses the older parameters any more.  */
+void
+limit_configure (struct limit *limit, int64_t rate_utokens_per_s,
+                 int64_t capacity_utokens, int64_t settle_ms, int64_t now_ms)
+{
+  advance (limit, now_ms);
+  if (limit->rate_utokens_per_s == rate_utokens_per_s
+      && limit->capacity_utokens == capacity_utokens)
+    {
+      limit->pending_from_ms = 0;
+      return;
+    }
+  if (limit->pending_from_ms
+      && limit->pending_rate_utokens_per_s == rate_utokens_per_s
+      && limit->pending_capacity_utokens == capacity_utokens)
+    return;
+  limit->rate_utokens_per_s
+      = min64 (limit->rate_utokens_per_s, rate_utokens_per_s);
+  limit->capacity_utokens
+      = min64 (limit->capacity_utokens, capacity_utokens);
+  clamp_level (limit);
+  limit->pending_rate_utokens_per_s = rate_utokens_per_s;
+  limit->pending_capacity_utokens = capacity_utokens;
+  limit->pending_from_ms = now_ms + settle_ms;
+  advance (limit, now_ms);
+}
+
+/* Takes UTOKENS for a request of this host; false where they are not there. */
+bool
+limit_take (struct limit *limit, int64_t utokens, int64_t now_ms)
+{
+  advance (limit, now_ms);
+  if (limit->level_utokens < utokens)
+    return false;
+  limit->level_utokens -= utokens;
+  return true;
+}
+
+/* Lends up to UTOKENS, in whole tokens, under the borrower's NONCE.  Returns
+   what was debited.  A nonce that is lent already gets the same loan.  */
+int64_t
+limit_lend (struct limit *limit, uint64_t nonce, int64_t utokens,
+            int64_t now_ms)
+{
+  int64_t amount;
+
+  advance (limit, now_ms);
+  for (uint32_t i = 0; i < limit->loan_count; i++)
+    if (limit->loans[i].nonce == nonce)
+      return limit->loans[i].utokens;
+  if (limit->loan_count == LIMIT_MAX_LOANS)
+    return 0;
+  amount = min64 (utokens, limit->level_utokens);
+  amount -= amount % LIMIT_UTOKENS;
+  if (amount <= 0)
+    return 0;
+  limit->level_utokens -= amount;
+  limit->lent_utokens += amount;
+  limit->loans[limit->loan_count++]
+      = (struct limit_loan){ .nonce = nonce,
+                             .utokens = amount,
+                             .lapses_ms = now_ms + LIMIT_LOAN_LAPSE_MS };
+  return amount;
+}
+
+/* The borrower of NONCE has spent its loan but for UNUSED_UTOKENS, which come
+   back.  An unknown nonce returns nothing: its loan has lapsed.  */
+void
+limit_confirm (struct limit *limit, uint64_t nonce, int64_t unused_utokens,
+               int64_t now_ms)
+{
+  advance (limit, now_ms);
+  for (uint32_t i = 0; i < limit->loan_count; i++)
+    {
+      if (limit->loans[i].nonce != nonce)
+        continue;
+      unused_utokens = min64 (unused_utokens, limit->loans[i].utokens);
+      drop_loan (limit, i);
+      if (unused_utokens > 0)
+        limit->level_utokens += unused_utokens;
+      clamp_level (limit);
+      return;
+    }
+}
+
+/* Returns in how many milliseconds UTOKENS will be there if nobody else takes
+   any; -1 where they never will.  */
+int64_t
+limit_wait_ms (struct limit *limit, int64_t utokens, int64_t now_ms)
+{
+  int64_t missing;
+
+  advance (limit, now_ms);
+  missing = utokens - limit->level_utokens;
+  if (missing <= 0)
+    return 0;
+  if (limit->rate_utokens_per_s <= 0 || utokens > limit->capacity_utokens)
+    return -1;
+  return missing * MS_PER_S / limit->rate_utokens_per_s + 1;
+}
--- /dev/null
+++ b/policy/turn.c
@@ -0,0 +1,84 @@
+#include "policy/turn.h"
+
+static enum turn_verdict
+decide_last (const struct branch *branch, const struct cursor *cursor,
+             uint64_t request_hash)
+{
+  if (cursor->history_hash != branch->last_history_hash)
+    return TURN_RELOAD;
+  if (branch->last_request != request_hash)
+    return TURN_MISMATCH;
+  return branch->last_doubtful ? TURN_DOUBTFUL : TURN_REPLAY;
+}
+
+static enum turn_verdict
+decide_next (const struct branch *branch, const struct cursor *cursor,
+             uint64_t incarnation, bool idempotent, uint64_t request_hash)
+{
+  if (cursor->history_hash != branch->history_hash)
+    return TURN_RELOAD;
+  if (branch->in_flight)
+    return branch->in_flight_request == request_hash ? TURN_JOIN : TURN_BUSY;
+  if (!idempotent && cursor->incarnation != incarnation)
+    return TURN_RESOLVE;
+  return TURN_RUN;
+}
+
+/* Decides about a call that presents CURSOR to the load INCARNATION of its
+   program.  REQUEST_HASH tells a retry from a different call.  */
+enum turn_verdict
+turn_decide (const struct branch *branch, const struct cursor *cursor,
+             uint64_t incarnation, bool idempotent, uint64_t request_hash)
+{
+  if (cursor->turn > branch->next_turn)
+    return TURN_RELOAD;
+  if (cursor->turn == branch->next_turn)
+    return decide_next (branch, cursor, incarnation, idempotent,
+                        request_hash);
+  if (cursor->turn + 1 == branch->next_turn && branch->has_last)
+    return decide_last (branch, cursor, request_hash);
+  return cursor->incarnation == incarnation ? TURN_STALE : TURN_RELOAD;
+}
+
+/* A call that turn_decide let run has been dispatched.  */
+void
+turn_begin (struct branch *branch, uint64_t request_hash)
+{
+  branch->in_flight = true;
+  branch->in_flight_request = request_hash;
+}
+
+static void
+advance (struct branch *branch, uint64_t request_hash, uint64_t history_hash,
+         bool doubtful)
+{
+  branch->in_flight = false;
+  branch->has_last = true;
+  branch->last_doubtful = doubtful;
+  branch->last_request = request_hash;
+  branch->last_history_hash = branch->history_hash;
+  branch->history_hash = history_hash;
+  branch->next_turn++;
+}
+
+/* The call in flight has its answer, and the history grew to HISTORY_HASH.  */
+void
+turn_finish (struct branch *branch, uint64_t history_hash)
+{
+  advance (branch, branch->in_flight_request, history_hash, false);
+}
+
+/* The call in flight failed and may be sent again under the same cursor.  */
+void
+turn_fail (struct branch *branch)
+{
+  branch->in_flight = false;
+}
+
+/* Closes the turn without a known outcome: nothing runs under its cursor any
+   more, and the history stays as it is.  */
+void
+turn_close (struct branch *branch, uint64_t request_hash)
+{
+  advance (branch, request_hash, branch->history_hash, true);
+}
