--- /dev/null
+++ b/caller/body.c
@@ -0,0 +1,113 @@
+#include "caller/body.h"
+#include "galenashored/server.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* Reads the request's body as JSON; an empty one counts as {}.  The caller
+   frees ROOT.  */
+bool
+body_parse (const struct api_request *request, json_t **root,
+            struct error *error)
+{
+  json_error_t problem;
+
+  if (request->body.len == 0)
+    {
+      *root = json_object ();
+      return true;
+    }
+  *root = json_loadb (request->body.data, request->body.len,
+                      JSON_REJECT_DUPLICATES, &problem);
+  if (*root)
+    return true;
+  error_set (error, ERROR_BAD_REQUEST, RUN_NOT_RUN,
+             "the body is no JSON: %s (line %d, column %d); correct it",
+             problem.text, problem.line, problem.column);
+  return false;
+}
+
+static bool
+join_messages (const json_t *messages, struct buf *out, struct error *error)
+{
+  size_t i;
+  json_t *message;
+
+  if (!json_is_array (messages) || json_array_size (messages) == 0)
+    {
+      error_set (error, ERROR_BAD_REQUEST, RUN_NOT_RUN,
+                 "\"messages\" must be a list with at least one message");
+      return false;
+    }
+  json_array_foreach (messages, i, message)
+  {
+    char *text;
+
+    if (!json_is_object (message)
+        || !json_is_string (json_object_get (message, "role")))
+      {
+        error_set (error, ERROR_BAD_REQUEST, RUN_NOT_RUN,
+                   "message %zu has no \"role\"; give each message one", i);
+        return false;
+      }
+    text = json_dumps (message, JSON_COMPACT);
+    history_append_text (out, text, strlen (text));
+    free (text);
+  }
+  return true;
+}
+
+/* Makes the spec of a model call.  The caller frees it also on false.  */
+bool
+body_to_model_spec (struct api_request *request,
+                    const struct model_body *body, struct call_spec *spec,
+                    struct error *error)
+{
+  const struct config_customer *customer
+      = config_customer (request->server->config, request->customer);
+
+  if (customer && customer->params.models.count > 0
+      && !strings_contain (&customer->params.models, body->model))
+    {
+      error_set (error, ERROR_FORBIDDEN, RUN_NOT_RUN,
+                 "the customer may not use the model \"%.60s\"; name one of "
+                 "its models",
+                 body->model);
+      return false;
+    }
+  spec->kind = CALL_MODEL;
+  spec->idempotent = true;
+  spec->model = xstrdup (body->model);
+  spec->max_tokens = body->max_tokens;
+  return join_messages (body->messages, &spec->messages, error);
+}
+
+/* Makes the spec of a service call from "ROUTE/sub/path".  The caller frees it
+   also on false.  */
+bool
+body_tool_route (struct api_request *request, const char *path,
+                 struct call_spec *spec, struct error *error)
+{
+  size_t len = strcspn (path, "/");
+  const struct config_route *route;
+
+  spec->kind = CALL_TOOL;
+  spec->route = strndup (path, len);
+  spec->subpath = xstrdup (path + len);
+  route = config_route (request->server->config, spec->route);
+  if (!route)
+    {
+      error_set (error, ERROR_NOT_FOUND, RUN_NOT_RUN,
+                 "there is no route \"%.60s\"; see the list of routes",
+                 spec->route);
+      return false;
+    }
+  spec->method = xstrdup (request->method);
+  spec->idempotent
+      = route->idempotent || strcmp (request->method, "GET") == 0;
+  spec->timeout_ms = route->timeout_ms;
+  spec->content_type = xstrdup (
+      request->content_type ? request->content_type : "application/json");
+  spec->body = request->body;
+  request->body = (struct buf){ 0 };
+  return true;
+}
--- /dev/null
+++ b/caller/listener.c
@@ -0,0 +1,475 @@
+#include "caller/listener.h"
+#include "caller/routes.h"
+#include "common/address.h"
+#include "common/counters.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "galenashored/server.h"
+#include "peer/limiter.h"
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  CONNECTION_MEMORY_BYTES = 8 * 1024,
+  IDLE_TIMEOUT_S = 300,
+  MAX_KEY_BYTES = 256,
+};
+
+static const char BEARER[] = "Bearer ";
+static const char SERVICES_PREFIX[] = "/v1/services/";
+
+/* A caller's request on one of this host's connections.  The API request comes
+   first, so that its sink finds the rest. */
+struct entry
+{
+  struct api_request request;
+  struct listener *listener;
+  struct httpd_request *http;
+  struct limiter_wait *wait;
+  bool entered; /* in a handler's hands */
+  struct entry *prev;
+  struct entry *next;
+};
+
+struct listener
+{
+  struct server *server;
+  struct httpd *httpd;
+  struct entry *entries;
+  uint32_t entry_count;
+  char *cert_pem;
+  char *key_pem;
+};
+
+static void
+entry_destroy (struct entry *entry)
+{
+  if (entry->prev)
+    entry->prev->next = entry->next;
+  else
+    entry->listener->entries = entry->next;
+  if (entry->next)
+    entry->next->prev = entry->prev;
+  entry->listener->entry_count--;
+  if (entry->wait)
+    limiter_cancel (entry->wait);
+  api_request_release (&entry->request);
+  free (entry);
+}
+
+static void
+caller_begin (struct api_request *request, unsigned status,
+              const char *content_type, bool streaming)
+{
+  struct entry *entry = (struct entry *)request;
+
+  if (request->answer_cursor)
+    httpd_add_header (entry->http, "X-Galena-Cursor", request->answer_cursor);
+  if (request->answer_program)
+    httpd_add_header (entry->http, "X-Galena-Program",
+                      request->answer_program);
+  httpd_add_retry_after (entry->http, request->retry_after_ms);
+  if (streaming)
+    {
+      counter_add (COUNTER_STREAMS_OPEN, 1);
+      httpd_stream_begin (entry->http, status, content_type);
+      return;
+    }
+  /* Held back until the end, so that it goes out with its length.  */
+  entry->http->status = status;
+  api_set (&request->content_type, content_type);
+}
+
+static bool
+caller_write (struct api_request *request, const void *data, size_t len)
+{
+  struct entry *entry = (struct entry *)request;
+
+  if (entry->http->streaming)
+    return httpd_stream_write (entry->http, data, len);
+  /* The request body is not needed any more and takes the answer.  */
+  buf_append (&entry->http->out, data, len);
+  return true;
+}
+
+/* Takes the entry off its connection, which ends by itself.  */
+static void
+leave_connection (struct entry *entry)
+{
+  if (entry->http->streaming)
+    counter_add (COUNTER_STREAMS_OPEN, -1);
+  entry->http->user = NULL;
+  entry->http->handle_gone = NULL;
+  entry_destroy (entry);
+}
+
+static void
+caller_end (struct api_request *request)
+{
+  struct entry *entry = (struct entry *)request;
+  struct httpd_request *http = entry->http;
+
+  if (http->streaming)
+    httpd_stream_end (http);
+  else
+    httpd_respond_buffered (http, http->status, request->content_type);
+  leave_connection (entry);
+}
+
+static void
+caller_abort (struct api_request *request)
+{
+  struct entry *entry = (struct entry *)request;
+  struct httpd_request *http = entry->http;
+
+  if (!http->streaming)
+    httpd_stream_begin (http, http->status ? http->status : 502,
+                        "application/json");
+  httpd_stream_abort (http);
+  leave_connection (entry);
+}
+
+static const struct api_sink_impl caller_sink = { .begin = caller_begin,
+                                                  .write = caller_write,
+                                                  .end = caller_end,
+                                                  .abort = caller_abort };
+
+static void
+handle_connection_gone (struct httpd_request *http)
+{
+  struct entry *entry = http->user;
+
+  if (http->streaming)
+    counter_add (COUNTER_STREAMS_OPEN, -1);
+  if (entry->request.handle_gone)
+    entry->request.handle_gone (&entry->request);
+  entry_destroy (entry);
+}
+
+static bool
+fail_auth (struct error *error, const char *message)
+{
+  error_set (error, ERROR_UNAUTHORIZED, RUN_NOT_RUN, "%s", message);
+  return false;
+}
+
+static bool
+is_open_to_all (const struct server *server, const char *path)
+{
+  const char *name = path + strlen (SERVICES_PREFIX);
+  const struct config_route *route;
+  char *copy;
+
+  if (strncmp (path, SERVICES_PREFIX, strlen (SERVICES_PREFIX)) != 0)
+    return false;
+  copy = strndup (name, strcspn (name, "/"));
+  route = config_route (server->config, copy);
+  free (copy);
+  return route && route->open_to_all;
+}
+
+/* Finds out whose request it is.  The key goes no further than this.  */
+static bool
+authenticate (struct entry *entry, struct error *error)
+{
+  const struct server *server = entry->listener->server;
+  const char *header = httpd_header (entry->http, "Authorization");
+  const struct config_key *key;
+  uint8_t hash[KEY_HASH_BYTES];
+
+  if (!header && is_open_to_all (server, entry->http->path))
+    {
+      entry->request.customer = xstrdup ("");
+      entry->request.key_id = xstrdup ("");
+      return true;
+    }
+  if (!header || strncmp (header, BEARER, strlen (BEARER)) != 0
+      || strlen (header) > MAX_KEY_BYTES)
+    return fail_auth (error, "a key is missing; send it as "
+                             "\"Authorization: Bearer KEY\"");
+  config_hash_key (header + strlen (BEARER), hash);
+  key = config_key (server->config, hash);
+  if (!key)
+    return fail_auth (error, "the key is not known; check it, or ask the "
+                             "operator for another");
+  if (key->withdrawn)
+    return fail_auth (error, "the key has been withdrawn; ask the operator "
+                             "for another");
+  if (!config_customer (server->config, key->customer))
+    return fail_auth (error, "the key's customer does not exist; ask the "
+                             "operator");
+  entry->request.customer = xstrdup (key->customer);
+  entry->request.key_id = xstrdup (key->id);
+  return true;
+}
+
+static void
+copy_header (struct entry *entry, char **slot, const char *name)
+{
+  *slot = xstrdup (httpd_header (entry->http, name));
+}
+
+static void
+read_headers (struct entry *entry)
+{
+  struct api_request *request = &entry->request;
+  const char *last_event = httpd_header (entry->http, "Last-Event-ID");
+
+  request->method = xstrdup (entry->http->method);
+  request->path = xstrdup (entry->http->path);
+  copy_header (entry, &request->cursor, "X-Galena-Cursor");
+  copy_header (entry, &request->program, "X-Galena-Program");
+  copy_header (entry, &request->idempotency_key, "Idempotency-Key");
+  copy_header (entry, &request->content_type, "Content-Type");
+  if (last_event)
+    request->resume_from = (uint32_t)strtoul (last_event, NULL, 10);
+}
+
+static struct entry *
+entry_create (struct listener *listener, struct httpd_request *http)
+{
+  struct entry *entry = xcalloc (1, sizeof *entry);
+
+  entry->listener = listener;
+  entry->http = http;
+  entry->request.impl = &caller_sink;
+  entry->request.server = listener->server;
+  id_random_text (entry->request.id);
+  entry->next = listener->entries;
+  if (listener->entries)
+    listener->entries->prev = entry;
+  listener->entries = entry;
+  listener->entry_count++;
+  http->user = entry;
+  http->handle_gone = handle_connection_gone;
+  return entry;
+}
+
+/* Refuses strangers before their bodies are read.  */
+static void
+handle_headers (void *data, struct httpd_request *http)
+{
+  struct listener *listener = data;
+  struct entry *entry = entry_create (listener, http);
+  struct error error;
+
+  counter_add (COUNTER_REQUESTS, 1);
+  if (!listener->server->serving)
+    {
+      error_set (&error, ERROR_STOPPING, RUN_NOT_RUN,
+                 "this host has no configuration yet; send the request to "
+                 "another");
+      error.retry_after_ms = 1000;
+    }
+  else if (authenticate (entry, &error))
+    {
+      read_headers (entry);
+      return;
+    }
+  api_respond_error (&entry->request, &error);
+}
+
+static void
+handle_admitted (void *data, const struct error *error)
+{
+  struct entry *entry = data;
+
+  entry->wait = NULL;
+  entry->entered = true;
+  if (error)
+    api_respond_error (&entry->request, error);
+  else
+    routes_enter (&entry->request);
+}
+
+static void
+handle_request (void *data, struct httpd_request *http)
+{
+  struct listener *listener = data;
+  struct entry *entry = http->user;
+  const struct route_entry *route;
+  struct limiter_wait *wait;
+  struct error error;
+
+  if (!entry)
+    return;
+  entry->request.body = http->body;
+  http->body = (struct buf){ 0 };
+  route = routes_find (&entry->request, &error);
+  if (!route)
+    {
+      api_respond_error (&entry->request, &error);
+      return;
+    }
+  if (!route->charged || entry->request.customer[0] == '\0')
+    {
+      entry->entered = true;
+      routes_enter (&entry->request);
+      return;
+    }
+  /* The entry may be gone once this returns, but only where it answers NULL. */
+  wait = limiter_admit (listener->server->limiter, entry->request.customer,
+                        handle_admitted, entry);
+  if (wait)
+    entry->wait = wait;
+}
+
+static bool
+load_tls (struct listener *listener, struct error *error)
+{
+  const struct settings *settings = listener->server->settings;
+  char *cert;
+  char *key;
+
+  if (!settings->caller_cert_file)
+    return true;
+  cert = settings_read_text (settings->caller_cert_file, false, error);
+  if (!cert)
+    return false;
+  key = settings_read_text (settings->caller_key_file, true, error);
+  if (!key)
+    {
+      free (cert);
+      return false;
+    }
+  free (listener->cert_pem);
+  free (listener->key_pem);
+  listener->cert_pem = cert;
+  listener->key_pem = key;
+  return true;
+}
+
+static struct httpd *
+open_httpd (struct listener *listener, struct error *error)
+{
+  const struct settings *settings = listener->server->settings;
+  char ip[INET_ADDRSTRLEN];
+  uint16_t port;
+  struct httpd_options options
+      = { .loop = listener->server->loop,
+          .address = ip,
+          .connection_memory_bytes = CONNECTION_MEMORY_BYTES,
+          .max_body_bytes = (size_t)settings->max_body_bytes,
+          .idle_timeout_s = IDLE_TIMEOUT_S,
+          .max_connections = (uint32_t)settings->max_connections,
+          .cert_pem = listener->cert_pem,
+          .key_pem = listener->key_pem,
+          .handle_headers = handle_headers,
+          .handle_request = handle_request,
+          .data = listener };
+
+  address_split (settings->caller_listen, ip, &port);
+  options.port = port;
+  return httpd_create (&options, error);
+}
+
+/* Starts listening for callers.  */
+struct listener *
+listener_create (struct server *server, struct error *error)
+{
+  struct listener *listener = xcalloc (1, sizeof *listener);
+
+  listener->server = server;
+  if (load_tls (listener, error))
+    listener->httpd = open_httpd (listener, error);
+  if (listener->httpd)
+    return listener;
+  free (listener->cert_pem);
+  free (listener->key_pem);
+  free (listener);
+  return NULL;
+}
+
+/* Takes no new connections.  Open requests go on.  */
+void
+listener_begin_destroy (struct listener *listener)
+{
+  httpd_begin_destroy (listener->httpd);
+}
+
+/* Whether no caller waits for an answer.  */
+bool
+listener_is_idle (const struct listener *listener)
+{
+  return listener->entry_count == 0
+         && httpd_open_requests (listener->httpd) == 0;
+}
+
+/* Cuts what is still open and frees the listener.  */
+void
+listener_destroy (struct listener *listener)
+{
+  if (!listener)
+    return;
+  while (listener->entries)
+    {
+      struct entry *entry = listener->entries;
+
+      if (entry->request.handle_gone)
+        entry->request.handle_gone (&entry->request);
+      entry->request.handle_gone = NULL;
+      caller_abort (&entry->request);
+    }
+  httpd_destroy (listener->httpd);
+  free (listener->cert_pem);
+  free (listener->key_pem);
+  free (listener);
+}
+
+static bool
+key_is_withdrawn (const struct server *server, const char *key_id)
+{
+  const struct config_key *key;
+
+  if (!key_id || !*key_id)
+    return false;
+  key = config_key_by_id (server->config, key_id);
+  return !key || key->withdrawn;
+}
+
+static void
+end_withdrawn (struct entry *entry)
+{
+  struct error error;
+
+  if (entry->request.handle_gone)
+    entry->request.handle_gone (&entry->request);
+  entry->request.handle_gone = NULL;
+  counter_add (COUNTER_STREAMS_ENDED_BY_KEY, 1);
+  if (entry->request.begun)
+    {
+      api_abort (&entry->request);
+      return;
+    }
+  error_set (&error, ERROR_UNAUTHORIZED,
+             entry->entered ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN,
+             "the key has been withdrawn; ask the operator for another");
+  api_respond_error (&entry->request, &error);
+}
+
+/* Ends every open request and stream whose key does not count any more.  */
+void
+listener_end_withdrawn (struct listener *listener)
+{
+  struct entry *entry = listener->entries;
+
+  while (entry)
+    {
+      struct entry *next = entry->next;
+
+      if (key_is_withdrawn (listener->server, entry->request.key_id))
+        end_withdrawn (entry);
+      entry = next;
+    }
+}
+
+/* Returns the listener's state as a new reference.  */
+json_t *
+listener_to_json (const struct listener *listener)
+{
+  return json_pack ("{s:I, s:I}", "requests",
+                    (json_int_t)listener->entry_count, "open",
+                    (json_int_t)httpd_open_requests (listener->httpd));
+}
--- /dev/null
+++ b/caller/lookup.c
@@ -0,0 +1,67 @@
+#include "caller/lookup.h"
+#include "galenashored/server.h"
+#include "program/copies.h"
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  RETRY_MS = 1000,
+};
+
+struct lookup
+{
+  struct api_request *request;
+  lookup_handler *handle;
+};
+
+static void
+handle_gone (struct api_request *request)
+{
+  struct lookup *lookup = request->user;
+
+  copies_cancel (request->server->copies, lookup);
+  free (lookup);
+}
+
+static void
+handle_fetched (void *data, struct history *history, bool complete)
+{
+  struct lookup *lookup = data;
+  struct api_request *request = lookup->request;
+  lookup_handler *handle = lookup->handle;
+  const History__Open *open = history_open (history);
+  struct error error;
+
+  request->user = NULL;
+  request->handle_gone = NULL;
+  free (lookup);
+  if (open && strcmp (open->customer, request->customer) == 0)
+    {
+      handle (request, history, NULL);
+      return;
+    }
+  if (open || complete)
+    error_set (&error, ERROR_NOT_FOUND, RUN_NOT_RUN,
+               "there is no such program; open one first");
+  else
+    error_set (&error, ERROR_HISTORY_UNAVAILABLE, RUN_NOT_RUN,
+               "no copy of the program can be reached; ask again later");
+  error.retry_after_ms = open || complete ? 0 : RETRY_MS;
+  handle (request, NULL, &error);
+}
+
+/* Reads the copies of the program in REQUEST's first argument and checks that
+   it is its customer's.  */
+void
+lookup_program (struct api_request *request, lookup_handler *handle)
+{
+  struct lookup *lookup = xcalloc (1, sizeof *lookup);
+
+  lookup->request = request;
+  lookup->handle = handle;
+  request->user = lookup;
+  request->handle_gone = handle_gone;
+  copies_fetch (request->server->copies, request->args[0], handle_fetched,
+                lookup);
+}
--- /dev/null
+++ b/caller/upload.c
@@ -0,0 +1,127 @@
+#include "caller/routes.h"
+#include "common/id.h"
+#include "galenashored/server.h"
+#include "program/copies.h"
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  HTTP_OK = 200,
+  HTTP_CREATED = 201,
+  RETRY_MS = 1000,
+};
+
+/* Uploads share the store with programs, under ids that no program has.  */
+static char *
+upload_id (const struct api_request *request)
+{
+  return xasprintf ("upload/%s/%s", request->customer, request->args[0]);
+}
+
+static void
+handle_gone (struct api_request *request)
+{
+  copies_cancel (request->server->copies, request);
+}
+
+static void
+handle_kept (void *data, uint32_t kept, uint32_t wanted)
+{
+  struct api_request *request = data;
+  struct error error;
+  char *body;
+
+  request->handle_gone = NULL;
+  if (kept < COPIES_WANTED)
+    {
+      error_set (&error, ERROR_HISTORY_UNAVAILABLE,
+                 kept == 0 ? RUN_NOT_RUN : RUN_MAY_HAVE_RUN,
+                 "only %u of %u copies could be kept; upload it again", kept,
+                 (unsigned)COPIES_WANTED);
+      error.retry_after_ms = RETRY_MS;
+      api_respond_error (request, &error);
+      return;
+    }
+  body = xasprintf ("{\"upload\":\"%s\",\"copies\":%u}", request->args[0],
+                    kept);
+  api_respond (request, HTTP_CREATED, "application/json", body,
+               strlen (body));
+  free (body);
+}
+
+/* PUT /v1/uploads/NAME keeps a body; the answer comes when two copies are on
+   disk.  */
+void
+handle_upload (struct api_request *request)
+{
+  History__Record record = HISTORY__RECORD__INIT;
+  History__Upload upload = HISTORY__UPLOAD__INIT;
+  char *id = upload_id (request);
+
+  upload.customer = request->customer;
+  upload.name = request->args[0];
+  upload.uploaded_ms = (int64_t)time (NULL) * 1000;
+  if (request->content_type)
+    upload.content_type = request->content_type;
+  upload.data.data = (uint8_t *)request->body.data;
+  upload.data.len = request->body.len;
+  record.body_case = HISTORY__RECORD__BODY_UPLOAD;
+  record.upload = &upload;
+  request->handle_gone = handle_gone;
+  copies_append (request->server->copies, id, &record, handle_kept, request);
+  free (id);
+}
+
+static const History__Upload *
+latest_upload (const struct history *history)
+{
+  const History__Upload *latest = NULL;
+
+  for (size_t i = 0; i < history->count; i++)
+    {
+      const History__Upload *upload = history->records[i]->upload;
+
+      if (history->records[i]->body_case == HISTORY__RECORD__BODY_UPLOAD
+          && (!latest || upload->uploaded_ms >= latest->uploaded_ms))
+        latest = upload;
+    }
+  return latest;
+}
+
+static void
+handle_fetched (void *data, struct history *history, bool complete)
+{
+  struct api_request *request = data;
+  const History__Upload *upload = latest_upload (history);
+  struct error error;
+
+  request->handle_gone = NULL;
+  if (upload)
+    {
+      api_respond (request, HTTP_OK,
+                   *upload->content_type ? upload->content_type
+                                         : "application/octet-stream",
+                   upload->data.data, upload->data.len);
+      return;
+    }
+  error_set (&error,
+             complete ? ERROR_NOT_FOUND : ERROR_HISTORY_UNAVAILABLE,
+             RUN_NOT_RUN, "%s",
+             complete ? "there is no such upload"
+                      : "no copy of the upload can be reached; ask again");
+  error.retry_after_ms = complete ? 0 : RETRY_MS;
+  api_respond_error (request, &error);
+}
+
+/* GET /v1/uploads/NAME gives the newest body of that name back.  */
+void
+handle_upload_show (struct api_request *request)
+{
+  char *id = upload_id (request);
+
+  request->handle_gone = handle_gone;
+  copies_fetch (request->server->copies, id, handle_fetched, request);
+  free (id);
+}
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -1,4 +1,5 @@
 #include "common/fetch.h"
+#include "common/deferred.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,7 +22,7 @@
   struct ev_loop *loop;
   CURLM *multi;
   ev_timer timer;
-  ev_prepare before_wait;
+  struct deferred reap;
   struct fetch *cancelled; /* list through next */
   struct fetch *active;    /* doubly linked list */
   CURL *idle[MAX_IDLE_HANDLES];
@@ -204,9 +205,9 @@
 /* libcurl forbids removing a handle inside its callbacks, so cancelled
    transfers are removed here.  */
 static void
-handle_before_wait (struct ev_loop *loop, ev_prepare *watcher, int events)
+handle_reap (void *data)
 {
-  struct fetcher *fetcher = watcher->data;
+  struct fetcher *fetcher = data;
 
   while (fetcher->cancelled)
     {
@@ -250,9 +251,7 @@
                      (long)MAX_KEPT_CONNECTIONS);
   ev_timer_init (&fetcher->timer, handle_timer, 0, 0);
   fetcher->timer.data = fetcher;
-  ev_prepare_init (&fetcher->before_wait, handle_before_wait);
-  fetcher->before_wait.data = fetcher;
-  ev_prepare_start (loop, &fetcher->before_wait);
+  deferred_init (&fetcher->reap, loop, handle_reap, fetcher);
   return fetcher;
 }
 
@@ -276,7 +275,7 @@
     curl_easy_cleanup (fetcher->idle[i]);
   curl_multi_cleanup (fetcher->multi);
   ev_timer_stop (fetcher->loop, &fetcher->timer);
-  ev_prepare_stop (fetcher->loop, &fetcher->before_wait);
+  deferred_release (&fetcher->reap);
   free (fetcher);
 }
 
@@ -365,6 +364,7 @@
   fetch->is_cancelled = true;
   fetch->next_cancelled = fetch->fetcher->cancelled;
   fetch->fetcher->cancelled = fetch;
+  deferred_schedule (&fetch->fetcher->reap);
 }
 
 /* Returns the HTTP status seen so far, 0 where none.  */
--- a/common/fields.c
+++ b/common/fields.c
@@ -64,6 +64,27 @@
   return false;
 }
 
+/* Frees the strings and leaves an empty list.  */
+void
+strings_release (struct strings *strings)
+{
+  for (size_t i = 0; i < strings->count; i++)
+    free (strings->items[i]);
+  free (strings->items);
+  *strings = (struct strings){ 0 };
+}
+
+/* Copies a list of strings.  */
+void
+strings_copy (struct strings *to, const struct strings *from)
+{
+  strings_release (to);
+  to->count = from->count;
+  to->items = xcalloc (from->count + 1, sizeof (char *));
+  for (size_t i = 0; i < from->count; i++)
+    to->items[i] = xstrdup (from->items[i]);
+}
+
 static void
 store_value (const struct field *field, json_t *value, void *out)
 {
@@ -73,6 +94,7 @@
   switch (field->type)
     {
     case FIELD_STRING:
+      free (*(char **)(void *)slot);
       *(char **)(void *)slot = xstrdup (json_string_value (value));
       break;
     case FIELD_INT64:
@@ -82,10 +104,12 @@
       *(bool *)slot = json_is_true (value);
       break;
     case FIELD_JSON:
+      json_decref (*(json_t **)(void *)slot);
       *(json_t **)(void *)slot = json_incref (value);
       break;
     case FIELD_STRINGS:
       strings = (struct strings *)(void *)slot;
+      strings_release (strings);
       strings->count = json_array_size (value);
       strings->items = xcalloc (strings->count + 1, sizeof (char *));
       for (size_t i = 0; i < strings->count; i++)
@@ -112,7 +136,7 @@
 }
 
 /* Checks every key of OBJECT against FIELDS and stores the values in OUT,
-   whose other fields keep their defaults.  WHERE opens the error messages.
+   whose other fields keep what they hold.  WHERE opens the error messages.
    On false nothing stays allocated in OUT that fields_release would not
    free.  */
 bool
@@ -163,7 +187,6 @@
   for (size_t i = 0; i < count; i++)
     {
       char *slot = (char *)out + fields[i].offset;
-      struct strings *strings;
 
       switch (fields[i].type)
         {
@@ -176,11 +199,7 @@
           *(json_t **)(void *)slot = NULL;
           break;
         case FIELD_STRINGS:
-          strings = (struct strings *)(void *)slot;
-          for (size_t j = 0; j < strings->count; j++)
-            free (strings->items[j]);
-          free (strings->items);
-          *strings = (struct strings){ 0 };
+          strings_release ((struct strings *)(void *)slot);
           break;
         case FIELD_INT64:
         case FIELD_BOOL:
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -1,5 +1,5 @@
 #include "common/httpd.h"
-#include "common/log.h"
+#include "common/deferred.h"
 #include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,8 +19,7 @@
   struct httpd_options options;
   ev_io readable;
   ev_timer timeout;
-  ev_prepare before_wait;
-  bool needs_run;
+  struct deferred run;
   bool leaving;
   uint32_t open_requests;
 };
@@ -32,7 +31,7 @@
     return;
   request->suspended = false;
   MHD_resume_connection (request->connection);
-  request->httpd->needs_run = true;
+  deferred_schedule (&request->httpd->run);
 }
 
 static void
@@ -43,8 +42,11 @@
   free (request->method);
   free (request->path);
   free (request->content_type);
-  free (request->extra_header);
-  free (request->extra_value);
+  for (uint32_t i = 0; i < request->header_count; i++)
+    {
+      free (request->header_names[i]);
+      free (request->header_values[i]);
+    }
   free (request);
 }
 
@@ -103,9 +105,9 @@
   if (!request->streaming)
     buf_release (&request->out);
   MHD_add_response_header (response, "Content-Type", request->content_type);
-  if (request->extra_header)
-    MHD_add_response_header (response, request->extra_header,
-                             request->extra_value);
+  for (uint32_t i = 0; i < request->header_count; i++)
+    MHD_add_response_header (response, request->header_names[i],
+                             request->header_values[i]);
   if (request->httpd->leaving && !request->streaming)
     MHD_add_response_header (response, "Connection", "close");
   result = MHD_queue_response (request->connection, request->status, response);
@@ -209,10 +211,13 @@
   ev_timer_start (httpd->options.loop, &httpd->timeout);
 }
 
+/* Runs the daemon once for everything that became ready in this turn of the
+   loop, so that a turn with many tokens costs one run.  */
 static void
-run_daemon (struct httpd *httpd)
+handle_run (void *data)
 {
-  httpd->needs_run = false;
+  struct httpd *httpd = data;
+
   MHD_run (httpd->daemon);
   arm_timeout (httpd);
 }
@@ -220,24 +225,13 @@
 static void
 handle_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
-  ((struct httpd *)watcher->data)->needs_run = true;
+  deferred_schedule (&((struct httpd *)watcher->data)->run);
 }
 
 static void
 handle_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
 {
-  ((struct httpd *)watcher->data)->needs_run = true;
-}
-
-/* Runs the daemon once for everything that became ready in this turn of the
-   loop, so that a turn with many tokens costs one run.  */
-static void
-handle_before_wait (struct ev_loop *loop, ev_prepare *watcher, int events)
-{
-  struct httpd *httpd = watcher->data;
-
-  if (httpd->needs_run)
-    run_daemon (httpd);
+  deferred_schedule (&((struct httpd *)watcher->data)->run);
 }
 
 static struct MHD_Daemon *
@@ -303,9 +297,7 @@
   ev_io_start (options->loop, &httpd->readable);
   ev_timer_init (&httpd->timeout, handle_timeout, 0, 0);
   httpd->timeout.data = httpd;
-  ev_prepare_init (&httpd->before_wait, handle_before_wait);
-  httpd->before_wait.data = httpd;
-  ev_prepare_start (options->loop, &httpd->before_wait);
+  deferred_init (&httpd->run, options->loop, handle_run, httpd);
   return httpd;
 }
 
@@ -356,7 +348,7 @@
     return;
   ev_io_stop (httpd->options.loop, &httpd->readable);
   ev_timer_stop (httpd->options.loop, &httpd->timeout);
-  ev_prepare_stop (httpd->options.loop, &httpd->before_wait);
+  deferred_release (&httpd->run);
   MHD_run (httpd->daemon);
   MHD_stop_daemon (httpd->daemon);
   free (httpd);
@@ -378,6 +370,31 @@
                                       MHD_GET_ARGUMENT_KIND, name);
 }
 
+/* Adds a header to the response; those past HTTPD_MAX_HEADERS are dropped.  */
+void
+httpd_add_header (struct httpd_request *request, const char *name,
+                  const char *value)
+{
+  if (request->header_count == HTTPD_MAX_HEADERS)
+    return;
+  request->header_names[request->header_count] = xstrdup (name);
+  request->header_values[request->header_count] = xstrdup (value);
+  request->header_count++;
+}
+
+/* Adds a Retry-After header where RETRY_AFTER_MS is not 0.  */
+void
+httpd_add_retry_after (struct httpd_request *request, uint32_t retry_after_ms)
+{
+  char *seconds;
+
+  if (retry_after_ms == 0)
+    return;
+  seconds = xasprintf ("%u", (retry_after_ms + 999) / 1000);
+  httpd_add_header (request, "Retry-After", seconds);
+  free (seconds);
+}
+
 static bool
 set_status (struct httpd_request *request, unsigned status,
             const char *content_type)
@@ -403,6 +420,16 @@
   wake (request);
 }
 
+/* Gives the response whose body is in OUT already.  */
+void
+httpd_respond_buffered (struct httpd_request *request, unsigned status,
+                        const char *content_type)
+{
+  if (!set_status (request, status, content_type))
+    return;
+  wake (request);
+}
+
 /* Responds with ERROR as its JSON body, and a Retry-After where one is
    known.  */
 void
@@ -410,12 +437,7 @@
 {
   char *body = error_to_json (error);
 
-  if (error->retry_after_ms > 0 && !request->extra_header)
-    {
-      request->extra_header = xstrdup ("Retry-After");
-      request->extra_value
-          = xasprintf ("%u", (error->retry_after_ms + 999) / 1000);
-    }
+  httpd_add_retry_after (request, error->retry_after_ms);
   httpd_respond (request, error_http_status (error->kind),
                  "application/json", body, strlen (body));
   free (body);
--- /dev/null
+++ b/galenashored/control.c
@@ -0,0 +1,289 @@
+#include "galenashored/control.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "galenashored/control_state.h"
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  LEAVE_LIMIT_MS = 3000, /* for the platform's part of a planned stop */
+};
+
+static const double TICK_S = 0.05;
+
+static void
+send_config (struct control *control)
+{
+  json_t *live = objects_live (&control->objects);
+  struct config *config = config_build (live, control->objects.revision);
+  struct traffic_message *message = xcalloc (1, sizeof *message);
+
+  json_decref (live);
+  registrar_override (control, config);
+  for (size_t i = 0; i < json_array_size (config->invalid); i++)
+    {
+      const json_t *invalid = json_array_get (config->invalid, i);
+
+      log_write (LOG_WARN, "control", NULL, "left out %s \"%s\": %s",
+                 json_string_value (json_object_get (invalid, "kind")),
+                 json_string_value (json_object_get (invalid, "name")),
+                 json_string_value (json_object_get (invalid, "reason")));
+    }
+  message->kind = TRAFFIC_CONFIG;
+  message->config = config;
+  message->config_revision = control->objects.revision;
+  message->sequence = ++control->sequence;
+  traffic_post (control->traffic, message);
+}
+
+static void
+handle_publish (void *data)
+{
+  send_config (data);
+}
+
+/* Sends the configuration to the traffic thread at the end of this turn of the
+   loop, once for all changes.  */
+void
+control_publish (struct control *control)
+{
+  deferred_schedule (&control->publish);
+}
+
+/* Sends MESSAGE to the traffic thread; the answer carries the number that this
+   returns.  */
+uint64_t
+control_ask_traffic (struct control *control, struct traffic_message *message)
+{
+  message->sequence = id_random64 ();
+  traffic_post (control->traffic, message);
+  return message->sequence;
+}
+
+/* Sends FRAME to HOST over the traffic thread's links.  */
+void
+control_send (struct control *control, const char *host,
+              const Peer__Frame *frame)
+{
+  struct traffic_message *message = xcalloc (1, sizeof *message);
+  size_t len = peer__frame__get_packed_size (frame);
+  uint8_t *packed = xcalloc (1, len + 1);
+
+  peer__frame__pack (frame, packed);
+  buf_append (&message->frame, packed, len);
+  free (packed);
+  message->kind = TRAFFIC_SEND;
+  message->name = xstrdup (host);
+  traffic_post (control->traffic, message);
+}
+
+static void
+take_frame (struct control *control, const struct control_message *message)
+{
+  Peer__Frame *frame = peer__frame__unpack (
+      NULL, message->frame.len, (const uint8_t *)message->frame.data);
+
+  if (!frame)
+    return;
+  sync_handle_frame (control, message->name, frame);
+  peer__frame__free_unpacked (frame, NULL);
+}
+
+static void
+handle_message (void *data, void *pointer)
+{
+  struct control *control = data;
+  struct control_message *message = pointer;
+
+  switch (message->kind)
+    {
+    case CONTROL_APPLIED:
+      control->applied_sequence = message->sequence;
+      if (control->applied_sequence == control->sequence)
+        control->applied_revision = control->objects.revision;
+      break;
+    case CONTROL_DRAINED:
+      control->drained = true;
+      break;
+    case CONTROL_FRAME:
+      take_frame (control, message);
+      break;
+    case CONTROL_DUMPED:
+    case CONTROL_CANCELLED:
+      admin_handle_answer (control->admin, message);
+      break;
+    }
+  control_message_destroy (message);
+}
+
+/* Begins the planned stop: no new work here, open work goes on to its end.  */
+void
+control_begin_stop (struct control *control)
+{
+  struct traffic_message *message;
+
+  if (control->stopping)
+    return;
+  control->stopping = true;
+  control->stop_started_ms = clock_now_ms ();
+  log_write (LOG_INFO, "control", NULL, "planned stop begins");
+  message = xcalloc (1, sizeof *message);
+  message->kind = TRAFFIC_STOP;
+  traffic_post (control->traffic, message);
+}
+
+static void
+handle_stop_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  control_begin_stop (watcher->data);
+}
+
+static void
+handle_hangup (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  log_write (LOG_INFO, "control", NULL,
+             "SIGHUP: certificates are read again at the next start");
+}
+
+/* Ends the loop once everything is handed over, or the limit has passed.  */
+static void
+watch_stop (struct control *control, int64_t now_ms)
+{
+  int64_t stopping_ms = now_ms - control->stop_started_ms;
+  bool left;
+
+  if (!control->stopping)
+    return;
+  left = registrar_is_clear (control)
+         || !control->sync.platform_answers
+         || (control->drained && stopping_ms > LEAVE_LIMIT_MS);
+  if ((control->drained && left)
+      || stopping_ms > control->settings->drain_limit_ms)
+    ev_break (control->loop, EVBREAK_ALL);
+}
+
+static void
+handle_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct control *control = timer->data;
+  int64_t now_ms = clock_now_ms ();
+
+  sync_tick (control, now_ms);
+  registrar_tick (control, now_ms);
+  watch_stop (control, now_ms);
+}
+
+static void
+watch_signal (struct control *control, ev_signal *watcher, int number,
+              void (*handle) (struct ev_loop *, ev_signal *, int))
+{
+  ev_signal_init (watcher, handle, number);
+  watcher->data = control;
+  ev_signal_start (control->loop, watcher);
+}
+
+static void
+start_watchers (struct control *control)
+{
+  watch_signal (control, &control->term, SIGTERM, handle_stop_signal);
+  watch_signal (control, &control->interrupt, SIGINT, handle_stop_signal);
+  watch_signal (control, &control->hangup, SIGHUP, handle_hangup);
+  ev_timer_init (&control->tick, handle_tick, 0, TICK_S);
+  control->tick.data = control;
+  ev_timer_start (control->loop, &control->tick);
+}
+
+/* Takes this host out of the list, so that nobody waits for it.  */
+static void
+handle_host_deleted (void *data, const struct platform_answer *answer)
+{
+  ev_break (((struct control *)data)->loop, EVBREAK_ALL);
+}
+
+static void
+leave_host_list (struct control *control)
+{
+  const json_t *host
+      = objects_find (&control->objects, "host", control->settings->host);
+
+  if (!host || !control->sync.platform_answers)
+    return;
+  ev_timer_stop (control->loop, &control->tick);
+  platform_delete (&control->platform, "host", control->settings->host,
+                   objects_version (host), handle_host_deleted, control);
+  ev_run (control->loop, 0);
+}
+
+static void
+stop_traffic (struct control *control)
+{
+  struct traffic_message *message = xcalloc (1, sizeof *message);
+
+  message->kind = TRAFFIC_QUIT;
+  traffic_post (control->traffic, message);
+  traffic_join (control->traffic);
+}
+
+static bool
+open_parts (struct control *control, struct error *error)
+{
+  control->fetcher = fetcher_create (control->loop);
+  platform_init (&control->platform, control->fetcher,
+                 control->settings->platform_url);
+  objects_init (&control->objects);
+  deferred_init (&control->publish, control->loop, handle_publish, control);
+  control->inbox = mailbox_create (control->loop, handle_message, control);
+  control->admin = admin_create (control, error);
+  if (!control->admin)
+    return false;
+  control->traffic = traffic_create (control->settings, control->process,
+                                     control->inbox, error);
+  return control->traffic && traffic_start (control->traffic, error);
+}
+
+static void
+close_parts (struct control *control)
+{
+  sync_release (control);
+  registrar_release (control);
+  admin_destroy (control->admin);
+  fetcher_destroy (control->fetcher);
+  if (control->traffic)
+    traffic_destroy (control->traffic);
+  mailbox_destroy (control->inbox);
+  deferred_release (&control->publish);
+  platform_release (&control->platform);
+  objects_release (&control->objects);
+}
+
+/* Runs the daemon with SETTINGS.  Returns its exit status: 0 after a planned
+   stop, 2 where something that the settings name cannot be used.  */
+int
+control_run (struct settings *settings)
+{
+  struct control control = { .settings = settings };
+  struct error error;
+  int status = EXIT_SUCCESS;
+
+  control.loop = ev_default_loop (EVFLAG_AUTO);
+  control.process = id_random64 ();
+  control.started_ms = clock_now_ms ();
+  if (!open_parts (&control, &error))
+    {
+      fprintf (stderr, "galenashored: %s\n", error.message);
+      close_parts (&control);
+      return 2;
+    }
+  start_watchers (&control);
+  log_write (LOG_INFO, "control", NULL, "started, callers at %s",
+             settings->caller_listen);
+  ev_run (control.loop, 0);
+  leave_host_list (&control);
+  stop_traffic (&control);
+  log_write (LOG_INFO, "control", NULL, "stopped");
+  close_parts (&control);
+  return status;
+}
--- /dev/null
+++ b/galenashored/main.c
@@ -0,0 +1,98 @@
+#include "galenashored/control.h"
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+
+enum
+{
+  EXIT_USAGE = 2,
+};
+
+static void
+raise_file_limit (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
+static int
+run (const char *path, bool only_check)
+{
+  struct settings settings;
+  struct error error;
+  int status;
+
+  if (!settings_load (&settings, path, &error))
+    {
+      fprintf (stderr, "galenashored: %s\n", error.message);
+      settings_release (&settings);
+      return EXIT_USAGE;
+    }
+  if (only_check)
+    {
+      puts ("the settings are good");
+      settings_release (&settings);
+      return EXIT_SUCCESS;
+    }
+  log_init (settings.host, settings.level);
+  raise_file_limit ();
+  status = control_run (&settings);
+  settings_release (&settings);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  char *path = NULL;
+  gboolean show_version = FALSE;
+  gboolean only_check = FALSE;
+  GOptionEntry entries[] = {
+    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+      "Read the settings from FILE", "FILE" },
+    { "check-settings", 0, 0, G_OPTION_ARG_NONE, &only_check,
+      "Check the settings and exit", NULL },
+    { "version", 'V', 0, G_OPTION_ARG_NONE, &show_version,
+      "Print the version and exit", NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  GOptionContext *context
+      = g_option_context_new ("- schedules agent programs");
+  GError *problem = NULL;
+  int status = EXIT_USAGE;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &problem))
+    {
+      fprintf (stderr, "galenashored: %s; see --help\n", problem->message);
+      g_error_free (problem);
+    }
+  else if (show_version)
+    {
+      puts ("galenashored " GALENA_VERSION);
+      status = EXIT_SUCCESS;
+    }
+  else if (argc > 1)
+    fprintf (stderr, "galenashored: \"%s\" is not expected; see --help\n",
+             argv[1]);
+  else if (!path)
+    fputs ("galenashored: no settings; give --settings FILE\n", stderr);
+  else if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
+    fputs ("galenashored: a library cannot be initialised\n", stderr);
+  else
+    {
+      signal (SIGPIPE, SIG_IGN);
+      status = run (path, only_check);
+    }
+  g_option_context_free (context);
+  g_free (path);
+  return status;
+}
--- /dev/null
+++ b/galenashored/messages.c
@@ -0,0 +1,22 @@
+#include "galenashored/messages.h"
+#include <stdlib.h>
+
+/* Frees the message and what it still owns.  */
+void
+traffic_message_destroy (struct traffic_message *message)
+{
+  config_destroy (message->config);
+  free (message->name);
+  buf_release (&message->frame);
+  free (message);
+}
+
+/* Frees the message and what it still owns.  */
+void
+control_message_destroy (struct control_message *message)
+{
+  free (message->name);
+  free (message->text);
+  buf_release (&message->frame);
+  free (message);
+}
--- /dev/null
+++ b/galenashored/sync.c
@@ -0,0 +1,328 @@
+#include "common/counters.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "galenashored/control_state.h"
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  WATCH_MS = 20000,
+  MIN_BACKOFF_MS = 100,
+  MAX_BACKOFF_MS = 2000,
+  WATCHERS_PER_DC = 2,
+};
+
+static const char *
+host_dc (const json_t *host)
+{
+  return json_string_value (
+      json_object_get (json_object_get (host, "data"), "data_centre"));
+}
+
+typedef void host_visitor (struct control *control, const char *name,
+                           const json_t *host, void *data);
+
+static void
+each_host (struct control *control, host_visitor *visit, void *data)
+{
+  const char *key;
+  json_t *object;
+
+  json_object_foreach (control->objects.by_key, key, object)
+  {
+    const char *name = json_string_value (json_object_get (object, "name"));
+
+    if (strncmp (key, "host/", strlen ("host/")) == 0
+        && !json_is_true (json_object_get (object, "deleted"))
+        && strcmp (name, control->settings->host) != 0)
+      visit (control, name, object, data);
+  }
+}
+
+static void
+count_better (struct control *control, const char *name, const json_t *host,
+              void *data)
+{
+  uint32_t *better = data;
+  const char *dc = host_dc (host);
+
+  if (dc && strcmp (dc, control->settings->data_centre) == 0
+      && id_hash_text (name) < id_hash_text (control->settings->host))
+    ++*better;
+}
+
+/* Watches are counted by the platform, so only a few hosts of a data centre
+   hold one; they tell the others.  */
+static bool
+is_watcher (struct control *control)
+{
+  uint32_t better = 0;
+
+  each_host (control, count_better, &better);
+  return better < WATCHERS_PER_DC;
+}
+
+static void
+fail (struct control *control)
+{
+  struct sync *sync = &control->sync;
+
+  if (sync->platform_answers)
+    log_write (LOG_WARN, "sync", NULL, "the platform does not answer");
+  sync->platform_answers = false;
+  sync->backoff_ms = sync->backoff_ms ? 2 * sync->backoff_ms : MIN_BACKOFF_MS;
+  if (sync->backoff_ms > MAX_BACKOFF_MS)
+    sync->backoff_ms = MAX_BACKOFF_MS;
+  sync->next_try_ms = clock_now_ms () + sync->backoff_ms;
+}
+
+static void
+succeed (struct control *control)
+{
+  struct sync *sync = &control->sync;
+
+  if (!sync->platform_answers)
+    log_write (LOG_INFO, "sync", NULL, "the platform answers");
+  sync->platform_answers = true;
+  sync->backoff_ms = 0;
+  sync->next_try_ms = 0;
+}
+
+static void
+merge (struct control *control, const json_t *list)
+{
+  uint64_t before = control->objects.revision;
+  bool changed = objects_merge (&control->objects, list);
+  bool first = !control->sync.loaded;
+
+  control->sync.loaded = true;
+  if (!changed && !first)
+    return;
+  control_publish (control);
+  if (!first)
+    sync_tell_hosts (control, before, false);
+}
+
+static void
+handle_list (void *data, const struct platform_answer *answer)
+{
+  struct control *control = data;
+
+  control->sync.list = NULL;
+  if (answer->status != PLATFORM_OK)
+    {
+      fail (control);
+      return;
+    }
+  control->sync.refresh = false;
+  succeed (control);
+  merge (control, json_object_get (answer->body, "objects"));
+}
+
+static void
+handle_watch (void *data, const struct platform_answer *answer)
+{
+  struct control *control = data;
+
+  control->sync.watch = NULL;
+  if (answer->status != PLATFORM_OK)
+    {
+      fail (control);
+      return;
+    }
+  succeed (control);
+  merge (control, json_object_get (answer->body, "objects"));
+}
+
+/* Starts what is due: a first list, a refresh, a watch.  */
+void
+sync_tick (struct control *control, int64_t now_ms)
+{
+  struct sync *sync = &control->sync;
+
+  if (now_ms < sync->next_try_ms)
+    return;
+  if ((!sync->loaded || sync->refresh) && !sync->list)
+    sync->list = platform_list (&control->platform, CONFIG_KINDS, handle_list,
+                                control);
+  if (sync->loaded && !sync->watch && is_watcher (control))
+    sync->watch
+        = platform_watch (&control->platform, CONFIG_KINDS,
+                          control->objects.revision, WATCH_MS, handle_watch,
+                          control);
+}
+
+/* Gives up what is under way.  */
+void
+sync_release (struct control *control)
+{
+  if (control->sync.watch)
+    fetch_cancel (control->sync.watch);
+  if (control->sync.list)
+    fetch_cancel (control->sync.list);
+  control->sync.watch = NULL;
+  control->sync.list = NULL;
+}
+
+static void
+push (struct control *control, const char *host, uint64_t since)
+{
+  json_t *document
+      = json_pack ("{s:I, s:o, s:O}", "since", (json_int_t)since, "objects",
+                   objects_since (&control->objects, since), "withdrawn",
+                   control->objects.withdrawn);
+  char *text = json_dumps (document, JSON_COMPACT);
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__ConfigPush message = PEER__CONFIG_PUSH__INIT;
+
+  json_decref (document);
+  message.revision = control->objects.revision;
+  message.document.data = (uint8_t *)text;
+  message.document.len = strlen (text);
+  frame.body_case = PEER__FRAME__BODY_CONFIG_PUSH;
+  frame.config_push = &message;
+  control_send (control, host, &frame);
+  free (text);
+}
+
+static void
+ask (struct control *control, const char *host)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__ConfigAsk message = PEER__CONFIG_ASK__INIT;
+
+  message.have_revision = control->objects.revision;
+  frame.body_case = PEER__FRAME__BODY_CONFIG_ASK;
+  frame.config_ask = &message;
+  control_send (control, host, &frame);
+}
+
+struct telling
+{
+  uint64_t since;
+  bool everywhere;
+};
+
+static void
+tell_host (struct control *control, const char *name, const json_t *host,
+           void *data)
+{
+  const struct telling *telling = data;
+  const char *dc = host_dc (host);
+
+  if (telling->everywhere
+      || (dc && strcmp (dc, control->settings->data_centre) == 0))
+    push (control, name, telling->since);
+}
+
+/* Sends what is newer than SINCE to this data centre's hosts, or to all.  */
+void
+sync_tell_hosts (struct control *control, uint64_t since, bool everywhere)
+{
+  struct telling telling = { .since = since, .everywhere = everywhere };
+
+  each_host (control, tell_host, &telling);
+}
+
+static bool
+merge_withdrawn (struct control *control, const json_t *withdrawn)
+{
+  bool changed = false;
+  const char *key_id;
+  json_t *value;
+
+  json_object_foreach ((json_t *)(uintptr_t)withdrawn, key_id, value)
+  {
+    if (objects_withdraw (&control->objects, key_id))
+      changed = true;
+  }
+  return changed;
+}
+
+static void
+take_push (struct control *control, const char *host,
+           const Peer__ConfigPush *message)
+{
+  json_t *document = json_loadb ((const char *)message->document.data,
+                                 message->document.len, 0, NULL);
+  uint64_t since = (uint64_t)json_integer_value (
+      json_object_get (document, "since"));
+
+  if (!document)
+    return;
+  if (merge_withdrawn (control, json_object_get (document, "withdrawn")))
+    control_publish (control);
+  /* A push that starts behind what this host has would leave a gap.  */
+  if (since > control->objects.revision)
+    ask (control, host);
+  else
+    {
+      control->sync.loaded
+          = control->sync.loaded
+            || json_array_size (json_object_get (document, "objects")) > 0;
+      if (objects_merge (&control->objects,
+                         json_object_get (document, "objects")))
+        control_publish (control);
+    }
+  json_decref (document);
+}
+
+static void
+take_revision (struct control *control, const char *host, uint64_t revision)
+{
+  if (revision > control->objects.revision)
+    ask (control, host);
+}
+
+/* Takes a frame of another host that concerns the configuration.  */
+void
+sync_handle_frame (struct control *control, const char *host,
+                   const Peer__Frame *frame)
+{
+  switch (frame->body_case)
+    {
+    case PEER__FRAME__BODY_CONFIG_ASK:
+      if (control->objects.revision > frame->config_ask->have_revision)
+        push (control, host, frame->config_ask->have_revision);
+      break;
+    case PEER__FRAME__BODY_CONFIG_PUSH:
+      take_push (control, host, frame->config_push);
+      break;
+    case PEER__FRAME__BODY_KEY_WITHDRAW:
+      if (objects_withdraw (&control->objects, frame->key_withdraw->key_id))
+        control_publish (control);
+      break;
+    case PEER__FRAME__BODY_PING:
+      take_revision (control, host, frame->ping->config_revision);
+      break;
+    case PEER__FRAME__BODY_PONG:
+      take_revision (control, host, frame->pong->config_revision);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+tell_withdrawal (struct control *control, const char *name,
+                 const json_t *host, void *data)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__KeyWithdraw message = PEER__KEY_WITHDRAW__INIT;
+
+  message.key_id = data;
+  frame.body_case = PEER__FRAME__BODY_KEY_WITHDRAW;
+  frame.key_withdraw = &message;
+  control_send (control, name, &frame);
+}
+
+/* Withdraws a key at this host and every host that it reaches, whatever the
+   platform says; the platform's own record is to follow.  */
+void
+sync_withdraw (struct control *control, const char *key_id)
+{
+  objects_withdraw (&control->objects, key_id);
+  control_publish (control);
+  each_host (control, tell_withdrawal, (void *)(uintptr_t)key_id);
+}
--- /dev/null
+++ b/galenashored/traffic.c
@@ -0,0 +1,471 @@
+#include "galenashored/traffic.h"
+#include "caller/listener.h"
+#include "common/address.h"
+#include "common/counters.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "endpoint/dispatcher.h"
+#include "peer/forward.h"
+#include "peer/limiter.h"
+#include "program/copies.h"
+#include "program/once.h"
+#include "program/program.h"
+#include <errno.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  DRAIN_GRACE_MS = 300, /* quiet time before the thread counts as drained */
+};
+
+static const double TICK_S = 0.01;
+
+struct traffic
+{
+  struct server server;
+  struct listener *listener;
+  pthread_t thread;
+  bool started;
+  bool drained;
+  int64_t quiet_since_ms;
+  int64_t slow_tick_ms;
+};
+
+static void
+tell_control (struct traffic *traffic, struct control_message *message)
+{
+  while (!mailbox_post (traffic->server.control, message))
+    usleep (1000);
+}
+
+static struct control_message *
+control_message (enum control_kind kind, uint64_t sequence)
+{
+  struct control_message *message = xcalloc (1, sizeof *message);
+
+  message->kind = kind;
+  message->sequence = sequence;
+  return message;
+}
+
+static void
+set_mesh_hosts (struct server *server)
+{
+  const struct config *config = server->config;
+  struct mesh_host *hosts = xcalloc (config->host_count + 1, sizeof *hosts);
+
+  for (size_t i = 0; i < config->host_count; i++)
+    hosts[i] = (struct mesh_host){ .name = config->hosts[i].name,
+                                   .address = config->hosts[i].peer_address };
+  mesh_set_hosts (server->mesh, hosts, config->host_count);
+  free (hosts);
+}
+
+static void
+apply_config (struct traffic *traffic, struct traffic_message *message)
+{
+  struct server *server = &traffic->server;
+  struct config *old = server->config;
+
+  server->config = message->config;
+  message->config = NULL;
+  server_refresh_hosts (server);
+  set_mesh_hosts (server);
+  mesh_set_status (server->mesh, message->config_revision, server->stopping);
+  dispatcher_apply (server->dispatcher, server->config);
+  limiter_apply (server->limiter);
+  copies_handle_hosts (server->copies);
+  server->serving = true;
+  listener_end_withdrawn (traffic->listener);
+  config_destroy (old);
+  tell_control (traffic, control_message (CONTROL_APPLIED,
+                                          message->sequence));
+}
+
+static json_t *
+dump (struct traffic *traffic, bool with_programs)
+{
+  struct server *server = &traffic->server;
+
+  return json_pack (
+      "{s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:b}", "callers",
+      listener_to_json (traffic->listener), "hosts",
+      mesh_to_json (server->mesh), "dispatcher",
+      dispatcher_to_json (server->dispatcher, clock_now_ms ()), "limits",
+      limiter_to_json (server->limiter), "programs",
+      programs_to_json (server->programs, with_programs), "journal",
+      journal_to_json (server->journal), "store",
+      server->store ? store_to_json (server->store) : json_null (),
+      "stopping", server->stopping);
+}
+
+static void
+answer_dump (struct traffic *traffic, const struct traffic_message *question)
+{
+  struct control_message *answer
+      = control_message (CONTROL_DUMPED, question->sequence);
+  json_t *state = dump (traffic, question->with_programs);
+
+  answer->text = json_dumps (state, JSON_COMPACT);
+  json_decref (state);
+  tell_control (traffic, answer);
+}
+
+static void
+cancel_program (struct traffic *traffic, const struct traffic_message *order)
+{
+  struct control_message *answer
+      = control_message (CONTROL_CANCELLED, order->sequence);
+  struct program *program
+      = program_find (traffic->server.programs, order->name);
+
+  answer->found = program != NULL;
+  if (program)
+    program_close (program, "ended by an operator");
+  tell_control (traffic, answer);
+}
+
+static void
+send_frame (struct server *server, const struct traffic_message *message)
+{
+  Peer__Frame *frame = peer__frame__unpack (
+      NULL, message->frame.len, (const uint8_t *)message->frame.data);
+
+  if (!frame)
+    return;
+  mesh_send (server->mesh, message->name, frame);
+  peer__frame__free_unpacked (frame, NULL);
+}
+
+/* Tells every host, so that none sends more programs here.  */
+static void
+announce_leaving (struct server *server)
+{
+  for (size_t i = 0; i < server->config->host_count; i++)
+    if (!server_is_self (server, &server->config->hosts[i]))
+      mesh_probe (server->mesh, server->config->hosts[i].name);
+}
+
+static void
+begin_stop (struct traffic *traffic)
+{
+  struct server *server = &traffic->server;
+
+  if (server->stopping)
+    return;
+  server->stopping = true;
+  server->stop_started_ms = clock_now_ms ();
+  traffic->quiet_since_ms = server->stop_started_ms;
+  mesh_set_status (server->mesh,
+                   server->config ? server->config->revision : 0, true);
+  if (server->config)
+    announce_leaving (server);
+  listener_begin_destroy (traffic->listener);
+  log_write (LOG_INFO, "traffic", NULL, "stopping: no new connections");
+}
+
+static void
+handle_message (void *data, void *pointer)
+{
+  struct traffic *traffic = data;
+  struct traffic_message *message = pointer;
+
+  switch (message->kind)
+    {
+    case TRAFFIC_CONFIG:
+      apply_config (traffic, message);
+      break;
+    case TRAFFIC_STOP:
+      begin_stop (traffic);
+      break;
+    case TRAFFIC_QUIT:
+      ev_break (traffic->server.loop, EVBREAK_ALL);
+      break;
+    case TRAFFIC_DUMP:
+      answer_dump (traffic, message);
+      break;
+    case TRAFFIC_CANCEL:
+      cancel_program (traffic, message);
+      break;
+    case TRAFFIC_BLOCK:
+      mesh_block (traffic->server.mesh, message->name, message->blocked);
+      break;
+    case TRAFFIC_SEND:
+      send_frame (&traffic->server, message);
+      break;
+    }
+  traffic_message_destroy (message);
+}
+
+static void
+pass_to_control (struct traffic *traffic, const char *host,
+                 const Peer__Frame *frame)
+{
+  struct control_message *message = control_message (CONTROL_FRAME, 0);
+  size_t len = peer__frame__get_packed_size (frame);
+  uint8_t *packed = xcalloc (1, len + 1);
+
+  peer__frame__pack (frame, packed);
+  buf_append (&message->frame, packed, len);
+  free (packed);
+  message->name = xstrdup (host);
+  tell_control (traffic, message);
+}
+
+static void
+handle_frame (void *data, const char *host, const Peer__Frame *frame)
+{
+  struct traffic *traffic = data;
+  struct server *server = &traffic->server;
+
+  switch (frame->body_case)
+    {
+    case PEER__FRAME__BODY_CONFIG_ASK:
+    case PEER__FRAME__BODY_CONFIG_PUSH:
+    case PEER__FRAME__BODY_KEY_WITHDRAW:
+      pass_to_control (traffic, host, frame);
+      return;
+    case PEER__FRAME__BODY_PING:
+      if (!server->config
+          || frame->ping->config_revision != server->config->revision)
+        pass_to_control (traffic, host, frame);
+      return;
+    case PEER__FRAME__BODY_PONG:
+      if (!server->config
+          || frame->pong->config_revision != server->config->revision)
+        pass_to_control (traffic, host, frame);
+      return;
+    default:
+      break;
+    }
+  if (!server->config)
+    return;
+  if (frame->body_case == PEER__FRAME__BODY_CRASH_NOTICE)
+    dispatcher_note_remote_crash (server->dispatcher,
+                                  frame->crash_notice->fingerprint,
+                                  frame->crash_notice->crashes);
+  forwarder_handle_frame (server->forwarder, host, frame);
+  limiter_handle_frame (server->limiter, host, frame);
+  copies_handle_frame (server->copies, host, frame);
+}
+
+static void
+handle_down (void *data, const char *host)
+{
+  struct server *server = &((struct traffic *)data)->server;
+
+  if (!server->config)
+    return;
+  copies_handle_down (server->copies, host);
+  forwarder_handle_down (server->forwarder, host);
+}
+
+static void
+handle_moved (void *data, const char *program)
+{
+  programs_handle_moved (((struct traffic *)data)->server.programs, program);
+}
+
+static bool
+is_drained (const struct traffic *traffic)
+{
+  const struct server *server = &traffic->server;
+
+  return listener_is_idle (traffic->listener)
+         && forwarder_is_idle (server->forwarder)
+         && programs_are_idle (server->programs)
+         && once_is_idle (server->once);
+}
+
+static void
+watch_drain (struct traffic *traffic, int64_t now_ms)
+{
+  if (!traffic->server.stopping || traffic->drained)
+    return;
+  if (!is_drained (traffic))
+    {
+      traffic->quiet_since_ms = now_ms;
+      return;
+    }
+  if (now_ms - traffic->quiet_since_ms < DRAIN_GRACE_MS)
+    return;
+  traffic->drained = true;
+  tell_control (traffic, control_message (CONTROL_DRAINED, 0));
+}
+
+static void
+handle_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct traffic *traffic = timer->data;
+  struct server *server = &traffic->server;
+  int64_t now_ms = clock_now_ms ();
+
+  if (!server->config)
+    return;
+  limiter_tick (server->limiter, now_ms);
+  copies_tick (server->copies, now_ms);
+  dispatcher_tick (server->dispatcher, now_ms);
+  if (now_ms - traffic->slow_tick_ms >= 1000)
+    {
+      traffic->slow_tick_ms = now_ms;
+      programs_tick (server->programs, now_ms);
+    }
+  watch_drain (traffic, now_ms);
+}
+
+static struct mesh *
+open_mesh (struct traffic *traffic, struct error *error)
+{
+  struct server *server = &traffic->server;
+  char ip[INET_ADDRSTRLEN];
+  uint16_t port;
+  struct mesh_options options
+      = { .loop = server->loop,
+          .host = server->settings->host,
+          .data_centre = server->settings->data_centre,
+          .process = server->process,
+          .listen_address = ip,
+          .keyring = &server->settings->keyring,
+          .handle_frame = handle_frame,
+          .handle_down = handle_down,
+          .data = traffic };
+
+  address_split (server->settings->peer_listen, ip, &port);
+  options.listen_port = port;
+  return mesh_create (&options, error);
+}
+
+static bool
+open_store (struct server *server, struct error *error)
+{
+  struct store_options options = { .loop = server->loop,
+                                   .folder = server->settings->data_dir };
+
+  if (!server->settings->data_dir)
+    return true;
+  server->store = store_create (&options, error);
+  return server->store != NULL;
+}
+
+static void
+open_parts (struct traffic *traffic)
+{
+  struct server *server = &traffic->server;
+  struct journal_options journal
+      = { .loop = server->loop,
+          .platform = &server->platform,
+          .process = server->process,
+          .window_ms = server->settings->journal_window_ms,
+          .handle_moved = handle_moved,
+          .data = traffic };
+
+  server->fetcher = fetcher_create (server->loop);
+  platform_init (&server->platform, server->fetcher,
+                 server->settings->platform_url);
+  server->journal = journal_create (&journal);
+  server->copies = copies_create (server);
+  server->dispatcher = dispatcher_create (server);
+  server->forwarder = forwarder_create (server);
+  server->limiter = limiter_create (server);
+  server->programs = programs_create (server);
+  server->once = once_create (server);
+  server->inbox = mailbox_create (server->loop, handle_message, traffic);
+  ev_timer_init (&server->tick, handle_tick, TICK_S, TICK_S);
+  server->tick.data = traffic;
+  ev_timer_start (server->loop, &server->tick);
+}
+
+/* Opens the listeners and the store.  Nothing runs until traffic_start.  NULL
+   and ERROR where one cannot be opened.  */
+struct traffic *
+traffic_create (const struct settings *settings, uint64_t process,
+                struct mailbox *control, struct error *error)
+{
+  struct traffic *traffic = xcalloc (1, sizeof *traffic);
+  struct server *server = &traffic->server;
+
+  server->settings = settings;
+  server->process = process;
+  server->control = control;
+  server->dc_hash = id_hash_text (settings->data_centre);
+  server->loop = ev_loop_new (EVFLAG_AUTO);
+  open_parts (traffic);
+  server->mesh = open_mesh (traffic, error);
+  if (server->mesh && open_store (server, error))
+    traffic->listener = listener_create (server, error);
+  if (traffic->listener)
+    return traffic;
+  traffic_destroy (traffic);
+  return NULL;
+}
+
+static void *
+run (void *data)
+{
+  struct traffic *traffic = data;
+
+  ev_run (traffic->server.loop, 0);
+  return NULL;
+}
+
+/* Starts the thread.  */
+bool
+traffic_start (struct traffic *traffic, struct error *error)
+{
+  if (pthread_create (&traffic->thread, NULL, run, traffic) == 0)
+    {
+      traffic->started = true;
+      return true;
+    }
+  error_set (error, ERROR_INTERNAL, RUN_NOT_RUN,
+             "cannot start the traffic thread: %s; raise the process limit",
+             strerror (errno));
+  return false;
+}
+
+/* Hands MESSAGE to the thread, which frees it.  */
+void
+traffic_post (struct traffic *traffic, struct traffic_message *message)
+{
+  while (!mailbox_post (traffic->server.inbox, message))
+    usleep (1000);
+}
+
+/* Waits for the thread, which has been told to quit.  */
+void
+traffic_join (struct traffic *traffic)
+{
+  if (traffic->started)
+    pthread_join (traffic->thread, NULL);
+  traffic->started = false;
+}
+
+/* Frees everything; the thread is not running.  */
+void
+traffic_destroy (struct traffic *traffic)
+{
+  struct server *server = &traffic->server;
+
+  listener_destroy (traffic->listener);
+  programs_destroy (server->programs);
+  forwarder_destroy (server->forwarder);
+  limiter_destroy (server->limiter);
+  store_destroy (server->store);
+  copies_destroy (server->copies);
+  fetcher_destroy (server->fetcher);
+  once_destroy (server->once);
+  journal_destroy (server->journal);
+  dispatcher_destroy (server->dispatcher);
+  mesh_destroy (server->mesh);
+  platform_release (&server->platform);
+  mailbox_destroy (server->inbox);
+  ev_timer_stop (server->loop, &server->tick);
+  config_destroy (server->config);
+  free (server->candidates);
+  ev_loop_destroy (server->loop);
+  free (traffic);
+}
--- /dev/null
+++ b/include/caller/api.h
@@ -0,0 +1,71 @@
+/* A caller's request as the handlers see it, whether it came to this host or
+   was passed on by another. */
+#ifndef GALENA_CALLER_API_H
+#define GALENA_CALLER_API_H
+
+#include "common/buf.h"
+#include "common/error.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  API_MAX_ARGS = 3,
+  API_REQUEST_ID_BYTES = 27,
+};
+
+struct server;
+struct api_request;
+
+/* Where the answer goes: to a caller's connection or to another host. */
+struct api_sink_impl
+{
+  void (*begin) (struct api_request *request, unsigned status,
+                 const char *content_type, bool streaming);
+  bool (*write) (struct api_request *request, const void *data, size_t len);
+  void (*end) (struct api_request *request);
+  void (*abort) (struct api_request *request);
+};
+
+/* Owned by its sink's side until api_end, api_abort or handle_gone. */
+struct api_request
+{
+  const struct api_sink_impl *impl;
+  struct server *server;
+  char id[API_REQUEST_ID_BYTES];
+  char *customer; /* "" on a route that is open to all */
+  char *key_id;
+  char *method;
+  char *path;
+  char *args[API_MAX_ARGS];
+  char *cursor;          /* X-Galena-Cursor */
+  char *program;         /* X-Galena-Program */
+  char *idempotency_key; /* Idempotency-Key */
+  char *content_type;
+  uint32_t resume_from;  /* Last-Event-ID: tokens that the caller has */
+  uint32_t hops;
+  char *answer_cursor;   /* goes out as X-Galena-Cursor */
+  char *answer_program;  /* goes out as X-Galena-Program */
+  struct buf body;
+  uint32_t retry_after_ms;
+  bool begun;
+  bool ended;
+  void *impl_data;
+  void *user;            /* of the handler */
+  void (*handle_gone) (struct api_request *request);
+  struct api_request *next; /* in the handler's list */
+};
+
+void api_begin (struct api_request *request, unsigned status,
+                const char *content_type, bool streaming);
+bool api_write (struct api_request *request, const void *data, size_t len);
+void api_end (struct api_request *request);
+void api_abort (struct api_request *request);
+void api_respond (struct api_request *request, unsigned status,
+                  const char *content_type, const void *body, size_t len);
+void api_respond_error (struct api_request *request,
+                        const struct error *error);
+void api_request_release (struct api_request *request);
+void api_set (char **slot, const char *value);
+
+#endif
--- /dev/null
+++ b/include/caller/listener.h
@@ -0,0 +1,20 @@
+/* The side of the daemon that callers see. */
+#ifndef GALENA_CALLER_LISTENER_H
+#define GALENA_CALLER_LISTENER_H
+
+#include "common/error.h"
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+struct server;
+struct listener;
+
+struct listener *listener_create (struct server *server, struct error *error);
+void listener_begin_destroy (struct listener *listener);
+bool listener_is_idle (const struct listener *listener);
+void listener_destroy (struct listener *listener);
+void listener_end_withdrawn (struct listener *listener);
+json_t *listener_to_json (const struct listener *listener);
+
+#endif
--- /dev/null
+++ b/include/caller/routes.h
@@ -0,0 +1,40 @@
+/* The sorted table of request handlers. */
+#ifndef GALENA_CALLER_ROUTES_H
+#define GALENA_CALLER_ROUTES_H
+
+#include "caller/api.h"
+
+typedef void route_handler (struct api_request *request);
+
+enum route_owner
+{
+  ROUTE_HERE,    /* any host serves it */
+  ROUTE_PROGRAM, /* the owner of the program in the first argument does */
+};
+
+struct route_entry
+{
+  const char *method;
+  const char *pattern; /* "*" matches one segment, a final "**" the rest */
+  enum route_owner owner;
+  bool charged; /* counts against the customer's rate */
+  route_handler *handle;
+};
+
+const struct route_entry *routes_find (struct api_request *request,
+                                       struct error *error);
+void routes_enter (struct api_request *request);
+void routes_handle (struct api_request *request);
+
+void handle_branch_open (struct api_request *request);
+void handle_call (struct api_request *request);
+void handle_chat (struct api_request *request);
+void handle_program_close (struct api_request *request);
+void handle_program_open (struct api_request *request);
+void handle_program_show (struct api_request *request);
+void handle_service (struct api_request *request);
+void handle_tool (struct api_request *request);
+void handle_upload (struct api_request *request);
+void handle_upload_show (struct api_request *request);
+
+#endif
--- /dev/null
+++ b/include/common/deferred.h
@@ -0,0 +1,23 @@
+/* Work put off until the callbacks of this turn of the loop are done. */
+#ifndef GALENA_COMMON_DEFERRED_H
+#define GALENA_COMMON_DEFERRED_H
+
+#include <ev.h>
+
+typedef void deferred_handler (void *data);
+
+/* Owned by its user; does not move while it is in use. */
+struct deferred
+{
+  struct ev_loop *loop;
+  ev_prepare watcher; /* never started, only fed */
+  deferred_handler *handle;
+  void *data;
+};
+
+void deferred_init (struct deferred *deferred, struct ev_loop *loop,
+                    deferred_handler *handle, void *data);
+void deferred_schedule (struct deferred *deferred);
+void deferred_release (struct deferred *deferred);
+
+#endif
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -30,6 +30,11 @@
   void *data;
 };
 
+enum
+{
+  HTTPD_MAX_HEADERS = 4,
+};
+
 enum httpd_state
 {
   HTTPD_READING,
@@ -49,8 +54,9 @@
   struct buf body;
   struct buf out;
   char *content_type;
-  char *extra_header;
-  char *extra_value;
+  char *header_names[HTTPD_MAX_HEADERS];
+  char *header_values[HTTPD_MAX_HEADERS];
+  uint32_t header_count;
   unsigned status;
   enum httpd_state state;
   bool suspended;
@@ -74,8 +80,14 @@
                           const char *name);
 const char *httpd_query (const struct httpd_request *request,
                          const char *name);
+void httpd_add_header (struct httpd_request *request, const char *name,
+                       const char *value);
+void httpd_add_retry_after (struct httpd_request *request,
+                            uint32_t retry_after_ms);
 void httpd_respond (struct httpd_request *request, unsigned status,
                     const char *content_type, const char *body, size_t len);
+void httpd_respond_buffered (struct httpd_request *request, unsigned status,
+                             const char *content_type);
 void httpd_respond_error (struct httpd_request *request,
                           const struct error *error);
 void httpd_stream_begin (struct httpd_request *request, unsigned status,
--- /dev/null
+++ b/include/endpoint/dispatcher.h
@@ -0,0 +1,66 @@
+/* Queues model calls, picks their engines and retries them. */
+#ifndef GALENA_ENDPOINT_DISPATCHER_H
+#define GALENA_ENDPOINT_DISPATCHER_H
+
+#include "common/error.h"
+#include "endpoint/endpoint.h"
+#include "endpoint/engine.h"
+#include "policy/fair.h"
+#include "policy/retry.h"
+#include <ev.h>
+
+struct server;
+struct dispatcher;
+
+struct job;
+
+struct job_handlers
+{
+  /* Appends the request body, for a call that has had JOB's tokens. */
+  void (*build_body) (void *data, struct buf *body);
+  /* False ends the call as finished: it has had all it may have. */
+  bool (*handle_token) (void *data, const char *text, size_t len);
+  void (*handle_done) (void *data, const struct engine_usage *usage);
+  void (*handle_failed) (void *data, const struct error *error);
+  void *data;
+};
+
+/* A model call.  Owned by its call, in the dispatcher's hands from
+   dispatcher_submit until handle_done, handle_failed or dispatcher_cancel. */
+struct job
+{
+  struct fair_item fair;
+  char *model;
+  char *customer;
+  uint64_t program;      /* hash, for affinity */
+  uint64_t fingerprint;  /* of the request's contents */
+  int64_t prompt_tokens; /* estimate */
+  struct job_handlers handlers;
+  /* The rest belongs to the dispatcher. */
+  struct dispatcher *dispatcher;
+  struct lane *lane;
+  struct endpoint *endpoint;
+  struct engine_attempt *attempt;
+  ev_timer backoff;
+  struct fetch *probe; /* asks whether the endpoint has crashed */
+  uint32_t attempts;
+  char *avoid; /* name of the endpoint that failed last */
+  bool alone;
+  bool stopped; /* handle_token wanted no more */
+  uint64_t tokens;
+  int64_t started_ms;
+};
+
+struct dispatcher *dispatcher_create (struct server *server);
+void dispatcher_destroy (struct dispatcher *dispatcher);
+void dispatcher_apply (struct dispatcher *dispatcher,
+                       const struct config *config);
+void dispatcher_submit (struct dispatcher *dispatcher, struct job *job);
+void dispatcher_cancel (struct job *job);
+void dispatcher_tick (struct dispatcher *dispatcher, int64_t now_ms);
+void dispatcher_note_remote_crash (struct dispatcher *dispatcher,
+                                   uint64_t fingerprint, uint32_t crashes);
+struct endpoint_table *dispatcher_endpoints (struct dispatcher *dispatcher);
+json_t *dispatcher_to_json (struct dispatcher *dispatcher, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/include/endpoint/endpoint.h
@@ -0,0 +1,71 @@
+/* The endpoints that the configuration names, and what this host has seen of
+   each. */
+#ifndef GALENA_ENDPOINT_ENDPOINT_H
+#define GALENA_ENDPOINT_ENDPOINT_H
+
+#include "common/fetch.h"
+#include "platform/config.h"
+#include "policy/retry.h"
+#include <jansson.h>
+
+enum
+{
+  ENDPOINT_AFFINITY_SLOTS = 1024,
+};
+
+/* A program whose prompt an engine is believed to have cached. */
+struct endpoint_affinity
+{
+  uint64_t program;
+  int64_t tokens;
+};
+
+/* Owned by the endpoint table; kept while calls are in flight there, also
+   after the configuration has dropped it. */
+struct endpoint
+{
+  char *name;
+  enum endpoint_kind kind;
+  char *url;
+  char *credential;
+  char *route;
+  struct strings models;
+  int64_t slots;
+  bool checks_fencing;
+  bool leaving;
+  bool listed;
+  int64_t in_flight;
+  int64_t suspects; /* requests that are retried alone there */
+  int64_t reported_busy;
+  bool reports_leaving;
+  int64_t call_ms;
+  uint32_t failures_in_a_row;
+  uint32_t ejections;
+  int64_t ejected_until_ms;
+  struct fetch *load_fetch;
+  struct retry_budget retries;
+  struct endpoint_affinity affinity[ENDPOINT_AFFINITY_SLOTS];
+  struct endpoint *next;
+};
+
+struct endpoint_table
+{
+  struct endpoint *first;
+};
+
+void endpoint_table_apply (struct endpoint_table *table,
+                           const struct config *config);
+void endpoint_table_release (struct endpoint_table *table);
+bool endpoint_is_eligible (const struct endpoint *endpoint, int64_t now_ms);
+bool endpoint_serves_model (const struct endpoint *endpoint,
+                            const char *model);
+void endpoint_note_success (struct endpoint *endpoint, int64_t took_ms);
+void endpoint_note_failure (struct endpoint *endpoint, int64_t now_ms);
+int64_t endpoint_cached_tokens (const struct endpoint *endpoint,
+                                uint64_t program);
+void endpoint_note_cached (struct endpoint *endpoint, uint64_t program,
+                           int64_t tokens);
+json_t *endpoint_table_to_json (const struct endpoint_table *table,
+                                int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/include/endpoint/service.h
@@ -0,0 +1,30 @@
+/* Calls to plain services and tools. */
+#ifndef GALENA_ENDPOINT_SERVICE_H
+#define GALENA_ENDPOINT_SERVICE_H
+
+#include "common/error.h"
+#include "endpoint/dispatcher.h"
+
+struct service_call;
+
+struct service_options
+{
+  const char *route;
+  const char *method;
+  const char *subpath; /* appended to the endpoint's URL; "" for none */
+  const char *content_type;
+  const char *request_id; /* the same on each attempt */
+  const void *body;
+  size_t body_len;
+  bool idempotent;
+  int64_t timeout_ms;
+  void (*handle_answer) (void *data, long status, const struct buf *body);
+  void (*handle_failed) (void *data, const struct error *error);
+  void *data;
+};
+
+struct service_call *service_start (struct server *server,
+                                    const struct service_options *options);
+void service_cancel (struct service_call *call);
+
+#endif
--- /dev/null
+++ b/include/galenashored/control_state.h
@@ -0,0 +1,93 @@
+/* What the control thread owns. */
+#ifndef GALENA_GALENASHORED_CONTROL_STATE_H
+#define GALENA_GALENASHORED_CONTROL_STATE_H
+
+#include "common/deferred.h"
+#include "common/fetch.h"
+#include "common/mailbox.h"
+#include "galenashored/messages.h"
+#include "galenashored/settings.h"
+#include "galenashored/traffic.h"
+#include "platform/client.h"
+#include "platform/objects.h"
+#include <ev.h>
+
+struct admin;
+
+/* Reading the configuration from the platform and the other hosts. */
+struct sync
+{
+  struct fetch *watch;
+  struct fetch *list;
+  bool loaded; /* from anywhere */
+  bool platform_answers;
+  bool refresh; /* a list is wanted soon */
+  int64_t next_try_ms;
+  int64_t backoff_ms;
+};
+
+/* Writing this host's object and its part of the slot table. */
+struct registrar
+{
+  struct fetch *host_write;
+  struct fetch *slots_write;
+  json_t *host_value;   /* being written */
+  json_t *slots_value;  /* being written */
+  uint64_t releasing;   /* bits of own slots that are being given up */
+  uint64_t release_sequence; /* the configuration without them */
+  int64_t next_try_ms;
+};
+
+struct control
+{
+  struct settings *settings;
+  struct ev_loop *loop;
+  uint64_t process;
+  struct mailbox *inbox;
+  struct traffic *traffic;
+  struct fetcher *fetcher;
+  struct platform platform;
+  struct objects objects;
+  struct sync sync;
+  struct registrar registrar;
+  struct admin *admin;
+  struct deferred publish;
+  uint64_t sequence;         /* of the last configuration sent to traffic */
+  uint64_t applied_sequence; /* of the last one in force there */
+  uint64_t applied_revision;
+  int64_t started_ms;
+  bool stopping;
+  bool drained;
+  int64_t stop_started_ms;
+  ev_signal term;
+  ev_signal interrupt;
+  ev_signal hangup;
+  ev_timer tick;
+};
+
+void control_publish (struct control *control);
+void control_begin_stop (struct control *control);
+uint64_t control_ask_traffic (struct control *control,
+                              struct traffic_message *message);
+void control_send (struct control *control, const char *host,
+                   const Peer__Frame *frame);
+
+void sync_tick (struct control *control, int64_t now_ms);
+void sync_release (struct control *control);
+void sync_handle_frame (struct control *control, const char *host,
+                        const Peer__Frame *frame);
+void sync_tell_hosts (struct control *control, uint64_t since,
+                      bool with_withdrawn);
+void sync_withdraw (struct control *control, const char *key_id);
+
+void registrar_tick (struct control *control, int64_t now_ms);
+void registrar_release (struct control *control);
+bool registrar_is_clear (const struct control *control);
+void registrar_override (struct control *control, struct config *config);
+
+struct admin *admin_create (struct control *control, struct error *error);
+void admin_destroy (struct admin *admin);
+void admin_handle_answer (struct admin *admin,
+                          const struct control_message *message);
+
+#endif
--- /dev/null
+++ b/include/galenashored/server.h
@@ -0,0 +1,63 @@
+/* What the traffic thread owns. */
+#ifndef GALENA_GALENASHORED_SERVER_H
+#define GALENA_GALENASHORED_SERVER_H
+
+#include "common/fetch.h"
+#include "common/httpd.h"
+#include "common/mailbox.h"
+#include "galenashored/settings.h"
+#include "peer/mesh.h"
+#include "platform/client.h"
+#include "platform/config.h"
+#include "platform/journal.h"
+#include "policy/owner.h"
+#include "store/log.h"
+#include <ev.h>
+
+struct copies;
+struct dispatcher;
+struct forwarder;
+struct limiter;
+struct programs;
+
+struct once;
+
+/* One a process.  Its parts are owned here and used on the traffic thread
+   only. */
+struct server
+{
+  const struct settings *settings;
+  struct ev_loop *loop;
+  uint64_t process; /* incarnation of this process, never 0 */
+  uint64_t dc_hash;
+  struct config *config; /* never NULL once serving */
+  struct owner_candidate *candidates; /* a host of the config each */
+  struct mailbox *inbox;   /* struct traffic_message */
+  struct mailbox *control; /* struct control_message; owned by control */
+  struct fetcher *fetcher;
+  struct platform platform;
+  struct journal *journal;
+  struct mesh *mesh;
+  struct httpd *httpd;
+  struct store *store; /* NULL without a data folder */
+  struct copies *copies;
+  struct dispatcher *dispatcher;
+  struct forwarder *forwarder;
+  struct limiter *limiter;
+  struct programs *programs;
+  struct once *once;
+  ev_timer tick;
+  bool serving;
+  bool stopping;
+  int64_t stop_started_ms;
+};
+
+void server_refresh_hosts (struct server *server);
+const struct config_host *server_owner (struct server *server,
+                                        const char *program);
+bool server_is_self (const struct server *server,
+                     const struct config_host *host);
+const struct config_host *server_host_of_process (const struct server *server,
+                                                  uint64_t process);
+
+#endif
--- /dev/null
+++ b/include/galenashored/settings.h
@@ -0,0 +1,44 @@
+/* The daemon's settings, read from a JSON file. */
+#ifndef GALENA_GALENASHORED_SETTINGS_H
+#define GALENA_GALENASHORED_SETTINGS_H
+
+#include "common/error.h"
+#include "common/log.h"
+#include "policy/cursor.h"
+#include <stdint.h>
+
+struct settings
+{
+  char *host;
+  char *data_centre;
+  char *caller_listen;
+  char *peer_listen;
+  char *operator_listen;
+  char *platform_url;
+  char *fleet_key_file;
+  char *operator_key_file; /* NULL: the operator listener is open */
+  char *data_dir;          /* NULL: keeps no copies */
+  char *log_level;
+  char *caller_cert_file;
+  char *caller_key_file;
+  char *operator_cert_file;
+  char *operator_private_key_file;
+  int64_t journal_window_ms;
+  int64_t max_body_bytes;
+  int64_t max_connections;
+  int64_t drain_limit_ms;
+  bool test_faults; /* lets POST /test/block cut hosts off */
+  /* What follows is derived. */
+  enum log_level level;
+  struct keyring keyring;
+  char *operator_key;
+};
+
+bool settings_load (struct settings *settings, const char *path,
+                    struct error *error);
+bool settings_load_keys (struct settings *settings, struct error *error);
+void settings_release (struct settings *settings);
+char *settings_read_text (const char *path, bool is_secret,
+                          struct error *error);
+
+#endif
--- /dev/null
+++ b/include/peer/forward.h
@@ -0,0 +1,20 @@
+/* Callers' requests passed on to the hosts that own their programs. */
+#ifndef GALENA_PEER_FORWARD_H
+#define GALENA_PEER_FORWARD_H
+
+#include "caller/api.h"
+#include "peer/peer.pb-c.h"
+#include "platform/config.h"
+
+struct forwarder;
+
+struct forwarder *forwarder_create (struct server *server);
+void forwarder_destroy (struct forwarder *forwarder);
+bool forward_start (struct forwarder *forwarder, struct api_request *request,
+                    const struct config_host *host);
+void forwarder_handle_frame (struct forwarder *forwarder, const char *host,
+                             const Peer__Frame *frame);
+void forwarder_handle_down (struct forwarder *forwarder, const char *host);
+bool forwarder_is_idle (const struct forwarder *forwarder);
+
+#endif
--- a/include/peer/mesh.h
+++ b/include/peer/mesh.h
@@ -53,6 +53,8 @@
 bool mesh_is_leaving (const struct mesh *mesh, const char *host);
 void mesh_set_status (struct mesh *mesh, uint64_t config_revision,
                       bool leaving);
+void mesh_hold (struct mesh *mesh, const char *host);
+void mesh_release (struct mesh *mesh, const char *host);
 void mesh_probe (struct mesh *mesh, const char *host);
 void mesh_block (struct mesh *mesh, const char *host, bool blocked);
 json_t *mesh_to_json (const struct mesh *mesh);
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -18,7 +18,6 @@
 typedef struct Peer__Hello Peer__Hello;
 typedef struct Peer__Ping Peer__Ping;
 typedef struct Peer__Pong Peer__Pong;
-typedef struct Peer__Header Peer__Header;
 typedef struct Peer__CallRequest Peer__CallRequest;
 typedef struct Peer__CallHead Peer__CallHead;
 typedef struct Peer__CallData Peer__CallData;
@@ -35,6 +34,7 @@
 typedef struct Peer__ConfigPush Peer__ConfigPush;
 typedef struct Peer__KeyWithdraw Peer__KeyWithdraw;
 typedef struct Peer__ProgramMoved Peer__ProgramMoved;
+typedef struct Peer__CrashNotice Peer__CrashNotice;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -86,17 +86,6 @@
     , 0, 0, 0 }
 
 
-struct  Peer__Header
-{
-  ProtobufCMessage base;
-  char *name;
-  char *value;
-};
-#define PEER__HEADER__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__header__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
-
-
 /*
  * A caller's request, passed on to the owner of its program.  It names the
  * customer; the caller's key stays at the entry host.
@@ -109,14 +98,17 @@
   char *key_id;
   char *method;
   char *path;
-  size_t n_headers;
-  Peer__Header **headers;
+  char *cursor;
+  char *program;
+  char *idempotency_key;
+  char *content_type;
+  uint32_t resume_from;
   ProtobufCBinaryData body;
   uint32_t hops;
 };
 #define PEER__CALL_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__call_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
 
 
 struct  Peer__CallHead
@@ -127,10 +119,12 @@
   char *content_type;
   protobuf_c_boolean streaming;
   uint32_t retry_after_ms;
+  char *cursor;
+  char *program;
 };
 #define PEER__CALL_HEAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__call_head__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Peer__CallData
@@ -306,6 +300,20 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A request was followed by the crash of the endpoint that ran it.
+ */
+struct  Peer__CrashNotice
+{
+  ProtobufCMessage base;
+  uint64_t fingerprint;
+  uint32_t crashes;
+};
+#define PEER__CRASH_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__crash_notice__descriptor) \
+    , 0, 0 }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_PING = 1,
@@ -325,7 +333,8 @@
   PEER__FRAME__BODY_CONFIG_ASK = 15,
   PEER__FRAME__BODY_CONFIG_PUSH = 16,
   PEER__FRAME__BODY_KEY_WITHDRAW = 17,
-  PEER__FRAME__BODY_PROGRAM_MOVED = 18
+  PEER__FRAME__BODY_PROGRAM_MOVED = 18,
+  PEER__FRAME__BODY_CRASH_NOTICE = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -352,6 +361,7 @@
     Peer__ConfigPush *config_push;
     Peer__KeyWithdraw *key_withdraw;
     Peer__ProgramMoved *program_moved;
+    Peer__CrashNotice *crash_notice;
   };
 };
 #define PEER__FRAME__INIT \
@@ -416,25 +426,6 @@
 void   peer__pong__free_unpacked
                      (Peer__Pong *message,
                       ProtobufCAllocator *allocator);
-/* Peer__Header methods */
-void   peer__header__init
-                     (Peer__Header         *message);
-size_t peer__header__get_packed_size
-                     (const Peer__Header   *message);
-size_t peer__header__pack
-                     (const Peer__Header   *message,
-                      uint8_t             *out);
-size_t peer__header__pack_to_buffer
-                     (const Peer__Header   *message,
-                      ProtobufCBuffer     *buffer);
-Peer__Header *
-       peer__header__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   peer__header__free_unpacked
-                     (Peer__Header *message,
-                      ProtobufCAllocator *allocator);
 /* Peer__CallRequest methods */
 void   peer__call_request__init
                      (Peer__CallRequest         *message);
@@ -739,6 +730,25 @@
 void   peer__program_moved__free_unpacked
                      (Peer__ProgramMoved *message,
                       ProtobufCAllocator *allocator);
+/* Peer__CrashNotice methods */
+void   peer__crash_notice__init
+                     (Peer__CrashNotice         *message);
+size_t peer__crash_notice__get_packed_size
+                     (const Peer__CrashNotice   *message);
+size_t peer__crash_notice__pack
+                     (const Peer__CrashNotice   *message,
+                      uint8_t             *out);
+size_t peer__crash_notice__pack_to_buffer
+                     (const Peer__CrashNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__CrashNotice *
+       peer__crash_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__crash_notice__free_unpacked
+                     (Peer__CrashNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -769,9 +779,6 @@
 typedef void (*Peer__Pong_Closure)
                  (const Peer__Pong *message,
                   void *closure_data);
-typedef void (*Peer__Header_Closure)
-                 (const Peer__Header *message,
-                  void *closure_data);
 typedef void (*Peer__CallRequest_Closure)
                  (const Peer__CallRequest *message,
                   void *closure_data);
@@ -820,6 +827,9 @@
 typedef void (*Peer__ProgramMoved_Closure)
                  (const Peer__ProgramMoved *message,
                   void *closure_data);
+typedef void (*Peer__CrashNotice_Closure)
+                 (const Peer__CrashNotice *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -832,7 +842,6 @@
 extern const ProtobufCMessageDescriptor peer__hello__descriptor;
 extern const ProtobufCMessageDescriptor peer__ping__descriptor;
 extern const ProtobufCMessageDescriptor peer__pong__descriptor;
-extern const ProtobufCMessageDescriptor peer__header__descriptor;
 extern const ProtobufCMessageDescriptor peer__call_request__descriptor;
 extern const ProtobufCMessageDescriptor peer__call_head__descriptor;
 extern const ProtobufCMessageDescriptor peer__call_data__descriptor;
@@ -849,6 +858,7 @@
 extern const ProtobufCMessageDescriptor peer__config_push__descriptor;
 extern const ProtobufCMessageDescriptor peer__key_withdraw__descriptor;
 extern const ProtobufCMessageDescriptor peer__program_moved__descriptor;
+extern const ProtobufCMessageDescriptor peer__crash_notice__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/include/platform/client.h
@@ -0,0 +1,56 @@
+/* The platform's object API: versions, conditional updates and watches. */
+#ifndef GALENA_PLATFORM_CLIENT_H
+#define GALENA_PLATFORM_CLIENT_H
+
+#include "common/fetch.h"
+#include <jansson.h>
+#include <stdint.h>
+
+enum platform_status
+{
+  PLATFORM_OK,
+  PLATFORM_NOT_FOUND,
+  PLATFORM_CONFLICT, /* another version is there */
+  PLATFORM_REFUSED,  /* the request itself is wrong */
+  PLATFORM_UNSENT,   /* unreachable; a write has had no effect */
+  PLATFORM_UNKNOWN,  /* no whole answer; a write may have taken effect */
+};
+
+struct platform_answer
+{
+  enum platform_status status;
+  uint64_t version; /* the one written, or the one found */
+  json_t *body;     /* borrowed; NULL where there is none */
+};
+
+typedef void platform_handler (void *data,
+                               const struct platform_answer *answer);
+
+/* Borrowed parts outlive it. */
+struct platform
+{
+  struct fetcher *fetcher;
+  char *url; /* owned */
+  int64_t timeout_ms;
+};
+
+void platform_init (struct platform *platform, struct fetcher *fetcher,
+                    const char *url);
+void platform_release (struct platform *platform);
+struct fetch *platform_get (struct platform *platform, const char *kind,
+                            const char *name, platform_handler *handle,
+                            void *data);
+struct fetch *platform_list (struct platform *platform, const char *kinds,
+                             platform_handler *handle, void *data);
+struct fetch *platform_watch (struct platform *platform, const char *kinds,
+                              uint64_t since, int64_t timeout_ms,
+                              platform_handler *handle, void *data);
+struct fetch *platform_put (struct platform *platform, const char *kind,
+                            const char *name, uint64_t version,
+                            const json_t *value, platform_handler *handle,
+                            void *data);
+struct fetch *platform_delete (struct platform *platform, const char *kind,
+                               const char *name, uint64_t version,
+                               platform_handler *handle, void *data);
+
+#endif
--- /dev/null
+++ b/include/platform/config.h
@@ -0,0 +1,138 @@
+/* The configuration as typed values, built from the platform's objects. */
+#ifndef GALENA_PLATFORM_CONFIG_H
+#define GALENA_PLATFORM_CONFIG_H
+
+#include "common/error.h"
+#include "common/fields.h"
+#include "policy/budget.h"
+#include <jansson.h>
+#include <stdint.h>
+
+/* Kinds of objects that make up the configuration. */
+#define CONFIG_KINDS "template,customer,key,endpoint,route,host,slots,drain"
+
+enum
+{
+  KEY_HASH_BYTES = 32,
+  KEY_HASH_TEXT_BYTES = 2 * KEY_HASH_BYTES + 1,
+  KEY_ID_TEXT_BYTES = 17,
+  KEY_TEXT_BYTES = 64,
+  SLOTS_PER_DC = 16,
+};
+
+/* What a template sets and a customer may override. */
+struct customer_params
+{
+  int64_t rate_per_minute;
+  int64_t burst;
+  int64_t weight;
+  int64_t budget_tokens;
+  int64_t budget_calls;
+  int64_t budget_cost_micros;
+  int64_t cost_micros_per_token;
+  int64_t max_tokens_per_call;
+  int64_t program_idle_s;
+  struct strings models; /* empty: all */
+  struct strings tools;  /* empty: all */
+};
+
+struct config_customer
+{
+  char *name;
+  struct customer_params params;
+};
+
+struct config_key
+{
+  uint8_t hash[KEY_HASH_BYTES];
+  char *id;
+  char *customer;
+  bool withdrawn;
+};
+
+enum endpoint_kind
+{
+  ENDPOINT_ENGINE,
+  ENDPOINT_SERVICE,
+};
+
+struct config_endpoint
+{
+  char *name;
+  enum endpoint_kind kind;
+  char *url;
+  char *credential; /* NULL for none */
+  char *route;      /* of a service */
+  struct strings models;
+  int64_t slots;
+  bool checks_fencing;
+  bool leaving;
+};
+
+struct config_route
+{
+  char *name;
+  bool open_to_all;
+  bool idempotent;
+  int64_t timeout_ms;
+};
+
+struct config_host
+{
+  char *name;
+  char *data_centre;
+  char *peer_address;
+  char *caller_address;
+  char *operator_address;
+  uint64_t process;
+  uint64_t name_hash;
+  uint64_t dc_hash;
+  bool has_data_folder;
+  bool leaving;
+};
+
+struct config_slots
+{
+  char *data_centre;
+  uint64_t dc_hash;
+  uint64_t holders[SLOTS_PER_DC]; /* process; 0 for none */
+};
+
+/* Immutable once built.  Whoever holds it owns all of it. */
+struct config
+{
+  uint64_t revision;
+  struct config_customer *customers; /* by name */
+  size_t customer_count;
+  struct config_key *keys; /* by hash */
+  size_t key_count;
+  struct config_endpoint *endpoints;
+  size_t endpoint_count;
+  struct config_route *routes; /* by name */
+  size_t route_count;
+  struct config_host *hosts;
+  size_t host_count;
+  struct config_slots *slots;
+  size_t slots_count;
+  json_t *invalid; /* objects left out, with the reason */
+};
+
+struct config *config_build (const json_t *objects, uint64_t revision);
+void config_destroy (struct config *config);
+bool config_check_object (const char *kind, const char *name,
+                          const json_t *data, struct error *error);
+const struct config_customer *config_customer (const struct config *config,
+                                               const char *name);
+const struct config_key *config_key (const struct config *config,
+                                     const uint8_t *hash);
+const struct config_key *config_key_by_id (const struct config *config,
+                                           const char *id);
+const struct config_route *config_route (const struct config *config,
+                                         const char *name);
+const struct config_host *config_host (const struct config *config,
+                                       const char *name);
+void config_hash_key (const char *key, uint8_t hash[KEY_HASH_BYTES]);
+bool config_template_params (const json_t *data, struct customer_params *out,
+                             struct error *error);
+
+#endif
--- /dev/null
+++ b/include/platform/objects.h
@@ -0,0 +1,27 @@
+/* The configuration's objects as last seen, from the platform or from a host.
+   Versions only grow. */
+#ifndef GALENA_PLATFORM_OBJECTS_H
+#define GALENA_PLATFORM_OBJECTS_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct objects
+{
+  json_t *by_key;    /* "KIND/NAME" to the object */
+  json_t *withdrawn; /* ids of keys withdrawn at a host, to true */
+  uint64_t revision; /* the highest version seen */
+};
+
+void objects_init (struct objects *objects);
+void objects_release (struct objects *objects);
+bool objects_merge (struct objects *objects, const json_t *list);
+bool objects_withdraw (struct objects *objects, const char *key_id);
+json_t *objects_live (const struct objects *objects);
+json_t *objects_since (const struct objects *objects, uint64_t revision);
+const json_t *objects_find (const struct objects *objects, const char *kind,
+                            const char *name);
+uint64_t objects_version (const json_t *object);
+
+#endif
--- /dev/null
+++ b/include/policy/fair.h
@@ -0,0 +1,66 @@
+/* The order in which waiting calls go to the engines. */
+#ifndef GALENA_POLICY_FAIR_H
+#define GALENA_POLICY_FAIR_H
+
+#include "policy/heap.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+struct fair;
+struct fair_customer;
+
+/* A waiting call.  Owned by its user, embedded in its struct. */
+struct fair_item
+{
+  uint64_t customer;     /* hash of its name */
+  int64_t weight;        /* of the customer */
+  int64_t attained;      /* tokens that its program has had */
+  int64_t enqueued_ms;
+  /* The rest belongs to the policy. */
+  struct heap_node node;
+  struct fair_item *older;
+  struct fair_item *newer;
+  struct fair_customer *owner;
+  bool queued;
+};
+
+struct fair_impl
+{
+  const char *name;
+  struct fair *(*create) (void);
+  void (*push) (struct fair *fair, struct fair_item *item);
+  struct fair_item *(*pop) (struct fair *fair, int64_t now_ms);
+  void (*remove) (struct fair *fair, struct fair_item *item);
+  void (*charge) (struct fair *fair, uint64_t customer, int64_t weight,
+                  int64_t tokens);
+  void (*destroy) (struct fair *fair);
+};
+
+/* First member of every policy's own struct. */
+struct fair
+{
+  const struct fair_impl *impl;
+  uint32_t count;
+};
+
+extern const struct fair_impl fair_weighted;
+extern const struct fair_impl fair_fcfs;
+extern const struct fair_impl fair_round_robin;
+extern const struct fair_impl fair_least_attained;
+
+enum
+{
+  FAIR_AGE_BOUND_MS = 4000, /* older calls go first, in part of the pops */
+  FAIR_AGE_SHARE = 4,       /* one pop in so many */
+};
+
+struct fair *fair_create (const struct fair_impl *impl);
+void fair_destroy (struct fair *fair);
+void fair_push (struct fair *fair, struct fair_item *item);
+struct fair_item *fair_pop (struct fair *fair, int64_t now_ms);
+void fair_remove (struct fair *fair, struct fair_item *item);
+void fair_charge (struct fair *fair, uint64_t customer, int64_t weight,
+                  int64_t tokens);
+uint32_t fair_count (const struct fair *fair);
+
+#endif
--- /dev/null
+++ b/include/policy/retry.h
@@ -0,0 +1,64 @@
+/* Retry budgets, back-off, and requests that crash their endpoints. */
+#ifndef GALENA_POLICY_RETRY_H
+#define GALENA_POLICY_RETRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  RETRY_MAX_ATTEMPTS = 4,
+  RETRY_BASE_MS = 20,
+  RETRY_CAP_MS = 1000,
+  RETRY_PERCENT = 20,      /* retries in a hundred first attempts */
+  RETRY_MIN_PER_BUDGET = 10,
+  RETRY_MAX_CREDIT = 100,
+  POISON_SLOTS = 256,
+  POISON_CRASHES = 2,      /* then the request is refused */
+  POISON_HOLD_MS = 600000,
+  POISON_SUSPECT_MS = 60000,
+};
+
+/* Credit in hundredths of a retry. */
+struct retry_budget
+{
+  int64_t credit_percent;
+};
+
+void retry_budget_init (struct retry_budget *budget);
+void retry_budget_note_first (struct retry_budget *budget);
+bool retry_budget_take (struct retry_budget *budget);
+int64_t retry_backoff_ms (uint32_t attempt, uint64_t *seed);
+
+/* Requests that were followed by a crash, by the hash of their contents. */
+struct poison_entry
+{
+  uint64_t fingerprint;
+  uint32_t crashes;
+  int64_t until_ms;
+  bool alone; /* its one retry runs now */
+};
+
+struct poison
+{
+  struct poison_entry entries[POISON_SLOTS];
+};
+
+enum poison_verdict
+{
+  POISON_CLEAR,
+  POISON_SUSPECT, /* may run once more, alone on its endpoint */
+  POISON_WAIT,    /* its one retry is running */
+  POISON_REFUSE,
+};
+
+enum poison_verdict poison_check (const struct poison *poison,
+                                  uint64_t fingerprint, int64_t now_ms);
+uint32_t poison_note_crash (struct poison *poison, uint64_t fingerprint,
+                            uint32_t crashes_elsewhere, int64_t now_ms);
+void poison_note_alone (struct poison *poison, uint64_t fingerprint,
+                        bool alone);
+void poison_note_success (struct poison *poison, uint64_t fingerprint);
+int64_t poison_until_ms (const struct poison *poison, uint64_t fingerprint);
+
+#endif
--- /dev/null
+++ b/include/program/call.h
@@ -0,0 +1,102 @@
+/* A call of a program: from its cursor to its recorded answer. */
+#ifndef GALENA_PROGRAM_CALL_H
+#define GALENA_PROGRAM_CALL_H
+
+#include "caller/api.h"
+#include "endpoint/dispatcher.h"
+#include "endpoint/service.h"
+#include "program/program.h"
+
+enum call_kind
+{
+  CALL_MODEL,
+  CALL_TOOL,
+  CALL_BRANCH, /* opens a branch; takes no turn */
+};
+
+/* How a model call's answer is written. */
+enum call_format
+{
+  CALL_EVENTS,      /* server-sent events of this API */
+  CALL_WHOLE,       /* one JSON object of this API */
+  CALL_CHAT_EVENTS, /* OpenAI-style chunks */
+  CALL_CHAT_WHOLE,  /* an OpenAI-style completion */
+};
+
+/* What a caller asks for.  call_submit takes the contents over. */
+struct call_spec
+{
+  enum call_kind kind;
+  enum call_format format;
+  bool idempotent;
+  bool whole_messages; /* MESSAGES are the whole history (chat) */
+  struct buf messages; /* JSON texts with commas between them */
+  char *model;
+  int64_t max_tokens;
+  char *route;
+  char *subpath;
+  char *method;
+  char *content_type;
+  struct buf body;
+  int64_t timeout_ms;
+  uint32_t new_branch;
+  bool fork; /* the new branch starts with its parent's history */
+};
+
+enum call_state
+{
+  CALL_DECIDING,
+  CALL_GRANTING,
+  CALL_RECORDING, /* its intent */
+  CALL_RUNNING,
+  CALL_KEEPING,   /* its copies */
+};
+
+/* A caller that waits for a call's answer.  Owned by the call. */
+struct waiter
+{
+  struct call *call;
+  struct api_request *request;
+  enum call_format format;
+  uint32_t sent_tokens;
+  bool streaming;
+  struct waiter *next;
+};
+
+/* Owned by its branch once it runs, by a load before that. */
+struct call
+{
+  struct server *server;
+  struct call_spec spec;
+  enum call_state state;
+  char *program_id;
+  char *customer;
+  struct cursor cursor;
+  bool has_cursor;
+  uint64_t request_hash;
+  bool reloaded;    /* its program was loaded for it already */
+  struct program *program;
+  struct program_branch *branch;
+  struct budget_amount reserved;
+  int64_t max_tokens; /* what the budget lets it have */
+  struct job job;
+  bool job_submitted;
+  struct service_call *service;
+  struct answer answer;
+  struct engine_usage usage;
+  uint64_t hash_after;
+  struct error doubt; /* kind is set where the turn closes in doubt */
+  uint32_t copies_kept;
+  struct waiter *waiters;
+  int64_t started_ms;
+  struct call *next; /* in a load */
+};
+
+void call_submit (struct api_request *request, struct call_spec *spec,
+                  const char *program_id);
+void call_spec_release (struct call_spec *spec);
+void call_continue_loaded (struct call *call);
+void call_refuse (struct call *call, const struct error *error);
+void call_abandon (struct call *call, enum error_kind kind, const char *why);
+
+#endif
--- /dev/null
+++ b/include/program/once.h
@@ -0,0 +1,17 @@
+/* Non-idempotent requests outside programs: the platform's record of their
+   Idempotency-Key makes them run at most once. */
+#ifndef GALENA_PROGRAM_ONCE_H
+#define GALENA_PROGRAM_ONCE_H
+
+#include "caller/api.h"
+#include "program/call.h"
+
+struct once;
+
+struct once *once_create (struct server *server);
+void once_destroy (struct once *once);
+void once_submit (struct once *once, struct api_request *request,
+                  struct call_spec *spec);
+bool once_is_idle (const struct once *once);
+
+#endif
--- /dev/null
+++ b/include/program/program.h
@@ -0,0 +1,108 @@
+/* The programs that this process holds. */
+#ifndef GALENA_PROGRAM_PROGRAM_H
+#define GALENA_PROGRAM_PROGRAM_H
+
+#include "caller/api.h"
+#include "common/buf.h"
+#include "platform/config.h"
+#include "policy/budget.h"
+#include "policy/turn.h"
+#include "program/history.h"
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  PROGRAM_MAX_BRANCHES = 256,
+  PROGRAM_ID_BYTES = 192,
+};
+
+struct call;
+struct server;
+struct programs;
+struct load;
+
+/* The answer of a turn, for callers that ask for it again. */
+struct answer
+{
+  unsigned status;
+  char *content_type;
+  struct buf text;
+  uint32_t *token_ends; /* where each token ends in the text */
+  uint32_t token_count;
+  uint32_t token_capacity;
+  struct error error; /* of a turn that was closed in doubt */
+};
+
+/* One chain of dependent calls.  Owned by its program. */
+struct program_branch
+{
+  uint32_t number;
+  struct branch state;
+  uint64_t parent_hash; /* what it was opened from */
+  struct buf messages; /* what engines get as the history */
+  struct call *call;   /* in flight */
+  struct answer last;
+  struct program_branch *next;
+};
+
+/* Owned by the programs. */
+struct program
+{
+  struct programs *programs;
+  char *id;
+  uint64_t hash;
+  char *customer;
+  uint64_t customer_hash;
+  uint64_t incarnation; /* fresh at each load */
+  bool recorded;        /* its grants stand in this process's journal */
+  bool closing;
+  struct budget budget;
+  int64_t attained_tokens;
+  int64_t opened_ms;
+  int64_t used_ms;
+  int64_t idle_ms;
+  int64_t idle_check_ms;
+  uint32_t calls;
+  struct program_branch *branches;
+};
+
+struct programs
+{
+  struct server *server;
+  GHashTable *by_id; /* id to struct program, owned */
+  struct load *loads;
+  uint32_t calls;
+};
+
+struct programs *programs_create (struct server *server);
+void programs_destroy (struct programs *programs);
+void programs_tick (struct programs *programs, int64_t now_ms);
+void programs_handle_moved (struct programs *programs, const char *id);
+json_t *programs_to_json (struct programs *programs, bool with_each);
+bool programs_are_idle (const struct programs *programs);
+
+struct program *program_find (struct programs *programs, const char *id);
+struct program *program_create (struct programs *programs, const char *id,
+                                const struct config_customer *customer);
+void program_destroy (struct program *program);
+void program_close (struct program *program, const char *reason);
+struct program_branch *program_branch (struct program *program,
+                                       uint32_t number);
+struct program_branch *program_add_branch (struct program *program,
+                                           uint32_t number);
+bool program_seal_cursor (const struct program *program,
+                          const struct program_branch *branch,
+                          char out[CURSOR_TEXT_BYTES]);
+void program_make_id (const struct server *server,
+                      char out[PROGRAM_ID_BYTES]);
+bool program_home_dc (const char *id, char *out, size_t size);
+json_t *program_to_json (const struct program *program);
+
+void answer_append_token (struct answer *answer, const char *text,
+                          size_t len);
+void answer_release (struct answer *answer);
+
+#endif
--- /dev/null
+++ b/include/store/log.h
@@ -0,0 +1,46 @@
+/* An append-only log of records by program, in segment files.
+
+   A thread of its own writes and syncs; appends that arrive while a sync runs
+   share the next one.  Every other call is made on one other thread, which
+   also gets the answers.  */
+#ifndef GALENA_STORE_LOG_H
+#define GALENA_STORE_LOG_H
+
+#include "common/buf.h"
+#include "common/error.h"
+#include <ev.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct store;
+
+/* KEPT is true once the record is on disk. */
+typedef void store_append_handler (void *data, bool kept);
+/* RECORDS holds COUNT buffers; they are freed after the call. */
+typedef void store_fetch_handler (void *data, const struct buf *records,
+                                  size_t count);
+typedef void store_each_handler (void *data, const char *program);
+
+struct store_options
+{
+  struct ev_loop *loop; /* where the answers are delivered */
+  const char *folder;
+  size_t segment_bytes; /* 0 for the default */
+  bool skip_sync;       /* for benchmarks of everything but the disk */
+};
+
+struct store *store_create (const struct store_options *options,
+                            struct error *error);
+void store_destroy (struct store *store);
+void store_append (struct store *store, const char *program, const void *data,
+                   size_t len, store_append_handler *handle, void *data_arg);
+void store_fetch (struct store *store, const char *program,
+                  store_fetch_handler *handle, void *data_arg);
+void store_forget (struct store *store, const char *program);
+void store_each_program (struct store *store, store_each_handler *handle,
+                         void *data_arg);
+json_t *store_to_json (const struct store *store);
+
+#endif
--- /dev/null
+++ b/operator/admin.c
@@ -0,0 +1,352 @@
+#include "common/address.h"
+#include "common/counters.h"
+#include "common/httpd.h"
+#include "common/id.h"
+#include "galenashored/control_state.h"
+#include <netinet/in.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  CONNECTION_MEMORY_BYTES = 8 * 1024,
+  MAX_BODY_BYTES = 64 * 1024,
+  MAX_CONNECTIONS = 64,
+  IDLE_TIMEOUT_S = 30,
+  HTTP_OK = 200,
+  HTTP_ACCEPTED = 202,
+};
+
+static const char BEARER[] = "Bearer ";
+
+/* An operator's request that waits for the traffic thread.  Owned by the
+   admin. */
+struct question
+{
+  struct admin *admin;
+  uint64_t sequence;
+  struct httpd_request *request;
+  struct question *next;
+};
+
+struct admin
+{
+  struct control *control;
+  struct httpd *httpd;
+  struct question *questions;
+  char *cert_pem;
+  char *key_pem;
+};
+
+struct admin_command
+{
+  const char *method;
+  const char *path;
+  void (*handle) (struct admin *admin, struct httpd_request *request);
+};
+
+static void
+question_destroy (struct question *question)
+{
+  struct question **slot = &question->admin->questions;
+
+  while (*slot && *slot != question)
+    slot = &(*slot)->next;
+  if (*slot)
+    *slot = question->next;
+  free (question);
+}
+
+static void
+handle_gone (struct httpd_request *request)
+{
+  question_destroy (request->user);
+}
+
+static void
+ask (struct admin *admin, struct httpd_request *request,
+     struct traffic_message *message)
+{
+  struct question *question = xcalloc (1, sizeof *question);
+
+  question->admin = admin;
+  question->request = request;
+  question->next = admin->questions;
+  admin->questions = question;
+  request->user = question;
+  request->handle_gone = handle_gone;
+  question->sequence = control_ask_traffic (admin->control, message);
+}
+
+static void
+respond (struct httpd_request *request, unsigned status, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  json_decref (body);
+  httpd_respond (request, status, "application/json", text, strlen (text));
+  free (text);
+}
+
+static void
+respond_failure (struct httpd_request *request, enum error_kind kind,
+                 const char *message)
+{
+  struct error error;
+
+  error_set (&error, kind, RUN_NOT_RUN, "%s", message);
+  httpd_respond_error (request, &error);
+}
+
+static json_t *
+status_of (const struct control *control)
+{
+  return json_pack (
+      "{s:s, s:s, s:s, s:I, s:I, s:b, s:b, s:b, s:I}", "host",
+      control->settings->host, "data_centre", control->settings->data_centre,
+      "version", GALENA_VERSION, "config_revision",
+      (json_int_t)control->objects.revision, "applied_revision",
+      (json_int_t)control->applied_revision, "serving",
+      control->sync.loaded, "platform_answers",
+      control->sync.platform_answers, "stopping", control->stopping,
+      "uptime_ms", (json_int_t)(clock_now_ms () - control->started_ms));
+}
+
+static void
+handle_status (struct admin *admin, struct httpd_request *request)
+{
+  respond (request, HTTP_OK, status_of (admin->control));
+}
+
+static void
+handle_counters (struct admin *admin, struct httpd_request *request)
+{
+  respond (request, HTTP_OK, counters_to_json ());
+}
+
+static void
+handle_dump (struct admin *admin, struct httpd_request *request)
+{
+  struct traffic_message *message = xcalloc (1, sizeof *message);
+
+  message->kind = TRAFFIC_DUMP;
+  message->with_programs = httpd_query (request, "programs") != NULL;
+  ask (admin, request, message);
+}
+
+static void
+handle_drain (struct admin *admin, struct httpd_request *request)
+{
+  control_begin_stop (admin->control);
+  respond (request, HTTP_ACCEPTED, status_of (admin->control));
+}
+
+static void
+handle_withdraw (struct admin *admin, struct httpd_request *request)
+{
+  const char *key_id = httpd_query (request, "key");
+
+  if (!key_id)
+    {
+      respond_failure (request, ERROR_BAD_REQUEST,
+                       "\"key\" is missing; name the key's id");
+      return;
+    }
+  sync_withdraw (admin->control, key_id);
+  respond (request, HTTP_ACCEPTED, json_pack ("{s:s}", "withdrawn", key_id));
+}
+
+static void
+handle_cancel (struct admin *admin, struct httpd_request *request)
+{
+  const char *program = httpd_query (request, "program");
+  struct traffic_message *message;
+
+  if (!program)
+    {
+      respond_failure (request, ERROR_BAD_REQUEST,
+                       "\"program\" is missing; name the program's id");
+      return;
+    }
+  message = xcalloc (1, sizeof *message);
+  message->kind = TRAFFIC_CANCEL;
+  message->name = xstrdup (program);
+  ask (admin, request, message);
+}
+
+/* Cuts hosts off for tests; only where the settings allow it.  */
+static void
+handle_block (struct admin *admin, struct httpd_request *request)
+{
+  const char *host = httpd_query (request, "host");
+  const char *off = httpd_query (request, "off");
+  struct traffic_message *message;
+
+  if (!admin->control->settings->test_faults || !host)
+    {
+      respond_failure (request, ERROR_FORBIDDEN,
+                       "set \"test_faults\" in the settings and name a host");
+      return;
+    }
+  message = xcalloc (1, sizeof *message);
+  message->kind = TRAFFIC_BLOCK;
+  message->name = xstrdup (host);
+  message->blocked = !off;
+  traffic_post (admin->control->traffic, message);
+  respond (request, HTTP_OK, json_object ());
+}
+
+/* Sorted by path. */
+static const struct admin_command admin_commands[] = {
+  { "POST", "/cancel", handle_cancel },
+  { "GET", "/counters", handle_counters },
+  { "POST", "/drain", handle_drain },
+  { "GET", "/dump", handle_dump },
+  { "GET", "/status", handle_status },
+  { "POST", "/test/block", handle_block },
+  { "POST", "/withdraw", handle_withdraw },
+};
+
+static bool
+is_operator (const struct admin *admin, struct httpd_request *request)
+{
+  const char *wanted = admin->control->settings->operator_key;
+  const char *header = httpd_header (request, "Authorization");
+
+  if (!wanted)
+    return true;
+  if (!header || strncmp (header, BEARER, strlen (BEARER)) != 0)
+    return false;
+  header += strlen (BEARER);
+  return strlen (header) == strlen (wanted)
+         && sodium_memcmp (header, wanted, strlen (wanted)) == 0;
+}
+
+static void
+handle_request (void *data, struct httpd_request *request)
+{
+  struct admin *admin = data;
+
+  if (!is_operator (admin, request))
+    {
+      respond_failure (request, ERROR_UNAUTHORIZED,
+                       "the operator key is missing or wrong; give "
+                       "--operator-key-file");
+      return;
+    }
+  for (size_t i = 0; i < sizeof admin_commands / sizeof *admin_commands; i++)
+    if (strcmp (admin_commands[i].path, request->path) == 0
+        && strcmp (admin_commands[i].method, request->method) == 0)
+      {
+        admin_commands[i].handle (admin, request);
+        return;
+      }
+  respond_failure (request, ERROR_NOT_FOUND,
+                   "there is no such command; see galenactl(1)");
+}
+
+static bool
+load_tls (struct admin *admin, struct error *error)
+{
+  const struct settings *settings = admin->control->settings;
+
+  if (!settings->operator_cert_file)
+    return true;
+  admin->cert_pem
+      = settings_read_text (settings->operator_cert_file, false, error);
+  if (!admin->cert_pem)
+    return false;
+  admin->key_pem
+      = settings_read_text (settings->operator_private_key_file, true, error);
+  return admin->key_pem != NULL;
+}
+
+/* Starts listening for operators.  NULL and ERROR where the address or the
+   certificate cannot be used.  */
+struct admin *
+admin_create (struct control *control, struct error *error)
+{
+  struct admin *admin = xcalloc (1, sizeof *admin);
+  char ip[INET_ADDRSTRLEN];
+  uint16_t port;
+  struct httpd_options options
+      = { .loop = control->loop,
+          .address = ip,
+          .connection_memory_bytes = CONNECTION_MEMORY_BYTES,
+          .max_body_bytes = MAX_BODY_BYTES,
+          .idle_timeout_s = IDLE_TIMEOUT_S,
+          .max_connections = MAX_CONNECTIONS,
+          .handle_request = handle_request,
+          .data = admin };
+
+  admin->control = control;
+  address_split (control->settings->operator_listen, ip, &port);
+  options.port = port;
+  if (load_tls (admin, error))
+    {
+      options.cert_pem = admin->cert_pem;
+      options.key_pem = admin->key_pem;
+      admin->httpd = httpd_create (&options, error);
+    }
+  if (admin->httpd)
+    return admin;
+  admin_destroy (admin);
+  return NULL;
+}
+
+/* Ends open requests and frees the listener; NULL is allowed.  */
+void
+admin_destroy (struct admin *admin)
+{
+  if (!admin)
+    return;
+  while (admin->questions)
+    {
+      struct httpd_request *request = admin->questions->request;
+
+      request->user = NULL;
+      request->handle_gone = NULL;
+      question_destroy (admin->questions);
+      respond_failure (request, ERROR_STOPPING, "this host is stopping");
+    }
+  httpd_destroy (admin->httpd);
+  free (admin->cert_pem);
+  free (admin->key_pem);
+  free (admin);
+}
+
+static json_t *
+merge_dump (struct admin *admin, const struct control_message *message)
+{
+  json_t *state = json_loads (message->text, 0, NULL);
+
+  json_object_set_new (state, "status", status_of (admin->control));
+  json_object_set_new (state, "counters", counters_to_json ());
+  return state;
+}
+
+/* Gives the traffic thread's answer to the operator who waits for it.  */
+void
+admin_handle_answer (struct admin *admin,
+                     const struct control_message *message)
+{
+  struct question *question = admin->questions;
+  struct httpd_request *request;
+
+  while (question && question->sequence != message->sequence)
+    question = question->next;
+  if (!question)
+    return;
+  request = question->request;
+  request->user = NULL;
+  request->handle_gone = NULL;
+  question_destroy (question);
+  if (message->kind == CONTROL_DUMPED)
+    respond (request, HTTP_OK, merge_dump (admin, message));
+  else if (message->found)
+    respond (request, HTTP_OK, json_pack ("{s:b}", "ended", 1));
+  else
+    respond_failure (request, ERROR_NOT_FOUND,
+                     "this host does not hold the program; ask its owner");
+}
--- /dev/null
+++ b/peer/limiter.c
@@ -0,0 +1,726 @@
+#include "peer/limiter.h"
+#include "common/counters.h"
+#include "common/deferred.h"
+#include "common/id.h"
+#include "galenashored/server.h"
+#include "policy/limit.h"
+#include "policy/slots.h"
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  MAX_PARTS = SLOTS_MAX_DCS * SLOTS_PER_DC,
+  ASK_TIMEOUT_MS = 150,
+  ADMIT_WAIT_MS = 400, /* a request waits at most so long for a token */
+  MAX_ASKS = 6,        /* holders asked for one request */
+  SECONDS_PER_MINUTE = 60,
+  MILLI = 1000,
+  BATCH_WINDOW_MS = 50,
+  MAX_BATCH_TOKENS = 32,
+};
+
+/* A customer's bucket in a slot that this host holds. */
+struct bucket
+{
+  uint32_t dc;
+  uint32_t slot;
+  struct limit limit;
+  bool kept; /* by the configuration that is being applied */
+  struct bucket *next;
+};
+
+/* Tokens borrowed and not used yet. */
+struct purse
+{
+  uint64_t nonce;
+  char *holder;
+  uint32_t slot;
+  uint32_t tokens;
+  int64_t asked_ms; /* the loan's time runs from the question */
+};
+
+/* Owned by the limiter. */
+struct customer_limit
+{
+  char *name;
+  uint64_t hash;
+  struct bucket *buckets;
+  struct slot_part parts[MAX_PARTS];
+  uint32_t part_count;
+  struct purse purse;
+  int64_t rate_milli;
+  int64_t burst;
+  int64_t changed_ms; /* when rate or burst changed; 0 for never */
+  uint32_t recent; /* requests in this batch window */
+  int64_t window_ms;
+  uint32_t next_part; /* where to ask first */
+};
+
+/* A request that waits for a token.  Owned by the limiter. */
+struct limiter_wait
+{
+  struct limiter *limiter;
+  struct customer_limit *customer;
+  limiter_handler *handle;
+  void *data;
+  uint64_t nonce; /* of the question that is out; 0 for none */
+  char *holder;
+  uint32_t slot;
+  uint32_t position; /* in the order of parts to ask */
+  uint32_t questions;
+  uint32_t first_part;
+  int64_t asked_ms;
+  int64_t started_ms;
+  int64_t try_again_ms; /* 0: a question is out */
+  int64_t shortest_wait_ms; /* that a holder told; -1 for none */
+  struct limiter_wait *next;
+};
+
+struct limiter
+{
+  struct server *server;
+  GHashTable *customers; /* name to struct customer_limit */
+  struct limiter_wait *waits;
+};
+
+static void
+drop_buckets (struct customer_limit *customer, bool only_unkept)
+{
+  struct bucket **slot = &customer->buckets;
+
+  while (*slot)
+    {
+      struct bucket *bucket = *slot;
+
+      if (only_unkept && bucket->kept)
+        {
+          slot = &bucket->next;
+          continue;
+        }
+      *slot = bucket->next;
+      free (bucket);
+    }
+}
+
+static void
+customer_destroy (void *pointer)
+{
+  struct customer_limit *customer = pointer;
+
+  drop_buckets (customer, false);
+  free (customer->purse.holder);
+  free (customer->name);
+  free (customer);
+}
+
+static struct bucket *
+find_bucket (const struct customer_limit *customer, uint32_t dc,
+             uint32_t slot)
+{
+  for (struct bucket *b = customer->buckets; b; b = b->next)
+    if (b->dc == dc && b->slot == slot)
+      return b;
+  return NULL;
+}
+
+/* A slot's holder before this one dropped its bucket first, so a bucket that
+   is new here may fill at once, unless the parameters changed a moment ago and
+   other hosts may still divide the old ones.  */
+static void
+keep_bucket (struct customer_limit *customer, const struct slot_part *part,
+             int64_t now_ms)
+{
+  struct bucket *bucket = find_bucket (customer, part->dc, part->slot);
+  int64_t settle_ms = LIMIT_SETTLE_MS;
+
+  if (!bucket)
+    {
+      bucket = xcalloc (1, sizeof *bucket);
+      bucket->dc = part->dc;
+      bucket->slot = part->slot;
+      limit_init (&bucket->limit, now_ms);
+      bucket->next = customer->buckets;
+      customer->buckets = bucket;
+      settle_ms = customer->changed_ms
+                      ? customer->changed_ms + LIMIT_SETTLE_MS - now_ms
+                      : 0;
+      if (settle_ms < 0)
+        settle_ms = 0;
+    }
+  bucket->kept = true;
+  limit_configure (&bucket->limit, part->rate_utokens_per_s,
+                   part->capacity_utokens, settle_ms, now_ms);
+}
+
+static void
+note_params (struct customer_limit *customer, int64_t rate_milli,
+             int64_t burst, bool fresh, int64_t now_ms)
+{
+  if (!fresh
+      && (customer->rate_milli != rate_milli || customer->burst != burst))
+    customer->changed_ms = now_ms;
+  customer->rate_milli = rate_milli;
+  customer->burst = burst;
+}
+
+static void
+apply_customer (struct limiter *limiter, const struct config_customer *config,
+                const struct slots_dc *dcs, uint32_t dc_count)
+{
+  const struct server *server = limiter->server;
+  struct customer_limit *customer
+      = g_hash_table_lookup (limiter->customers, config->name);
+  bool fresh = customer == NULL;
+  int64_t now_ms = clock_now_ms ();
+
+  if (fresh)
+    {
+      customer = xcalloc (1, sizeof *customer);
+      customer->name = xstrdup (config->name);
+      customer->hash = id_hash_text (config->name);
+      g_hash_table_insert (limiter->customers, customer->name, customer);
+    }
+  note_params (customer,
+               config->params.rate_per_minute * MILLI / SECONDS_PER_MINUTE,
+               config->params.burst, fresh, now_ms);
+  customer->part_count = slots_for_customer (
+      dcs, dc_count, customer->hash, customer->rate_milli, customer->burst,
+      customer->parts, MAX_PARTS);
+  for (struct bucket *b = customer->buckets; b; b = b->next)
+    b->kept = false;
+  for (uint32_t i = 0; i < customer->part_count; i++)
+    {
+      const struct slot_part *part = &customer->parts[i];
+
+      if (server->config->slots[part->dc].holders[part->slot]
+          == server->process)
+        keep_bucket (customer, part, now_ms);
+    }
+  drop_buckets (customer, true);
+}
+
+static gboolean
+customer_is_gone (gpointer name, gpointer customer, gpointer config)
+{
+  return config_customer (config, name) == NULL;
+}
+
+static void
+fail_waits_of_gone (struct limiter *limiter)
+{
+  struct limiter_wait *wait = limiter->waits;
+
+  while (wait)
+    {
+      struct limiter_wait *next = wait->next;
+
+      if (!config_customer (limiter->server->config, wait->customer->name))
+        {
+          limiter_handler *handle = wait->handle;
+          void *data = wait->data;
+          struct error error;
+
+          limiter_cancel (wait);
+          error_set (&error, ERROR_FORBIDDEN, RUN_NOT_RUN,
+                     "the customer does not exist any more; ask the "
+                     "operator");
+          handle (data, &error);
+        }
+      wait = next;
+    }
+}
+
+/* Takes over the configuration: customers' parameters and slots' holders.  */
+void
+limiter_apply (struct limiter *limiter)
+{
+  const struct config *config = limiter->server->config;
+  struct slots_dc dcs[SLOTS_MAX_DCS];
+  uint32_t dc_count = 0;
+
+  for (size_t i = 0; i < config->slots_count && dc_count < SLOTS_MAX_DCS; i++)
+    dcs[dc_count++] = (struct slots_dc){ .dc_hash = config->slots[i].dc_hash,
+                                         .slot_count = SLOTS_PER_DC };
+  for (size_t i = 0; i < config->customer_count; i++)
+    apply_customer (limiter, &config->customers[i], dcs, dc_count);
+  fail_waits_of_gone (limiter);
+  g_hash_table_foreach_remove (limiter->customers, customer_is_gone,
+                               (void *)(uintptr_t)config);
+}
+
+/* Creates the limiter of SERVER.  */
+struct limiter *
+limiter_create (struct server *server)
+{
+  struct limiter *limiter = xcalloc (1, sizeof *limiter);
+
+  limiter->server = server;
+  limiter->customers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                               customer_destroy);
+  return limiter;
+}
+
+static void
+wait_destroy (struct limiter_wait *wait)
+{
+  struct limiter_wait **slot = &wait->limiter->waits;
+
+  while (*slot && *slot != wait)
+    slot = &(*slot)->next;
+  if (*slot)
+    *slot = wait->next;
+  free (wait->holder);
+  free (wait);
+}
+
+/* Frees the limiter without calling any handler.  */
+void
+limiter_destroy (struct limiter *limiter)
+{
+  if (!limiter)
+    return;
+  while (limiter->waits)
+    wait_destroy (limiter->waits);
+  g_hash_table_destroy (limiter->customers);
+  free (limiter);
+}
+
+static bool
+take_from_buckets (struct customer_limit *customer, int64_t now_ms)
+{
+  for (struct bucket *b = customer->buckets; b; b = b->next)
+    if (limit_take (&b->limit, LIMIT_UTOKENS, now_ms))
+      return true;
+  return false;
+}
+
+static void
+send_confirm (struct limiter *limiter, const char *host, const char *customer,
+              uint32_t slot, uint64_t nonce, uint32_t unused)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LimitConfirm confirm = PEER__LIMIT_CONFIRM__INIT;
+
+  confirm.nonce = nonce;
+  confirm.customer = (char *)(uintptr_t)customer;
+  confirm.slot = slot;
+  confirm.unused_tokens = unused;
+  frame.body_case = PEER__FRAME__BODY_LIMIT_CONFIRM;
+  frame.limit_confirm = &confirm;
+  mesh_send (limiter->server->mesh, host, &frame);
+}
+
+static void
+empty_purse (struct limiter *limiter, struct customer_limit *customer)
+{
+  if (customer->purse.holder)
+    send_confirm (limiter, customer->purse.holder, customer->name,
+                  customer->purse.slot, customer->purse.nonce,
+                  customer->purse.tokens);
+  free (customer->purse.holder);
+  customer->purse = (struct purse){ 0 };
+}
+
+/* A loan whose time is over must not be used: its holder may count it as spent
+   and refill.  */
+static bool
+take_from_purse (struct limiter *limiter, struct customer_limit *customer,
+                 int64_t now_ms)
+{
+  struct purse *purse = &customer->purse;
+
+  if (!purse->holder)
+    return false;
+  if (now_ms - purse->asked_ms >= LIMIT_LOAN_MS)
+    {
+      empty_purse (limiter, customer);
+      return false;
+    }
+  if (purse->tokens == 0)
+    return false;
+  purse->tokens--;
+  if (purse->tokens == 0)
+    empty_purse (limiter, customer);
+  return true;
+}
+
+static void
+count_request (struct customer_limit *customer, int64_t now_ms)
+{
+  if (now_ms - customer->window_ms >= BATCH_WINDOW_MS)
+    {
+      customer->window_ms = now_ms;
+      customer->recent = 0;
+    }
+  customer->recent++;
+}
+
+static uint32_t
+batch_size (const struct customer_limit *customer)
+{
+  uint32_t wanted = customer->recent > 0 ? customer->recent : 1;
+
+  return wanted < MAX_BATCH_TOKENS ? wanted : MAX_BATCH_TOKENS;
+}
+
+/* Returns the holder of the part that a wait asks next: its own data centre's
+   parts come in a first round, the others in a second.  */
+static const struct config_host *
+next_holder (struct limiter_wait *wait, const struct slot_part **part)
+{
+  const struct server *server = wait->limiter->server;
+  const struct customer_limit *customer = wait->customer;
+
+  while (wait->position < 2 * customer->part_count
+         && wait->questions < MAX_ASKS)
+    {
+      uint32_t at
+          = (wait->first_part + wait->position) % customer->part_count;
+      bool local_round = wait->position < customer->part_count;
+      const struct config_slots *slots;
+      const struct config_host *host;
+
+      wait->position++;
+      *part = &customer->parts[at];
+      slots = &server->config->slots[(*part)->dc];
+      if (local_round != (slots->dc_hash == server->dc_hash)
+          || slots->holders[(*part)->slot] == server->process)
+        continue;
+      host = server_host_of_process (server, slots->holders[(*part)->slot]);
+      if (!host || mesh_is_suspect (server->mesh, host->name))
+        continue;
+      wait->questions++;
+      return host;
+    }
+  return NULL;
+}
+
+static bool
+ask (struct limiter_wait *wait, const struct config_host *host,
+     const struct slot_part *part, int64_t now_ms)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LimitAsk question = PEER__LIMIT_ASK__INIT;
+
+  wait->nonce = id_random64 ();
+  free (wait->holder);
+  wait->holder = xstrdup (host->name);
+  wait->slot = part->slot;
+  wait->asked_ms = now_ms;
+  wait->try_again_ms = 0;
+  question.nonce = wait->nonce;
+  question.customer = wait->customer->name;
+  question.slot = part->slot;
+  question.tokens = batch_size (wait->customer);
+  frame.body_case = PEER__FRAME__BODY_LIMIT_ASK;
+  frame.limit_ask = &question;
+  counter_add (COUNTER_TOKEN_PULLS, 1);
+  return mesh_send (wait->limiter->server->mesh, host->name, &frame);
+}
+
+/* Asks the next holder that can be reached; false where none is left.  */
+static bool
+ask_any (struct limiter_wait *wait, int64_t now_ms)
+{
+  const struct slot_part *part = NULL;
+  const struct config_host *host;
+
+  while ((host = next_holder (wait, &part)))
+    if (ask (wait, host, part, now_ms))
+      return true;
+  return false;
+}
+
+static void
+note_wait (struct limiter_wait *wait, int64_t wait_ms)
+{
+  if (wait_ms < 0)
+    return;
+  if (wait->shortest_wait_ms < 0 || wait_ms < wait->shortest_wait_ms)
+    wait->shortest_wait_ms = wait_ms;
+}
+
+static void
+note_own_buckets (struct limiter_wait *wait, int64_t now_ms)
+{
+  for (struct bucket *b = wait->customer->buckets; b; b = b->next)
+    note_wait (wait, limit_wait_ms (&b->limit, LIMIT_UTOKENS, now_ms));
+}
+
+static void
+grant (struct limiter_wait *wait)
+{
+  limiter_handler *handle = wait->handle;
+  void *data = wait->data;
+
+  wait_destroy (wait);
+  handle (data, NULL);
+}
+
+static void
+refuse (struct limiter_wait *wait)
+{
+  limiter_handler *handle = wait->handle;
+  void *data = wait->data;
+  struct error error;
+
+  error_set (&error, ERROR_RATE_LIMITED, RUN_NOT_RUN,
+             "the customer is over its rate; come back after the given "
+             "time");
+  error.retry_after_ms = wait->shortest_wait_ms > 0
+                             ? (uint32_t)wait->shortest_wait_ms
+                             : MILLI;
+  wait_destroy (wait);
+  handle (data, &error);
+}
+
+/* No holder has a token now: wait for the refill if it comes soon, else give
+   the refusal at once.  */
+static void
+wait_or_refuse (struct limiter_wait *wait, int64_t now_ms)
+{
+  int64_t left_ms = wait->started_ms + ADMIT_WAIT_MS - now_ms;
+
+  note_own_buckets (wait, now_ms);
+  if (wait->shortest_wait_ms < 0 || wait->shortest_wait_ms > left_ms)
+    {
+      refuse (wait);
+      return;
+    }
+  wait->nonce = 0;
+  wait->try_again_ms = now_ms + wait->shortest_wait_ms;
+  wait->shortest_wait_ms = -1;
+  wait->position = 0;
+  wait->questions = 0;
+}
+
+static void
+go_on (struct limiter_wait *wait)
+{
+  struct limiter *limiter = wait->limiter;
+  int64_t now_ms = clock_now_ms ();
+
+  if (take_from_buckets (wait->customer, now_ms)
+      || take_from_purse (limiter, wait->customer, now_ms))
+    {
+      grant (wait);
+      return;
+    }
+  if (!ask_any (wait, now_ms))
+    wait_or_refuse (wait, now_ms);
+}
+
+/* Asks for one token of CUSTOMER's.  HANDLE may be called before this returns,
+   and then the result is NULL.  */
+struct limiter_wait *
+limiter_admit (struct limiter *limiter, const char *customer,
+               limiter_handler *handle, void *data)
+{
+  struct customer_limit *found
+      = g_hash_table_lookup (limiter->customers, customer);
+  struct limiter_wait *wait;
+  int64_t now_ms = clock_now_ms ();
+  struct error error;
+
+  if (!found)
+    {
+      error_set (&error, ERROR_FORBIDDEN, RUN_NOT_RUN,
+                 "the customer does not exist any more; ask the operator");
+      handle (data, &error);
+      return NULL;
+    }
+  count_request (found, now_ms);
+  if (take_from_buckets (found, now_ms)
+      || take_from_purse (limiter, found, now_ms))
+    {
+      handle (data, NULL);
+      return NULL;
+    }
+  wait = xcalloc (1, sizeof *wait);
+  wait->limiter = limiter;
+  wait->customer = found;
+  wait->handle = handle;
+  wait->data = data;
+  wait->started_ms = now_ms;
+  wait->shortest_wait_ms = -1;
+  wait->first_part = found->next_part++;
+  wait->next = limiter->waits;
+  limiter->waits = wait;
+  if (!ask_any (wait, now_ms))
+    wait->try_again_ms = now_ms + 1;
+  return wait;
+}
+
+/* Takes a question back; its handler is not called.  */
+void
+limiter_cancel (struct limiter_wait *wait)
+{
+  wait_destroy (wait);
+}
+
+static void
+take_loan (struct limiter *limiter, const char *host,
+           const Peer__LimitLoan *loan)
+{
+  struct limiter_wait *wait = limiter->waits;
+  struct customer_limit *customer;
+  int64_t now_ms = clock_now_ms ();
+  uint32_t tokens = loan->tokens;
+  uint32_t slot;
+  int64_t asked_ms;
+
+  while (wait && wait->nonce != loan->nonce)
+    wait = wait->next;
+  /* A late loan is left alone: its holder counts it as spent.  */
+  if (!wait || !wait->holder || strcmp (wait->holder, host) != 0)
+    return;
+  note_wait (wait, loan->wait_ms);
+  if (tokens == 0 || now_ms - wait->asked_ms >= LIMIT_LOAN_MS)
+    {
+      go_on (wait);
+      return;
+    }
+  counter_add (COUNTER_TOKEN_GRANTS, tokens);
+  customer = wait->customer;
+  slot = wait->slot;
+  asked_ms = wait->asked_ms;
+  tokens--;
+  if (tokens > 0)
+    {
+      empty_purse (limiter, customer);
+      customer->purse = (struct purse){ .nonce = loan->nonce,
+                                        .holder = xstrdup (host),
+                                        .slot = slot,
+                                        .tokens = tokens,
+                                        .asked_ms = asked_ms };
+    }
+  else
+    send_confirm (limiter, host, customer->name, slot, loan->nonce, 0);
+  grant (wait);
+}
+
+static void
+lend (struct limiter *limiter, const char *host, const Peer__LimitAsk *ask)
+{
+  struct customer_limit *customer
+      = g_hash_table_lookup (limiter->customers, ask->customer);
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LimitLoan loan = PEER__LIMIT_LOAN__INIT;
+  int64_t now_ms = clock_now_ms ();
+
+  loan.nonce = ask->nonce;
+  loan.wait_ms = -1;
+  for (struct bucket *b = customer ? customer->buckets : NULL; b; b = b->next)
+    {
+      const struct config_slots *slots
+          = &limiter->server->config->slots[b->dc];
+
+      if (b->slot != ask->slot || slots->dc_hash != limiter->server->dc_hash)
+        continue;
+      loan.tokens = (uint32_t)(limit_lend (&b->limit, ask->nonce,
+                                           (int64_t)ask->tokens
+                                               * LIMIT_UTOKENS,
+                                           now_ms)
+                               / LIMIT_UTOKENS);
+      loan.wait_ms = limit_wait_ms (&b->limit, LIMIT_UTOKENS, now_ms);
+    }
+  frame.body_case = PEER__FRAME__BODY_LIMIT_LOAN;
+  frame.limit_loan = &loan;
+  mesh_send (limiter->server->mesh, host, &frame);
+}
+
+static void
+take_confirm (struct limiter *limiter, const Peer__LimitConfirm *confirm)
+{
+  struct customer_limit *customer
+      = g_hash_table_lookup (limiter->customers, confirm->customer);
+
+  for (struct bucket *b = customer ? customer->buckets : NULL; b; b = b->next)
+    if (b->slot == confirm->slot)
+      limit_confirm (&b->limit, confirm->nonce,
+                     (int64_t)confirm->unused_tokens * LIMIT_UTOKENS,
+                     clock_now_ms ());
+}
+
+/* Takes a frame that concerns limits; others are left alone.  */
+void
+limiter_handle_frame (struct limiter *limiter, const char *host,
+                      const Peer__Frame *frame)
+{
+  if (frame->body_case == PEER__FRAME__BODY_LIMIT_ASK)
+    lend (limiter, host, frame->limit_ask);
+  else if (frame->body_case == PEER__FRAME__BODY_LIMIT_LOAN)
+    take_loan (limiter, host, frame->limit_loan);
+  else if (frame->body_case == PEER__FRAME__BODY_LIMIT_CONFIRM)
+    take_confirm (limiter, frame->limit_confirm);
+}
+
+static bool
+is_due (const struct limiter_wait *wait, int64_t now_ms)
+{
+  if (wait->try_again_ms)
+    return now_ms >= wait->try_again_ms;
+  return now_ms - wait->asked_ms >= ASK_TIMEOUT_MS;
+}
+
+/* Goes on with requests whose question has got no answer or whose time to try
+   again has come, and gives loans back that were not needed.  */
+void
+limiter_tick (struct limiter *limiter, int64_t now_ms)
+{
+  struct limiter_wait *wait = limiter->waits;
+  GHashTableIter iter;
+  void *pointer;
+
+  while (wait)
+    {
+      struct limiter_wait *next = wait->next;
+
+      if (is_due (wait, now_ms))
+        go_on (wait);
+      wait = next;
+    }
+  g_hash_table_iter_init (&iter, limiter->customers);
+  while (g_hash_table_iter_next (&iter, NULL, &pointer))
+    {
+      struct customer_limit *customer = pointer;
+
+      if (customer->purse.holder
+          && now_ms - customer->window_ms > 2 * BATCH_WINDOW_MS)
+        empty_purse (limiter, customer);
+    }
+}
+
+/* Returns this host's buckets as a new reference.  */
+json_t *
+limiter_to_json (const struct limiter *limiter)
+{
+  json_t *root = json_object ();
+  GHashTableIter iter;
+  void *name;
+  void *pointer;
+
+  g_hash_table_iter_init (&iter, limiter->customers);
+  while (g_hash_table_iter_next (&iter, &name, &pointer))
+    {
+      const struct customer_limit *customer = pointer;
+      json_t *buckets = json_array ();
+
+      for (const struct bucket *b = customer->buckets; b; b = b->next)
+        json_array_append_new (
+            buckets,
+            json_pack ("{s:i, s:I, s:I, s:I, s:I, s:b}", "slot", (int)b->slot,
+                       "rate_utokens_per_s",
+                       (json_int_t)b->limit.rate_utokens_per_s,
+                       "capacity_utokens",
+                       (json_int_t)b->limit.capacity_utokens,
+                       "level_utokens", (json_int_t)b->limit.level_utokens,
+                       "lent_utokens", (json_int_t)b->limit.lent_utokens,
+                       "rising", b->limit.pending_from_ms != 0));
+      json_object_set_new (root, name, buckets);
+    }
+  return root;
+}
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -31,6 +31,7 @@
   uint64_t ping_sequence;
   int64_t ping_sent_ms; /* of the unanswered ping; 0 for none */
   int64_t last_used_ms;
+  uint32_t holds; /* requests under way there; the link stays meanwhile */
   int64_t suspect_until_ms;
   bool suspect;
   bool leaving;
@@ -248,8 +249,6 @@
     slot = &(*slot)->next;
   if (*slot)
     *slot = link->next;
-  if (link->host)
-    mesh->options.handle_down (mesh->options.data, link->host);
   link_destroy (link);
 }
 
@@ -282,7 +281,8 @@
     return;
   if (peer->ping_sent_ms && now_ms - peer->ping_sent_ms > SUSPECT_MS)
     mark_suspect (peer, SUSPECT_MS);
-  if (!peer->suspect && now_ms - peer->last_used_ms > IDLE_MS)
+  if (!peer->suspect && peer->holds == 0
+      && now_ms - peer->last_used_ms > IDLE_MS)
     drop_link (peer);
   else if (!peer->ping_sent_ms || peer->suspect)
     send_ping (peer);
@@ -465,6 +465,26 @@
   return peer && peer->leaving;
 }
 
+/* Keeps the link to HOST open, and watched, until as many releases.  */
+void
+mesh_hold (struct mesh *mesh, const char *host)
+{
+  struct peer *peer = find_peer (mesh, host);
+
+  if (peer)
+    peer->holds++;
+}
+
+/* Takes one hold back.  */
+void
+mesh_release (struct mesh *mesh, const char *host)
+{
+  struct peer *peer = find_peer (mesh, host);
+
+  if (peer && peer->holds > 0)
+    peer->holds--;
+}
+
 /* Sets what pings and pongs say of this host.  */
 void
 mesh_set_status (struct mesh *mesh, uint64_t config_revision, bool leaving)
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -142,51 +142,6 @@
   assert(message->base.descriptor == &peer__pong__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   peer__header__init
-                     (Peer__Header         *message)
-{
-  static const Peer__Header init_value = PEER__HEADER__INIT;
-  *message = init_value;
-}
-size_t peer__header__get_packed_size
-                     (const Peer__Header *message)
-{
-  assert(message->base.descriptor == &peer__header__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t peer__header__pack
-                     (const Peer__Header *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &peer__header__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t peer__header__pack_to_buffer
-                     (const Peer__Header *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &peer__header__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Peer__Header *
-       peer__header__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Peer__Header *)
-     protobuf_c_message_unpack (&peer__header__descriptor,
-                                allocator, len, data);
-}
-void   peer__header__free_unpacked
-                     (Peer__Header *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &peer__header__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   peer__call_request__init
                      (Peer__CallRequest         *message)
 {
@@ -907,6 +862,51 @@
   assert(message->base.descriptor == &peer__program_moved__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__crash_notice__init
+                     (Peer__CrashNotice         *message)
+{
+  static const Peer__CrashNotice init_value = PEER__CRASH_NOTICE__INIT;
+  *message = init_value;
+}
+size_t peer__crash_notice__get_packed_size
+                     (const Peer__CrashNotice *message)
+{
+  assert(message->base.descriptor == &peer__crash_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__crash_notice__pack
+                     (const Peer__CrashNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__crash_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__crash_notice__pack_to_buffer
+                     (const Peer__CrashNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__crash_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__CrashNotice *
+       peer__crash_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__CrashNotice *)
+     protobuf_c_message_unpack (&peer__crash_notice__descriptor,
+                                allocator, len, data);
+}
+void   peer__crash_notice__free_unpacked
+                     (Peer__CrashNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__crash_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -1157,134 +1157,131 @@
   (ProtobufCMessageInit) peer__pong__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__header__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__call_request__field_descriptors[12] =
 {
   {
-    "name",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Header, name),
+    offsetof(Peer__CallRequest, customer),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "value",
-    2,
+    "key_id",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Header, value),
+    offsetof(Peer__CallRequest, key_id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__header__field_indices_by_name[] = {
-  0,   /* field[0] = name */
-  1,   /* field[1] = value */
-};
-static const ProtobufCIntRange peer__header__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor peer__header__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.Header",
-  "Header",
-  "Peer__Header",
-  "peer",
-  sizeof(Peer__Header),
-  2,
-  peer__header__field_descriptors,
-  peer__header__field_indices_by_name,
-  1,  peer__header__number_ranges,
-  (ProtobufCMessageInit) peer__header__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__call_request__field_descriptors[8] =
-{
   {
-    "id",
-    1,
+    "method",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, id),
+    offsetof(Peer__CallRequest, method),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, path),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "customer",
-    2,
+    "cursor",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, customer),
+    offsetof(Peer__CallRequest, cursor),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key_id",
-    3,
+    "program",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, key_id),
+    offsetof(Peer__CallRequest, program),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "method",
-    4,
+    "idempotency_key",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, method),
+    offsetof(Peer__CallRequest, idempotency_key),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "path",
-    5,
+    "content_type",
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, path),
+    offsetof(Peer__CallRequest, content_type),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "headers",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__CallRequest, n_headers),
-    offsetof(Peer__CallRequest, headers),
-    &peer__header__descriptor,
+    "resume_from",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, resume_from),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "body",
-    7,
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
@@ -1296,7 +1293,7 @@
   },
   {
     "hops",
-    8,
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -1308,19 +1305,23 @@
   },
 };
 static const unsigned peer__call_request__field_indices_by_name[] = {
-  6,   /* field[6] = body */
+  10,   /* field[10] = body */
+  8,   /* field[8] = content_type */
+  5,   /* field[5] = cursor */
   1,   /* field[1] = customer */
-  5,   /* field[5] = headers */
-  7,   /* field[7] = hops */
+  11,   /* field[11] = hops */
   0,   /* field[0] = id */
+  7,   /* field[7] = idempotency_key */
   2,   /* field[2] = key_id */
   3,   /* field[3] = method */
   4,   /* field[4] = path */
+  6,   /* field[6] = program */
+  9,   /* field[9] = resume_from */
 };
 static const ProtobufCIntRange peer__call_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor peer__call_request__descriptor =
 {
@@ -1330,14 +1331,14 @@
   "Peer__CallRequest",
   "peer",
   sizeof(Peer__CallRequest),
-  8,
+  12,
   peer__call_request__field_descriptors,
   peer__call_request__field_indices_by_name,
   1,  peer__call_request__number_ranges,
   (ProtobufCMessageInit) peer__call_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__call_head__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__call_head__field_descriptors[7] =
 {
   {
     "id",
@@ -1399,10 +1400,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cursor",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallHead, cursor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "program",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallHead, program),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__call_head__field_indices_by_name[] = {
   2,   /* field[2] = content_type */
+  5,   /* field[5] = cursor */
   0,   /* field[0] = id */
+  6,   /* field[6] = program */
   4,   /* field[4] = retry_after_ms */
   1,   /* field[1] = status */
   3,   /* field[3] = streaming */
@@ -1410,7 +1437,7 @@
 static const ProtobufCIntRange peer__call_head__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__call_head__descriptor =
 {
@@ -1420,7 +1447,7 @@
   "Peer__CallHead",
   "peer",
   sizeof(Peer__CallHead),
-  5,
+  7,
   peer__call_head__field_descriptors,
   peer__call_head__field_indices_by_name,
   1,  peer__call_head__number_ranges,
@@ -2180,7 +2207,58 @@
   (ProtobufCMessageInit) peer__program_moved__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor peer__crash_notice__field_descriptors[2] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CrashNotice, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CrashNotice, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__crash_notice__field_indices_by_name[] = {
+  1,   /* field[1] = crashes */
+  0,   /* field[0] = fingerprint */
+};
+static const ProtobufCIntRange peer__crash_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__crash_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.CrashNotice",
+  "CrashNotice",
+  "Peer__CrashNotice",
+  "peer",
+  sizeof(Peer__CrashNotice),
+  2,
+  peer__crash_notice__field_descriptors,
+  peer__crash_notice__field_indices_by_name,
+  1,  peer__crash_notice__number_ranges,
+  (ProtobufCMessageInit) peer__crash_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[19] =
 {
   {
     "ping",
@@ -2398,6 +2476,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_notice",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, crash_notice),
+    &peer__crash_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -2407,6 +2497,7 @@
   2,   /* field[2] = call_request */
   14,   /* field[14] = config_ask */
   15,   /* field[15] = config_push */
+  18,   /* field[18] = crash_notice */
   16,   /* field[16] = key_withdraw */
   7,   /* field[7] = limit_ask */
   9,   /* field[9] = limit_confirm */
@@ -2422,7 +2513,7 @@
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -2432,7 +2523,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  18,
+  19,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- /dev/null
+++ b/policy/fair.c
@@ -0,0 +1,393 @@
+#include "policy/fair.h"
+#include "common/buf.h"
+#include <stdlib.h>
+
+enum
+{
+  CUSTOMER_BUCKETS = 4096, /* a power of two */
+  SERVICE_SCALE = 1024,    /* virtual service in a token of weight 1 */
+};
+
+/* A customer that has been seen.  Owned by its queue. */
+struct fair_customer
+{
+  uint64_t id;
+  struct heap_node node; /* among customers with waiting calls */
+  struct heap items;     /* its waiting calls */
+  int64_t service;       /* virtual: tokens by weight */
+  struct fair_customer *next;
+};
+
+/* Serves all four policies: they differ in what keys the two heaps carry. */
+struct queue
+{
+  struct fair base;
+  struct heap active; /* of customers */
+  struct fair_customer *buckets[CUSTOMER_BUCKETS];
+  struct fair_item *oldest;
+  struct fair_item *newest;
+  int64_t floor; /* virtual service of the customer served last */
+  uint64_t sequence;
+  uint64_t pops;
+};
+
+#define CONTAINER(pointer, type, member)                                      \
+  ((type *)(void *)((char *)(pointer) - offsetof (type, member)))
+
+static struct fair *
+create_queue (const struct fair_impl *impl)
+{
+  struct queue *queue = xcalloc (1, sizeof *queue);
+
+  queue->base.impl = impl;
+  return &queue->base;
+}
+
+static void
+destroy_queue (struct fair *fair)
+{
+  struct queue *queue = (struct queue *)fair;
+
+  for (size_t i = 0; i < CUSTOMER_BUCKETS; i++)
+    while (queue->buckets[i])
+      {
+        struct fair_customer *customer = queue->buckets[i];
+
+        queue->buckets[i] = customer->next;
+        heap_release (&customer->items);
+        free (customer);
+      }
+  heap_release (&queue->active);
+  free (queue);
+}
+
+static struct fair_customer *
+find_customer (struct queue *queue, uint64_t id)
+{
+  struct fair_customer **slot = &queue->buckets[id % CUSTOMER_BUCKETS];
+  struct fair_customer *customer = *slot;
+
+  while (customer && customer->id != id)
+    customer = customer->next;
+  if (customer)
+    return customer;
+  customer = xcalloc (1, sizeof *customer);
+  customer->id = id;
+  customer->node.index = HEAP_NONE;
+  customer->next = *slot;
+  *slot = customer;
+  return customer;
+}
+
+static void
+link_newest (struct queue *queue, struct fair_item *item)
+{
+  item->older = queue->newest;
+  item->newer = NULL;
+  if (queue->newest)
+    queue->newest->newer = item;
+  else
+    queue->oldest = item;
+  queue->newest = item;
+}
+
+static void
+unlink_item (struct queue *queue, struct fair_item *item)
+{
+  if (item->older)
+    item->older->newer = item->newer;
+  else
+    queue->oldest = item->newer;
+  if (item->newer)
+    item->newer->older = item->older;
+  else
+    queue->newest = item->older;
+  item->older = NULL;
+  item->newer = NULL;
+}
+
+static void
+push_item (struct fair *fair, struct fair_item *item, int64_t item_key,
+           int64_t customer_key)
+{
+  struct queue *queue = (struct queue *)fair;
+  struct fair_customer *customer = find_customer (queue, item->customer);
+
+  item->owner = customer;
+  item->node.key = item_key;
+  item->node.tie = ++queue->sequence;
+  link_newest (queue, item);
+  heap_push (&customer->items, &item->node);
+  if (customer->node.index == HEAP_NONE)
+    {
+      customer->node.key = customer_key;
+      customer->node.tie = queue->sequence;
+      heap_push (&queue->active, &customer->node);
+    }
+}
+
+static void
+remove_item (struct fair *fair, struct fair_item *item)
+{
+  struct queue *queue = (struct queue *)fair;
+  struct fair_customer *customer = item->owner;
+
+  unlink_item (queue, item);
+  heap_remove (&customer->items, &item->node);
+  if (customer->items.count == 0)
+    heap_remove (&queue->active, &customer->node);
+}
+
+static struct fair_item *
+first_of_first (struct queue *queue)
+{
+  struct heap_node *node = heap_peek (&queue->active);
+  struct fair_customer *customer;
+
+  if (!node)
+    return NULL;
+  customer = CONTAINER (node, struct fair_customer, node);
+  return CONTAINER (heap_peek (&customer->items), struct fair_item, node);
+}
+
+static void
+charge_nothing (struct fair *fair, uint64_t customer, int64_t weight,
+                int64_t tokens)
+{
+}
+
+/* Weighted: customers by virtual service, a customer's calls by what their
+   programs have attained, and some pops for calls past the age bound.  */
+
+static struct fair *
+weighted_create (void)
+{
+  return create_queue (&fair_weighted);
+}
+
+static void
+weighted_push (struct fair *fair, struct fair_item *item)
+{
+  struct queue *queue = (struct queue *)fair;
+  struct fair_customer *customer = find_customer (queue, item->customer);
+
+  /* One that had nothing waiting has no claim on the time it was away.  */
+  if (customer->node.index == HEAP_NONE && customer->service < queue->floor)
+    customer->service = queue->floor;
+  push_item (fair, item, item->attained, customer->service);
+}
+
+static struct fair_item *
+weighted_pop (struct fair *fair, int64_t now_ms)
+{
+  struct queue *queue = (struct queue *)fair;
+  struct fair_item *item = first_of_first (queue);
+
+  if (!item)
+    return NULL;
+  if (++queue->pops % FAIR_AGE_SHARE == 0
+      && now_ms - queue->oldest->enqueued_ms > FAIR_AGE_BOUND_MS)
+    item = queue->oldest;
+  else
+    queue->floor = item->owner->service;
+  remove_item (fair, item);
+  return item;
+}
+
+static void
+weighted_charge (struct fair *fair, uint64_t id, int64_t weight,
+                 int64_t tokens)
+{
+  struct queue *queue = (struct queue *)fair;
+  struct fair_customer *customer = find_customer (queue, id);
+
+  customer->service += tokens * SERVICE_SCALE / (weight > 0 ? weight : 1);
+  if (customer->node.index != HEAP_NONE)
+    heap_update (&queue->active, &customer->node, customer->service);
+}
+
+const struct fair_impl fair_weighted = { .name = "weighted",
+                                         .create = weighted_create,
+                                         .push = weighted_push,
+                                         .pop = weighted_pop,
+                                         .remove = remove_item,
+                                         .charge = weighted_charge,
+                                         .destroy = destroy_queue };
+
+/* First come, first served: one order over all calls.  */
+
+static struct fair *
+fcfs_create (void)
+{
+  return create_queue (&fair_fcfs);
+}
+
+static void
+fcfs_push (struct fair *fair, struct fair_item *item)
+{
+  push_item (fair, item, 0, 0);
+}
+
+static struct fair_item *
+fcfs_pop (struct fair *fair, int64_t now_ms)
+{
+  struct fair_item *item = ((struct queue *)fair)->oldest;
+
+  if (item)
+    remove_item (fair, item);
+  return item;
+}
+
+const struct fair_impl fair_fcfs = { .name = "fcfs",
+                                     .create = fcfs_create,
+                                     .push = fcfs_push,
+                                     .pop = fcfs_pop,
+                                     .remove = remove_item,
+                                     .charge = charge_nothing,
+                                     .destroy = destroy_queue };
+
+/* Round robin: a request of each customer in turn.  */
+
+static struct fair *
+round_robin_create (void)
+{
+  return create_queue (&fair_round_robin);
+}
+
+static void
+round_robin_push (struct fair *fair, struct fair_item *item)
+{
+  struct queue *queue = (struct queue *)fair;
+
+  push_item (fair, item, 0, (int64_t)queue->sequence + 1);
+}
+
+static struct fair_item *
+round_robin_pop (struct fair *fair, int64_t now_ms)
+{
+  struct queue *queue = (struct queue *)fair;
+  struct fair_item *item = first_of_first (queue);
+  struct fair_customer *customer;
+
+  if (!item)
+    return NULL;
+  customer = item->owner;
+  remove_item (fair, item);
+  if (customer->node.index != HEAP_NONE)
+    heap_update (&queue->active, &customer->node,
+                 (int64_t)++queue->sequence);
+  return item;
+}
+
+const struct fair_impl fair_round_robin = { .name = "round_robin",
+                                            .create = round_robin_create,
+                                            .push = round_robin_push,
+                                            .pop = round_robin_pop,
+                                            .remove = remove_item,
+                                            .charge = charge_nothing,
+                                            .destroy = destroy_queue };
+
+/* Least attained service over all programs, whoever's they are.  */
+
+static struct fair *
+least_attained_create (void)
+{
+  return create_queue (&fair_least_attained);
+}
+
+static void
+least_attained_push (struct fair *fair, struct fair_item *item)
+{
+  push_item (fair, item, item->attained, item->attained);
+  heap_update (&((struct queue *)fair)->active, &item->owner->node,
+               heap_peek (&item->owner->items)->key);
+}
+
+static struct fair_item *
+least_attained_pop (struct fair *fair, int64_t now_ms)
+{
+  struct queue *queue = (struct queue *)fair;
+  struct fair_item *item = first_of_first (queue);
+  struct fair_customer *customer;
+
+  if (!item)
+    return NULL;
+  customer = item->owner;
+  remove_item (fair, item);
+  if (customer->node.index != HEAP_NONE)
+    heap_update (&queue->active, &customer->node,
+                 heap_peek (&customer->items)->key);
+  return item;
+}
+
+const struct fair_impl fair_least_attained
+    = { .name = "least_attained",
+        .create = least_attained_create,
+        .push = least_attained_push,
+        .pop = least_attained_pop,
+        .remove = remove_item,
+        .charge = charge_nothing,
+        .destroy = destroy_queue };
+
+/* Creates an empty queue of policy IMPL.  */
+struct fair *
+fair_create (const struct fair_impl *impl)
+{
+  return impl->create ();
+}
+
+/* Frees the queue; waiting calls stay their users'.  */
+void
+fair_destroy (struct fair *fair)
+{
+  if (fair)
+    fair->impl->destroy (fair);
+}
+
+/* Adds a call.  */
+void
+fair_push (struct fair *fair, struct fair_item *item)
+{
+  item->queued = true;
+  fair->count++;
+  fair->impl->push (fair, item);
+}
+
+/* Takes the call that goes next, or returns NULL.  */
+struct fair_item *
+fair_pop (struct fair *fair, int64_t now_ms)
+{
+  struct fair_item *item = fair->impl->pop (fair, now_ms);
+
+  if (!item)
+    return NULL;
+  item->queued = false;
+  fair->count--;
+  return item;
+}
+
+/* Takes a call out that is not wanted any more.  */
+void
+fair_remove (struct fair *fair, struct fair_item *item)
+{
+  if (!item->queued)
+    return;
+  item->queued = false;
+  fair->count--;
+  fair->impl->remove (fair, item);
+}
+
+/* Tells the policy that CUSTOMER has had TOKENS generated.  */
+void
+fair_charge (struct fair *fair, uint64_t customer, int64_t weight,
+             int64_t tokens)
+{
+  fair->impl->charge (fair, customer, weight, tokens);
+}
+
+/* Returns how many calls wait.  */
+uint32_t
+fair_count (const struct fair *fair)
+{
+  return fair->count;
+}
--- /dev/null
+++ b/policy/retry.c
@@ -0,0 +1,143 @@
+#include "policy/retry.h"
+#include <stddef.h>
+
+enum
+{
+  PERCENT = 100,
+};
+
+/* Prepares a budget with its least credit.  */
+void
+retry_budget_init (struct retry_budget *budget)
+{
+  budget->credit_percent = (int64_t)RETRY_MIN_PER_BUDGET * PERCENT;
+}
+
+/* A first attempt earns part of a retry.  */
+void
+retry_budget_note_first (struct retry_budget *budget)
+{
+  budget->credit_percent += RETRY_PERCENT;
+  if (budget->credit_percent > (int64_t)RETRY_MAX_CREDIT * PERCENT)
+    budget->credit_percent = (int64_t)RETRY_MAX_CREDIT * PERCENT;
+}
+
+/* Takes one retry; false where the budget is used up.  */
+bool
+retry_budget_take (struct retry_budget *budget)
+{
+  if (budget->credit_percent < PERCENT)
+    return false;
+  budget->credit_percent -= PERCENT;
+  return true;
+}
+
+/* Returns how long to wait before retry number ATTEMPT, from 1: a random time
+   below a bound that doubles.  */
+int64_t
+retry_backoff_ms (uint32_t attempt, uint64_t *seed)
+{
+  int64_t bound = RETRY_BASE_MS;
+
+  for (uint32_t i = 1; i < attempt && bound < RETRY_CAP_MS; i++)
+    bound *= 2;
+  if (bound > RETRY_CAP_MS)
+    bound = RETRY_CAP_MS;
+  *seed = *seed * UINT64_C (6364136223846793005)
+          + UINT64_C (1442695040888963407);
+  return 1 + (int64_t)((*seed >> 33) % (uint64_t)bound);
+}
+
+static struct poison_entry *
+find_entry (const struct poison *poison, uint64_t fingerprint)
+{
+  for (size_t i = 0; i < POISON_SLOTS; i++)
+    if (poison->entries[i].crashes > 0
+        && poison->entries[i].fingerprint == fingerprint)
+      return (struct poison_entry *)(uintptr_t)&poison->entries[i];
+  return NULL;
+}
+
+static struct poison_entry *
+take_slot (struct poison *poison)
+{
+  struct poison_entry *slot = &poison->entries[0];
+
+  for (size_t i = 0; i < POISON_SLOTS; i++)
+    {
+      if (poison->entries[i].crashes == 0)
+        return &poison->entries[i];
+      if (poison->entries[i].until_ms < slot->until_ms)
+        slot = &poison->entries[i];
+    }
+  return slot;
+}
+
+/* Decides whether a request may be dispatched.  */
+enum poison_verdict
+poison_check (const struct poison *poison, uint64_t fingerprint,
+              int64_t now_ms)
+{
+  const struct poison_entry *entry = find_entry (poison, fingerprint);
+
+  if (!entry || entry->until_ms <= now_ms)
+    return POISON_CLEAR;
+  if (entry->crashes >= POISON_CRASHES)
+    return POISON_REFUSE;
+  return entry->alone ? POISON_WAIT : POISON_SUSPECT;
+}
+
+/* An endpoint crashed under the request; other hosts have seen
+   CRASHES_ELSEWHERE.  Returns how many crashes are known.  */
+uint32_t
+poison_note_crash (struct poison *poison, uint64_t fingerprint,
+                   uint32_t crashes_elsewhere, int64_t now_ms)
+{
+  struct poison_entry *entry = find_entry (poison, fingerprint);
+
+  if (!entry)
+    {
+      entry = take_slot (poison);
+      *entry = (struct poison_entry){ .fingerprint = fingerprint };
+    }
+  entry->crashes = crashes_elsewhere > 0
+                       ? (crashes_elsewhere > entry->crashes
+                              ? crashes_elsewhere
+                              : entry->crashes)
+                       : entry->crashes + 1;
+  entry->alone = false;
+  entry->until_ms = now_ms
+                    + (entry->crashes >= POISON_CRASHES ? POISON_HOLD_MS
+                                                        : POISON_SUSPECT_MS);
+  return entry->crashes;
+}
+
+/* The one retry of a suspect starts or ends.  */
+void
+poison_note_alone (struct poison *poison, uint64_t fingerprint, bool alone)
+{
+  struct poison_entry *entry = find_entry (poison, fingerprint);
+
+  if (entry)
+    entry->alone = alone;
+}
+
+/* The request has run without a crash, so it was not to blame.  */
+void
+poison_note_success (struct poison *poison, uint64_t fingerprint)
+{
+  struct poison_entry *entry = find_entry (poison, fingerprint);
+
+  if (entry)
+    *entry = (struct poison_entry){ 0 };
+}
+
+/* Returns until when the request is refused or suspect; 0 where it is
+   neither.  */
+int64_t
+poison_until_ms (const struct poison *poison, uint64_t fingerprint)
+{
+  const struct poison_entry *entry = find_entry (poison, fingerprint);
+
+  return entry ? entry->until_ms : 0;
+}
--- /dev/null
+++ b/policy/route.c
@@ -0,0 +1,114 @@
+#include "policy/route.h"
+
+enum
+{
+  US_PER_MS = 1000,
+  SAMPLES = 2,
+};
+
+/* xorshift; the state is never 0.  */
+static uint64_t
+next_random (uint64_t *seed)
+{
+  uint64_t x = *seed ? *seed : 1;
+
+  x ^= x << 13;
+  x ^= x >> 7;
+  x ^= x << 17;
+  *seed = x;
+  return x;
+}
+
+static bool
+has_room (const struct route_engine *engine)
+{
+  return engine->eligible && engine->own_in_flight < engine->window;
+}
+
+/* Returns how long a call is expected to take to its first token on ENGINE:
+   the wait behind what is there beyond its slots, and the prefill of what is
+   not cached.  */
+int64_t
+route_cost_us (const struct route_engine *engine,
+               const struct route_options *options)
+{
+  int64_t busy = engine->reported_busy > engine->own_in_flight
+                     ? engine->reported_busy
+                     : engine->own_in_flight;
+  int64_t slots = engine->slots > 0 ? engine->slots : 1;
+  int64_t queued = busy + 1 - slots;
+  int64_t uncached = options->prompt_tokens - engine->cached_tokens;
+  int64_t wait_us = 0;
+
+  if (queued > 0)
+    wait_us = queued * engine->call_ms * US_PER_MS / slots;
+  if (uncached < 0)
+    uncached = 0;
+  /* Among engines that are free, the emptier one batches faster.  */
+  wait_us += busy * engine->call_ms / slots;
+  return wait_us + uncached * options->prefill_us_per_token;
+}
+
+static int32_t
+sample (const struct route_engine *engines, size_t count, int32_t avoid,
+        uint64_t *seed)
+{
+  size_t start = (size_t)(next_random (seed) % count);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t at = (start + i) % count;
+
+      if (has_room (&engines[at]) && (int32_t)at != avoid)
+        return (int32_t)at;
+    }
+  return -1;
+}
+
+static int32_t
+best_cached (const struct route_engine *engines, size_t count, int32_t avoid)
+{
+  int32_t picked = -1;
+
+  for (size_t i = 0; i < count; i++)
+    if (has_room (&engines[i]) && (int32_t)i != avoid
+        && engines[i].cached_tokens > 0
+        && (picked < 0
+            || engines[i].cached_tokens > engines[picked].cached_tokens))
+      picked = (int32_t)i;
+  return picked;
+}
+
+/* Picks an engine with room: the cheapest of the one that has most of the
+   prompt cached and two taken at random, so that stale reports do not send
+   everybody to the same place.  -1 where there is no room anywhere but on the
+   one to avoid, if it has any.  */
+int32_t
+route_pick (const struct route_engine *engines, size_t count,
+            const struct route_options *options, uint64_t *seed)
+{
+  int32_t picked;
+  int64_t picked_cost;
+
+  if (count == 0)
+    return -1;
+  picked = best_cached (engines, count, options->avoid);
+  picked_cost = picked >= 0 ? route_cost_us (&engines[picked], options) : 0;
+  for (int i = 0; i < SAMPLES; i++)
+    {
+      int32_t other = sample (engines, count, options->avoid, seed);
+      int64_t cost;
+
+      if (other < 0)
+        break;
+      cost = route_cost_us (&engines[other], options);
+      if (picked >= 0 && cost >= picked_cost)
+        continue;
+      picked = other;
+      picked_cost = cost;
+    }
+  if (picked < 0 && options->avoid >= 0
+      && has_room (&engines[options->avoid]))
+    return options->avoid;
+  return picked;
+}
