--- /dev/null
+++ b/program/call.c
@@ -0,0 +1,1266 @@
+#include "program/call.h"
+#include "common/counters.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "galenashored/server.h"
+#include "program/copies.h"
+#include "program/load.h"
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HTTP_OK = 200,
+  HTTP_CREATED = 201,
+  PRIORITY_STEP_TOKENS = 512, /* attained service of one priority level */
+  MAX_PRIORITY = 16,
+  BYTES_PER_TOKEN = 4,
+  UNKNOWN_RETRY_MS = 1000,
+  BUSY_RETRY_MS = 50,
+  HASH_TEXT_BYTES = 17,
+};
+
+/* Frees what a spec holds.  */
+void
+call_spec_release (struct call_spec *spec)
+{
+  buf_release (&spec->messages);
+  buf_release (&spec->body);
+  free (spec->model);
+  free (spec->route);
+  free (spec->subpath);
+  free (spec->method);
+  free (spec->content_type);
+}
+
+static void
+append_json_string (struct buf *out, const char *text, size_t len)
+{
+  json_t *string = json_stringn (text, len);
+  char *escaped = json_dumps (string, JSON_ENCODE_ANY);
+
+  json_decref (string);
+  buf_append_str (out, escaped ? escaped : "\"\"");
+  free (escaped);
+}
+
+/* Writes one token in FORMAT.  The event id counts the tokens so far, so that
+   a caller can ask for the rest.  */
+static void
+format_token (struct buf *out, enum call_format format, const char *id,
+              uint32_t number, const char *text, size_t len)
+{
+  if (format == CALL_EVENTS)
+    {
+      buf_printf (out, "id: %" PRIu32 "\ndata: {\"token\":", number);
+      append_json_string (out, text, len);
+      buf_append_str (out, "}\n\n");
+      return;
+    }
+  buf_printf (out,
+              "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\","
+              "\"choices\":[{\"index\":0,\"delta\":{\"content\":",
+              id);
+  append_json_string (out, text, len);
+  buf_append_str (out, "},\"finish_reason\":null}]}\n\n");
+}
+
+static bool
+format_streams (enum call_format format)
+{
+  return format == CALL_EVENTS || format == CALL_CHAT_EVENTS;
+}
+
+static void
+waiter_unlink (struct waiter *waiter)
+{
+  struct waiter **slot = &waiter->call->waiters;
+
+  while (*slot && *slot != waiter)
+    slot = &(*slot)->next;
+  if (*slot)
+    *slot = waiter->next;
+}
+
+static void
+handle_waiter_gone (struct api_request *request)
+{
+  struct waiter *waiter = request->user;
+
+  waiter_unlink (waiter);
+  free (waiter);
+}
+
+static void
+waiter_add (struct call *call, struct api_request *request,
+            enum call_format format)
+{
+  struct waiter *waiter = xcalloc (1, sizeof *waiter);
+
+  waiter->call = call;
+  waiter->request = request;
+  waiter->format = format;
+  waiter->sent_tokens = request->resume_from;
+  waiter->next = call->waiters;
+  call->waiters = waiter;
+  request->user = waiter;
+  request->handle_gone = handle_waiter_gone;
+}
+
+static void
+waiter_destroy (struct waiter *waiter)
+{
+  waiter->request->user = NULL;
+  waiter->request->handle_gone = NULL;
+  waiter_unlink (waiter);
+  free (waiter);
+}
+
+/* Sends the tokens that WAITER does not have yet.  False where its reader is
+   too slow.  */
+static bool
+send_tokens (struct waiter *waiter, const struct answer *answer)
+{
+  struct buf out = { 0 };
+  bool ok = true;
+
+  if (!format_streams (waiter->format)
+      || waiter->sent_tokens >= answer->token_count)
+    return true;
+  while (waiter->sent_tokens < answer->token_count)
+    {
+      uint32_t i = waiter->sent_tokens++;
+      uint32_t start = i > 0 ? answer->token_ends[i - 1] : 0;
+
+      format_token (&out, waiter->format, waiter->request->id, i + 1,
+                    answer->text.data + start, answer->token_ends[i] - start);
+    }
+  if (!waiter->streaming)
+    {
+      waiter->streaming = true;
+      api_begin (waiter->request, HTTP_OK, "text/event-stream", true);
+    }
+  ok = api_write (waiter->request, out.data, out.len);
+  buf_release (&out);
+  return ok;
+}
+
+static void
+drop_slow_waiter (struct waiter *waiter)
+{
+  struct api_request *request = waiter->request;
+
+  waiter_destroy (waiter);
+  api_abort (request);
+}
+
+static void
+send_new_tokens (struct call *call)
+{
+  struct waiter *waiter = call->waiters;
+
+  while (waiter)
+    {
+      struct waiter *next = waiter->next;
+
+      if (!send_tokens (waiter, &call->answer))
+        drop_slow_waiter (waiter);
+      waiter = next;
+    }
+}
+
+/* What an answer's end tells beside its text.  */
+struct ending
+{
+  const char *cursor;
+  const char *program;
+  uint32_t turn;
+  uint32_t copies;
+  const struct engine_usage *usage;
+};
+
+static json_t *
+usage_to_json (const struct answer *answer, const struct ending *ending)
+{
+  return json_pack ("{s:I, s:I, s:I}", "prompt_tokens",
+                    (json_int_t)ending->usage->prompt_tokens,
+                    "completion_tokens", (json_int_t)answer->token_count,
+                    "cached_tokens",
+                    (json_int_t)ending->usage->cached_tokens);
+}
+
+static json_t *
+ending_to_json (const struct answer *answer, const struct ending *ending)
+{
+  return json_pack ("{s:s, s:s, s:i, s:i, s:o}", "program", ending->program,
+                    "cursor", ending->cursor, "turn", (int)ending->turn,
+                    "copies", (int)ending->copies, "usage",
+                    usage_to_json (answer, ending));
+}
+
+static json_t *
+whole_answer (enum call_format format, const char *id,
+              const struct answer *answer, const struct ending *ending)
+{
+  const char *text = answer->text.data ? answer->text.data : "";
+  json_t *root;
+
+  if (format == CALL_WHOLE)
+    {
+      root = ending_to_json (answer, ending);
+      json_object_set_new (root, "answer",
+                           json_stringn (text, answer->text.len));
+      return root;
+    }
+  return json_pack (
+      "{s:s, s:s, s:[{s:i, s:{s:s, s:s%}, s:s}], s:o}", "id", id, "object",
+      "chat.completion", "choices", "index", 0, "message", "role",
+      "assistant", "content", text, answer->text.len, "finish_reason", "stop",
+      "usage", usage_to_json (answer, ending));
+}
+
+static void
+send_stream_end (struct waiter *waiter, const struct answer *answer,
+                 const struct ending *ending)
+{
+  struct buf out = { 0 };
+  json_t *root = ending_to_json (answer, ending);
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  json_decref (root);
+  if (waiter->format == CALL_EVENTS)
+    buf_printf (&out, "event: done\ndata: %s\n\n", text);
+  else
+    buf_printf (&out,
+                "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\","
+                "\"choices\":[{\"index\":0,\"delta\":{},"
+                "\"finish_reason\":\"stop\"}],\"galena\":%s}\n\n"
+                "data: [DONE]\n\n",
+                waiter->request->id, text);
+  free (text);
+  if (!waiter->streaming)
+    api_begin (waiter->request, HTTP_OK, "text/event-stream", true);
+  api_write (waiter->request, out.data, out.len);
+  buf_release (&out);
+}
+
+static void
+send_whole (struct waiter *waiter, const struct answer *answer,
+            const struct ending *ending)
+{
+  json_t *root
+      = whole_answer (waiter->format, waiter->request->id, answer, ending);
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  json_decref (root);
+  api_begin (waiter->request, HTTP_OK, "application/json", false);
+  api_write (waiter->request, text, strlen (text));
+  free (text);
+}
+
+/* Gives WAITER the rest of the answer and its end; it is gone afterwards.  */
+static void
+finish_waiter (struct waiter *waiter, enum call_kind kind,
+               const struct answer *answer, const struct ending *ending)
+{
+  struct api_request *request = waiter->request;
+
+  api_set (&request->answer_cursor, ending->cursor);
+  api_set (&request->answer_program, ending->program);
+  if (kind == CALL_TOOL)
+    {
+      api_begin (request, answer->status, answer->content_type, false);
+      api_write (request, answer->text.data, answer->text.len);
+    }
+  else if (format_streams (waiter->format))
+    {
+      send_tokens (waiter, answer);
+      send_stream_end (waiter, answer, ending);
+    }
+  else
+    send_whole (waiter, answer, ending);
+  waiter_destroy (waiter);
+  api_end (request);
+}
+
+/* Gives WAITER an error instead of an answer, or behind the part of one that
+   it already has.  */
+static void
+fail_waiter (struct waiter *waiter, const struct error *error,
+             const char *cursor)
+{
+  struct api_request *request = waiter->request;
+  bool streaming = waiter->streaming;
+  char *text;
+  struct buf out = { 0 };
+
+  waiter_destroy (waiter);
+  if (cursor)
+    api_set (&request->answer_cursor, cursor);
+  if (!streaming)
+    {
+      api_respond_error (request, error);
+      return;
+    }
+  counter_refusal (error->kind);
+  text = error_to_json (error);
+  buf_printf (&out, "event: error\ndata: %s\n\n", text);
+  if (cursor)
+    buf_printf (&out, "event: cursor\ndata: {\"cursor\":\"%s\"}\n\n", cursor);
+  api_write (request, out.data, out.len);
+  buf_release (&out);
+  free (text);
+  api_end (request);
+}
+
+static void
+fail_all_waiters (struct call *call, const struct error *error,
+                  const char *cursor)
+{
+  while (call->waiters)
+    fail_waiter (call->waiters, error, cursor);
+}
+
+static void
+call_destroy (struct call *call)
+{
+  call_spec_release (&call->spec);
+  answer_release (&call->answer);
+  free (call->job.model);
+  free (call->job.customer);
+  free (call->program_id);
+  free (call->customer);
+  free (call);
+}
+
+/* Takes the call off its branch.  */
+static void
+release_branch (struct call *call)
+{
+  if (!call->branch)
+    return;
+  call->branch->call = NULL;
+  call->branch = NULL;
+  call->program->calls--;
+  call->program->programs->calls--;
+  call->program->used_ms = clock_now_ms ();
+}
+
+static struct budget_amount
+amount_used (const struct call *call)
+{
+  struct budget_amount used = { .calls = 1 };
+  const struct config_customer *customer
+      = config_customer (call->server->config, call->customer);
+
+  if (call->spec.kind == CALL_MODEL)
+    used.tokens = call->answer.token_count;
+  if (customer)
+    used.cost_micros = used.tokens * customer->params.cost_micros_per_token;
+  return used;
+}
+
+static void
+settle (struct call *call, struct budget_amount used)
+{
+  budget_settle (&call->program->budget, call->reserved, used);
+  call->reserved = (struct budget_amount){ 0 };
+}
+
+/* Ends a call that has changed nothing but its budget.  The same cursor stays
+   good.  */
+static void
+finish_refused (struct call *call, const struct error *error)
+{
+  struct budget_amount used = { 0 };
+
+  if (call->branch)
+    {
+      if (call->answer.token_count > 0)
+        used = amount_used (call);
+      settle (call, used);
+      turn_fail (&call->branch->state);
+      release_branch (call);
+    }
+  fail_all_waiters (call, error, NULL);
+  call_destroy (call);
+}
+
+/* Ends a call that has not got as far as its branch.  */
+void
+call_refuse (struct call *call, const struct error *error)
+{
+  finish_refused (call, error);
+}
+
+static void
+finish_answered (struct call *call)
+{
+  struct program_branch *branch = call->branch;
+  struct program *program = call->program;
+  char cursor[CURSOR_TEXT_BYTES];
+  struct ending ending = { .cursor = cursor,
+                           .program = program->id,
+                           .turn = branch->state.next_turn + 1,
+                           .copies = call->copies_kept,
+                           .usage = &call->usage };
+
+  turn_finish (&branch->state, call->hash_after);
+  settle (call, amount_used (call));
+  program->attained_tokens += call->answer.token_count;
+  counter_add (COUNTER_CALLS_FINISHED, 1);
+  program_seal_cursor (program, branch, cursor);
+  answer_release (&branch->last);
+  branch->last = call->answer;
+  call->answer = (struct answer){ 0 };
+  release_branch (call);
+  while (call->waiters)
+    finish_waiter (call->waiters, call->spec.kind, &branch->last, &ending);
+  call_destroy (call);
+}
+
+/* Ends a call whose outcome stays unknown: its turn is closed, so it can never
+   run under its cursor, and the caller goes on at the next one.  */
+static void
+finish_doubtful (struct call *call)
+{
+  struct program_branch *branch = call->branch;
+  char cursor[CURSOR_TEXT_BYTES];
+
+  turn_close (&branch->state, call->request_hash);
+  settle (call, (struct budget_amount){ .calls = 1 });
+  answer_release (&branch->last);
+  branch->last.error = call->doubt;
+  program_seal_cursor (call->program, branch, cursor);
+  release_branch (call);
+  fail_all_waiters (call, &call->doubt, cursor);
+  call_destroy (call);
+}
+
+static void
+handle_kept (void *data, uint32_t kept, uint32_t wanted)
+{
+  struct call *call = data;
+
+  call->copies_kept = kept;
+  if (kept < wanted)
+    log_write (LOG_WARN, "call",
+               &(struct log_ids){ .program = call->program_id,
+                                  .customer = call->customer },
+               "a turn has %u of %u copies", kept, wanted);
+  if (call->doubt.kind != ERROR_NONE)
+    finish_doubtful (call);
+  else
+    finish_answered (call);
+}
+
+static void
+record_messages (const struct call *call, struct buf *out)
+{
+  /* A chat request repeats the whole conversation; its hash is enough, since
+     the next one brings it along again.  */
+  if (call->spec.whole_messages)
+    buf_printf (out, "%016" PRIx64, call->request_hash);
+  else
+    buf_append (out, call->spec.messages.data, call->spec.messages.len);
+}
+
+/* Keeps the turn's copies; the answer ends once they are there.  */
+static void
+keep (struct call *call)
+{
+  struct program_branch *branch = call->branch;
+  History__Record record = HISTORY__RECORD__INIT;
+  History__Turn turn = HISTORY__TURN__INIT;
+  struct buf messages = { 0 };
+  bool doubtful = call->doubt.kind != ERROR_NONE;
+
+  call->state = CALL_KEEPING;
+  record_messages (call, &messages);
+  turn.branch = branch->number;
+  turn.turn = branch->state.next_turn;
+  turn.incarnation = call->program->incarnation;
+  turn.request_hash = call->request_hash;
+  turn.hash_before = branch->state.history_hash;
+  turn.hash_after = branch->state.history_hash;
+  turn.doubtful = doubtful;
+  if (!doubtful)
+    {
+      turn.messages.data = (uint8_t *)messages.data;
+      turn.messages.len = messages.len;
+      turn.answer.data = (uint8_t *)call->answer.text.data;
+      turn.answer.len = call->answer.text.len;
+      turn.content_type = call->answer.content_type;
+      turn.status = call->answer.status;
+      turn.is_message
+          = call->spec.kind == CALL_MODEL && !call->spec.whole_messages;
+      turn.tokens = call->answer.token_count;
+      turn.hash_after = history_turn_hash (
+          turn.hash_before, messages.data, messages.len,
+          call->answer.text.data, call->answer.text.len);
+      if (!call->spec.whole_messages)
+        history_append_turn (&branch->messages, &turn);
+    }
+  call->hash_after = turn.hash_after;
+  record.body_case = HISTORY__RECORD__BODY_TURN;
+  record.turn = &turn;
+  copies_append (call->server->copies, call->program_id, &record, handle_kept,
+                 call);
+  buf_release (&messages);
+}
+
+static void
+close_in_doubt (struct call *call, const struct error *error)
+{
+  call->doubt = *error;
+  keep (call);
+}
+
+static int64_t
+priority_of (const struct program *program)
+{
+  int64_t level = program->attained_tokens / PRIORITY_STEP_TOKENS;
+
+  return level < MAX_PRIORITY ? level : MAX_PRIORITY;
+}
+
+static void
+build_body (void *data, struct buf *body)
+{
+  struct call *call = data;
+  const struct buf *history = &call->branch->messages;
+
+  buf_append_str (body, "{\"model\":");
+  append_json_string (body, call->spec.model, strlen (call->spec.model));
+  buf_printf (body,
+              ",\"stream\":true,\"max_tokens\":%" PRId64
+              ",\"resume_from\":%" PRIu32 ",\"priority\":%" PRId64
+              ",\"program\":\"%s\",\"messages\":[",
+              call->max_tokens, call->answer.token_count,
+              priority_of (call->program), call->program_id);
+  if (!call->spec.whole_messages && history->len > 0)
+    {
+      buf_append (body, history->data, history->len);
+      if (call->spec.messages.len > 0)
+        buf_append (body, ",", 1);
+    }
+  buf_append (body, call->spec.messages.data, call->spec.messages.len);
+  buf_append_str (body, "]}");
+}
+
+static bool
+handle_job_token (void *data, const char *text, size_t len)
+{
+  struct call *call = data;
+
+  if (call->answer.token_count >= call->max_tokens)
+    return false;
+  counter_add (COUNTER_TOKENS, 1);
+  answer_append_token (&call->answer, text, len);
+  send_new_tokens (call);
+  return true;
+}
+
+static void
+handle_job_done (void *data, const struct engine_usage *usage)
+{
+  struct call *call = data;
+
+  call->job_submitted = false;
+  call->usage = *usage;
+  call->answer.status = HTTP_OK;
+  keep (call);
+}
+
+static void
+handle_job_failed (void *data, const struct error *error)
+{
+  struct call *call = data;
+
+  call->job_submitted = false;
+  finish_refused (call, error);
+}
+
+static void
+handle_service_answer (void *data, long status, const struct buf *body)
+{
+  struct call *call = data;
+
+  call->service = NULL;
+  call->answer.status = (unsigned)status;
+  call->answer.content_type = xstrdup ("application/json");
+  buf_append (&call->answer.text, body->data, body->len);
+  keep (call);
+}
+
+static void
+handle_service_failed (void *data, const struct error *error)
+{
+  struct call *call = data;
+
+  call->service = NULL;
+  if (error->run == RUN_NOT_RUN || call->spec.idempotent)
+    finish_refused (call, error);
+  else
+    close_in_doubt (call, error);
+}
+
+static void
+dispatch_model (struct call *call)
+{
+  const struct config_customer *customer
+      = config_customer (call->server->config, call->customer);
+  struct job *job = &call->job;
+
+  job->model = xstrdup (call->spec.model);
+  job->customer = xstrdup (call->customer);
+  job->program = call->program->hash;
+  job->fingerprint = id_hash64 (call->spec.messages.data,
+                                call->spec.messages.len,
+                                call->branch->state.history_hash);
+  job->prompt_tokens = (int64_t)(call->branch->messages.len
+                                 + call->spec.messages.len)
+                       / BYTES_PER_TOKEN;
+  job->fair.customer = call->program->customer_hash;
+  job->fair.weight = customer ? customer->params.weight : 1;
+  job->fair.attained = call->program->attained_tokens;
+  job->handlers = (struct job_handlers){ .build_body = build_body,
+                                         .handle_token = handle_job_token,
+                                         .handle_done = handle_job_done,
+                                         .handle_failed = handle_job_failed,
+                                         .data = call };
+  call->job_submitted = true;
+  dispatcher_submit (call->server->dispatcher, job);
+}
+
+/* The service sees the call's position as its request id, so that it can tell
+   a repetition too.  */
+static char *
+service_request_id (const struct call *call)
+{
+  return xasprintf ("%s-%" PRIu32 "-%" PRIu32, call->program_id,
+                    call->branch->number, call->cursor.turn);
+}
+
+static void
+dispatch_tool (struct call *call)
+{
+  char *request_id = service_request_id (call);
+  struct service_options options
+      = { .route = call->spec.route,
+          .method = call->spec.method,
+          .subpath = call->spec.subpath,
+          .content_type = call->spec.content_type,
+          .request_id = request_id,
+          .body = call->spec.body.data,
+          .body_len = call->spec.body.len,
+          .idempotent = call->spec.idempotent,
+          .timeout_ms = call->spec.timeout_ms,
+          .handle_answer = handle_service_answer,
+          .handle_failed = handle_service_failed,
+          .data = call };
+
+  call->service = service_start (call->server, &options);
+  free (request_id);
+}
+
+static void
+dispatch (struct call *call)
+{
+  call->state = CALL_RUNNING;
+  counter_add (COUNTER_CALLS_STARTED, 1);
+  if (call->spec.kind == CALL_MODEL)
+    dispatch_model (call);
+  else
+    dispatch_tool (call);
+}
+
+static void
+refuse_moved (struct call *call)
+{
+  struct error error;
+
+  error_set (&error, ERROR_PEER, RUN_NOT_RUN,
+             "another host has taken the program over; send the call again "
+             "with the same cursor");
+  error.retry_after_ms = BUSY_RETRY_MS;
+  finish_refused (call, &error);
+}
+
+/* The cursor promises a recorded intent.  Without the platform the turn is
+   closed unrun, and the next cursor promises none.  */
+static void
+handle_intent (void *data, enum journal_status status)
+{
+  struct call *call = data;
+  struct error error;
+
+  if (status == JOURNAL_RECORDED)
+    {
+      dispatch (call);
+      return;
+    }
+  if (status == JOURNAL_MOVED)
+    {
+      refuse_moved (call);
+      return;
+    }
+  error_set (&error, ERROR_PLATFORM, RUN_NOT_RUN,
+             "the platform is out, so the call could not be recorded; send "
+             "it again with the new cursor");
+  error.retry_after_ms = BUSY_RETRY_MS;
+  close_in_doubt (call, &error);
+}
+
+static void
+record_intent (struct call *call)
+{
+  if (call->spec.idempotent || !call->cursor.journaled)
+    {
+      dispatch (call);
+      return;
+    }
+  call->state = CALL_RECORDING;
+  journal_intent (call->server->journal, call->program_id,
+                  call->branch->number, call->cursor.turn, handle_intent,
+                  call);
+}
+
+static void
+refuse_budget (struct call *call)
+{
+  const struct budget *budget = &call->program->budget;
+  struct error error;
+
+  error_set (&error, ERROR_BUDGET_EXHAUSTED, RUN_NOT_RUN,
+             "the program has used %lld of %lld tokens and %lld of %lld "
+             "calls; open another program, or ask for a larger budget",
+             (long long)budget->spent.tokens, (long long)budget->limit.tokens,
+             (long long)budget->spent.calls, (long long)budget->limit.calls);
+  finish_refused (call, &error);
+}
+
+/* Returns the most that the call can use, cut at what the budget still has,
+   so that a program can use its budget up.  */
+static struct budget_amount
+amount_wanted (struct call *call)
+{
+  const struct config_customer *customer
+      = config_customer (call->server->config, call->customer);
+  const struct budget *budget = &call->program->budget;
+  int64_t price = customer ? customer->params.cost_micros_per_token : 0;
+  struct budget_amount amount = { .calls = 1 };
+  int64_t left
+      = budget->limit.tokens - budget->spent.tokens - budget->reserved.tokens;
+  int64_t money = budget->limit.cost_micros - budget->spent.cost_micros
+                  - budget->reserved.cost_micros;
+
+  if (call->spec.kind != CALL_MODEL)
+    return amount;
+  amount.tokens = call->spec.max_tokens;
+  if (customer && amount.tokens > customer->params.max_tokens_per_call)
+    amount.tokens = customer->params.max_tokens_per_call;
+  if (left > 0 && amount.tokens > left)
+    amount.tokens = left;
+  if (price > 0 && money >= price && amount.tokens > money / price)
+    amount.tokens = money / price;
+  amount.cost_micros = amount.tokens * price;
+  return amount;
+}
+
+static bool
+reserve (struct call *call)
+{
+  struct budget_amount amount = amount_wanted (call);
+
+  if (budget_reserve (&call->program->budget, amount) != BUDGET_OK)
+    return false;
+  call->reserved = amount;
+  call->max_tokens = amount.tokens;
+  return true;
+}
+
+static void
+refuse_platform (struct call *call)
+{
+  struct error error;
+
+  error_set (&error, ERROR_PLATFORM, RUN_NOT_RUN,
+             "the platform is out, so no more of the budget could be "
+             "granted; send the call again later with the same cursor");
+  error.retry_after_ms = UNKNOWN_RETRY_MS;
+  finish_refused (call, &error);
+}
+
+/* A program that was opened while the platform was out has no record there; it
+   may use its whole limit, and a takeover counts all of it as spent.  */
+static void
+handle_grant (void *data, enum journal_status status)
+{
+  struct call *call = data;
+  struct budget *budget = &call->program->budget;
+
+  if (status == JOURNAL_MOVED)
+    {
+      refuse_moved (call);
+      return;
+    }
+  if (status == JOURNAL_RECORDED)
+    {
+      budget_grant (budget, budget_next_grant (budget, amount_wanted (call)));
+      call->program->recorded = true;
+    }
+  else if (!call->program->recorded)
+    budget_grant (budget, budget->limit);
+  else
+    {
+      refuse_platform (call);
+      return;
+    }
+  if (reserve (call))
+    record_intent (call);
+  else
+    refuse_budget (call);
+}
+
+static void
+request_grant (struct call *call)
+{
+  struct budget *budget = &call->program->budget;
+
+  call->state = CALL_GRANTING;
+  journal_grant (call->server->journal, call->program_id,
+                 budget_next_grant (budget, amount_wanted (call)),
+                 handle_grant, call);
+}
+
+static void
+begin_budget (struct call *call)
+{
+  struct budget probe = call->program->budget;
+  enum budget_verdict verdict = budget_reserve (&probe, amount_wanted (call));
+  bool unrecorded = !call->program->recorded
+                    && !journal_is_down (call->server->journal);
+
+  if (verdict == BUDGET_EXHAUSTED)
+    refuse_budget (call);
+  else if (verdict == BUDGET_NEEDS_GRANT || unrecorded)
+    request_grant (call);
+  else if (reserve (call))
+    record_intent (call);
+}
+
+/* Makes the call the branch's call in flight.  */
+static void
+take_branch (struct call *call, struct program *program,
+             struct program_branch *branch)
+{
+  call->program = program;
+  call->branch = branch;
+  branch->call = call;
+  program->calls++;
+  program->programs->calls++;
+  turn_begin (&branch->state, call->request_hash);
+}
+
+/* What the processes that held the program before had recorded decides
+   whether the call is known not to have run.  */
+static void
+handle_resolved (void *data, const struct journal_taken *taken)
+{
+  struct call *call = data;
+  struct error error;
+
+  if (taken->status != JOURNAL_RECORDED)
+    {
+      error_set (&error, ERROR_OUTCOME_UNKNOWN, RUN_MAY_HAVE_RUN,
+                 "the platform is out, so whether the call ran is not known; "
+                 "ask again later with the same cursor");
+      error.retry_after_ms = UNKNOWN_RETRY_MS;
+      finish_refused (call, &error);
+      return;
+    }
+  budget_adopt (&call->program->budget, taken->granted);
+  if (call->cursor.journaled && taken->found && !taken->has_intent)
+    error_set (&error, ERROR_OUTCOME_UNKNOWN, RUN_NOT_RUN,
+               "the host that had the program is gone and had not run the "
+               "call; send it again with the new cursor");
+  else
+    error_set (&error, ERROR_OUTCOME_UNKNOWN, RUN_MAY_HAVE_RUN,
+               "the host that had the program is gone and may have run the "
+               "call; look whether it did, then go on with the new cursor");
+  error.retry_after_ms = BUSY_RETRY_MS;
+  close_in_doubt (call, &error);
+}
+
+static void
+resolve (struct call *call, struct program *program,
+         struct program_branch *branch)
+{
+  take_branch (call, program, branch);
+  call->state = CALL_RECORDING;
+  journal_take (call->server->journal, call->cursor.process, call->program_id,
+                call->cursor.branch, call->cursor.turn, handle_resolved, call);
+}
+
+static void
+refuse_kind (struct call *call, enum error_kind kind, enum run_state run,
+             uint32_t retry_after_ms, const char *message)
+{
+  struct error error;
+
+  error_set (&error, kind, run, "%s", message);
+  error.retry_after_ms = retry_after_ms;
+  finish_refused (call, &error);
+}
+
+static void
+join (struct call *call, struct call *running)
+{
+  while (call->waiters)
+    {
+      struct waiter *waiter = call->waiters;
+      struct api_request *request = waiter->request;
+      enum call_format format = waiter->format;
+
+      waiter_destroy (waiter);
+      waiter_add (running, request, format);
+    }
+  counter_add (COUNTER_CALLS_REPLAYED, 1);
+  call_destroy (call);
+  send_new_tokens (running);
+}
+
+static void
+replay (struct call *call, struct program *program,
+        struct program_branch *branch)
+{
+  char cursor[CURSOR_TEXT_BYTES];
+  struct engine_usage usage = { 0 };
+  struct ending ending = { .cursor = cursor,
+                           .program = program->id,
+                           .turn = branch->state.next_turn,
+                           .copies = COPIES_WANTED,
+                           .usage = &usage };
+
+  counter_add (COUNTER_CALLS_REPLAYED, 1);
+  program_seal_cursor (program, branch, cursor);
+  while (call->waiters)
+    finish_waiter (call->waiters, call->spec.kind, &branch->last, &ending);
+  call_destroy (call);
+}
+
+static void
+replay_doubt (struct call *call, struct program *program,
+              struct program_branch *branch)
+{
+  char cursor[CURSOR_TEXT_BYTES];
+
+  program_seal_cursor (program, branch, cursor);
+  fail_all_waiters (call, &branch->last.error, cursor);
+  call_destroy (call);
+}
+
+static void
+reload (struct call *call, struct program *program)
+{
+  if (call->reloaded)
+    {
+      refuse_kind (call, ERROR_HISTORY_UNAVAILABLE,
+                   call->spec.idempotent ? RUN_NOT_RUN : RUN_MAY_HAVE_RUN,
+                   UNKNOWN_RETRY_MS,
+                   "no copy of the history that the cursor follows can be "
+                   "reached; send the call again later");
+      return;
+    }
+  if (program && program->calls > 0)
+    {
+      refuse_kind (call, ERROR_BRANCH_BUSY, RUN_NOT_RUN, BUSY_RETRY_MS,
+                   "other calls of the program are in flight; send this one "
+                   "again when they have ended");
+      return;
+    }
+  if (program)
+    program_destroy (program);
+  load_start (call);
+}
+
+/* A chat request may come without a cursor: it then stands at the end of the
+   main branch.  */
+static void
+take_present_position (struct call *call, const struct program *program,
+                       const struct program_branch *branch)
+{
+  call->cursor = (struct cursor){ .program = program->hash,
+                                  .customer = program->customer_hash,
+                                  .turn = branch->state.next_turn,
+                                  .incarnation = program->incarnation,
+                                  .process = call->server->process,
+                                  .history_hash = branch->state.history_hash };
+}
+
+static void
+respond_branch (struct call *call, const struct program *program,
+                const struct program_branch *branch)
+{
+  char cursor[CURSOR_TEXT_BYTES];
+  char *body;
+
+  program_seal_cursor (program, branch, cursor);
+  body = xasprintf ("{\"program\":\"%s\",\"branch\":%" PRIu32
+                    ",\"cursor\":\"%s\"}",
+                    program->id, branch->number, cursor);
+  while (call->waiters)
+    {
+      struct waiter *waiter = call->waiters;
+      struct api_request *request = waiter->request;
+
+      waiter_destroy (waiter);
+      api_set (&request->answer_cursor, cursor);
+      api_respond (request, HTTP_CREATED, "application/json", body,
+                   strlen (body));
+    }
+  free (body);
+  call_destroy (call);
+}
+
+static void
+handle_branch_kept (void *data, uint32_t kept, uint32_t wanted)
+{
+  struct call *call = data;
+  struct program *program
+      = program_find (call->server->programs, call->program_id);
+  struct program_branch *branch
+      = program ? program_branch (program, call->spec.new_branch) : NULL;
+
+  if (branch)
+    respond_branch (call, program, branch);
+  else
+    refuse_kind (call, ERROR_PEER, RUN_NOT_RUN, BUSY_RETRY_MS,
+                 "another host has taken the program over; send the request "
+                 "again");
+}
+
+static void
+open_branch (struct call *call, struct program *program,
+             const struct program_branch *parent)
+{
+  struct program_branch *branch
+      = program_add_branch (program, call->spec.new_branch);
+  History__Record record = HISTORY__RECORD__INIT;
+  History__Branch opening = HISTORY__BRANCH__INIT;
+
+  branch->state.history_hash
+      = history_branch_seed (branch->number, call->cursor.history_hash);
+  branch->parent_hash = call->cursor.history_hash;
+  opening.branch = branch->number;
+  opening.parent = parent->number;
+  opening.parent_hash = branch->parent_hash;
+  if (call->spec.fork)
+    {
+      buf_append (&branch->messages, parent->messages.data,
+                  parent->messages.len);
+      opening.messages.data = (uint8_t *)parent->messages.data;
+      opening.messages.len = parent->messages.len;
+    }
+  record.body_case = HISTORY__RECORD__BODY_BRANCH;
+  record.branch = &opening;
+  copies_append (call->server->copies, program->id, &record,
+                 handle_branch_kept, call);
+}
+
+/* Opening a branch again, from the same cursor, gives the same branch.  */
+static void
+decide_branch (struct call *call, struct program *program,
+               const struct program_branch *parent)
+{
+  struct program_branch *branch
+      = program_branch (program, call->spec.new_branch);
+
+  if (branch && branch->parent_hash == call->cursor.history_hash
+      && branch->state.next_turn == 0)
+    respond_branch (call, program, branch);
+  else if (branch)
+    refuse_kind (call, ERROR_CONFLICT, RUN_NOT_RUN, 0,
+                 "the branch is in use; choose another number");
+  else if (turn_decide (&parent->state, &call->cursor, program->incarnation,
+                        true, call->request_hash)
+           != TURN_RUN)
+    refuse_kind (call, ERROR_STALE_CURSOR, RUN_NOT_RUN, BUSY_RETRY_MS,
+                 "the parent has gone on or has a call in flight; use its "
+                 "newest cursor");
+  else
+    open_branch (call, program, parent);
+}
+
+static void
+act (struct call *call, struct program *program,
+     struct program_branch *branch, enum turn_verdict verdict)
+{
+  switch (verdict)
+    {
+    case TURN_RUN:
+      take_branch (call, program, branch);
+      begin_budget (call);
+      break;
+    case TURN_RESOLVE:
+      resolve (call, program, branch);
+      break;
+    case TURN_JOIN:
+      join (call, branch->call);
+      break;
+    case TURN_REPLAY:
+      replay (call, program, branch);
+      break;
+    case TURN_DOUBTFUL:
+      replay_doubt (call, program, branch);
+      break;
+    case TURN_BUSY:
+      refuse_kind (call, ERROR_BRANCH_BUSY, RUN_NOT_RUN, BUSY_RETRY_MS,
+                   "another call of the branch is in flight; wait for its "
+                   "answer");
+      break;
+    case TURN_STALE:
+      refuse_kind (call, ERROR_STALE_CURSOR, RUN_NOT_RUN, 0,
+                   "a later call of the branch has run; use the newest "
+                   "cursor");
+      break;
+    case TURN_MISMATCH:
+      refuse_kind (call, ERROR_OUT_OF_ORDER, RUN_NOT_RUN, 0,
+                   "another call has run at this cursor; use the newest "
+                   "cursor");
+      break;
+    case TURN_RELOAD:
+      reload (call, program);
+      break;
+    }
+}
+
+static void
+decide (struct call *call)
+{
+  struct program *program
+      = program_find (call->server->programs, call->program_id);
+  struct program_branch *branch
+      = program ? program_branch (program, call->cursor.branch) : NULL;
+
+  if (program && strcmp (program->customer, call->customer) != 0)
+    {
+      refuse_kind (call, ERROR_NOT_FOUND, RUN_NOT_RUN, 0,
+                   "there is no such program; open one first");
+      return;
+    }
+  if (!branch)
+    {
+      if (call->reloaded)
+        reload (call, program);
+      else
+        load_start (call);
+      return;
+    }
+  if (!call->has_cursor)
+    take_present_position (call, program, branch);
+  if (call->spec.kind == CALL_BRANCH)
+    {
+      decide_branch (call, program, branch);
+      return;
+    }
+  act (call, program, branch,
+       turn_decide (&branch->state, &call->cursor, program->incarnation,
+                    call->spec.idempotent, call->request_hash));
+}
+
+/* Goes on with a call whose program has been loaded.  */
+void
+call_continue_loaded (struct call *call)
+{
+  call->reloaded = true;
+  decide (call);
+}
+
+/* Gives up a call in flight: what runs for it is cancelled, and its callers
+   are told WHY at once.  */
+void
+call_abandon (struct call *call, enum error_kind kind, const char *why)
+{
+  bool unsure = call->state == CALL_RUNNING || call->state == CALL_KEEPING;
+  struct error error;
+
+  if (call->job_submitted)
+    dispatcher_cancel (&call->job);
+  if (call->service)
+    service_cancel (call->service);
+  journal_cancel (call->server->journal, call);
+  copies_cancel (call->server->copies, call);
+  error_set (&error, kind, unsure ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN, "%s",
+             why);
+  finish_refused (call, &error);
+}
+
+static uint64_t
+hash_request (const struct call_spec *spec)
+{
+  uint64_t hash = id_hash64 (spec->messages.data, spec->messages.len,
+                             (uint64_t)spec->kind + 1);
+
+  if (spec->model)
+    hash = id_hash64 (spec->model, strlen (spec->model), hash);
+  if (spec->route)
+    hash = id_hash64 (spec->route, strlen (spec->route), hash);
+  if (spec->subpath)
+    hash = id_hash64 (spec->subpath, strlen (spec->subpath), hash);
+  hash = id_hash64 (&spec->max_tokens, sizeof spec->max_tokens, hash);
+  return id_hash64 (spec->body.data, spec->body.len, hash);
+}
+
+static bool
+check_cursor (struct call *call, const char *text, struct error *error)
+{
+  if (!cursor_open (&call->server->settings->keyring, text, &call->cursor,
+                    error))
+    return false;
+  if (call->cursor.program == id_hash_text (call->program_id)
+      && call->cursor.customer == id_hash_text (call->customer))
+    return true;
+  error_set (error, ERROR_BAD_REQUEST, RUN_NOT_RUN,
+             "the cursor belongs to another program; send the newest one of "
+             "this program");
+  return false;
+}
+
+/* Runs a call of PROGRAM_ID for REQUEST, which names its position by its
+   cursor.  SPEC's contents belong to the call from here on.  */
+void
+call_submit (struct api_request *request, struct call_spec *spec,
+             const char *program_id)
+{
+  struct call *call = xcalloc (1, sizeof *call);
+  struct error error;
+
+  call->server = request->server;
+  call->spec = *spec;
+  call->program_id = xstrdup (program_id);
+  call->customer = xstrdup (request->customer);
+  call->request_hash = hash_request (spec);
+  call->started_ms = clock_now_ms ();
+  waiter_add (call, request, spec->format);
+  if (request->cursor)
+    {
+      call->has_cursor = true;
+      if (!check_cursor (call, request->cursor, &error))
+        {
+          finish_refused (call, &error);
+          return;
+        }
+    }
+  else if (!spec->whole_messages)
+    {
+      refuse_kind (call, ERROR_BAD_REQUEST, RUN_NOT_RUN, 0,
+                   "X-Galena-Cursor is missing; send the newest cursor of "
+                   "the branch");
+      return;
+    }
+  decide (call);
+}
--- /dev/null
+++ b/program/open.c
@@ -0,0 +1,162 @@
+#include "program/open.h"
+#include "common/counters.h"
+#include "common/id.h"
+#include "galenashored/server.h"
+#include "program/copies.h"
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  MAX_ID_TRIES = 400,
+};
+
+/* A program that is being opened, until its record and its first grant are
+   kept.  */
+struct opening
+{
+  struct server *server;
+  char *program_id;
+  struct api_request *request; /* NULL once the caller has gone */
+  program_opened_handler *handle;
+  bool grant_done;
+  bool copies_done;
+  uint32_t kept;
+  uint32_t wanted;
+};
+
+static void
+opening_finish (struct opening *opening)
+{
+  struct program *program
+      = program_find (opening->server->programs, opening->program_id);
+  struct api_request *request = opening->request;
+  struct error error;
+
+  if (!opening->grant_done || !opening->copies_done)
+    return;
+  if (request)
+    {
+      request->user = NULL;
+      request->handle_gone = NULL;
+    }
+  if (program && opening->kept == 0 && opening->wanted > 0)
+    {
+      program_destroy (program);
+      program = NULL;
+    }
+  error_set (&error, ERROR_HISTORY_UNAVAILABLE, RUN_NOT_RUN,
+             "no host could keep the program's record; open it again");
+  if (request)
+    opening->handle (request, program, program ? NULL : &error);
+  free (opening->program_id);
+  free (opening);
+}
+
+static void
+handle_gone (struct api_request *request)
+{
+  ((struct opening *)request->user)->request = NULL;
+}
+
+static void
+handle_granted (void *data, enum journal_status status)
+{
+  struct opening *opening = data;
+  struct program *program
+      = program_find (opening->server->programs, opening->program_id);
+
+  opening->grant_done = true;
+  if (program && status == JOURNAL_RECORDED)
+    {
+      struct budget_amount none = { 0 };
+
+      budget_grant (&program->budget,
+                    budget_next_grant (&program->budget, none));
+      program->recorded = true;
+    }
+  opening_finish (opening);
+}
+
+static void
+handle_kept (void *data, uint32_t kept, uint32_t wanted)
+{
+  struct opening *opening = data;
+
+  opening->copies_done = true;
+  opening->kept = kept;
+  opening->wanted = wanted;
+  opening_finish (opening);
+}
+
+/* Picks an id that this host owns, so that the program's calls need not be
+   passed on while the balancer keeps its caller here.  */
+static void
+pick_id (struct server *server, char out[PROGRAM_ID_BYTES])
+{
+  for (int i = 0; i < MAX_ID_TRIES; i++)
+    {
+      const struct config_host *owner;
+
+      program_make_id (server, out);
+      owner = server_owner (server, out);
+      if (!owner || server_is_self (server, owner))
+        return;
+    }
+}
+
+static void
+keep_open_record (struct opening *opening, const struct program *program)
+{
+  History__Record record = HISTORY__RECORD__INIT;
+  History__Open open = HISTORY__OPEN__INIT;
+
+  open.program = program->id;
+  open.customer = program->customer;
+  open.opened_ms = program->opened_ms;
+  open.budget_tokens = program->budget.limit.tokens;
+  open.budget_calls = program->budget.limit.calls;
+  open.budget_cost_micros = program->budget.limit.cost_micros;
+  record.body_case = HISTORY__RECORD__BODY_OPEN;
+  record.open = &open;
+  copies_append (opening->server->copies, program->id, &record, handle_kept,
+                 opening);
+}
+
+/* Opens a program for REQUEST's customer.  HANDLE is not called where the
+   caller has gone meanwhile.  */
+void
+program_open (struct api_request *request, program_opened_handler *handle)
+{
+  struct server *server = request->server;
+  const struct config_customer *customer
+      = config_customer (server->config, request->customer);
+  struct budget_amount none = { 0 };
+  char id[PROGRAM_ID_BYTES];
+  struct opening *opening;
+  struct program *program;
+  struct error error;
+
+  if (!customer)
+    {
+      error_set (&error, ERROR_FORBIDDEN, RUN_NOT_RUN,
+                 "the customer does not exist any more; ask the operator");
+      handle (request, NULL, &error);
+      return;
+    }
+  pick_id (server, id);
+  program = program_create (server->programs, id, customer);
+  program_add_branch (program, 0);
+  counter_add (COUNTER_PROGRAMS_OPENED, 1);
+  opening = xcalloc (1, sizeof *opening);
+  opening->server = server;
+  opening->program_id = xstrdup (id);
+  opening->request = request;
+  opening->handle = handle;
+  request->user = opening;
+  request->handle_gone = handle_gone;
+  keep_open_record (opening, program);
+  journal_grant (server->journal, id,
+                 budget_next_grant (&program->budget, none), handle_granted,
+                 opening);
+}
