--- /dev/null
+++ b/galenactl/client.c
@@ -0,0 +1,214 @@
+#include "galenactl/command.h"
+#include "platform/config.h"
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 2000,
+  TIMEOUT_MS = 10000,
+  HTTP_OK = 200,
+  HTTP_NOT_FOUND = 404,
+  HTTP_CONFLICT = 409,
+  MAX_TRIES = 5,
+};
+
+/* Prints an error.  Returns the exit status for it.  */
+int
+ctl_fail (const char *format, ...)
+{
+  va_list args;
+
+  fputs ("galenactl: ", stderr);
+  va_start (args, format);
+  vfprintf (stderr, format, args);
+  va_end (args);
+  fputc ('\n', stderr);
+  return CTL_FAILED;
+}
+
+static size_t
+handle_bytes (char *bytes, size_t size, size_t count, void *data)
+{
+  buf_append (data, bytes, size * count);
+  return size * count;
+}
+
+/* Makes one HTTP request.  BEARER and BODY may be NULL.  The caller frees the
+   answer's body.  */
+struct ctl_answer
+ctl_request (const char *method, const char *url, const char *bearer,
+             const json_t *body)
+{
+  CURL *easy = curl_easy_init ();
+  struct curl_slist *headers
+      = curl_slist_append (NULL, "Content-Type: application/json");
+  char *text = body ? json_dumps (body, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
+  char *authorization
+      = bearer ? xasprintf ("Authorization: Bearer %s", bearer) : NULL;
+  struct buf received = { 0 };
+  struct ctl_answer answer = { 0 };
+  long request_bytes = 0;
+
+  if (authorization)
+    headers = curl_slist_append (headers, authorization);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, handle_bytes);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, &received);
+  if (text || strcmp (method, "POST") == 0)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, text ? text : "");
+  if (curl_easy_perform (easy) == CURLE_OK)
+    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &answer.status);
+  curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  answer.sent = request_bytes > 0;
+  if (received.data)
+    answer.body = json_loadb (received.data, received.len, 0, NULL);
+  buf_release (&received);
+  curl_slist_free_all (headers);
+  curl_easy_cleanup (easy);
+  free (authorization);
+  free (text);
+  return answer;
+}
+
+/* Asks the operator listener at ADDRESS, or the one of the options where that
+   is NULL.  */
+struct ctl_answer
+ctl_operator (const struct ctl *ctl, const char *address, const char *method,
+              const char *path)
+{
+  char *url = xasprintf (
+      "http://%s%s", address ? address : ctl->operator_address, path);
+  struct ctl_answer answer
+      = ctl_request (method, url, ctl->operator_key, NULL);
+
+  free (url);
+  return answer;
+}
+
+/* Lists the objects of KINDS.  The caller frees the array; NULL where the
+   platform does not answer.  */
+json_t *
+ctl_list (const struct ctl *ctl, const char *kinds)
+{
+  char *url = xasprintf ("%s/objects?kinds=%s", ctl->platform_url, kinds);
+  struct ctl_answer answer = ctl_request ("GET", url, NULL, NULL);
+  json_t *objects = NULL;
+
+  free (url);
+  if (answer.status == HTTP_OK)
+    objects = json_incref (json_object_get (answer.body, "objects"));
+  else
+    ctl_fail ("the platform at %s does not answer; check --platform",
+              ctl->platform_url);
+  json_decref (answer.body);
+  return objects;
+}
+
+/* Reads one object.  The caller frees it; NULL where there is none.  */
+json_t *
+ctl_get (const struct ctl *ctl, const char *kind, const char *name)
+{
+  char *url = xasprintf ("%s/objects/%s/%s", ctl->platform_url, kind, name);
+  struct ctl_answer answer = ctl_request ("GET", url, NULL, NULL);
+
+  free (url);
+  if (answer.status == HTTP_OK)
+    return answer.body;
+  if (answer.status != HTTP_NOT_FOUND)
+    ctl_fail ("the platform at %s does not answer; check --platform",
+              ctl->platform_url);
+  json_decref (answer.body);
+  return NULL;
+}
+
+/* Returns an object's version, 0 for NULL.  */
+uint64_t
+ctl_version (const json_t *object)
+{
+  return (uint64_t)json_integer_value (json_object_get (object, "version"));
+}
+
+/* The answer was lost: the write has taken effect if what stands there is what
+   was written, at a later version.  */
+static bool
+took_effect (const struct ctl *ctl, const char *kind, const char *name,
+             uint64_t version, const json_t *data, uint64_t *written)
+{
+  json_t *object = ctl_get (ctl, kind, name);
+  bool same = object && ctl_version (object) > version
+              && json_equal (json_object_get (object, "data"), data);
+
+  if (same && written)
+    *written = ctl_version (object);
+  json_decref (object);
+  return same;
+}
+
+/* Writes DATA where the object still has VERSION; 0 creates it.  The object is
+   checked first.  Prints what is wrong and returns false otherwise.  */
+bool
+ctl_put (const struct ctl *ctl, const char *kind, const char *name,
+         uint64_t version, const json_t *data, uint64_t *written)
+{
+  char *url;
+  struct error error;
+  struct ctl_answer answer = { 0 };
+  bool done = false;
+
+  if (!config_check_object (kind, name, data, &error))
+    {
+      ctl_fail ("%s", error.message);
+      return false;
+    }
+  url = xasprintf ("%s/objects/%s/%s?version=%" PRIu64, ctl->platform_url,
+                   kind, name, version);
+  for (int i = 0; i < MAX_TRIES && !done; i++)
+    {
+      answer = ctl_request ("PUT", url, NULL, data);
+      done = answer.status == HTTP_OK;
+      if (done && written)
+        *written = ctl_version (answer.body);
+      json_decref (answer.body);
+      if (!done && took_effect (ctl, kind, name, version, data, written))
+        done = true;
+      if (answer.status == HTTP_CONFLICT)
+        break;
+    }
+  free (url);
+  if (!done)
+    ctl_fail (answer.status == HTTP_CONFLICT
+                  ? "%s \"%s\" was changed by somebody else meanwhile; look "
+                    "at it and try again"
+                  : "%s \"%s\" was not written: the platform does not answer; "
+                    "try again",
+              kind, name);
+  return done;
+}
+
+/* Deletes an object that still has VERSION.  */
+bool
+ctl_delete (const struct ctl *ctl, const char *kind, const char *name,
+            uint64_t version)
+{
+  char *url = xasprintf ("%s/objects/%s/%s?version=%" PRIu64,
+                         ctl->platform_url, kind, name, version);
+  struct ctl_answer answer = ctl_request ("DELETE", url, NULL, NULL);
+
+  free (url);
+  json_decref (answer.body);
+  if (answer.status == HTTP_OK)
+    return true;
+  ctl_fail ("%s \"%s\" was not deleted (status %ld); look at it and try again",
+            kind, name, answer.status);
+  return false;
+}
--- /dev/null
+++ b/galenactl/hosts.c
@@ -0,0 +1,233 @@
+#include "galenactl/command.h"
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  HTTP_OK = 200,
+  HTTP_ACCEPTED = 202,
+  POLL_US = 100000,
+  DEFAULT_WAIT_S = 30,
+  US_PER_S = 1000000,
+};
+
+static const char *
+operator_of (const json_t *host)
+{
+  return json_string_value (json_object_get (json_object_get (host, "data"),
+                                             "operator_address"));
+}
+
+static json_t *
+status_of (const struct ctl *ctl, const json_t *host)
+{
+  const char *address = operator_of (host);
+  struct ctl_answer answer;
+
+  if (!address)
+    return NULL;
+  answer = ctl_operator (ctl, address, "GET", "/status");
+  if (answer.status == HTTP_OK)
+    return answer.body;
+  json_decref (answer.body);
+  return NULL;
+}
+
+static int
+list (struct ctl *ctl)
+{
+  static const char *const titles[]
+      = { "HOST", "DATA CENTRE", "STATE", "REVISION", "OPERATORS" };
+  json_t *hosts = ctl_list (ctl, "host");
+  json_t *rows = json_array ();
+  json_t *host;
+  size_t i;
+
+  json_array_foreach (hosts, i, host)
+  {
+    const json_t *data = json_object_get (host, "data");
+    json_t *status = status_of (ctl, host);
+    char *revision = xasprintf (
+        "%lld", (long long)json_integer_value (
+                    json_object_get (status, "applied_revision")));
+    const char *state = !status ? "does not answer"
+                        : json_is_true (json_object_get (status, "stopping"))
+                            ? "stopping"
+                            : "serving";
+
+    json_array_append_new (
+        rows, json_pack ("[O, O, s, s, O]", json_object_get (host, "name"),
+                         json_object_get (data, "data_centre"), state,
+                         status ? revision : "-",
+                         json_object_get (data, "operator_address")));
+    free (revision);
+    json_decref (status);
+  }
+  if (ctl->json)
+    ctl_print_json (rows);
+  else if (hosts)
+    ctl_print_table (titles, 5, rows);
+  json_decref (rows);
+  json_decref (hosts);
+  return hosts ? CTL_OK : CTL_FAILED;
+}
+
+/* A removed host counts as gone: its slots go to others.  */
+static int
+remove_host (struct ctl *ctl, const char *name)
+{
+  json_t *host = ctl_get (ctl, "host", name);
+  json_t *status;
+  bool removed;
+
+  if (!host)
+    return ctl_fail ("there is no host \"%s\"; see galenactl host list", name);
+  status = status_of (ctl, host);
+  if (status)
+    {
+      json_decref (status);
+      json_decref (host);
+      return ctl_fail ("host \"%s\" still answers; drain it instead", name);
+    }
+  removed = ctl_delete (ctl, "host", name, ctl_version (host));
+  json_decref (host);
+  return removed ? CTL_OK : CTL_FAILED;
+}
+
+/* galenactl host: lists the hosts, and removes one that is gone.  */
+int
+ctl_host (struct ctl *ctl, int argc, char **argv)
+{
+  if (argc == 1 && strcmp (argv[0], "list") == 0)
+    return list (ctl);
+  if (argc == 2 && strcmp (argv[0], "remove") == 0)
+    return remove_host (ctl, argv[1]);
+  return ctl_usage ("host", "list | remove NAME");
+}
+
+static int
+drain_endpoint (struct ctl *ctl, const char *name)
+{
+  json_t *object = ctl_get (ctl, "endpoint", name);
+  json_t *data;
+  bool written;
+
+  if (!object)
+    return ctl_fail ("there is no endpoint \"%s\"", name);
+  data = json_deep_copy (json_object_get (object, "data"));
+  json_object_set_new (data, "leaving", json_true ());
+  written = ctl_put (ctl, "endpoint", name, ctl_version (object), data, NULL);
+  json_decref (data);
+  json_decref (object);
+  if (written)
+    printf ("endpoint \"%s\" gets no new work\n", name);
+  return written ? CTL_OK : CTL_FAILED;
+}
+
+/* galenactl drain: a planned stop of a host, or no new work for an
+   endpoint.  */
+int
+ctl_drain (struct ctl *ctl, int argc, char **argv)
+{
+  json_t *host;
+  struct ctl_answer answer = { 0 };
+
+  if (argc == 2 && strcmp (argv[0], "endpoint") == 0)
+    return drain_endpoint (ctl, argv[1]);
+  if (argc != 1)
+    return ctl_usage ("drain", "HOST | endpoint NAME");
+  host = ctl_get (ctl, "host", argv[0]);
+  if (host && operator_of (host))
+    answer = ctl_operator (ctl, operator_of (host), "POST", "/drain");
+  json_decref (answer.body);
+  json_decref (host);
+  if (answer.status != HTTP_ACCEPTED)
+    return ctl_fail ("host \"%s\" did not take it; see galenactl host list",
+                     argv[0]);
+  printf ("host \"%s\" is stopping; it ends once nothing is under way\n",
+          argv[0]);
+  return CTL_OK;
+}
+
+static uint64_t
+highest_version (const struct ctl *ctl)
+{
+  json_t *objects
+      = ctl_list (ctl, "template,customer,key,endpoint,route");
+  uint64_t highest = 0;
+  size_t i;
+  json_t *object;
+
+  json_array_foreach (objects, i, object) if (ctl_version (object) > highest)
+      highest
+      = ctl_version (object);
+  json_decref (objects);
+  return highest;
+}
+
+/* Returns how many hosts are behind REVISION, and prints them where PRINT.  */
+static size_t
+count_behind (const struct ctl *ctl, uint64_t revision, bool print)
+{
+  json_t *hosts = ctl_list (ctl, "host");
+  size_t behind = hosts ? 0 : 1;
+  size_t i;
+  json_t *host;
+
+  json_array_foreach (hosts, i, host)
+  {
+    json_t *status = status_of (ctl, host);
+    uint64_t applied = (uint64_t)json_integer_value (
+        json_object_get (status, "applied_revision"));
+
+    if (!status || applied < revision)
+      {
+        behind++;
+        if (print)
+          printf ("%s %s\n",
+                  json_string_value (json_object_get (host, "name")),
+                  status ? "is behind" : "does not answer");
+      }
+    json_decref (status);
+  }
+  json_decref (hosts);
+  return behind;
+}
+
+/* galenactl wait: returns once a revision is in force on every host.  */
+int
+ctl_wait (struct ctl *ctl, int argc, char **argv)
+{
+  uint64_t revision = 0;
+  int64_t left_us = (int64_t)DEFAULT_WAIT_S * US_PER_S;
+
+  for (int i = 0; i + 1 < argc; i += 2)
+    {
+      if (strcmp (argv[i], "--revision") == 0)
+        revision = strtoull (argv[i + 1], NULL, 10);
+      else if (strcmp (argv[i], "--timeout-s") == 0)
+        left_us = strtoll (argv[i + 1], NULL, 10) * US_PER_S;
+      else
+        return ctl_usage ("wait", "[--revision N] [--timeout-s S]");
+    }
+  if (argc % 2 != 0)
+    return ctl_usage ("wait", "[--revision N] [--timeout-s S]");
+  if (revision == 0)
+    revision = highest_version (ctl);
+  for (; left_us > 0; left_us -= POLL_US)
+    {
+      if (count_behind (ctl, revision, false) == 0)
+        {
+          printf ("revision %llu is in force on every host\n",
+                  (unsigned long long)revision);
+          return CTL_OK;
+        }
+      usleep (POLL_US);
+    }
+  count_behind (ctl, revision, true);
+  return ctl_fail ("revision %llu is not in force everywhere",
+                   (unsigned long long)revision);
+}
--- /dev/null
+++ b/galenactl/main.c
@@ -0,0 +1,164 @@
+#include "galenactl/command.h"
+#include "galenashored/settings.h"
+#include <curl/curl.h>
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char DEFAULT_OPERATOR[] = "127.0.0.1:9090";
+
+/* Sorted by name. */
+static const struct ctl_command commands[] = {
+  { "apply", "-f FILE", ctl_apply },
+  { "counters", "", ctl_counters },
+  { "customer", "list | show NAME | set NAME FIELD=VALUE... | delete NAME",
+    ctl_customer },
+  { "diff", "-f FILE", ctl_diff },
+  { "drain", "HOST | endpoint NAME", ctl_drain },
+  { "dump", "[--programs]", ctl_dump },
+  { "endpoint", "list | show NAME | set NAME FIELD=VALUE... | delete NAME",
+    ctl_endpoint },
+  { "fleet-key", "[--add FILE]", ctl_fleet_key },
+  { "host", "list | remove NAME", ctl_host },
+  { "key", "create CUSTOMER | list | withdraw ID [--here]", ctl_key },
+  { "program", "list | show ID | cancel ID", ctl_program },
+  { "route", "list | show NAME | set NAME FIELD=VALUE... | delete NAME",
+    ctl_route },
+  { "status", "", ctl_status },
+  { "template", "list | show NAME | set NAME FIELD=VALUE... | delete NAME",
+    ctl_template },
+  { "wait", "[--revision N] [--timeout-s S]", ctl_wait },
+};
+
+enum
+{
+  COMMAND_COUNT = sizeof commands / sizeof *commands,
+};
+
+static int
+compare_command (const void *name, const void *command)
+{
+  return strcmp (name, ((const struct ctl_command *)command)->name);
+}
+
+static void
+list_commands (void)
+{
+  for (size_t i = 0; i < COMMAND_COUNT; i++)
+    fprintf (stderr, "  galenactl %s %s\n", commands[i].name,
+             commands[i].usage);
+}
+
+/* Prints how COMMAND is used.  Returns the exit status for it.  */
+int
+ctl_usage (const char *command, const char *usage)
+{
+  fprintf (stderr, "galenactl: usage: galenactl %s %s\n", command, usage);
+  return CTL_USAGE;
+}
+
+static int
+run (struct ctl *ctl, int argc, char **argv)
+{
+  const struct ctl_command *command;
+
+  if (argc < 1)
+    {
+      fputs ("galenactl: name a command:\n", stderr);
+      list_commands ();
+      return CTL_USAGE;
+    }
+  command = bsearch (argv[0], commands, COMMAND_COUNT, sizeof *commands,
+                     compare_command);
+  if (command)
+    return command->run (ctl, argc - 1, argv + 1);
+  fprintf (stderr, "galenactl: there is no command \"%s\"; use one of:\n",
+           argv[0]);
+  list_commands ();
+  return CTL_USAGE;
+}
+
+static void
+default_text (char **slot, const char *variable, const char *fallback)
+{
+  const char *value = getenv (variable);
+
+  if (!*slot)
+    *slot = xstrdup (value ? value : fallback);
+}
+
+static bool
+read_operator_key (struct ctl *ctl, const char *path)
+{
+  struct error error;
+
+  if (!path)
+    return true;
+  ctl->operator_key = settings_read_text (path, true, &error);
+  if (!ctl->operator_key)
+    {
+      fprintf (stderr, "galenactl: %s\n", error.message);
+      return false;
+    }
+  ctl->operator_key[strcspn (ctl->operator_key, "\r\n")] = '\0';
+  return true;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct ctl ctl = { 0 };
+  gboolean show_version = FALSE;
+  gboolean as_json = FALSE;
+  char *key_file = NULL;
+  GOptionEntry entries[] = {
+    { "platform", 'p', 0, G_OPTION_ARG_STRING, &ctl.platform_url,
+      "The platform's object API (or GALENA_PLATFORM)", "URL" },
+    { "operator", 'o', 0, G_OPTION_ARG_STRING, &ctl.operator_address,
+      "A host's operator listener (or GALENA_OPERATOR)", "IP:PORT" },
+    { "operator-key-file", 'k', 0, G_OPTION_ARG_FILENAME, &key_file,
+      "File with the operator key (or GALENA_OPERATOR_KEY_FILE)", "FILE" },
+    { "json", 'j', 0, G_OPTION_ARG_NONE, &as_json,
+      "Print JSON instead of tables", NULL },
+    { "version", 'V', 0, G_OPTION_ARG_NONE, &show_version,
+      "Print the version and exit", NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  GOptionContext *context
+      = g_option_context_new ("COMMAND... - drives galenashore");
+  GError *problem = NULL;
+  int status = CTL_USAGE;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  g_option_context_set_strict_posix (context, TRUE);
+  if (!g_option_context_parse (context, &argc, &argv, &problem))
+    {
+      fprintf (stderr, "galenactl: %s; see --help\n", problem->message);
+      g_error_free (problem);
+      goto out;
+    }
+  if (show_version)
+    {
+      puts ("galenactl " GALENA_VERSION);
+      status = CTL_OK;
+      goto out;
+    }
+  if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
+    goto out;
+  ctl.json = as_json;
+  default_text (&ctl.platform_url, "GALENA_PLATFORM",
+                "http://127.0.0.1:7000");
+  default_text (&ctl.operator_address, "GALENA_OPERATOR", DEFAULT_OPERATOR);
+  if (read_operator_key (&ctl, key_file ? key_file
+                                        : getenv ("GALENA_OPERATOR_KEY_FILE")))
+    status = run (&ctl, argc - 1, argv + 1);
+out:
+  g_option_context_free (context);
+  g_free (key_file);
+  free (ctl.platform_url);
+  free (ctl.operator_address);
+  free (ctl.operator_key);
+  return status;
+}
--- /dev/null
+++ b/galenactl/state.c
@@ -0,0 +1,211 @@
+#include "galenactl/command.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HTTP_OK = 200,
+};
+
+static json_t *
+read_state (struct ctl *ctl, const char *path)
+{
+  struct ctl_answer answer = ctl_operator (ctl, NULL, "GET", path);
+
+  if (answer.status == HTTP_OK)
+    return answer.body;
+  json_decref (answer.body);
+  ctl_fail ("the host at %s does not answer (status %ld); check --operator "
+            "and --operator-key-file",
+            ctl->operator_address, answer.status);
+  return NULL;
+}
+
+static int
+print_state (struct ctl *ctl, const char *path)
+{
+  json_t *state = read_state (ctl, path);
+
+  if (!state)
+    return CTL_FAILED;
+  ctl_print_json (state);
+  json_decref (state);
+  return CTL_OK;
+}
+
+/* galenactl counters: a host's counters.  */
+int
+ctl_counters (struct ctl *ctl, int argc, char **argv)
+{
+  return argc == 0 ? print_state (ctl, "/counters")
+                   : ctl_usage ("counters", "");
+}
+
+/* galenactl dump: a host's whole state.  */
+int
+ctl_dump (struct ctl *ctl, int argc, char **argv)
+{
+  if (argc == 1 && strcmp (argv[0], "--programs") == 0)
+    return print_state (ctl, "/dump?programs=1");
+  return argc == 0 ? print_state (ctl, "/dump")
+                   : ctl_usage ("dump", "[--programs]");
+}
+
+/* galenactl status: what a host is doing.  */
+int
+ctl_status (struct ctl *ctl, int argc, char **argv)
+{
+  return argc == 0 ? print_state (ctl, "/status") : ctl_usage ("status", "");
+}
+
+static json_t *
+held_programs (const struct ctl *ctl, const char *address)
+{
+  struct ctl_answer answer
+      = ctl_operator (ctl, address, "GET", "/dump?programs=1");
+  json_t *list = json_incref (json_object_get (
+      json_object_get (answer.body, "programs"), "programs"));
+
+  json_decref (answer.body);
+  return list;
+}
+
+typedef bool host_visitor (struct ctl *ctl, const char *host,
+                           const char *address, void *data);
+
+/* Visits each host until VISIT returns true.  */
+static bool
+each_host (struct ctl *ctl, host_visitor *visit, void *data)
+{
+  json_t *hosts = ctl_list (ctl, "host");
+  bool done = false;
+  size_t i;
+  json_t *host;
+
+  json_array_foreach (hosts, i, host)
+  {
+    const char *address = json_string_value (json_object_get (
+        json_object_get (host, "data"), "operator_address"));
+
+    if (!done && address)
+      done = visit (ctl, json_string_value (json_object_get (host, "name")),
+                    address, data);
+  }
+  json_decref (hosts);
+  return done;
+}
+
+static bool
+collect (struct ctl *ctl, const char *host, const char *address, void *data)
+{
+  json_t *list = held_programs (ctl, address);
+  size_t i;
+  json_t *program;
+
+  json_array_foreach (list, i, program)
+  {
+    json_object_set_new (program, "host", json_string (host));
+    json_array_append (data, program);
+  }
+  json_decref (list);
+  return false;
+}
+
+static void
+print_programs (const json_t *programs)
+{
+  static const char *const titles[]
+      = { "PROGRAM", "CUSTOMER", "HOST", "TOKENS", "CALLS" };
+  json_t *rows = json_array ();
+  size_t i;
+  json_t *program;
+
+  json_array_foreach (programs, i, program)
+  {
+    const json_t *spent = json_object_get (program, "spent");
+    char *tokens = xasprintf (
+        "%lld",
+        (long long)json_integer_value (json_object_get (spent, "tokens")));
+    char *calls = xasprintf (
+        "%lld",
+        (long long)json_integer_value (json_object_get (spent, "calls")));
+
+    json_array_append_new (
+        rows, json_pack ("[O, O, O, s, s]",
+                         json_object_get (program, "program"),
+                         json_object_get (program, "customer"),
+                         json_object_get (program, "host"), tokens, calls));
+    free (tokens);
+    free (calls);
+  }
+  ctl_print_table (titles, 5, rows);
+  json_decref (rows);
+}
+
+static int
+list (struct ctl *ctl)
+{
+  json_t *programs = json_array ();
+
+  each_host (ctl, collect, programs);
+  if (ctl->json)
+    ctl_print_json (programs);
+  else
+    print_programs (programs);
+  json_decref (programs);
+  return CTL_OK;
+}
+
+static int
+show (struct ctl *ctl, const char *id)
+{
+  json_t *programs = json_array ();
+  size_t i;
+  json_t *program;
+  int status = CTL_FAILED;
+
+  each_host (ctl, collect, programs);
+  json_array_foreach (programs, i, program)
+  {
+    const char *found
+        = json_string_value (json_object_get (program, "program"));
+
+    if (!found || strcmp (found, id) != 0)
+      continue;
+    ctl_print_json (program);
+    status = CTL_OK;
+  }
+  json_decref (programs);
+  return status == CTL_OK
+             ? status
+             : ctl_fail ("no host that answers holds program \"%s\"", id);
+}
+
+static bool
+cancel_at (struct ctl *ctl, const char *host, const char *address, void *data)
+{
+  char *path = xasprintf ("/cancel?program=%s", (const char *)data);
+  struct ctl_answer answer = ctl_operator (ctl, address, "POST", path);
+
+  free (path);
+  json_decref (answer.body);
+  return answer.status == HTTP_OK;
+}
+
+/* galenactl program: lists, shows and ends programs.  */
+int
+ctl_program (struct ctl *ctl, int argc, char **argv)
+{
+  if (argc == 1 && strcmp (argv[0], "list") == 0)
+    return list (ctl);
+  if (argc == 2 && strcmp (argv[0], "show") == 0)
+    return show (ctl, argv[1]);
+  if (argc == 2 && strcmp (argv[0], "cancel") == 0)
+    {
+      if (each_host (ctl, cancel_at, argv[1]))
+        return CTL_OK;
+      return ctl_fail ("no host that answers holds program \"%s\"", argv[1]);
+    }
+  return ctl_usage ("program", "list | show ID | cancel ID");
+}
