--- a/caller/body.c
+++ b/caller/body.c
@@ -58,9 +58,8 @@
 
 /* Makes the spec of a model call.  The caller frees it also on false.  */
 bool
-body_to_model_spec (struct api_request *request,
-                    const struct model_body *body, struct call_spec *spec,
-                    struct error *error)
+body_to_model_spec (struct api_request *request, const struct model_body *body,
+                    struct call_spec *spec, struct error *error)
 {
   const struct config_customer *customer
       = config_customer (request->server->config, request->customer);
@@ -102,11 +101,10 @@
       return false;
     }
   spec->method = xstrdup (request->method);
-  spec->idempotent
-      = route->idempotent || strcmp (request->method, "GET") == 0;
+  spec->idempotent = route->idempotent || strcmp (request->method, "GET") == 0;
   spec->timeout_ms = route->timeout_ms;
-  spec->content_type = xstrdup (
-      request->content_type ? request->content_type : "application/json");
+  spec->content_type = xstrdup (request->content_type ? request->content_type
+                                                      : "application/json");
   spec->body = request->body;
   request->body = (struct buf){ 0 };
   return true;
--- a/caller/call.c
+++ b/caller/call.c
@@ -42,10 +42,10 @@
   struct call_spec spec = { 0 };
   json_t *root = NULL;
   struct error error;
-  bool ok = body_parse (request, &root, &error)
-            && fields_read (root, call_fields, FIELD_COUNT, "call", &body,
-                            &error)
-            && body_to_model_spec (request, &body, &spec, &error);
+  bool ok
+      = body_parse (request, &root, &error)
+        && fields_read (root, call_fields, FIELD_COUNT, "call", &body, &error)
+        && body_to_model_spec (request, &body, &spec, &error);
 
   spec.format = body.stream ? CALL_EVENTS : CALL_WHOLE;
   json_decref (root);
--- a/caller/listener.c
+++ b/caller/listener.c
@@ -309,7 +309,8 @@
       routes_enter (&entry->request);
       return;
     }
-  /* The entry may be gone once this returns, but only where it answers NULL. */
+  /* The entry may be gone once this returns, but only where it answers NULL.
+   */
   wait = limiter_admit (listener->server->limiter, entry->request.customer,
                         handle_admitted, entry);
   if (wait)
--- a/caller/program_open.c
+++ b/caller/program_open.c
@@ -25,8 +25,7 @@
   api_set (&request->answer_program, program->id);
   body = xasprintf ("{\"program\":\"%s\",\"branch\":0,\"cursor\":\"%s\"}",
                     program->id, cursor);
-  api_respond (request, HTTP_CREATED, "application/json", body,
-               strlen (body));
+  api_respond (request, HTTP_CREATED, "application/json", body, strlen (body));
   free (body);
 }
 
--- a/caller/program_show.c
+++ b/caller/program_show.c
@@ -30,9 +30,9 @@
       return;
     }
   respond_json (request,
-                json_pack ("{s:s, s:s, s:b, s:b}", "program",
-                           request->args[0], "customer", request->customer,
-                           "held", 0, "ended", history_is_closed (history)));
+                json_pack ("{s:s, s:s, s:b, s:b}", "program", request->args[0],
+                           "customer", request->customer, "held", 0, "ended",
+                           history_is_closed (history)));
 }
 
 /* GET /v1/programs/ID tells a program's position and budget.  */
--- a/caller/upload.c
+++ b/caller/upload.c
@@ -46,8 +46,7 @@
     }
   body = xasprintf ("{\"upload\":\"%s\",\"copies\":%u}", request->args[0],
                     kept);
-  api_respond (request, HTTP_CREATED, "application/json", body,
-               strlen (body));
+  api_respond (request, HTTP_CREATED, "application/json", body, strlen (body));
   free (body);
 }
 
@@ -106,8 +105,7 @@
                    upload->data.data, upload->data.len);
       return;
     }
-  error_set (&error,
-             complete ? ERROR_NOT_FOUND : ERROR_HISTORY_UNAVAILABLE,
+  error_set (&error, complete ? ERROR_NOT_FOUND : ERROR_HISTORY_UNAVAILABLE,
              RUN_NOT_RUN, "%s",
              complete ? "there is no such upload"
                       : "no copy of the upload can be reached; ask again");
--- a/common/error.c
+++ b/common/error.c
@@ -112,11 +112,11 @@
 char *
 error_to_json (const struct error *error)
 {
-  json_t *root = json_pack (
-      "{s:{s:s, s:s, s:s, s:I}}", "error", "kind",
-      error_kind_name (error->kind), "run", error_run_name (error->run),
-      "message", error->message, "retry_after_ms",
-      (json_int_t)error->retry_after_ms);
+  json_t *root
+      = json_pack ("{s:{s:s, s:s, s:s, s:I}}", "error", "kind",
+                   error_kind_name (error->kind), "run",
+                   error_run_name (error->run), "message", error->message,
+                   "retry_after_ms", (json_int_t)error->retry_after_ms);
   char *text = json_dumps (root, JSON_COMPACT);
 
   json_decref (root);
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -40,6 +40,7 @@
   struct buf body;
   size_t max_body_bytes;
   fetch_data_handler *handle_data;
+  fetch_header_handler *handle_header;
   fetch_done_handler *handle_done;
   void *data;
   bool is_cancelled;
@@ -234,6 +235,25 @@
   return len;
 }
 
+static size_t
+handle_header_line (char *bytes, size_t size, size_t count, void *data)
+{
+  struct fetch *fetch = data;
+  size_t len = size * count;
+  char *line = strndup (bytes, len);
+  char *value = line ? strchr (line, ':') : NULL;
+
+  if (value && !fetch->is_cancelled)
+    {
+      *value++ = '\0';
+      value += strspn (value, " ");
+      value[strcspn (value, "\r\n")] = '\0';
+      fetch->handle_header (fetch->data, line, value);
+    }
+  free (line);
+  return len;
+}
+
 /* Creates a client on LOOP.  */
 struct fetcher *
 fetcher_create (struct ev_loop *loop)
@@ -326,10 +346,10 @@
   struct fetch *fetch = xcalloc (1, sizeof *fetch);
 
   fetch->fetcher = fetcher;
-  fetch->easy = fetcher->idle_count > 0
-                    ? fetcher->idle[--fetcher->idle_count]
-                    : curl_easy_init ();
+  fetch->easy = fetcher->idle_count > 0 ? fetcher->idle[--fetcher->idle_count]
+                                        : curl_easy_init ();
   fetch->handle_data = options->handle_data;
+  fetch->handle_header = options->handle_header;
   fetch->handle_done = options->handle_done;
   fetch->data = options->data;
   fetch->max_body_bytes = options->max_body_bytes ? options->max_body_bytes
@@ -345,6 +365,12 @@
   curl_easy_setopt (fetch->easy, CURLOPT_WRITEFUNCTION, handle_bytes);
   curl_easy_setopt (fetch->easy, CURLOPT_WRITEDATA, fetch);
   curl_easy_setopt (fetch->easy, CURLOPT_PRIVATE, fetch);
+  if (fetch->handle_header)
+    {
+      curl_easy_setopt (fetch->easy, CURLOPT_HEADERFUNCTION,
+                        handle_header_line);
+      curl_easy_setopt (fetch->easy, CURLOPT_HEADERDATA, fetch);
+    }
   if (options->body || strcmp (options->method, "POST") == 0)
     set_body (fetch, options);
   if (strcmp (options->method, "GET") != 0)
--- a/common/fields.c
+++ b/common/fields.c
@@ -4,10 +4,8 @@
 #include <string.h>
 
 static const char *const type_names[] = {
-  [FIELD_STRING] = "a string",
-  [FIELD_INT64] = "a whole number",
-  [FIELD_BOOL] = "true or false",
-  [FIELD_STRINGS] = "a list of strings",
+  [FIELD_STRING] = "a string",          [FIELD_INT64] = "a whole number",
+  [FIELD_BOOL] = "true or false",       [FIELD_STRINGS] = "a list of strings",
   [FIELD_JSON] = "an object or a list",
 };
 
@@ -39,16 +37,16 @@
     case FIELD_STRINGS:
       if (!json_is_array (value))
         return false;
-      json_array_foreach (value, i, item) if (!json_is_string (item))
-          return false;
+      json_array_foreach (value, i,
+                          item) if (!json_is_string (item)) return false;
       return true;
     }
   return false;
 }
 
 static bool
-check_range (const struct field *field, const json_t *value,
-             const char *where, struct error *error)
+check_range (const struct field *field, const json_t *value, const char *where,
+             struct error *error)
 {
   json_int_t number;
 
@@ -120,8 +118,8 @@
 }
 
 static bool
-check_required (const json_t *object, const struct field *fields,
-                size_t count, const char *where, struct error *error)
+check_required (const json_t *object, const struct field *fields, size_t count,
+                const char *where, struct error *error)
 {
   for (size_t i = 0; i < count; i++)
     {
@@ -167,9 +165,8 @@
       }
     if (!type_matches (field, value))
       {
-        error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
-                   "%s: \"%s\" must be %s", where, name,
-                   type_names[field->type]);
+        error_set (error, ERROR_SETTINGS, RUN_NOT_RUN, "%s: \"%s\" must be %s",
+                   where, name, type_names[field->type]);
         return false;
       }
     if (!check_range (field, value, where, error))
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -141,9 +141,9 @@
 }
 
 static enum MHD_Result
-handle_access (void *data, struct MHD_Connection *connection,
-               const char *url, const char *method, const char *version,
-               const char *upload, size_t *upload_len, void **slot)
+handle_access (void *data, struct MHD_Connection *connection, const char *url,
+               const char *method, const char *version, const char *upload,
+               size_t *upload_len, void **slot)
 {
   struct httpd *httpd = data;
   struct httpd_request *request = *slot;
@@ -258,8 +258,7 @@
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)options->idle_timeout_s,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned)options->max_connections,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)LISTEN_BACKLOG,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 0U, MHD_OPTION_ARRAY,
-      options->cert_pem ? tls : none, MHD_OPTION_END);
+      MHD_OPTION_ARRAY, options->cert_pem ? tls : none, MHD_OPTION_END);
 }
 
 /* Starts listening.  The strings in OPTIONS must outlive the server.  NULL
@@ -438,8 +437,8 @@
   char *body = error_to_json (error);
 
   httpd_add_retry_after (request, error->retry_after_ms);
-  httpd_respond (request, error_http_status (error->kind),
-                 "application/json", body, strlen (body));
+  httpd_respond (request, error_http_status (error->kind), "application/json",
+                 body, strlen (body));
   free (body);
 }
 
--- a/common/log.c
+++ b/common/log.c
@@ -53,8 +53,8 @@
 
 /* Writes one line to standard error.  IDS may be NULL.  */
 void
-log_write (enum log_level level, const char *module,
-           const struct log_ids *ids, const char *format, ...)
+log_write (enum log_level level, const char *module, const struct log_ids *ids,
+           const char *format, ...)
 {
   char message[LOG_MESSAGE_BYTES];
   struct timespec now;
--- a/common/mailbox.c
+++ b/common/mailbox.c
@@ -8,8 +8,7 @@
   struct mailbox *mailbox = watcher->data;
   void *message;
 
-  while (
-      ck_ring_dequeue_mpsc (&mailbox->ring, mailbox->slots, &message))
+  while (ck_ring_dequeue_mpsc (&mailbox->ring, mailbox->slots, &message))
     mailbox->handle_message (mailbox->data, message);
 }
 
--- a/endpoint/dispatcher.c
+++ b/endpoint/dispatcher.c
@@ -167,8 +167,8 @@
 
   error_set (&error, kind, RUN_MAY_HAVE_RUN,
              "%s; send the call again with the same cursor", what);
-  error.retry_after_ms = (uint32_t)retry_backoff_ms (
-      RETRY_MAX_ATTEMPTS, &job->dispatcher->seed);
+  error.retry_after_ms = (uint32_t)retry_backoff_ms (RETRY_MAX_ATTEMPTS,
+                                                     &job->dispatcher->seed);
   fail (job, &error);
 }
 
@@ -219,11 +219,10 @@
   uint32_t crashes = poison_note_crash (&dispatcher->poison, job->fingerprint,
                                         0, clock_now_ms ());
 
-  log_write (LOG_WARN, "dispatcher",
-             &(struct log_ids){ .customer = job->customer },
-             "endpoint %s crashed under request %016llx, crash %u",
-             job->endpoint->name, (unsigned long long)job->fingerprint,
-             crashes);
+  log_write (
+      LOG_WARN, "dispatcher", &(struct log_ids){ .customer = job->customer },
+      "endpoint %s crashed under request %016llx, crash %u",
+      job->endpoint->name, (unsigned long long)job->fingerprint, crashes);
   tell_crash (dispatcher, job->fingerprint, crashes);
   if (crashes >= POISON_CRASHES)
     fail_poisoned (job, RUN_MAY_HAVE_RUN);
@@ -343,9 +342,8 @@
     }
   id_random_text (request_id);
   job->handlers.build_body (job->handlers.data, &body);
-  job->attempt
-      = engine_start (job->dispatcher->server->fetcher, endpoint, request_id,
-                      &body, STALL_TIMEOUT_MS, &handlers);
+  job->attempt = engine_start (job->dispatcher->server->fetcher, endpoint,
+                               request_id, &body, STALL_TIMEOUT_MS, &handlers);
   buf_release (&body);
 }
 
@@ -424,8 +422,7 @@
       if (alone && view->endpoints[i]->suspects > 0)
         view->engines[i].eligible = false;
     }
-  return route_pick (view->engines, view->count, &options,
-                     &dispatcher->seed);
+  return route_pick (view->engines, view->count, &options, &dispatcher->seed);
 }
 
 /* Takes one job off the lane.  False where nothing more can start now.  */
@@ -647,8 +644,7 @@
     return;
   url = xasprintf ("%s/v1/load", endpoint->url);
   options.url = url;
-  endpoint->load_fetch
-      = fetch_start (dispatcher->server->fetcher, &options);
+  endpoint->load_fetch = fetch_start (dispatcher->server->fetcher, &options);
   free (url);
 }
 
@@ -680,10 +676,9 @@
   json_t *lanes = json_array ();
 
   for (const struct lane *lane = dispatcher->lanes; lane; lane = lane->next)
-    json_array_append_new (lanes,
-                           json_pack ("{s:s, s:I}", "model", lane->model,
-                                      "waiting",
-                                      (json_int_t)fair_count (lane->fair)));
+    json_array_append_new (
+        lanes, json_pack ("{s:s, s:I}", "model", lane->model, "waiting",
+                          (json_int_t)fair_count (lane->fair)));
   return json_pack ("{s:o, s:o}", "queues", lanes, "endpoints",
                     endpoint_table_to_json (&dispatcher->endpoints, now_ms));
 }
--- a/endpoint/endpoint.c
+++ b/endpoint/endpoint.c
@@ -189,12 +189,11 @@
         list,
         json_pack ("{s:s, s:s, s:b, s:b, s:I, s:I, s:I, s:I, s:b}", "name",
                    e->name, "kind",
-                   e->kind == ENDPOINT_ENGINE ? "engine" : "service",
-                   "listed", e->listed, "leaving",
-                   e->leaving || e->reports_leaving, "in_flight",
-                   (json_int_t)e->in_flight, "reported_busy",
-                   (json_int_t)e->reported_busy, "slots",
-                   (json_int_t)e->slots, "call_ms", (json_int_t)e->call_ms,
-                   "ejected", now_ms < e->ejected_until_ms));
+                   e->kind == ENDPOINT_ENGINE ? "engine" : "service", "listed",
+                   e->listed, "leaving", e->leaving || e->reports_leaving,
+                   "in_flight", (json_int_t)e->in_flight, "reported_busy",
+                   (json_int_t)e->reported_busy, "slots", (json_int_t)e->slots,
+                   "call_ms", (json_int_t)e->call_ms, "ejected",
+                   now_ms < e->ejected_until_ms));
   return list;
 }
--- a/endpoint/engine.c
+++ b/endpoint/engine.c
@@ -124,8 +124,7 @@
 }
 
 static enum engine_outcome
-judge (const struct engine_attempt *attempt,
-       const struct fetch_result *result)
+judge (const struct engine_attempt *attempt, const struct fetch_result *result)
 {
   if (attempt->garbage)
     return ENGINE_GARBAGE;
@@ -160,16 +159,15 @@
 struct engine_attempt *
 engine_start (struct fetcher *fetcher, struct endpoint *endpoint,
               const char *request_id, const struct buf *body,
-              int64_t stall_timeout_ms,
-              const struct engine_handlers *handlers)
+              int64_t stall_timeout_ms, const struct engine_handlers *handlers)
 {
   struct engine_attempt *attempt = xcalloc (1, sizeof *attempt);
   char *url = xasprintf ("%s/v1/chat/completions", endpoint->url);
   char *id_line = xasprintf ("X-Request-Id: %s", request_id);
-  char *credential = endpoint->credential
-                         ? xasprintf ("Authorization: Bearer %s",
-                                      endpoint->credential)
-                         : NULL;
+  char *credential
+      = endpoint->credential
+            ? xasprintf ("Authorization: Bearer %s", endpoint->credential)
+            : NULL;
   const char *headers[]
       = { "Content-Type: application/json", id_line, credential, NULL };
   struct fetch_options options = { .method = "POST",
--- a/endpoint/service.c
+++ b/endpoint/service.c
@@ -132,10 +132,9 @@
   counter_add (COUNTER_ENDPOINT_RETRIES, 1);
   call->endpoint->in_flight--;
   call->endpoint = NULL;
-  ev_timer_set (&call->backoff,
-                (double)retry_backoff_ms (call->attempts, &call->seed)
-                    / 1000.0,
-                0);
+  ev_timer_set (
+      &call->backoff,
+      (double)retry_backoff_ms (call->attempts, &call->seed) / 1000.0, 0);
   ev_timer_start (call->server->loop, &call->backoff);
 }
 
--- a/galenactl/apply.c
+++ b/galenactl/apply.c
@@ -119,7 +119,7 @@
         = ctl_get (ctl, text_of (object, "kind"), text_of (object, "name"));
 
     printf ("%s %s \"%s\"\n",
-            !present                   ? "create   "
+            !present                    ? "create   "
             : is_same (present, object) ? "unchanged"
                                         : "change   ",
             text_of (object, "kind"), text_of (object, "name"));
--- a/galenactl/client.c
+++ b/galenactl/client.c
@@ -86,8 +86,8 @@
 ctl_operator (const struct ctl *ctl, const char *address, const char *method,
               const char *path)
 {
-  char *url = xasprintf (
-      "http://%s%s", address ? address : ctl->operator_address, path);
+  char *url = xasprintf ("http://%s%s",
+                         address ? address : ctl->operator_address, path);
   struct ctl_answer answer
       = ctl_request (method, url, ctl->operator_key, NULL);
 
--- a/galenactl/hosts.c
+++ b/galenactl/hosts.c
@@ -17,8 +17,8 @@
 static const char *
 operator_of (const json_t *host)
 {
-  return json_string_value (json_object_get (json_object_get (host, "data"),
-                                             "operator_address"));
+  return json_string_value (
+      json_object_get (json_object_get (host, "data"), "operator_address"));
 }
 
 static json_t *
@@ -50,9 +50,9 @@
   {
     const json_t *data = json_object_get (host, "data");
     json_t *status = status_of (ctl, host);
-    char *revision = xasprintf (
-        "%lld", (long long)json_integer_value (
-                    json_object_get (status, "applied_revision")));
+    char *revision
+        = xasprintf ("%lld", (long long)json_integer_value (json_object_get (
+                                 status, "applied_revision")));
     const char *state = !status ? "does not answer"
                         : json_is_true (json_object_get (status, "stopping"))
                             ? "stopping"
@@ -155,8 +155,7 @@
 static uint64_t
 highest_version (const struct ctl *ctl)
 {
-  json_t *objects
-      = ctl_list (ctl, "template,customer,key,endpoint,route");
+  json_t *objects = ctl_list (ctl, "template,customer,key,endpoint,route");
   uint64_t highest = 0;
   size_t i;
   json_t *object;
--- a/galenactl/key.c
+++ b/galenactl/key.c
@@ -26,13 +26,11 @@
   int status = CTL_FAILED;
 
   if (!owner)
-    return ctl_fail ("there is no customer \"%s\"; create it first",
-                     customer);
+    return ctl_fail ("there is no customer \"%s\"; create it first", customer);
   json_decref (owner);
   randombytes_buf (secret, sizeof secret);
-  sodium_bin2base64 (text + strlen (text), sizeof text - strlen (text),
-                     secret, sizeof secret,
-                     sodium_base64_VARIANT_URLSAFE_NO_PADDING);
+  sodium_bin2base64 (text + strlen (text), sizeof text - strlen (text), secret,
+                     sizeof secret, sodium_base64_VARIANT_URLSAFE_NO_PADDING);
   config_hash_key (text, hash);
   sodium_bin2hex (hash_text, sizeof hash_text, hash, sizeof hash);
   sodium_bin2hex (id, sizeof id, hash, ID_BYTES);
@@ -70,10 +68,10 @@
     const json_t *data = json_object_get (object, "data");
     bool withdrawn = json_is_true (json_object_get (data, "withdrawn"));
 
-    json_array_append_new (
-        rows, json_pack ("[O, O, s]", json_object_get (object, "name"),
-                         json_object_get (data, "customer"),
-                         withdrawn ? "withdrawn" : "good"));
+    json_array_append_new (rows, json_pack ("[O, O, s]",
+                                            json_object_get (object, "name"),
+                                            json_object_get (data, "customer"),
+                                            withdrawn ? "withdrawn" : "good"));
   }
   if (ctl->json)
     ctl_print_json (rows);
--- a/galenactl/main.c
+++ b/galenactl/main.c
@@ -148,8 +148,7 @@
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     goto out;
   ctl.json = as_json;
-  default_text (&ctl.platform_url, "GALENA_PLATFORM",
-                "http://127.0.0.1:7000");
+  default_text (&ctl.platform_url, "GALENA_PLATFORM", "http://127.0.0.1:7000");
   default_text (&ctl.operator_address, "GALENA_OPERATOR", DEFAULT_OPERATOR);
   if (read_operator_key (&ctl, key_file ? key_file
                                         : getenv ("GALENA_OPERATOR_KEY_FILE")))
--- a/galenactl/object.c
+++ b/galenactl/object.c
@@ -35,12 +35,12 @@
   {
     json_t *shown = hide_credential (json_object_get (object, "data"));
     char *text = json_dumps (shown, JSON_COMPACT);
-    char *version = xasprintf ("%llu",
-                               (unsigned long long)ctl_version (object));
+    char *version
+        = xasprintf ("%llu", (unsigned long long)ctl_version (object));
 
-    json_array_append_new (
-        rows, json_pack ("[O, s, s]", json_object_get (object, "name"),
-                         version, text));
+    json_array_append_new (rows, json_pack ("[O, s, s]",
+                                            json_object_get (object, "name"),
+                                            version, text));
     json_object_set (object, "data", shown);
     json_decref (shown);
     free (text);
@@ -116,8 +116,7 @@
   return status;
 }
 
-static int
-delete (struct ctl *ctl, const char *kind, const char *name)
+static int delete (struct ctl *ctl, const char *kind, const char *name)
 {
   json_t *object = ctl_get (ctl, kind, name);
   uint64_t version = ctl_version (object);
--- a/galenactl/print.c
+++ b/galenactl/print.c
@@ -29,8 +29,7 @@
 
 /* Prints ROWS, arrays of strings, under TITLES in aligned columns.  */
 void
-ctl_print_table (const char *const *titles, size_t columns,
-                 const json_t *rows)
+ctl_print_table (const char *const *titles, size_t columns, const json_t *rows)
 {
   size_t widths[MAX_COLUMNS] = { 0 };
   size_t i;
@@ -44,7 +43,8 @@
           = strlen (cell (row, c));
     }
   for (size_t c = 0; c < columns; c++)
-    printf ("%-*s%s", (int)widths[c], titles[c], c + 1 < columns ? "  " : "\n");
+    printf ("%-*s%s", (int)widths[c], titles[c],
+            c + 1 < columns ? "  " : "\n");
   json_array_foreach (rows, i, row) for (size_t c = 0; c < columns; c++)
       printf ("%-*s%s", (int)widths[c], cell (row, c),
               c + 1 < columns ? "  " : "\n");
--- a/galenactl/state.c
+++ b/galenactl/state.c
@@ -64,8 +64,8 @@
 {
   struct ctl_answer answer
       = ctl_operator (ctl, address, "GET", "/dump?programs=1");
-  json_t *list = json_incref (json_object_get (
-      json_object_get (answer.body, "programs"), "programs"));
+  json_t *list = json_incref (
+      json_object_get (json_object_get (answer.body, "programs"), "programs"));
 
   json_decref (answer.body);
   return list;
@@ -85,8 +85,8 @@
 
   json_array_foreach (hosts, i, host)
   {
-    const char *address = json_string_value (json_object_get (
-        json_object_get (host, "data"), "operator_address"));
+    const char *address = json_string_value (
+        json_object_get (json_object_get (host, "data"), "operator_address"));
 
     if (!done && address)
       done = visit (ctl, json_string_value (json_object_get (host, "name")),
@@ -124,18 +124,16 @@
   json_array_foreach (programs, i, program)
   {
     const json_t *spent = json_object_get (program, "spent");
-    char *tokens = xasprintf (
-        "%lld",
-        (long long)json_integer_value (json_object_get (spent, "tokens")));
-    char *calls = xasprintf (
-        "%lld",
-        (long long)json_integer_value (json_object_get (spent, "calls")));
+    char *tokens = xasprintf ("%lld", (long long)json_integer_value (
+                                          json_object_get (spent, "tokens")));
+    char *calls = xasprintf ("%lld", (long long)json_integer_value (
+                                         json_object_get (spent, "calls")));
 
     json_array_append_new (
-        rows, json_pack ("[O, O, O, s, s]",
-                         json_object_get (program, "program"),
-                         json_object_get (program, "customer"),
-                         json_object_get (program, "host"), tokens, calls));
+        rows,
+        json_pack ("[O, O, O, s, s]", json_object_get (program, "program"),
+                   json_object_get (program, "customer"),
+                   json_object_get (program, "host"), tokens, calls));
     free (tokens);
     free (calls);
   }
--- a/galenashored/control.c
+++ b/galenashored/control.c
@@ -157,8 +157,7 @@
 
   if (!control->stopping)
     return;
-  left = registrar_is_clear (control)
-         || !control->sync.platform_answers
+  left = registrar_is_clear (control) || !control->sync.platform_answers
          || (control->drained && stopping_ms > LEAVE_LIMIT_MS);
   if ((control->drained && left)
       || stopping_ms > control->settings->drain_limit_ms)
--- a/galenashored/registrar.c
+++ b/galenashored/registrar.c
@@ -26,13 +26,12 @@
   char process[PROCESS_TEXT_BYTES];
 
   process_text (control->process, process);
-  return json_pack ("{s:s, s:s, s:s, s:s, s:s, s:b, s:b}", "data_centre",
-                    settings->data_centre, "peer_address",
-                    settings->peer_listen, "caller_address",
-                    settings->caller_listen, "operator_address",
-                    settings->operator_listen, "process", process,
-                    "has_data_folder", settings->data_dir != NULL, "leaving",
-                    control->stopping);
+  return json_pack (
+      "{s:s, s:s, s:s, s:s, s:s, s:b, s:b}", "data_centre",
+      settings->data_centre, "peer_address", settings->peer_listen,
+      "caller_address", settings->caller_listen, "operator_address",
+      settings->operator_listen, "process", process, "has_data_folder",
+      settings->data_dir != NULL, "leaving", control->stopping);
 }
 
 /* Takes over a write of this host that has succeeded, without waiting for the
@@ -41,9 +40,9 @@
 merge_written (struct control *control, const char *kind, const char *name,
                uint64_t version, json_t *value)
 {
-  json_t *list = json_pack ("[{s:s, s:s, s:I, s:O}]", "kind", kind, "name",
-                            name, "version", (json_int_t)version, "data",
-                            value);
+  json_t *list
+      = json_pack ("[{s:s, s:s, s:I, s:O}]", "kind", kind, "name", name,
+                   "version", (json_int_t)version, "data", value);
   uint64_t before = control->objects.revision;
 
   if (objects_merge (&control->objects, list))
@@ -97,10 +96,10 @@
       return true;
     }
   registrar->host_value = wanted;
-  registrar->host_write = platform_put (
-      &control->platform, "host", control->settings->host,
-      present ? objects_version (present) : 0, wanted, handle_host_written,
-      control);
+  registrar->host_write
+      = platform_put (&control->platform, "host", control->settings->host,
+                      present ? objects_version (present) : 0, wanted,
+                      handle_host_written, control);
   return false;
 }
 
@@ -138,10 +137,9 @@
                              holders[i] ? json_string (text) : json_null ());
     }
   registrar->slots_value = json_pack ("{s:o}", "holders", list);
-  registrar->slots_write
-      = platform_put (&control->platform, "slots",
-                      control->settings->data_centre, version,
-                      registrar->slots_value, handle_slots_written, control);
+  registrar->slots_write = platform_put (
+      &control->platform, "slots", control->settings->data_centre, version,
+      registrar->slots_value, handle_slots_written, control);
 }
 
 static void
@@ -169,7 +167,8 @@
   {
     const json_t *data = json_object_get (object, "data");
     const char *dc = json_string_value (json_object_get (data, "data_centre"));
-    const char *process = json_string_value (json_object_get (data, "process"));
+    const char *process
+        = json_string_value (json_object_get (data, "process"));
 
     if (strncmp (key, "host/", strlen ("host/")) == 0 && dc && process
         && !json_is_true (json_object_get (object, "deleted"))
@@ -248,8 +247,7 @@
 
   for (size_t i = 0; i < config->slots_count; i++)
     {
-      if (strcmp (config->slots[i].data_centre,
-                  control->settings->data_centre)
+      if (strcmp (config->slots[i].data_centre, control->settings->data_centre)
           != 0)
         continue;
       for (uint32_t j = 0; j < SLOTS_PER_DC; j++)
--- a/galenashored/settings.c
+++ b/galenashored/settings.c
@@ -33,8 +33,7 @@
 #define NUMBER(member, low, high)                                             \
   {                                                                           \
     .name = #member, .type = FIELD_INT64,                                     \
-    .offset = offsetof (struct settings, member), .min = (low),               \
-    .max = (high)                                                             \
+    .offset = offsetof (struct settings, member), .min = (low), .max = (high) \
   }
 
 static const struct field setting_fields[] = {
@@ -81,8 +80,8 @@
 }
 
 static bool
-check_pair (const char *first_name, const char *first,
-            const char *second_name, const char *second, struct error *error)
+check_pair (const char *first_name, const char *first, const char *second_name,
+            const char *second, struct error *error)
 {
   if (!first == !second)
     return true;
@@ -210,7 +209,8 @@
   free (text);
   if (json_array_size (root) == 0 || json_array_size (root) > KEYRING_MAX_KEYS)
     ok = false;
-  json_array_foreach (root, i, item) ok = ok && read_fleet_key (item, &keyring);
+  json_array_foreach (root, i, item) ok
+      = ok && read_fleet_key (item, &keyring);
   json_decref (root);
   if (!ok)
     return fail_file (error, settings->fleet_key_file,
--- a/galenashored/sync.c
+++ b/galenashored/sync.c
@@ -147,10 +147,9 @@
     sync->list = platform_list (&control->platform, CONFIG_KINDS, handle_list,
                                 control);
   if (sync->loaded && !sync->watch && is_watcher (control))
-    sync->watch
-        = platform_watch (&control->platform, CONFIG_KINDS,
-                          control->objects.revision, WATCH_MS, handle_watch,
-                          control);
+    sync->watch = platform_watch (&control->platform, CONFIG_KINDS,
+                                  control->objects.revision, WATCH_MS,
+                                  handle_watch, control);
 }
 
 /* Gives up what is under way.  */
@@ -246,8 +245,8 @@
 {
   json_t *document = json_loadb ((const char *)message->document.data,
                                  message->document.len, 0, NULL);
-  uint64_t since = (uint64_t)json_integer_value (
-      json_object_get (document, "since"));
+  uint64_t since
+      = (uint64_t)json_integer_value (json_object_get (document, "since"));
 
   if (!document)
     return;
@@ -305,8 +304,8 @@
 }
 
 static void
-tell_withdrawal (struct control *control, const char *name,
-                 const json_t *host, void *data)
+tell_withdrawal (struct control *control, const char *name, const json_t *host,
+                 void *data)
 {
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__KeyWithdraw message = PEER__KEY_WITHDRAW__INIT;
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -82,8 +82,7 @@
   server->serving = true;
   listener_end_withdrawn (traffic->listener);
   config_destroy (old);
-  tell_control (traffic, control_message (CONTROL_APPLIED,
-                                          message->sequence));
+  tell_control (traffic, control_message (CONTROL_APPLIED, message->sequence));
 }
 
 static json_t *
@@ -91,16 +90,16 @@
 {
   struct server *server = &traffic->server;
 
-  return json_pack (
-      "{s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:b}", "callers",
-      listener_to_json (traffic->listener), "hosts",
-      mesh_to_json (server->mesh), "dispatcher",
-      dispatcher_to_json (server->dispatcher, clock_now_ms ()), "limits",
-      limiter_to_json (server->limiter), "programs",
-      programs_to_json (server->programs, with_programs), "journal",
-      journal_to_json (server->journal), "store",
-      server->store ? store_to_json (server->store) : json_null (),
-      "stopping", server->stopping);
+  return json_pack ("{s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:b}", "callers",
+                    listener_to_json (traffic->listener), "hosts",
+                    mesh_to_json (server->mesh), "dispatcher",
+                    dispatcher_to_json (server->dispatcher, clock_now_ms ()),
+                    "limits", limiter_to_json (server->limiter), "programs",
+                    programs_to_json (server->programs, with_programs),
+                    "journal", journal_to_json (server->journal), "store",
+                    server->store ? store_to_json (server->store)
+                                  : json_null (),
+                    "stopping", server->stopping);
 }
 
 static void
@@ -160,8 +159,8 @@
   server->stopping = true;
   server->stop_started_ms = clock_now_ms ();
   traffic->quiet_since_ms = server->stop_started_ms;
-  mesh_set_status (server->mesh,
-                   server->config ? server->config->revision : 0, true);
+  mesh_set_status (server->mesh, server->config ? server->config->revision : 0,
+                   true);
   if (server->config)
     announce_leaving (server);
   listener_begin_destroy (traffic->listener);
@@ -323,16 +322,15 @@
   struct server *server = &traffic->server;
   char ip[INET_ADDRSTRLEN];
   uint16_t port;
-  struct mesh_options options
-      = { .loop = server->loop,
-          .host = server->settings->host,
-          .data_centre = server->settings->data_centre,
-          .process = server->process,
-          .listen_address = ip,
-          .keyring = &server->settings->keyring,
-          .handle_frame = handle_frame,
-          .handle_down = handle_down,
-          .data = traffic };
+  struct mesh_options options = { .loop = server->loop,
+                                  .host = server->settings->host,
+                                  .data_centre = server->settings->data_centre,
+                                  .process = server->process,
+                                  .listen_address = ip,
+                                  .keyring = &server->settings->keyring,
+                                  .handle_frame = handle_frame,
+                                  .handle_down = handle_down,
+                                  .data = traffic };
 
   address_split (server->settings->peer_listen, ip, &port);
   options.listen_port = port;
@@ -342,8 +340,8 @@
 static bool
 open_store (struct server *server, struct error *error)
 {
-  struct store_options options = { .loop = server->loop,
-                                   .folder = server->settings->data_dir };
+  struct store_options options
+      = { .loop = server->loop, .folder = server->settings->data_dir };
 
   if (!server->settings->data_dir)
     return true;
--- a/include/caller/api.h
+++ b/include/caller/api.h
@@ -42,16 +42,16 @@
   char *program;         /* X-Galena-Program */
   char *idempotency_key; /* Idempotency-Key */
   char *content_type;
-  uint32_t resume_from;  /* Last-Event-ID: tokens that the caller has */
+  uint32_t resume_from; /* Last-Event-ID: tokens that the caller has */
   uint32_t hops;
-  char *answer_cursor;   /* goes out as X-Galena-Cursor */
-  char *answer_program;  /* goes out as X-Galena-Program */
+  char *answer_cursor;  /* goes out as X-Galena-Cursor */
+  char *answer_program; /* goes out as X-Galena-Program */
   struct buf body;
   uint32_t retry_after_ms;
   bool begun;
   bool ended;
   void *impl_data;
-  void *user;            /* of the handler */
+  void *user; /* of the handler */
   void (*handle_gone) (struct api_request *request);
   struct api_request *next; /* in the handler's list */
 };
--- a/include/caller/body.h
+++ b/include/caller/body.h
@@ -18,8 +18,8 @@
 bool body_parse (const struct api_request *request, json_t **root,
                  struct error *error);
 bool body_to_model_spec (struct api_request *request,
-                         const struct model_body *body,
-                         struct call_spec *spec, struct error *error);
+                         const struct model_body *body, struct call_spec *spec,
+                         struct error *error);
 bool body_tool_route (struct api_request *request, const char *path,
                       struct call_spec *spec, struct error *error);
 
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -13,16 +13,18 @@
 
 struct fetch_result
 {
-  long status;       /* 0 where no response began */
-  bool complete;     /* the whole response arrived */
+  long status;   /* 0 where no response began */
+  bool complete; /* the whole response arrived */
   bool timed_out;
-  bool sent;         /* a byte of the request may have left */
+  bool sent;          /* a byte of the request may have left */
   const char *reason; /* for logs */
-  struct buf *body;  /* what was collected; empty with handle_data */
+  struct buf *body;   /* what was collected; empty with handle_data */
 };
 
 /* Returns false to give the transfer up. */
 typedef bool fetch_data_handler (void *data, const char *bytes, size_t len);
+typedef void fetch_header_handler (void *data, const char *name,
+                                   const char *value);
 typedef void fetch_done_handler (void *data,
                                  const struct fetch_result *result);
 
@@ -34,11 +36,12 @@
   const char *body;
   size_t body_len;
   int64_t connect_timeout_ms;
-  int64_t timeout_ms;        /* whole transfer; 0 for none */
-  int64_t stall_timeout_ms;  /* no byte for so long; 0 for none */
+  int64_t timeout_ms;       /* whole transfer; 0 for none */
+  int64_t stall_timeout_ms; /* no byte for so long; 0 for none */
   size_t max_body_bytes;
-  bool single_attempt;       /* never sent twice, not even by libcurl */
+  bool single_attempt;             /* never sent twice, not even by libcurl */
   fetch_data_handler *handle_data; /* NULL to collect the body */
+  fetch_header_handler *handle_header; /* may be NULL */
   fetch_done_handler *handle_done;
   void *data;
 };
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -22,9 +22,9 @@
   size_t max_body_bytes;
   uint32_t idle_timeout_s;
   uint32_t max_connections;
-  const char *cert_pem;    /* NULL for plain HTTP */
-  const char *key_pem;     /* NULL for plain HTTP */
-  const char *ca_pem;      /* asks peers for a certificate; may be NULL */
+  const char *cert_pem; /* NULL for plain HTTP */
+  const char *key_pem;  /* NULL for plain HTTP */
+  const char *ca_pem;   /* asks peers for a certificate; may be NULL */
   httpd_handler *handle_headers; /* may respond early; may be NULL */
   httpd_handler *handle_request;
   void *data;
--- a/include/endpoint/engine.h
+++ b/include/endpoint/engine.h
@@ -9,11 +9,11 @@
 enum engine_outcome
 {
   ENGINE_FINISHED,
-  ENGINE_BROKEN,     /* the stream was cut after the request had left */
-  ENGINE_UNREACHED,  /* no byte of the request left */
-  ENGINE_STALLED,    /* no token for too long */
-  ENGINE_GARBAGE,    /* not this request's answer, or none at all */
-  ENGINE_REFUSED,    /* an HTTP status that is not 200 */
+  ENGINE_BROKEN,    /* the stream was cut after the request had left */
+  ENGINE_UNREACHED, /* no byte of the request left */
+  ENGINE_STALLED,   /* no token for too long */
+  ENGINE_GARBAGE,   /* not this request's answer, or none at all */
+  ENGINE_REFUSED,   /* an HTTP status that is not 200 */
 };
 
 struct engine_usage
--- a/include/galenactl/command.h
+++ b/include/galenactl/command.h
@@ -33,8 +33,7 @@
 };
 
 int ctl_usage (const char *command, const char *usage);
-int ctl_fail (const char *format, ...)
-    __attribute__ ((format (printf, 1, 2)));
+int ctl_fail (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
 void ctl_print_json (const json_t *value);
 
 /* HTTP.  The status is 0 where no answer came. */
--- a/include/galenashored/control_state.h
+++ b/include/galenashored/control_state.h
@@ -31,9 +31,9 @@
 {
   struct fetch *host_write;
   struct fetch *slots_write;
-  json_t *host_value;   /* being written */
-  json_t *slots_value;  /* being written */
-  uint64_t releasing;   /* bits of own slots that are being given up */
+  json_t *host_value;        /* being written */
+  json_t *slots_value;       /* being written */
+  uint64_t releasing;        /* bits of own slots that are being given up */
   uint64_t release_sequence; /* the configuration without them */
   int64_t next_try_ms;
 };
--- a/include/galenashored/messages.h
+++ b/include/galenashored/messages.h
@@ -9,26 +9,26 @@
 
 enum traffic_kind
 {
-  TRAFFIC_CONFIG,  /* take this configuration over */
-  TRAFFIC_STOP,    /* begin the planned stop */
-  TRAFFIC_QUIT,    /* leave the loop */
-  TRAFFIC_DUMP,    /* answer with the state */
-  TRAFFIC_CANCEL,  /* end a program */
-  TRAFFIC_BLOCK,   /* cut a host off, for tests */
-  TRAFFIC_SEND,    /* send a frame to a host */
+  TRAFFIC_CONFIG, /* take this configuration over */
+  TRAFFIC_STOP,   /* begin the planned stop */
+  TRAFFIC_QUIT,   /* leave the loop */
+  TRAFFIC_DUMP,   /* answer with the state */
+  TRAFFIC_CANCEL, /* end a program */
+  TRAFFIC_BLOCK,  /* cut a host off, for tests */
+  TRAFFIC_SEND,   /* send a frame to a host */
 };
 
 /* Made by control, freed by traffic. */
 struct traffic_message
 {
   enum traffic_kind kind;
-  struct config *config;    /* owned */
+  struct config *config; /* owned */
   uint64_t config_revision;
-  uint64_t sequence;        /* of a configuration or a question */
+  uint64_t sequence; /* of a configuration or a question */
   bool with_programs;
   bool blocked;
-  char *name;               /* of a host or a program; owned */
-  struct buf frame;         /* packed Peer__Frame; owned */
+  char *name;       /* of a host or a program; owned */
+  struct buf frame; /* packed Peer__Frame; owned */
 };
 
 enum control_kind
--- a/include/galenashored/server.h
+++ b/include/galenashored/server.h
@@ -30,9 +30,9 @@
   struct ev_loop *loop;
   uint64_t process; /* incarnation of this process, never 0 */
   uint64_t dc_hash;
-  struct config *config; /* never NULL once serving */
+  struct config *config;              /* never NULL once serving */
   struct owner_candidate *candidates; /* a host of the config each */
-  struct mailbox *inbox;   /* struct traffic_message */
+  struct mailbox *inbox;              /* struct traffic_message */
   struct mailbox *control; /* struct control_message; owned by control */
   struct fetcher *fetcher;
   struct platform platform;
--- a/include/policy/cursor.h
+++ b/include/policy/cursor.h
@@ -32,8 +32,8 @@
 
 struct cursor
 {
-  uint64_t program;      /* hash of the program id */
-  uint64_t customer;     /* hash of the customer's name */
+  uint64_t program;  /* hash of the program id */
+  uint64_t customer; /* hash of the customer's name */
   uint32_t branch;
   uint32_t turn;         /* of the next call */
   uint64_t incarnation;  /* of the program's state in its owner's memory */
--- a/include/policy/fair.h
+++ b/include/policy/fair.h
@@ -12,9 +12,9 @@
 /* A waiting call.  Owned by its user, embedded in its struct. */
 struct fair_item
 {
-  uint64_t customer;     /* hash of its name */
-  int64_t weight;        /* of the customer */
-  int64_t attained;      /* tokens that its program has had */
+  uint64_t customer; /* hash of its name */
+  int64_t weight;    /* of the customer */
+  int64_t attained;  /* tokens that its program has had */
   int64_t enqueued_ms;
   /* The rest belongs to the policy. */
   struct heap_node node;
--- a/include/policy/limit.h
+++ b/include/policy/limit.h
@@ -13,11 +13,11 @@
 
 enum
 {
-  LIMIT_UTOKENS = 1000000,   /* micro-tokens in a token */
-  LIMIT_MAX_LOANS = 64,      /* loans out at once from one bucket */
-  LIMIT_LOAN_MS = 1000,      /* a borrower uses a loan within this time */
+  LIMIT_UTOKENS = 1000000,    /* micro-tokens in a token */
+  LIMIT_MAX_LOANS = 64,       /* loans out at once from one bucket */
+  LIMIT_LOAN_MS = 1000,       /* a borrower uses a loan within this time */
   LIMIT_LOAN_LAPSE_MS = 3000, /* the holder then counts it as spent */
-  LIMIT_SETTLE_MS = 20000,   /* raised limits wait until old ones are gone */
+  LIMIT_SETTLE_MS = 20000,    /* raised limits wait until old ones are gone */
 };
 
 struct limit_loan
--- a/include/policy/owner.h
+++ b/include/policy/owner.h
@@ -15,8 +15,7 @@
 
 int32_t owner_pick (uint64_t key, uint64_t home_dc_hash,
                     const struct owner_candidate *hosts, size_t count);
-uint32_t owner_rank_spread (uint64_t key,
-                            const struct owner_candidate *hosts, size_t count,
-                            uint32_t wanted, int32_t *out);
+uint32_t owner_rank_spread (uint64_t key, const struct owner_candidate *hosts,
+                            size_t count, uint32_t wanted, int32_t *out);
 
 #endif
--- a/include/policy/retry.h
+++ b/include/policy/retry.h
@@ -10,11 +10,11 @@
   RETRY_MAX_ATTEMPTS = 4,
   RETRY_BASE_MS = 20,
   RETRY_CAP_MS = 1000,
-  RETRY_PERCENT = 20,      /* retries in a hundred first attempts */
+  RETRY_PERCENT = 20, /* retries in a hundred first attempts */
   RETRY_MIN_PER_BUDGET = 10,
   RETRY_MAX_CREDIT = 100,
   POISON_SLOTS = 256,
-  POISON_CRASHES = 2,      /* then the request is refused */
+  POISON_CRASHES = 2, /* then the request is refused */
   POISON_HOLD_MS = 600000,
   POISON_SUSPECT_MS = 60000,
 };
--- a/include/policy/route.h
+++ b/include/policy/route.h
@@ -10,13 +10,13 @@
 /* What this host knows of an engine. */
 struct route_engine
 {
-  bool eligible;          /* serves the model, answers, is not leaving */
+  bool eligible; /* serves the model, answers, is not leaving */
   int64_t slots;
-  int64_t window;         /* calls that this host may have there at once */
-  int64_t own_in_flight;  /* of this host */
-  int64_t reported_busy;  /* running and waiting there, by its last report */
-  int64_t cached_tokens;  /* of this program's prompt, by what was seen */
-  int64_t call_ms;        /* moving average of a call's duration there */
+  int64_t window;        /* calls that this host may have there at once */
+  int64_t own_in_flight; /* of this host */
+  int64_t reported_busy; /* running and waiting there, by its last report */
+  int64_t cached_tokens; /* of this program's prompt, by what was seen */
+  int64_t call_ms;       /* moving average of a call's duration there */
 };
 
 struct route_options
--- a/include/policy/slots.h
+++ b/include/policy/slots.h
@@ -7,7 +7,7 @@
 
 enum
 {
-  SLOTS_MIN_TOKENS = 8,   /* a slot carries at least so much burst, if it can */
+  SLOTS_MIN_TOKENS = 8, /* a slot carries at least so much burst, if it can */
   SLOTS_MAX_PER_DC = 64,
   SLOTS_MAX_DCS = 16,
 };
@@ -21,7 +21,7 @@
 
 struct slot_part
 {
-  uint32_t dc;   /* index into the data centres given */
+  uint32_t dc; /* index into the data centres given */
   uint32_t slot;
   int64_t rate_utokens_per_s;
   int64_t capacity_utokens;
--- a/include/policy/turn.h
+++ b/include/policy/turn.h
@@ -11,7 +11,8 @@
 enum turn_verdict
 {
   TURN_RUN,      /* dispatch it */
-  TURN_RESOLVE,  /* not idempotent, and its cursor is foreign: ask the journal */
+  TURN_RESOLVE,  /* not idempotent, and its cursor is foreign: ask the journal
+                  */
   TURN_JOIN,     /* the same call is in flight: share its answer */
   TURN_REPLAY,   /* the same call has finished: give its answer again */
   TURN_DOUBTFUL, /* the same call was closed without a known outcome */
--- a/include/program/call.h
+++ b/include/program/call.h
@@ -49,7 +49,7 @@
   CALL_GRANTING,
   CALL_RECORDING, /* its intent */
   CALL_RUNNING,
-  CALL_KEEPING,   /* its copies */
+  CALL_KEEPING, /* its copies */
 };
 
 /* A caller that waits for a call's answer.  Owned by the call. */
@@ -74,7 +74,7 @@
   struct cursor cursor;
   bool has_cursor;
   uint64_t request_hash;
-  bool reloaded;    /* its program was loaded for it already */
+  bool reloaded; /* its program was loaded for it already */
   struct program *program;
   struct program_branch *branch;
   struct budget_amount reserved;
--- a/include/program/program.h
+++ b/include/program/program.h
@@ -42,8 +42,8 @@
   uint32_t number;
   struct branch state;
   uint64_t parent_hash; /* what it was opened from */
-  struct buf messages; /* what engines get as the history */
-  struct call *call;   /* in flight */
+  struct buf messages;  /* what engines get as the history */
+  struct call *call;    /* in flight */
   struct answer last;
   struct program_branch *next;
 };
@@ -96,13 +96,11 @@
 bool program_seal_cursor (const struct program *program,
                           const struct program_branch *branch,
                           char out[CURSOR_TEXT_BYTES]);
-void program_make_id (const struct server *server,
-                      char out[PROGRAM_ID_BYTES]);
+void program_make_id (const struct server *server, char out[PROGRAM_ID_BYTES]);
 bool program_home_dc (const char *id, char *out, size_t size);
 json_t *program_to_json (const struct program *program);
 
-void answer_append_token (struct answer *answer, const char *text,
-                          size_t len);
+void answer_append_token (struct answer *answer, const char *text, size_t len);
 void answer_release (struct answer *answer);
 
 #endif
--- a/include/standin/standin.h
+++ b/include/standin/standin.h
@@ -12,14 +12,14 @@
 struct faults
 {
   int64_t outage_until_ms;
-  int64_t slow_ms;       /* every answer waits so long */
-  int64_t hang_next;     /* so many requests get no answer at all */
-  int64_t lose_answers;  /* so many take effect and get no answer */
-  int64_t garbage_next;  /* so many get an answer that makes no sense */
-  int64_t half_next;     /* so many answers are cut in the middle */
-  int64_t crossed_next;  /* so many answers belong to another request */
+  int64_t slow_ms;      /* every answer waits so long */
+  int64_t hang_next;    /* so many requests get no answer at all */
+  int64_t lose_answers; /* so many take effect and get no answer */
+  int64_t garbage_next; /* so many get an answer that makes no sense */
+  int64_t half_next;    /* so many answers are cut in the middle */
+  int64_t crossed_next; /* so many answers belong to another request */
   int64_t load_lag_ms;
-  int64_t drop_events;   /* one in so many cache events is not published */
+  int64_t drop_events; /* one in so many cache events is not published */
 };
 
 struct standin;
@@ -35,11 +35,11 @@
 
 struct standin_settings
 {
-  int64_t slots;          /* engine: requests at once */
-  int64_t token_us;       /* engine: time between tokens */
-  int64_t prefill_us;     /* engine: time for an uncached prompt token */
-  int64_t cache_tokens;   /* engine: prefix cache */
-  int64_t work_ms;        /* service: time an execution takes */
+  int64_t slots;        /* engine: requests at once */
+  int64_t token_us;     /* engine: time between tokens */
+  int64_t prefill_us;   /* engine: time for an uncached prompt token */
+  int64_t cache_tokens; /* engine: prefix cache */
+  int64_t work_ms;      /* service: time an execution takes */
   bool checks_fencing;
 };
 
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -102,15 +102,15 @@
 static json_t *
 status_of (const struct control *control)
 {
-  return json_pack (
-      "{s:s, s:s, s:s, s:I, s:I, s:b, s:b, s:b, s:I}", "host",
-      control->settings->host, "data_centre", control->settings->data_centre,
-      "version", GALENA_VERSION, "config_revision",
-      (json_int_t)control->objects.revision, "applied_revision",
-      (json_int_t)control->applied_revision, "serving",
-      control->sync.loaded, "platform_answers",
-      control->sync.platform_answers, "stopping", control->stopping,
-      "uptime_ms", (json_int_t)(clock_now_ms () - control->started_ms));
+  return json_pack ("{s:s, s:s, s:s, s:I, s:I, s:b, s:b, s:b, s:I}", "host",
+                    control->settings->host, "data_centre",
+                    control->settings->data_centre, "version", GALENA_VERSION,
+                    "config_revision", (json_int_t)control->objects.revision,
+                    "applied_revision", (json_int_t)control->applied_revision,
+                    "serving", control->sync.loaded, "platform_answers",
+                    control->sync.platform_answers, "stopping",
+                    control->stopping, "uptime_ms",
+                    (json_int_t)(clock_now_ms () - control->started_ms));
 }
 
 static void
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -203,8 +203,7 @@
   call.hops = request->hops + 1;
   frame.body_case = PEER__FRAME__BODY_CALL_REQUEST;
   frame.call_request = &call;
-  return mesh_send (outgoing->forwarder->server->mesh, outgoing->host,
-                    &frame);
+  return mesh_send (outgoing->forwarder->server->mesh, outgoing->host, &frame);
 }
 
 /* Passes REQUEST on to HOST.  False where HOST cannot be reached now.  */
--- a/peer/limiter.c
+++ b/peer/limiter.c
@@ -53,7 +53,7 @@
   int64_t rate_milli;
   int64_t burst;
   int64_t changed_ms; /* when rate or burst changed; 0 for never */
-  uint32_t recent; /* requests in this batch window */
+  uint32_t recent;    /* requests in this batch window */
   int64_t window_ms;
   uint32_t next_part; /* where to ask first */
 };
@@ -73,7 +73,7 @@
   uint32_t first_part;
   int64_t asked_ms;
   int64_t started_ms;
-  int64_t try_again_ms; /* 0: a question is out */
+  int64_t try_again_ms;     /* 0: a question is out */
   int64_t shortest_wait_ms; /* that a holder told; -1 for none */
   struct limiter_wait *next;
 };
@@ -116,8 +116,7 @@
 }
 
 static struct bucket *
-find_bucket (const struct customer_limit *customer, uint32_t dc,
-             uint32_t slot)
+find_bucket (const struct customer_limit *customer, uint32_t dc, uint32_t slot)
 {
   for (struct bucket *b = customer->buckets; b; b = b->next)
     if (b->dc == dc && b->slot == slot)
@@ -257,9 +256,8 @@
   struct limiter *limiter = xcalloc (1, sizeof *limiter);
 
   limiter->server = server;
-  limiter->customers
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                               customer_destroy);
+  limiter->customers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                              customer_destroy);
   return limiter;
 }
 
@@ -377,8 +375,7 @@
   while (wait->position < 2 * customer->part_count
          && wait->questions < MAX_ASKS)
     {
-      uint32_t at
-          = (wait->first_part + wait->position) % customer->part_count;
+      uint32_t at = (wait->first_part + wait->position) % customer->part_count;
       bool local_round = wait->position < customer->part_count;
       const struct config_slots *slots;
       const struct config_host *host;
@@ -470,9 +467,8 @@
   error_set (&error, ERROR_RATE_LIMITED, RUN_NOT_RUN,
              "the customer is over its rate; come back after the given "
              "time");
-  error.retry_after_ms = wait->shortest_wait_ms > 0
-                             ? (uint32_t)wait->shortest_wait_ms
-                             : MILLI;
+  error.retry_after_ms
+      = wait->shortest_wait_ms > 0 ? (uint32_t)wait->shortest_wait_ms : MILLI;
   wait_destroy (wait);
   handle (data, &error);
 }
@@ -620,11 +616,11 @@
 
       if (b->slot != ask->slot || slots->dc_hash != limiter->server->dc_hash)
         continue;
-      loan.tokens = (uint32_t)(limit_lend (&b->limit, ask->nonce,
-                                           (int64_t)ask->tokens
-                                               * LIMIT_UTOKENS,
-                                           now_ms)
-                               / LIMIT_UTOKENS);
+      loan.tokens
+          = (uint32_t)(limit_lend (&b->limit, ask->nonce,
+                                   (int64_t)ask->tokens * LIMIT_UTOKENS,
+                                   now_ms)
+                       / LIMIT_UTOKENS);
       loan.wait_ms = limit_wait_ms (&b->limit, LIMIT_UTOKENS, now_ms);
     }
   frame.body_case = PEER__FRAME__BODY_LIMIT_LOAN;
@@ -712,14 +708,13 @@
       for (const struct bucket *b = customer->buckets; b; b = b->next)
         json_array_append_new (
             buckets,
-            json_pack ("{s:i, s:I, s:I, s:I, s:I, s:b}", "slot", (int)b->slot,
-                       "rate_utokens_per_s",
-                       (json_int_t)b->limit.rate_utokens_per_s,
-                       "capacity_utokens",
-                       (json_int_t)b->limit.capacity_utokens,
-                       "level_utokens", (json_int_t)b->limit.level_utokens,
-                       "lent_utokens", (json_int_t)b->limit.lent_utokens,
-                       "rising", b->limit.pending_from_ms != 0));
+            json_pack (
+                "{s:i, s:I, s:I, s:I, s:I, s:b}", "slot", (int)b->slot,
+                "rate_utokens_per_s", (json_int_t)b->limit.rate_utokens_per_s,
+                "capacity_utokens", (json_int_t)b->limit.capacity_utokens,
+                "level_utokens", (json_int_t)b->limit.level_utokens,
+                "lent_utokens", (json_int_t)b->limit.lent_utokens, "rising",
+                b->limit.pending_from_ms != 0));
       json_object_set_new (root, name, buckets);
     }
   return root;
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -26,10 +26,10 @@
   struct mesh *mesh;
   char *name;
   char *address;
-  struct link *link;   /* opened by this host; owned here */
-  struct buf pending;  /* length-prefixed frames until the link opens */
+  struct link *link;  /* opened by this host; owned here */
+  struct buf pending; /* length-prefixed frames until the link opens */
   uint64_t ping_sequence;
-  int64_t ping_sent_ms; /* of the unanswered ping; 0 for none */
+  int64_t ping_sent_ms; /* of the oldest unanswered ping; 0 for none */
   int64_t last_used_ms;
   uint32_t holds; /* requests under way there; the link stays meanwhile */
   int64_t suspect_until_ms;
@@ -130,8 +130,7 @@
 }
 
 static void
-handle_outbound_frame (void *data, struct link *link,
-                       const Peer__Frame *frame)
+handle_outbound_frame (void *data, struct link *link, const Peer__Frame *frame)
 {
 }
 
@@ -184,7 +183,8 @@
   ping.leaving = peer->mesh->leaving;
   frame.body_case = PEER__FRAME__BODY_PING;
   frame.ping = &ping;
-  peer->ping_sent_ms = clock_now_ms ();
+  if (!peer->ping_sent_ms)
+    peer->ping_sent_ms = clock_now_ms ();
   send_frame (peer, &frame);
 }
 
@@ -207,8 +207,7 @@
 take_pong (struct peer *peer, const Peer__Pong *pong)
 {
   peer->leaving = pong->leaving;
-  if (pong->sequence == peer->ping_sequence)
-    mark_answering (peer);
+  mark_answering (peer);
 }
 
 static void
@@ -284,7 +283,7 @@
   if (!peer->suspect && peer->holds == 0
       && now_ms - peer->last_used_ms > IDLE_MS)
     drop_link (peer);
-  else if (!peer->ping_sent_ms || peer->suspect)
+  else
     send_ping (peer);
 }
 
@@ -302,8 +301,8 @@
 listen_on (const struct mesh_options *options, struct error *error)
 {
   struct sockaddr_in address;
-  char *text = xasprintf ("%s:%u", options->listen_address,
-                          options->listen_port);
+  char *text
+      = xasprintf ("%s:%u", options->listen_address, options->listen_port);
   bool parsed = address_parse (text, &address);
   int on = 1;
   int fd;
@@ -342,8 +341,7 @@
   ev_io_init (&mesh->acceptable, handle_acceptable, mesh->listener, EV_READ);
   mesh->acceptable.data = mesh;
   ev_io_start (options->loop, &mesh->acceptable);
-  ev_timer_init (&mesh->tick, handle_tick, PING_MS / 1000.0,
-                 PING_MS / 1000.0);
+  ev_timer_init (&mesh->tick, handle_tick, PING_MS / 1000.0, PING_MS / 1000.0);
   mesh->tick.data = mesh;
   ev_timer_start (options->loop, &mesh->tick);
   return mesh;
@@ -435,8 +433,7 @@
 
   if (!peer || !peer->listed || peer->blocked)
     return false;
-  if (peer->suspect && !peer->link
-      && clock_now_ms () < peer->suspect_until_ms)
+  if (peer->suspect && !peer->link && clock_now_ms () < peer->suspect_until_ms)
     return false;
   if (!open_link (peer))
     return false;
@@ -536,11 +533,11 @@
 
   for (const struct peer *peer = mesh->peers; peer; peer = peer->next)
     json_array_append_new (
-        list, json_pack ("{s:s, s:s?, s:b, s:b, s:b, s:b, s:b}", "host",
-                         peer->name, "address", peer->address, "listed",
-                         peer->listed, "linked",
-                         peer->link && peer->link->state == LINK_OPEN,
-                         "suspect", peer->suspect, "leaving", peer->leaving,
-                         "blocked", peer->blocked));
+        list,
+        json_pack ("{s:s, s:s?, s:b, s:b, s:b, s:b, s:b}", "host", peer->name,
+                   "address", peer->address, "listed", peer->listed, "linked",
+                   peer->link && peer->link->state == LINK_OPEN, "suspect",
+                   peer->suspect, "leaving", peer->leaving, "blocked",
+                   peer->blocked));
   return list;
 }
--- a/peer/seal.c
+++ b/peer/seal.c
@@ -53,9 +53,8 @@
   if (len < SEAL_TAG_BYTES)
     return false;
   next_nonce (seal, nonce);
-  if (crypto_aead_chacha20poly1305_ietf_decrypt (data, &out_len, NULL, data,
-                                                 len, NULL, 0, nonce,
-                                                 seal->key)
+  if (crypto_aead_chacha20poly1305_ietf_decrypt (
+          data, &out_len, NULL, data, len, NULL, 0, nonce, seal->key)
       != 0)
     return false;
   *plain_len = (size_t)out_len;
@@ -73,8 +72,8 @@
 
 /* Whether SIGN is the authenticator of a hello.  */
 bool
-seal_verify (const struct keyring_key *fleet_key, const void *data,
-             size_t len, const uint8_t *sign)
+seal_verify (const struct keyring_key *fleet_key, const void *data, size_t len,
+             const uint8_t *sign)
 {
   uint8_t expected[SEAL_SIGN_BYTES];
 
--- a/policy/fair.c
+++ b/policy/fair.c
@@ -32,7 +32,7 @@
 };
 
 #define CONTAINER(pointer, type, member)                                      \
-  ((type *)(void *)((char *)(pointer) - offsetof (type, member)))
+  ((type *)(void *)((char *)(pointer)-offsetof (type, member)))
 
 static struct fair *
 create_queue (const struct fair_impl *impl)
@@ -274,8 +274,7 @@
   customer = item->owner;
   remove_item (fair, item);
   if (customer->node.index != HEAP_NONE)
-    heap_update (&queue->active, &customer->node,
-                 (int64_t)++queue->sequence);
+    heap_update (&queue->active, &customer->node, (int64_t)++queue->sequence);
   return item;
 }
 
@@ -320,14 +319,13 @@
   return item;
 }
 
-const struct fair_impl fair_least_attained
-    = { .name = "least_attained",
-        .create = least_attained_create,
-        .push = least_attained_push,
-        .pop = least_attained_pop,
-        .remove = remove_item,
-        .charge = charge_nothing,
-        .destroy = destroy_queue };
+const struct fair_impl fair_least_attained = { .name = "least_attained",
+                                               .create = least_attained_create,
+                                               .push = least_attained_push,
+                                               .pop = least_attained_pop,
+                                               .remove = remove_item,
+                                               .charge = charge_nothing,
+                                               .destroy = destroy_queue };
 
 /* Creates an empty queue of policy IMPL.  */
 struct fair *
--- a/policy/heap.c
+++ b/policy/heap.c
@@ -62,8 +62,8 @@
   if (heap->count == heap->capacity)
     {
       heap->capacity = heap->capacity ? 2 * heap->capacity : FIRST_CAPACITY;
-      heap->nodes = xrealloc (heap->nodes,
-                              heap->capacity * sizeof *heap->nodes);
+      heap->nodes
+          = xrealloc (heap->nodes, heap->capacity * sizeof *heap->nodes);
     }
   node->index = heap->count++;
   sift_up (heap, node);
--- a/policy/limit.c
+++ b/policy/limit.c
@@ -102,8 +102,7 @@
     return;
   limit->rate_utokens_per_s
       = min64 (limit->rate_utokens_per_s, rate_utokens_per_s);
-  limit->capacity_utokens
-      = min64 (limit->capacity_utokens, capacity_utokens);
+  limit->capacity_utokens = min64 (limit->capacity_utokens, capacity_utokens);
   clamp_level (limit);
   limit->pending_rate_utokens_per_s = rate_utokens_per_s;
   limit->pending_capacity_utokens = capacity_utokens;
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -100,11 +100,10 @@
       entry = take_slot (poison);
       *entry = (struct poison_entry){ .fingerprint = fingerprint };
     }
-  entry->crashes = crashes_elsewhere > 0
-                       ? (crashes_elsewhere > entry->crashes
-                              ? crashes_elsewhere
-                              : entry->crashes)
-                       : entry->crashes + 1;
+  entry->crashes = crashes_elsewhere > 0 ? (crashes_elsewhere > entry->crashes
+                                                ? crashes_elsewhere
+                                                : entry->crashes)
+                                         : entry->crashes + 1;
   entry->alone = false;
   entry->until_ms = now_ms
                     + (entry->crashes >= POISON_CRASHES ? POISON_HOLD_MS
--- a/policy/route.c
+++ b/policy/route.c
@@ -107,8 +107,7 @@
       picked = other;
       picked_cost = cost;
     }
-  if (picked < 0 && options->avoid >= 0
-      && has_room (&engines[options->avoid]))
+  if (picked < 0 && options->avoid >= 0 && has_room (&engines[options->avoid]))
     return options->avoid;
   return picked;
 }
--- a/policy/slots.c
+++ b/policy/slots.c
@@ -54,8 +54,8 @@
 static uint32_t
 rank_slots (const struct slots_dc *dc, uint64_t customer, struct ranked *out)
 {
-  uint32_t count = dc->slot_count < SLOTS_MAX_PER_DC ? dc->slot_count
-                                                     : SLOTS_MAX_PER_DC;
+  uint32_t count
+      = dc->slot_count < SLOTS_MAX_PER_DC ? dc->slot_count : SLOTS_MAX_PER_DC;
 
   for (uint32_t i = 0; i < count; i++)
     {
@@ -90,8 +90,7 @@
       int64_t dc_burst = burst_tokens * LIMIT_UTOKENS / used_dcs;
       int64_t dc_rate = rate_milli * UTOKENS_PER_MILLI / used_dcs;
       uint32_t slots = rank_slots (dc, customer_hash, slot_rank);
-      int64_t wanted
-          = dc_burst / ((int64_t)SLOTS_MIN_TOKENS * LIMIT_UTOKENS);
+      int64_t wanted = dc_burst / ((int64_t)SLOTS_MIN_TOKENS * LIMIT_UTOKENS);
 
       if (wanted < 1)
         wanted = 1;
--- a/policy/turn.c
+++ b/policy/turn.c
@@ -33,8 +33,7 @@
   if (cursor->turn > branch->next_turn)
     return TURN_RELOAD;
   if (cursor->turn == branch->next_turn)
-    return decide_next (branch, cursor, incarnation, idempotent,
-                        request_hash);
+    return decide_next (branch, cursor, incarnation, idempotent, request_hash);
   if (cursor->turn + 1 == branch->next_turn && branch->has_last)
     return decide_last (branch, cursor, request_hash);
   return cursor->incarnation == incarnation ? TURN_STALE : TURN_RELOAD;
--- a/program/call.c
+++ b/program/call.c
@@ -187,8 +187,7 @@
   return json_pack ("{s:I, s:I, s:I}", "prompt_tokens",
                     (json_int_t)ending->usage->prompt_tokens,
                     "completion_tokens", (json_int_t)answer->token_count,
-                    "cached_tokens",
-                    (json_int_t)ending->usage->cached_tokens);
+                    "cached_tokens", (json_int_t)ending->usage->cached_tokens);
 }
 
 static json_t *
@@ -214,11 +213,11 @@
                            json_stringn (text, answer->text.len));
       return root;
     }
-  return json_pack (
-      "{s:s, s:s, s:[{s:i, s:{s:s, s:s%}, s:s}], s:o}", "id", id, "object",
-      "chat.completion", "choices", "index", 0, "message", "role",
-      "assistant", "content", text, answer->text.len, "finish_reason", "stop",
-      "usage", usage_to_json (answer, ending));
+  return json_pack ("{s:s, s:s, s:[{s:i, s:{s:s, s:s%}, s:s}], s:o}", "id", id,
+                    "object", "chat.completion", "choices", "index", 0,
+                    "message", "role", "assistant", "content", text,
+                    answer->text.len, "finish_reason", "stop", "usage",
+                    usage_to_json (answer, ending));
 }
 
 static void
@@ -497,9 +496,9 @@
       turn.is_message
           = call->spec.kind == CALL_MODEL && !call->spec.whole_messages;
       turn.tokens = call->answer.token_count;
-      turn.hash_after = history_turn_hash (
-          turn.hash_before, messages.data, messages.len,
-          call->answer.text.data, call->answer.text.len);
+      turn.hash_after
+          = history_turn_hash (turn.hash_before, messages.data, messages.len,
+                               call->answer.text.data, call->answer.text.len);
       if (!call->spec.whole_messages)
         history_append_turn (&branch->messages, &turn);
     }
@@ -617,12 +616,12 @@
   job->model = xstrdup (call->spec.model);
   job->customer = xstrdup (call->customer);
   job->program = call->program->hash;
-  job->fingerprint = id_hash64 (call->spec.messages.data,
-                                call->spec.messages.len,
-                                call->branch->state.history_hash);
-  job->prompt_tokens = (int64_t)(call->branch->messages.len
-                                 + call->spec.messages.len)
-                       / BYTES_PER_TOKEN;
+  job->fingerprint
+      = id_hash64 (call->spec.messages.data, call->spec.messages.len,
+                   call->branch->state.history_hash);
+  job->prompt_tokens
+      = (int64_t)(call->branch->messages.len + call->spec.messages.len)
+        / BYTES_PER_TOKEN;
   job->fair.customer = call->program->customer_hash;
   job->fair.weight = customer ? customer->params.weight : 1;
   job->fair.attained = call->program->attained_tokens;
@@ -648,19 +647,18 @@
 dispatch_tool (struct call *call)
 {
   char *request_id = service_request_id (call);
-  struct service_options options
-      = { .route = call->spec.route,
-          .method = call->spec.method,
-          .subpath = call->spec.subpath,
-          .content_type = call->spec.content_type,
-          .request_id = request_id,
-          .body = call->spec.body.data,
-          .body_len = call->spec.body.len,
-          .idempotent = call->spec.idempotent,
-          .timeout_ms = call->spec.timeout_ms,
-          .handle_answer = handle_service_answer,
-          .handle_failed = handle_service_failed,
-          .data = call };
+  struct service_options options = { .route = call->spec.route,
+                                     .method = call->spec.method,
+                                     .subpath = call->spec.subpath,
+                                     .content_type = call->spec.content_type,
+                                     .request_id = request_id,
+                                     .body = call->spec.body.data,
+                                     .body_len = call->spec.body.len,
+                                     .idempotent = call->spec.idempotent,
+                                     .timeout_ms = call->spec.timeout_ms,
+                                     .handle_answer = handle_service_answer,
+                                     .handle_failed = handle_service_failed,
+                                     .data = call };
 
   call->service = service_start (call->server, &options);
   free (request_id);
@@ -841,8 +839,8 @@
 {
   struct budget probe = call->program->budget;
   enum budget_verdict verdict = budget_reserve (&probe, amount_wanted (call));
-  bool unrecorded = !call->program->recorded
-                    && !journal_is_down (call->server->journal);
+  bool unrecorded
+      = !call->program->recorded && !journal_is_down (call->server->journal);
 
   if (verdict == BUDGET_EXHAUSTED)
     refuse_budget (call);
@@ -1096,8 +1094,8 @@
 }
 
 static void
-act (struct call *call, struct program *program,
-     struct program_branch *branch, enum turn_verdict verdict)
+act (struct call *call, struct program *program, struct program_branch *branch,
+     enum turn_verdict verdict)
 {
   switch (verdict)
     {
@@ -1194,8 +1192,7 @@
     service_cancel (call->service);
   journal_cancel (call->server->journal, call);
   copies_cancel (call->server->copies, call);
-  error_set (&error, kind, unsure ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN, "%s",
-             why);
+  error_set (&error, kind, unsure ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN, "%s", why);
   finish_refused (call, &error);
 }
 
--- a/program/copies.c
+++ b/program/copies.c
@@ -54,8 +54,8 @@
   struct server *server;
   struct transfer *transfers;
   struct deferred advance; /* of the transfers that can go on */
-  GPtrArray *repairs; /* programs whose copies may belong elsewhere too */
-  uint64_t data_hosts; /* hash over the set, to see it change */
+  GPtrArray *repairs;      /* programs whose copies may belong elsewhere too */
+  uint64_t data_hosts;     /* hash over the set, to see it change */
 };
 
 static void
@@ -306,8 +306,7 @@
 
   for (uint32_t i = 0; i < count; i++)
     {
-      if (transfer->ask_count == MAX_ASKED
-          || was_asked (transfer, hosts[i]))
+      if (transfer->ask_count == MAX_ASKED || was_asked (transfer, hosts[i]))
         continue;
       ask_host (transfer, hosts[i]);
       return true;
@@ -329,8 +328,7 @@
   while (transfer->kept + count_asks (transfer, ASK_OPEN) < transfer->wanted)
     if (!ask_next (transfer))
       break;
-  if (transfer->kept < transfer->wanted
-      && count_asks (transfer, ASK_OPEN) > 0)
+  if (transfer->kept < transfer->wanted && count_asks (transfer, ASK_OPEN) > 0)
     return false;
   finish_append (transfer);
   return true;
--- a/program/history.c
+++ b/program/history.c
@@ -12,9 +12,8 @@
 
   if (!record)
     return;
-  history->records
-      = xrealloc (history->records,
-                  (history->count + 1) * sizeof *history->records);
+  history->records = xrealloc (
+      history->records, (history->count + 1) * sizeof *history->records);
   history->records[history->count++] = record;
 }
 
--- a/program/load.c
+++ b/program/load.c
@@ -94,8 +94,8 @@
   const History__Turn *last = NULL;
   struct program_branch *branch;
 
-  if (!history_find_branch (history, &call->cursor, call->request_hash,
-                            &state, &messages, &last))
+  if (!history_find_branch (history, &call->cursor, call->request_hash, &state,
+                            &messages, &last))
     {
       buf_release (&messages);
       return false;
@@ -222,10 +222,9 @@
       continue_waiting (load);
       return;
     }
-  journal_take (load->programs->server->journal,
-                load->waiting->cursor.process, load->program_id,
-                load->waiting->cursor.branch, load->waiting->cursor.turn,
-                handle_taken, load);
+  journal_take (load->programs->server->journal, load->waiting->cursor.process,
+                load->program_id, load->waiting->cursor.branch,
+                load->waiting->cursor.turn, handle_taken, load);
 }
 
 /* Loads CALL's program and then continues the call; it waits in the load.  */
--- a/program/once.c
+++ b/program/once.c
@@ -132,17 +132,18 @@
   char process[17];
   json_t *value;
 
-  snprintf (process, sizeof process, "%016" PRIx64, run->once->server->process);
-  value = json_pack ("{s:s, s:s, s:s, s:s}", "state", state, "nonce",
-                     run->nonce, "process", process, "request",
-                     run->request_hash);
+  snprintf (process, sizeof process, "%016" PRIx64,
+            run->once->server->process);
+  value
+      = json_pack ("{s:s, s:s, s:s, s:s}", "state", state, "nonce", run->nonce,
+                   "process", process, "request", run->request_hash);
   if (strcmp (state, "done") == 0)
     {
       json_object_set_new (value, "status", json_integer (run->status));
-      json_object_set_new (value, "body",
-                           json_stringn (run->answer.data ? run->answer.data
-                                                          : "",
-                                         run->answer.len));
+      json_object_set_new (
+          value, "body",
+          json_stringn (run->answer.data ? run->answer.data : "",
+                        run->answer.len));
     }
   return value;
 }
@@ -196,25 +197,24 @@
       finish_error (run, error);
       return;
     }
-  platform_delete (&run->once->server->platform, KIND, run->name,
-                   run->version, handle_withdrawn, run);
+  platform_delete (&run->once->server->platform, KIND, run->name, run->version,
+                   handle_withdrawn, run);
 }
 
 static void
 dispatch (struct once_run *run)
 {
-  struct service_options options
-      = { .route = run->spec.route,
-          .method = run->spec.method,
-          .subpath = run->spec.subpath,
-          .content_type = run->spec.content_type,
-          .request_id = run->name,
-          .body = run->spec.body.data,
-          .body_len = run->spec.body.len,
-          .timeout_ms = run->spec.timeout_ms,
-          .handle_answer = handle_answer,
-          .handle_failed = handle_failed,
-          .data = run };
+  struct service_options options = { .route = run->spec.route,
+                                     .method = run->spec.method,
+                                     .subpath = run->spec.subpath,
+                                     .content_type = run->spec.content_type,
+                                     .request_id = run->name,
+                                     .body = run->spec.body.data,
+                                     .body_len = run->spec.body.len,
+                                     .timeout_ms = run->spec.timeout_ms,
+                                     .handle_answer = handle_answer,
+                                     .handle_failed = handle_failed,
+                                     .data = run };
 
   g_hash_table_remove (run->once->unsent, run->name);
   service_start (run->once->server, &options);
@@ -337,8 +337,7 @@
                              strlen (request->customer) + 1);
   crypto_generichash_update (&state, (unsigned char *)run->spec.route,
                              strlen (run->spec.route) + 1);
-  crypto_generichash_update (&state,
-                             (unsigned char *)request->idempotency_key,
+  crypto_generichash_update (&state, (unsigned char *)request->idempotency_key,
                              strlen (request->idempotency_key));
   crypto_generichash_final (&state, hash, sizeof hash);
   sodium_bin2hex (run->name, sizeof run->name, hash, sizeof hash);
--- a/program/program.c
+++ b/program/program.c
@@ -281,28 +281,27 @@
 
   for (const struct program_branch *b = program->branches; b; b = b->next)
     json_array_append_new (
-        branches, json_pack ("{s:i, s:i, s:b, s:I}", "branch", (int)b->number,
-                             "turn", (int)b->state.next_turn, "in_flight",
-                             b->call != NULL, "history_bytes",
-                             (json_int_t)b->messages.len));
-  return json_pack (
-      "{s:s, s:s, s:o, s:o, s:o, s:o, s:I, s:I}", "program", program->id,
-      "customer", program->customer, "limit",
-      amount_to_json (program->budget.limit), "granted",
-      amount_to_json (program->budget.granted), "spent",
-      amount_to_json (program->budget.spent), "branches", branches,
-      "attained_tokens", (json_int_t)program->attained_tokens, "idle_ms",
-      (json_int_t)(clock_now_ms () - program->used_ms));
+        branches,
+        json_pack ("{s:i, s:i, s:b, s:I}", "branch", (int)b->number, "turn",
+                   (int)b->state.next_turn, "in_flight", b->call != NULL,
+                   "history_bytes", (json_int_t)b->messages.len));
+  return json_pack ("{s:s, s:s, s:o, s:o, s:o, s:o, s:I, s:I}", "program",
+                    program->id, "customer", program->customer, "limit",
+                    amount_to_json (program->budget.limit), "granted",
+                    amount_to_json (program->budget.granted), "spent",
+                    amount_to_json (program->budget.spent), "branches",
+                    branches, "attained_tokens",
+                    (json_int_t)program->attained_tokens, "idle_ms",
+                    (json_int_t)(clock_now_ms () - program->used_ms));
 }
 
 /* Returns how many programs there are, and each of them where WITH_EACH.  */
 json_t *
 programs_to_json (struct programs *programs, bool with_each)
 {
-  json_t *root
-      = json_pack ("{s:I, s:I}", "held",
-                   (json_int_t)g_hash_table_size (programs->by_id),
-                   "calls_in_flight", (json_int_t)programs->calls);
+  json_t *root = json_pack ("{s:I, s:I}", "held",
+                            (json_int_t)g_hash_table_size (programs->by_id),
+                            "calls_in_flight", (json_int_t)programs->calls);
   json_t *list;
   GHashTableIter iter;
   void *program;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -85,3 +85,16 @@
 fleet_key () {
   fleet_ctl --json key create "$1" | jq -r .key
 }
+
+# fleet_wait_slots N: until the slots of N data centres all have holders
+fleet_wait_slots () {
+  local i full
+  for i in $(seq 200); do
+    full=$(curl -s "$GALENA_PLATFORM/objects?kinds=slots" \
+      | jq '[.objects[] | select(.data.holders | all(. != null))] | length')
+    [ "$full" = "$1" ] && return 0
+    sleep 0.05
+  done
+  echo "the slots are not all held" >&2
+  return 1
+}
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -46,7 +46,6 @@
   struct generation *next;
 };
 
-
 struct engine
 {
   struct standin *standin;
@@ -205,9 +204,8 @@
 {
   uint64_t key[2] = { generation->prompt_hash, (uint64_t)generation->emitted };
 
-  return xasprintf (" w%llu",
-                    (unsigned long long)(id_hash64 (key, sizeof key, 1)
-                                         % 10000));
+  return xasprintf (
+      " w%llu", (unsigned long long)(id_hash64 (key, sizeof key, 1) % 10000));
 }
 
 static void
@@ -255,10 +253,10 @@
   json_t *body = json_pack (
       "{s:s, s:[{s:i, s:{s:s, s:s}, s:s}], s:{s:I, s:I, s:I}}", "id",
       generation->wire_id, "choices", "index", 0, "message", "role",
-      "assistant", "content", generation->text.data ? generation->text.data : "",
-      "finish_reason", "stop", "usage", "prompt_tokens",
-      (json_int_t)generation->prompt_tokens, "completion_tokens",
-      (json_int_t)generation->emitted, "cached_tokens",
+      "assistant", "content",
+      generation->text.data ? generation->text.data : "", "finish_reason",
+      "stop", "usage", "prompt_tokens", (json_int_t)generation->prompt_tokens,
+      "completion_tokens", (json_int_t)generation->emitted, "cached_tokens",
       (json_int_t)generation->cached_tokens);
 
   generation->request->user = NULL;
@@ -284,9 +282,9 @@
     {
       struct generation *generation = engine->waiting;
       int64_t uncached = generation->prompt_tokens - generation->cached_tokens;
-      double prefill_s = (double)(uncached
-                                  * engine->standin->settings.prefill_us)
-                         / US_PER_S;
+      double prefill_s
+          = (double)(uncached * engine->standin->settings.prefill_us)
+            / US_PER_S;
       double token_s = (double)engine->standin->settings.token_us / US_PER_S;
 
       engine->waiting = generation->next;
@@ -526,9 +524,9 @@
   bool stale = fence < engine->fence;
 
   if (stale && engine->standin->settings.checks_fencing)
-    standin_respond_json (engine->standin, request, 409,
-                          json_pack ("{s:I}", "fence",
-                                     (json_int_t)engine->fence));
+    standin_respond_json (
+        engine->standin, request, 409,
+        json_pack ("{s:I}", "fence", (json_int_t)engine->fence));
   else
     {
       engine->fence = stale ? engine->fence : fence;
--- a/standin/main.c
+++ b/standin/main.c
@@ -282,13 +282,13 @@
       fputs ("standin: name a --mode: engine, platform or service\n", stderr);
       goto out;
     }
-  standin.settings = (struct standin_settings){ .slots = slots,
-                                                .token_us = token_us,
-                                                .prefill_us = prefill_us,
-                                                .cache_tokens = cache_tokens,
-                                                .work_ms = work_ms,
-                                                .checks_fencing
-                                                = !no_fencing };
+  standin.settings
+      = (struct standin_settings){ .slots = slots,
+                                   .token_us = token_us,
+                                   .prefill_us = prefill_us,
+                                   .cache_tokens = cache_tokens,
+                                   .work_ms = work_ms,
+                                   .checks_fencing = !no_fencing };
   standin.record = record_all;
   signal (SIGPIPE, SIG_IGN);
   status = run (&standin, port);
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -115,9 +115,10 @@
       json_t *changes = NULL;
 
       if (watcher->since < platform->revision)
-        changes = changes_since (platform, watcher->since, watcher->kinds,
-                                 true);
-      if (changes && json_array_size (changes) == 0 && now_ms < watcher->until_ms)
+        changes
+            = changes_since (platform, watcher->since, watcher->kinds, true);
+      if (changes && json_array_size (changes) == 0
+          && now_ms < watcher->until_ms)
         {
           json_decref (changes);
           changes = NULL;
@@ -178,10 +179,9 @@
 put_object (struct platform *platform, const char *key, const char *kind,
             const char *name, json_t *data, bool deleted)
 {
-  json_t *object = json_pack ("{s:s, s:s, s:I, s:O, s:b}", "kind", kind,
-                              "name", name, "version",
-                              (json_int_t)++platform->revision, "data", data,
-                              "deleted", deleted);
+  json_t *object = json_pack (
+      "{s:s, s:s, s:I, s:O, s:b}", "kind", kind, "name", name, "version",
+      (json_int_t)++platform->revision, "data", data, "deleted", deleted);
 
   json_object_set_new (platform->objects, key, object);
 }
@@ -259,14 +259,13 @@
 static void
 respond_stats (struct platform *platform, struct httpd_request *request)
 {
-  standin_respond_json (
-      platform->standin, request, 200,
-      json_pack ("{s:I, s:I, s:I, s:I, s:I}", "revision",
-                 (json_int_t)platform->revision, "reads",
-                 (json_int_t)platform->reads, "writes",
-                 (json_int_t)platform->writes, "conflicts",
-                 (json_int_t)platform->conflicts, "watches",
-                 (json_int_t)platform->watches));
+  standin_respond_json (platform->standin, request, 200,
+                        json_pack ("{s:I, s:I, s:I, s:I, s:I}", "revision",
+                                   (json_int_t)platform->revision, "reads",
+                                   (json_int_t)platform->reads, "writes",
+                                   (json_int_t)platform->writes, "conflicts",
+                                   (json_int_t)platform->conflicts, "watches",
+                                   (json_int_t)platform->watches));
 }
 
 static void
--- a/standin/service.c
+++ b/standin/service.c
@@ -20,15 +20,15 @@
 static void
 count (struct service *service, const char *id)
 {
-  json_int_t before = json_integer_value (json_object_get (service->counts, id));
+  json_int_t before
+      = json_integer_value (json_object_get (service->counts, id));
 
   service->total++;
   json_object_set_new (service->counts, id, json_integer (before + 1));
 }
 
 static void
-answer (struct standin *standin, struct httpd_request *request,
-        const char *id)
+answer (struct standin *standin, struct httpd_request *request, const char *id)
 {
   struct faults *faults = &standin->faults;
   struct service *service = standin->state;
@@ -103,8 +103,7 @@
 }
 
 static void
-service_handle_request (struct standin *standin,
-                        struct httpd_request *request)
+service_handle_request (struct standin *standin, struct httpd_request *request)
 {
   struct service *service = standin->state;
 
@@ -114,8 +113,9 @@
                                      (json_int_t)service->total, "counts",
                                      service->counts));
   else if (strcmp (request->path, "/v1/load") == 0)
-    standin_respond_json (standin, request, 200,
-                          json_pack ("{s:i, s:i}", "running", 0, "waiting", 0));
+    standin_respond_json (
+        standin, request, 200,
+        json_pack ("{s:i, s:i}", "running", 0, "waiting", 0));
   else
     execute (standin, request);
 }
--- a/store/log.c
+++ b/store/log.c
@@ -35,7 +35,7 @@
   uint32_t magic;
   uint32_t program_len;
   uint32_t data_len;
-  uint32_t forgets; /* 1: drops what came before for the program */
+  uint32_t forgets;  /* 1: drops what came before for the program */
   uint64_t checksum; /* over the head's lengths, the program and the data */
 };
 
@@ -86,9 +86,9 @@
   ck_ring_buffer_t *slots;
   sem_t ready;
   struct mailbox *answers;
-  GHashTable *index; /* program to GArray of struct place; store thread */
+  GHashTable *index;    /* program to GArray of struct place; store thread */
   GHashTable *programs; /* set of ids; the other thread */
-  GPtrArray *segments; /* the last one is written; store thread */
+  GPtrArray *segments;  /* the last one is written; store thread */
   uint64_t damaged_records;
 };
 
@@ -332,7 +332,8 @@
         }
       store->damaged_records++;
       buf_release (record);
-      log_write (LOG_ERROR, "store", &(struct log_ids){ .program = job->program },
+      log_write (LOG_ERROR, "store",
+                 &(struct log_ids){ .program = job->program },
                  "a record no longer reads back as written");
     }
 }
@@ -507,8 +508,8 @@
 
   snprintf (name, sizeof name, "%016" PRIx64 "-%" PRIx64 ".damaged",
             segment->number, from);
-  fd = openat (store->folder_fd, name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
-               FILE_MODE);
+  fd = openat (store->folder_fd, name,
+               O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
   if (fd >= 0 && read_whole (segment->fd, bytes, to - from, from))
     write_whole (fd, bytes, to - from, 0);
   if (fd >= 0)
@@ -611,8 +612,7 @@
 {
   if (mkdir (store->folder, FOLDER_MODE) != 0 && errno != EEXIST)
     goto fail;
-  store->folder_fd
-      = open (store->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  store->folder_fd = open (store->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (store->folder_fd < 0)
     goto fail;
   if (flock (store->folder_fd, LOCK_EX | LOCK_NB) != 0)
@@ -663,8 +663,8 @@
   store->slots = xcalloc (QUEUE_SLOTS, sizeof *store->slots);
   ck_ring_init (&store->ring, QUEUE_SLOTS);
   sem_init (&store->ready, 0, 0);
-  store->index = g_hash_table_new_full (g_str_hash, g_str_equal, free,
-                                        places_destroy);
+  store->index
+      = g_hash_table_new_full (g_str_hash, g_str_equal, free, places_destroy);
   store->programs
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   store->segments = g_ptr_array_new_with_free_func (segment_destroy);
