--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= 6
 
-.PHONY: all deps build demo test clean
+.PHONY: all deps build demo test asan tsan lint format clean
 
 all: build
 
@@ -15,12 +15,34 @@
 build: deps $(BUILD)/build.ninja
 	ninja -C $(BUILD) -j $(JOBS)
 
+# Runs Hanmae's and Kajaste's programs on stand-ins.
 demo: build
 	./scripts/demo.sh $(BUILD)
 
+# Unit tests, properties, models, and the functional tests.
 test: build
 	meson test -C $(BUILD) --no-rebuild --print-errorlogs
-	./scripts/run-tests.sh $(BUILD)
+
+# The same tests, but for the models, with AddressSanitizer and UBSan.
+asan: deps
+	test -e build-asan || meson setup build-asan --buildtype=debugoptimized \
+	  -Dwerror=true -Db_sanitize=address,undefined -Db_lundef=false
+	ninja -C build-asan -j $(JOBS)
+	meson test -C build-asan --no-rebuild --print-errorlogs --no-suite model
+
+# The functional tests, which run the threads, with ThreadSanitizer.
+tsan: deps
+	test -e build-tsan || meson setup build-tsan --buildtype=debugoptimized \
+	  -Dwerror=true -Db_sanitize=thread -Db_lundef=false
+	ninja -C build-tsan -j $(JOBS)
+	meson test -C build-tsan --no-rebuild --print-errorlogs --suite functional
+
+lint: build
+	./scripts/format.sh --check
+	./scripts/lint.sh $(BUILD)
+
+format:
+	./scripts/format.sh
 
 clean:
-	rm -rf build build-asan build-tsan run
+	rm -rf build build-asan build-tsan
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -303,7 +303,7 @@
 set_body (struct fetch *fetch, const struct fetch_options *options)
 {
   fetch->request_body = xcalloc (options->body_len + 1, 1);
-  if (options->body_len)
+  if (options->body && options->body_len)
     memcpy (fetch->request_body, options->body, options->body_len);
   curl_easy_setopt (fetch->easy, CURLOPT_POSTFIELDSIZE_LARGE,
                     (curl_off_t)options->body_len);
--- a/include/policy/limit.h
+++ b/include/policy/limit.h
@@ -37,7 +37,8 @@
   int64_t remainder; /* of the refill division, in utokens/1000 */
   int64_t pending_rate_utokens_per_s;
   int64_t pending_capacity_utokens;
-  int64_t pending_from_ms; /* 0: nothing pending */
+  int64_t pending_from_ms;
+  bool is_pending;
   struct limit_loan loans[LIMIT_MAX_LOANS];
   uint32_t loan_count;
 };
--- a/peer/limiter.c
+++ b/peer/limiter.c
@@ -685,7 +685,7 @@
       struct customer_limit *customer = pointer;
 
       if (customer->purse.holder
-          && now_ms - customer->window_ms > 2 * BATCH_WINDOW_MS)
+          && now_ms - customer->window_ms > INT64_C (2) * BATCH_WINDOW_MS)
         empty_purse (limiter, customer);
     }
 }
@@ -714,7 +714,7 @@
                 "capacity_utokens", (json_int_t)b->limit.capacity_utokens,
                 "level_utokens", (json_int_t)b->limit.level_utokens,
                 "lent_utokens", (json_int_t)b->limit.lent_utokens, "rising",
-                b->limit.pending_from_ms != 0));
+                b->limit.is_pending));
       json_object_set_new (root, name, buckets);
     }
   return root;
--- a/policy/limit.c
+++ b/policy/limit.c
@@ -71,12 +71,12 @@
 static void
 advance (struct limit *limit, int64_t now_ms)
 {
-  if (limit->pending_from_ms && limit->pending_from_ms <= now_ms)
+  if (limit->is_pending && limit->pending_from_ms <= now_ms)
     {
       accrue (limit, limit->pending_from_ms);
       limit->rate_utokens_per_s = limit->pending_rate_utokens_per_s;
       limit->capacity_utokens = limit->pending_capacity_utokens;
-      limit->pending_from_ms = 0;
+      limit->is_pending = false;
       clamp_level (limit);
     }
   accrue (limit, now_ms);
@@ -93,10 +93,10 @@
   if (limit->rate_utokens_per_s == rate_utokens_per_s
       && limit->capacity_utokens == capacity_utokens)
     {
-      limit->pending_from_ms = 0;
+      limit->is_pending = false;
       return;
     }
-  if (limit->pending_from_ms
+  if (limit->is_pending
       && limit->pending_rate_utokens_per_s == rate_utokens_per_s
       && limit->pending_capacity_utokens == capacity_utokens)
     return;
@@ -107,6 +107,7 @@
   limit->pending_rate_utokens_per_s = rate_utokens_per_s;
   limit->pending_capacity_utokens = capacity_utokens;
   limit->pending_from_ms = now_ms + settle_ms;
+  limit->is_pending = true;
   advance (limit, now_ms);
 }
 
--- a/standin/load.c
+++ b/standin/load.c
@@ -145,11 +145,13 @@
 static double
 percentile_ms (struct samples *samples, unsigned percent)
 {
+  size_t at;
+
   if (samples->count == 0)
     return 0;
   qsort (samples->values, samples->count, sizeof (int64_t), compare_values);
-  return (double)samples->values[(samples->count - 1) * percent / 100]
-         / US_PER_MS;
+  at = (samples->count - 1) * percent / 100;
+  return (double)samples->values[at] / US_PER_MS;
 }
 
 static uint64_t
@@ -331,7 +333,7 @@
   char *end;
 
   buf_append (&agent->line, bytes, len);
-  while (agent->line.len > 0
+  while (agent->line.data
          && (end = memchr (agent->line.data, '\n', agent->line.len)))
     {
       *end = '\0';
@@ -368,8 +370,8 @@
   struct buf expected = { 0 };
 
   expected_answer (agent->history, agent->load->tokens, &expected);
-  if (expected.len != agent->answer.len
-      || memcmp (expected.data, agent->answer.data, expected.len) != 0)
+  if (!expected.data || !agent->answer.data
+      || strcmp (expected.data, agent->answer.data) != 0)
     {
       agent->customer->wrong_history++;
       fprintf (stderr, "wrong history: program %s branch %u turn %lld\n",
--- /dev/null
+++ b/test/property/limit.cpp
@@ -0,0 +1,202 @@
+// Never more than burst + rate x time over any interval, whatever is lost,
+// late, paused or reconfigured.
+#include "properties.h"
+#include <cmath>
+#include <map>
+#include <rapidcheck.h>
+#include <vector>
+extern "C"
+{
+#include "policy/limit.h"
+}
+
+namespace
+{
+
+constexpr int64_t TOKEN = LIMIT_UTOKENS;
+constexpr int BUCKETS = 3;
+constexpr int BORROWERS = 3;
+
+enum class event
+{
+  take,
+  ask,
+  answer_lost,
+  confirm,
+  confirm_lost,
+  pause,
+  lower,
+  restore,
+};
+
+struct step
+{
+  event what;
+  int bucket;
+  int borrower;
+  int64_t wait_ms;
+  int64_t tokens;
+};
+
+struct loan
+{
+  int bucket;
+  uint64_t nonce;
+  int64_t left; // whole tokens
+  int64_t asked_ms;
+};
+
+// All buckets of one customer and the hosts that borrow from them.
+struct fleet
+{
+  limit buckets[BUCKETS];
+  int64_t rate;
+  int64_t capacity;
+  int64_t now_ms = 0;
+  uint64_t nonce = 0;
+  std::map<int, loan> purses;
+  std::vector<std::pair<int64_t, int64_t> > admitted; // time, tokens
+
+  fleet (int64_t rate_tokens, int64_t capacity_tokens)
+      : rate (rate_tokens * TOKEN), capacity (capacity_tokens * TOKEN)
+  {
+    for (auto &bucket : buckets)
+      {
+        limit_init (&bucket, 0);
+        limit_configure (&bucket, rate, capacity, 0, 0);
+      }
+  }
+
+  void
+  admit (int64_t tokens)
+  {
+    admitted.emplace_back (now_ms, tokens);
+  }
+
+  // A borrower uses what it holds while the loan's time, counted from its
+  // question, has not passed.
+  void
+  spend_purse (int borrower)
+  {
+    auto found = purses.find (borrower);
+
+    if (found == purses.end ())
+      return;
+    if (now_ms - found->second.asked_ms >= LIMIT_LOAN_MS)
+      {
+        purses.erase (found);
+        return;
+      }
+    if (found->second.left > 0)
+      {
+        found->second.left--;
+        admit (1);
+      }
+  }
+
+  void
+  run (const step &step)
+  {
+    limit &bucket = buckets[step.bucket];
+
+    now_ms += step.wait_ms;
+    switch (step.what)
+      {
+      case event::take:
+        if (limit_take (&bucket, step.tokens * TOKEN, now_ms))
+          admit (step.tokens);
+        break;
+      case event::ask:
+        {
+          int64_t got
+              = limit_lend (&bucket, ++nonce, step.tokens * TOKEN, now_ms);
+
+          RC_ASSERT (got % TOKEN == 0);
+          purses[step.borrower] = { step.bucket, nonce, got / TOKEN, now_ms };
+          break;
+        }
+      case event::answer_lost:
+        limit_lend (&bucket, ++nonce, step.tokens * TOKEN, now_ms);
+        break;
+      case event::confirm:
+        {
+          auto found = purses.find (step.borrower);
+
+          spend_purse (step.borrower);
+          found = purses.find (step.borrower);
+          if (found == purses.end ())
+            break;
+          limit_confirm (&buckets[found->second.bucket], found->second.nonce,
+                         found->second.left * TOKEN, now_ms);
+          purses.erase (found);
+          break;
+        }
+      case event::confirm_lost:
+        spend_purse (step.borrower);
+        purses.erase (step.borrower);
+        break;
+      case event::pause:
+        now_ms += step.wait_ms * 20;
+        break;
+      case event::lower:
+        limit_configure (&bucket, rate / 2, capacity / 2, LIMIT_SETTLE_MS,
+                         now_ms);
+        break;
+      case event::restore:
+        limit_configure (&bucket, rate, capacity, LIMIT_SETTLE_MS, now_ms);
+        break;
+      }
+    for (auto &each : buckets)
+      RC_ASSERT (each.level_utokens + each.lent_utokens <= capacity);
+  }
+
+  void
+  check_intervals () const
+  {
+    for (size_t i = 0; i < admitted.size (); i++)
+      {
+        int64_t sum = 0;
+
+        for (size_t j = i; j < admitted.size (); j++)
+          {
+            int64_t elapsed_ms = admitted[j].first - admitted[i].first;
+            int64_t bound = BUCKETS * (capacity + rate * elapsed_ms / 1000);
+
+            sum += admitted[j].second * TOKEN;
+            RC_ASSERT (sum <= bound);
+          }
+      }
+  }
+};
+
+rc::Gen<step>
+any_step ()
+{
+  return rc::gen::build<step> (
+      rc::gen::set (&step::what,
+                    rc::gen::element (event::take, event::take, event::ask,
+                                      event::ask, event::answer_lost,
+                                      event::confirm, event::confirm_lost,
+                                      event::pause, event::lower,
+                                      event::restore)),
+      rc::gen::set (&step::bucket, rc::gen::inRange (0, BUCKETS)),
+      rc::gen::set (&step::borrower, rc::gen::inRange (0, BORROWERS)),
+      rc::gen::set (&step::wait_ms, rc::gen::inRange<int64_t> (0, 400)),
+      rc::gen::set (&step::tokens, rc::gen::inRange<int64_t> (1, 5)));
+}
+
+} // namespace
+
+bool
+check_limit ()
+{
+  return rc::check ("admitted <= burst + rate x time over every interval", [] {
+    fleet fleet (*rc::gen::inRange<int64_t> (1, 20),
+                 *rc::gen::inRange<int64_t> (1, 12));
+
+    for (const step &step :
+         *rc::gen::container<std::vector<struct step> > (any_step ()))
+      fleet.run (step);
+    fleet.check_intervals ();
+  });
+}
--- /dev/null
+++ b/test/property/properties.h
@@ -0,0 +1,15 @@
+// One function a file of properties; each returns whether all held.
+#ifndef GALENA_TEST_PROPERTIES_H
+#define GALENA_TEST_PROPERTIES_H
+
+bool check_budget ();
+bool check_cursor ();
+bool check_fair ();
+bool check_heap ();
+bool check_holders ();
+bool check_limit ();
+bool check_poison ();
+bool check_slots ();
+bool check_turn ();
+
+#endif
--- /dev/null
+++ b/test/unit/fake_platform.h
@@ -0,0 +1,29 @@
+/* A small object API in the test's own process. */
+#ifndef GALENA_TEST_FAKE_PLATFORM_H
+#define GALENA_TEST_FAKE_PLATFORM_H
+
+#include "common/httpd.h"
+#include "platform/client.h"
+#include <ev.h>
+#include <jansson.h>
+
+struct fake_platform
+{
+  struct ev_loop *loop;
+  struct httpd *httpd;
+  struct fetcher *fetcher;
+  struct platform client;
+  json_t *objects; /* "KIND/NAME" to {version, data} */
+  uint64_t revision;
+  int lose_after;  /* so many writes take effect and get no answer */
+  int lose_before; /* so many writes get no answer and no effect */
+  bool down;
+};
+
+void fake_platform_start (struct fake_platform *fake);
+void fake_platform_stop (struct fake_platform *fake);
+/* Turns the loop until *DONE, at most a bounded number of times. */
+void fake_platform_run (struct fake_platform *fake, const bool *done);
+json_t *fake_platform_data (struct fake_platform *fake, const char *key);
+
+#endif
--- /dev/null
+++ b/test/unit/main.c
@@ -0,0 +1,42 @@
+#include "common/log.h"
+#include "suites.h"
+#include <CUnit/Basic.h>
+#include <curl/curl.h>
+#include <sodium.h>
+
+/* Sorted by name. */
+static CU_SuiteInfo suites[] = {
+  { "config", NULL, NULL, NULL, NULL, config_tests },
+  { "cursor", NULL, NULL, NULL, NULL, cursor_tests },
+  { "fields", NULL, NULL, NULL, NULL, fields_tests },
+  { "history", NULL, NULL, NULL, NULL, history_tests },
+  { "holders", NULL, NULL, NULL, NULL, holders_tests },
+  { "journal", NULL, NULL, NULL, NULL, journal_tests },
+  { "limit", NULL, NULL, NULL, NULL, limit_tests },
+  { "mesh", NULL, NULL, NULL, NULL, mesh_tests },
+  { "objects", NULL, NULL, NULL, NULL, objects_tests },
+  { "owner", NULL, NULL, NULL, NULL, owner_tests },
+  { "retry", NULL, NULL, NULL, NULL, retry_tests },
+  { "route", NULL, NULL, NULL, NULL, route_tests },
+  { "settings", NULL, NULL, NULL, NULL, settings_tests },
+  { "store", NULL, NULL, NULL, NULL, store_tests },
+  { "turn", NULL, NULL, NULL, NULL, turn_tests },
+  CU_SUITE_INFO_NULL,
+};
+
+int
+main (void)
+{
+  unsigned failures;
+
+  if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0
+      || CU_initialize_registry () != CUE_SUCCESS
+      || CU_register_suites (suites) != CUE_SUCCESS)
+    return 2;
+  log_init ("test", LOG_ERROR);
+  CU_basic_set_mode (CU_BRM_NORMAL);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures > 0;
+}
--- /dev/null
+++ b/test/unit/suites.h
@@ -0,0 +1,23 @@
+/* The suites of unit tests, one a module. */
+#ifndef GALENA_TEST_SUITES_H
+#define GALENA_TEST_SUITES_H
+
+#include <CUnit/CUnit.h>
+
+extern CU_TestInfo config_tests[];
+extern CU_TestInfo cursor_tests[];
+extern CU_TestInfo fields_tests[];
+extern CU_TestInfo history_tests[];
+extern CU_TestInfo holders_tests[];
+extern CU_TestInfo journal_tests[];
+extern CU_TestInfo limit_tests[];
+extern CU_TestInfo mesh_tests[];
+extern CU_TestInfo objects_tests[];
+extern CU_TestInfo owner_tests[];
+extern CU_TestInfo retry_tests[];
+extern CU_TestInfo route_tests[];
+extern CU_TestInfo settings_tests[];
+extern CU_TestInfo store_tests[];
+extern CU_TestInfo turn_tests[];
+
+#endif
--- /dev/null
+++ b/test/unit/test_fields.c
@@ -0,0 +1,83 @@
+#include "common/fields.h"
+#include "suites.h"
+#include <string.h>
+
+struct sample
+{
+  char *name;
+  int64_t count;
+  bool on;
+  struct strings tags;
+};
+
+static const struct field sample_fields[] = {
+  { .name = "name",
+    .type = FIELD_STRING,
+    .offset = offsetof (struct sample, name),
+    .required = true,
+    .remedy = "give it one" },
+  { .name = "count",
+    .type = FIELD_INT64,
+    .offset = offsetof (struct sample, count),
+    .min = 1,
+    .max = 9 },
+  { .name = "on", .type = FIELD_BOOL, .offset = offsetof (struct sample, on) },
+  { .name = "tags",
+    .type = FIELD_STRINGS,
+    .offset = offsetof (struct sample, tags) },
+};
+
+static bool
+read_text (const char *text, struct sample *out, struct error *error)
+{
+  json_t *root = json_loads (text, 0, NULL);
+  bool ok = fields_read (root, sample_fields, 4, "sample", out, error);
+
+  json_decref (root);
+  return ok;
+}
+
+static void
+test_reads_all_types (void)
+{
+  struct sample out = { .count = 5 };
+  struct error error;
+
+  CU_ASSERT_TRUE (read_text (
+      "{\"name\":\"x\",\"on\":true,\"tags\":[\"a\",\"b\"]}", &out, &error));
+  CU_ASSERT_STRING_EQUAL (out.name, "x");
+  CU_ASSERT_EQUAL (out.count, 5);
+  CU_ASSERT_TRUE (out.on);
+  CU_ASSERT_TRUE (strings_contain (&out.tags, "b"));
+  CU_ASSERT_FALSE (strings_contain (&out.tags, "c"));
+  fields_release (sample_fields, 4, &out);
+}
+
+static void
+check_refused (const char *text, const char *part)
+{
+  struct sample out = { 0 };
+  struct error error = { 0 };
+
+  CU_ASSERT_FALSE (read_text (text, &out, &error));
+  CU_ASSERT_PTR_NOT_NULL (strstr (error.message, part));
+  CU_ASSERT_PTR_NULL (out.name);
+}
+
+static void
+test_names_field_and_remedy (void)
+{
+  check_refused ("{}", "\"name\" is missing; give it one");
+  check_refused ("{\"name\":\"x\",\"nmae\":1}", "unknown key \"nmae\"");
+  check_refused ("{\"name\":3}", "\"name\" must be a string");
+  check_refused ("{\"name\":\"x\",\"count\":10}",
+                 "\"count\" is 10; set it between 1 and 9");
+  check_refused ("{\"name\":\"x\",\"tags\":[1]}",
+                 "\"tags\" must be a list of strings");
+  check_refused ("[]", "not a JSON object");
+}
+
+CU_TestInfo fields_tests[]
+    = { { "reads all types", test_reads_all_types },
+        { "names the field and the remedy", test_names_field_and_remedy },
+        CU_TEST_INFO_NULL };
--- /dev/null
+++ b/test/unit/test_objects.c
@@ -0,0 +1,74 @@
+#include "platform/objects.h"
+#include "suites.h"
+
+static bool
+merge (struct objects *objects, const char *name, int version, bool deleted)
+{
+  json_t *list = json_pack ("[{s:s, s:s, s:i, s:{s:i}, s:b}]", "kind", "key",
+                            "name", name, "version", version, "data", "v",
+                            version, "deleted", deleted);
+  bool changed = objects_merge (objects, list);
+
+  json_decref (list);
+  return changed;
+}
+
+static void
+test_versions_only_grow (void)
+{
+  struct objects objects;
+
+  objects_init (&objects);
+  CU_ASSERT_TRUE (merge (&objects, "a", 5, false));
+  CU_ASSERT_FALSE (merge (&objects, "a", 4, false));
+  CU_ASSERT_FALSE (merge (&objects, "a", 5, false));
+  CU_ASSERT_EQUAL (objects_version (objects_find (&objects, "key", "a")), 5);
+  CU_ASSERT_TRUE (merge (&objects, "a", 6, true));
+  CU_ASSERT_FALSE (merge (&objects, "a", 5, false));
+  CU_ASSERT_PTR_NULL (objects_find (&objects, "key", "a"));
+  CU_ASSERT_EQUAL (objects.revision, 6);
+  objects_release (&objects);
+}
+
+static void
+test_since_tells_deletions (void)
+{
+  struct objects objects;
+  json_t *since;
+
+  objects_init (&objects);
+  merge (&objects, "a", 5, false);
+  merge (&objects, "b", 7, true);
+  since = objects_since (&objects, 5);
+  CU_ASSERT_EQUAL (json_array_size (since), 1);
+  json_decref (since);
+  since = objects_live (&objects);
+  CU_ASSERT_EQUAL (json_array_size (since), 1);
+  json_decref (since);
+  objects_release (&objects);
+}
+
+static void
+test_withdrawal_here_outlasts_older_objects (void)
+{
+  struct objects objects;
+  json_t *live;
+  const json_t *data;
+
+  objects_init (&objects);
+  CU_ASSERT_TRUE (objects_withdraw (&objects, "a"));
+  CU_ASSERT_FALSE (objects_withdraw (&objects, "a"));
+  merge (&objects, "a", 5, false);
+  live = objects_live (&objects);
+  data = json_object_get (json_array_get (live, 0), "data");
+  CU_ASSERT_TRUE (json_is_true (json_object_get (data, "withdrawn")));
+  json_decref (live);
+  objects_release (&objects);
+}
+
+CU_TestInfo objects_tests[]
+    = { { "versions only grow", test_versions_only_grow },
+        { "what is new tells deletions too", test_since_tells_deletions },
+        { "a withdrawal at a host outlasts older objects",
+          test_withdrawal_here_outlasts_older_objects },
+        CU_TEST_INFO_NULL };
--- /dev/null
+++ b/test/unit/test_retry.c
@@ -0,0 +1,77 @@
+#include "policy/retry.h"
+#include "suites.h"
+
+static void
+test_budget_runs_out_and_is_earned (void)
+{
+  struct retry_budget budget;
+
+  retry_budget_init (&budget);
+  for (int i = 0; i < RETRY_MIN_PER_BUDGET; i++)
+    CU_ASSERT_TRUE (retry_budget_take (&budget));
+  CU_ASSERT_FALSE (retry_budget_take (&budget));
+  for (int i = 0; i < 100 / RETRY_PERCENT; i++)
+    retry_budget_note_first (&budget);
+  CU_ASSERT_TRUE (retry_budget_take (&budget));
+  CU_ASSERT_FALSE (retry_budget_take (&budget));
+}
+
+static void
+test_backoff_is_bounded (void)
+{
+  uint64_t seed = 42;
+
+  for (uint32_t attempt = 1; attempt < 40; attempt++)
+    {
+      int64_t wait = retry_backoff_ms (attempt, &seed);
+
+      CU_ASSERT_TRUE (wait >= 1 && wait <= RETRY_CAP_MS);
+    }
+}
+
+static void
+test_second_crash_refuses (void)
+{
+  static struct poison poison;
+
+  CU_ASSERT_EQUAL (poison_check (&poison, 9, 0), POISON_CLEAR);
+  CU_ASSERT_EQUAL (poison_note_crash (&poison, 9, 0, 0), 1);
+  CU_ASSERT_EQUAL (poison_check (&poison, 9, 1), POISON_SUSPECT);
+  poison_note_alone (&poison, 9, true);
+  CU_ASSERT_EQUAL (poison_check (&poison, 9, 2), POISON_WAIT);
+  CU_ASSERT_EQUAL (poison_note_crash (&poison, 9, 0, 3), 2);
+  CU_ASSERT_EQUAL (poison_check (&poison, 9, 4), POISON_REFUSE);
+  CU_ASSERT_EQUAL (poison_check (&poison, 9, 4 + POISON_HOLD_MS),
+                   POISON_CLEAR);
+}
+
+static void
+test_crashes_elsewhere_count (void)
+{
+  static struct poison poison;
+
+  poison_note_crash (&poison, 9, 1, 0);
+  CU_ASSERT_EQUAL (poison_note_crash (&poison, 9, 0, 1), 2);
+  poison_note_crash (&poison, 5, 2, 0);
+  CU_ASSERT_EQUAL (poison_check (&poison, 5, 1), POISON_REFUSE);
+}
+
+static void
+test_innocent_is_cleared (void)
+{
+  static struct poison poison;
+
+  poison_note_crash (&poison, 9, 0, 0);
+  poison_note_success (&poison, 9);
+  CU_ASSERT_EQUAL (poison_check (&poison, 9, 1), POISON_CLEAR);
+  CU_ASSERT_EQUAL (poison_note_crash (&poison, 9, 0, 2), 1);
+}
+
+CU_TestInfo retry_tests[]
+    = { { "a budget runs out and is earned",
+          test_budget_runs_out_and_is_earned },
+        { "the back-off is bounded", test_backoff_is_bounded },
+        { "a second crash refuses the request", test_second_crash_refuses },
+        { "crashes elsewhere count", test_crashes_elsewhere_count },
+        { "an innocent request is cleared", test_innocent_is_cleared },
+        CU_TEST_INFO_NULL };
--- /dev/null
+++ b/test/unit/test_store.c
@@ -0,0 +1,234 @@
+#include "store/log.h"
+#include "suites.h"
+#include <dirent.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+enum
+{
+  MAX_TURNS = 20000,
+};
+
+struct fixture
+{
+  struct ev_loop *loop;
+  char folder[64];
+  struct store *store;
+  int kept;
+  size_t fetched;
+  char last[64];
+};
+
+static void
+open_store (struct fixture *fixture, size_t segment_bytes)
+{
+  struct store_options options = { .loop = fixture->loop,
+                                   .folder = fixture->folder,
+                                   .segment_bytes = segment_bytes };
+  struct error error;
+
+  fixture->store = store_create (&options, &error);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fixture->store);
+}
+
+static void
+start (struct fixture *fixture)
+{
+  memset (fixture, 0, sizeof *fixture);
+  strcpy (fixture->folder, "/tmp/galena-store-XXXXXX");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (mkdtemp (fixture->folder));
+  fixture->loop = ev_loop_new (EVFLAG_AUTO);
+  open_store (fixture, 0);
+}
+
+static void
+stop (struct fixture *fixture)
+{
+  DIR *folder;
+  char path[512];
+
+  store_destroy (fixture->store);
+  ev_loop_destroy (fixture->loop);
+  folder = opendir (fixture->folder);
+  for (struct dirent *entry; (entry = readdir (folder));)
+    {
+      snprintf (path, sizeof path, "%s/%s", fixture->folder, entry->d_name);
+      unlink (path);
+    }
+  closedir (folder);
+  rmdir (fixture->folder);
+}
+
+static void
+handle_kept (void *data, bool kept)
+{
+  struct fixture *fixture = data;
+
+  fixture->kept += kept ? 1 : -1000;
+}
+
+static void
+handle_fetched (void *data, const struct buf *records, size_t count)
+{
+  struct fixture *fixture = data;
+
+  fixture->fetched = count + 1;
+  if (count > 0)
+    snprintf (fixture->last, sizeof fixture->last, "%s",
+              records[count - 1].data);
+}
+
+static void
+append (struct fixture *fixture, const char *program, const char *text)
+{
+  int before = fixture->kept;
+
+  store_append (fixture->store, program, text, strlen (text), handle_kept,
+                fixture);
+  for (int i = 0; i < MAX_TURNS && fixture->kept == before; i++)
+    ev_run (fixture->loop, EVRUN_ONCE);
+}
+
+static size_t
+fetch (struct fixture *fixture, const char *program)
+{
+  fixture->fetched = 0;
+  store_fetch (fixture->store, program, handle_fetched, fixture);
+  for (int i = 0; i < MAX_TURNS && fixture->fetched == 0; i++)
+    ev_run (fixture->loop, EVRUN_ONCE);
+  return fixture->fetched - 1;
+}
+
+static void
+reopen (struct fixture *fixture, size_t segment_bytes)
+{
+  store_destroy (fixture->store);
+  open_store (fixture, segment_bytes);
+}
+
+static void
+test_records_outlast_a_restart (void)
+{
+  struct fixture fixture;
+
+  start (&fixture);
+  append (&fixture, "p", "one");
+  append (&fixture, "q", "else");
+  append (&fixture, "p", "two");
+  CU_ASSERT_EQUAL (fetch (&fixture, "p"), 2);
+  reopen (&fixture, 0);
+  CU_ASSERT_EQUAL (fetch (&fixture, "p"), 2);
+  CU_ASSERT_STRING_EQUAL (fixture.last, "two");
+  CU_ASSERT_EQUAL (fetch (&fixture, "nothing"), 0);
+  stop (&fixture);
+}
+
+static void
+test_same_record_is_kept_once (void)
+{
+  struct fixture fixture;
+
+  start (&fixture);
+  append (&fixture, "p", "one");
+  append (&fixture, "p", "one");
+  CU_ASSERT_EQUAL (fixture.kept, 2);
+  CU_ASSERT_EQUAL (fetch (&fixture, "p"), 1);
+  stop (&fixture);
+}
+
+static char *
+first_segment (const struct fixture *fixture)
+{
+  static char path[512];
+
+  snprintf (path, sizeof path, "%s/%016x.log", fixture->folder, 1);
+  return path;
+}
+
+static void
+test_torn_end_is_set_aside (void)
+{
+  struct fixture fixture;
+  struct stat info;
+
+  start (&fixture);
+  append (&fixture, "p", "one");
+  append (&fixture, "p", "two");
+  store_destroy (fixture.store);
+  CU_ASSERT_EQUAL (stat (first_segment (&fixture), &info), 0);
+  CU_ASSERT_EQUAL (truncate (first_segment (&fixture), info.st_size - 2), 0);
+  open_store (&fixture, 0);
+  CU_ASSERT_EQUAL (fetch (&fixture, "p"), 1);
+  append (&fixture, "p", "two");
+  reopen (&fixture, 0);
+  CU_ASSERT_EQUAL (fetch (&fixture, "p"), 2);
+  stop (&fixture);
+}
+
+static void
+test_damaged_record_does_not_hide_the_next (void)
+{
+  struct fixture fixture;
+  int fd;
+
+  start (&fixture);
+  append (&fixture, "p", "one");
+  append (&fixture, "p", "two");
+  store_destroy (fixture.store);
+  fd = open (first_segment (&fixture), O_WRONLY);
+  CU_ASSERT_EQUAL (pwrite (fd, "X", 1, 26), 1);
+  close (fd);
+  open_store (&fixture, 0);
+  CU_ASSERT_EQUAL (fetch (&fixture, "p"), 1);
+  CU_ASSERT_STRING_EQUAL (fixture.last, "two");
+  stop (&fixture);
+}
+
+static void
+test_forgotten_segments_go (void)
+{
+  struct fixture fixture;
+  struct stat info;
+
+  start (&fixture);
+  reopen (&fixture, 16);
+  append (&fixture, "p", "a record that fills its segment");
+  append (&fixture, "q", "another one in the next segment");
+  store_forget (fixture.store, "p");
+  append (&fixture, "q", "and one more behind");
+  CU_ASSERT_EQUAL (fetch (&fixture, "p"), 0);
+  CU_ASSERT_NOT_EQUAL (stat (first_segment (&fixture), &info), 0);
+  reopen (&fixture, 16);
+  CU_ASSERT_EQUAL (fetch (&fixture, "p"), 0);
+  CU_ASSERT_EQUAL (fetch (&fixture, "q"), 2);
+  stop (&fixture);
+}
+
+static void
+test_folder_has_one_user (void)
+{
+  struct fixture fixture;
+  struct store_options options = { 0 };
+  struct error error;
+
+  start (&fixture);
+  options.loop = fixture.loop;
+  options.folder = fixture.folder;
+  CU_ASSERT_PTR_NULL (store_create (&options, &error));
+  CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "in use"));
+  stop (&fixture);
+}
+
+CU_TestInfo store_tests[]
+    = { { "records outlast a restart", test_records_outlast_a_restart },
+        { "the same record is kept once", test_same_record_is_kept_once },
+        { "a torn end is set aside", test_torn_end_is_set_aside },
+        { "a damaged record does not hide the next",
+          test_damaged_record_does_not_hide_the_next },
+        { "forgotten segments go", test_forgotten_segments_go },
+        { "a folder has one user", test_folder_has_one_user },
+        CU_TEST_INFO_NULL };
