Hand programs over in a planned stop; wait tells the truth

Cause: a rolling restart refused 12 to 15 calls, because the new owners loaded the programs under fresh incarnations; galenactl wait could return before a host had the revision, because it reported what it held, not what it had sent to traffic (60 of 300 requests with a fresh key got 401 at one host).

--- a/caller/routes.c
+++ b/caller/routes.c
@@ -2,6 +2,7 @@
 #include "common/id.h"
 #include "galenashored/server.h"
 #include "peer/forward.h"
+#include "program/program.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -113,7 +114,8 @@
   return request->args[0] ? request->args[0] : request->program;
 }
 
-/* Hands REQUEST to the host that owns its program, or handles it here.  */
+/* Hands REQUEST to the host that owns its program, or handles it here.  A
+   stopping host still serves the programs that it has not handed over.  */
 void
 routes_enter (struct api_request *request)
 {
@@ -132,7 +134,8 @@
   while (program && request->hops++ < MAX_HOPS)
     {
       owner = server_owner (server, program);
-      if (!owner || server_is_self (server, owner))
+      if (!owner || server_is_self (server, owner)
+          || program_is_held (server->programs, program))
         {
           entry->handle (request);
           return;
--- a/galenashored/control.c
+++ b/galenashored/control.c
@@ -36,6 +36,7 @@
   message->config = config;
   message->config_revision = control->objects.revision;
   message->sequence = ++control->sequence;
+  control->published_revision = control->objects.revision;
   traffic_post (control->traffic, message);
 }
 
@@ -103,7 +104,7 @@
     case CONTROL_APPLIED:
       control->applied_sequence = message->sequence;
       if (control->applied_sequence == control->sequence)
-        control->applied_revision = control->objects.revision;
+        control->applied_revision = control->published_revision;
       break;
     case CONTROL_DRAINED:
       control->drained = true;
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -8,6 +8,7 @@
 #include "peer/forward.h"
 #include "peer/limiter.h"
 #include "program/copies.h"
+#include "program/handover.h"
 #include "program/once.h"
 #include "program/program.h"
 #include <errno.h>
@@ -19,6 +20,7 @@
 
 enum
 {
+  HAND_OVER_MS = 2000, /* then the stop is announced anyhow */
   DRAIN_GRACE_MS = 300, /* quiet time before the thread counts as drained */
 };
 
@@ -31,6 +33,7 @@
   pthread_t thread;
   bool started;
   bool drained;
+  bool announced;
   int64_t quiet_since_ms;
   int64_t slow_tick_ms;
 };
@@ -75,7 +78,7 @@
   message->config = NULL;
   server_refresh_hosts (server);
   set_mesh_hosts (server);
-  mesh_set_status (server->mesh, message->config_revision, server->stopping);
+  mesh_set_status (server->mesh, message->config_revision, traffic->announced);
   dispatcher_apply (server->dispatcher, server->config);
   limiter_apply (server->limiter);
   copies_handle_hosts (server->copies);
@@ -250,6 +253,8 @@
   forwarder_handle_frame (server->forwarder, host, frame);
   limiter_handle_frame (server->limiter, host, frame);
   copies_handle_frame (server->copies, host, frame);
+  if (frame->body_case == PEER__FRAME__BODY_PROGRAM_HANDOVER)
+    handover_take (server->programs, frame->program_handover);
 }
 
 static void
@@ -280,11 +285,24 @@
          && once_is_idle (server->once);
 }
 
+/* Hands the programs over first and tells the others of the stop after that,
+   so that they find each program where they look for it.  */
 static void
 watch_drain (struct traffic *traffic, int64_t now_ms)
 {
-  if (!traffic->server.stopping || traffic->drained)
+  struct server *server = &traffic->server;
+
+  if (!server->stopping || traffic->drained)
     return;
+  programs_hand_over (server->programs);
+  if (!traffic->announced
+      && (programs_are_handed_over (server->programs)
+          || now_ms - server->stop_started_ms > HAND_OVER_MS))
+    {
+      traffic->announced = true;
+      mesh_set_status (server->mesh, server->config->revision, true);
+      announce_leaving (server);
+    }
   if (!is_drained (traffic))
     {
       traffic->quiet_since_ms = now_ms;
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -33,7 +33,8 @@
 typedef struct Peer__ConfigAsk Peer__ConfigAsk;
 typedef struct Peer__ConfigPush Peer__ConfigPush;
 typedef struct Peer__KeyWithdraw Peer__KeyWithdraw;
-typedef struct Peer__ProgramMoved Peer__ProgramMoved;
+typedef struct Peer__BranchState Peer__BranchState;
+typedef struct Peer__ProgramHandover Peer__ProgramHandover;
 typedef struct Peer__CrashNotice Peer__CrashNotice;
 typedef struct Peer__Frame Peer__Frame;
 
@@ -286,18 +287,55 @@
     , (char *)protobuf_c_empty_string }
 
 
+struct  Peer__BranchState
+{
+  ProtobufCMessage base;
+  uint32_t branch;
+  uint32_t next_turn;
+  uint64_t history_hash;
+  uint64_t parent_hash;
+  ProtobufCBinaryData messages;
+  protobuf_c_boolean has_last;
+  protobuf_c_boolean last_doubtful;
+  uint64_t last_request;
+  uint64_t last_history_hash;
+  ProtobufCBinaryData last_answer;
+  uint32_t last_status;
+  char *last_content_type;
+  size_t n_last_token_ends;
+  uint32_t *last_token_ends;
+  uint32_t last_error_kind;
+  uint32_t last_error_run;
+  char *last_error_message;
+};
+#define PEER__BRANCH_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__branch_state__descriptor) \
+    , 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string }
+
+
 /*
- * Ends a program's hold on this process, because another has loaded it.
+ * A program that its owner hands over in a planned stop, once its journal says
+ * so.  Its incarnation goes along: the cursors of its callers stay good.
  */
-struct  Peer__ProgramMoved
+struct  Peer__ProgramHandover
 {
   ProtobufCMessage base;
   char *program;
+  char *customer;
   uint64_t incarnation;
+  int64_t granted_tokens;
+  int64_t granted_calls;
+  int64_t granted_cost_micros;
+  int64_t spent_tokens;
+  int64_t spent_calls;
+  int64_t spent_cost_micros;
+  int64_t attained_tokens;
+  size_t n_branches;
+  Peer__BranchState **branches;
 };
-#define PEER__PROGRAM_MOVED__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__program_moved__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+#define PEER__PROGRAM_HANDOVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__program_handover__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -333,7 +371,7 @@
   PEER__FRAME__BODY_CONFIG_ASK = 15,
   PEER__FRAME__BODY_CONFIG_PUSH = 16,
   PEER__FRAME__BODY_KEY_WITHDRAW = 17,
-  PEER__FRAME__BODY_PROGRAM_MOVED = 18,
+  PEER__FRAME__BODY_PROGRAM_HANDOVER = 18,
   PEER__FRAME__BODY_CRASH_NOTICE = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
@@ -360,7 +398,7 @@
     Peer__ConfigAsk *config_ask;
     Peer__ConfigPush *config_push;
     Peer__KeyWithdraw *key_withdraw;
-    Peer__ProgramMoved *program_moved;
+    Peer__ProgramHandover *program_handover;
     Peer__CrashNotice *crash_notice;
   };
 };
@@ -711,24 +749,43 @@
 void   peer__key_withdraw__free_unpacked
                      (Peer__KeyWithdraw *message,
                       ProtobufCAllocator *allocator);
-/* Peer__ProgramMoved methods */
-void   peer__program_moved__init
-                     (Peer__ProgramMoved         *message);
-size_t peer__program_moved__get_packed_size
-                     (const Peer__ProgramMoved   *message);
-size_t peer__program_moved__pack
-                     (const Peer__ProgramMoved   *message,
+/* Peer__BranchState methods */
+void   peer__branch_state__init
+                     (Peer__BranchState         *message);
+size_t peer__branch_state__get_packed_size
+                     (const Peer__BranchState   *message);
+size_t peer__branch_state__pack
+                     (const Peer__BranchState   *message,
                       uint8_t             *out);
-size_t peer__program_moved__pack_to_buffer
-                     (const Peer__ProgramMoved   *message,
+size_t peer__branch_state__pack_to_buffer
+                     (const Peer__BranchState   *message,
                       ProtobufCBuffer     *buffer);
-Peer__ProgramMoved *
-       peer__program_moved__unpack
+Peer__BranchState *
+       peer__branch_state__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   peer__program_moved__free_unpacked
-                     (Peer__ProgramMoved *message,
+void   peer__branch_state__free_unpacked
+                     (Peer__BranchState *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ProgramHandover methods */
+void   peer__program_handover__init
+                     (Peer__ProgramHandover         *message);
+size_t peer__program_handover__get_packed_size
+                     (const Peer__ProgramHandover   *message);
+size_t peer__program_handover__pack
+                     (const Peer__ProgramHandover   *message,
+                      uint8_t             *out);
+size_t peer__program_handover__pack_to_buffer
+                     (const Peer__ProgramHandover   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ProgramHandover *
+       peer__program_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__program_handover__free_unpacked
+                     (Peer__ProgramHandover *message,
                       ProtobufCAllocator *allocator);
 /* Peer__CrashNotice methods */
 void   peer__crash_notice__init
@@ -824,8 +881,11 @@
 typedef void (*Peer__KeyWithdraw_Closure)
                  (const Peer__KeyWithdraw *message,
                   void *closure_data);
-typedef void (*Peer__ProgramMoved_Closure)
-                 (const Peer__ProgramMoved *message,
+typedef void (*Peer__BranchState_Closure)
+                 (const Peer__BranchState *message,
+                  void *closure_data);
+typedef void (*Peer__ProgramHandover_Closure)
+                 (const Peer__ProgramHandover *message,
                   void *closure_data);
 typedef void (*Peer__CrashNotice_Closure)
                  (const Peer__CrashNotice *message,
@@ -857,7 +917,8 @@
 extern const ProtobufCMessageDescriptor peer__config_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__config_push__descriptor;
 extern const ProtobufCMessageDescriptor peer__key_withdraw__descriptor;
-extern const ProtobufCMessageDescriptor peer__program_moved__descriptor;
+extern const ProtobufCMessageDescriptor peer__branch_state__descriptor;
+extern const ProtobufCMessageDescriptor peer__program_handover__descriptor;
 extern const ProtobufCMessageDescriptor peer__crash_notice__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
--- a/include/platform/journal.h
+++ b/include/platform/journal.h
@@ -56,6 +56,8 @@
 void journal_intent (struct journal *journal, const char *program,
                      uint32_t branch, uint32_t turn, journal_handler *handle,
                      void *data);
+void journal_hand_over (struct journal *journal, const char *program,
+                        uint64_t process, journal_handler *handle, void *data);
 void journal_forget (struct journal *journal, const char *program);
 void journal_take (struct journal *journal, uint64_t process,
                    const char *program, uint32_t branch, uint32_t turn,
--- a/include/program/program.h
+++ b/include/program/program.h
@@ -58,6 +58,9 @@
   uint64_t customer_hash;
   uint64_t incarnation; /* fresh at each load */
   bool recorded;        /* its grants stand in this process's journal */
+  bool opened_in_outage; /* no journal knows it: it may use its limit */
+  bool opening; /* its first records are not kept yet */
+  bool handing_over;
   bool closing;
   struct budget budget;
   int64_t attained_tokens;
@@ -85,6 +88,7 @@
 bool programs_are_idle (const struct programs *programs);
 
 struct program *program_find (struct programs *programs, const char *id);
+bool program_is_held (struct programs *programs, const char *id);
 struct program *program_create (struct programs *programs, const char *id,
                                 const struct config_customer *customer);
 void program_destroy (struct program *program);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -817,49 +817,94 @@
   assert(message->base.descriptor == &peer__key_withdraw__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   peer__program_moved__init
-                     (Peer__ProgramMoved         *message)
+void   peer__branch_state__init
+                     (Peer__BranchState         *message)
 {
-  static const Peer__ProgramMoved init_value = PEER__PROGRAM_MOVED__INIT;
+  static const Peer__BranchState init_value = PEER__BRANCH_STATE__INIT;
   *message = init_value;
 }
-size_t peer__program_moved__get_packed_size
-                     (const Peer__ProgramMoved *message)
+size_t peer__branch_state__get_packed_size
+                     (const Peer__BranchState *message)
 {
-  assert(message->base.descriptor == &peer__program_moved__descriptor);
+  assert(message->base.descriptor == &peer__branch_state__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__program_moved__pack
-                     (const Peer__ProgramMoved *message,
+size_t peer__branch_state__pack
+                     (const Peer__BranchState *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &peer__program_moved__descriptor);
+  assert(message->base.descriptor == &peer__branch_state__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__program_moved__pack_to_buffer
-                     (const Peer__ProgramMoved *message,
+size_t peer__branch_state__pack_to_buffer
+                     (const Peer__BranchState *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__program_moved__descriptor);
+  assert(message->base.descriptor == &peer__branch_state__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__ProgramMoved *
-       peer__program_moved__unpack
+Peer__BranchState *
+       peer__branch_state__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Peer__ProgramMoved *)
-     protobuf_c_message_unpack (&peer__program_moved__descriptor,
+  return (Peer__BranchState *)
+     protobuf_c_message_unpack (&peer__branch_state__descriptor,
                                 allocator, len, data);
 }
-void   peer__program_moved__free_unpacked
-                     (Peer__ProgramMoved *message,
+void   peer__branch_state__free_unpacked
+                     (Peer__BranchState *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &peer__program_moved__descriptor);
+  assert(message->base.descriptor == &peer__branch_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__program_handover__init
+                     (Peer__ProgramHandover         *message)
+{
+  static const Peer__ProgramHandover init_value = PEER__PROGRAM_HANDOVER__INIT;
+  *message = init_value;
+}
+size_t peer__program_handover__get_packed_size
+                     (const Peer__ProgramHandover *message)
+{
+  assert(message->base.descriptor == &peer__program_handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__program_handover__pack
+                     (const Peer__ProgramHandover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__program_handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__program_handover__pack_to_buffer
+                     (const Peer__ProgramHandover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__program_handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ProgramHandover *
+       peer__program_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ProgramHandover *)
+     protobuf_c_message_unpack (&peer__program_handover__descriptor,
+                                allocator, len, data);
+}
+void   peer__program_handover__free_unpacked
+                     (Peer__ProgramHandover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__program_handover__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   peer__crash_notice__init
@@ -2156,7 +2201,240 @@
   (ProtobufCMessageInit) peer__key_withdraw__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__program_moved__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__branch_state__field_descriptors[16] =
+{
+  {
+    "branch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, branch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_turn",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, next_turn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "history_hash",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, history_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parent_hash",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, parent_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "messages",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, messages),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_last",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, has_last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_doubtful",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_doubtful),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_request",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_history_hash",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_history_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_answer",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_status",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_content_type",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_token_ends",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__BranchState, n_last_token_ends),
+    offsetof(Peer__BranchState, last_token_ends),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_error_kind",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_error_kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_error_run",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_error_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_error_message",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_error_message),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__branch_state__field_indices_by_name[] = {
+  0,   /* field[0] = branch */
+  5,   /* field[5] = has_last */
+  2,   /* field[2] = history_hash */
+  9,   /* field[9] = last_answer */
+  11,   /* field[11] = last_content_type */
+  6,   /* field[6] = last_doubtful */
+  13,   /* field[13] = last_error_kind */
+  15,   /* field[15] = last_error_message */
+  14,   /* field[14] = last_error_run */
+  8,   /* field[8] = last_history_hash */
+  7,   /* field[7] = last_request */
+  10,   /* field[10] = last_status */
+  12,   /* field[12] = last_token_ends */
+  4,   /* field[4] = messages */
+  1,   /* field[1] = next_turn */
+  3,   /* field[3] = parent_hash */
+};
+static const ProtobufCIntRange peer__branch_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor peer__branch_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.BranchState",
+  "BranchState",
+  "Peer__BranchState",
+  "peer",
+  sizeof(Peer__BranchState),
+  16,
+  peer__branch_state__field_descriptors,
+  peer__branch_state__field_indices_by_name,
+  1,  peer__branch_state__number_ranges,
+  (ProtobufCMessageInit) peer__branch_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__program_handover__field_descriptors[11] =
 {
   {
     "program",
@@ -2164,47 +2442,164 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramMoved, program),
+    offsetof(Peer__ProgramHandover, program),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "customer",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramMoved, incarnation),
+    offsetof(Peer__ProgramHandover, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted_tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, granted_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted_calls",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, granted_calls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted_cost_micros",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, granted_cost_micros),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spent_tokens",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, spent_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spent_calls",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, spent_calls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spent_cost_micros",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, spent_cost_micros),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attained_tokens",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, attained_tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "branches",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__ProgramHandover, n_branches),
+    offsetof(Peer__ProgramHandover, branches),
+    &peer__branch_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned peer__program_moved__field_indices_by_name[] = {
-  1,   /* field[1] = incarnation */
+static const unsigned peer__program_handover__field_indices_by_name[] = {
+  9,   /* field[9] = attained_tokens */
+  10,   /* field[10] = branches */
+  1,   /* field[1] = customer */
+  4,   /* field[4] = granted_calls */
+  5,   /* field[5] = granted_cost_micros */
+  3,   /* field[3] = granted_tokens */
+  2,   /* field[2] = incarnation */
   0,   /* field[0] = program */
+  7,   /* field[7] = spent_calls */
+  8,   /* field[8] = spent_cost_micros */
+  6,   /* field[6] = spent_tokens */
 };
-static const ProtobufCIntRange peer__program_moved__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__program_handover__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor peer__program_moved__descriptor =
+const ProtobufCMessageDescriptor peer__program_handover__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.ProgramMoved",
-  "ProgramMoved",
-  "Peer__ProgramMoved",
+  "peer.ProgramHandover",
+  "ProgramHandover",
+  "Peer__ProgramHandover",
   "peer",
-  sizeof(Peer__ProgramMoved),
-  2,
-  peer__program_moved__field_descriptors,
-  peer__program_moved__field_indices_by_name,
-  1,  peer__program_moved__number_ranges,
-  (ProtobufCMessageInit) peer__program_moved__init,
+  sizeof(Peer__ProgramHandover),
+  11,
+  peer__program_handover__field_descriptors,
+  peer__program_handover__field_indices_by_name,
+  1,  peer__program_handover__number_ranges,
+  (ProtobufCMessageInit) peer__program_handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor peer__crash_notice__field_descriptors[2] =
@@ -2465,13 +2860,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "program_moved",
+    "program_handover",
     18,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Peer__Frame, body_case),
-    offsetof(Peer__Frame, program_moved),
-    &peer__program_moved__descriptor,
+    offsetof(Peer__Frame, program_handover),
+    &peer__program_handover__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -2504,7 +2899,7 @@
   8,   /* field[8] = limit_loan */
   0,   /* field[0] = ping */
   1,   /* field[1] = pong */
-  17,   /* field[17] = program_moved */
+  17,   /* field[17] = program_handover */
   11,   /* field[11] = store_ack */
   10,   /* field[10] = store_append */
   12,   /* field[12] = store_fetch */
--- a/program/call.c
+++ b/program/call.c
@@ -810,7 +810,7 @@
       budget_grant (budget, budget_next_grant (budget, amount_wanted (call)));
       call->program->recorded = true;
     }
-  else if (!call->program->recorded)
+  else if (call->program->opened_in_outage && !call->program->recorded)
     budget_grant (budget, budget->limit);
   else
     {
@@ -834,6 +834,8 @@
                  handle_grant, call);
 }
 
+/* While the platform is out, a program that was opened before goes on within
+   what has been granted.  */
 static void
 begin_budget (struct call *call)
 {
--- /dev/null
+++ b/program/handover.c
@@ -0,0 +1,226 @@
+#include "program/handover.h"
+#include "common/counters.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "galenashored/server.h"
+#include "program/load.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* A program whose move is being recorded. */
+struct handover
+{
+  struct programs *programs;
+  char *id;
+  char *host;
+};
+
+static char *
+text (const char *value)
+{
+  return (char *)(uintptr_t)(value ? value : "");
+}
+
+static void
+pack_branch (Peer__BranchState *state, const struct program_branch *branch)
+{
+  peer__branch_state__init (state);
+  state->branch = branch->number;
+  state->next_turn = branch->state.next_turn;
+  state->history_hash = branch->state.history_hash;
+  state->parent_hash = branch->parent_hash;
+  state->messages.data = (uint8_t *)branch->messages.data;
+  state->messages.len = branch->messages.len;
+  state->has_last = branch->state.has_last;
+  state->last_doubtful = branch->state.last_doubtful;
+  state->last_request = branch->state.last_request;
+  state->last_history_hash = branch->state.last_history_hash;
+  state->last_answer.data = (uint8_t *)branch->last.text.data;
+  state->last_answer.len = branch->last.text.len;
+  state->last_status = branch->last.status;
+  state->last_content_type = text (branch->last.content_type);
+  state->last_token_ends = branch->last.token_ends;
+  state->n_last_token_ends = branch->last.token_count;
+  state->last_error_kind = branch->last.error.kind;
+  state->last_error_run = branch->last.error.run;
+  state->last_error_message = text (branch->last.error.message);
+}
+
+static uint32_t
+count_branches (const struct program *program)
+{
+  uint32_t count = 0;
+
+  for (const struct program_branch *b = program->branches; b; b = b->next)
+    count++;
+  return count;
+}
+
+static bool
+send_program (const struct program *program, const char *host)
+{
+  struct server *server = program->programs->server;
+  uint32_t count = count_branches (program);
+  Peer__BranchState *states = xcalloc (count + 1, sizeof *states);
+  Peer__BranchState **list = xcalloc (count + 1, sizeof *list);
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__ProgramHandover message = PEER__PROGRAM_HANDOVER__INIT;
+  uint32_t i = 0;
+  bool sent;
+
+  for (const struct program_branch *b = program->branches; b; b = b->next, i++)
+    {
+      pack_branch (&states[i], b);
+      list[i] = &states[i];
+    }
+  message.program = program->id;
+  message.customer = program->customer;
+  message.incarnation = program->incarnation;
+  message.granted_tokens = program->budget.granted.tokens;
+  message.granted_calls = program->budget.granted.calls;
+  message.granted_cost_micros = program->budget.granted.cost_micros;
+  message.spent_tokens = program->budget.spent.tokens;
+  message.spent_calls = program->budget.spent.calls;
+  message.spent_cost_micros = program->budget.spent.cost_micros;
+  message.attained_tokens = program->attained_tokens;
+  message.n_branches = count;
+  message.branches = list;
+  frame.body_case = PEER__FRAME__BODY_PROGRAM_HANDOVER;
+  frame.program_handover = &message;
+  sent = mesh_send (server->mesh, host, &frame);
+  free (states);
+  free (list);
+  return sent;
+}
+
+/* The journal says that the program belongs to the other process: this one can
+   do nothing with it any more, whether the message arrives or not.  */
+static void
+handle_moved (void *data, enum journal_status status)
+{
+  struct handover *handover = data;
+  struct program *program
+      = program_find (handover->programs, handover->id);
+
+  if (program && status == JOURNAL_RECORDED)
+    {
+      send_program (program, handover->host);
+      program_destroy (program);
+    }
+  else if (program)
+    program->handing_over = false;
+  free (handover->id);
+  free (handover->host);
+  free (handover);
+}
+
+static void
+hand_over (struct program *program)
+{
+  struct server *server = program->programs->server;
+  const struct config_host *owner = server_owner (server, program->id);
+  struct handover *handover;
+
+  if (!owner || server_is_self (server, owner)
+      || journal_is_down (server->journal))
+    return;
+  program->handing_over = true;
+  handover = xcalloc (1, sizeof *handover);
+  handover->programs = program->programs;
+  handover->id = xstrdup (program->id);
+  handover->host = xstrdup (owner->name);
+  journal_hand_over (server->journal, program->id, owner->process,
+                     handle_moved, handover);
+}
+
+/* Hands over every program that has no call in flight; those that have follow
+   when it has ended.  */
+void
+programs_hand_over (struct programs *programs)
+{
+  GList *all = g_hash_table_get_values (programs->by_id);
+
+  for (GList *at = all; at; at = at->next)
+    {
+      struct program *program = at->data;
+
+      if (program->calls == 0 && !program->handing_over && !program->opening)
+        hand_over (program);
+    }
+  g_list_free (all);
+}
+
+/* Whether this process holds no program any more.  */
+bool
+programs_are_handed_over (const struct programs *programs)
+{
+  return g_hash_table_size (programs->by_id) == 0;
+}
+
+static void
+restore_branch (struct program *program, const Peer__BranchState *state)
+{
+  struct program_branch *branch = program_add_branch (program, state->branch);
+  uint32_t start = 0;
+
+  branch->state.next_turn = state->next_turn;
+  branch->state.history_hash = state->history_hash;
+  branch->state.has_last = state->has_last;
+  branch->state.last_doubtful = state->last_doubtful;
+  branch->state.last_request = state->last_request;
+  branch->state.last_history_hash = state->last_history_hash;
+  branch->parent_hash = state->parent_hash;
+  buf_append (&branch->messages, state->messages.data, state->messages.len);
+  branch->last.status = state->last_status;
+  branch->last.content_type = xstrdup (state->last_content_type);
+  for (size_t i = 0; i < state->n_last_token_ends; i++)
+    {
+      uint32_t end = state->last_token_ends[i];
+
+      if (end < start || end > state->last_answer.len)
+        break;
+      answer_append_token (&branch->last,
+                           (const char *)state->last_answer.data + start,
+                           end - start);
+      start = end;
+    }
+  buf_append (&branch->last.text, state->last_answer.data + start,
+              state->last_answer.len - start);
+  if (state->last_error_kind < ERROR_KIND_COUNT
+      && state->last_error_run <= RUN_RAN)
+    error_set (&branch->last.error, (enum error_kind)state->last_error_kind,
+               (enum run_state)state->last_error_run, "%s",
+               state->last_error_message);
+}
+
+/* Takes a program that its owner has handed over.  One that was loaded here
+   meanwhile stays as it is.  */
+void
+handover_take (struct programs *programs,
+               const Peer__ProgramHandover *handover)
+{
+  const struct config_customer *customer
+      = config_customer (programs->server->config, handover->customer);
+  struct program *program;
+
+  if (!customer || program_find (programs, handover->program)
+      || load_is_under_way (programs, handover->program))
+    return;
+  program = program_create (programs, handover->program, customer);
+  program->incarnation = handover->incarnation;
+  program->attained_tokens = handover->attained_tokens;
+  budget_grant (&program->budget,
+                (struct budget_amount){ handover->granted_tokens,
+                                        handover->granted_calls,
+                                        handover->granted_cost_micros });
+  program->budget.spent
+      = (struct budget_amount){ handover->spent_tokens, handover->spent_calls,
+                                handover->spent_cost_micros };
+  for (size_t i = 0; i < handover->n_branches; i++)
+    restore_branch (program, handover->branches[i]);
+  counter_add (COUNTER_TAKEOVERS, 1);
+  log_write (LOG_DEBUG, "handover",
+             &(struct log_ids){ .program = program->id,
+                                .customer = program->customer },
+             "taken over from its stopping owner");
+}
--- a/program/load.c
+++ b/program/load.c
@@ -261,6 +261,16 @@
   copies_fetch (call->server->copies, load->program_id, handle_fetched, load);
 }
 
+/* Whether a program is being loaded.  */
+bool
+load_is_under_way (const struct programs *programs, const char *id)
+{
+  for (const struct load *load = programs->loads; load; load = load->next)
+    if (strcmp (load->program_id, id) == 0)
+      return true;
+  return false;
+}
+
 /* Refuses every call that waits for a load, when the process stops.  */
 void
 load_drop_all (struct programs *programs)
--- a/program/open.c
+++ b/program/open.c
@@ -45,6 +45,8 @@
       program_destroy (program);
       program = NULL;
     }
+  if (program)
+    program->opening = false;
   error_set (&error, ERROR_HISTORY_UNAVAILABLE, RUN_NOT_RUN,
              "no host could keep the program's record; open it again");
   if (request)
@@ -75,6 +77,8 @@
                     budget_next_grant (&program->budget, none));
       program->recorded = true;
     }
+  else if (program)
+    program->opened_in_outage = true;
   opening_finish (opening);
 }
 
@@ -147,6 +151,7 @@
   pick_id (server, id);
   program = program_create (server->programs, id, customer);
   program_add_branch (program, 0);
+  program->opening = true;
   counter_add (COUNTER_PROGRAMS_OPENED, 1);
   opening = xcalloc (1, sizeof *opening);
   opening->server = server;
--- a/program/program.c
+++ b/program/program.c
@@ -98,6 +98,15 @@
   return g_hash_table_lookup (programs->by_id, id);
 }
 
+/* Whether this process holds a program and is not just handing it over.  */
+bool
+program_is_held (struct programs *programs, const char *id)
+{
+  const struct program *program = program_find (programs, id);
+
+  return program && !program->handing_over;
+}
+
 /* Adds a program with a fresh incarnation and no branch.  */
 struct program *
 program_create (struct programs *programs, const char *id,
--- a/test/functional/faults.sh
+++ b/test/functional/faults.sh
@@ -29,7 +29,7 @@
     kill -KILL "${FLEET_HOST_PID[a2]}"; sleep 1; fleet_host a2; sleep 2 ;;
   partition-pause)
     cut; kill -STOP "${FLEET_HOST_PID[b2]}"; sleep 3
-    UNBLOCK=1 cut; kill -CONT "${FLEET_HOST_PID[b2]}" ;;
+    kill -CONT "${FLEET_HOST_PID[b2]}"; UNBLOCK=1 cut ;;
   *) fail "unknown kind $2" ;;
 esac
 check_load
--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -109,7 +109,7 @@
   shift
   for index in "${from[@]}"; do
     for host in "$@"; do
-      curl -s -X POST -o /dev/null \
+      curl -s -m 2 -X POST -o /dev/null \
         "$(operator "$index")/test/block?host=$host${UNBLOCK:+&off=1}"
     done
   done
