--- /dev/null
+++ b/bench/lib.sh
@@ -0,0 +1,38 @@
+# What the benchmarks share.  Source it with BUILD set.
+# shellcheck shell=bash
+set -euo pipefail
+ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+# shellcheck source=scripts/fleet.sh
+. "$ROOT/scripts/fleet.sh"
+
+# figure NAME VALUE UNIT BOUND(or -) [le|ge]: prints a result as a JSON line
+figure () {
+  awk -v name="$1" -v value="$2" -v unit="$3" -v bound="$4" -v sense="${5:-le}" 'BEGIN {
+    printf "{\"figure\": \"%s\", \"value\": %.6g, \"unit\": \"%s\"", name, value, unit
+    if (bound == "-") { printf ", \"bound\": null, \"met\": null}\n"; exit }
+    met = sense == "le" ? value <= bound : value >= bound
+    printf ", \"bound\": %.6g, \"met\": %s}\n", bound, met ? "true" : "false"
+  }'
+}
+
+# cpu_ticks PID: user and system time so far, in clock ticks of 10 ms
+cpu_ticks () { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
+
+# rss_kb PID
+rss_kb () { awk '/VmRSS/ { print $2 }' "/proc/$1/status"; }
+
+calc () { awk "BEGIN { print $* }"; }
+
+caller () { echo "http://127.0.0.1:$((FLEET_BASE_PORT + 100 + $1))"; }
+operator () { echo "http://127.0.0.1:$((FLEET_BASE_PORT + 300 + $1))"; }
+
+# A template and a customer far above any rate that the benchmarks reach.
+wide_customer () {
+  fleet_ctl template set wide rate_per_minute=10000000 burst=1000000 \
+    budget_tokens=1000000000000 budget_calls=1000000000000 >/dev/null
+  fleet_ctl customer set "$1" template=wide >/dev/null
+}
+
+engine () { # NAME PORT SLOTS
+  fleet_ctl endpoint set "$1" kind=engine "url=http://127.0.0.1:$2" slots="$3" >/dev/null
+}
