--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 JOBS ?= 6
 
 .PHONY: all deps build demo test asan tsan lint format clean
+.PHONY: bench-capacity bench-config bench-failover bench-fairness
+.PHONY: bench-limits bench-overhead bench-stop
 
 all: build
 
@@ -37,6 +39,13 @@
 	ninja -C build-tsan -j $(JOBS)
 	meson test -C build-tsan --no-rebuild --print-errorlogs --suite functional
 
+# Each prints a JSON line a figure: figure, value, unit, bound, met.
+bench-capacity bench-fairness bench-limits: build
+	$(BUILD)/bench/$@
+
+bench-config bench-failover bench-overhead bench-stop: build
+	./bench/$(@:bench-%=%).sh $(abspath $(BUILD))
+
 lint: build
 	./scripts/format.sh --check
 	./scripts/lint.sh $(BUILD)
--- a/bench/fairness.c
+++ b/bench/fairness.c
@@ -1,5 +1,6 @@
 /* Queue policies on the same programs: engines with slots, programs whose
-   calls depend on one another, tool pauses, and customers of unequal size. */
+   calls depend on one another, tool pauses, customers of unequal size, and one
+   of them that now and then sends several times as much. */
 #include "bench/figure.h"
 #include "common/buf.h"
 #include "policy/fair.h"
@@ -19,6 +20,10 @@
   WARM_UP_MS = 60000,
   RUN_MS = 900000,
   SECOND_MS = 1000,
+  /* Now and then the largest customer sends several times as much.  */
+  PEAK_EVERY_MS = 150000,
+  PEAK_MS = 30000,
+  PEAK_FACTOR = 5,
 };
 
 struct mix
@@ -35,10 +40,20 @@
 /* Hanmae: students' questions and a few term plans.  Kajaste: night summaries
    and clinic reviews.  Both have 8 customers, a few of them large. */
 static const struct mix mixes[] = {
-  { "hanmae", 96, { 0.32, 0.22, 0.16, 0.1, 0.08, 0.06, 0.04, 0.02 }, 0.08, 3,
-    24, 90 },
-  { "kajaste", 64, { 0.3, 0.25, 0.15, 0.1, 0.08, 0.06, 0.04, 0.02 }, 0.15, 2,
-    18, 110 },
+  { "hanmae",
+    96,
+    { 0.32, 0.22, 0.16, 0.1, 0.08, 0.06, 0.04, 0.02 },
+    0.08,
+    3,
+    24,
+    90 },
+  { "kajaste",
+    64,
+    { 0.3, 0.25, 0.15, 0.1, 0.08, 0.06, 0.04, 0.02 },
+    0.15,
+    2,
+    18,
+    110 },
 };
 
 struct program
@@ -49,6 +64,7 @@
   uint32_t turns;
   uint32_t turn;
   int64_t attained;
+  double own_ms; /* its calls and pauses, without waiting */
   struct fair_item item;
   int64_t call_tokens;
 };
@@ -90,6 +106,7 @@
   double p95_ms;
   double customer_p95_ms[CUSTOMERS];
   double longest_ms;
+  double unqueued_mean_ms; /* what the same programs take without waiting */
   uint32_t finished;
   uint32_t unfinished;
 };
@@ -108,7 +125,17 @@
   const struct mix *mix = simulation->mix;
   double work_ms = mean_turns (mix) * mix->mean_tokens * TOKEN_MS;
 
-  return simulation->load * mix->slots / work_ms * mix->shares[customer];
+  double peak_share = (double)PEAK_MS / PEAK_EVERY_MS;
+  double rate
+      = simulation->load * mix->slots / work_ms * mix->shares[customer];
+
+  if (customer != 0)
+    return rate;
+  /* The mean over peaks and the rest stays the same.  */
+  rate /= 1 + peak_share * (PEAK_FACTOR - 1);
+  return fmod (simulation->now_ms, PEAK_EVERY_MS) < PEAK_MS
+             ? rate * PEAK_FACTOR
+             : rate;
 }
 
 static void
@@ -140,10 +167,10 @@
 {
   uint64_t seed
       = program_seed (program, (uint32_t)(program - simulation->programs)) | 1;
-  double tokens
-      = figure_exponential (&seed, simulation->mix->mean_tokens);
+  double tokens = figure_exponential (&seed, simulation->mix->mean_tokens);
 
   program->call_tokens = (int64_t)tokens + 1;
+  program->own_ms += (double)(program->call_tokens * TOKEN_MS);
   program->item.customer = program->customer + 1;
   program->item.weight = 1;
   program->item.attained = program->attained;
@@ -171,9 +198,8 @@
   program = &simulation->programs[simulation->count++];
   program->customer = customer;
   program->arrived_ms = simulation->now_ms;
-  program->turns = (uint32_t)(figure_uniform (&simulation->seed) * 2
-                              * (mean - 1))
-                   + 1;
+  program->turns
+      = (uint32_t)(figure_uniform (&simulation->seed) * 2 * (mean - 1)) + 1;
   if (program->turns > MAX_TURNS)
     program->turns = MAX_TURNS;
   if (simulation->present[customer])
@@ -190,6 +216,7 @@
       program->finished_ms = simulation->now_ms;
       return;
     }
+  program->own_ms += PAUSE_MS;
   schedule (simulation, simulation->now_ms + PAUSE_MS, EVENT_READY,
             program->customer, program);
 }
@@ -244,6 +271,7 @@
   double *own = xcalloc (simulation->count + 1, sizeof *own);
   uint32_t count = 0;
   double sum = 0;
+  double own_sum = 0;
 
   memset (result, 0, sizeof *result);
   for (uint32_t c = 0; c < CUSTOMERS; c++)
@@ -267,6 +295,7 @@
           own[own_count++] = took;
           all[count++] = took;
           sum += took;
+          own_sum += program->own_ms;
           if (took > result->longest_ms)
             result->longest_ms = took;
         }
@@ -274,6 +303,7 @@
     }
   result->finished = count - result->unfinished;
   result->mean_ms = count > 0 ? sum / count : 0;
+  result->unqueued_mean_ms = count > 0 ? own_sum / count : 0;
   result->p95_ms = figure_percentile (all, count, 95);
   free (all);
   free (own);
@@ -285,14 +315,13 @@
 simulate (const struct mix *mix, const struct fair_impl *impl, double load,
           int only, struct result *result)
 {
-  struct simulation simulation = { .mix = mix,
-                                   .queue = fair_create (impl),
-                                   .programs
-                                   = xcalloc (MAX_PROGRAMS,
-                                              sizeof (struct program)),
-                                   .slots = mix->slots,
-                                   .load = load,
-                                   .seed = 20261203 };
+  struct simulation simulation
+      = { .mix = mix,
+          .queue = fair_create (impl),
+          .programs = xcalloc (MAX_PROGRAMS, sizeof (struct program)),
+          .slots = mix->slots,
+          .load = load,
+          .seed = 20261203 };
 
   for (uint32_t c = 0; c < CUSTOMERS; c++)
     {
@@ -367,9 +396,12 @@
              0, FIGURE_NO_BOUND);
       print (mix, impls[i]->name, percent, "p95_ms", results[i].p95_ms, "ms",
              0, FIGURE_NO_BOUND);
-      print (mix, impls[i]->name, percent, "longest_ms",
-             results[i].longest_ms, "ms", 0, FIGURE_NO_BOUND);
+      print (mix, impls[i]->name, percent, "longest_ms", results[i].longest_ms,
+             "ms", 0, FIGURE_NO_BOUND);
     }
+  print (mix, "no_waiting", percent, "mean_to_fcfs",
+         results[0].unqueued_mean_ms / results[0].mean_ms, "ratio", 0,
+         FIGURE_NO_BOUND);
   print (mix, "weighted", percent, "mean_to_fcfs",
          results[3].mean_ms / results[0].mean_ms, "ratio", 0.6,
          percent == 90 ? FIGURE_AT_MOST : FIGURE_NO_BOUND);
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -42,6 +42,7 @@
   fetch_data_handler *handle_data;
   fetch_header_handler *handle_header;
   fetch_done_handler *handle_done;
+  void (*release_data) (void *data);
   void *data;
   bool is_cancelled;
   struct fetch *next_cancelled;
@@ -92,6 +93,8 @@
   curl_slist_free_all (fetch->headers);
   free (fetch->request_body);
   buf_release (&fetch->body);
+  if (fetch->release_data)
+    fetch->release_data (fetch->data);
   free (fetch);
 }
 
@@ -351,6 +354,7 @@
   fetch->handle_data = options->handle_data;
   fetch->handle_header = options->handle_header;
   fetch->handle_done = options->handle_done;
+  fetch->release_data = options->release_data;
   fetch->data = options->data;
   fetch->max_body_bytes = options->max_body_bytes ? options->max_body_bytes
                                                   : DEFAULT_MAX_BODY_BYTES;
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -20,7 +20,7 @@
 
 enum
 {
-  HAND_OVER_MS = 2000, /* then the stop is announced anyhow */
+  HAND_OVER_MS = 2000,  /* then the stop is announced anyhow */
   DRAIN_GRACE_MS = 300, /* quiet time before the thread counts as drained */
 };
 
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -43,6 +43,7 @@
   fetch_data_handler *handle_data; /* NULL to collect the body */
   fetch_header_handler *handle_header; /* may be NULL */
   fetch_done_handler *handle_done;
+  void (*release_data) (void *data); /* when the fetch goes; may be NULL */
   void *data;
 };
 
--- a/include/galenashored/control_state.h
+++ b/include/galenashored/control_state.h
@@ -52,8 +52,8 @@
   struct registrar registrar;
   struct admin *admin;
   struct deferred publish;
-  uint64_t sequence;         /* of the last configuration sent to traffic */
-  uint64_t applied_sequence; /* of the last one in force there */
+  uint64_t sequence;           /* of the last configuration sent to traffic */
+  uint64_t applied_sequence;   /* of the last one in force there */
   uint64_t published_revision; /* of the last configuration sent */
   uint64_t applied_revision;
   int64_t started_ms;
--- a/include/program/program.h
+++ b/include/program/program.h
@@ -56,10 +56,10 @@
   uint64_t hash;
   char *customer;
   uint64_t customer_hash;
-  uint64_t incarnation; /* fresh at each load */
-  bool recorded;        /* its grants stand in this process's journal */
+  uint64_t incarnation;  /* fresh at each load */
+  bool recorded;         /* its grants stand in this process's journal */
   bool opened_in_outage; /* no journal knows it: it may use its limit */
-  bool opening; /* its first records are not kept yet */
+  bool opening;          /* its first records are not kept yet */
   bool handing_over;
   bool closing;
   struct budget budget;
--- a/program/handover.c
+++ b/program/handover.c
@@ -99,8 +99,7 @@
 handle_moved (void *data, enum journal_status status)
 {
   struct handover *handover = data;
-  struct program *program
-      = program_find (handover->programs, handover->id);
+  struct program *program = program_find (handover->programs, handover->id);
 
   if (program && status == JOURNAL_RECORDED)
     {
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -9,8 +9,8 @@
   DEFAULT_TOKENS = 16,
   BYTES_PER_TOKEN = 4,
   CRASH_DOWN_MS = 300,
-  MAX_CACHE_ENTRIES = 4096,
-  MAX_EVENTS = 1024,
+  CACHE_SLOTS = 65536,
+  MAX_EVENTS = 256,
   US_PER_S = 1000000,
 };
 
@@ -21,7 +21,7 @@
 {
   uint64_t hash;
   int64_t tokens; /* of its last message */
-  int64_t used_us;
+  bool used;
   char program[64];
 };
 
@@ -53,8 +53,8 @@
   struct generation *waiting; /* by priority, then by arrival */
   int64_t running_count;
   int64_t waiting_count;
-  struct prefix cache[MAX_CACHE_ENTRIES];
-  uint32_t cache_count;
+  struct prefix cache[CACHE_SLOTS]; /* by hash; an empty one has hash 0 */
+  uint32_t clock;                   /* where eviction goes on */
   int64_t cache_tokens;
   json_t *holds;  /* program to the time it lapses, in ms */
   json_t *events; /* cache events, oldest first */
@@ -99,10 +99,9 @@
 static struct prefix *
 find_prefix (struct engine *engine, uint64_t hash)
 {
-  for (uint32_t i = 0; i < engine->cache_count; i++)
-    if (engine->cache[i].hash == hash)
-      return &engine->cache[i];
-  return NULL;
+  struct prefix *prefix = &engine->cache[hash % CACHE_SLOTS];
+
+  return prefix->hash == hash ? prefix : NULL;
 }
 
 static bool
@@ -113,22 +112,33 @@
   return json_integer_value (until) > clock_now_ms ();
 }
 
+static void
+evict (struct engine *engine, struct prefix *prefix)
+{
+  publish (engine, "evicted", prefix->hash);
+  engine->cache_tokens -= prefix->tokens;
+  *prefix = (struct prefix){ 0 };
+}
+
+/* Evicts by second chance: one used since the clock's last round stays.  */
 static bool
 evict_one (struct engine *engine)
 {
-  uint32_t oldest = UINT32_MAX;
-
-  for (uint32_t i = 0; i < engine->cache_count; i++)
-    if (!is_held (engine, engine->cache[i].program)
-        && (oldest == UINT32_MAX
-            || engine->cache[i].used_us < engine->cache[oldest].used_us))
-      oldest = i;
-  if (oldest == UINT32_MAX)
-    return false;
-  publish (engine, "evicted", engine->cache[oldest].hash);
-  engine->cache_tokens -= engine->cache[oldest].tokens;
-  engine->cache[oldest] = engine->cache[--engine->cache_count];
-  return true;
+  for (uint32_t i = 0; i < 2 * CACHE_SLOTS; i++)
+    {
+      struct prefix *prefix = &engine->cache[engine->clock++ % CACHE_SLOTS];
+
+      if (prefix->hash == 0 || is_held (engine, prefix->program))
+        continue;
+      if (prefix->used)
+        {
+          prefix->used = false;
+          continue;
+        }
+      evict (engine, prefix);
+      return true;
+    }
+  return false;
 }
 
 static void
@@ -139,19 +149,20 @@
 
   if (prefix)
     {
-      prefix->used_us = clock_now_us ();
+      prefix->used = true;
       return;
     }
-  while (engine->cache_count == MAX_CACHE_ENTRIES
-         || (engine->cache_count > 0
-             && engine->cache_tokens + tokens
-                    > engine->standin->settings.cache_tokens))
+  while (engine->cache_tokens > 0
+         && engine->cache_tokens + tokens
+                > engine->standin->settings.cache_tokens)
     if (!evict_one (engine))
       return;
-  prefix = &engine->cache[engine->cache_count++];
+  prefix = &engine->cache[hash % CACHE_SLOTS];
+  if (prefix->hash != 0)
+    evict (engine, prefix);
   prefix->hash = hash;
   prefix->tokens = tokens;
-  prefix->used_us = clock_now_us ();
+  prefix->used = true;
   snprintf (prefix->program, sizeof prefix->program, "%s", program);
   engine->cache_tokens += tokens;
   publish (engine, "stored", hash);
@@ -386,7 +397,7 @@
   lose_all (&engine->waiting);
   engine->running_count = 0;
   engine->waiting_count = 0;
-  engine->cache_count = 0;
+  memset (engine->cache, 0, sizeof engine->cache);
   engine->cache_tokens = 0;
   json_object_clear (engine->holds);
   engine->standin->faults.outage_until_ms = clock_now_ms () + CRASH_DOWN_MS;
--- a/standin/load.c
+++ b/standin/load.c
@@ -74,7 +74,8 @@
   uint32_t branch;
   uint64_t history; /* hash chain as the engine stand-in makes it */
   char *user_text;
-  struct buf answer; /* tokens of the call under way */
+  struct buf conversation; /* what galenashore would send on (direct) */
+  struct buf answer;       /* tokens of the call under way */
   struct buf line;
   char *next_cursor;
   int64_t seen_turn;
@@ -219,6 +220,7 @@
   free (agent->next_cursor);
   free (agent->error_kind);
   free (agent->error_run);
+  buf_release (&agent->conversation);
   buf_release (&agent->answer);
   buf_release (&agent->line);
   free (agent);
@@ -380,6 +382,17 @@
   buf_release (&expected);
 }
 
+/* A call straight to an engine carries the whole conversation along, as one
+   through galenashore does from there on.  */
+static void
+note_conversation (struct agent *agent)
+{
+  buf_printf (&agent->conversation,
+              "{\"role\":\"user\",\"content\":\"%s\"},"
+              "{\"role\":\"assistant\",\"content\":\"%s\"},",
+              agent->user_text, agent->answer.data ? agent->answer.data : "");
+}
+
 /* Chooses what comes after an answered step.  */
 static void
 go_on (struct agent *agent)
@@ -388,6 +401,11 @@
 
   if (load->direct)
     {
+      if (agent->turn >= agent->turns)
+        {
+          agent->turn = 0;
+          agent->conversation.len = 0;
+        }
       schedule (agent, load->pause_ms);
       return;
     }
@@ -436,7 +454,9 @@
       struct buf *answer = &agent->answer;
 
       agent->history = hash_message (agent->history, "user", agent->user_text);
-      if (!agent->load->direct)
+      if (agent->load->direct)
+        note_conversation (agent);
+      else
         check_answer (agent);
       agent->history = hash_message (agent->history, "assistant",
                                      answer->data ? answer->data : "");
@@ -650,8 +670,10 @@
                                 (unsigned long long)agent->serial,
                                 agent->branch, (long long)agent->turn);
   return xasprintf ("{\"model\":\"%s\",\"max_tokens\":%lld,\"stream\":true,"
-                    "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
+                    "\"messages\":[%s{\"role\":\"user\",\"content\":\"%s\"}]}",
                     agent->load->model, (long long)agent->load->tokens,
+                    agent->conversation.len > 0 ? agent->conversation.data
+                                                : "",
                     agent->user_text);
 }
 
@@ -795,6 +817,24 @@
   json_decref (root);
 }
 
+static void
+release (struct load *load)
+{
+  for (uint32_t i = 0; i < load->customer_count; i++)
+    {
+      free (load->customers[i].name);
+      free (load->customers[i].authorization);
+      free (load->customers[i].programs_us.values);
+      free (load->customers[i].calls_us.values);
+      json_decref (load->customers[i].refusals);
+    }
+  free (load->recovery_us.values);
+  free (load->model);
+  free (load->route);
+  fetcher_destroy (load->fetcher);
+  ev_loop_destroy (load->loop);
+}
+
 static void
 add_customer (struct load *load, const char *pair)
 {
@@ -869,6 +909,7 @@
     }
   if (load.host_count == 0)
     load.hosts[load.host_count++] = load.direct;
+  load.turns = load.turns > 0 ? load.turns : 1;
   load.model = load.model ? load.model : xstrdup ("m");
   load.route = load.route ? load.route : xstrdup ("seat");
   load.loop = ev_default_loop (EVFLAG_AUTO);
@@ -881,6 +922,9 @@
   start_agents (&load);
   ev_run (load.loop, 0);
   report (&load);
+  release (&load);
+  g_strfreev (hosts);
+  g_strfreev (customers);
   g_option_context_free (context);
   return 0;
 }
