Hold engines' caches while tools run; give up calls that wait too long

Cause: no hold was ever placed, so pauses lost their cache; and a planned stop did not end: 96 calls waited for an engine that was gone, without any limit. A call that has waited 30 s gets overloaded, not_run, with a time to come back.

--- /dev/null
+++ b/bench/stop.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# A rolling restart of every host under load.
+BUILD=$1
+FLEET_BASE_PORT=24000
+# shellcheck source=bench/lib.sh
+. "$(dirname "$0")/lib.sh"
+
+fleet_platform
+fleet_standin engine 24001 --slots 64 --token-us 4000
+fleet_standin service 24003 --work-ms 5
+wide_customer hanmae
+engine e1 24001 64
+fleet_ctl route set seat idempotent=false >/dev/null
+fleet_ctl endpoint set s1 kind=service url=http://127.0.0.1:24003 route=seat >/dev/null
+KEY=$(fleet_key hanmae)
+index=0 hosts=()
+for host in a1 a2 b1 b2 c1; do
+  index=$((index + 1))
+  case $host in a1 | b1 | c1) data=yes ;; *) data=no ;; esac
+  fleet_settings $host "dc-${host%?}" $index $data '"log_level": "warn",'
+  fleet_host $host
+  hosts+=(--host "$(caller $index)")
+done
+for index in 1 2 3 4 5; do fleet_wait_http "$(operator $index)/status"; done
+fleet_ctl wait >/dev/null
+fleet_wait_slots 3
+"$BUILD/standin/load" "${hosts[@]}" --customer "hanmae=$KEY" --agents 40 \
+  --turns 16 --tool-every 4 --branch-every 8 --pause-ms 60 --tokens 24 \
+  --duration-s 20 >"$FLEET_DIR/report.json" 2>"$FLEET_DIR/load.log" &
+load=$!
+sleep 3
+longest=0 bad=0
+for host in a1 a2 b1 b2 c1; do
+  started=$(date +%s%3N)
+  kill -TERM "${FLEET_HOST_PID[$host]}"
+  wait "${FLEET_HOST_PID[$host]}" || bad=$((bad + 1))
+  took=$(($(date +%s%3N) - started))
+  [ $took -gt $longest ] && longest=$took
+  fleet_host $host
+  sleep 1
+done
+wait $load
+report=$FLEET_DIR/report.json
+figure calls "$(jq '.customers[0].calls' "$report")" calls -
+# A cut answer is one whose stream broke; a refused connection is a host that
+# was not there, which a balancer would not have picked.
+figure refusals_caused "$(jq '[.customers[0].refusals | to_entries[] | select(.key != "no_answer") | .value] | add // 0' "$report")" calls 0
+figure connections_refused "$(jq '.customers[0].refusals.no_answer // 0' "$report")" calls -
+figure streams_cut "$(jq '.customers[0].cut' "$report")" calls 0
+figure programs_lost "$(jq '.customers[0].lost' "$report")" programs 0
+figure exits_not_0 "$bad" hosts 0
+figure longest_stop_ms "$longest" ms -
--- a/common/counters.c
+++ b/common/counters.c
@@ -23,6 +23,8 @@
   [COUNTER_STORE_SYNCS] = "store_syncs",
   [COUNTER_ENDPOINT_RETRIES] = "endpoint_retries",
   [COUNTER_ENDPOINT_FAILURES] = "endpoint_failures",
+  [COUNTER_HOLDS_PLACED] = "holds_placed",
+  [COUNTER_HOLDS_SWEPT] = "holds_swept",
 };
 
 static uint64_t counter_values[COUNTER_COUNT];
--- a/endpoint/dispatcher.c
+++ b/endpoint/dispatcher.c
@@ -16,7 +16,7 @@
   PROBE_TIMEOUT_MS = 250,
   STALL_TIMEOUT_MS = 10000,
   SUSPECT_WAIT_MS = 50,
-  MAX_WAIT_MS = 30000, /* a longer expected wait is refused at once */
+  MAX_WAIT_MS = 30000, /* a longer wait is refused, expected or not */
   MAX_ENGINES = 1024,
   PREFILL_US_PER_TOKEN = 20,
   HTTP_TOO_MANY = 429,
@@ -116,6 +116,8 @@
   int64_t took_ms = clock_now_ms () - job->started_ms;
 
   endpoint_note_success (job->endpoint, took_ms);
+  free (job->served_by);
+  job->served_by = xstrdup (job->endpoint->name);
   endpoint_note_cached (job->endpoint, job->program,
                         job->prompt_tokens + (int64_t)job->tokens);
   poison_note_success (&dispatcher->poison, job->fingerprint);
@@ -368,6 +370,12 @@
   return window > 0 ? window : 1;
 }
 
+static struct job *
+job_of (struct fair_item *item)
+{
+  return (struct job *)(void *)((char *)item - offsetof (struct job, fair));
+}
+
 struct engine_view
 {
   struct route_engine engines[MAX_ENGINES];
@@ -442,7 +450,7 @@
   if (!view->has_room)
     return false;
   item = fair_pop (lane->fair, now_ms);
-  job = (struct job *)(void *)((char *)item - offsetof (struct job, fair));
+  job = job_of (item);
   verdict = poison_check (&dispatcher->poison, job->fingerprint, now_ms);
   if (verdict == POISON_REFUSE)
     {
@@ -648,11 +656,37 @@
   free (url);
 }
 
-/* Polls the endpoints' load, and tries what waits for an ejected one.  */
+/* A call that has waited too long gets its final answer.  */
+static void
+give_up_waiting (struct lane *lane, int64_t now_ms)
+{
+  struct fair_item *item;
+
+  while ((item = fair_oldest (lane->fair))
+         && now_ms - item->enqueued_ms > MAX_WAIT_MS)
+    {
+      struct job *job = job_of (item);
+      struct error error;
+
+      fair_remove (lane->fair, item);
+      error_set (&error, ERROR_OVERLOADED,
+                 job->attempts > 0 ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN,
+                 "no engine could take the call in %d s; send it again with "
+                 "the same cursor",
+                 MAX_WAIT_MS / 1000);
+      error.retry_after_ms = RETRY_CAP_MS;
+      fail (job, &error);
+    }
+}
+
+/* Polls the endpoints' load, tries what waits for an ejected one, and gives up
+   what has waited too long.  */
 void
 dispatcher_tick (struct dispatcher *dispatcher, int64_t now_ms)
 {
   deferred_schedule (&dispatcher->pump);
+  for (struct lane *lane = dispatcher->lanes; lane; lane = lane->next)
+    give_up_waiting (lane, now_ms);
   if (now_ms - dispatcher->polled_ms < LOAD_POLL_MS)
     return;
   dispatcher->polled_ms = now_ms;
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -5,6 +5,7 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "endpoint/dispatcher.h"
+#include "endpoint/holds.h"
 #include "peer/forward.h"
 #include "peer/limiter.h"
 #include "program/copies.h"
@@ -93,11 +94,12 @@
 {
   struct server *server = &traffic->server;
 
-  return json_pack ("{s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:b}", "callers",
+  return json_pack ("{s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:b}", "callers",
                     listener_to_json (traffic->listener), "hosts",
                     mesh_to_json (server->mesh), "dispatcher",
                     dispatcher_to_json (server->dispatcher, clock_now_ms ()),
-                    "limits", limiter_to_json (server->limiter), "programs",
+                    "limits", limiter_to_json (server->limiter), "holds",
+                    holds_to_json (server->holds), "programs",
                     programs_to_json (server->programs, with_programs),
                     "journal", journal_to_json (server->journal), "store",
                     server->store ? store_to_json (server->store)
@@ -330,6 +332,7 @@
     {
       traffic->slow_tick_ms = now_ms;
       programs_tick (server->programs, now_ms);
+      holds_tick (server->holds, now_ms);
     }
   watch_drain (traffic, now_ms);
 }
@@ -385,6 +388,7 @@
   server->journal = journal_create (&journal);
   server->copies = copies_create (server);
   server->dispatcher = dispatcher_create (server);
+  server->holds = holds_create (server);
   server->forwarder = forwarder_create (server);
   server->limiter = limiter_create (server);
   server->programs = programs_create (server);
@@ -475,6 +479,7 @@
   fetcher_destroy (server->fetcher);
   once_destroy (server->once);
   journal_destroy (server->journal);
+  holds_destroy (server->holds);
   dispatcher_destroy (server->dispatcher);
   mesh_destroy (server->mesh);
   platform_release (&server->platform);
--- a/include/endpoint/dispatcher.h
+++ b/include/endpoint/dispatcher.h
@@ -44,7 +44,8 @@
   ev_timer backoff;
   struct fetch *probe; /* asks whether the endpoint has crashed */
   uint32_t attempts;
-  char *avoid; /* name of the endpoint that failed last */
+  char *served_by; /* name of the endpoint that gave the answer */
+  char *avoid;     /* name of the endpoint that failed last */
   bool alone;
   bool stopped; /* handle_token wanted no more */
   uint64_t tokens;
--- a/include/galenashored/server.h
+++ b/include/galenashored/server.h
@@ -17,6 +17,7 @@
 struct copies;
 struct dispatcher;
 struct forwarder;
+struct holds;
 struct limiter;
 struct programs;
 
@@ -42,6 +43,7 @@
   struct store *store; /* NULL without a data folder */
   struct copies *copies;
   struct dispatcher *dispatcher;
+  struct holds *holds;
   struct forwarder *forwarder;
   struct limiter *limiter;
   struct programs *programs;
--- a/include/policy/fair.h
+++ b/include/policy/fair.h
@@ -62,5 +62,6 @@
 void fair_charge (struct fair *fair, uint64_t customer, int64_t weight,
                   int64_t tokens);
 uint32_t fair_count (const struct fair *fair);
+struct fair_item *fair_oldest (const struct fair *fair);
 
 #endif
--- a/include/program/program.h
+++ b/include/program/program.h
@@ -64,6 +64,7 @@
   bool closing;
   struct budget budget;
   int64_t attained_tokens;
+  char *last_engine; /* that ran its last model call */
   int64_t opened_ms;
   int64_t used_ms;
   int64_t idle_ms;
--- a/policy/fair.c
+++ b/policy/fair.c
@@ -383,6 +383,13 @@
   fair->impl->charge (fair, customer, weight, tokens);
 }
 
+/* Returns the call that has waited longest, or NULL.  */
+struct fair_item *
+fair_oldest (const struct fair *fair)
+{
+  return ((const struct queue *)fair)->oldest;
+}
+
 /* Returns how many calls wait.  */
 uint32_t
 fair_count (const struct fair *fair)
--- a/program/call.c
+++ b/program/call.c
@@ -2,6 +2,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "endpoint/holds.h"
 #include "galenashored/server.h"
 #include "program/copies.h"
 #include "program/load.h"
@@ -329,6 +330,7 @@
   answer_release (&call->answer);
   free (call->job.model);
   free (call->job.customer);
+  free (call->job.served_by);
   free (call->program_id);
   free (call->customer);
   free (call);
@@ -570,6 +572,9 @@
   call->job_submitted = false;
   call->usage = *usage;
   call->answer.status = HTTP_OK;
+  free (call->program->last_engine);
+  call->program->last_engine = call->job.served_by;
+  call->job.served_by = NULL;
   keep (call);
 }
 
@@ -631,6 +636,7 @@
                                          .handle_failed = handle_job_failed,
                                          .data = call };
   call->job_submitted = true;
+  holds_end_pause (call->server->holds, call->program_id);
   dispatcher_submit (call->server->dispatcher, job);
 }
 
@@ -660,6 +666,8 @@
                                      .handle_failed = handle_service_failed,
                                      .data = call };
 
+  holds_begin_pause (call->server->holds, call->program_id,
+                     call->program->last_engine, call->spec.route);
   call->service = service_start (call->server, &options);
   free (request_id);
 }
--- a/program/program.c
+++ b/program/program.c
@@ -2,6 +2,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "endpoint/holds.h"
 #include "galenashored/server.h"
 #include "program/call.h"
 #include "program/copies.h"
@@ -63,6 +64,8 @@
       program->branches = branch->next;
       branch_destroy (branch);
     }
+  holds_drop (program->programs->server->holds, program->id);
+  free (program->last_engine);
   free (program->id);
   free (program->customer);
   free (program);
--- a/standin/load.c
+++ b/standin/load.c
@@ -46,6 +46,7 @@
   int64_t doubtful;
   int64_t retries;
   int64_t budget_stops;
+  int64_t cut;      /* answers that broke off after the request had left */
   json_t *refusals; /* kind to count */
 };
 
@@ -599,6 +600,8 @@
     ok = false;
   if (!ok)
     {
+      if (!result->complete && result->sent)
+        agent->customer->cut++;
       fail (agent);
       return;
     }
@@ -776,7 +779,7 @@
 report_customer (struct customer *customer)
 {
   return json_pack (
-      "{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:f, s:f, s:f, "
+      "{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:f, s:f, s:f, "
       "s:f, s:O}",
       "customer", customer->name, "finished", (json_int_t)customer->finished,
       "lost", (json_int_t)customer->lost, "calls",
