--- a/standin/load.c
+++ b/standin/load.c
@@ -787,7 +787,8 @@
       (json_int_t)customer->wrong_history, "wrong_turn",
       (json_int_t)customer->wrong_turn, "doubtful",
       (json_int_t)customer->doubtful, "retries", (json_int_t)customer->retries,
-      "budget_stops", (json_int_t)customer->budget_stops, "program_p50_ms",
+      "budget_stops", (json_int_t)customer->budget_stops, "cut",
+      (json_int_t)customer->cut, "program_p50_ms",
       percentile_ms (&customer->programs_us, 50), "program_p95_ms",
       percentile_ms (&customer->programs_us, 95), "call_p50_ms",
       percentile_ms (&customer->calls_us, 50), "call_p95_ms",
@@ -834,6 +835,7 @@
   free (load->recovery_us.values);
   free (load->model);
   free (load->route);
+  free (load->direct);
   fetcher_destroy (load->fetcher);
   ev_loop_destroy (load->loop);
 }
