Split program/call.c and share what stood twice

Change: program/waiter.c holds the callers that wait and how answers are written; httpd_respond_json and five_hosts serve what stood twice; the view of the engines is allocated once, not at each decision.

--- a/bench/failover.sh
+++ b/bench/failover.sh
@@ -18,17 +18,7 @@
 fleet_ctl route set seat idempotent=false >/dev/null
 fleet_ctl endpoint set s1 kind=service url=http://127.0.0.1:22003 route=seat >/dev/null
 HANMAE=$(fleet_key hanmae) KAJASTE=$(fleet_key kajaste)
-index=0 hosts=()
-for host in a1 a2 b1 b2 c1; do
-  index=$((index + 1))
-  case $host in a1 | b1 | c1) data=yes ;; *) data=no ;; esac
-  fleet_settings $host "dc-${host%?}" $index $data '"log_level": "warn",'
-  fleet_host $host
-  hosts+=(--host "$(caller $index)")
-done
-for index in 1 2 3 4 5; do fleet_wait_http "$(operator $index)/status"; done
-fleet_ctl wait >/dev/null
-fleet_wait_slots 3
+five_hosts
 
 block () { # OFF(0|1)
   local index host
@@ -40,7 +30,7 @@
   done; done
 }
 
-"$BUILD/standin/load" "${hosts[@]}" --customer "hanmae=$HANMAE" \
+"$BUILD/standin/load" "${HOSTS[@]}" --customer "hanmae=$HANMAE" \
   --customer "kajaste=$KAJASTE" --agents 30 --turns 16 --tool-every 4 \
   --branch-every 8 --pause-ms 60 --tokens 24 --duration-s 55 \
   >"$FLEET_DIR/report.json" 2>"$FLEET_DIR/load.log" &
--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -36,3 +36,20 @@
 engine () { # NAME PORT SLOTS
   fleet_ctl endpoint set "$1" kind=engine "url=http://127.0.0.1:$2" slots="$3" >/dev/null
 }
+
+# five_hosts: a1 a2 b1 b2 c1 in three data centres, three with a data folder.
+# HOSTS holds the load tool's options for them.
+five_hosts () {
+  local index=0 host data
+  HOSTS=()
+  for host in a1 a2 b1 b2 c1; do
+    index=$((index + 1))
+    case $host in a1 | b1 | c1) data=yes ;; *) data=no ;; esac
+    fleet_settings "$host" "dc-${host%?}" "$index" "$data" '"log_level": "warn",'
+    fleet_host "$host"
+    HOSTS+=(--host "$(caller "$index")")
+  done
+  for index in 1 2 3 4 5; do fleet_wait_http "$(operator "$index")/status"; done
+  fleet_ctl wait >/dev/null
+  fleet_wait_slots 3
+}
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -419,6 +419,18 @@
   wake (request);
 }
 
+/* Responds with BODY, whose reference is taken.  */
+void
+httpd_respond_json (struct httpd_request *request, unsigned status,
+                    json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  json_decref (body);
+  httpd_respond (request, status, "application/json", text, strlen (text));
+  free (text);
+}
+
 /* Gives the response whose body is in OUT already.  */
 void
 httpd_respond_buffered (struct httpd_request *request, unsigned status,
--- a/endpoint/dispatcher.c
+++ b/endpoint/dispatcher.c
@@ -31,6 +31,15 @@
   struct lane *next;
 };
 
+/* The engines of one model, as a decision sees them. */
+struct engine_view
+{
+  struct route_engine engines[MAX_ENGINES];
+  struct endpoint *endpoints[MAX_ENGINES];
+  size_t count;
+  bool has_room;
+};
+
 struct dispatcher
 {
   struct server *server;
@@ -38,6 +47,7 @@
   struct lane *lanes;
   struct deferred pump;
   struct poison poison;
+  struct engine_view view;      /* of the decision under way */
   GHashTable *customer_retries; /* name to struct retry_budget */
   uint64_t seed;
   int64_t polled_ms;
@@ -376,14 +386,6 @@
   return (struct job *)(void *)((char *)item - offsetof (struct job, fair));
 }
 
-struct engine_view
-{
-  struct route_engine engines[MAX_ENGINES];
-  struct endpoint *endpoints[MAX_ENGINES];
-  size_t count;
-  bool has_room;
-};
-
 static void
 look (struct dispatcher *dispatcher, const char *model,
       struct engine_view *view)
@@ -476,12 +478,10 @@
 handle_pump (void *data)
 {
   struct dispatcher *dispatcher = data;
-  struct engine_view *view = xcalloc (1, sizeof *view);
 
   for (struct lane *lane = dispatcher->lanes; lane; lane = lane->next)
-    while (pump_one (dispatcher, lane, view))
+    while (pump_one (dispatcher, lane, &dispatcher->view))
       continue;
-  free (view);
 }
 
 /* Creates the dispatcher of SERVER, which has its fetcher and mesh.  */
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -5,6 +5,7 @@
 #include "common/buf.h"
 #include "common/error.h"
 #include <ev.h>
+#include <jansson.h>
 #include <microhttpd.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -86,6 +87,8 @@
                             uint32_t retry_after_ms);
 void httpd_respond (struct httpd_request *request, unsigned status,
                     const char *content_type, const char *body, size_t len);
+void httpd_respond_json (struct httpd_request *request, unsigned status,
+                         json_t *body);
 void httpd_respond_buffered (struct httpd_request *request, unsigned status,
                              const char *content_type);
 void httpd_respond_error (struct httpd_request *request,
--- a/include/program/call.h
+++ b/include/program/call.h
@@ -6,22 +6,7 @@
 #include "endpoint/dispatcher.h"
 #include "endpoint/service.h"
 #include "program/program.h"
-
-enum call_kind
-{
-  CALL_MODEL,
-  CALL_TOOL,
-  CALL_BRANCH, /* opens a branch; takes no turn */
-};
-
-/* How a model call's answer is written. */
-enum call_format
-{
-  CALL_EVENTS,      /* server-sent events of this API */
-  CALL_WHOLE,       /* one JSON object of this API */
-  CALL_CHAT_EVENTS, /* OpenAI-style chunks */
-  CALL_CHAT_WHOLE,  /* an OpenAI-style completion */
-};
+#include "program/waiter.h"
 
 /* What a caller asks for.  call_submit takes the contents over. */
 struct call_spec
@@ -52,17 +37,6 @@
   CALL_KEEPING, /* its copies */
 };
 
-/* A caller that waits for a call's answer.  Owned by the call. */
-struct waiter
-{
-  struct call *call;
-  struct api_request *request;
-  enum call_format format;
-  uint32_t sent_tokens;
-  bool streaming;
-  struct waiter *next;
-};
-
 /* Owned by its branch once it runs, by a load before that. */
 struct call
 {
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -79,16 +79,6 @@
   question->sequence = control_ask_traffic (admin->control, message);
 }
 
-static void
-respond (struct httpd_request *request, unsigned status, json_t *body)
-{
-  char *text = json_dumps (body, JSON_COMPACT);
-
-  json_decref (body);
-  httpd_respond (request, status, "application/json", text, strlen (text));
-  free (text);
-}
-
 static void
 respond_failure (struct httpd_request *request, enum error_kind kind,
                  const char *message)
@@ -116,13 +106,13 @@
 static void
 handle_status (struct admin *admin, struct httpd_request *request)
 {
-  respond (request, HTTP_OK, status_of (admin->control));
+  httpd_respond_json (request, HTTP_OK, status_of (admin->control));
 }
 
 static void
 handle_counters (struct admin *admin, struct httpd_request *request)
 {
-  respond (request, HTTP_OK, counters_to_json ());
+  httpd_respond_json (request, HTTP_OK, counters_to_json ());
 }
 
 static void
@@ -139,7 +129,7 @@
 handle_drain (struct admin *admin, struct httpd_request *request)
 {
   control_begin_stop (admin->control);
-  respond (request, HTTP_ACCEPTED, status_of (admin->control));
+  httpd_respond_json (request, HTTP_ACCEPTED, status_of (admin->control));
 }
 
 static void
@@ -154,7 +144,8 @@
       return;
     }
   sync_withdraw (admin->control, key_id);
-  respond (request, HTTP_ACCEPTED, json_pack ("{s:s}", "withdrawn", key_id));
+  httpd_respond_json (request, HTTP_ACCEPTED,
+                      json_pack ("{s:s}", "withdrawn", key_id));
 }
 
 static void
@@ -194,7 +185,7 @@
   message->name = xstrdup (host);
   message->blocked = !off;
   traffic_post (admin->control->traffic, message);
-  respond (request, HTTP_OK, json_object ());
+  httpd_respond_json (request, HTTP_OK, json_object ());
 }
 
 /* Sorted by path. */
@@ -343,9 +334,9 @@
   request->handle_gone = NULL;
   question_destroy (question);
   if (message->kind == CONTROL_DUMPED)
-    respond (request, HTTP_OK, merge_dump (admin, message));
+    httpd_respond_json (request, HTTP_OK, merge_dump (admin, message));
   else if (message->found)
-    respond (request, HTTP_OK, json_pack ("{s:b}", "ended", 1));
+    httpd_respond_json (request, HTTP_OK, json_pack ("{s:b}", "ended", 1));
   else
     respond_failure (request, ERROR_NOT_FOUND,
                      "this host does not hold the program; ask its owner");
--- a/program/call.c
+++ b/program/call.c
@@ -20,7 +20,6 @@
   BYTES_PER_TOKEN = 4,
   UNKNOWN_RETRY_MS = 1000,
   BUSY_RETRY_MS = 50,
-  HASH_TEXT_BYTES = 17,
 };
 
 /* Frees what a spec holds.  */
@@ -36,291 +35,12 @@
   free (spec->content_type);
 }
 
-static void
-append_json_string (struct buf *out, const char *text, size_t len)
-{
-  json_t *string = json_stringn (text, len);
-  char *escaped = json_dumps (string, JSON_ENCODE_ANY);
-
-  json_decref (string);
-  buf_append_str (out, escaped ? escaped : "\"\"");
-  free (escaped);
-}
-
-/* Writes one token in FORMAT.  The event id counts the tokens so far, so that
-   a caller can ask for the rest.  */
-static void
-format_token (struct buf *out, enum call_format format, const char *id,
-              uint32_t number, const char *text, size_t len)
-{
-  if (format == CALL_EVENTS)
-    {
-      buf_printf (out, "id: %" PRIu32 "\ndata: {\"token\":", number);
-      append_json_string (out, text, len);
-      buf_append_str (out, "}\n\n");
-      return;
-    }
-  buf_printf (out,
-              "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\","
-              "\"choices\":[{\"index\":0,\"delta\":{\"content\":",
-              id);
-  append_json_string (out, text, len);
-  buf_append_str (out, "},\"finish_reason\":null}]}\n\n");
-}
-
-static bool
-format_streams (enum call_format format)
-{
-  return format == CALL_EVENTS || format == CALL_CHAT_EVENTS;
-}
-
-static void
-waiter_unlink (struct waiter *waiter)
-{
-  struct waiter **slot = &waiter->call->waiters;
-
-  while (*slot && *slot != waiter)
-    slot = &(*slot)->next;
-  if (*slot)
-    *slot = waiter->next;
-}
-
-static void
-handle_waiter_gone (struct api_request *request)
-{
-  struct waiter *waiter = request->user;
-
-  waiter_unlink (waiter);
-  free (waiter);
-}
-
-static void
-waiter_add (struct call *call, struct api_request *request,
-            enum call_format format)
-{
-  struct waiter *waiter = xcalloc (1, sizeof *waiter);
-
-  waiter->call = call;
-  waiter->request = request;
-  waiter->format = format;
-  waiter->sent_tokens = request->resume_from;
-  waiter->next = call->waiters;
-  call->waiters = waiter;
-  request->user = waiter;
-  request->handle_gone = handle_waiter_gone;
-}
-
-static void
-waiter_destroy (struct waiter *waiter)
-{
-  waiter->request->user = NULL;
-  waiter->request->handle_gone = NULL;
-  waiter_unlink (waiter);
-  free (waiter);
-}
-
-/* Sends the tokens that WAITER does not have yet.  False where its reader is
-   too slow.  */
-static bool
-send_tokens (struct waiter *waiter, const struct answer *answer)
-{
-  struct buf out = { 0 };
-  bool ok = true;
-
-  if (!format_streams (waiter->format)
-      || waiter->sent_tokens >= answer->token_count)
-    return true;
-  while (waiter->sent_tokens < answer->token_count)
-    {
-      uint32_t i = waiter->sent_tokens++;
-      uint32_t start = i > 0 ? answer->token_ends[i - 1] : 0;
-
-      format_token (&out, waiter->format, waiter->request->id, i + 1,
-                    answer->text.data + start, answer->token_ends[i] - start);
-    }
-  if (!waiter->streaming)
-    {
-      waiter->streaming = true;
-      api_begin (waiter->request, HTTP_OK, "text/event-stream", true);
-    }
-  ok = api_write (waiter->request, out.data, out.len);
-  buf_release (&out);
-  return ok;
-}
-
-static void
-drop_slow_waiter (struct waiter *waiter)
-{
-  struct api_request *request = waiter->request;
-
-  waiter_destroy (waiter);
-  api_abort (request);
-}
-
-static void
-send_new_tokens (struct call *call)
-{
-  struct waiter *waiter = call->waiters;
-
-  while (waiter)
-    {
-      struct waiter *next = waiter->next;
-
-      if (!send_tokens (waiter, &call->answer))
-        drop_slow_waiter (waiter);
-      waiter = next;
-    }
-}
-
-/* What an answer's end tells beside its text.  */
-struct ending
-{
-  const char *cursor;
-  const char *program;
-  uint32_t turn;
-  uint32_t copies;
-  const struct engine_usage *usage;
-};
-
-static json_t *
-usage_to_json (const struct answer *answer, const struct ending *ending)
-{
-  return json_pack ("{s:I, s:I, s:I}", "prompt_tokens",
-                    (json_int_t)ending->usage->prompt_tokens,
-                    "completion_tokens", (json_int_t)answer->token_count,
-                    "cached_tokens", (json_int_t)ending->usage->cached_tokens);
-}
-
-static json_t *
-ending_to_json (const struct answer *answer, const struct ending *ending)
-{
-  return json_pack ("{s:s, s:s, s:i, s:i, s:o}", "program", ending->program,
-                    "cursor", ending->cursor, "turn", (int)ending->turn,
-                    "copies", (int)ending->copies, "usage",
-                    usage_to_json (answer, ending));
-}
-
-static json_t *
-whole_answer (enum call_format format, const char *id,
-              const struct answer *answer, const struct ending *ending)
-{
-  const char *text = answer->text.data ? answer->text.data : "";
-  json_t *root;
-
-  if (format == CALL_WHOLE)
-    {
-      root = ending_to_json (answer, ending);
-      json_object_set_new (root, "answer",
-                           json_stringn (text, answer->text.len));
-      return root;
-    }
-  return json_pack ("{s:s, s:s, s:[{s:i, s:{s:s, s:s%}, s:s}], s:o}", "id", id,
-                    "object", "chat.completion", "choices", "index", 0,
-                    "message", "role", "assistant", "content", text,
-                    answer->text.len, "finish_reason", "stop", "usage",
-                    usage_to_json (answer, ending));
-}
-
-static void
-send_stream_end (struct waiter *waiter, const struct answer *answer,
-                 const struct ending *ending)
-{
-  struct buf out = { 0 };
-  json_t *root = ending_to_json (answer, ending);
-  char *text = json_dumps (root, JSON_COMPACT);
-
-  json_decref (root);
-  if (waiter->format == CALL_EVENTS)
-    buf_printf (&out, "event: done\ndata: %s\n\n", text);
-  else
-    buf_printf (&out,
-                "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\","
-                "\"choices\":[{\"index\":0,\"delta\":{},"
-                "\"finish_reason\":\"stop\"}],\"galena\":%s}\n\n"
-                "data: [DONE]\n\n",
-                waiter->request->id, text);
-  free (text);
-  if (!waiter->streaming)
-    api_begin (waiter->request, HTTP_OK, "text/event-stream", true);
-  api_write (waiter->request, out.data, out.len);
-  buf_release (&out);
-}
-
-static void
-send_whole (struct waiter *waiter, const struct answer *answer,
-            const struct ending *ending)
-{
-  json_t *root
-      = whole_answer (waiter->format, waiter->request->id, answer, ending);
-  char *text = json_dumps (root, JSON_COMPACT);
-
-  json_decref (root);
-  api_begin (waiter->request, HTTP_OK, "application/json", false);
-  api_write (waiter->request, text, strlen (text));
-  free (text);
-}
-
-/* Gives WAITER the rest of the answer and its end; it is gone afterwards.  */
-static void
-finish_waiter (struct waiter *waiter, enum call_kind kind,
-               const struct answer *answer, const struct ending *ending)
-{
-  struct api_request *request = waiter->request;
-
-  api_set (&request->answer_cursor, ending->cursor);
-  api_set (&request->answer_program, ending->program);
-  if (kind == CALL_TOOL)
-    {
-      api_begin (request, answer->status, answer->content_type, false);
-      api_write (request, answer->text.data, answer->text.len);
-    }
-  else if (format_streams (waiter->format))
-    {
-      send_tokens (waiter, answer);
-      send_stream_end (waiter, answer, ending);
-    }
-  else
-    send_whole (waiter, answer, ending);
-  waiter_destroy (waiter);
-  api_end (request);
-}
-
-/* Gives WAITER an error instead of an answer, or behind the part of one that
-   it already has.  */
-static void
-fail_waiter (struct waiter *waiter, const struct error *error,
-             const char *cursor)
-{
-  struct api_request *request = waiter->request;
-  bool streaming = waiter->streaming;
-  char *text;
-  struct buf out = { 0 };
-
-  waiter_destroy (waiter);
-  if (cursor)
-    api_set (&request->answer_cursor, cursor);
-  if (!streaming)
-    {
-      api_respond_error (request, error);
-      return;
-    }
-  counter_refusal (error->kind);
-  text = error_to_json (error);
-  buf_printf (&out, "event: error\ndata: %s\n\n", text);
-  if (cursor)
-    buf_printf (&out, "event: cursor\ndata: {\"cursor\":\"%s\"}\n\n", cursor);
-  api_write (request, out.data, out.len);
-  buf_release (&out);
-  free (text);
-  api_end (request);
-}
-
 static void
 fail_all_waiters (struct call *call, const struct error *error,
                   const char *cursor)
 {
   while (call->waiters)
-    fail_waiter (call->waiters, error, cursor);
+    waiter_fail (call->waiters, error, cursor);
 }
 
 static void
@@ -418,7 +138,7 @@
   call->answer = (struct answer){ 0 };
   release_branch (call);
   while (call->waiters)
-    finish_waiter (call->waiters, call->spec.kind, &branch->last, &ending);
+    waiter_finish (call->waiters, call->spec.kind, &branch->last, &ending);
   call_destroy (call);
 }
 
@@ -534,7 +254,7 @@
   const struct buf *history = &call->branch->messages;
 
   buf_append_str (body, "{\"model\":");
-  append_json_string (body, call->spec.model, strlen (call->spec.model));
+  waiter_append_string (body, call->spec.model, strlen (call->spec.model));
   buf_printf (body,
               ",\"stream\":true,\"max_tokens\":%" PRId64
               ",\"resume_from\":%" PRIu32 ",\"priority\":%" PRId64
@@ -560,7 +280,7 @@
     return false;
   counter_add (COUNTER_TOKENS, 1);
   answer_append_token (&call->answer, text, len);
-  send_new_tokens (call);
+  waiter_send_tokens (call->waiters, &call->answer);
   return true;
 }
 
@@ -934,11 +654,11 @@
       enum call_format format = waiter->format;
 
       waiter_destroy (waiter);
-      waiter_add (running, request, format);
+      waiter_add (&running->waiters, request, format);
     }
   counter_add (COUNTER_CALLS_REPLAYED, 1);
   call_destroy (call);
-  send_new_tokens (running);
+  waiter_send_tokens (running->waiters, &running->answer);
 }
 
 static void
@@ -956,7 +676,7 @@
   counter_add (COUNTER_CALLS_REPLAYED, 1);
   program_seal_cursor (program, branch, cursor);
   while (call->waiters)
-    finish_waiter (call->waiters, call->spec.kind, &branch->last, &ending);
+    waiter_finish (call->waiters, call->spec.kind, &branch->last, &ending);
   call_destroy (call);
 }
 
@@ -1252,7 +972,7 @@
   call->customer = xstrdup (request->customer);
   call->request_hash = hash_request (spec);
   call->started_ms = clock_now_ms ();
-  waiter_add (call, request, spec->format);
+  waiter_add (&call->waiters, request, spec->format);
   if (request->cursor)
     {
       call->has_cursor = true;
--- /dev/null
+++ b/program/waiter.c
@@ -0,0 +1,284 @@
+#include "program/waiter.h"
+#include "common/counters.h"
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HTTP_OK = 200,
+};
+
+/* Appends TEXT as a JSON string.  */
+void
+waiter_append_string (struct buf *out, const char *text, size_t len)
+{
+  json_t *string = json_stringn (text, len);
+  char *escaped = json_dumps (string, JSON_ENCODE_ANY);
+
+  json_decref (string);
+  buf_append_str (out, escaped ? escaped : "\"\"");
+  free (escaped);
+}
+
+/* Writes one token in FORMAT.  The event id counts the tokens so far, so that
+   a caller can ask for the rest.  */
+static void
+format_token (struct buf *out, enum call_format format, const char *id,
+              uint32_t number, const char *text, size_t len)
+{
+  if (format == CALL_EVENTS)
+    {
+      buf_printf (out, "id: %" PRIu32 "\ndata: {\"token\":", number);
+      waiter_append_string (out, text, len);
+      buf_append_str (out, "}\n\n");
+      return;
+    }
+  buf_printf (out,
+              "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\","
+              "\"choices\":[{\"index\":0,\"delta\":{\"content\":",
+              id);
+  waiter_append_string (out, text, len);
+  buf_append_str (out, "},\"finish_reason\":null}]}\n\n");
+}
+
+static bool
+format_streams (enum call_format format)
+{
+  return format == CALL_EVENTS || format == CALL_CHAT_EVENTS;
+}
+
+static void
+waiter_unlink (struct waiter *waiter)
+{
+  struct waiter **slot = waiter->list;
+
+  while (*slot && *slot != waiter)
+    slot = &(*slot)->next;
+  if (*slot)
+    *slot = waiter->next;
+}
+
+static void
+handle_waiter_gone (struct api_request *request)
+{
+  struct waiter *waiter = request->user;
+
+  waiter_unlink (waiter);
+  free (waiter);
+}
+
+/* Makes REQUEST wait in LIST for an answer in FORMAT.  One that goes away
+   leaves the list by itself.  */
+void
+waiter_add (struct waiter **list, struct api_request *request,
+            enum call_format format)
+{
+  struct waiter *waiter = xcalloc (1, sizeof *waiter);
+
+  waiter->list = list;
+  waiter->request = request;
+  waiter->format = format;
+  waiter->sent_tokens = request->resume_from;
+  waiter->next = *list;
+  *list = waiter;
+  request->user = waiter;
+  request->handle_gone = handle_waiter_gone;
+}
+
+/* Takes the waiter off its list; its request is the caller's again.  */
+void
+waiter_destroy (struct waiter *waiter)
+{
+  waiter->request->user = NULL;
+  waiter->request->handle_gone = NULL;
+  waiter_unlink (waiter);
+  free (waiter);
+}
+
+/* Sends the tokens that WAITER does not have yet.  False where its reader is
+   too slow.  */
+static bool
+send_tokens (struct waiter *waiter, const struct answer *answer)
+{
+  struct buf out = { 0 };
+  bool ok = true;
+
+  if (!format_streams (waiter->format)
+      || waiter->sent_tokens >= answer->token_count)
+    return true;
+  while (waiter->sent_tokens < answer->token_count)
+    {
+      uint32_t i = waiter->sent_tokens++;
+      uint32_t start = i > 0 ? answer->token_ends[i - 1] : 0;
+
+      format_token (&out, waiter->format, waiter->request->id, i + 1,
+                    answer->text.data + start, answer->token_ends[i] - start);
+    }
+  if (!waiter->streaming)
+    {
+      waiter->streaming = true;
+      api_begin (waiter->request, HTTP_OK, "text/event-stream", true);
+    }
+  ok = api_write (waiter->request, out.data, out.len);
+  buf_release (&out);
+  return ok;
+}
+
+static void
+drop_slow_waiter (struct waiter *waiter)
+{
+  struct api_request *request = waiter->request;
+
+  waiter_destroy (waiter);
+  api_abort (request);
+}
+
+/* Sends every waiter of LIST the tokens that it does not have yet.  */
+void
+waiter_send_tokens (struct waiter *list, const struct answer *answer)
+{
+  struct waiter *waiter = list;
+
+  while (waiter)
+    {
+      struct waiter *next = waiter->next;
+
+      if (!send_tokens (waiter, answer))
+        drop_slow_waiter (waiter);
+      waiter = next;
+    }
+}
+
+static json_t *
+usage_to_json (const struct answer *answer, const struct ending *ending)
+{
+  return json_pack ("{s:I, s:I, s:I}", "prompt_tokens",
+                    (json_int_t)ending->usage->prompt_tokens,
+                    "completion_tokens", (json_int_t)answer->token_count,
+                    "cached_tokens", (json_int_t)ending->usage->cached_tokens);
+}
+
+static json_t *
+ending_to_json (const struct answer *answer, const struct ending *ending)
+{
+  return json_pack ("{s:s, s:s, s:i, s:i, s:o}", "program", ending->program,
+                    "cursor", ending->cursor, "turn", (int)ending->turn,
+                    "copies", (int)ending->copies, "usage",
+                    usage_to_json (answer, ending));
+}
+
+static json_t *
+whole_answer (enum call_format format, const char *id,
+              const struct answer *answer, const struct ending *ending)
+{
+  const char *text = answer->text.data ? answer->text.data : "";
+  json_t *root;
+
+  if (format == CALL_WHOLE)
+    {
+      root = ending_to_json (answer, ending);
+      json_object_set_new (root, "answer",
+                           json_stringn (text, answer->text.len));
+      return root;
+    }
+  return json_pack ("{s:s, s:s, s:[{s:i, s:{s:s, s:s%}, s:s}], s:o}", "id", id,
+                    "object", "chat.completion", "choices", "index", 0,
+                    "message", "role", "assistant", "content", text,
+                    answer->text.len, "finish_reason", "stop", "usage",
+                    usage_to_json (answer, ending));
+}
+
+static void
+send_stream_end (struct waiter *waiter, const struct answer *answer,
+                 const struct ending *ending)
+{
+  struct buf out = { 0 };
+  json_t *root = ending_to_json (answer, ending);
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  json_decref (root);
+  if (waiter->format == CALL_EVENTS)
+    buf_printf (&out, "event: done\ndata: %s\n\n", text);
+  else
+    buf_printf (&out,
+                "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\","
+                "\"choices\":[{\"index\":0,\"delta\":{},"
+                "\"finish_reason\":\"stop\"}],\"galena\":%s}\n\n"
+                "data: [DONE]\n\n",
+                waiter->request->id, text);
+  free (text);
+  if (!waiter->streaming)
+    api_begin (waiter->request, HTTP_OK, "text/event-stream", true);
+  api_write (waiter->request, out.data, out.len);
+  buf_release (&out);
+}
+
+static void
+send_whole (struct waiter *waiter, const struct answer *answer,
+            const struct ending *ending)
+{
+  json_t *root
+      = whole_answer (waiter->format, waiter->request->id, answer, ending);
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  json_decref (root);
+  api_begin (waiter->request, HTTP_OK, "application/json", false);
+  api_write (waiter->request, text, strlen (text));
+  free (text);
+}
+
+/* Gives WAITER the rest of the answer and its end; it is gone afterwards.  */
+void
+waiter_finish (struct waiter *waiter, enum call_kind kind,
+               const struct answer *answer, const struct ending *ending)
+{
+  struct api_request *request = waiter->request;
+
+  api_set (&request->answer_cursor, ending->cursor);
+  api_set (&request->answer_program, ending->program);
+  if (kind == CALL_TOOL)
+    {
+      api_begin (request, answer->status, answer->content_type, false);
+      api_write (request, answer->text.data, answer->text.len);
+    }
+  else if (format_streams (waiter->format))
+    {
+      send_tokens (waiter, answer);
+      send_stream_end (waiter, answer, ending);
+    }
+  else
+    send_whole (waiter, answer, ending);
+  waiter_destroy (waiter);
+  api_end (request);
+}
+
+/* Gives WAITER an error instead of an answer, or behind the part of one that
+   it already has.  */
+void
+waiter_fail (struct waiter *waiter, const struct error *error,
+             const char *cursor)
+{
+  struct api_request *request = waiter->request;
+  bool streaming = waiter->streaming;
+  char *text;
+  struct buf out = { 0 };
+
+  waiter_destroy (waiter);
+  if (cursor)
+    api_set (&request->answer_cursor, cursor);
+  if (!streaming)
+    {
+      api_respond_error (request, error);
+      return;
+    }
+  counter_refusal (error->kind);
+  text = error_to_json (error);
+  buf_printf (&out, "event: error\ndata: %s\n\n", text);
+  if (cursor)
+    buf_printf (&out, "event: cursor\ndata: {\"cursor\":\"%s\"}\n\n", cursor);
+  api_write (request, out.data, out.len);
+  buf_release (&out);
+  free (text);
+  api_end (request);
+}
--- a/test/unit/fake_platform.c
+++ b/test/unit/fake_platform.c
@@ -9,16 +9,6 @@
   MAX_TURNS = 100000,
 };
 
-static void
-respond (struct httpd_request *request, unsigned status, json_t *body)
-{
-  char *text = json_dumps (body, JSON_COMPACT);
-
-  json_decref (body);
-  httpd_respond (request, status, "application/json", text, strlen (text));
-  free (text);
-}
-
 static void
 lose (struct httpd_request *request)
 {
@@ -43,7 +33,8 @@
     }
   if (now != version)
     {
-      respond (request, 409, json_pack ("{s:I}", "version", (json_int_t)now));
+      httpd_respond_json (request, 409,
+                          json_pack ("{s:I}", "version", (json_int_t)now));
       return;
     }
   json_object_set_new (
@@ -56,8 +47,9 @@
       lose (request);
       return;
     }
-  respond (request, 200,
-           json_pack ("{s:I}", "version", (json_int_t)fake->revision));
+  httpd_respond_json (
+      request, 200,
+      json_pack ("{s:I}", "version", (json_int_t)fake->revision));
 }
 
 static void
@@ -72,9 +64,9 @@
   else if (strcmp (request->method, "PUT") == 0)
     handle_write (fake, request, key);
   else if (present)
-    respond (request, 200, json_incref (present));
+    httpd_respond_json (request, 200, json_incref (present));
   else
-    respond (request, 404, json_object ());
+    httpd_respond_json (request, 404, json_object ());
 }
 
 void
