Let the cursor's process serve its programs while it lives

Tried and reverted: handing programs over at every join. Two live processes can then hand a program back and forth; when a message is lost their journals point at each other, and nobody can take it (seen as a test that never ended). Change: an entry host sends a call to the process in its cursor while that lives and is not leaving; requests wait while a handover is being recorded, and find the next owner for a while after; a refused record drops the program. Conclusion: programs stay where they are until their host goes.

--- a/caller/routes.c
+++ b/caller/routes.c
@@ -2,6 +2,7 @@
 #include "common/id.h"
 #include "galenashored/server.h"
 #include "peer/forward.h"
+#include "program/handover.h"
 #include "program/program.h"
 #include <stdlib.h>
 #include <string.h>
@@ -95,27 +96,75 @@
   return NULL;
 }
 
-/* Runs the handler of a request that has come to the host that serves it.  */
-void
-routes_handle (struct api_request *request)
+static const char *
+program_of (const struct api_request *request)
+{
+  return request->args[0] ? request->args[0] : request->program;
+}
+
+/* Serves a program that this host holds, or passes its request on to where it
+   has just been handed.  False where the host knows nothing of it.  */
+static bool
+serve_held (struct api_request *request, const struct route_entry *entry,
+            const char *program)
+{
+  struct server *server = request->server;
+  const char *gone_to = handover_host (server->programs, program);
+  const struct config_host *host
+      = gone_to ? config_host (server->config, gone_to) : NULL;
+
+  if (program_is_held (server->programs, program))
+    {
+      entry->handle (request);
+      return true;
+    }
+  if (program_find (server->programs, program))
+    {
+      handover_park (server->programs, request);
+      return true;
+    }
+  return host && request->hops++ < MAX_HOPS
+         && forward_start (server->forwarder, request, host);
+}
+
+/* The process that gave the cursor out serves the program as long as it lives
+   and stays, whoever would own it by the hosts that there are now: only there
+   does a call that must not be repeated run.  */
+static const struct config_host *
+host_of_cursor (const struct api_request *request)
 {
+  const struct server *server = request->server;
+  const struct config_host *host;
+  struct cursor cursor;
   struct error error;
-  const struct route_entry *entry = routes_find (request, &error);
 
-  if (entry)
-    entry->handle (request);
-  else
-    api_respond_error (request, &error);
+  if (!request->cursor
+      || !cursor_open (&server->settings->keyring, request->cursor, &cursor,
+                       &error))
+    return NULL;
+  host = server_host_of_process (server, cursor.process);
+  if (!host || server_is_self (server, host))
+    return host;
+  if (host->leaving || mesh_is_suspect (server->mesh, host->name)
+      || mesh_is_leaving (server->mesh, host->name))
+    return NULL;
+  return host;
 }
 
-static const char *
-program_of (const struct api_request *request)
+static const struct config_host *
+pick_host (const struct api_request *request, const char *program)
 {
-  return request->args[0] ? request->args[0] : request->program;
+  const struct config_host *host = host_of_cursor (request);
+
+  if (host
+      && !(server_is_self (request->server, host)
+           && request->server->stopping))
+    return host;
+  return server_owner (request->server, program);
 }
 
-/* Hands REQUEST to the host that owns its program, or handles it here.  A
-   stopping host still serves the programs that it has not handed over.  */
+/* Hands REQUEST to the host that serves its program, or handles it here.  A
+   host serves the programs that it holds, whoever owns them next.  */
 void
 routes_enter (struct api_request *request)
 {
@@ -131,11 +180,12 @@
       return;
     }
   program = entry->owner == ROUTE_PROGRAM ? program_of (request) : NULL;
+  if (program && serve_held (request, entry, program))
+    return;
   while (program && request->hops++ < MAX_HOPS)
     {
-      owner = server_owner (server, program);
-      if (!owner || server_is_self (server, owner)
-          || program_is_held (server->programs, program))
+      owner = pick_host (request, program);
+      if (!owner || server_is_self (server, owner))
         {
           entry->handle (request);
           return;
@@ -154,3 +204,26 @@
   error.retry_after_ms = PEER_RETRY_MS;
   api_respond_error (request, &error);
 }
+
+/* Handles a request that another host has passed on because this one owns its
+   program, or owned it a moment ago.  */
+void
+routes_deliver (struct api_request *request)
+{
+  struct error error;
+  const struct route_entry *entry = routes_find (request, &error);
+  const char *program;
+
+  if (!entry)
+    {
+      api_respond_error (request, &error);
+      return;
+    }
+  program = entry->owner == ROUTE_PROGRAM ? program_of (request) : NULL;
+  if (program && serve_held (request, entry, program))
+    return;
+  if (request->server->stopping)
+    routes_enter (request);
+  else
+    entry->handle (request);
+}
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -296,7 +296,6 @@
 
   if (!server->stopping || traffic->drained)
     return;
-  programs_hand_over (server->programs);
   if (!traffic->announced
       && (programs_are_handed_over (server->programs)
           || now_ms - server->stop_started_ms > HAND_OVER_MS))
@@ -326,12 +325,16 @@
   if (!server->config)
     return;
   limiter_tick (server->limiter, now_ms);
+  if (server->stopping)
+    programs_hand_over (server->programs);
+  handover_resume (server->programs);
   copies_tick (server->copies, now_ms);
   dispatcher_tick (server->dispatcher, now_ms);
   if (now_ms - traffic->slow_tick_ms >= 1000)
     {
       traffic->slow_tick_ms = now_ms;
       programs_tick (server->programs, now_ms);
+      handover_tick (server->programs, now_ms);
       holds_tick (server->holds, now_ms);
     }
   watch_drain (traffic, now_ms);
--- a/include/caller/routes.h
+++ b/include/caller/routes.h
@@ -24,7 +24,7 @@
 const struct route_entry *routes_find (struct api_request *request,
                                        struct error *error);
 void routes_enter (struct api_request *request);
-void routes_handle (struct api_request *request);
+void routes_deliver (struct api_request *request);
 
 void handle_branch_open (struct api_request *request);
 void handle_call (struct api_request *request);
--- a/include/platform/journal.h
+++ b/include/platform/journal.h
@@ -58,6 +58,7 @@
                      void *data);
 void journal_hand_over (struct journal *journal, const char *program,
                         uint64_t process, journal_handler *handle, void *data);
+void journal_accept (struct journal *journal, const char *program);
 void journal_forget (struct journal *journal, const char *program);
 void journal_take (struct journal *journal, uint64_t process,
                    const char *program, uint32_t branch, uint32_t turn,
--- a/include/program/program.h
+++ b/include/program/program.h
@@ -23,6 +23,7 @@
 struct server;
 struct programs;
 struct load;
+struct parked;
 
 /* The answer of a turn, for callers that ask for it again. */
 struct answer
@@ -78,6 +79,8 @@
   struct server *server;
   GHashTable *by_id; /* id to struct program, owned */
   struct load *loads;
+  GHashTable *handed_over; /* id to struct handed_over, for a while */
+  struct parked *parked;   /* requests that wait for a handover */
   uint32_t calls;
 };
 
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -265,10 +265,7 @@
   request->resume_from = call->resume_from;
   request->hops = call->hops;
   buf_append (&request->body, call->body.data, call->body.len);
-  if (forwarder->server->stopping)
-    routes_enter (request);
-  else
-    routes_handle (request);
+  routes_deliver (request);
 }
 
 static struct outgoing *
--- a/program/call.c
+++ b/program/call.c
@@ -403,9 +403,13 @@
     dispatch_tool (call);
 }
 
+/* The journal says that the program is another process's: what is in memory
+   here is over, and the next call loads it anew.  */
 static void
 refuse_moved (struct call *call)
 {
+  struct programs *programs = call->server->programs;
+  char *id = xstrdup (call->program_id);
   struct error error;
 
   error_set (&error, ERROR_PEER, RUN_NOT_RUN,
@@ -413,6 +417,8 @@
              "with the same cursor");
   error.retry_after_ms = BUSY_RETRY_MS;
   finish_refused (call, &error);
+  programs_handle_moved (programs, id);
+  free (id);
 }
 
 /* The cursor promises a recorded intent.  Without the platform the turn is
--- a/program/handover.c
+++ b/program/handover.c
@@ -1,4 +1,5 @@
 #include "program/handover.h"
+#include "caller/routes.h"
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
@@ -15,6 +16,132 @@
   char *host;
 };
 
+/* Where a program has gone, so that requests which still come here find it. */
+struct handed_over
+{
+  char *host;
+  int64_t until_ms;
+};
+
+/* A request for a program whose move is being recorded. */
+struct parked
+{
+  struct programs *programs;
+  struct api_request *request;
+  struct parked *next;
+};
+
+enum
+{
+  REMEMBER_MS = 10000,
+};
+
+static void
+handed_over_destroy (void *pointer)
+{
+  struct handed_over *gone = pointer;
+
+  free (gone->host);
+  free (gone);
+}
+
+static void
+remember (struct programs *programs, const char *id, const char *host)
+{
+  struct handed_over *gone = xcalloc (1, sizeof *gone);
+
+  if (!programs->handed_over)
+    programs->handed_over = g_hash_table_new_full (g_str_hash, g_str_equal,
+                                                   free, handed_over_destroy);
+  gone->host = xstrdup (host);
+  gone->until_ms = clock_now_ms () + REMEMBER_MS;
+  g_hash_table_replace (programs->handed_over, xstrdup (id), gone);
+}
+
+/* Returns the host that a program was handed to a moment ago, or NULL.  */
+const char *
+handover_host (const struct programs *programs, const char *id)
+{
+  const struct handed_over *gone
+      = programs->handed_over ? g_hash_table_lookup (programs->handed_over, id)
+                              : NULL;
+
+  return gone ? gone->host : NULL;
+}
+
+static gboolean
+is_over (gpointer id, gpointer gone, gpointer now_ms)
+{
+  return ((const struct handed_over *)gone)->until_ms
+         < *(const int64_t *)now_ms;
+}
+
+/* Forgets programs that were handed over long ago.  */
+void
+handover_tick (struct programs *programs, int64_t now_ms)
+{
+  if (programs->handed_over)
+    g_hash_table_foreach_remove (programs->handed_over, is_over, &now_ms);
+}
+
+static void
+handle_parked_gone (struct api_request *request)
+{
+  struct parked *parked = request->user;
+  struct parked **slot = &parked->programs->parked;
+
+  while (*slot && *slot != parked)
+    slot = &(*slot)->next;
+  if (*slot)
+    *slot = parked->next;
+  free (parked);
+}
+
+/* Keeps REQUEST until its program has been handed over; handover_resume then
+   passes it on.  */
+void
+handover_park (struct programs *programs, struct api_request *request)
+{
+  struct parked *parked = xcalloc (1, sizeof *parked);
+
+  parked->programs = programs;
+  parked->request = request;
+  parked->next = programs->parked;
+  programs->parked = parked;
+  request->user = parked;
+  request->handle_gone = handle_parked_gone;
+}
+
+/* Lets the parked requests go their way again.  */
+void
+handover_resume (struct programs *programs)
+{
+  struct parked *parked = programs->parked;
+
+  programs->parked = NULL;
+  while (parked)
+    {
+      struct parked *next = parked->next;
+      struct api_request *request = parked->request;
+
+      free (parked);
+      request->user = NULL;
+      request->handle_gone = NULL;
+      routes_enter (request);
+      parked = next;
+    }
+}
+
+/* Frees what handovers have left behind.  */
+void
+handover_release (struct programs *programs)
+{
+  if (programs->handed_over)
+    g_hash_table_destroy (programs->handed_over);
+  while (programs->parked)
+    handle_parked_gone (programs->parked->request);
+}
+
 static char *
 text (const char *value)
 {
@@ -104,6 +231,7 @@
   if (program && status == JOURNAL_RECORDED)
     {
       send_program (program, handover->host);
+      remember (handover->programs, handover->id, handover->host);
       program_destroy (program);
     }
   else if (program)
@@ -205,6 +333,8 @@
   if (!customer || program_find (programs, handover->program)
       || load_is_under_way (programs, handover->program))
     return;
+  if (programs->handed_over)
+    g_hash_table_remove (programs->handed_over, handover->program);
   program = program_create (programs, handover->program, customer);
   program->incarnation = handover->incarnation;
   program->attained_tokens = handover->attained_tokens;
@@ -217,6 +347,7 @@
                                 handover->spent_cost_micros };
   for (size_t i = 0; i < handover->n_branches; i++)
     restore_branch (program, handover->branches[i]);
+  journal_accept (programs->server->journal, handover->program);
   counter_add (COUNTER_TAKEOVERS, 1);
   log_write (LOG_DEBUG, "handover",
              &(struct log_ids){ .program = program->id,
--- a/program/program.c
+++ b/program/program.c
@@ -6,6 +6,7 @@
 #include "galenashored/server.h"
 #include "program/call.h"
 #include "program/copies.h"
+#include "program/handover.h"
 #include "program/load.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -90,6 +91,7 @@
   if (!programs)
     return;
   load_drop_all (programs);
+  handover_release (programs);
   g_hash_table_destroy (programs->by_id);
   free (programs);
 }
--- a/test/unit/test_journal.c
+++ b/test/unit/test_journal.c
@@ -218,6 +218,32 @@
   stop (&pair);
 }
 
+static void
+test_handed_over_program_comes_back (void)
+{
+  struct pair pair;
+  struct outcome outcome = { 0 };
+  struct journal_taken taken;
+
+  start (&pair);
+  grant (&pair, pair.first);
+  journal_hand_over (pair.first, "p", 2, handle_status, &outcome);
+  fake_platform_run (&pair.fake, &outcome.done);
+  CU_ASSERT_EQUAL (outcome.status, JOURNAL_RECORDED);
+  CU_ASSERT_EQUAL (intend (&pair, pair.first, 1), JOURNAL_MOVED);
+  journal_accept (pair.second, "p");
+  CU_ASSERT_EQUAL (intend (&pair, pair.second, 1), JOURNAL_RECORDED);
+  outcome.done = false;
+  journal_hand_over (pair.second, "p", 1, handle_status, &outcome);
+  fake_platform_run (&pair.fake, &outcome.done);
+  journal_accept (pair.first, "p");
+  CU_ASSERT_EQUAL (intend (&pair, pair.first, 2), JOURNAL_RECORDED);
+  taken = take (&pair, pair.second, 2, 2);
+  CU_ASSERT_EQUAL (taken.status, JOURNAL_RECORDED);
+  CU_ASSERT_TRUE (taken.has_intent);
+  stop (&pair);
+}
+
 static void
 test_forgotten_program_keeps_its_mark (void)
 {
@@ -244,6 +270,8 @@
           test_lost_answers_on_both_sides_of_the_effect },
         { "an outage is told at once", test_outage_is_told_at_once },
         { "a program comes back", test_program_comes_back },
+        { "a program that was handed over comes back",
+          test_handed_over_program_comes_back },
         { "a forgotten program keeps its mark",
           test_forgotten_program_keeps_its_mark },
         CU_TEST_INFO_NULL };
