--- a/galenactl/client.c
+++ b/galenactl/client.c
@@ -38,11 +38,11 @@
   return size * count;
 }
 
-/* Makes one HTTP request.  BEARER and BODY may be NULL.  The caller frees the
-   answer's body.  */
+/* Makes one HTTP request.  BEARER, CA_FILE and BODY may be NULL.  The caller
+   frees the answer's body.  */
 struct ctl_answer
 ctl_request (const char *method, const char *url, const char *bearer,
-             const json_t *body)
+             const char *ca_file, const json_t *body)
 {
   CURL *easy = curl_easy_init ();
   struct curl_slist *headers
@@ -58,6 +58,8 @@
     headers = curl_slist_append (headers, authorization);
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  if (ca_file)
+    curl_easy_setopt (easy, CURLOPT_CAINFO, ca_file);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
@@ -86,10 +88,10 @@
 ctl_operator (const struct ctl *ctl, const char *address, const char *method,
               const char *path)
 {
-  char *url = xasprintf ("http://%s%s",
+  char *url = xasprintf ("%s://%s%s", ctl->operator_ca ? "https" : "http",
                          address ? address : ctl->operator_address, path);
   struct ctl_answer answer
-      = ctl_request (method, url, ctl->operator_key, NULL);
+      = ctl_request (method, url, ctl->operator_key, ctl->operator_ca, NULL);
 
   free (url);
   return answer;
@@ -101,7 +103,7 @@
 ctl_list (const struct ctl *ctl, const char *kinds)
 {
   char *url = xasprintf ("%s/objects?kinds=%s", ctl->platform_url, kinds);
-  struct ctl_answer answer = ctl_request ("GET", url, NULL, NULL);
+  struct ctl_answer answer = ctl_request ("GET", url, NULL, NULL, NULL);
   json_t *objects = NULL;
 
   free (url);
@@ -119,7 +121,7 @@
 ctl_get (const struct ctl *ctl, const char *kind, const char *name)
 {
   char *url = xasprintf ("%s/objects/%s/%s", ctl->platform_url, kind, name);
-  struct ctl_answer answer = ctl_request ("GET", url, NULL, NULL);
+  struct ctl_answer answer = ctl_request ("GET", url, NULL, NULL, NULL);
 
   free (url);
   if (answer.status == HTTP_OK)
@@ -174,7 +176,7 @@
                    kind, name, version);
   for (int i = 0; i < MAX_TRIES && !done; i++)
     {
-      answer = ctl_request ("PUT", url, NULL, data);
+      answer = ctl_request ("PUT", url, NULL, NULL, data);
       done = answer.status == HTTP_OK;
       if (done && written)
         *written = ctl_version (answer.body);
@@ -202,7 +204,7 @@
 {
   char *url = xasprintf ("%s/objects/%s/%s?version=%" PRIu64,
                          ctl->platform_url, kind, name, version);
-  struct ctl_answer answer = ctl_request ("DELETE", url, NULL, NULL);
+  struct ctl_answer answer = ctl_request ("DELETE", url, NULL, NULL, NULL);
 
   free (url);
   json_decref (answer.body);
--- a/galenactl/main.c
+++ b/galenactl/main.c
@@ -120,6 +120,9 @@
       "A host's operator listener (or GALENA_OPERATOR)", "IP:PORT" },
     { "operator-key-file", 'k', 0, G_OPTION_ARG_FILENAME, &key_file,
       "File with the operator key (or GALENA_OPERATOR_KEY_FILE)", "FILE" },
+    { "operator-ca", 0, 0, G_OPTION_ARG_FILENAME, &ctl.operator_ca,
+      "Speak TLS to operator listeners, trusting the certificates in FILE",
+      "FILE" },
     { "json", 'j', 0, G_OPTION_ARG_NONE, &as_json,
       "Print JSON instead of tables", NULL },
     { "version", 'V', 0, G_OPTION_ARG_NONE, &show_version,
@@ -159,5 +162,6 @@
   free (ctl.platform_url);
   free (ctl.operator_address);
   free (ctl.operator_key);
+  g_free (ctl.operator_ca);
   return status;
 }
--- a/include/galenactl/command.h
+++ b/include/galenactl/command.h
@@ -21,6 +21,7 @@
   char *platform_url;
   char *operator_address;
   char *operator_key;
+  char *operator_ca; /* file; the listener speaks TLS where it is set */
   bool json;
 };
 
@@ -45,7 +46,8 @@
 };
 
 struct ctl_answer ctl_request (const char *method, const char *url,
-                               const char *bearer, const json_t *body);
+                               const char *bearer, const char *ca_file,
+                               const json_t *body);
 struct ctl_answer ctl_operator (const struct ctl *ctl, const char *address,
                                 const char *method, const char *path);
 
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -3,7 +3,8 @@
 # CI, the README and developers all use this one list.
 set -eu
 
-PACKAGES="gcc g++ clang make meson ninja-build pkg-config git curl jq
+PACKAGES="gcc g++ clang make meson ninja-build pkg-config git curl jq openssl bc
+bsdextrautils procps
 clang-format clang-tidy cppcheck scdoc spin libclang-rt-14-dev
 libck-dev libcunit1-dev libcurl4-openssl-dev libev-dev libglib2.0-dev
 libjansson-dev libmicrohttpd-dev libprotobuf-c-dev librapidcheck-dev
