Start from other hosts while the platform is out; blame crashes fairly

Cause: a host that started in an outage had nobody to ask. A dead engine made every request that met it a suspect, and identical requests of different programs added up, so innocent ones were refused (seen in endpoints.sh). Ruled out: numbering crashes per host, since hosts count differently. Change: the setting seeds, and hellos that say where the sender can be reached; a crash counts only for an endpoint that had answered since its last one, once for each endpoint within a second, whoever saw it. Conclusion: hellos also end a race at start in which a host that was not listed yet got no acknowledgement for its copies.

--- a/endpoint/dispatcher.c
+++ b/endpoint/dispatcher.c
@@ -208,8 +208,8 @@
 }
 
 static void
-tell_crash (struct dispatcher *dispatcher, uint64_t fingerprint,
-            uint32_t crashes)
+tell_crash (struct dispatcher *dispatcher, const struct endpoint *endpoint,
+            uint64_t fingerprint, uint32_t crashes)
 {
   struct server *server = dispatcher->server;
   Peer__Frame frame = PEER__FRAME__INIT;
@@ -217,6 +217,7 @@
 
   notice.fingerprint = fingerprint;
   notice.crashes = crashes;
+  notice.endpoint = endpoint->name;
   frame.body_case = PEER__FRAME__BODY_CRASH_NOTICE;
   frame.crash_notice = &notice;
   for (size_t i = 0; i < server->config->host_count; i++)
@@ -229,13 +230,14 @@
 {
   struct dispatcher *dispatcher = job->dispatcher;
   uint32_t crashes = poison_note_crash (&dispatcher->poison, job->fingerprint,
-                                        0, clock_now_ms ());
+                                        id_hash_text (job->endpoint->name), 0,
+                                        clock_now_ms ());
 
   log_write (
       LOG_WARN, "dispatcher", &(struct log_ids){ .customer = job->customer },
       "endpoint %s crashed under request %016llx, crash %u",
       job->endpoint->name, (unsigned long long)job->fingerprint, crashes);
-  tell_crash (dispatcher, job->fingerprint, crashes);
+  tell_crash (dispatcher, job->endpoint, job->fingerprint, crashes);
   if (crashes >= POISON_CRASHES)
     fail_poisoned (job, RUN_MAY_HAVE_RUN);
   else
@@ -252,8 +254,10 @@
   job->probe = NULL;
   if (result->complete)
     retry (job, ERROR_ENDPOINT, "the endpoint cut its answer");
-  else
+  else if (endpoint_note_crash (job->endpoint, clock_now_ms ()))
     note_crash (job);
+  else
+    retry (job, ERROR_ENDPOINT, "the endpoint is down");
 }
 
 static void
@@ -629,6 +633,7 @@
   endpoint->load_fetch = NULL;
   if (result->complete && load)
     {
+      endpoint->answered_ms = clock_now_ms ();
       endpoint->reported_busy
           = json_integer_value (json_object_get (load, "running"))
             + json_integer_value (json_object_get (load, "waiting"));
@@ -694,13 +699,35 @@
     poll_load (dispatcher, e);
 }
 
-/* Another host has seen CRASHES under the request FINGERPRINT.  */
+static struct endpoint *
+find_endpoint (struct dispatcher *dispatcher, const char *name)
+{
+  struct endpoint *endpoint = dispatcher->endpoints.first;
+
+  while (endpoint && strcmp (endpoint->name, name) != 0)
+    endpoint = endpoint->next;
+  return endpoint;
+}
+
+/* Another host has seen CRASHES under the request FINGERPRINT, the last of
+   them at the endpoint NAME.  The crash is the one that this host sees there
+   too, if it does.  */
 void
-dispatcher_note_remote_crash (struct dispatcher *dispatcher,
+dispatcher_note_remote_crash (struct dispatcher *dispatcher, const char *name,
                               uint64_t fingerprint, uint32_t crashes)
 {
-  poison_note_crash (&dispatcher->poison, fingerprint, crashes,
-                     clock_now_ms ());
+  struct endpoint *endpoint = find_endpoint (dispatcher, name);
+  int64_t now_ms = clock_now_ms ();
+
+  if (!endpoint)
+    return;
+  endpoint_note_crash (endpoint, now_ms);
+  log_write (LOG_INFO, "dispatcher", NULL,
+             "another host saw endpoint %s crash under request %016llx, "
+             "crash %u",
+             name, (unsigned long long)fingerprint, crashes);
+  poison_note_crash (&dispatcher->poison, fingerprint, id_hash_text (name),
+                     crashes, now_ms);
 }
 
 /* Returns the queues and endpoints as a new reference.  */
--- a/endpoint/endpoint.c
+++ b/endpoint/endpoint.c
@@ -1,10 +1,12 @@
 #include "endpoint/endpoint.h"
 #include "common/buf.h"
+#include "common/id.h"
 #include <stdlib.h>
 #include <string.h>
 
 enum
 {
+  SAME_CRASH_MS = 500, /* calls cut within it fell to the same crash */
   EJECT_AFTER = 3,
   EJECT_BASE_MS = 500,
   EJECT_CAP_MS = 15000,
@@ -134,11 +136,23 @@
 void
 endpoint_note_success (struct endpoint *endpoint, int64_t took_ms)
 {
+  endpoint->answered_ms = clock_now_ms ();
   endpoint->failures_in_a_row = 0;
   endpoint->ejections = 0;
   endpoint->call_ms += (took_ms - endpoint->call_ms) / CALL_MS_WEIGHT;
 }
 
+/* A stream there was cut and nothing answers.  Whether that is a crash that
+   the calls in flight may have caused: one that had not come up since the last
+   crash is still down, which is nobody's fault.  */
+bool
+endpoint_note_crash (struct endpoint *endpoint, int64_t now_ms)
+{
+  if (endpoint->answered_ms > endpoint->crashed_ms)
+    endpoint->crashed_ms = now_ms;
+  return now_ms - endpoint->crashed_ms < SAME_CRASH_MS;
+}
+
 /* A call there has failed for a reason that is the endpoint's.  */
 void
 endpoint_note_failure (struct endpoint *endpoint, int64_t now_ms)
--- a/galenashored/settings.c
+++ b/galenashored/settings.c
@@ -55,6 +55,9 @@
   NUMBER (max_body_bytes, MIN_BODY_BYTES, MAX_BODY_BYTES),
   NUMBER (max_connections, 1, MAX_CONNECTIONS),
   NUMBER (drain_limit_ms, 0, MAX_DRAIN_MS),
+  { .name = "seeds",
+    .type = FIELD_STRINGS,
+    .offset = offsetof (struct settings, seeds) },
   { .name = "test_faults",
     .type = FIELD_BOOL,
     .offset = offsetof (struct settings, test_faults) },
@@ -92,10 +95,20 @@
   return false;
 }
 
+static bool
+check_seeds (const struct settings *settings, struct error *error)
+{
+  for (size_t i = 0; i < settings->seeds.count; i++)
+    if (!check_address ("seeds", settings->seeds.items[i], error))
+      return false;
+  return true;
+}
+
 static bool
 check_values (struct settings *settings, struct error *error)
 {
-  if (!check_address ("caller_listen", settings->caller_listen, error)
+  if (!check_seeds (settings, error)
+      || !check_address ("caller_listen", settings->caller_listen, error)
       || !check_address ("peer_listen", settings->peer_listen, error)
       || !check_address ("operator_listen", settings->operator_listen, error)
       || !check_pair ("caller_cert_file", settings->caller_cert_file,
--- a/galenashored/sync.c
+++ b/galenashored/sync.c
@@ -63,6 +63,28 @@
   return better < WATCHERS_PER_DC;
 }
 
+static void
+ask (struct control *control, const char *host)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__ConfigAsk message = PEER__CONFIG_ASK__INIT;
+
+  message.have_revision = control->objects.revision;
+  frame.body_case = PEER__FRAME__BODY_CONFIG_ASK;
+  frame.config_ask = &message;
+  control_send (control, host, &frame);
+}
+
+/* A host that starts while the platform is out learns from another.  */
+static void
+ask_seeds (struct control *control)
+{
+  const struct strings *seeds = &control->settings->seeds;
+
+  for (size_t i = 0; i < seeds->count && !control->sync.loaded; i++)
+    ask (control, seeds->items[i]);
+}
+
 static void
 fail (struct control *control)
 {
@@ -75,6 +97,7 @@
   if (sync->backoff_ms > MAX_BACKOFF_MS)
     sync->backoff_ms = MAX_BACKOFF_MS;
   sync->next_try_ms = clock_now_ms () + sync->backoff_ms;
+  ask_seeds (control);
 }
 
 static void
@@ -185,18 +208,6 @@
   free (text);
 }
 
-static void
-ask (struct control *control, const char *host)
-{
-  Peer__Frame frame = PEER__FRAME__INIT;
-  Peer__ConfigAsk message = PEER__CONFIG_ASK__INIT;
-
-  message.have_revision = control->objects.revision;
-  frame.body_case = PEER__FRAME__BODY_CONFIG_ASK;
-  frame.config_ask = &message;
-  control_send (control, host, &frame);
-}
-
 struct telling
 {
   uint64_t since;
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -249,9 +249,9 @@
   if (!server->config)
     return;
   if (frame->body_case == PEER__FRAME__BODY_CRASH_NOTICE)
-    dispatcher_note_remote_crash (server->dispatcher,
-                                  frame->crash_notice->fingerprint,
-                                  frame->crash_notice->crashes);
+    dispatcher_note_remote_crash (
+        server->dispatcher, frame->crash_notice->endpoint,
+        frame->crash_notice->fingerprint, frame->crash_notice->crashes);
   forwarder_handle_frame (server->forwarder, host, frame);
   limiter_handle_frame (server->limiter, host, frame);
   copies_handle_frame (server->copies, host, frame);
@@ -402,6 +402,21 @@
   ev_timer_start (server->loop, &server->tick);
 }
 
+/* Until there is a configuration, the seeds are the only hosts to ask; their
+   addresses stand for their names.  */
+static void
+set_mesh_seeds (struct server *server)
+{
+  const struct strings *seeds = &server->settings->seeds;
+  struct mesh_host *hosts = xcalloc (seeds->count + 1, sizeof *hosts);
+
+  for (size_t i = 0; i < seeds->count; i++)
+    hosts[i] = (struct mesh_host){ .name = seeds->items[i],
+                                   .address = seeds->items[i] };
+  mesh_set_hosts (server->mesh, hosts, seeds->count);
+  free (hosts);
+}
+
 /* Opens the listeners and the store.  Nothing runs until traffic_start.  NULL
    and ERROR where one cannot be opened.  */
 struct traffic *
@@ -418,6 +433,8 @@
   server->loop = ev_loop_new (EVFLAG_AUTO);
   open_parts (traffic);
   server->mesh = open_mesh (traffic, error);
+  if (server->mesh)
+    set_mesh_seeds (server);
   if (server->mesh && open_store (server, error))
     traffic->listener = listener_create (server, error);
   if (traffic->listener)
--- a/include/endpoint/endpoint.h
+++ b/include/endpoint/endpoint.h
@@ -42,6 +42,8 @@
   uint32_t failures_in_a_row;
   uint32_t ejections;
   int64_t ejected_until_ms;
+  int64_t answered_ms; /* when it last gave any sign of life */
+  int64_t crashed_ms;
   struct fetch *load_fetch;
   struct retry_budget retries;
   struct endpoint_affinity affinity[ENDPOINT_AFFINITY_SLOTS];
@@ -60,6 +62,7 @@
 bool endpoint_serves_model (const struct endpoint *endpoint,
                             const char *model);
 void endpoint_note_success (struct endpoint *endpoint, int64_t took_ms);
+bool endpoint_note_crash (struct endpoint *endpoint, int64_t now_ms);
 void endpoint_note_failure (struct endpoint *endpoint, int64_t now_ms);
 int64_t endpoint_cached_tokens (const struct endpoint *endpoint,
                                 uint64_t program);
--- a/include/galenashored/settings.h
+++ b/include/galenashored/settings.h
@@ -3,6 +3,7 @@
 #define GALENA_GALENASHORED_SETTINGS_H
 
 #include "common/error.h"
+#include "common/fields.h"
 #include "common/log.h"
 #include "policy/cursor.h"
 #include <stdint.h>
@@ -19,6 +20,7 @@
   char *operator_key_file; /* NULL: the operator listener is open */
   char *data_dir;          /* NULL: keeps no copies */
   char *log_level;
+  struct strings seeds; /* IP:port of hosts to ask while the platform is out */
   char *caller_cert_file;
   char *caller_key_file;
   char *operator_cert_file;
--- a/include/peer/link.h
+++ b/include/peer/link.h
@@ -21,6 +21,7 @@
 {
   const char *host;
   const char *data_centre;
+  const char *address; /* "IP:port" where it listens for hosts */
   uint64_t process;
 };
 
@@ -52,6 +53,7 @@
   struct link_identity self;
   struct link_owner owner;
   char *host; /* the other side's, once it is known */
+  char *address;
   uint64_t process;
   struct link *next;
 };
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -54,10 +54,14 @@
   char *data_centre;
   uint64_t process;
   ProtobufCBinaryData nonce;
+  /*
+   * where the sender can be reached
+   */
+  char *peer_address;
 };
 #define PEER__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -346,10 +350,11 @@
   ProtobufCMessage base;
   uint64_t fingerprint;
   uint32_t crashes;
+  char *endpoint;
 };
 #define PEER__CRASH_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__crash_notice__descriptor) \
-    , 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string }
 
 
 typedef enum {
--- a/include/policy/retry.h
+++ b/include/policy/retry.h
@@ -17,6 +17,7 @@
   POISON_CRASHES = 2, /* then the request is refused */
   POISON_HOLD_MS = 600000,
   POISON_SUSPECT_MS = 60000,
+  POISON_SAME_CRASH_MS = 1000, /* of one endpoint: one crash, seen twice */
 };
 
 /* Credit in hundredths of a retry. */
@@ -36,6 +37,8 @@
   uint64_t fingerprint;
   uint32_t crashes;
   int64_t until_ms;
+  uint64_t last_endpoint; /* hash; where it crashed last, and when */
+  int64_t last_ms;
   bool alone; /* its one retry runs now */
 };
 
@@ -55,7 +58,8 @@
 enum poison_verdict poison_check (const struct poison *poison,
                                   uint64_t fingerprint, int64_t now_ms);
 uint32_t poison_note_crash (struct poison *poison, uint64_t fingerprint,
-                            uint32_t crashes_elsewhere, int64_t now_ms);
+                            uint64_t endpoint, uint32_t crashes_elsewhere,
+                            int64_t now_ms);
 void poison_note_alone (struct poison *poison, uint64_t fingerprint,
                         bool alone);
 void poison_note_success (struct poison *poison, uint64_t fingerprint);
--- a/peer/link.c
+++ b/peer/link.c
@@ -54,6 +54,7 @@
   hello.host = (char *)(uintptr_t)link->self.host;
   hello.data_centre = (char *)(uintptr_t)link->self.data_centre;
   hello.process = link->self.process;
+  hello.peer_address = (char *)(uintptr_t)link->self.address;
   hello.nonce.data = link->own_nonce;
   hello.nonce.len = sizeof link->own_nonce;
   if (peer__hello__get_packed_size (&hello) > sizeof packed)
@@ -99,6 +100,7 @@
       return false;
     }
   link->host = xstrdup (hello->host);
+  link->address = xstrdup (hello->peer_address);
   link->process = hello->process;
   if (link->opener)
     seal_init (&link->seal, &link->keyring->keys[0], link->own_nonce,
@@ -332,5 +334,6 @@
   buf_release (&link->in);
   buf_release (&link->out);
   free (link->host);
+  free (link->address);
   free (link);
 }
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -37,6 +37,7 @@
   bool leaving;
   bool blocked;
   bool listed;
+  bool introduced; /* by itself, before the host list named it */
   struct peer *next;
 };
 
@@ -48,6 +49,7 @@
   ev_timer tick;
   struct peer *peers;
   struct link *inbound; /* list; owned here */
+  char *own_address;
   uint64_t config_revision;
   bool leaving;
 };
@@ -149,6 +151,7 @@
 {
   return (struct link_identity){ .host = mesh->options.host,
                                  .data_centre = mesh->options.data_centre,
+                                 .address = mesh->own_address,
                                  .process = mesh->options.process };
 }
 
@@ -210,12 +213,43 @@
   mark_answering (peer);
 }
 
+static struct peer *
+add_peer (struct mesh *mesh, const char *name)
+{
+  struct peer *peer = xcalloc (1, sizeof *peer);
+
+  peer->mesh = mesh;
+  peer->name = xstrdup (name);
+  peer->next = mesh->peers;
+  mesh->peers = peer;
+  return peer;
+}
+
+/* A host that the list does not name yet says itself where it can be reached;
+   it has the fleet key.  */
+static void
+introduce (struct mesh *mesh, const struct link *link)
+{
+  struct peer *peer = find_peer (mesh, link->host);
+
+  if (!link->address || !*link->address || (peer && peer->listed))
+    return;
+  if (!peer)
+    peer = add_peer (mesh, link->host);
+  free (peer->address);
+  peer->address = xstrdup (link->address);
+  peer->introduced = true;
+  peer->listed = true;
+}
+
 static void
 handle_inbound_open (void *data, struct link *link, const char *host)
 {
   struct mesh *mesh = data;
-  struct peer *peer = find_peer (mesh, host);
+  struct peer *peer;
 
+  introduce (mesh, link);
+  peer = find_peer (mesh, host);
   if (peer && peer->blocked)
     shutdown (link->fd, SHUT_RDWR);
 }
@@ -332,9 +366,12 @@
   struct mesh *mesh = xcalloc (1, sizeof *mesh);
 
   mesh->options = *options;
+  mesh->own_address
+      = xasprintf ("%s:%u", options->listen_address, options->listen_port);
   mesh->listener = listen_on (options, error);
   if (mesh->listener < 0)
     {
+      free (mesh->own_address);
       free (mesh);
       return NULL;
     }
@@ -380,28 +417,17 @@
       mesh->peers = peer->next;
       peer_destroy (peer);
     }
+  free (mesh->own_address);
   free (mesh);
 }
 
-static struct peer *
-add_peer (struct mesh *mesh, const char *name)
-{
-  struct peer *peer = xcalloc (1, sizeof *peer);
-
-  peer->mesh = mesh;
-  peer->name = xstrdup (name);
-  peer->next = mesh->peers;
-  mesh->peers = peer;
-  return peer;
-}
-
 /* Names the hosts that there are.  A host that is not named any more gets no
    further frames; one with a new address gets a new link.  */
 void
 mesh_set_hosts (struct mesh *mesh, const struct mesh_host *hosts, size_t count)
 {
   for (struct peer *peer = mesh->peers; peer; peer = peer->next)
-    peer->listed = false;
+    peer->listed = peer->introduced;
   for (size_t i = 0; i < count; i++)
     {
       struct peer *peer;
@@ -412,6 +438,7 @@
       if (!peer)
         peer = add_peer (mesh, hosts[i].name);
       peer->listed = true;
+      peer->introduced = false;
       if (peer->address && strcmp (peer->address, hosts[i].address) == 0)
         continue;
       drop_link (peer);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -997,7 +997,7 @@
   assert(message->base.descriptor == &peer__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__hello__field_descriptors[5] =
 {
   {
     "host",
@@ -1047,17 +1047,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peer_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Hello, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__hello__field_indices_by_name[] = {
   1,   /* field[1] = data_centre */
   0,   /* field[0] = host */
   3,   /* field[3] = nonce */
+  4,   /* field[4] = peer_address */
   2,   /* field[2] = process */
 };
 static const ProtobufCIntRange peer__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__hello__descriptor =
 {
@@ -1067,7 +1080,7 @@
   "Peer__Hello",
   "peer",
   sizeof(Peer__Hello),
-  4,
+  5,
   peer__hello__field_descriptors,
   peer__hello__field_indices_by_name,
   1,  peer__hello__number_ranges,
@@ -2602,7 +2615,7 @@
   (ProtobufCMessageInit) peer__program_handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__crash_notice__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__crash_notice__field_descriptors[3] =
 {
   {
     "fingerprint",
@@ -2628,15 +2641,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CrashNotice, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__crash_notice__field_indices_by_name[] = {
   1,   /* field[1] = crashes */
+  2,   /* field[2] = endpoint */
   0,   /* field[0] = fingerprint */
 };
 static const ProtobufCIntRange peer__crash_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__crash_notice__descriptor =
 {
@@ -2646,7 +2672,7 @@
   "Peer__CrashNotice",
   "peer",
   sizeof(Peer__CrashNotice),
-  2,
+  3,
   peer__crash_notice__field_descriptors,
   peer__crash_notice__field_indices_by_name,
   1,  peer__crash_notice__number_ranges,
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -87,23 +87,36 @@
   return entry->alone ? POISON_WAIT : POISON_SUSPECT;
 }
 
-/* An endpoint crashed under the request; other hosts have seen
-   CRASHES_ELSEWHERE.  Returns how many crashes are known.  */
+static uint32_t
+max32 (uint32_t a, uint32_t b)
+{
+  return a > b ? a : b;
+}
+
+/* ENDPOINT, by its hash, crashed under the request.  A crash counts once,
+   however many calls with the same contents fell to it and whoever saw it.
+   CRASHES_ELSEWHERE is what another host has counted with this crash, 0 where
+   this host saw it itself.  Returns how many crashes are known.  */
 uint32_t
 poison_note_crash (struct poison *poison, uint64_t fingerprint,
-                   uint32_t crashes_elsewhere, int64_t now_ms)
+                   uint64_t endpoint, uint32_t crashes_elsewhere,
+                   int64_t now_ms)
 {
   struct poison_entry *entry = find_entry (poison, fingerprint);
+  bool same = entry && entry->last_endpoint == endpoint
+              && now_ms - entry->last_ms < POISON_SAME_CRASH_MS;
 
   if (!entry)
     {
       entry = take_slot (poison);
       *entry = (struct poison_entry){ .fingerprint = fingerprint };
     }
-  entry->crashes = crashes_elsewhere > 0 ? (crashes_elsewhere > entry->crashes
-                                                ? crashes_elsewhere
-                                                : entry->crashes)
-                                         : entry->crashes + 1;
+  if (crashes_elsewhere > 0)
+    entry->crashes = max32 (entry->crashes, crashes_elsewhere);
+  else if (!same)
+    entry->crashes++;
+  entry->last_endpoint = endpoint;
+  entry->last_ms = now_ms;
   entry->alone = false;
   entry->until_ms = now_ms
                     + (entry->crashes >= POISON_CRASHES ? POISON_HOLD_MS
