--- a/test/functional/budget.sh
+++ b/test/functional/budget.sh
@@ -19,7 +19,7 @@
       "$(caller "$1")/v1/programs/$PROGRAM/calls" || true)
     grep -c '^id: ' <<<"$answer" >>"$3" || true
     grep -q budget_exhausted <<<"$answer" && { echo exhausted >>"$3.end"; return 0; }
-    next=$(grep -o '"cursor":"[^"]*"' <<<"$answer" | tail -1 | cut -d'"' -f4)
+    next=$(grep -o '"cursor":"[^"]*"' <<<"$answer" | tail -1 | cut -d'"' -f4 || true)
     if [ -n "$next" ]; then cursor=$next; else sleep 0.2; fi
   done
 }
