Count a fetch of copies as complete only if every data-folder host answered

Cause: under AddressSanitizer two programs of 80 were lost after a kill: a host that did not answer was not asked at all, and its silence passed for proof that there was no such program. Change: a fetch is complete once as many hosts have answered as have a data folder; until then the answer is history_unavailable, come back.

--- a/program/copies.c
+++ b/program/copies.c
@@ -136,11 +136,33 @@
     handle (data, kept, wanted);
 }
 
+static uint32_t
+count_data_hosts (const struct copies *copies)
+{
+  const struct config *config = copies->server->config;
+  uint32_t count = 0;
+
+  for (size_t i = 0; i < config->host_count; i++)
+    if (config->hosts[i].has_data_folder)
+      count++;
+  return count < MAX_ASKED ? count : MAX_ASKED;
+}
+
+/* A host that could not be asked may have what is missing.  */
+static bool
+is_complete (const struct transfer *transfer)
+{
+  uint32_t answered = count_asks (transfer, ASK_DONE);
+
+  return answered == transfer->ask_count
+         && answered >= count_data_hosts (transfer->copies);
+}
+
 static void
 finish_fetch (struct transfer *transfer)
 {
   copies_fetch_handler *handle = transfer->handle_fetch;
-  bool complete = count_asks (transfer, ASK_DONE) == transfer->ask_count;
+  bool complete = is_complete (transfer);
 
   if (handle)
     handle (transfer->data, &transfer->history, complete);
