Name borrowed tokens by the field's word

Cause: purse is a metaphor. Change: borrowed, take_borrowed, return_borrowed, in code, model and test. Conclusion: names only.

--- a/model/loans.pml
+++ b/model/loans.pml
@@ -21,7 +21,7 @@
 bool lent[LOANS];       /* the holder has the loan on its books */
 bool was_lent[LOANS];
 bool answer[LOANS];     /* an answer with one token is under way */
-bool purse[LOANS];      /* the borrower has the token */
+bool borrowed[LOANS];      /* the borrower has the token */
 bool confirm[LOANS];    /* a confirmation is under way */
 bool unused[LOANS];     /* what it says */
 bool lapsed_at_borrower[LOANS];
@@ -39,17 +39,17 @@
      atomic { nonce < LOANS -> mine = nonce; nonce = nonce + 1;
               asked[mine] = true }
   :: /* take_loan */
-     atomic { answer[mine] && !lapsed_at_borrower[mine] && !purse[mine] ->
-              answer[mine] = false; purse[mine] = true }
-  :: /* take_from_purse: only within LIMIT_LOAN_MS of the question */
-     atomic { purse[mine] && MAY_USE (mine) ->
+     atomic { answer[mine] && !lapsed_at_borrower[mine] && !borrowed[mine] ->
+              answer[mine] = false; borrowed[mine] = true }
+  :: /* take_borrowed: only within LIMIT_LOAN_MS of the question */
+     atomic { borrowed[mine] && MAY_USE (mine) ->
               used = used + 1;
               assert (used <= CAPACITY + refilled);
-              purse[mine] = false; unused[mine] = false;
+              borrowed[mine] = false; unused[mine] = false;
               confirm[mine] = true }
-  :: /* empty_purse */
-     atomic { purse[mine] && !lapsed_at_borrower[mine] ->
-              purse[mine] = false; unused[mine] = true;
+  :: /* return_borrowed */
+     atomic { borrowed[mine] && !lapsed_at_borrower[mine] ->
+              borrowed[mine] = false; unused[mine] = true;
               confirm[mine] = true }
   :: /* LIMIT_LOAN_MS have passed since the question */
      atomic { asked[mine] -> lapsed_at_borrower[mine] = true }
--- a/peer/limiter.c
+++ b/peer/limiter.c
@@ -32,7 +32,7 @@
 };
 
 /* Tokens borrowed and not used yet. */
-struct purse
+struct borrowed
 {
   uint64_t nonce;
   char *holder;
@@ -49,7 +49,7 @@
   struct bucket *buckets;
   struct slot_part parts[MAX_PARTS];
   uint32_t part_count;
-  struct purse purse;
+  struct borrowed borrowed;
   int64_t rate_milli;
   int64_t burst;
   int64_t changed_ms; /* when rate or burst changed; 0 for never */
@@ -110,7 +110,7 @@
   struct customer_limit *customer = pointer;
 
   drop_buckets (customer, false);
-  free (customer->purse.holder);
+  free (customer->borrowed.holder);
   free (customer->name);
   free (customer);
 }
@@ -312,36 +312,36 @@
 }
 
 static void
-empty_purse (struct limiter *limiter, struct customer_limit *customer)
+return_borrowed (struct limiter *limiter, struct customer_limit *customer)
 {
-  if (customer->purse.holder)
-    send_confirm (limiter, customer->purse.holder, customer->name,
-                  customer->purse.slot, customer->purse.nonce,
-                  customer->purse.tokens);
-  free (customer->purse.holder);
-  customer->purse = (struct purse){ 0 };
+  if (customer->borrowed.holder)
+    send_confirm (limiter, customer->borrowed.holder, customer->name,
+                  customer->borrowed.slot, customer->borrowed.nonce,
+                  customer->borrowed.tokens);
+  free (customer->borrowed.holder);
+  customer->borrowed = (struct borrowed){ 0 };
 }
 
 /* A loan whose time is over must not be used: its holder may count it as spent
    and refill.  */
 static bool
-take_from_purse (struct limiter *limiter, struct customer_limit *customer,
-                 int64_t now_ms)
+take_borrowed (struct limiter *limiter, struct customer_limit *customer,
+               int64_t now_ms)
 {
-  struct purse *purse = &customer->purse;
+  struct borrowed *borrowed = &customer->borrowed;
 
-  if (!purse->holder)
+  if (!borrowed->holder)
     return false;
-  if (now_ms - purse->asked_ms >= LIMIT_LOAN_MS)
+  if (now_ms - borrowed->asked_ms >= LIMIT_LOAN_MS)
     {
-      empty_purse (limiter, customer);
+      return_borrowed (limiter, customer);
       return false;
     }
-  if (purse->tokens == 0)
+  if (borrowed->tokens == 0)
     return false;
-  purse->tokens--;
-  if (purse->tokens == 0)
-    empty_purse (limiter, customer);
+  borrowed->tokens--;
+  if (borrowed->tokens == 0)
+    return_borrowed (limiter, customer);
   return true;
 }
 
@@ -500,7 +500,7 @@
   int64_t now_ms = clock_now_ms ();
 
   if (take_from_buckets (wait->customer, now_ms)
-      || take_from_purse (limiter, wait->customer, now_ms))
+      || take_borrowed (limiter, wait->customer, now_ms))
     {
       grant (wait);
       return;
@@ -530,7 +530,7 @@
     }
   count_request (found, now_ms);
   if (take_from_buckets (found, now_ms)
-      || take_from_purse (limiter, found, now_ms))
+      || take_borrowed (limiter, found, now_ms))
     {
       handle (data, NULL);
       return NULL;
@@ -586,12 +586,12 @@
   tokens--;
   if (tokens > 0)
     {
-      empty_purse (limiter, customer);
-      customer->purse = (struct purse){ .nonce = loan->nonce,
-                                        .holder = xstrdup (host),
-                                        .slot = slot,
-                                        .tokens = tokens,
-                                        .asked_ms = asked_ms };
+      return_borrowed (limiter, customer);
+      customer->borrowed = (struct borrowed){ .nonce = loan->nonce,
+                                              .holder = xstrdup (host),
+                                              .slot = slot,
+                                              .tokens = tokens,
+                                              .asked_ms = asked_ms };
     }
   else
     send_confirm (limiter, host, customer->name, slot, loan->nonce, 0);
@@ -684,9 +684,9 @@
     {
       struct customer_limit *customer = pointer;
 
-      if (customer->purse.holder
+      if (customer->borrowed.holder
           && now_ms - customer->window_ms > INT64_C (2) * BATCH_WINDOW_MS)
-        empty_purse (limiter, customer);
+        return_borrowed (limiter, customer);
     }
 }
 
--- a/test/property/limit.cpp
+++ b/test/property/limit.cpp
@@ -54,7 +54,7 @@
   int64_t capacity;
   int64_t now_ms = 0;
   uint64_t nonce = 0;
-  std::map<int, loan> purses;
+  std::map<int, loan> borrowed;
   std::vector<std::pair<int64_t, int64_t> > admitted; // time, tokens
 
   fleet (int64_t rate_tokens, int64_t capacity_tokens)
@@ -76,15 +76,15 @@
   // A borrower uses what it holds while the loan's time, counted from its
   // question, has not passed.
   void
-  spend_purse (int borrower)
+  spend_borrowed (int borrower)
   {
-    auto found = purses.find (borrower);
+    auto found = borrowed.find (borrower);
 
-    if (found == purses.end ())
+    if (found == borrowed.end ())
       return;
     if (now_ms - found->second.asked_ms >= LIMIT_LOAN_MS)
       {
-        purses.erase (found);
+        borrowed.erase (found);
         return;
       }
     if (found->second.left > 0)
@@ -112,7 +112,8 @@
               = limit_lend (&bucket, ++nonce, step.tokens * TOKEN, now_ms);
 
           RC_ASSERT (got % TOKEN == 0);
-          purses[step.borrower] = { step.bucket, nonce, got / TOKEN, now_ms };
+          borrowed[step.borrower]
+              = { step.bucket, nonce, got / TOKEN, now_ms };
           break;
         }
       case event::answer_lost:
@@ -120,20 +121,20 @@
         break;
       case event::confirm:
         {
-          auto found = purses.find (step.borrower);
+          auto found = borrowed.find (step.borrower);
 
-          spend_purse (step.borrower);
-          found = purses.find (step.borrower);
-          if (found == purses.end ())
+          spend_borrowed (step.borrower);
+          found = borrowed.find (step.borrower);
+          if (found == borrowed.end ())
             break;
           limit_confirm (&buckets[found->second.bucket], found->second.nonce,
                          found->second.left * TOKEN, now_ms);
-          purses.erase (found);
+          borrowed.erase (found);
           break;
         }
       case event::confirm_lost:
-        spend_purse (step.borrower);
-        purses.erase (step.borrower);
+        spend_borrowed (step.borrower);
+        borrowed.erase (step.borrower);
         break;
       case event::pause:
         now_ms += step.wait_ms * 20;
