Claim slots only with every change up to the table known

A host's own write raised the revision that its watch went on from, so it could miss another host's object for good, take that live host for gone, and claim slots that it still held: two buckets for one part of the rate. Ruled out: the clocks (wall, monotonic and boot time agree over 8 s), the loans (property and model), rounding. Change: sync keeps the revision up to which everything is known, apart from the newest object; watches, questions and pushes go by that; no slot is claimed before the table's version has been seen.

--- a/galenashored/registrar.c
+++ b/galenashored/registrar.c
@@ -35,7 +35,7 @@
 }
 
 /* Takes over a write of this host that has succeeded, without waiting for the
-   watch.  */
+   watch; the others hear of it from theirs.  */
 static void
 merge_written (struct control *control, const char *kind, const char *name,
                uint64_t version, json_t *value)
@@ -43,13 +43,8 @@
   json_t *list
       = json_pack ("[{s:s, s:s, s:I, s:O}]", "kind", kind, "name", name,
                    "version", (json_int_t)version, "data", value);
-  uint64_t before = control->objects.revision;
-
   if (objects_merge (&control->objects, list))
-    {
-      control_publish (control);
-      sync_tell_hosts (control, before, false);
-    }
+    control_publish (control);
   json_decref (list);
 }
 
@@ -210,6 +205,11 @@
 
   if (registrar->slots_write)
     return;
+  /* A holder writes its host object before it takes a slot.  So whoever has
+     seen every change up to the table knows all its holders; anybody else
+     might take a live one for gone.  */
+  if (slots && objects_version (slots) > control->sync.seen_revision)
+    return;
   if (slots)
     read_holders (slots, holders);
   plan = holders_plan (holders, SLOTS_PER_DC, control->process, live,
--- a/galenashored/sync.c
+++ b/galenashored/sync.c
@@ -69,7 +69,7 @@
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__ConfigAsk message = PEER__CONFIG_ASK__INIT;
 
-  message.have_revision = control->objects.revision;
+  message.have_revision = control->sync.seen_revision;
   frame.body_case = PEER__FRAME__BODY_CONFIG_ASK;
   frame.config_ask = &message;
   control_send (control, host, &frame);
@@ -113,12 +113,23 @@
 }
 
 static void
-merge (struct control *control, const json_t *list)
+note_seen (struct control *control, uint64_t revision)
 {
-  uint64_t before = control->objects.revision;
-  bool changed = objects_merge (&control->objects, list);
+  if (revision > control->sync.seen_revision)
+    control->sync.seen_revision = revision;
+}
+
+/* Takes over an answer that holds every change since the last one.  */
+static void
+merge (struct control *control, const json_t *answer)
+{
+  uint64_t before = control->sync.seen_revision;
+  bool changed
+      = objects_merge (&control->objects, json_object_get (answer, "objects"));
   bool first = !control->sync.loaded;
 
+  note_seen (control, (uint64_t)json_integer_value (
+                          json_object_get (answer, "revision")));
   control->sync.loaded = true;
   if (!changed && !first)
     return;
@@ -140,7 +151,7 @@
     }
   control->sync.refresh = false;
   succeed (control);
-  merge (control, json_object_get (answer->body, "objects"));
+  merge (control, answer->body);
 }
 
 static void
@@ -155,7 +166,7 @@
       return;
     }
   succeed (control);
-  merge (control, json_object_get (answer->body, "objects"));
+  merge (control, answer->body);
 }
 
 /* Starts what is due: a first list, a refresh, a watch.  */
@@ -171,7 +182,7 @@
                                 control);
   if (sync->loaded && !sync->watch && is_watcher (control))
     sync->watch = platform_watch (&control->platform, CONFIG_KINDS,
-                                  control->objects.revision, WATCH_MS,
+                                  control->sync.seen_revision, WATCH_MS,
                                   handle_watch, control);
 }
 
@@ -199,7 +210,7 @@
   Peer__ConfigPush message = PEER__CONFIG_PUSH__INIT;
 
   json_decref (document);
-  message.revision = control->objects.revision;
+  message.revision = control->sync.seen_revision;
   message.document.data = (uint8_t *)text;
   message.document.len = strlen (text);
   frame.body_case = PEER__FRAME__BODY_CONFIG_PUSH;
@@ -263,11 +274,12 @@
     return;
   if (merge_withdrawn (control, json_object_get (document, "withdrawn")))
     control_publish (control);
-  /* A push that starts behind what this host has would leave a gap.  */
-  if (since > control->objects.revision)
+  /* A push that starts beyond what this host has seen leaves a gap.  */
+  if (since > control->sync.seen_revision)
     ask (control, host);
   else
     {
+      note_seen (control, message->revision);
       control->sync.loaded
           = control->sync.loaded
             || json_array_size (json_object_get (document, "objects")) > 0;
@@ -293,7 +305,7 @@
   switch (frame->body_case)
     {
     case PEER__FRAME__BODY_CONFIG_ASK:
-      if (control->objects.revision > frame->config_ask->have_revision)
+      if (control->sync.seen_revision > frame->config_ask->have_revision)
         push (control, host, frame->config_ask->have_revision);
       break;
     case PEER__FRAME__BODY_CONFIG_PUSH:
--- a/include/galenashored/control_state.h
+++ b/include/galenashored/control_state.h
@@ -20,6 +20,9 @@
   struct fetch *watch;
   struct fetch *list;
   bool loaded; /* from anywhere */
+  /* Every change up to here is known.  Single objects may be newer: this
+     host's own writes, and what was pushed ahead.  */
+  uint64_t seen_revision;
   bool platform_answers;
   bool refresh; /* a list is wanted soon */
   int64_t next_try_ms;
