Let requests wait for a starting host's first configuration

Change: such a request is read and waits up to 3 s; then it is refused. Conclusion: a planned restart no longer depends on the caller's luck.

--- a/caller/listener.c
+++ b/caller/listener.c
@@ -15,6 +15,8 @@
   CONNECTION_MEMORY_BYTES = 8 * 1024,
   IDLE_TIMEOUT_S = 300,
   MAX_KEY_BYTES = 256,
+  MAX_DEFER_MS = 3000,
+  RETRY_MS = 1000,
 };
 
 static const char BEARER[] = "Bearer ";
@@ -28,7 +30,8 @@
   struct listener *listener;
   struct httpd_request *http;
   struct limiter_wait *wait;
-  bool entered; /* in a handler's hands */
+  bool entered;        /* in a handler's hands */
+  int64_t deferred_ms; /* waits for a configuration since then; 0 if not */
   struct entry *prev;
   struct entry *next;
 };
@@ -256,14 +259,14 @@
   struct error error;
 
   counter_add (COUNTER_REQUESTS, 1);
+  /* Without a configuration nobody can be told from anybody; the request waits
+     for it once it has been read.  */
   if (!listener->server->serving)
     {
-      error_set (&error, ERROR_STOPPING, RUN_NOT_RUN,
-                 "this host has no configuration yet; send the request to "
-                 "another");
-      error.retry_after_ms = 1000;
+      read_headers (entry);
+      return;
     }
-  else if (authenticate (entry, &error))
+  if (authenticate (entry, &error))
     {
       read_headers (entry);
       return;
@@ -285,18 +288,13 @@
 }
 
 static void
-handle_request (void *data, struct httpd_request *http)
+admit (struct entry *entry)
 {
-  struct listener *listener = data;
-  struct entry *entry = http->user;
+  struct listener *listener = entry->listener;
   const struct route_entry *route;
   struct limiter_wait *wait;
   struct error error;
 
-  if (!entry)
-    return;
-  entry->request.body = http->body;
-  http->body = (struct buf){ 0 };
   route = routes_find (&entry->request, &error);
   if (!route)
     {
@@ -317,6 +315,76 @@
     entry->wait = wait;
 }
 
+/* Goes on with a request that came before the first configuration.  */
+static void
+admit_late (struct entry *entry)
+{
+  struct error error;
+
+  entry->deferred_ms = 0;
+  if (authenticate (entry, &error))
+    admit (entry);
+  else
+    api_respond_error (&entry->request, &error);
+}
+
+static void
+handle_request (void *data, struct httpd_request *http)
+{
+  struct entry *entry = http->user;
+
+  if (!entry)
+    return;
+  entry->request.body = http->body;
+  http->body = (struct buf){ 0 };
+  if (entry->request.customer)
+    admit (entry);
+  else if (entry->listener->server->serving)
+    admit_late (entry);
+  else
+    entry->deferred_ms = clock_now_ms ();
+}
+
+/* The first configuration is there: goes on with what has waited for it.  */
+void
+listener_resume (struct listener *listener)
+{
+  struct entry *entry = listener->entries;
+
+  while (entry)
+    {
+      struct entry *next = entry->next;
+
+      if (entry->deferred_ms)
+        admit_late (entry);
+      entry = next;
+    }
+}
+
+/* Refuses requests for which no configuration has come in time.  */
+void
+listener_tick (struct listener *listener, int64_t now_ms)
+{
+  struct entry *entry = listener->entries;
+
+  while (entry)
+    {
+      struct entry *next = entry->next;
+      struct error error;
+
+      if (entry->deferred_ms && now_ms - entry->deferred_ms > MAX_DEFER_MS)
+        {
+          entry->deferred_ms = 0;
+          error_set (&error, ERROR_STOPPING, RUN_NOT_RUN,
+                     "this host has no configuration yet; send the request "
+                     "to another");
+          error.retry_after_ms = RETRY_MS;
+          api_respond_error (&entry->request, &error);
+        }
+      entry = next;
+    }
+}
+
 static bool
 load_tls (struct listener *listener, struct error *error)
 {
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -84,6 +84,7 @@
   limiter_apply (server->limiter);
   copies_handle_hosts (server->copies);
   server->serving = true;
+  listener_resume (traffic->listener);
   listener_end_withdrawn (traffic->listener);
   config_destroy (old);
   tell_control (traffic, control_message (CONTROL_APPLIED, message->sequence));
@@ -323,7 +324,10 @@
   int64_t now_ms = clock_now_ms ();
 
   if (!server->config)
-    return;
+    {
+      listener_tick (traffic->listener, now_ms);
+      return;
+    }
   limiter_tick (server->limiter, now_ms);
   if (server->stopping)
     programs_hand_over (server->programs);
