Take out what the change left without a user

Cause: a last reading found functions that nothing calls (error_run_parse, error_kind_parse, fetcher_active, httpd_is_idle), and sync_tell_hosts with a parameter that is always false since hosts stopped pushing their own writes. Change: they are gone; telling the data centre's hosts is private to sync.c. Conclusion: behaviour is as before.

--- a/common/error.c
+++ b/common/error.c
@@ -82,32 +82,6 @@
   return run_names[run];
 }
 
-/* Reads a run state by its name; false where there is none.  */
-bool
-error_run_parse (const char *name, enum run_state *run)
-{
-  for (size_t i = 0; i < sizeof run_names / sizeof *run_names; i++)
-    if (strcmp (run_names[i], name) == 0)
-      {
-        *run = (enum run_state)i;
-        return true;
-      }
-  return false;
-}
-
-/* Reads an error kind by its name; false where there is none.  */
-bool
-error_kind_parse (const char *name, enum error_kind *kind)
-{
-  for (size_t i = 0; i < ERROR_KIND_COUNT; i++)
-    if (strcmp (error_kinds[i].name, name) == 0)
-      {
-        *kind = (enum error_kind)i;
-        return true;
-      }
-  return false;
-}
-
 /* Returns the JSON body for ERROR; the caller frees it.  */
 char *
 error_to_json (const struct error *error)
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -278,13 +278,6 @@
   return fetcher;
 }
 
-/* Returns how many transfers are under way.  */
-uint32_t
-fetcher_active (const struct fetcher *fetcher)
-{
-  return fetcher->active_count;
-}
-
 /* Gives up every transfer, without calling its handlers, and frees the
    client.  */
 void
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -314,13 +314,6 @@
     close (listener);
 }
 
-/* Whether no request is open.  */
-bool
-httpd_is_idle (const struct httpd *httpd)
-{
-  return httpd->open_requests == 0;
-}
-
 /* Returns how many requests are open.  */
 uint32_t
 httpd_open_requests (const struct httpd *httpd)
--- a/galenashored/sync.c
+++ b/galenashored/sync.c
@@ -119,6 +119,44 @@
     control->sync.seen_revision = revision;
 }
 
+static void
+push (struct control *control, const char *host, uint64_t since)
+{
+  json_t *document
+      = json_pack ("{s:I, s:o, s:O}", "since", (json_int_t)since, "objects",
+                   objects_since (&control->objects, since), "withdrawn",
+                   control->objects.withdrawn);
+  char *text = json_dumps (document, JSON_COMPACT);
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__ConfigPush message = PEER__CONFIG_PUSH__INIT;
+
+  json_decref (document);
+  message.revision = control->sync.seen_revision;
+  message.document.data = (uint8_t *)text;
+  message.document.len = strlen (text);
+  frame.body_case = PEER__FRAME__BODY_CONFIG_PUSH;
+  frame.config_push = &message;
+  control_send (control, host, &frame);
+  free (text);
+}
+
+static void
+tell_host (struct control *control, const char *name, const json_t *host,
+           void *data)
+{
+  const char *dc = host_dc (host);
+
+  if (dc && strcmp (dc, control->settings->data_centre) == 0)
+    push (control, name, *(const uint64_t *)data);
+}
+
+/* Sends what is newer than SINCE to this data centre's other hosts.  */
+static void
+tell_hosts (struct control *control, uint64_t since)
+{
+  each_host (control, tell_host, &since);
+}
+
 /* Takes over an answer that holds every change since the last one.  */
 static void
 merge (struct control *control, const json_t *answer)
@@ -135,7 +173,7 @@
     return;
   control_publish (control);
   if (!first)
-    sync_tell_hosts (control, before, false);
+    tell_hosts (control, before);
 }
 
 static void
@@ -198,54 +236,6 @@
   control->sync.list = NULL;
 }
 
-static void
-push (struct control *control, const char *host, uint64_t since)
-{
-  json_t *document
-      = json_pack ("{s:I, s:o, s:O}", "since", (json_int_t)since, "objects",
-                   objects_since (&control->objects, since), "withdrawn",
-                   control->objects.withdrawn);
-  char *text = json_dumps (document, JSON_COMPACT);
-  Peer__Frame frame = PEER__FRAME__INIT;
-  Peer__ConfigPush message = PEER__CONFIG_PUSH__INIT;
-
-  json_decref (document);
-  message.revision = control->sync.seen_revision;
-  message.document.data = (uint8_t *)text;
-  message.document.len = strlen (text);
-  frame.body_case = PEER__FRAME__BODY_CONFIG_PUSH;
-  frame.config_push = &message;
-  control_send (control, host, &frame);
-  free (text);
-}
-
-struct telling
-{
-  uint64_t since;
-  bool everywhere;
-};
-
-static void
-tell_host (struct control *control, const char *name, const json_t *host,
-           void *data)
-{
-  const struct telling *telling = data;
-  const char *dc = host_dc (host);
-
-  if (telling->everywhere
-      || (dc && strcmp (dc, control->settings->data_centre) == 0))
-    push (control, name, telling->since);
-}
-
-/* Sends what is newer than SINCE to this data centre's hosts, or to all.  */
-void
-sync_tell_hosts (struct control *control, uint64_t since, bool everywhere)
-{
-  struct telling telling = { .since = since, .everywhere = everywhere };
-
-  each_host (control, tell_host, &telling);
-}
-
 static bool
 merge_withdrawn (struct control *control, const json_t *withdrawn)
 {
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -57,8 +57,6 @@
 const char *error_kind_name (enum error_kind kind);
 unsigned error_http_status (enum error_kind kind);
 const char *error_run_name (enum run_state run);
-bool error_run_parse (const char *name, enum run_state *run);
-bool error_kind_parse (const char *name, enum error_kind *kind);
 char *error_to_json (const struct error *error);
 
 #endif
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -49,7 +49,6 @@
 
 struct fetcher *fetcher_create (struct ev_loop *loop);
 void fetcher_destroy (struct fetcher *fetcher);
-uint32_t fetcher_active (const struct fetcher *fetcher);
 
 struct fetch *fetch_start (struct fetcher *fetcher,
                            const struct fetch_options *options);
--- a/include/galenashored/control_state.h
+++ b/include/galenashored/control_state.h
@@ -80,8 +80,6 @@
 void sync_release (struct control *control);
 void sync_handle_frame (struct control *control, const char *host,
                         const Peer__Frame *frame);
-void sync_tell_hosts (struct control *control, uint64_t since,
-                      bool with_withdrawn);
 void sync_withdraw (struct control *control, const char *key_id);
 
 void registrar_tick (struct control *control, int64_t now_ms);
