--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -3,7 +3,7 @@
 #include "bench/figure.h"
 #include "common/buf.h"
 #include "common/id.h"
-#include "platform/config.h"
+#include "config/config.h"
 #include "policy/cursor.h"
 #include "policy/fair.h"
 #include "policy/limit.h"
--- a/common/counters.c
+++ b/common/counters.c
@@ -72,3 +72,16 @@
   json_object_set_new (root, "refusals", by_kind);
   return root;
 }
+
+/* Appends every counter as lines of "name value".  */
+void
+counters_to_text (struct buf *text)
+{
+  for (int i = 0; i < COUNTER_COUNT; i++)
+    buf_printf (text, "galenashore_%s %lld\n", counter_names[i],
+                (long long)counter_get ((enum counter)i));
+  for (int i = 0; i < ERROR_KIND_COUNT; i++)
+    buf_printf (text, "galenashore_refusals{kind=\"%s\"} %llu\n",
+                error_kind_name ((enum error_kind)i),
+                (unsigned long long)ck_pr_load_64 (&refusals[i]));
+}
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -2,6 +2,7 @@
 #include "common/deferred.h"
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 enum
 {
@@ -37,6 +38,8 @@
   CURL *easy;
   struct curl_slist *headers;
   char *request_body;
+  size_t request_body_len;
+  size_t request_body_sent;
   struct buf body;
   size_t max_body_bytes;
   fetch_data_handler *handle_data;
@@ -295,15 +298,48 @@
   free (fetcher);
 }
 
+static size_t
+handle_body_wanted (char *out, size_t size, size_t count, void *data)
+{
+  struct fetch *fetch = data;
+  size_t left = fetch->request_body_len - fetch->request_body_sent;
+  size_t len = size * count < left ? size * count : left;
+
+  memcpy (out, fetch->request_body + fetch->request_body_sent, len);
+  fetch->request_body_sent += len;
+  return len;
+}
+
+/* libcurl sends a request again when a kept connection turns out dead.  It
+   cannot where the body comes from a callback that cannot be rewound.  */
 static void
 set_body (struct fetch *fetch, const struct fetch_options *options)
 {
   fetch->request_body = xcalloc (options->body_len + 1, 1);
+  fetch->request_body_len = options->body_len;
   if (options->body && options->body_len)
     memcpy (fetch->request_body, options->body, options->body_len);
   curl_easy_setopt (fetch->easy, CURLOPT_POSTFIELDSIZE_LARGE,
                     (curl_off_t)options->body_len);
-  curl_easy_setopt (fetch->easy, CURLOPT_POSTFIELDS, fetch->request_body);
+  if (!options->single_attempt || options->body_len == 0)
+    {
+      curl_easy_setopt (fetch->easy, CURLOPT_POSTFIELDS, fetch->request_body);
+      return;
+    }
+  curl_easy_setopt (fetch->easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (fetch->easy, CURLOPT_READFUNCTION, handle_body_wanted);
+  curl_easy_setopt (fetch->easy, CURLOPT_READDATA, fetch);
+}
+
+static bool
+has_header (const struct fetch_options *options, const char *name)
+{
+  size_t len = strlen (name);
+
+  for (size_t i = 0; options->headers && options->headers[i]; i++)
+    if (strncasecmp (options->headers[i], name, len) == 0)
+      return true;
+  return false;
 }
 
 static void
@@ -312,6 +348,10 @@
   for (size_t i = 0; options->headers && options->headers[i]; i++)
     fetch->headers = curl_slist_append (fetch->headers, options->headers[i]);
   fetch->headers = curl_slist_append (fetch->headers, "Expect:");
+  if (options->exact_headers && !has_header (options, "Accept:"))
+    fetch->headers = curl_slist_append (fetch->headers, "Accept:");
+  if (options->exact_headers && !has_header (options, "Content-Type:"))
+    fetch->headers = curl_slist_append (fetch->headers, "Content-Type:");
   curl_easy_setopt (fetch->easy, CURLOPT_HTTPHEADER, fetch->headers);
 }
 
@@ -327,10 +367,19 @@
       curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME,
                         (long)((options->stall_timeout_ms + 999) / 1000));
     }
-  /* libcurl sends a request again when a kept connection turns out dead; a
-     fresh connection rules that out.  */
-  if (options->single_attempt)
+  if (options->single_attempt && options->body_len == 0)
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (options->alive_probe_s > 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
+      curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE,
+                        (long)options->alive_probe_s);
+      curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL,
+                        (long)options->alive_probe_s);
+    }
+  if (options->max_idle_ms > 0)
+    curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
+                      (long)((options->max_idle_ms + 999) / 1000));
 }
 
 /* Starts a transfer; OPTIONS may go out of scope.  The handlers are called on
@@ -368,6 +417,8 @@
                         handle_header_line);
       curl_easy_setopt (fetch->easy, CURLOPT_HEADERDATA, fetch);
     }
+  if (options->target)
+    curl_easy_setopt (fetch->easy, CURLOPT_REQUEST_TARGET, options->target);
   if (options->body || strcmp (options->method, "POST") == 0)
     set_body (fetch, options);
   if (strcmp (options->method, "GET") != 0)
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -1,9 +1,11 @@
 #include "common/httpd.h"
 #include "common/deferred.h"
 #include <arpa/inet.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum
@@ -20,26 +22,81 @@
   ev_io readable;
   ev_timer timeout;
   struct deferred run;
+  bool closing; /* answers ask the caller to close */
   bool leaving;
   uint32_t open_requests;
 };
 
+static void
+stop_watching (struct httpd_request *request)
+{
+  if (!request->watching)
+    return;
+  request->watching = false;
+  ev_io_stop (request->httpd->options.loop, &request->watch);
+}
+
 static void
 wake (struct httpd_request *request)
 {
   if (!request->suspended)
     return;
+  stop_watching (request);
   request->suspended = false;
   MHD_resume_connection (request->connection);
   deferred_schedule (&request->httpd->run);
 }
 
+/* The library does not look at the sockets of suspended connections, so a
+   caller that leaves is seen here.  Bytes of a next request end the watch.  */
+static void
+handle_caller_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct httpd_request *request = watcher->data;
+  void (*handle_gone) (struct httpd_request *request) = request->handle_gone;
+  char byte;
+  ssize_t got = recv (watcher->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  stop_watching (request);
+  if (got > 0)
+    return;
+  request->handle_gone = NULL;
+  if (handle_gone)
+    handle_gone (request);
+  if (request->state == HTTPD_WAITING)
+    httpd_respond (request, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, "", 0);
+  else
+    httpd_stream_abort (request);
+}
+
+static void
+suspend (struct httpd_request *request)
+{
+  const union MHD_ConnectionInfo *info;
+
+  request->suspended = true;
+  MHD_suspend_connection (request->connection);
+  if (!request->httpd->options.watch_callers)
+    return;
+  info = MHD_get_connection_info (request->connection,
+                                  MHD_CONNECTION_INFO_CONNECTION_FD);
+  ev_io_init (&request->watch, handle_caller_readable, info->connect_fd,
+              EV_READ);
+  request->watch.data = request;
+  request->watching = true;
+  ev_io_start (request->httpd->options.loop, &request->watch);
+}
+
 static void
 request_destroy (struct httpd_request *request)
 {
+  stop_watching (request);
   buf_release (&request->body);
   buf_release (&request->out);
   free (request->method);
+  free (request->target);
   free (request->path);
   free (request->content_type);
   for (uint32_t i = 0; i < request->header_count; i++)
@@ -50,16 +107,18 @@
   free (request);
 }
 
-static struct httpd_request *
-request_create (struct httpd *httpd, struct MHD_Connection *connection,
-                const char *url, const char *method)
+/* Called with each request line, before anything of it is decoded.  What it
+   returns is the request's slot in the later callbacks.  */
+static void *
+handle_target (void *data, const char *target,
+               struct MHD_Connection *connection)
 {
+  struct httpd *httpd = data;
   struct httpd_request *request = xcalloc (1, sizeof *request);
 
   request->httpd = httpd;
   request->connection = connection;
-  request->method = xstrdup (method);
-  request->path = xstrdup (url);
+  request->target = xstrdup (target);
   httpd->open_requests++;
   return request;
 }
@@ -82,8 +141,7 @@
     return MHD_CONTENT_READER_END_WITH_ERROR;
   if (request->stream_ended)
     return MHD_CONTENT_READER_END_OF_STREAM;
-  request->suspended = true;
-  MHD_suspend_connection (request->connection);
+  suspend (request);
   return 0;
 }
 
@@ -104,11 +162,12 @@
     return MHD_NO;
   if (!request->streaming)
     buf_release (&request->out);
-  MHD_add_response_header (response, "Content-Type", request->content_type);
+  if (request->content_type)
+    MHD_add_response_header (response, "Content-Type", request->content_type);
   for (uint32_t i = 0; i < request->header_count; i++)
     MHD_add_response_header (response, request->header_names[i],
                              request->header_values[i]);
-  if (request->httpd->leaving && !request->streaming)
+  if (request->httpd->closing || request->httpd->leaving)
     MHD_add_response_header (response, "Connection", "close");
   result = MHD_queue_response (request->connection, request->status, response);
   MHD_destroy_response (response);
@@ -148,10 +207,10 @@
   struct httpd *httpd = data;
   struct httpd_request *request = *slot;
 
-  if (!request)
+  if (!request->method)
     {
-      request = request_create (httpd, connection, url, method);
-      *slot = request;
+      request->method = xstrdup (method);
+      request->path = xstrdup (url);
       if (httpd->options.handle_headers)
         httpd->options.handle_headers (httpd->options.data, request);
       if (request->state == HTTPD_RESPONDED)
@@ -176,10 +235,7 @@
   if (request->state == HTTPD_RESPONDED)
     return queue_response (request);
   if (request->state == HTTPD_WAITING && !request->suspended)
-    {
-      request->suspended = true;
-      MHD_suspend_connection (connection);
-    }
+    suspend (request);
   return MHD_YES;
 }
 
@@ -253,6 +309,7 @@
   return MHD_start_daemon (
       flags, options->port, NULL, NULL, handle_access, httpd,
       MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
+      MHD_OPTION_URI_LOG_CALLBACK, handle_target, httpd,
       MHD_OPTION_NOTIFY_COMPLETED, handle_completed, httpd,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, options->connection_memory_bytes,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)options->idle_timeout_s,
@@ -300,6 +357,14 @@
   return httpd;
 }
 
+/* Asks callers to close their connections with the next answers; new ones are
+   still taken.  */
+void
+httpd_announce_close (struct httpd *httpd)
+{
+  httpd->closing = true;
+}
+
 /* Stops taking new connections; open ones end after their response.  */
 void
 httpd_begin_destroy (struct httpd *httpd)
@@ -354,6 +419,33 @@
                                       name);
 }
 
+struct header_visit
+{
+  httpd_header_handler *handle;
+  void *data;
+};
+
+static enum MHD_Result
+visit_header (void *data, enum MHD_ValueKind kind, const char *name,
+              const char *value)
+{
+  struct header_visit *visit = data;
+
+  visit->handle (visit->data, name, value ? value : "");
+  return MHD_YES;
+}
+
+/* Calls HANDLE with each request header.  The request owns the texts.  */
+void
+httpd_each_header (const struct httpd_request *request,
+                   httpd_header_handler *handle, void *data)
+{
+  struct header_visit visit = { .handle = handle, .data = data };
+
+  MHD_get_connection_values (request->connection, MHD_HEADER_KIND,
+                             visit_header, &visit);
+}
+
 /* Returns a query argument, or NULL.  The request owns it.  */
 const char *
 httpd_query (const struct httpd_request *request, const char *name)
@@ -395,7 +487,7 @@
     return false;
   request->status = status;
   free (request->content_type);
-  request->content_type = xstrdup (content_type);
+  request->content_type = content_type ? xstrdup (content_type) : NULL;
   request->state = HTTPD_RESPONDED;
   return true;
 }
--- a/platform/client.c
+++ b/config/client.c
@@ -1,4 +1,4 @@
-#include "platform/client.h"
+#include "config/client.h"
 #include "common/counters.h"
 #include <inttypes.h>
 #include <stdlib.h>
--- a/platform/config.c
+++ b/config/config.c
@@ -1,4 +1,4 @@
-#include "platform/config.h"
+#include "config/config.h"
 #include "common/address.h"
 #include "common/buf.h"
 #include "common/id.h"
--- a/platform/objects.c
+++ b/config/objects.c
@@ -1,4 +1,4 @@
-#include "platform/objects.h"
+#include "config/objects.h"
 #include "common/buf.h"
 #include <stdlib.h>
 #include <string.h>
--- a/galenashored/main.c
+++ b/galenashored/main.c
@@ -1,4 +1,5 @@
 #include "galenashored/control.h"
+#include "platform/node.h"
 #include <curl/curl.h>
 #include <glib.h>
 #include <signal.h>
@@ -49,15 +50,46 @@
   return status;
 }
 
+static int
+run_on_platform (const char *path, bool only_check)
+{
+  struct platform_settings settings;
+  struct error error;
+  enum log_level level = LOG_INFO;
+  int status = EXIT_SUCCESS;
+
+  if (!platform_settings_load (&settings, path, &error))
+    {
+      fprintf (stderr, "galenashored: %s\n", error.message);
+      platform_settings_release (&settings);
+      return EXIT_USAGE;
+    }
+  if (settings.log_level)
+    log_level_parse (settings.log_level, &level);
+  log_init (settings.host, level);
+  if (only_check)
+    puts ("the settings are good");
+  else
+    {
+      raise_file_limit ();
+      status = node_run (&settings, path);
+    }
+  platform_settings_release (&settings);
+  return status;
+}
+
 int
 main (int argc, char **argv)
 {
   char *path = NULL;
   gboolean show_version = FALSE;
   gboolean only_check = FALSE;
+  gboolean on_platform = FALSE;
   GOptionEntry entries[] = {
     { "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
       "Read the settings from FILE", "FILE" },
+    { "on-platform", 0, 0, G_OPTION_ARG_NONE, &on_platform,
+      "Run as a host of the users' platform", NULL },
     { "check-settings", 0, 0, G_OPTION_ARG_NONE, &only_check,
       "Check the settings and exit", NULL },
     { "version", 'V', 0, G_OPTION_ARG_NONE, &show_version,
@@ -83,14 +115,21 @@
   else if (argc > 1)
     fprintf (stderr, "galenashored: \"%s\" is not expected; see --help\n",
              argv[1]);
-  else if (!path)
+  else if (on_platform && !path && !getenv (PLATFORM_SETTINGS_VARIABLE))
+    fputs ("galenashored: no settings; give --settings FILE or set "
+           PLATFORM_SETTINGS_VARIABLE "\n", stderr);
+  else if (!path && !on_platform)
     fputs ("galenashored: no settings; give --settings FILE\n", stderr);
   else if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     fputs ("galenashored: a library cannot be initialised\n", stderr);
   else
     {
       signal (SIGPIPE, SIG_IGN);
-      status = run (path, only_check);
+      if (on_platform)
+        status = run_on_platform (
+            path ? path : getenv (PLATFORM_SETTINGS_VARIABLE), only_check);
+      else
+        status = run (path, only_check);
     }
   g_option_context_free (context);
   g_free (path);
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -2,6 +2,7 @@
 #ifndef GALENA_COMMON_COUNTERS_H
 #define GALENA_COMMON_COUNTERS_H
 
+#include "common/buf.h"
 #include "common/error.h"
 #include <jansson.h>
 #include <stdint.h>
@@ -38,5 +39,6 @@
 int64_t counter_get (enum counter counter);
 void counter_refusal (enum error_kind kind);
 json_t *counters_to_json (void);
+void counters_to_text (struct buf *text);
 
 #endif
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -13,6 +13,8 @@
 struct httpd;
 struct httpd_request;
 typedef void httpd_handler (void *data, struct httpd_request *request);
+typedef void httpd_header_handler (void *data, const char *name,
+                                   const char *value);
 
 struct httpd_options
 {
@@ -22,6 +24,7 @@
   size_t connection_memory_bytes;
   size_t max_body_bytes;
   uint32_t idle_timeout_s;
+  bool watch_callers; /* handle_gone as soon as the caller has closed */
   uint32_t max_connections;
   const char *cert_pem; /* NULL for plain HTTP */
   const char *key_pem;  /* NULL for plain HTTP */
@@ -33,7 +36,7 @@
 
 enum
 {
-  HTTPD_MAX_HEADERS = 4,
+  HTTPD_MAX_HEADERS = 32,
 };
 
 enum httpd_state
@@ -51,6 +54,7 @@
   struct httpd *httpd;
   struct MHD_Connection *connection;
   char *method;
+  char *target; /* as it came, with the query */
   char *path;
   struct buf body;
   struct buf out;
@@ -65,12 +69,15 @@
   bool stream_ended;
   bool stream_aborted;
   bool body_too_large;
+  ev_io watch; /* sees the caller close while no answer is being sent */
+  bool watching;
   void *user;
   void (*handle_gone) (struct httpd_request *request);
 };
 
 struct httpd *httpd_create (const struct httpd_options *options,
                             struct error *error);
+void httpd_announce_close (struct httpd *httpd);
 void httpd_begin_destroy (struct httpd *httpd);
 void httpd_destroy (struct httpd *httpd);
 uint16_t httpd_port (const struct httpd *httpd);
@@ -78,6 +85,8 @@
 
 const char *httpd_header (const struct httpd_request *request,
                           const char *name);
+void httpd_each_header (const struct httpd_request *request,
+                        httpd_header_handler *handle, void *data);
 const char *httpd_query (const struct httpd_request *request,
                          const char *name);
 void httpd_add_header (struct httpd_request *request, const char *name,
--- a/include/platform/client.h
+++ b/include/config/client.h
@@ -1,6 +1,6 @@
 /* The platform's object API: versions, conditional updates and watches. */
-#ifndef GALENA_PLATFORM_CLIENT_H
-#define GALENA_PLATFORM_CLIENT_H
+#ifndef GALENA_CONFIG_CLIENT_H
+#define GALENA_CONFIG_CLIENT_H
 
 #include "common/fetch.h"
 #include <jansson.h>
--- a/include/platform/config.h
+++ b/include/config/config.h
@@ -1,6 +1,6 @@
 /* The configuration as typed values, built from the platform's objects. */
-#ifndef GALENA_PLATFORM_CONFIG_H
-#define GALENA_PLATFORM_CONFIG_H
+#ifndef GALENA_CONFIG_CONFIG_H
+#define GALENA_CONFIG_CONFIG_H
 
 #include "common/error.h"
 #include "common/fields.h"
--- a/include/platform/objects.h
+++ b/include/config/objects.h
@@ -1,7 +1,7 @@
 /* The configuration's objects as last seen, from the platform or from a host.
    Versions only grow. */
-#ifndef GALENA_PLATFORM_OBJECTS_H
-#define GALENA_PLATFORM_OBJECTS_H
+#ifndef GALENA_CONFIG_OBJECTS_H
+#define GALENA_CONFIG_OBJECTS_H
 
 #include <jansson.h>
 #include <stdbool.h>
--- a/include/endpoint/endpoint.h
+++ b/include/endpoint/endpoint.h
@@ -4,7 +4,7 @@
 #define GALENA_ENDPOINT_ENDPOINT_H
 
 #include "common/fetch.h"
-#include "platform/config.h"
+#include "config/config.h"
 #include "policy/retry.h"
 #include <jansson.h>
 
--- a/include/galenashored/control_state.h
+++ b/include/galenashored/control_state.h
@@ -8,8 +8,8 @@
 #include "galenashored/messages.h"
 #include "galenashored/settings.h"
 #include "galenashored/traffic.h"
-#include "platform/client.h"
-#include "platform/objects.h"
+#include "config/client.h"
+#include "config/objects.h"
 #include <ev.h>
 
 struct admin;
--- a/include/galenashored/messages.h
+++ b/include/galenashored/messages.h
@@ -3,7 +3,7 @@
 #define GALENA_GALENASHORED_MESSAGES_H
 
 #include "common/buf.h"
-#include "platform/config.h"
+#include "config/config.h"
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/include/galenashored/server.h
+++ b/include/galenashored/server.h
@@ -7,9 +7,9 @@
 #include "common/mailbox.h"
 #include "galenashored/settings.h"
 #include "peer/mesh.h"
-#include "platform/client.h"
-#include "platform/config.h"
-#include "platform/journal.h"
+#include "config/client.h"
+#include "config/config.h"
+#include "journal/journal.h"
 #include "policy/owner.h"
 #include "store/log.h"
 #include <ev.h>
--- a/include/platform/journal.h
+++ b/include/journal/journal.h
@@ -4,10 +4,10 @@
    The process is the only writer of its journal but for those marks.  A mark
    is set by conditional update, so once it stands, no later write of the
    process can add an intent or a grant for that program.  */
-#ifndef GALENA_PLATFORM_JOURNAL_H
-#define GALENA_PLATFORM_JOURNAL_H
+#ifndef GALENA_JOURNAL_JOURNAL_H
+#define GALENA_JOURNAL_JOURNAL_H
 
-#include "platform/client.h"
+#include "config/client.h"
 #include "policy/budget.h"
 #include <ev.h>
 #include <stdbool.h>
--- /dev/null
+++ b/include/ledger/keeper.h
@@ -0,0 +1,32 @@
+/* Keeps the ledger of programs' budgets on this host's disk. */
+#ifndef GALENA_LEDGER_KEEPER_H
+#define GALENA_LEDGER_KEEPER_H
+
+#include "peer/mesh.h"
+#include "store/log.h"
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct keeper;
+
+struct keeper_options
+{
+  struct mesh *mesh;
+  struct store *store; /* outlives the keeper */
+  const char *host;
+  bool first_start;     /* of the whole system: an empty disk is right */
+  int64_t retention_ms; /* a program unused for so long is forgotten */
+};
+
+struct keeper *keeper_create (const struct keeper_options *options);
+void keeper_destroy (struct keeper *keeper);
+void keeper_set_others (struct keeper *keeper, const char *const *names,
+                        size_t count);
+void keeper_handle_frame (struct keeper *keeper, const char *host,
+                          const Peer__Frame *frame);
+void keeper_tick (struct keeper *keeper, int64_t now_ms);
+bool keeper_is_complete (const struct keeper *keeper);
+bool keeper_hand_over (struct keeper *keeper, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/include/ledger/ledger.h
@@ -0,0 +1,39 @@
+/* Reserves programs' budgets at the hosts that keep the ledger. */
+#ifndef GALENA_LEDGER_LEDGER_H
+#define GALENA_LEDGER_LEDGER_H
+
+#include "peer/mesh.h"
+#include "policy/charges.h"
+#include <ev.h>
+#include <stdint.h>
+
+struct ledger;
+struct ledger_turn;
+
+struct ledger_options
+{
+  struct ev_loop *loop;
+  struct mesh *mesh;
+  uint64_t process;     /* the source of this process's charges */
+  int64_t retention_ms; /* a program unused for so long is forgotten */
+};
+
+/* KNOWN is what the program has been charged, with this turn, as far as this
+   host knows.  */
+typedef void ledger_handler (void *data, enum charges_verdict verdict,
+                             int64_t known);
+
+struct ledger *ledger_create (const struct ledger_options *options);
+void ledger_destroy (struct ledger *ledger);
+void ledger_set_keepers (struct ledger *ledger, const char *const *names,
+                         size_t count);
+struct ledger_turn *ledger_reserve (struct ledger *ledger, uint64_t program,
+                                    int64_t budget, int64_t tokens,
+                                    ledger_handler *handle, void *data);
+void ledger_settle (struct ledger_turn *turn, int64_t used);
+void ledger_handle_frame (struct ledger *ledger, const char *host,
+                          const Peer__Frame *frame);
+void ledger_tick (struct ledger *ledger, int64_t now_ms);
+bool ledger_is_settled (const struct ledger *ledger);
+
+#endif
--- a/include/peer/forward.h
+++ b/include/peer/forward.h
@@ -4,7 +4,7 @@
 
 #include "caller/api.h"
 #include "peer/peer.pb-c.h"
-#include "platform/config.h"
+#include "config/config.h"
 
 struct forwarder;
 
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -36,6 +36,12 @@
 typedef struct Peer__BranchState Peer__BranchState;
 typedef struct Peer__ProgramHandover Peer__ProgramHandover;
 typedef struct Peer__CrashNotice Peer__CrashNotice;
+typedef struct Peer__LedgerItem Peer__LedgerItem;
+typedef struct Peer__LedgerWrite Peer__LedgerWrite;
+typedef struct Peer__LedgerAnswer Peer__LedgerAnswer;
+typedef struct Peer__LedgerAnswers Peer__LedgerAnswers;
+typedef struct Peer__LedgerAsk Peer__LedgerAsk;
+typedef struct Peer__LedgerPage Peer__LedgerPage;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -357,6 +363,94 @@
     , 0, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * What one process has charged to a program: the tokens that it has handed out
+ * or reserved.  Of two items of one source the higher version is the newer.
+ */
+struct  Peer__LedgerItem
+{
+  ProtobufCMessage base;
+  /*
+   * of the question; 0 where no answer is wanted
+   */
+  uint64_t id;
+  uint64_t program;
+  uint64_t source;
+  uint64_t version;
+  int64_t charged;
+};
+#define PEER__LEDGER_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_item__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+struct  Peer__LedgerWrite
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Peer__LedgerItem **items;
+};
+#define PEER__LEDGER_WRITE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_write__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * All that a keeper knows of a program, once the question's item is on disk.
+ */
+struct  Peer__LedgerAnswer
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  size_t n_entries;
+  Peer__LedgerItem **entries;
+};
+#define PEER__LEDGER_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_answer__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  Peer__LedgerAnswers
+{
+  ProtobufCMessage base;
+  size_t n_answers;
+  Peer__LedgerAnswer **answers;
+};
+#define PEER__LEDGER_ANSWERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_answers__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * A keeper that lost its disk reads the ledger from the others, page by page.
+ */
+struct  Peer__LedgerAsk
+{
+  ProtobufCMessage base;
+  uint64_t after;
+};
+#define PEER__LEDGER_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_ask__descriptor) \
+    , 0 }
+
+
+struct  Peer__LedgerPage
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Peer__LedgerItem **items;
+  uint64_t next;
+  protobuf_c_boolean last;
+  /*
+   * the sender knows all that was ever answered
+   */
+  protobuf_c_boolean whole;
+};
+#define PEER__LEDGER_PAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_page__descriptor) \
+    , 0,NULL, 0, 0, 0 }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_PING = 1,
@@ -377,7 +471,11 @@
   PEER__FRAME__BODY_CONFIG_PUSH = 16,
   PEER__FRAME__BODY_KEY_WITHDRAW = 17,
   PEER__FRAME__BODY_PROGRAM_HANDOVER = 18,
-  PEER__FRAME__BODY_CRASH_NOTICE = 19
+  PEER__FRAME__BODY_CRASH_NOTICE = 19,
+  PEER__FRAME__BODY_LEDGER_WRITE = 20,
+  PEER__FRAME__BODY_LEDGER_ANSWERS = 21,
+  PEER__FRAME__BODY_LEDGER_ASK = 22,
+  PEER__FRAME__BODY_LEDGER_PAGE = 23
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -405,6 +503,10 @@
     Peer__KeyWithdraw *key_withdraw;
     Peer__ProgramHandover *program_handover;
     Peer__CrashNotice *crash_notice;
+    Peer__LedgerWrite *ledger_write;
+    Peer__LedgerAnswers *ledger_answers;
+    Peer__LedgerAsk *ledger_ask;
+    Peer__LedgerPage *ledger_page;
   };
 };
 #define PEER__FRAME__INIT \
@@ -811,6 +913,120 @@
 void   peer__crash_notice__free_unpacked
                      (Peer__CrashNotice *message,
                       ProtobufCAllocator *allocator);
+/* Peer__LedgerItem methods */
+void   peer__ledger_item__init
+                     (Peer__LedgerItem         *message);
+size_t peer__ledger_item__get_packed_size
+                     (const Peer__LedgerItem   *message);
+size_t peer__ledger_item__pack
+                     (const Peer__LedgerItem   *message,
+                      uint8_t             *out);
+size_t peer__ledger_item__pack_to_buffer
+                     (const Peer__LedgerItem   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LedgerItem *
+       peer__ledger_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__ledger_item__free_unpacked
+                     (Peer__LedgerItem *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LedgerWrite methods */
+void   peer__ledger_write__init
+                     (Peer__LedgerWrite         *message);
+size_t peer__ledger_write__get_packed_size
+                     (const Peer__LedgerWrite   *message);
+size_t peer__ledger_write__pack
+                     (const Peer__LedgerWrite   *message,
+                      uint8_t             *out);
+size_t peer__ledger_write__pack_to_buffer
+                     (const Peer__LedgerWrite   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LedgerWrite *
+       peer__ledger_write__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__ledger_write__free_unpacked
+                     (Peer__LedgerWrite *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LedgerAnswer methods */
+void   peer__ledger_answer__init
+                     (Peer__LedgerAnswer         *message);
+size_t peer__ledger_answer__get_packed_size
+                     (const Peer__LedgerAnswer   *message);
+size_t peer__ledger_answer__pack
+                     (const Peer__LedgerAnswer   *message,
+                      uint8_t             *out);
+size_t peer__ledger_answer__pack_to_buffer
+                     (const Peer__LedgerAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LedgerAnswer *
+       peer__ledger_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__ledger_answer__free_unpacked
+                     (Peer__LedgerAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LedgerAnswers methods */
+void   peer__ledger_answers__init
+                     (Peer__LedgerAnswers         *message);
+size_t peer__ledger_answers__get_packed_size
+                     (const Peer__LedgerAnswers   *message);
+size_t peer__ledger_answers__pack
+                     (const Peer__LedgerAnswers   *message,
+                      uint8_t             *out);
+size_t peer__ledger_answers__pack_to_buffer
+                     (const Peer__LedgerAnswers   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LedgerAnswers *
+       peer__ledger_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__ledger_answers__free_unpacked
+                     (Peer__LedgerAnswers *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LedgerAsk methods */
+void   peer__ledger_ask__init
+                     (Peer__LedgerAsk         *message);
+size_t peer__ledger_ask__get_packed_size
+                     (const Peer__LedgerAsk   *message);
+size_t peer__ledger_ask__pack
+                     (const Peer__LedgerAsk   *message,
+                      uint8_t             *out);
+size_t peer__ledger_ask__pack_to_buffer
+                     (const Peer__LedgerAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LedgerAsk *
+       peer__ledger_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__ledger_ask__free_unpacked
+                     (Peer__LedgerAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LedgerPage methods */
+void   peer__ledger_page__init
+                     (Peer__LedgerPage         *message);
+size_t peer__ledger_page__get_packed_size
+                     (const Peer__LedgerPage   *message);
+size_t peer__ledger_page__pack
+                     (const Peer__LedgerPage   *message,
+                      uint8_t             *out);
+size_t peer__ledger_page__pack_to_buffer
+                     (const Peer__LedgerPage   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LedgerPage *
+       peer__ledger_page__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__ledger_page__free_unpacked
+                     (Peer__LedgerPage *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -895,6 +1111,24 @@
 typedef void (*Peer__CrashNotice_Closure)
                  (const Peer__CrashNotice *message,
                   void *closure_data);
+typedef void (*Peer__LedgerItem_Closure)
+                 (const Peer__LedgerItem *message,
+                  void *closure_data);
+typedef void (*Peer__LedgerWrite_Closure)
+                 (const Peer__LedgerWrite *message,
+                  void *closure_data);
+typedef void (*Peer__LedgerAnswer_Closure)
+                 (const Peer__LedgerAnswer *message,
+                  void *closure_data);
+typedef void (*Peer__LedgerAnswers_Closure)
+                 (const Peer__LedgerAnswers *message,
+                  void *closure_data);
+typedef void (*Peer__LedgerAsk_Closure)
+                 (const Peer__LedgerAsk *message,
+                  void *closure_data);
+typedef void (*Peer__LedgerPage_Closure)
+                 (const Peer__LedgerPage *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -925,6 +1159,12 @@
 extern const ProtobufCMessageDescriptor peer__branch_state__descriptor;
 extern const ProtobufCMessageDescriptor peer__program_handover__descriptor;
 extern const ProtobufCMessageDescriptor peer__crash_notice__descriptor;
+extern const ProtobufCMessageDescriptor peer__ledger_item__descriptor;
+extern const ProtobufCMessageDescriptor peer__ledger_write__descriptor;
+extern const ProtobufCMessageDescriptor peer__ledger_answer__descriptor;
+extern const ProtobufCMessageDescriptor peer__ledger_answers__descriptor;
+extern const ProtobufCMessageDescriptor peer__ledger_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__ledger_page__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/include/platform/decode.h
@@ -0,0 +1,14 @@
+/* Decodes the platform's objects into the project's types. */
+#ifndef GALENA_PLATFORM_DECODE_H
+#define GALENA_PLATFORM_DECODE_H
+
+#include "request/pool.h"
+#include "request/routing.h"
+#include <jansson.h>
+#include <stdbool.h>
+
+struct routing *decode_routing (const json_t *object);
+bool decode_endpoint (const char *name, const json_t *object,
+                      struct endpoint_entry *entry);
+
+#endif
--- /dev/null
+++ b/include/platform/messages.h
@@ -0,0 +1,56 @@
+/* What the control thread and the traffic thread of a platform host tell each
+   other. */
+#ifndef GALENA_PLATFORM_MESSAGES_H
+#define GALENA_PLATFORM_MESSAGES_H
+
+#include "request/pool.h"
+#include "request/routing.h"
+#include <stdbool.h>
+#include <stddef.h>
+
+/* A host of the system. */
+struct host_entry
+{
+  char *name;
+  char *address; /* "IP:port" for the other hosts */
+  char *data_centre;
+  bool is_keeper;
+};
+
+struct host_list
+{
+  struct host_entry *entries;
+  size_t count;
+  bool was_counted; /* this host was listed before it started */
+};
+
+enum node_message_kind
+{
+  NODE_ROUTING,   /* take this configuration over */
+  NODE_ENDPOINTS, /* take these endpoints over */
+  NODE_HOSTS,     /* take these hosts over */
+  NODE_STOP,      /* begin the planned stop */
+  NODE_HAND_OVER, /* give the ledger to the other keepers */
+  NODE_QUIT,      /* leave the loop */
+};
+
+/* Made by control, freed by traffic with what it holds. */
+struct node_message
+{
+  enum node_message_kind kind;
+  struct routing *routing;
+  struct endpoint_list *endpoints;
+  struct host_list *hosts;
+};
+
+/* Posted to control as a pointer's value; nothing to free. */
+enum node_event
+{
+  NODE_DRAINED = 1, /* nothing is under way any more */
+  NODE_HANDED_OVER,
+};
+
+void host_list_destroy (struct host_list *list);
+void node_message_destroy (struct node_message *message);
+
+#endif
--- /dev/null
+++ b/include/platform/registry.h
@@ -0,0 +1,28 @@
+/* This host's entry in the system's own list of hosts, in the store. */
+#ifndef GALENA_PLATFORM_REGISTRY_H
+#define GALENA_PLATFORM_REGISTRY_H
+
+#include "platform/settings.h"
+#include "platform/store.h"
+#include <ev.h>
+
+#define REGISTRY_HOSTS "galenashore-hosts"
+
+struct registry;
+
+struct registry_options
+{
+  struct ev_loop *loop;
+  struct platform_store *store;
+  const struct platform_settings *settings;
+  /* WAS_LISTED: the host had an entry before. */
+  void (*handle_registered) (void *data, bool was_listed);
+  void (*handle_removed) (void *data);
+  void *data;
+};
+
+struct registry *registry_create (const struct registry_options *options);
+void registry_destroy (struct registry *registry);
+void registry_remove (struct registry *registry);
+
+#endif
--- /dev/null
+++ b/include/platform/settings.h
@@ -0,0 +1,40 @@
+/* The daemon's settings on the users' platform, read from a JSON file that
+   deploy/ has made from theirs. */
+#ifndef GALENA_PLATFORM_SETTINGS_H
+#define GALENA_PLATFORM_SETTINGS_H
+
+#include "common/error.h"
+#include "common/fields.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Names the settings file where the command line does not. */
+#define PLATFORM_SETTINGS_VARIABLE "GALENASHORE_CONFIG"
+
+/* Every text is owned by the struct. */
+struct platform_settings
+{
+  char *host;
+  char *data_centre;
+  char *role; /* "entry" or "keeper" */
+  char *caller_listen;
+  char *health_listen;
+  char *peer_listen;
+  char *metrics_listen;
+  char *store_address;
+  char *data_dir; /* keepers only */
+  char *log_level;
+  bool first_start;
+  int64_t stop_grace_ms;
+  int64_t watch_ms;
+  int64_t retention_ms;
+  int64_t max_connections;
+  struct strings seeds;
+};
+
+bool platform_settings_load (struct platform_settings *settings,
+                             const char *path, struct error *error);
+void platform_settings_release (struct platform_settings *settings);
+bool platform_settings_is_keeper (const struct platform_settings *settings);
+
+#endif
--- /dev/null
+++ b/include/platform/traffic.h
@@ -0,0 +1,21 @@
+/* The traffic thread of a host on the users' platform. */
+#ifndef GALENA_PLATFORM_TRAFFIC_H
+#define GALENA_PLATFORM_TRAFFIC_H
+
+#include "common/error.h"
+#include "common/mailbox.h"
+#include "platform/messages.h"
+#include "platform/settings.h"
+
+struct node_traffic;
+
+struct node_traffic *node_traffic_create (
+    const struct platform_settings *settings, struct mailbox *control,
+    struct error *error);
+bool node_traffic_start (struct node_traffic *traffic, struct error *error);
+void node_traffic_post (struct node_traffic *traffic,
+                        struct node_message *message);
+void node_traffic_join (struct node_traffic *traffic);
+void node_traffic_destroy (struct node_traffic *traffic);
+
+#endif
--- /dev/null
+++ b/include/platform/wire.h
@@ -0,0 +1,29 @@
+/* The names that callers and endpoints of the platform use on the wire. */
+#ifndef GALENA_PLATFORM_WIRE_H
+#define GALENA_PLATFORM_WIRE_H
+
+#include "request/request.h"
+
+extern const struct request_wire platform_wire;
+
+#define WIRE_ATTEMPT_ID "Attempt-Id"
+#define WIRE_DEADLINE_MS "Deadline-Ms"
+#define WIRE_KEY "Credential"
+#define WIRE_CUSTOMER "Tenant"
+#define WIRE_ENDPOINT_ID "Expect-Instance"
+#define WIRE_LAST_EVENT_ID "Last-Event-Id"
+#define WIRE_PRIORITY "Request-Priority"
+#define WIRE_PROGRAM "Program-Id"
+#define WIRE_SESSION "Session-Id"
+#define WIRE_PROGRAM_DEADLINE_MS "Program-Deadline-Ms"
+#define WIRE_TOKEN_BUDGET "Token-Budget"
+#define WIRE_TOKENS "Token-Usage" /* prompt tokens, most output tokens */
+#define WIRE_PROMPT_PARTS "Prompt-Prefix"
+#define WIRE_PROOF "Server-Stamp"
+#define WIRE_NOT_RUN "Not-Executed"
+#define WIRE_LOAD "Server-Load" /* running, waiting, slots */
+
+bool wire_is_hop_header (const char *name);
+bool wire_is_own_header (const char *name);
+
+#endif
--- /dev/null
+++ b/include/policy/charges.h
@@ -0,0 +1,50 @@
+/* What every process has charged to one program, and whether a turn fits its
+   budget.
+
+   Each process is the only writer of its own entry, so that two copies of the
+   charges merge by taking the newer version of each entry.  */
+#ifndef GALENA_POLICY_CHARGES_H
+#define GALENA_POLICY_CHARGES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct charge
+{
+  uint64_t source; /* the process */
+  uint64_t version;
+  int64_t tokens;
+};
+
+/* The holder of the struct owns the entries. */
+struct charges
+{
+  struct charge *entries;
+  size_t count;
+};
+
+enum charges_verdict
+{
+  CHARGES_GRANTED,
+  CHARGES_SPENT,   /* the budget does not hold the turn */
+  CHARGES_UNKNOWN, /* too few keepers answered to tell */
+};
+
+enum
+{
+  /* Without a majority, a turn may bring the known charges up to this part of
+     the budget: the other side of a cut goes on charging the rest.  */
+  CHARGES_CUT_OFF_PERCENT = 50,
+};
+
+bool charges_merge (struct charges *charges, const struct charge *entry);
+const struct charge *charges_find (const struct charges *charges,
+                                   uint64_t source);
+int64_t charges_total (const struct charges *charges);
+void charges_release (struct charges *charges);
+uint32_t charges_quorum (uint32_t keepers);
+enum charges_verdict charges_decide (int64_t total, int64_t budget,
+                                     uint32_t answers, uint32_t keepers);
+
+#endif
--- /dev/null
+++ b/include/policy/place.h
@@ -0,0 +1,41 @@
+/* Which endpoint a request goes to: for engines the predicted time to its
+   first token, for plain services the least loaded of two. */
+#ifndef GALENA_POLICY_PLACE_H
+#define GALENA_POLICY_PLACE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum
+{
+  PLACE_PREFILL_TOKENS_PER_MS = 40, /* between the slowest and fastest sheet */
+  PLACE_RUNNING_US = 6000,          /* a running request slows the others */
+  PLACE_WAITING_US = 40000,         /* one ahead in the endpoint's queue */
+  PLACE_REMOTE_US = 2500,           /* another data centre: delay and price */
+};
+
+/* What this host knows of an endpoint. */
+struct place_endpoint
+{
+  bool eligible;
+  bool remote; /* in another data centre */
+  uint64_t hash;
+  int64_t slots;
+  int64_t running;
+  int64_t waiting;
+  int64_t cached_tokens; /* of this prompt, by earlier placements */
+};
+
+struct place_options
+{
+  int64_t prompt_tokens; /* 0 for plain services */
+  uint64_t program;      /* ties go to the same endpoint on every host */
+};
+
+int64_t place_cost_us (const struct place_endpoint *endpoint,
+                       const struct place_options *options);
+int32_t place_pick (const struct place_endpoint *endpoints, size_t count,
+                    const struct place_options *options, uint64_t *seed);
+
+#endif
--- a/include/program/program.h
+++ b/include/program/program.h
@@ -4,7 +4,7 @@
 
 #include "caller/api.h"
 #include "common/buf.h"
-#include "platform/config.h"
+#include "config/config.h"
 #include "policy/budget.h"
 #include "policy/turn.h"
 #include "program/history.h"
--- /dev/null
+++ b/include/request/limits.h
@@ -0,0 +1,43 @@
+/* Fleet-wide rate and burst of customers: every entry host has an equal part
+   and borrows from the others when its own is used up. */
+#ifndef GALENA_REQUEST_LIMITS_H
+#define GALENA_REQUEST_LIMITS_H
+
+#include "peer/mesh.h"
+#include "request/routing.h"
+#include <ev.h>
+
+struct limits;
+struct limits_wait;
+
+struct limits_options
+{
+  struct ev_loop *loop;
+  struct mesh *mesh;
+};
+
+typedef void limits_handler (void *data, bool admitted);
+
+enum limits_verdict
+{
+  LIMITS_ADMITTED,
+  LIMITS_OVER,
+  LIMITS_ASKING, /* other hosts were asked; the handler will tell */
+};
+
+struct limits *limits_create (const struct limits_options *options);
+void limits_destroy (struct limits *limits);
+void limits_set_hosts (struct limits *limits, const char *const *others,
+                       size_t count, bool was_counted);
+void limits_apply (struct limits *limits, const struct routing *routing);
+enum limits_verdict limits_admit (struct limits *limits,
+                                  const struct customer *customer,
+                                  limits_handler *handle, void *data,
+                                  struct limits_wait **wait);
+void limits_cancel (struct limits_wait *wait);
+int64_t limits_retry_ms (struct limits *limits,
+                         const struct customer *customer);
+void limits_handle_frame (struct limits *limits, const char *host,
+                          const Peer__Frame *frame);
+
+#endif
--- /dev/null
+++ b/include/request/pool.h
@@ -0,0 +1,91 @@
+/* The endpoints that this host knows, and what it has seen of them. */
+#ifndef GALENA_REQUEST_POOL_H
+#define GALENA_REQUEST_POOL_H
+
+#include "policy/place.h"
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A part of a prompt, as its caller names it. */
+struct prompt_part
+{
+  uint64_t id;
+  int64_t tokens;
+};
+
+/* An endpoint as the control thread reports it. */
+struct endpoint_entry
+{
+  char *id;
+  char *service;
+  char *address; /* "IP:port" */
+  char *data_centre;
+  int64_t slots;
+  int64_t started_ms; /* of the endpoint's process, Unix time */
+  bool leaving;
+};
+
+/* Made by control, freed by traffic. */
+struct endpoint_list
+{
+  struct endpoint_entry *entries;
+  size_t count;
+};
+
+/* Owned by the pool; held while requests use it. */
+struct pool_endpoint
+{
+  char *id;
+  char *service;
+  char *address;
+  uint64_t hash;
+  int64_t slots;
+  int64_t started_ms;
+  bool remote;
+  bool leaving;
+  bool gone;
+  uint32_t in_flight; /* requests of this host */
+  int64_t reported_running;
+  int64_t reported_waiting;
+  int64_t reported_ms;
+  uint32_t failures; /* in a row */
+  int64_t avoid_until_ms;
+  GHashTable *parts; /* prompt part -> when it was last used, ms */
+};
+
+struct pool;
+
+struct pool_query
+{
+  const char *service;
+  const struct prompt_part *parts;
+  size_t part_count;
+  int64_t prompt_tokens;
+  uint64_t program;
+  const struct pool_endpoint *avoid; /* may be NULL */
+};
+
+void endpoint_list_destroy (struct endpoint_list *list);
+
+struct pool *pool_create (const char *data_centre);
+void pool_destroy (struct pool *pool);
+void pool_apply (struct pool *pool, const struct endpoint_list *list);
+struct pool_endpoint *pool_pick (struct pool *pool,
+                                 const struct pool_query *query,
+                                 int64_t now_ms);
+struct pool_endpoint *pool_find (const struct pool *pool, uint64_t hash);
+void pool_begin (struct pool_endpoint *endpoint,
+                 const struct pool_query *query, int64_t now_ms);
+void pool_end (struct pool *pool, struct pool_endpoint *endpoint);
+void pool_note_load (struct pool_endpoint *endpoint, int64_t running,
+                     int64_t waiting, int64_t now_ms);
+void pool_note_success (struct pool_endpoint *endpoint);
+void pool_note_failure (struct pool_endpoint *endpoint, int64_t now_ms);
+bool pool_serves (const struct pool *pool, const char *service);
+size_t pool_count (const struct pool *pool);
+void pool_tick (struct pool *pool, int64_t now_ms);
+json_t *pool_to_json (const struct pool *pool);
+
+#endif
--- /dev/null
+++ b/include/request/request.h
@@ -0,0 +1,120 @@
+/* The path of a request: key and customer, route, limit, budget, endpoint,
+   answer.  Front ends feed it and get the answer through a sink.  */
+#ifndef GALENA_REQUEST_REQUEST_H
+#define GALENA_REQUEST_REQUEST_H
+
+#include "common/buf.h"
+#include "common/error.h"
+#include "common/fetch.h"
+#include "ledger/ledger.h"
+#include "request/limits.h"
+#include "request/pool.h"
+#include "request/routing.h"
+#include <ev.h>
+#include <glib.h>
+
+struct request;
+struct pipeline;
+
+struct header
+{
+  char *name;
+  char *value;
+};
+
+/* What a caller sent.  Numbers are negative where the caller named none. */
+struct request_input
+{
+  char *id; /* of the attempt; may be NULL */
+  char *method;
+  char *target; /* as the request line named it, with the query */
+  char *path;
+  char *host;
+  char *key;
+  char *program;
+  char *session;
+  int64_t deadline_ms; /* time that the caller will wait */
+  int64_t program_deadline_ms;
+  int64_t token_budget;
+  int64_t prompt_tokens;
+  int64_t max_output_tokens;
+  int64_t resume_after; /* last event that the caller has */
+  struct prompt_part *parts;
+  size_t part_count;
+  struct header *headers; /* to be passed on */
+  size_t header_count;
+  struct buf body;
+};
+
+/* An endpoint's answer, up to its body. */
+struct answer_head
+{
+  long status;
+  char *request_id; /* that the endpoint answers; NULL where it names none */
+  bool not_run;
+  bool is_proven;  /* it bears the mark of an endpoint */
+  bool is_encoded; /* the body is not the one that was asked for */
+  int64_t running; /* negative where the endpoint does not tell */
+  int64_t waiting;
+  struct header *headers; /* to be passed on */
+  size_t header_count;
+};
+
+/* One send of a request to an endpoint. */
+struct request_send
+{
+  const struct request_input *input;
+  const char *customer; /* NULL on open routes */
+  const char *endpoint; /* its id */
+  int64_t left_ms;
+  int64_t resume_after;
+  int32_t priority;
+};
+
+/* How endpoints are spoken to.  Lines are "Name: value", freed by the caller
+   of write. */
+struct request_wire
+{
+  void (*write) (const struct request_send *send, GPtrArray *lines);
+  void (*read) (struct answer_head *head, const char *name,
+                const char *value);
+};
+
+/* Where the answer goes.  After end, abort or refuse the request is gone. */
+struct request_sink
+{
+  void (*begin) (struct request_sink *sink, const struct answer_head *head);
+  bool (*write) (struct request_sink *sink, const char *bytes, size_t len);
+  void (*end) (struct request_sink *sink);
+  void (*abort) (struct request_sink *sink);
+  void (*refuse) (struct request_sink *sink, const struct error *error);
+  /* The whole answer at once. */
+  void (*answer) (struct request_sink *sink, const struct answer_head *head,
+                  const struct buf *body);
+};
+
+struct pipeline_options
+{
+  struct ev_loop *loop;
+  struct fetcher *fetcher;
+  struct pool *pool;
+  struct limits *limits;
+  struct ledger *ledger;
+  const struct request_wire *wire;
+};
+
+struct pipeline *pipeline_create (const struct pipeline_options *options);
+void pipeline_destroy (struct pipeline *pipeline);
+void pipeline_apply (struct pipeline *pipeline, struct routing *routing);
+bool pipeline_is_idle (const struct pipeline *pipeline);
+uint32_t pipeline_open_requests (const struct pipeline *pipeline);
+
+struct request *request_start (struct pipeline *pipeline,
+                               struct request_input *input,
+                               struct request_sink *sink);
+void request_cancel (struct request *request);
+void request_input_destroy (struct request_input *input);
+void headers_add (struct header **headers, size_t *count, const char *name,
+                  const char *value);
+
+#endif
--- /dev/null
+++ b/include/request/routing.h
@@ -0,0 +1,88 @@
+/* The configuration of the request path: routes, services, customers, keys.
+   Built by the control thread, immutable, handed to the traffic thread.  */
+#ifndef GALENA_REQUEST_ROUTING_H
+#define GALENA_REQUEST_ROUTING_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What may be sent to an endpoint again after it may have run. */
+enum route_repeat
+{
+  ROUTE_IDEMPOTENT,
+  ROUTE_ONCE,
+  ROUTE_STREAM,
+};
+
+struct route_target
+{
+  uint32_t service; /* index into the routing's services */
+  uint32_t weight;
+};
+
+struct route
+{
+  char *name;
+  char *host;
+  char *path_prefix;
+  enum route_repeat repeat;
+  bool resumable;   /* a stream that goes on after its last event */
+  bool is_open;     /* needs no key */
+  bool has_programs; /* its requests are turns with token budgets */
+  int64_t timeout_ms;
+  int64_t objective_ms;
+  int32_t priority; /* 0 is the most urgent */
+  uint32_t max_attempts;
+  struct route_target *targets;
+  uint32_t target_count;
+};
+
+struct service
+{
+  char *name;
+  bool is_engine;
+  uint32_t max_connections;
+  int64_t tokens_per_event; /* of an engine's streams */
+};
+
+struct customer
+{
+  char *name;
+  int32_t priority; /* goes before the route's; negative for none */
+  int64_t rate_milli; /* requests in 1000 s; 0 for no limit */
+  int64_t burst;
+};
+
+struct routing
+{
+  int64_t version;
+  int64_t revision; /* of the object that held it */
+  struct route *routes;
+  uint32_t route_count;
+  struct service *services;
+  uint32_t service_count;
+  struct customer *customers;
+  uint32_t customer_count;
+  int64_t max_header_bytes;
+  int64_t max_body_bytes;
+  int64_t header_timeout_ms;
+  int64_t idle_timeout_ms;
+  GHashTable *keys; /* hash of a key -> customer + 1 */
+  GHashTable *hosts; /* name -> GArray of struct route *, longest prefix first */
+  uint32_t users;   /* references, on one thread at a time */
+};
+
+struct routing *routing_create (void);
+struct routing *routing_ref (struct routing *routing);
+void routing_unref (struct routing *routing);
+void routing_add_key (struct routing *routing, const char *key,
+                      uint32_t customer);
+void routing_index (struct routing *routing);
+const struct route *routing_find (const struct routing *routing,
+                                  const char *host, const char *path);
+const struct customer *routing_customer (const struct routing *routing,
+                                         const char *key);
+int32_t routing_service (const struct routing *routing, const char *name);
+
+#endif
--- a/platform/journal.c
+++ b/journal/journal.c
@@ -1,4 +1,4 @@
-#include "platform/journal.h"
+#include "journal/journal.h"
 #include "common/deferred.h"
 #include "common/id.h"
 #include "common/log.h"
--- /dev/null
+++ b/ledger/ledger.c
@@ -0,0 +1,380 @@
+#include "ledger/ledger.h"
+#include "common/buf.h"
+#include "common/deferred.h"
+#include "common/id.h"
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  /* A keeper in another data centre answers in a few milliseconds with its
+     sync; beyond this a turn would lose more than a slow keeper can tell. */
+  ANSWER_MS = 150,
+  SETTLE_MS = 100, /* settlements wait so long to share a frame */
+};
+
+/* What this host knows of a program.  Owned by the ledger. */
+struct known
+{
+  struct ledger *ledger;
+  uint64_t program;
+  struct charges charges;
+  int64_t own_tokens;
+  uint64_t own_version;
+  uint32_t turns; /* that are under way here */
+  int64_t used_ms;
+  bool unsent; /* the keepers have an older version */
+};
+
+/* A turn's reservation.  Owned by the ledger until it is settled. */
+struct ledger_turn
+{
+  struct known *known;
+  uint64_t id;
+  int64_t budget;
+  int64_t tokens;
+  uint64_t *answered; /* hashes of the keepers that did */
+  uint32_t answers;
+  ev_timer timer;
+  ledger_handler *handle; /* NULL once it has been told */
+  void *data;
+};
+
+struct ledger
+{
+  struct ledger_options options;
+  char **keepers;
+  uint32_t keeper_count;
+  GHashTable *programs; /* program -> struct known */
+  GHashTable *waiting;  /* id -> struct ledger_turn */
+  GArray *questions;    /* Peer__LedgerItem, for the next frame */
+  struct deferred send;
+  int64_t settled_ms;
+  uint32_t unsent;
+};
+
+static void
+known_destroy (gpointer data)
+{
+  struct known *known = data;
+
+  charges_release (&known->charges);
+  free (known);
+}
+
+static struct known *
+find_program (struct ledger *ledger, uint64_t program)
+{
+  struct known *known = g_hash_table_lookup (ledger->programs, &program);
+
+  if (known)
+    return known;
+  known = xcalloc (1, sizeof *known);
+  known->ledger = ledger;
+  known->program = program;
+  g_hash_table_insert (ledger->programs, &known->program, known);
+  return known;
+}
+
+static void
+change_own (struct known *known, int64_t amount)
+{
+  struct charge own;
+
+  known->own_tokens += amount;
+  known->own_version++;
+  own = (struct charge){ .source = known->ledger->options.process,
+                         .version = known->own_version,
+                         .tokens = known->own_tokens };
+  charges_merge (&known->charges, &own);
+}
+
+static void
+fill_item (Peer__LedgerItem *item, const struct known *known, uint64_t id)
+{
+  peer__ledger_item__init (item);
+  item->id = id;
+  item->program = known->program;
+  item->source = known->ledger->options.process;
+  item->version = known->own_version;
+  item->charged = known->own_tokens;
+}
+
+static void
+send_items (struct ledger *ledger, Peer__LedgerItem *items, size_t count)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LedgerWrite write = PEER__LEDGER_WRITE__INIT;
+  Peer__LedgerItem **list;
+
+  if (count == 0)
+    return;
+  list = xcalloc (count, sizeof *list);
+  for (size_t i = 0; i < count; i++)
+    list[i] = &items[i];
+  write.items = list;
+  write.n_items = count;
+  frame.body_case = PEER__FRAME__BODY_LEDGER_WRITE;
+  frame.ledger_write = &write;
+  for (uint32_t i = 0; i < ledger->keeper_count; i++)
+    mesh_send (ledger->options.mesh, ledger->keepers[i], &frame);
+  free (list);
+}
+
+/* Sends all reservations of one turn of the loop in one frame a keeper.  */
+static void
+handle_send (void *data)
+{
+  struct ledger *ledger = data;
+
+  send_items (ledger, (Peer__LedgerItem *)(void *)ledger->questions->data,
+              ledger->questions->len);
+  g_array_set_size (ledger->questions, 0);
+}
+
+static void
+forget_turn (struct ledger_turn *turn)
+{
+  struct ledger *ledger = turn->known->ledger;
+
+  ev_timer_stop (ledger->options.loop, &turn->timer);
+  g_hash_table_remove (ledger->waiting, &turn->id);
+}
+
+static void
+tell (struct ledger_turn *turn, enum charges_verdict verdict)
+{
+  ledger_handler *handle = turn->handle;
+
+  forget_turn (turn);
+  turn->handle = NULL;
+  if (handle)
+    handle (turn->data, verdict, charges_total (&turn->known->charges));
+}
+
+static enum charges_verdict
+decide (const struct ledger_turn *turn)
+{
+  return charges_decide (charges_total (&turn->known->charges), turn->budget,
+                         turn->answers, turn->known->ledger->keeper_count);
+}
+
+static void
+handle_late (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ledger_turn *turn = timer->data;
+
+  tell (turn, decide (turn));
+}
+
+/* Creates a ledger without keepers.  */
+struct ledger *
+ledger_create (const struct ledger_options *options)
+{
+  struct ledger *ledger = xcalloc (1, sizeof *ledger);
+
+  ledger->options = *options;
+  ledger->programs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                            known_destroy);
+  ledger->waiting = g_hash_table_new (g_int64_hash, g_int64_equal);
+  ledger->questions = g_array_new (FALSE, FALSE, sizeof (Peer__LedgerItem));
+  deferred_init (&ledger->send, options->loop, handle_send, ledger);
+  return ledger;
+}
+
+static void
+release_keepers (struct ledger *ledger)
+{
+  for (uint32_t i = 0; i < ledger->keeper_count; i++)
+    free (ledger->keepers[i]);
+  free (ledger->keepers);
+}
+
+/* Frees the ledger.  Every turn must have been settled.  */
+void
+ledger_destroy (struct ledger *ledger)
+{
+  if (!ledger)
+    return;
+  deferred_release (&ledger->send);
+  release_keepers (ledger);
+  g_hash_table_destroy (ledger->waiting);
+  g_hash_table_destroy (ledger->programs);
+  g_array_free (ledger->questions, TRUE);
+  free (ledger);
+}
+
+/* Names the hosts that keep the ledger; they are written to from now on.  */
+void
+ledger_set_keepers (struct ledger *ledger, const char *const *names,
+                    size_t count)
+{
+  release_keepers (ledger);
+  ledger->keepers = xcalloc (count + 1, sizeof *ledger->keepers);
+  for (size_t i = 0; i < count; i++)
+    ledger->keepers[i] = xstrdup (names[i]);
+  ledger->keeper_count = (uint32_t)count;
+}
+
+/* Reserves TOKENS for a turn of PROGRAM, whose calls may use BUDGET in all.
+   HANDLE is called once, never from inside this call, unless the turn is
+   settled first.  The turn is valid until ledger_settle.  */
+struct ledger_turn *
+ledger_reserve (struct ledger *ledger, uint64_t program, int64_t budget,
+                int64_t tokens, ledger_handler *handle, void *data)
+{
+  struct ledger_turn *turn = xcalloc (1, sizeof *turn);
+  Peer__LedgerItem item;
+
+  turn->known = find_program (ledger, program);
+  turn->known->turns++;
+  turn->known->used_ms = clock_now_ms ();
+  turn->id = id_random64 ();
+  turn->budget = budget;
+  turn->tokens = tokens;
+  turn->answered = xcalloc (ledger->keeper_count + 1, sizeof *turn->answered);
+  turn->handle = handle;
+  turn->data = data;
+  change_own (turn->known, tokens);
+  fill_item (&item, turn->known, turn->id);
+  g_array_append_val (ledger->questions, item);
+  g_hash_table_insert (ledger->waiting, &turn->id, turn);
+  deferred_schedule (&ledger->send);
+  ev_timer_init (&turn->timer, handle_late, (double)ANSWER_MS / 1000.0, 0);
+  turn->timer.data = turn;
+  ev_timer_start (ledger->options.loop, &turn->timer);
+  return turn;
+}
+
+/* Ends the turn: USED tokens of its reservation stay charged.  Frees it.  */
+void
+ledger_settle (struct ledger_turn *turn, int64_t used)
+{
+  struct known *known;
+
+  if (!turn)
+    return;
+  known = turn->known;
+  turn->handle = NULL;
+  forget_turn (turn);
+  known->turns--;
+  known->used_ms = clock_now_ms ();
+  if (used != turn->tokens)
+    {
+      change_own (known, used - turn->tokens);
+      if (!known->unsent)
+        known->ledger->unsent++;
+      known->unsent = true;
+    }
+  free (turn->answered);
+  free (turn);
+}
+
+static bool
+is_keeper (const struct ledger *ledger, const char *host)
+{
+  for (uint32_t i = 0; i < ledger->keeper_count; i++)
+    if (strcmp (ledger->keepers[i], host) == 0)
+      return true;
+  return false;
+}
+
+static bool
+note_answer (struct ledger_turn *turn, uint64_t keeper, uint32_t keepers)
+{
+  for (uint32_t i = 0; i < turn->answers; i++)
+    if (turn->answered[i] == keeper)
+      return false;
+  if (turn->answers >= keepers)
+    return false;
+  turn->answered[turn->answers++] = keeper;
+  return true;
+}
+
+static void
+take_answer (struct ledger *ledger, const char *host,
+             const Peer__LedgerAnswer *answer)
+{
+  uint64_t id = answer->id;
+  struct ledger_turn *turn = g_hash_table_lookup (ledger->waiting, &id);
+
+  if (!turn || !is_keeper (ledger, host))
+    return;
+  for (size_t i = 0; i < answer->n_entries; i++)
+    {
+      struct charge entry = { .source = answer->entries[i]->source,
+                              .version = answer->entries[i]->version,
+                              .tokens = answer->entries[i]->charged };
+
+      charges_merge (&turn->known->charges, &entry);
+    }
+  if (!note_answer (turn, id_hash_text (host), ledger->keeper_count))
+    return;
+  if (turn->answers >= charges_quorum (ledger->keeper_count))
+    tell (turn, decide (turn));
+}
+
+/* Takes a keeper's answers.  Other frames are left alone.  */
+void
+ledger_handle_frame (struct ledger *ledger, const char *host,
+                     const Peer__Frame *frame)
+{
+  if (frame->body_case != PEER__FRAME__BODY_LEDGER_ANSWERS)
+    return;
+  for (size_t i = 0; i < frame->ledger_answers->n_answers; i++)
+    take_answer (ledger, host, frame->ledger_answers->answers[i]);
+}
+
+static void
+send_settlements (struct ledger *ledger)
+{
+  GArray *items = g_array_new (FALSE, FALSE, sizeof (Peer__LedgerItem));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, ledger->programs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct known *known = value;
+      Peer__LedgerItem item;
+
+      if (!known->unsent)
+        continue;
+      known->unsent = false;
+      fill_item (&item, known, 0);
+      g_array_append_val (items, item);
+    }
+  send_items (ledger, (Peer__LedgerItem *)(void *)items->data, items->len);
+  g_array_free (items, TRUE);
+  ledger->unsent = 0;
+}
+
+static gboolean
+is_stale (gpointer key, gpointer value, gpointer data)
+{
+  const struct known *known = value;
+  const int64_t *oldest_ms = data;
+
+  return known->turns == 0 && known->used_ms < *oldest_ms;
+}
+
+/* Sends what was settled and forgets programs that are long unused.  */
+void
+ledger_tick (struct ledger *ledger, int64_t now_ms)
+{
+  int64_t oldest_ms = now_ms - ledger->options.retention_ms;
+
+  if (ledger->unsent == 0 || now_ms - ledger->settled_ms < SETTLE_MS)
+    return;
+  ledger->settled_ms = now_ms;
+  send_settlements (ledger);
+  g_hash_table_foreach_remove (ledger->programs, is_stale, &oldest_ms);
+}
+
+/* Whether every settlement has been sent.  */
+bool
+ledger_is_settled (const struct ledger *ledger)
+{
+  return ledger->unsent == 0;
+}
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -952,6 +952,276 @@
   assert(message->base.descriptor == &peer__crash_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__ledger_item__init
+                     (Peer__LedgerItem         *message)
+{
+  static const Peer__LedgerItem init_value = PEER__LEDGER_ITEM__INIT;
+  *message = init_value;
+}
+size_t peer__ledger_item__get_packed_size
+                     (const Peer__LedgerItem *message)
+{
+  assert(message->base.descriptor == &peer__ledger_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__ledger_item__pack
+                     (const Peer__LedgerItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__ledger_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__ledger_item__pack_to_buffer
+                     (const Peer__LedgerItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__ledger_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LedgerItem *
+       peer__ledger_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LedgerItem *)
+     protobuf_c_message_unpack (&peer__ledger_item__descriptor,
+                                allocator, len, data);
+}
+void   peer__ledger_item__free_unpacked
+                     (Peer__LedgerItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__ledger_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__ledger_write__init
+                     (Peer__LedgerWrite         *message)
+{
+  static const Peer__LedgerWrite init_value = PEER__LEDGER_WRITE__INIT;
+  *message = init_value;
+}
+size_t peer__ledger_write__get_packed_size
+                     (const Peer__LedgerWrite *message)
+{
+  assert(message->base.descriptor == &peer__ledger_write__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__ledger_write__pack
+                     (const Peer__LedgerWrite *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__ledger_write__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__ledger_write__pack_to_buffer
+                     (const Peer__LedgerWrite *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__ledger_write__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LedgerWrite *
+       peer__ledger_write__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LedgerWrite *)
+     protobuf_c_message_unpack (&peer__ledger_write__descriptor,
+                                allocator, len, data);
+}
+void   peer__ledger_write__free_unpacked
+                     (Peer__LedgerWrite *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__ledger_write__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__ledger_answer__init
+                     (Peer__LedgerAnswer         *message)
+{
+  static const Peer__LedgerAnswer init_value = PEER__LEDGER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t peer__ledger_answer__get_packed_size
+                     (const Peer__LedgerAnswer *message)
+{
+  assert(message->base.descriptor == &peer__ledger_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__ledger_answer__pack
+                     (const Peer__LedgerAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__ledger_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__ledger_answer__pack_to_buffer
+                     (const Peer__LedgerAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__ledger_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LedgerAnswer *
+       peer__ledger_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LedgerAnswer *)
+     protobuf_c_message_unpack (&peer__ledger_answer__descriptor,
+                                allocator, len, data);
+}
+void   peer__ledger_answer__free_unpacked
+                     (Peer__LedgerAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__ledger_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__ledger_answers__init
+                     (Peer__LedgerAnswers         *message)
+{
+  static const Peer__LedgerAnswers init_value = PEER__LEDGER_ANSWERS__INIT;
+  *message = init_value;
+}
+size_t peer__ledger_answers__get_packed_size
+                     (const Peer__LedgerAnswers *message)
+{
+  assert(message->base.descriptor == &peer__ledger_answers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__ledger_answers__pack
+                     (const Peer__LedgerAnswers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__ledger_answers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__ledger_answers__pack_to_buffer
+                     (const Peer__LedgerAnswers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__ledger_answers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LedgerAnswers *
+       peer__ledger_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LedgerAnswers *)
+     protobuf_c_message_unpack (&peer__ledger_answers__descriptor,
+                                allocator, len, data);
+}
+void   peer__ledger_answers__free_unpacked
+                     (Peer__LedgerAnswers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__ledger_answers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__ledger_ask__init
+                     (Peer__LedgerAsk         *message)
+{
+  static const Peer__LedgerAsk init_value = PEER__LEDGER_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__ledger_ask__get_packed_size
+                     (const Peer__LedgerAsk *message)
+{
+  assert(message->base.descriptor == &peer__ledger_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__ledger_ask__pack
+                     (const Peer__LedgerAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__ledger_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__ledger_ask__pack_to_buffer
+                     (const Peer__LedgerAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__ledger_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LedgerAsk *
+       peer__ledger_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LedgerAsk *)
+     protobuf_c_message_unpack (&peer__ledger_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__ledger_ask__free_unpacked
+                     (Peer__LedgerAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__ledger_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__ledger_page__init
+                     (Peer__LedgerPage         *message)
+{
+  static const Peer__LedgerPage init_value = PEER__LEDGER_PAGE__INIT;
+  *message = init_value;
+}
+size_t peer__ledger_page__get_packed_size
+                     (const Peer__LedgerPage *message)
+{
+  assert(message->base.descriptor == &peer__ledger_page__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__ledger_page__pack
+                     (const Peer__LedgerPage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__ledger_page__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__ledger_page__pack_to_buffer
+                     (const Peer__LedgerPage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__ledger_page__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LedgerPage *
+       peer__ledger_page__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LedgerPage *)
+     protobuf_c_message_unpack (&peer__ledger_page__descriptor,
+                                allocator, len, data);
+}
+void   peer__ledger_page__free_unpacked
+                     (Peer__LedgerPage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__ledger_page__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -2679,7 +2949,339 @@
   (ProtobufCMessageInit) peer__crash_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[19] =
+static const ProtobufCFieldDescriptor peer__ledger_item__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerItem, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "program",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerItem, program),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "source",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerItem, source),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerItem, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "charged",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerItem, charged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__ledger_item__field_indices_by_name[] = {
+  4,   /* field[4] = charged */
+  0,   /* field[0] = id */
+  1,   /* field[1] = program */
+  2,   /* field[2] = source */
+  3,   /* field[3] = version */
+};
+static const ProtobufCIntRange peer__ledger_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__ledger_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerItem",
+  "LedgerItem",
+  "Peer__LedgerItem",
+  "peer",
+  sizeof(Peer__LedgerItem),
+  5,
+  peer__ledger_item__field_descriptors,
+  peer__ledger_item__field_indices_by_name,
+  1,  peer__ledger_item__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ledger_write__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerWrite, n_items),
+    offsetof(Peer__LedgerWrite, items),
+    &peer__ledger_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__ledger_write__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange peer__ledger_write__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__ledger_write__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerWrite",
+  "LedgerWrite",
+  "Peer__LedgerWrite",
+  "peer",
+  sizeof(Peer__LedgerWrite),
+  1,
+  peer__ledger_write__field_descriptors,
+  peer__ledger_write__field_indices_by_name,
+  1,  peer__ledger_write__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_write__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ledger_answer__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerAnswer, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerAnswer, n_entries),
+    offsetof(Peer__LedgerAnswer, entries),
+    &peer__ledger_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__ledger_answer__field_indices_by_name[] = {
+  1,   /* field[1] = entries */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer__ledger_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__ledger_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerAnswer",
+  "LedgerAnswer",
+  "Peer__LedgerAnswer",
+  "peer",
+  sizeof(Peer__LedgerAnswer),
+  2,
+  peer__ledger_answer__field_descriptors,
+  peer__ledger_answer__field_indices_by_name,
+  1,  peer__ledger_answer__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ledger_answers__field_descriptors[1] =
+{
+  {
+    "answers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerAnswers, n_answers),
+    offsetof(Peer__LedgerAnswers, answers),
+    &peer__ledger_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__ledger_answers__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+};
+static const ProtobufCIntRange peer__ledger_answers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__ledger_answers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerAnswers",
+  "LedgerAnswers",
+  "Peer__LedgerAnswers",
+  "peer",
+  sizeof(Peer__LedgerAnswers),
+  1,
+  peer__ledger_answers__field_descriptors,
+  peer__ledger_answers__field_indices_by_name,
+  1,  peer__ledger_answers__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_answers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ledger_ask__field_descriptors[1] =
+{
+  {
+    "after",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerAsk, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__ledger_ask__field_indices_by_name[] = {
+  0,   /* field[0] = after */
+};
+static const ProtobufCIntRange peer__ledger_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__ledger_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerAsk",
+  "LedgerAsk",
+  "Peer__LedgerAsk",
+  "peer",
+  sizeof(Peer__LedgerAsk),
+  1,
+  peer__ledger_ask__field_descriptors,
+  peer__ledger_ask__field_indices_by_name,
+  1,  peer__ledger_ask__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ledger_page__field_descriptors[4] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerPage, n_items),
+    offsetof(Peer__LedgerPage, items),
+    &peer__ledger_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerPage, next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerPage, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerPage, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__ledger_page__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+  2,   /* field[2] = last */
+  1,   /* field[1] = next */
+  3,   /* field[3] = whole */
+};
+static const ProtobufCIntRange peer__ledger_page__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__ledger_page__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerPage",
+  "LedgerPage",
+  "Peer__LedgerPage",
+  "peer",
+  sizeof(Peer__LedgerPage),
+  4,
+  peer__ledger_page__field_descriptors,
+  peer__ledger_page__field_indices_by_name,
+  1,  peer__ledger_page__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_page__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[23] =
 {
   {
     "ping",
@@ -2909,6 +3511,54 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ledger_write",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, ledger_write),
+    &peer__ledger_write__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ledger_answers",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, ledger_answers),
+    &peer__ledger_answers__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ledger_ask",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, ledger_ask),
+    &peer__ledger_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ledger_page",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, ledger_page),
+    &peer__ledger_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -2920,6 +3570,10 @@
   15,   /* field[15] = config_push */
   18,   /* field[18] = crash_notice */
   16,   /* field[16] = key_withdraw */
+  20,   /* field[20] = ledger_answers */
+  21,   /* field[21] = ledger_ask */
+  22,   /* field[22] = ledger_page */
+  19,   /* field[19] = ledger_write */
   7,   /* field[7] = limit_ask */
   9,   /* field[9] = limit_confirm */
   8,   /* field[8] = limit_loan */
@@ -2934,7 +3588,7 @@
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -2944,7 +3598,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  19,
+  23,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- /dev/null
+++ b/policy/place.c
@@ -0,0 +1,74 @@
+#include "policy/place.h"
+
+enum
+{
+  US_PER_MS = 1000,
+  TIE_US = 4000, /* the program's preference weighs less than a running one */
+};
+
+static uint64_t
+mix (uint64_t value)
+{
+  value ^= value >> 33;
+  value *= 0xff51afd7ed558ccdULL;
+  value ^= value >> 33;
+  value *= 0xc4ceb9fe1a85ec53ULL;
+  return value ^ (value >> 33);
+}
+
+static uint64_t
+next_random (uint64_t *seed)
+{
+  *seed += 0x9e3779b97f4a7c15ULL;
+  return mix (*seed);
+}
+
+/* Returns the predicted microseconds until the first token at ENDPOINT, with
+   the slow-down that the request brings to those that run there.  */
+int64_t
+place_cost_us (const struct place_endpoint *endpoint,
+               const struct place_options *options)
+{
+  int64_t missing = options->prompt_tokens - endpoint->cached_tokens;
+  int64_t cost = 0;
+
+  if (missing > 0)
+    cost += missing * US_PER_MS / PLACE_PREFILL_TOKENS_PER_MS;
+  cost += endpoint->running * PLACE_RUNNING_US;
+  cost += endpoint->waiting * PLACE_WAITING_US;
+  if (endpoint->running >= endpoint->slots)
+    cost += (endpoint->running - endpoint->slots + 1) * PLACE_WAITING_US;
+  if (endpoint->remote)
+    cost += PLACE_REMOTE_US;
+  return cost;
+}
+
+/* Returns the index of the endpoint with the least cost, -1 where none is
+   eligible.  Equal ones are told apart by the program's preference, or at
+   random for requests without a program.  */
+int32_t
+place_pick (const struct place_endpoint *endpoints, size_t count,
+            const struct place_options *options, uint64_t *seed)
+{
+  int32_t best = -1;
+  int64_t best_cost = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t preference;
+      int64_t cost;
+
+      if (!endpoints[i].eligible)
+        continue;
+      preference = options->program && options->prompt_tokens > 0
+                       ? mix (options->program ^ endpoints[i].hash)
+                       : next_random (seed);
+      cost = place_cost_us (&endpoints[i], options)
+             + (int64_t)(preference % TIE_US);
+      if (best >= 0 && cost >= best_cost)
+        continue;
+      best = (int32_t)i;
+      best_cost = cost;
+    }
+  return best;
+}
--- /dev/null
+++ b/request/routing.c
@@ -0,0 +1,160 @@
+#include "request/routing.h"
+#include "common/buf.h"
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Keys are kept only as hashes under a secret of this process.  */
+static uint64_t
+hash_key (const char *key)
+{
+  static uint8_t secret[crypto_shorthash_KEYBYTES];
+  static gsize is_ready;
+  uint64_t hash;
+
+  if (g_once_init_enter (&is_ready))
+    {
+      crypto_shorthash_keygen (secret);
+      g_once_init_leave (&is_ready, 1);
+    }
+  crypto_shorthash ((uint8_t *)&hash, (const uint8_t *)key, strlen (key),
+                    secret);
+  return hash;
+}
+
+/* Creates an empty configuration with one reference.  */
+struct routing *
+routing_create (void)
+{
+  struct routing *routing = xcalloc (1, sizeof *routing);
+
+  routing->users = 1;
+  routing->keys
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, free, NULL);
+  routing->hosts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                               (GDestroyNotify)(void (*) (void))g_array_unref);
+  return routing;
+}
+
+/* Takes a reference.  */
+struct routing *
+routing_ref (struct routing *routing)
+{
+  routing->users++;
+  return routing;
+}
+
+/* Gives a reference back; the last one frees the configuration.  */
+void
+routing_unref (struct routing *routing)
+{
+  if (!routing || --routing->users > 0)
+    return;
+  for (uint32_t i = 0; i < routing->route_count; i++)
+    {
+      free (routing->routes[i].name);
+      free (routing->routes[i].host);
+      free (routing->routes[i].path_prefix);
+      free (routing->routes[i].targets);
+    }
+  for (uint32_t i = 0; i < routing->service_count; i++)
+    free (routing->services[i].name);
+  for (uint32_t i = 0; i < routing->customer_count; i++)
+    free (routing->customers[i].name);
+  free (routing->routes);
+  free (routing->services);
+  free (routing->customers);
+  g_hash_table_destroy (routing->keys);
+  g_hash_table_destroy (routing->hosts);
+  free (routing);
+}
+
+/* Lets KEY speak for a customer, given by its index.  */
+void
+routing_add_key (struct routing *routing, const char *key, uint32_t customer)
+{
+  uint64_t *hash = xcalloc (1, sizeof *hash);
+
+  *hash = hash_key (key);
+  g_hash_table_insert (routing->keys, hash, GUINT_TO_POINTER (customer + 1));
+}
+
+static gint
+compare_prefixes (gconstpointer a, gconstpointer b)
+{
+  const struct route *left = *(const struct route *const *)a;
+  const struct route *right = *(const struct route *const *)b;
+  size_t left_len = strlen (left->path_prefix);
+  size_t right_len = strlen (right->path_prefix);
+
+  return left_len > right_len ? -1 : left_len < right_len;
+}
+
+/* Makes the routes findable, once all of them are there.  */
+void
+routing_index (struct routing *routing)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  for (uint32_t i = 0; i < routing->route_count; i++)
+    {
+      const struct route *route = &routing->routes[i];
+      GArray *list = g_hash_table_lookup (routing->hosts, route->host);
+
+      if (!list)
+        {
+          list = g_array_new (FALSE, FALSE, sizeof route);
+          g_hash_table_insert (routing->hosts, route->host, list);
+        }
+      g_array_append_val (list, route);
+    }
+  g_hash_table_iter_init (&iter, routing->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_sort (value, compare_prefixes);
+}
+
+/* Returns the route with the longest prefix of PATH on HOST, or NULL.  A port
+   behind the host's name does not matter.  */
+const struct route *
+routing_find (const struct routing *routing, const char *host,
+              const char *path)
+{
+  char *name = xstrdup (host ? host : "");
+  GArray *list;
+
+  name[strcspn (name, ":")] = '\0';
+  list = g_hash_table_lookup (routing->hosts, name);
+  free (name);
+  for (guint i = 0; list && i < list->len; i++)
+    {
+      const struct route *route
+          = g_array_index (list, const struct route *, i);
+
+      if (strncmp (path, route->path_prefix, strlen (route->path_prefix)) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+/* Returns the customer that KEY speaks for, or NULL.  */
+const struct customer *
+routing_customer (const struct routing *routing, const char *key)
+{
+  uint64_t hash = hash_key (key);
+  guint found
+      = GPOINTER_TO_UINT (g_hash_table_lookup (routing->keys, &hash));
+
+  return found ? &routing->customers[found - 1] : NULL;
+}
+
+/* Returns the index of a service, -1 where there is none of that name.  */
+int32_t
+routing_service (const struct routing *routing, const char *name)
+{
+  for (uint32_t i = 0; i < routing->service_count; i++)
+    if (strcmp (routing->services[i].name, name) == 0)
+      return (int32_t)i;
+  return -1;
+}
--- a/test/unit/test_config.c
+++ b/test/unit/test_config.c
@@ -1,4 +1,4 @@
-#include "platform/config.h"
+#include "config/config.h"
 #include "suites.h"
 #include <string.h>
 
--- a/test/unit/test_journal.c
+++ b/test/unit/test_journal.c
@@ -1,5 +1,5 @@
 #include "fake_platform.h"
-#include "platform/journal.h"
+#include "journal/journal.h"
 #include "suites.h"
 #include <string.h>
 
--- a/test/unit/test_objects.c
+++ b/test/unit/test_objects.c
@@ -1,4 +1,4 @@
-#include "platform/objects.h"
+#include "config/objects.h"
 #include "suites.h"
 
 static bool
