Hold a customer's rate once a data centre and lend what is spent

Cause: with a part a host, a host that gets four times the traffic of another ran out while small parts below one token could not be lent; loans that nobody confirmed then kept three seconds of capacity away. Change: each data centre's part has one holder, loans count as spent.

--- a/include/request/limits.h
+++ b/include/request/limits.h
@@ -1,5 +1,8 @@
-/* Fleet-wide rate and burst of customers: every entry host has an equal part
-   and borrows from the others when its own is used up. */
+/* Fleet-wide rate and burst of customers.
+
+   Every data centre has an equal part of a customer's rate, so that one that
+   is cut off can go on.  In each, one entry host holds that part; the others
+   borrow from it, and from the holders elsewhere once it is used up.  */
 #ifndef GALENA_REQUEST_LIMITS_H
 #define GALENA_REQUEST_LIMITS_H
 
@@ -14,6 +17,15 @@
 {
   struct ev_loop *loop;
   struct mesh *mesh;
+  const char *host; /* this one's name; outlives the limits */
+  const char *data_centre;
+};
+
+/* An entry host. */
+struct limits_host
+{
+  const char *name;
+  const char *data_centre;
 };
 
 typedef void limits_handler (void *data, bool admitted);
@@ -27,7 +39,7 @@
 
 struct limits *limits_create (const struct limits_options *options);
 void limits_destroy (struct limits *limits);
-void limits_set_hosts (struct limits *limits, const char *const *others,
+void limits_set_hosts (struct limits *limits, const struct limits_host *hosts,
                        size_t count, bool was_counted);
 void limits_apply (struct limits *limits, const struct routing *routing);
 enum limits_verdict limits_admit (struct limits *limits,
@@ -35,7 +47,7 @@
                                   limits_handler *handle, void *data,
                                   struct limits_wait **wait);
 void limits_cancel (struct limits_wait *wait);
-int64_t limits_retry_ms (struct limits *limits,
+int64_t limits_retry_ms (const struct limits *limits,
                          const struct customer *customer);
 void limits_handle_frame (struct limits *limits, const char *host,
                           const Peer__Frame *frame);
--- a/request/limits.c
+++ b/request/limits.c
@@ -1,7 +1,9 @@
 #include "request/limits.h"
 #include "common/counters.h"
 #include "common/id.h"
+#include "common/log.h"
 #include "policy/limit.h"
+#include "policy/owner.h"
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,14 +12,15 @@
 {
   /* Until a host that left the list has stopped using its part. */
   HOSTS_SETTLE_MS = 4000,
-  ASK_MS = 60,       /* other data centres answer within a few */
-  DENIED_MS = 250,   /* after a round without a loan, none is asked for */
-  ASKED_HOSTS = 2,   /* a round */
-  LOAN_TOKENS = 8,   /* asked for at once */
-  LOW_TOKENS = 3,    /* below this, tokens are borrowed ahead of need */
-  KEPT_PERCENT = 50, /* a lender keeps so much of what it has */
+  ASK_MS = 60,          /* other data centres answer within a few */
+  DENIED_MS = 50,       /* after a round without a loan, none is asked for */
+  AHEAD_PER_S = 8,      /* a loan is for an eighth of a second */
+  MAX_LOAN_TOKENS = 32,
+  KEPT_PERCENT = 50, /* a holder keeps so much from other data centres */
   MIN_RETRY_MS = 100,
-  PART_BURST_TOKENS = 1, /* the least that a host's part may hold */
+  MAX_RETRY_MS = 1000,
+  MAX_DATA_CENTRES = 32,
+  USE_WINDOW_MS = 1000,
 };
 
 /* A request that waits for a loan.  Owned by its bucket. */
@@ -33,27 +36,40 @@
 {
   struct limits *limits;
   char *customer;
-  struct limit own;
+  uint64_t hash;
+  struct limit own; /* empty where another host holds the part */
   int64_t rate_milli;
   int64_t burst;
   int64_t borrowed;    /* whole tokens */
   int64_t borrowed_ms; /* when the last loan was asked for */
   uint64_t nonce;      /* of the round under way; 0 for none */
   uint32_t unanswered;
+  bool asked_elsewhere; /* the round is at other data centres by now */
+  int64_t window_ms;    /* start of the window whose use is counted */
+  int64_t used;         /* in that window */
+  int64_t used_before;  /* in the one before */
   int64_t asked_ms;
   int64_t denied_ms;
   ev_timer timer;
   GPtrArray *waits; /* struct limits_wait */
 };
 
+struct member
+{
+  char *name;
+  char *data_centre;
+  struct owner_candidate candidate;
+};
+
 struct limits
 {
   struct limits_options options;
   GHashTable *buckets; /* customer -> struct bucket */
-  char **others;
-  size_t other_count;
+  struct member *members; /* all entry hosts, this one too */
+  size_t member_count;
+  uint64_t data_centres[MAX_DATA_CENTRES]; /* hashes; the first is the own */
+  uint32_t data_centre_count;
   bool is_counted; /* the other hosts leave a part to this one */
-  uint64_t seed;
 };
 
 static void
@@ -78,16 +94,18 @@
   limits->options = *options;
   limits->buckets
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, bucket_destroy);
-  limits->seed = id_random64 ();
   return limits;
 }
 
 static void
-release_others (struct limits *limits)
+release_members (struct limits *limits)
 {
-  for (size_t i = 0; i < limits->other_count; i++)
-    free (limits->others[i]);
-  free (limits->others);
+  for (size_t i = 0; i < limits->member_count; i++)
+    {
+      free (limits->members[i].name);
+      free (limits->members[i].data_centre);
+    }
+  free (limits->members);
 }
 
 /* Frees the limits; waiting requests are not told.  */
@@ -97,41 +115,99 @@
   if (!limits)
     return;
   g_hash_table_destroy (limits->buckets);
-  release_others (limits);
+  release_members (limits);
   free (limits);
 }
 
+/* Returns the host that holds a customer's part of a data centre.  Hosts that
+   do not answer count too: two holders of one part would give it twice.  */
+static const struct member *
+find_holder (const struct limits *limits, uint64_t customer,
+             uint64_t data_centre)
+{
+  const struct member *best = NULL;
+  uint64_t best_rank = 0;
+
+  for (size_t i = 0; i < limits->member_count; i++)
+    {
+      const struct member *member = &limits->members[i];
+      uint64_t rank;
+
+      if (member->candidate.dc_hash != data_centre)
+        continue;
+      rank = id_hash64 (&member->candidate.host_hash,
+                        sizeof member->candidate.host_hash, customer);
+      if (best && rank <= best_rank)
+        continue;
+      best = member;
+      best_rank = rank;
+    }
+  return best;
+}
+
+static bool
+is_own_part (const struct bucket *bucket)
+{
+  const struct limits *limits = bucket->limits;
+  const struct member *holder
+      = find_holder (limits, bucket->hash, limits->data_centres[0]);
+
+  return holder && strcmp (holder->name, limits->options.host) == 0;
+}
+
 static void
 configure (struct bucket *bucket, int64_t settle_ms)
 {
-  struct limits *limits = bucket->limits;
-  int64_t parts = (int64_t)limits->other_count + 1;
-  int64_t burst = bucket->burst * LIMIT_UTOKENS / parts;
+  const struct limits *limits = bucket->limits;
+  int64_t parts = limits->data_centre_count;
+  int64_t rate = 0;
+  int64_t burst = 0;
 
-  if (!limits->is_counted)
-    return;
-  if (burst < (int64_t)PART_BURST_TOKENS * LIMIT_UTOKENS)
-    burst = (int64_t)PART_BURST_TOKENS * LIMIT_UTOKENS;
-  limit_configure (&bucket->own,
-                   bucket->rate_milli * (LIMIT_UTOKENS / 1000) / parts, burst,
-                   settle_ms, clock_now_ms ());
+  if (limits->is_counted && is_own_part (bucket))
+    {
+      rate = bucket->rate_milli * (LIMIT_UTOKENS / 1000) / parts;
+      burst = bucket->burst * LIMIT_UTOKENS / parts;
+      if (burst < LIMIT_UTOKENS)
+        burst = LIMIT_UTOKENS;
+    }
+  limit_configure (&bucket->own, rate, burst, settle_ms, clock_now_ms ());
+}
+
+static void
+note_data_centre (struct limits *limits, uint64_t hash)
+{
+  for (uint32_t i = 0; i < limits->data_centre_count; i++)
+    if (limits->data_centres[i] == hash)
+      return;
+  if (limits->data_centre_count < MAX_DATA_CENTRES)
+    limits->data_centres[limits->data_centre_count++] = hash;
 }
 
-/* Names the other entry hosts.  WAS_COUNTED: this host was in the list already
-   when it started, so that the others have left it its part all along.  */
+/* Names all entry hosts.  WAS_COUNTED: this host was in the list already when
+   it started, so that the others have left it its part all along.  */
 void
-limits_set_hosts (struct limits *limits, const char *const *others,
+limits_set_hosts (struct limits *limits, const struct limits_host *hosts,
                   size_t count, bool was_counted)
 {
   bool is_first = !limits->is_counted;
   GHashTableIter iter;
   gpointer value;
 
-  release_others (limits);
-  limits->others = xcalloc (count + 1, sizeof *limits->others);
+  release_members (limits);
+  limits->members = xcalloc (count + 1, sizeof *limits->members);
+  limits->member_count = count;
+  limits->data_centre_count = 0;
+  note_data_centre (limits, id_hash_text (limits->options.data_centre));
   for (size_t i = 0; i < count; i++)
-    limits->others[i] = xstrdup (others[i]);
-  limits->other_count = count;
+    {
+      struct member *member = &limits->members[i];
+
+      member->name = xstrdup (hosts[i].name);
+      member->data_centre = xstrdup (hosts[i].data_centre);
+      member->candidate.host_hash = id_hash_text (member->name);
+      member->candidate.dc_hash = id_hash_text (member->data_centre);
+      note_data_centre (limits, member->candidate.dc_hash);
+    }
   limits->is_counted = true;
   g_hash_table_iter_init (&iter, limits->buckets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -153,6 +229,7 @@
 
   bucket->limits = limits;
   bucket->customer = xstrdup (customer->name);
+  bucket->hash = id_hash_text (customer->name);
   bucket->waits = g_ptr_array_new ();
   limit_init (&bucket->own, clock_now_ms ());
   ev_timer_init (&bucket->timer, handle_late, (double)ASK_MS / 1000.0, 0);
@@ -197,37 +274,77 @@
 }
 
 static void
-ask (struct bucket *bucket, int64_t now_ms)
+count_use (struct bucket *bucket, int64_t now_ms)
+{
+  if (now_ms - bucket->window_ms >= USE_WINDOW_MS)
+    {
+      bucket->used_before = now_ms - bucket->window_ms < 2 * USE_WINDOW_MS
+                                ? bucket->used
+                                : 0;
+      bucket->used = 0;
+      bucket->window_ms = now_ms;
+    }
+  bucket->used++;
+}
+
+static uint32_t
+wanted_tokens (const struct bucket *bucket)
+{
+  int64_t use = bucket->used > bucket->used_before ? bucket->used
+                                                   : bucket->used_before;
+  int64_t wanted = 1 + (int64_t)bucket->waits->len + use / AHEAD_PER_S;
+
+  return (uint32_t)(wanted < MAX_LOAN_TOKENS ? wanted : MAX_LOAN_TOKENS);
+}
+
+/* Asks the holder of a data centre's part.  False where there is none to ask. */
+static bool
+ask_holder (struct bucket *bucket, uint64_t data_centre)
 {
   struct limits *limits = bucket->limits;
+  const struct member *holder
+      = find_holder (limits, bucket->hash, data_centre);
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LimitAsk question = PEER__LIMIT_ASK__INIT;
-  size_t first;
 
-  if (bucket->nonce || limits->other_count == 0
-      || now_ms - bucket->denied_ms < DENIED_MS)
-    return;
-  limits->seed = id_hash64 (&limits->seed, sizeof limits->seed, 1);
-  first = limits->seed % limits->other_count;
-  bucket->nonce = id_random64 ();
-  bucket->asked_ms = now_ms;
-  bucket->unanswered = 0;
+  if (!holder || strcmp (holder->name, limits->options.host) == 0
+      || mesh_is_suspect (limits->options.mesh, holder->name))
+    return false;
   question.nonce = bucket->nonce;
   question.customer = bucket->customer;
-  question.tokens = LOAN_TOKENS;
+  question.tokens = wanted_tokens (bucket);
   frame.body_case = PEER__FRAME__BODY_LIMIT_ASK;
   frame.limit_ask = &question;
-  for (size_t i = 0; i < limits->other_count
-                     && bucket->unanswered < ASKED_HOSTS;
-       i++)
-    {
-      const char *host = limits->others[(first + i) % limits->other_count];
+  if (!mesh_send (limits->options.mesh, holder->name, &frame))
+    return false;
+  bucket->unanswered++;
+  return true;
+}
 
-      if (mesh_is_suspect (limits->options.mesh, host))
-        continue;
-      if (mesh_send (limits->options.mesh, host, &frame))
-        bucket->unanswered++;
-    }
+static void
+ask_elsewhere (struct bucket *bucket)
+{
+  bucket->asked_elsewhere = true;
+  for (uint32_t i = 1; i < bucket->limits->data_centre_count; i++)
+    ask_holder (bucket, bucket->limits->data_centres[i]);
+}
+
+/* Begins a round: the own data centre's holder is asked first, the others
+   where this host is that holder or it does not answer.  */
+static void
+ask (struct bucket *bucket, int64_t now_ms)
+{
+  struct limits *limits = bucket->limits;
+
+  if (bucket->nonce || !limits->is_counted
+      || now_ms - bucket->denied_ms < DENIED_MS)
+    return;
+  bucket->nonce = id_random64 ();
+  bucket->asked_ms = now_ms;
+  bucket->unanswered = 0;
+  bucket->asked_elsewhere = false;
+  if (!ask_holder (bucket, limits->data_centres[0]))
+    ask_elsewhere (bucket);
   counter_add (COUNTER_TOKEN_PULLS, 1);
   ev_timer_stop (limits->options.loop, &bucket->timer);
   ev_timer_set (&bucket->timer,
@@ -263,6 +380,14 @@
   serve_waits (bucket, now_ms);
   if (bucket->waits->len > 0)
     bucket->denied_ms = now_ms;
+  if (bucket->waits->len > 0)
+    log_write (LOG_INFO, "limits", NULL,
+               "customer %s has no token left: rate %" G_GINT64_FORMAT
+               "/1000 s, burst %" G_GINT64_FORMAT ", own part %s, level %"
+               G_GINT64_FORMAT " millionths, %u unanswered, elsewhere %s",
+               bucket->customer, bucket->rate_milli, bucket->burst,
+               is_own_part (bucket) ? "yes" : "no", bucket->own.level_utokens,
+               bucket->unanswered, bucket->asked_elsewhere ? "yes" : "no");
   while (bucket->waits->len > 0)
     answer_wait (bucket, false);
 }
@@ -280,13 +405,9 @@
   *wait = NULL;
   if (customer->rate_milli == 0 || !bucket)
     return LIMITS_ADMITTED;
+  count_use (bucket, now_ms);
   if (take (bucket, now_ms))
-    {
-      if (bucket->own.level_utokens < (int64_t)LOW_TOKENS * LIMIT_UTOKENS
-          && bucket->borrowed < LOW_TOKENS)
-        ask (bucket, now_ms);
-      return LIMITS_ADMITTED;
-    }
+    return LIMITS_ADMITTED;
   ask (bucket, now_ms);
   if (!bucket->nonce)
     return LIMITS_OVER;
@@ -308,17 +429,49 @@
   free (wait);
 }
 
-/* Returns after how long CUSTOMER's next token is expected on this host.  */
+/* Returns after how long a token of CUSTOMER's is expected: its data centre's
+   part grows by one in that time.  */
 int64_t
-limits_retry_ms (struct limits *limits, const struct customer *customer)
+limits_retry_ms (const struct limits *limits, const struct customer *customer)
 {
-  struct bucket *bucket
-      = g_hash_table_lookup (limits->buckets, customer->name);
-  int64_t wait_ms = bucket ? limit_wait_ms (&bucket->own, LIMIT_UTOKENS,
-                                            clock_now_ms ())
-                           : 0;
+  int64_t wait_ms = MAX_RETRY_MS;
+
+  if (customer->rate_milli > 0 && limits->data_centre_count > 0)
+    wait_ms = (int64_t)1000 * 1000 * limits->data_centre_count
+              / customer->rate_milli;
+  if (wait_ms < MIN_RETRY_MS)
+    return MIN_RETRY_MS;
+  return wait_ms < MAX_RETRY_MS ? wait_ms : MAX_RETRY_MS;
+}
+
+static bool
+is_near (const struct limits *limits, const char *host)
+{
+  for (size_t i = 0; i < limits->member_count; i++)
+    if (strcmp (limits->members[i].name, host) == 0)
+      return limits->members[i].candidate.dc_hash == limits->data_centres[0];
+  return false;
+}
 
-  return wait_ms < MIN_RETRY_MS ? MIN_RETRY_MS : wait_ms;
+/* What is lent counts as spent: the borrower uses it within LIMIT_LOAN_MS.  So
+   a customer can have a burst above its own by what hosts hold unused, which is
+   a few tokens each.  */
+static uint32_t
+take_loan_tokens (struct bucket *bucket, uint32_t wanted, bool is_near_by,
+                  int64_t now_ms)
+{
+  int64_t spare;
+
+  limit_wait_ms (&bucket->own, LIMIT_UTOKENS, now_ms);
+  spare = bucket->own.level_utokens;
+  if (!is_near_by)
+    spare = spare * KEPT_PERCENT / 100;
+  spare /= LIMIT_UTOKENS;
+  if (spare > wanted)
+    spare = wanted;
+  if (spare <= 0 || !limit_take (&bucket->own, spare * LIMIT_UTOKENS, now_ms))
+    return 0;
+  return (uint32_t)spare;
 }
 
 static void
@@ -333,15 +486,8 @@
 
   loan.nonce = question->nonce;
   if (bucket && bucket->waits->len == 0)
-    {
-      int64_t spare = bucket->own.level_utokens * KEPT_PERCENT / 100;
-      int64_t wanted = (int64_t)question->tokens * LIMIT_UTOKENS;
-
-      loan.tokens
-          = (uint32_t)(limit_lend (&bucket->own, question->nonce,
-                                   wanted < spare ? wanted : spare, now_ms)
-                       / LIMIT_UTOKENS);
-    }
+    loan.tokens = take_loan_tokens (bucket, question->tokens,
+                                    is_near (limits, host), now_ms);
   if (loan.tokens > 0)
     counter_add (COUNTER_TOKEN_GRANTS, 1);
   frame.body_case = PEER__FRAME__BODY_LIMIT_LOAN;
@@ -376,6 +522,10 @@
   bucket->borrowed += loan->tokens;
   bucket->borrowed_ms = bucket->asked_ms;
   serve_waits (bucket, clock_now_ms ());
+  if (bucket->unanswered > 0)
+    return;
+  if (bucket->waits->len > 0 && !bucket->asked_elsewhere)
+    ask_elsewhere (bucket);
   if (bucket->unanswered == 0)
     finish_round (bucket);
 }
