Count customers' rates over a sliding window and begin programs at their pace

Cause: a token bucket refused bursts that the fleet-wide rate allows, and a customer far over its rate had most of its programs broken off midway.

--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -180,10 +180,14 @@
   char *customer;
   uint32_t slot;
   uint32_t tokens;
+  /*
+   * for programs that are to begin
+   */
+  uint32_t begin_tokens;
 };
 #define PEER__LIMIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__limit_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Peer__LimitLoan
@@ -192,10 +196,11 @@
   uint64_t nonce;
   uint32_t tokens;
   int64_t wait_ms;
+  uint32_t begin_tokens;
 };
 #define PEER__LIMIT_LOAN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__limit_loan__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Peer__LimitConfirm
--- a/include/platform/messages.h
+++ b/include/platform/messages.h
@@ -21,7 +21,6 @@
 {
   struct host_entry *entries;
   size_t count;
-  bool was_counted; /* this host was listed before it started */
 };
 
 enum node_message_kind
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -25,7 +25,8 @@
   char *data_dir; /* keepers only */
   char *log_level;
   bool first_start;
-  int64_t stop_grace_ms;
+  int64_t stop_grace_s;   /* until the process is killed */
+  int64_t limit_window_s; /* over which customers' rates are counted */
   int64_t watch_ms;
   int64_t retention_ms;
   int64_t max_connections;
--- a/include/request/limits.h
+++ b/include/request/limits.h
@@ -19,6 +19,7 @@
   struct mesh *mesh;
   const char *host; /* this one's name; outlives the limits */
   const char *data_centre;
+  int64_t window_ms; /* over which a customer's rate is counted */
 };
 
 /* An entry host. */
@@ -40,15 +41,15 @@
 struct limits *limits_create (const struct limits_options *options);
 void limits_destroy (struct limits *limits);
 void limits_set_hosts (struct limits *limits, const struct limits_host *hosts,
-                       size_t count, bool was_counted);
+                       size_t count);
 void limits_apply (struct limits *limits, const struct routing *routing);
 enum limits_verdict limits_admit (struct limits *limits,
                                   const struct customer *customer,
-                                  limits_handler *handle, void *data,
-                                  struct limits_wait **wait);
+                                  bool begins, limits_handler *handle,
+                                  void *data, struct limits_wait **wait);
 void limits_cancel (struct limits_wait *wait);
-int64_t limits_retry_ms (const struct limits *limits,
-                         const struct customer *customer);
+int64_t limits_retry_ms (struct limits *limits,
+                         const struct customer *customer, bool begins);
 void limits_handle_frame (struct limits *limits, const char *host,
                           const Peer__Frame *frame);
 
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -217,6 +217,13 @@
   ledger->keeper_count = (uint32_t)count;
 }
 
+/* Whether a turn of PROGRAM has come to this host lately.  */
+bool
+ledger_knows (const struct ledger *ledger, uint64_t program)
+{
+  return g_hash_table_contains (ledger->programs, &program);
+}
+
 /* Reserves TOKENS for a turn of PROGRAM, whose calls may use BUDGET in all.
    HANDLE is called once, never from inside this call, unless the turn is
    settled first.  The turn is valid until ledger_settle.  */
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1922,7 +1922,7 @@
   (ProtobufCMessageInit) peer__call_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__limit_ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__limit_ask__field_descriptors[5] =
 {
   {
     "nonce",
@@ -1972,8 +1972,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begin_tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitAsk, begin_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__limit_ask__field_indices_by_name[] = {
+  4,   /* field[4] = begin_tokens */
   1,   /* field[1] = customer */
   0,   /* field[0] = nonce */
   2,   /* field[2] = slot */
@@ -1982,7 +1995,7 @@
 static const ProtobufCIntRange peer__limit_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__limit_ask__descriptor =
 {
@@ -1992,14 +2005,14 @@
   "Peer__LimitAsk",
   "peer",
   sizeof(Peer__LimitAsk),
-  4,
+  5,
   peer__limit_ask__field_descriptors,
   peer__limit_ask__field_indices_by_name,
   1,  peer__limit_ask__number_ranges,
   (ProtobufCMessageInit) peer__limit_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__limit_loan__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__limit_loan__field_descriptors[4] =
 {
   {
     "nonce",
@@ -2037,8 +2050,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begin_tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitLoan, begin_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__limit_loan__field_indices_by_name[] = {
+  3,   /* field[3] = begin_tokens */
   0,   /* field[0] = nonce */
   1,   /* field[1] = tokens */
   2,   /* field[2] = wait_ms */
@@ -2046,7 +2072,7 @@
 static const ProtobufCIntRange peer__limit_loan__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer__limit_loan__descriptor =
 {
@@ -2056,7 +2082,7 @@
   "Peer__LimitLoan",
   "peer",
   sizeof(Peer__LimitLoan),
-  3,
+  4,
   peer__limit_loan__field_descriptors,
   peer__limit_loan__field_indices_by_name,
   1,  peer__limit_loan__number_ranges,
--- a/request/limits.c
+++ b/request/limits.c
@@ -2,23 +2,28 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
-#include "policy/limit.h"
 #include "policy/owner.h"
+#include "policy/window.h"
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum
 {
-  /* Until a host that left the list has stopped using its part. */
-  HOSTS_SETTLE_MS = 4000,
   ASK_MS = 60,          /* other data centres answer within a few */
   DENIED_MS = 50,       /* after a round without a loan, none is asked for */
+  LOAN_MS = 300,        /* a loan that is not used by then is lost */
   AHEAD_PER_S = 8,      /* a loan is for an eighth of a second */
   MAX_LOAN_TOKENS = 32,
+  /* Programs begin at the pace at which the customer's tokens last for all of
+     their requests: one that breaks off has used its tokens for nothing. */
+  BEGIN_PERCENT = 90,       /* of the tokens are spoken for in this way */
+  PROGRAM_REQUESTS = 8,     /* of a program, until some have been seen */
+  PROGRAMS_WEIGHED = 8,     /* that the figure above counts for */
+  PROGRAMS_REMEMBERED = 64, /* older ones count for less and less */
   KEPT_PERCENT = 50, /* a holder keeps so much from other data centres */
   MIN_RETRY_MS = 100,
-  MAX_RETRY_MS = 1000,
+  MAX_RETRY_MS = 1500,
   MAX_DATA_CENTRES = 32,
   USE_WINDOW_MS = 1000,
 };
@@ -27,6 +32,7 @@
 struct limits_wait
 {
   struct bucket *bucket;
+  bool begins; /* a program */
   limits_handler *handle;
   void *data;
 };
@@ -37,10 +43,14 @@
   struct limits *limits;
   char *customer;
   uint64_t hash;
-  struct limit own; /* empty where another host holds the part */
+  struct window own; /* empty where another host holds the part */
+  struct window begun;  /* programs that began with tokens of this part */
+  int64_t wait_ms;      /* until a token is expected, by the holder's word */
+  bool is_holder;
   int64_t rate_milli;
   int64_t burst;
   int64_t borrowed;    /* whole tokens */
+  int64_t borrowed_to_begin; /* of the round under way */
   int64_t borrowed_ms; /* when the last loan was asked for */
   uint64_t nonce;      /* of the round under way; 0 for none */
   uint32_t unanswered;
@@ -49,7 +59,8 @@
   int64_t used;         /* in that window */
   int64_t used_before;  /* in the one before */
   int64_t asked_ms;
-  int64_t denied_ms;
+  int64_t denied_ms;       /* a request of a program under way */
+  int64_t denied_begin_ms; /* a program that was to begin */
   ev_timer timer;
   GPtrArray *waits; /* struct limits_wait */
 };
@@ -70,6 +81,10 @@
   uint64_t data_centres[MAX_DATA_CENTRES]; /* hashes; the first is the own */
   uint32_t data_centre_count;
   bool is_counted; /* the other hosts leave a part to this one */
+  /* Programs of all customers, since those of one that is often refused break
+     off before they have sent all of their requests. */
+  int64_t given; /* tokens, to the programs counted below */
+  int64_t begun_count;
 };
 
 static void
@@ -155,22 +170,31 @@
   return holder && strcmp (holder->name, limits->options.host) == 0;
 }
 
+/* A part that comes to this host may have been used up by the host that held
+   it.  KEEPS: it has been this host's all along.  */
 static void
-configure (struct bucket *bucket, int64_t settle_ms)
+configure (struct bucket *bucket, bool keeps)
 {
   const struct limits *limits = bucket->limits;
   int64_t parts = limits->data_centre_count;
-  int64_t rate = 0;
-  int64_t burst = 0;
+  int64_t now_ms = clock_now_ms ();
+  bool is_holder = limits->is_counted && is_own_part (bucket);
+  int64_t per_s = 0;
+  int64_t limit = 0;
 
-  if (limits->is_counted && is_own_part (bucket))
+  if (is_holder)
+    {
+      per_s = bucket->rate_milli * (WINDOW_TOKEN / 1000) / parts;
+      limit = per_s * limits->options.window_ms / 1000
+              + bucket->burst * WINDOW_TOKEN / parts;
+    }
+  if (is_holder && !bucket->is_holder && !keeps)
     {
-      rate = bucket->rate_milli * (LIMIT_UTOKENS / 1000) / parts;
-      burst = bucket->burst * LIMIT_UTOKENS / parts;
-      if (burst < LIMIT_UTOKENS)
-        burst = LIMIT_UTOKENS;
+      window_restart (&bucket->own, now_ms);
+      window_restart (&bucket->begun, now_ms);
     }
-  limit_configure (&bucket->own, rate, burst, settle_ms, clock_now_ms ());
+  bucket->is_holder = is_holder;
+  window_configure (&bucket->own, limit, per_s, now_ms);
 }
 
 static void
@@ -183,13 +207,12 @@
     limits->data_centres[limits->data_centre_count++] = hash;
 }
 
-/* Names all entry hosts.  WAS_COUNTED: this host was in the list already when
-   it started, so that the others have left it its part all along.  */
+/* Names all entry hosts.  The parts that fall to this one begin empty: it, or
+   the host that held them, may have used them up before.  */
 void
 limits_set_hosts (struct limits *limits, const struct limits_host *hosts,
-                  size_t count, bool was_counted)
+                  size_t count)
 {
-  bool is_first = !limits->is_counted;
   GHashTableIter iter;
   gpointer value;
 
@@ -211,7 +234,7 @@
   limits->is_counted = true;
   g_hash_table_iter_init (&iter, limits->buckets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    configure (value, is_first && was_counted ? 0 : HOSTS_SETTLE_MS);
+    configure (value, false);
 }
 
 static void finish_round (struct bucket *bucket);
@@ -231,7 +254,10 @@
   bucket->customer = xstrdup (customer->name);
   bucket->hash = id_hash_text (customer->name);
   bucket->waits = g_ptr_array_new ();
-  limit_init (&bucket->own, clock_now_ms ());
+  window_init (&bucket->own, limits->options.window_ms + LOAN_MS,
+               clock_now_ms ());
+  window_init (&bucket->begun, limits->options.window_ms + LOAN_MS,
+               clock_now_ms ());
   ev_timer_init (&bucket->timer, handle_late, (double)ASK_MS / 1000.0, 0);
   bucket->timer.data = bucket;
   g_hash_table_insert (limits->buckets, bucket->customer, bucket);
@@ -257,20 +283,68 @@
         continue;
       bucket->rate_milli = customer->rate_milli;
       bucket->burst = customer->burst;
-      configure (bucket, 0);
+      configure (bucket, !is_new);
+    }
+}
+
+/* Returns how many programs may begin with tokens of the part held here.  */
+static int64_t
+left_to_begin (struct bucket *bucket, int64_t now_ms)
+{
+  const struct limits *limits = bucket->limits;
+  int64_t requests
+      = (limits->given + PROGRAM_REQUESTS * PROGRAMS_WEIGHED)
+        / (limits->begun_count + PROGRAMS_WEIGHED);
+
+  if (requests < 1)
+    requests = 1;
+  window_configure (&bucket->begun,
+                    bucket->own.limit / 100 * BEGIN_PERCENT / requests,
+                    bucket->own.per_s / 100 * BEGIN_PERCENT / requests,
+                    now_ms);
+  return window_left (&bucket->begun, now_ms) / WINDOW_TOKEN;
+}
+
+/* Gives up to TOKENS of the part held here.  */
+static int64_t
+give (struct bucket *bucket, int64_t tokens, bool begins, int64_t now_ms)
+{
+  struct limits *limits = bucket->limits;
+
+  if (begins && tokens > left_to_begin (bucket, now_ms))
+    tokens = left_to_begin (bucket, now_ms);
+  if (tokens <= 0)
+    return 0;
+  tokens = window_take (&bucket->own, tokens, now_ms);
+  limits->given += tokens;
+  if (!begins)
+    return tokens;
+  window_take (&bucket->begun, tokens, now_ms);
+  limits->begun_count += tokens;
+  if (limits->begun_count > PROGRAMS_REMEMBERED)
+    {
+      limits->begun_count /= 2;
+      limits->given /= 2;
     }
+  return tokens;
 }
 
 static bool
-take (struct bucket *bucket, int64_t now_ms)
+take (struct bucket *bucket, bool begins, int64_t now_ms)
 {
-  if (bucket->borrowed > 0 && now_ms - bucket->borrowed_ms < LIMIT_LOAN_MS)
+  if (now_ms - bucket->borrowed_ms >= LOAN_MS)
+    bucket->borrowed = bucket->borrowed_to_begin = 0;
+  if (begins && bucket->borrowed_to_begin > 0)
+    {
+      bucket->borrowed_to_begin--;
+      return true;
+    }
+  if (!begins && bucket->borrowed > 0)
     {
       bucket->borrowed--;
       return true;
     }
-  bucket->borrowed = 0;
-  return limit_take (&bucket->own, LIMIT_UTOKENS, now_ms);
+  return give (bucket, 1, begins, now_ms) == 1;
 }
 
 static void
@@ -287,12 +361,23 @@
   bucket->used++;
 }
 
+static uint32_t
+waiting_to_begin (const struct bucket *bucket)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < bucket->waits->len; i++)
+    count += ((const struct limits_wait *)bucket->waits->pdata[i])->begins;
+  return count;
+}
+
 static uint32_t
 wanted_tokens (const struct bucket *bucket)
 {
   int64_t use = bucket->used > bucket->used_before ? bucket->used
                                                    : bucket->used_before;
-  int64_t wanted = 1 + (int64_t)bucket->waits->len + use / AHEAD_PER_S;
+  int64_t wanted = (int64_t)(bucket->waits->len - waiting_to_begin (bucket))
+                   + use / AHEAD_PER_S;
 
   return (uint32_t)(wanted < MAX_LOAN_TOKENS ? wanted : MAX_LOAN_TOKENS);
 }
@@ -313,6 +398,7 @@
   question.nonce = bucket->nonce;
   question.customer = bucket->customer;
   question.tokens = wanted_tokens (bucket);
+  question.begin_tokens = waiting_to_begin (bucket);
   frame.body_case = PEER__FRAME__BODY_LIMIT_ASK;
   frame.limit_ask = &question;
   if (!mesh_send (limits->options.mesh, holder->name, &frame))
@@ -336,13 +422,13 @@
 {
   struct limits *limits = bucket->limits;
 
-  if (bucket->nonce || !limits->is_counted
-      || now_ms - bucket->denied_ms < DENIED_MS)
+  if (bucket->nonce || !limits->is_counted)
     return;
   bucket->nonce = id_random64 ();
   bucket->asked_ms = now_ms;
   bucket->unanswered = 0;
   bucket->asked_elsewhere = false;
+  bucket->wait_ms = 0;
   if (!ask_holder (bucket, limits->data_centres[0]))
     ask_elsewhere (bucket);
   counter_add (COUNTER_TOKEN_PULLS, 1);
@@ -353,9 +439,9 @@
 }
 
 static void
-answer_wait (struct bucket *bucket, bool admitted)
+answer_wait (struct bucket *bucket, guint index, bool admitted)
 {
-  struct limits_wait *wait = g_ptr_array_remove_index (bucket->waits, 0);
+  struct limits_wait *wait = g_ptr_array_remove_index (bucket->waits, index);
   limits_handler *handle = wait->handle;
   void *data = wait->data;
 
@@ -366,8 +452,15 @@
 static void
 serve_waits (struct bucket *bucket, int64_t now_ms)
 {
-  while (bucket->waits->len > 0 && take (bucket, now_ms))
-    answer_wait (bucket, true);
+  for (guint i = 0; i < bucket->waits->len;)
+    {
+      const struct limits_wait *wait = bucket->waits->pdata[i];
+
+      if (take (bucket, wait->begins, now_ms))
+        answer_wait (bucket, i, true);
+      else
+        i++;
+    }
 }
 
 static void
@@ -378,25 +471,40 @@
   ev_timer_stop (bucket->limits->options.loop, &bucket->timer);
   bucket->nonce = 0;
   serve_waits (bucket, now_ms);
-  if (bucket->waits->len > 0)
+  bucket->borrowed += bucket->borrowed_to_begin;
+  bucket->borrowed_to_begin = 0;
+  if (bucket->waits->len > waiting_to_begin (bucket))
     bucket->denied_ms = now_ms;
+  if (waiting_to_begin (bucket) > 0)
+    bucket->denied_begin_ms = now_ms;
   if (bucket->waits->len > 0)
     log_write (LOG_INFO, "limits", NULL,
                "customer %s has no token left: rate %" G_GINT64_FORMAT
-               "/1000 s, burst %" G_GINT64_FORMAT ", own part %s, level %"
-               G_GINT64_FORMAT " millionths, %u unanswered, elsewhere %s",
+               " in 1000 s, burst %" G_GINT64_FORMAT
+               ", part held here: %s, %u unanswered, asked elsewhere: %s",
                bucket->customer, bucket->rate_milli, bucket->burst,
-               is_own_part (bucket) ? "yes" : "no", bucket->own.level_utokens,
-               bucket->unanswered, bucket->asked_elsewhere ? "yes" : "no");
+               bucket->is_holder ? "yes" : "no", bucket->unanswered, bucket->asked_elsewhere ? "yes" : "no");
   while (bucket->waits->len > 0)
-    answer_wait (bucket, false);
+    answer_wait (bucket, 0, false);
+}
+
+/* Gives the waiting up.  */
+void
+limits_cancel (struct limits_wait *wait)
+{
+  if (!wait)
+    return;
+  g_ptr_array_remove (wait->bucket->waits, wait);
+  free (wait);
 }
 
-/* Takes a token for a request of CUSTOMER.  With LIMITS_ASKING, HANDLE is
+/* Takes a token for a request of CUSTOMER, which BEGINS a program or does not.
+   With LIMITS_ASKING, HANDLE is
    called later unless *WAIT is cancelled before.  */
 enum limits_verdict
 limits_admit (struct limits *limits, const struct customer *customer,
-              limits_handler *handle, void *data, struct limits_wait **wait)
+              bool begins, limits_handler *handle, void *data,
+              struct limits_wait **wait)
 {
   struct bucket *bucket
       = g_hash_table_lookup (limits->buckets, customer->name);
@@ -406,42 +514,23 @@
   if (customer->rate_milli == 0 || !bucket)
     return LIMITS_ADMITTED;
   count_use (bucket, now_ms);
-  if (take (bucket, now_ms))
+  if (take (bucket, begins, now_ms))
     return LIMITS_ADMITTED;
-  ask (bucket, now_ms);
-  if (!bucket->nonce)
+  if (now_ms - (begins ? bucket->denied_begin_ms : bucket->denied_ms)
+      < DENIED_MS)
     return LIMITS_OVER;
   *wait = xcalloc (1, sizeof **wait);
   (*wait)->bucket = bucket;
+  (*wait)->begins = begins;
   (*wait)->handle = handle;
   (*wait)->data = data;
   g_ptr_array_add (bucket->waits, *wait);
-  return LIMITS_ASKING;
-}
-
-/* Gives the waiting up.  */
-void
-limits_cancel (struct limits_wait *wait)
-{
-  if (!wait)
-    return;
-  g_ptr_array_remove (wait->bucket->waits, wait);
-  free (wait);
-}
-
-/* Returns after how long a token of CUSTOMER's is expected: its data centre's
-   part grows by one in that time.  */
-int64_t
-limits_retry_ms (const struct limits *limits, const struct customer *customer)
-{
-  int64_t wait_ms = MAX_RETRY_MS;
-
-  if (customer->rate_milli > 0 && limits->data_centre_count > 0)
-    wait_ms = (int64_t)1000 * 1000 * limits->data_centre_count
-              / customer->rate_milli;
-  if (wait_ms < MIN_RETRY_MS)
-    return MIN_RETRY_MS;
-  return wait_ms < MAX_RETRY_MS ? wait_ms : MAX_RETRY_MS;
+  ask (bucket, now_ms);
+  if (bucket->nonce)
+    return LIMITS_ASKING;
+  limits_cancel (*wait);
+  *wait = NULL;
+  return LIMITS_OVER;
 }
 
 static bool
@@ -453,42 +542,72 @@
   return false;
 }
 
-/* What is lent counts as spent: the borrower uses it within LIMIT_LOAN_MS.  So
-   a customer can have a burst above its own by what hosts hold unused, which is
-   a few tokens each.  */
-static uint32_t
-take_loan_tokens (struct bucket *bucket, uint32_t wanted, bool is_near_by,
-                  int64_t now_ms)
-{
-  int64_t spare;
-
-  limit_wait_ms (&bucket->own, LIMIT_UTOKENS, now_ms);
-  spare = bucket->own.level_utokens;
-  if (!is_near_by)
-    spare = spare * KEPT_PERCENT / 100;
-  spare /= LIMIT_UTOKENS;
-  if (spare > wanted)
-    spare = wanted;
-  if (spare <= 0 || !limit_take (&bucket->own, spare * LIMIT_UTOKENS, now_ms))
-    return 0;
-  return (uint32_t)spare;
+/* What is lent counts as given now, and the borrower uses it within LOAN_MS,
+   by which the window is longer than the customer's.  */
+static void
+fill_loan (struct bucket *bucket, const Peer__LimitAsk *question,
+           bool is_near_by, Peer__LimitLoan *loan)
+{
+  int64_t now_ms = clock_now_ms ();
+  int64_t percent = is_near_by ? 100 : 100 - KEPT_PERCENT;
+  int64_t spare
+      = window_left (&bucket->own, now_ms) / WINDOW_TOKEN * percent / 100;
+
+  if (spare > question->tokens)
+    spare = question->tokens;
+  loan->tokens = (uint32_t)give (bucket, spare, false, now_ms);
+  spare = left_to_begin (bucket, now_ms) * percent / 100;
+  if (spare > question->begin_tokens)
+    spare = question->begin_tokens;
+  loan->begin_tokens = (uint32_t)give (bucket, spare, true, now_ms);
+}
+
+/* Returns after how long the part held here will have a token again.  */
+static int64_t
+own_wait_ms (struct bucket *bucket, bool begins)
+{
+  int64_t now_ms = clock_now_ms ();
+  int64_t wait_ms = window_wait_ms (&bucket->own, now_ms);
+  int64_t begin_ms;
+
+  if (!begins)
+    return wait_ms;
+  begin_ms = window_wait_ms (&bucket->begun, now_ms);
+  return begin_ms > wait_ms ? begin_ms : wait_ms;
+}
+
+/* Returns after how long a token of CUSTOMER's is expected: the shortest time
+   that a holder told, or this host's own.  */
+int64_t
+limits_retry_ms (struct limits *limits, const struct customer *customer,
+                 bool begins)
+{
+  struct bucket *bucket
+      = g_hash_table_lookup (limits->buckets, customer->name);
+  int64_t wait_ms = bucket ? bucket->wait_ms : 0;
+
+  if (bucket && bucket->is_holder
+      && (!wait_ms || own_wait_ms (bucket, begins) < wait_ms))
+    wait_ms = own_wait_ms (bucket, begins);
+  if (wait_ms < MIN_RETRY_MS)
+    return MIN_RETRY_MS;
+  return wait_ms < MAX_RETRY_MS ? wait_ms : MAX_RETRY_MS;
 }
 
 static void
-lend (struct limits *limits, const char *host,
-      const Peer__LimitAsk *question)
+lend (struct limits *limits, const char *host, const Peer__LimitAsk *question)
 {
   struct bucket *bucket
       = g_hash_table_lookup (limits->buckets, question->customer);
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LimitLoan loan = PEER__LIMIT_LOAN__INIT;
-  int64_t now_ms = clock_now_ms ();
 
   loan.nonce = question->nonce;
   if (bucket && bucket->waits->len == 0)
-    loan.tokens = take_loan_tokens (bucket, question->tokens,
-                                    is_near (limits, host), now_ms);
-  if (loan.tokens > 0)
+    fill_loan (bucket, question, is_near (limits, host), &loan);
+  if (bucket)
+    loan.wait_ms = own_wait_ms (bucket, question->begin_tokens > 0);
+  if (loan.tokens + loan.begin_tokens > 0)
     counter_add (COUNTER_TOKEN_GRANTS, 1);
   frame.body_case = PEER__FRAME__BODY_LIMIT_LOAN;
   frame.limit_loan = &loan;
@@ -520,7 +639,10 @@
     return;
   bucket->unanswered--;
   bucket->borrowed += loan->tokens;
+  bucket->borrowed_to_begin += loan->begin_tokens;
   bucket->borrowed_ms = bucket->asked_ms;
+  if (!bucket->wait_ms || loan->wait_ms < bucket->wait_ms)
+    bucket->wait_ms = loan->wait_ms;
   serve_waits (bucket, clock_now_ms ());
   if (bucket->unanswered > 0)
     return;
--- a/request/request.c
+++ b/request/request.c
@@ -723,12 +723,23 @@
       handle_reserved, request);
 }
 
+/* Whether the request is the first that this host sees of a program, whose
+   other requests mostly come here, too.  */
+static bool
+begins_program (const struct request *request)
+{
+  return request->program && request->input->token_budget >= 0
+         && !ledger_knows (request->pipeline->options.ledger,
+                           request->program);
+}
+
 static void
 refuse_over_limit (struct request *request)
 {
   refuse_with (request, ERROR_RATE_LIMITED,
                (uint32_t)limits_retry_ms (request->pipeline->options.limits,
-                                          request->customer),
+                                          request->customer,
+                                          begins_program (request)),
                "the customer is over its rate");
 }
 
@@ -751,8 +762,8 @@
 
   if (request->customer)
     verdict = limits_admit (request->pipeline->options.limits,
-                            request->customer, handle_limit, request,
-                            &request->limit_wait);
+                            request->customer, begins_program (request),
+                            handle_limit, request, &request->limit_wait);
   if (verdict == LIMITS_ADMITTED)
     reserve_budget (request);
   else if (verdict == LIMITS_OVER)
