--- a/request/request.c
+++ b/request/request.c
@@ -17,6 +17,7 @@
   MIN_LEFT_MS = 20,      /* less is not worth a send */
   DEFAULT_ATTEMPTS = 2,  /* of idempotent requests whose route names none */
   RETRY_AFTER_MS = 300,  /* after a passing shortage */
+  STOPPING_RETRY_MS = 50, /* another host takes it at once */
   BUDGET_RETRY_MS = 500, /* while the ledger's keepers cannot be reached */
   MAX_ANSWER_BYTES = 64 * 1024 * 1024,
 };
@@ -76,6 +77,7 @@
 {
   struct pipeline_options options;
   struct routing *routing; /* NULL until the first configuration */
+  bool is_closed;          /* takes no requests any more */
   GQueue requests;
 };
 
@@ -804,6 +806,13 @@
   limits_apply (pipeline->options.limits, routing);
 }
 
+/* Refuses requests from now on; those under way go on.  */
+void
+pipeline_close (struct pipeline *pipeline)
+{
+  pipeline->is_closed = true;
+}
+
 /* Whether no request is under way.  */
 bool
 pipeline_is_idle (const struct pipeline *pipeline)
@@ -875,6 +884,12 @@
 {
   struct request *request = request_create (pipeline, input, sink);
 
+  if (pipeline->is_closed)
+    {
+      refuse_with (request, ERROR_STOPPING, STOPPING_RETRY_MS,
+                   "this host is stopping");
+      return NULL;
+    }
   if (!pipeline->routing)
     {
       refuse_with (request, ERROR_OVERLOADED, RETRY_AFTER_MS,
