--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -40,10 +40,12 @@
   char *id;
   char *service;
   char *address;
+  char *data_centre;
   uint64_t hash;
   int64_t slots;
   int64_t started_ms;
   bool remote;
+  bool unreachable; /* its data centre is cut off from this host */
   bool leaving;
   bool gone;
   uint32_t in_flight; /* requests of this host */
@@ -83,6 +85,8 @@
                      int64_t waiting, int64_t now_ms);
 void pool_note_success (struct pool_endpoint *endpoint);
 void pool_note_failure (struct pool_endpoint *endpoint, int64_t now_ms);
+void pool_set_reach (struct pool *pool, const char *data_centre,
+                     bool reachable);
 bool pool_serves (const struct pool *pool, const char *service);
 size_t pool_count (const struct pool *pool);
 void pool_tick (struct pool *pool, int64_t now_ms);
--- /dev/null
+++ b/include/request/reach.h
@@ -0,0 +1,35 @@
+/* Which data centres this host can reach, by what it hears from their hosts. */
+#ifndef GALENA_REQUEST_REACH_H
+#define GALENA_REQUEST_REACH_H
+
+#include "peer/mesh.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+struct reach;
+
+struct reach_host
+{
+  const char *name;
+  const char *data_centre;
+};
+
+typedef void reach_handler (void *data, const char *data_centre,
+                            bool reachable);
+
+struct reach_options
+{
+  struct mesh *mesh;
+  const char *host;
+  const char *data_centre;
+  reach_handler *handle_change;
+  void *data;
+};
+
+struct reach *reach_create (const struct reach_options *options);
+void reach_destroy (struct reach *reach);
+void reach_set_hosts (struct reach *reach, const struct reach_host *hosts,
+                      size_t count);
+void reach_tick (struct reach *reach, int64_t now_ms);
+
+#endif
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -106,6 +106,7 @@
 struct pipeline *pipeline_create (const struct pipeline_options *options);
 void pipeline_destroy (struct pipeline *pipeline);
 void pipeline_apply (struct pipeline *pipeline, struct routing *routing);
+void pipeline_leave (struct pipeline *pipeline, const char *data_centre);
 void pipeline_close (struct pipeline *pipeline);
 bool pipeline_is_idle (const struct pipeline *pipeline);
 uint32_t pipeline_open_requests (const struct pipeline *pipeline);
--- a/peer/link.c
+++ b/peer/link.c
@@ -16,6 +16,7 @@
   MAX_FRAME_BYTES = 32 * 1024 * 1024,
   MAX_BACKLOG_BYTES = 64 * 1024 * 1024,
   READ_BYTES = 64 * 1024,
+  UNACKED_MS = 1500, /* then the link is made anew: TCP's own pauses grow */
 };
 
 static const double HELLO_TIMEOUT_S = 2.0;
@@ -249,6 +250,7 @@
 {
   struct link *link = xcalloc (1, sizeof *link);
   int on = 1;
+  unsigned unacked_ms = UNACKED_MS;
 
   link->fd = fd;
   link->opener = opener;
@@ -259,6 +261,8 @@
   link->state = opener ? LINK_CONNECTING : LINK_HELLO;
   randombytes_buf (link->own_nonce, sizeof link->own_nonce);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+              sizeof unacked_ms);
   ev_io_init (&link->readable, handle_readable, fd, EV_READ);
   link->readable.data = link;
   ev_io_init (&link->writable, handle_writable, fd, EV_WRITE);
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -31,6 +31,7 @@
   uint64_t ping_sequence;
   int64_t ping_sent_ms; /* of the oldest unanswered ping; 0 for none */
   int64_t last_used_ms;
+  int64_t heard_ms; /* when its last frame came; 0 for never */
   uint32_t holds; /* requests under way there; the link stays meanwhile */
   int64_t suspect_until_ms;
   bool suspect;
@@ -262,6 +263,8 @@
 
   if (peer && peer->blocked)
     return;
+  if (peer)
+    peer->heard_ms = clock_now_ms ();
   if (peer && frame->body_case == PEER__FRAME__BODY_PING)
     {
       peer->leaving = frame->ping->leaving;
@@ -480,6 +483,15 @@
   return !peer || !peer->listed || peer->blocked || peer->suspect;
 }
 
+/* Returns when the last frame of HOST came, 0 where none has.  */
+int64_t
+mesh_heard_ms (const struct mesh *mesh, const char *host)
+{
+  const struct peer *peer = find_peer (mesh, host);
+
+  return peer ? peer->heard_ms : 0;
+}
+
 /* Whether HOST has said that it is stopping.  */
 bool
 mesh_is_leaving (const struct mesh *mesh, const char *host)
--- /dev/null
+++ b/policy/silence.c
@@ -0,0 +1,44 @@
+#include "policy/silence.h"
+
+/* Prepares a data centre that counts as reachable.  */
+void
+silence_init (struct silence *silence, int64_t now_ms)
+{
+  *silence
+      = (struct silence){ .heard_ms = now_ms, .ticked_ms = now_ms };
+}
+
+/* Notes that one of its hosts was heard at HEARD_MS.  */
+void
+silence_note_heard (struct silence *silence, int64_t heard_ms)
+{
+  if (heard_ms <= silence->heard_ms)
+    return;
+  silence->heard_ms = heard_ms;
+  if (heard_ms < silence->probed_ms)
+    return;
+  silence->probed_ms = 0;
+  silence->is_cut = false;
+}
+
+/* Brings the verdict up to date; true where the hosts are to be asked for a
+   sign of life now.  After a pause of this host's own, what was asked before
+   says nothing.  */
+bool
+silence_tick (struct silence *silence, int64_t now_ms)
+{
+  bool was_paused = now_ms - silence->ticked_ms > SILENCE_PAUSE_MS;
+
+  silence->ticked_ms = now_ms;
+  if (was_paused && !silence->is_cut)
+    silence->probed_ms = 0;
+  if (silence->probed_ms && now_ms - silence->probed_ms > SILENCE_CUT_MS)
+    silence->is_cut = true;
+  if (now_ms - silence->heard_ms < SILENCE_PROBE_MS
+      || now_ms - silence->asked_ms < SILENCE_PROBE_MS)
+    return false;
+  silence->asked_ms = now_ms;
+  if (!silence->probed_ms)
+    silence->probed_ms = now_ms;
+  return true;
+}
--- a/request/pool.c
+++ b/request/pool.c
@@ -17,6 +17,7 @@
 struct pool
 {
   char *data_centre;
+  GHashTable *cut; /* names of data centres that are out of reach */
   GPtrArray *endpoints; /* struct pool_endpoint, those that are listed */
   GPtrArray *leftovers; /* gone, but still used by requests */
   uint64_t seed;
@@ -47,6 +48,7 @@
   free (endpoint->id);
   free (endpoint->service);
   free (endpoint->address);
+  free (endpoint->data_centre);
   g_hash_table_destroy (endpoint->parts);
   free (endpoint);
 }
@@ -60,6 +62,7 @@
   pool->data_centre = xstrdup (data_centre);
   pool->endpoints = g_ptr_array_new_with_free_func (endpoint_destroy);
   pool->leftovers = g_ptr_array_new_with_free_func (endpoint_destroy);
+  pool->cut = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   pool->seed = id_random64 ();
   return pool;
 }
@@ -72,6 +75,7 @@
     return;
   g_ptr_array_free (pool->endpoints, TRUE);
   g_ptr_array_free (pool->leftovers, TRUE);
+  g_hash_table_destroy (pool->cut);
   free (pool->data_centre);
   free (pool);
 }
@@ -94,6 +98,7 @@
   endpoint->id = xstrdup (entry->id);
   endpoint->service = xstrdup (entry->service);
   endpoint->address = xstrdup (entry->address);
+  endpoint->data_centre = xstrdup (entry->data_centre);
   endpoint->hash = id_hash_text (entry->id);
   endpoint->started_ms = entry->started_ms;
   endpoint->parts
@@ -165,6 +170,8 @@
       endpoint->leaving = entry->leaving;
       endpoint->slots = entry->slots;
       endpoint->remote = strcmp (entry->data_centre, pool->data_centre) != 0;
+      endpoint->unreachable
+          = g_hash_table_contains (pool->cut, entry->data_centre);
       g_ptr_array_add (endpoints, endpoint);
     }
   drop_missing (pool);
@@ -201,7 +208,8 @@
                                   .hash = endpoint->hash,
                                   .slots = endpoint->slots,
                                   .running = endpoint->in_flight };
-  out->eligible = !endpoint->leaving && endpoint != query->avoid
+  out->eligible = !endpoint->leaving && !endpoint->unreachable
+                  && endpoint != query->avoid
                   && endpoint->avoid_until_ms <= now_ms
                   && strcmp (endpoint->service, query->service) == 0;
   if (!out->eligible)
@@ -258,7 +266,8 @@
   return endpoint ? endpoint : pick_avoided (pool, query);
 }
 
-/* Returns the endpoint whose id has HASH, NULL where it is gone or leaving.  */
+/* Returns the endpoint whose id has HASH, NULL where it is gone, leaving or out
+   of reach.  */
 struct pool_endpoint *
 pool_find (const struct pool *pool, uint64_t hash)
 {
@@ -266,7 +275,8 @@
     {
       struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
 
-      if (endpoint->hash == hash && !endpoint->leaving)
+      if (endpoint->hash == hash && !endpoint->leaving
+          && !endpoint->unreachable)
         return endpoint;
     }
   return NULL;
@@ -342,6 +352,23 @@
   endpoint->avoid_until_ms = now_ms + avoid_ms;
 }
 
+/* Notes whether the endpoints of a data centre can be reached.  */
+void
+pool_set_reach (struct pool *pool, const char *data_centre, bool reachable)
+{
+  if (reachable)
+    g_hash_table_remove (pool->cut, data_centre);
+  else
+    g_hash_table_add (pool->cut, xstrdup (data_centre));
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      if (strcmp (endpoint->data_centre, data_centre) == 0)
+        endpoint->unreachable = !reachable;
+    }
+}
+
 /* Whether any endpoint of SERVICE takes requests.  */
 bool
 pool_serves (const struct pool *pool, const char *service)
--- a/request/request.c
+++ b/request/request.c
@@ -8,7 +8,7 @@
 
 enum
 {
-  CONNECT_MS = 400,      /* a lost packet is sent again after a second */
+  CONNECT_MS = 250,      /* many times the way to any data centre */
   IDLE_ONCE_MS = 2000,   /* older connections may be closed by their endpoint
                             just as a request goes out */
   IDLE_MS = 4000,
@@ -806,6 +806,25 @@
   limits_apply (pipeline->options.limits, routing);
 }
 
+/* Sends the requests that endpoints of DATA_CENTRE have to others, as far as
+   they may run again: this host has lost the way there.  */
+void
+pipeline_leave (struct pipeline *pipeline, const char *data_centre)
+{
+  GList *next;
+
+  for (GList *at = pipeline->requests.head; at; at = next)
+    {
+      struct request *request = at->data;
+
+      next = at->next;
+      if (request->endpoint
+          && strcmp (request->endpoint->data_centre, data_centre) == 0
+          && request->route->repeat != ROUTE_ONCE && may_run_again (request))
+        handle_broken (request, "its data centre is out of reach");
+    }
+}
+
 /* Refuses requests from now on; those under way go on.  */
 void
 pipeline_close (struct pipeline *pipeline)
