Ask the ledger's keepers through other hosts where they are out of reach

Change: entry hosts pass questions on; without a majority the answers of the keepers that are not silent decide; while some are silent, the two sides of a cut share the budget 55 to 45, so that both together hold it.

--- a/include/ledger/ledger.h
+++ b/include/ledger/ledger.h
@@ -27,6 +27,8 @@
 void ledger_destroy (struct ledger *ledger);
 void ledger_set_keepers (struct ledger *ledger, const char *const *names,
                          size_t count);
+void ledger_set_relays (struct ledger *ledger, const char *const *names,
+                        size_t count);
 bool ledger_knows (const struct ledger *ledger, uint64_t program);
 struct ledger_turn *ledger_reserve (struct ledger *ledger, uint64_t program,
                                     int64_t budget, int64_t tokens,
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Peer__LedgerWrite Peer__LedgerWrite;
 typedef struct Peer__LedgerAnswer Peer__LedgerAnswer;
 typedef struct Peer__LedgerAnswers Peer__LedgerAnswers;
+typedef struct Peer__LedgerRelay Peer__LedgerRelay;
 typedef struct Peer__LedgerAsk Peer__LedgerAsk;
 typedef struct Peer__LedgerPage Peer__LedgerPage;
 typedef struct Peer__Frame Peer__Frame;
@@ -409,10 +410,14 @@
   uint64_t id;
   size_t n_entries;
   Peer__LedgerItem **entries;
+  /*
+   * where another host passes the answer on
+   */
+  char *keeper;
 };
 #define PEER__LEDGER_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_answer__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Peer__LedgerAnswers
@@ -426,6 +431,20 @@
     , 0,NULL }
 
 
+/*
+ * Sent to an entry host that may reach the keepers where the sender cannot.
+ */
+struct  Peer__LedgerRelay
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Peer__LedgerItem **items;
+};
+#define PEER__LEDGER_RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_relay__descriptor) \
+    , 0,NULL }
+
+
 /*
  * A keeper that lost its disk reads the ledger from the others, page by page.
  */
@@ -480,7 +499,8 @@
   PEER__FRAME__BODY_LEDGER_WRITE = 20,
   PEER__FRAME__BODY_LEDGER_ANSWERS = 21,
   PEER__FRAME__BODY_LEDGER_ASK = 22,
-  PEER__FRAME__BODY_LEDGER_PAGE = 23
+  PEER__FRAME__BODY_LEDGER_PAGE = 23,
+  PEER__FRAME__BODY_LEDGER_RELAY = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -512,6 +532,7 @@
     Peer__LedgerAnswers *ledger_answers;
     Peer__LedgerAsk *ledger_ask;
     Peer__LedgerPage *ledger_page;
+    Peer__LedgerRelay *ledger_relay;
   };
 };
 #define PEER__FRAME__INIT \
@@ -994,6 +1015,25 @@
 void   peer__ledger_answers__free_unpacked
                      (Peer__LedgerAnswers *message,
                       ProtobufCAllocator *allocator);
+/* Peer__LedgerRelay methods */
+void   peer__ledger_relay__init
+                     (Peer__LedgerRelay         *message);
+size_t peer__ledger_relay__get_packed_size
+                     (const Peer__LedgerRelay   *message);
+size_t peer__ledger_relay__pack
+                     (const Peer__LedgerRelay   *message,
+                      uint8_t             *out);
+size_t peer__ledger_relay__pack_to_buffer
+                     (const Peer__LedgerRelay   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LedgerRelay *
+       peer__ledger_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__ledger_relay__free_unpacked
+                     (Peer__LedgerRelay *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__LedgerAsk methods */
 void   peer__ledger_ask__init
                      (Peer__LedgerAsk         *message);
@@ -1128,6 +1168,9 @@
 typedef void (*Peer__LedgerAnswers_Closure)
                  (const Peer__LedgerAnswers *message,
                   void *closure_data);
+typedef void (*Peer__LedgerRelay_Closure)
+                 (const Peer__LedgerRelay *message,
+                  void *closure_data);
 typedef void (*Peer__LedgerAsk_Closure)
                  (const Peer__LedgerAsk *message,
                   void *closure_data);
@@ -1168,6 +1211,7 @@
 extern const ProtobufCMessageDescriptor peer__ledger_write__descriptor;
 extern const ProtobufCMessageDescriptor peer__ledger_answer__descriptor;
 extern const ProtobufCMessageDescriptor peer__ledger_answers__descriptor;
+extern const ProtobufCMessageDescriptor peer__ledger_relay__descriptor;
 extern const ProtobufCMessageDescriptor peer__ledger_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__ledger_page__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
--- a/include/policy/charges.h
+++ b/include/policy/charges.h
@@ -33,9 +33,12 @@
 
 enum
 {
-  /* Without a majority, a turn may bring the known charges up to this part of
-     the budget: the other side of a cut goes on charging the rest.  */
-  CHARGES_CUT_OFF_PERCENT = 50,
+  /* While keepers are silent, a cut may have two sides that charge the same
+     program.  The larger one, which has a majority, may bring the charges up
+     to the first part of the budget, the smaller one up to the second; both
+     together hold the budget.  Programs that end use less than the second.  */
+  CHARGES_MAJORITY_PERCENT = 55,
+  CHARGES_MINORITY_PERCENT = 45,
 };
 
 bool charges_merge (struct charges *charges, const struct charge *entry);
@@ -45,6 +48,7 @@
 void charges_release (struct charges *charges);
 uint32_t charges_quorum (uint32_t keepers);
 enum charges_verdict charges_decide (int64_t total, int64_t budget,
-                                     uint32_t answers, uint32_t keepers);
+                                     uint32_t answers, uint32_t keepers,
+                                     bool some_are_silent);
 
 #endif
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -11,7 +11,10 @@
   /* A keeper in another data centre answers in a few milliseconds with its
      sync; beyond this a turn would lose more than a slow keeper can tell. */
   ANSWER_MS = 150,
-  SETTLE_MS = 100, /* settlements wait so long to share a frame */
+  SETTLE_MS = 100,  /* settlements wait so long to share a frame */
+  SILENT_MS = 250,  /* a keeper that leaves questions unanswered for so long */
+  RELAY_HOSTS = 2,  /* asked to pass a question on */
+  RELAYED_MS = 2000, /* a question that was passed on is forgotten */
 };
 
 /* What this host knows of a program.  Owned by the ledger. */
@@ -36,16 +39,35 @@
   int64_t tokens;
   uint64_t *answered; /* hashes of the keepers that did */
   uint32_t answers;
+  bool is_relayed;
   ev_timer timer;
   ledger_handler *handle; /* NULL once it has been told */
   void *data;
 };
 
+struct keeper_view
+{
+  char *name;
+  int64_t asked_ms; /* the oldest question without an answer; 0 for none */
+};
+
+/* A question of another host that was passed on. */
+struct relayed
+{
+  uint64_t id;
+  char *host;
+  int64_t asked_ms;
+};
+
 struct ledger
 {
   struct ledger_options options;
-  char **keepers;
+  struct keeper_view *keepers;
   uint32_t keeper_count;
+  char **relays; /* entry hosts that may pass questions on */
+  size_t relay_count;
+  size_t next_relay;
+  GHashTable *relayed; /* id -> struct relayed */
   GHashTable *programs; /* program -> struct known */
   GHashTable *waiting;  /* id -> struct ledger_turn */
   GArray *questions;    /* Peer__LedgerItem, for the next frame */
@@ -101,24 +123,99 @@
   item->charged = known->own_tokens;
 }
 
+static bool
+is_silent (const struct keeper_view *keeper, int64_t now_ms)
+{
+  return keeper->asked_ms && now_ms - keeper->asked_ms > SILENT_MS;
+}
+
+static uint32_t
+count_silent (const struct ledger *ledger)
+{
+  int64_t now_ms = clock_now_ms ();
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < ledger->keeper_count; i++)
+    count += is_silent (&ledger->keepers[i], now_ms);
+  return count;
+}
+
+/* Whether too many keepers are silent for a majority.  */
+static bool
+needs_relay (const struct ledger *ledger)
+{
+  return ledger->keeper_count > 0
+         && ledger->keeper_count - count_silent (ledger)
+                < charges_quorum (ledger->keeper_count);
+}
+
+static Peer__LedgerItem **
+list_items (Peer__LedgerItem *items, size_t count)
+{
+  Peer__LedgerItem **list = xcalloc (count + 1, sizeof *list);
+
+  for (size_t i = 0; i < count; i++)
+    list[i] = &items[i];
+  return list;
+}
+
 static void
-send_items (struct ledger *ledger, Peer__LedgerItem *items, size_t count)
+send_to_keepers (struct ledger *ledger, Peer__LedgerItem **list, size_t count)
 {
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LedgerWrite write = PEER__LEDGER_WRITE__INIT;
-  Peer__LedgerItem **list;
+  int64_t now_ms = clock_now_ms ();
+  bool asks = false;
 
-  if (count == 0)
-    return;
-  list = xcalloc (count, sizeof *list);
   for (size_t i = 0; i < count; i++)
-    list[i] = &items[i];
+    asks = asks || list[i]->id != 0;
   write.items = list;
   write.n_items = count;
   frame.body_case = PEER__FRAME__BODY_LEDGER_WRITE;
   frame.ledger_write = &write;
   for (uint32_t i = 0; i < ledger->keeper_count; i++)
-    mesh_send (ledger->options.mesh, ledger->keepers[i], &frame);
+    {
+      struct keeper_view *keeper = &ledger->keepers[i];
+
+      mesh_send (ledger->options.mesh, keeper->name, &frame);
+      if (asks && !keeper->asked_ms)
+        keeper->asked_ms = now_ms;
+    }
+}
+
+static void
+send_to_relays (struct ledger *ledger, Peer__LedgerItem **list, size_t count)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LedgerRelay relay = PEER__LEDGER_RELAY__INIT;
+  uint32_t sent = 0;
+
+  relay.items = list;
+  relay.n_items = count;
+  frame.body_case = PEER__FRAME__BODY_LEDGER_RELAY;
+  frame.ledger_relay = &relay;
+  for (size_t i = 0; i < ledger->relay_count && sent < RELAY_HOSTS; i++)
+    {
+      const char *host
+          = ledger->relays[ledger->next_relay++ % ledger->relay_count];
+
+      if (!mesh_is_suspect (ledger->options.mesh, host)
+          && mesh_send (ledger->options.mesh, host, &frame))
+        sent++;
+    }
+}
+
+static void
+send_items (struct ledger *ledger, Peer__LedgerItem *items, size_t count)
+{
+  Peer__LedgerItem **list;
+
+  if (count == 0)
+    return;
+  list = list_items (items, count);
+  send_to_keepers (ledger, list, count);
+  if (needs_relay (ledger))
+    send_to_relays (ledger, list, count);
   free (list);
 }
 
@@ -157,17 +254,42 @@
 decide (const struct ledger_turn *turn)
 {
   return charges_decide (charges_total (&turn->known->charges), turn->budget,
-                         turn->answers, turn->known->ledger->keeper_count);
+                         turn->answers, turn->known->ledger->keeper_count,
+                         count_silent (turn->known->ledger) > 0);
 }
 
+/* Tries once more through other hosts before it decides with what is known. */
 static void
 handle_late (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct ledger_turn *turn = timer->data;
+  struct ledger *ledger = turn->known->ledger;
 
+  if (!turn->is_relayed && decide (turn) == CHARGES_UNKNOWN
+      && ledger->relay_count > 0)
+    {
+      Peer__LedgerItem item;
+      Peer__LedgerItem *only = &item;
+
+      turn->is_relayed = true;
+      fill_item (&item, turn->known, turn->id);
+      send_to_relays (ledger, &only, 1);
+      ev_timer_set (timer, (double)ANSWER_MS / 1000.0, 0);
+      ev_timer_start (loop, timer);
+      return;
+    }
   tell (turn, decide (turn));
 }
 
+static void
+relayed_destroy (gpointer data)
+{
+  struct relayed *relayed = data;
+
+  free (relayed->host);
+  free (relayed);
+}
+
 /* Creates a ledger without keepers.  */
 struct ledger *
 ledger_create (const struct ledger_options *options)
@@ -178,6 +300,8 @@
   ledger->programs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                             known_destroy);
   ledger->waiting = g_hash_table_new (g_int64_hash, g_int64_equal);
+  ledger->relayed = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                           relayed_destroy);
   ledger->questions = g_array_new (FALSE, FALSE, sizeof (Peer__LedgerItem));
   deferred_init (&ledger->send, options->loop, handle_send, ledger);
   return ledger;
@@ -187,10 +311,18 @@
 release_keepers (struct ledger *ledger)
 {
   for (uint32_t i = 0; i < ledger->keeper_count; i++)
-    free (ledger->keepers[i]);
+    free (ledger->keepers[i].name);
   free (ledger->keepers);
 }
 
+static void
+release_relays (struct ledger *ledger)
+{
+  for (size_t i = 0; i < ledger->relay_count; i++)
+    free (ledger->relays[i]);
+  free (ledger->relays);
+}
+
 /* Frees the ledger.  Every turn must have been settled.  */
 void
 ledger_destroy (struct ledger *ledger)
@@ -199,6 +331,8 @@
     return;
   deferred_release (&ledger->send);
   release_keepers (ledger);
+  release_relays (ledger);
+  g_hash_table_destroy (ledger->relayed);
   g_hash_table_destroy (ledger->waiting);
   g_hash_table_destroy (ledger->programs);
   g_array_free (ledger->questions, TRUE);
@@ -210,13 +344,33 @@
 ledger_set_keepers (struct ledger *ledger, const char *const *names,
                     size_t count)
 {
-  release_keepers (ledger);
-  ledger->keepers = xcalloc (count + 1, sizeof *ledger->keepers);
+  struct keeper_view *keepers = xcalloc (count + 1, sizeof *keepers);
+
   for (size_t i = 0; i < count; i++)
-    ledger->keepers[i] = xstrdup (names[i]);
+    {
+      keepers[i].name = xstrdup (names[i]);
+      for (uint32_t j = 0; j < ledger->keeper_count; j++)
+        if (strcmp (ledger->keepers[j].name, names[i]) == 0)
+          keepers[i].asked_ms = ledger->keepers[j].asked_ms;
+    }
+  release_keepers (ledger);
+  ledger->keepers = keepers;
   ledger->keeper_count = (uint32_t)count;
 }
 
+/* Names the entry hosts that pass questions on where this one does not reach
+   the keepers.  */
+void
+ledger_set_relays (struct ledger *ledger, const char *const *names,
+                   size_t count)
+{
+  release_relays (ledger);
+  ledger->relays = xcalloc (count + 1, sizeof *ledger->relays);
+  for (size_t i = 0; i < count; i++)
+    ledger->relays[i] = xstrdup (names[i]);
+  ledger->relay_count = count;
+}
+
 /* Whether a turn of PROGRAM has come to this host lately.  */
 bool
 ledger_knows (const struct ledger *ledger, uint64_t program)
@@ -278,13 +432,13 @@
   free (turn);
 }
 
-static bool
-is_keeper (const struct ledger *ledger, const char *host)
+static struct keeper_view *
+find_keeper (struct ledger *ledger, const char *host)
 {
   for (uint32_t i = 0; i < ledger->keeper_count; i++)
-    if (strcmp (ledger->keepers[i], host) == 0)
-      return true;
-  return false;
+    if (strcmp (ledger->keepers[i].name, host) == 0)
+      return &ledger->keepers[i];
+  return NULL;
 }
 
 static bool
@@ -299,14 +453,40 @@
   return true;
 }
 
+static void
+pass_back (struct ledger *ledger, const struct relayed *relayed,
+           const char *keeper, const Peer__LedgerAnswer *answer)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LedgerAnswers answers = PEER__LEDGER_ANSWERS__INIT;
+  Peer__LedgerAnswer copy = *answer;
+  Peer__LedgerAnswer *only = &copy;
+
+  copy.keeper = (char *)(uintptr_t)keeper;
+  answers.answers = &only;
+  answers.n_answers = 1;
+  frame.body_case = PEER__FRAME__BODY_LEDGER_ANSWERS;
+  frame.ledger_answers = &answers;
+  mesh_send (ledger->options.mesh, relayed->host, &frame);
+}
+
 static void
 take_answer (struct ledger *ledger, const char *host,
              const Peer__LedgerAnswer *answer)
 {
   uint64_t id = answer->id;
   struct ledger_turn *turn = g_hash_table_lookup (ledger->waiting, &id);
+  const struct relayed *relayed = g_hash_table_lookup (ledger->relayed, &id);
+  const char *name = answer->keeper && *answer->keeper ? answer->keeper : host;
+  struct keeper_view *keeper = find_keeper (ledger, name);
 
-  if (!turn || !is_keeper (ledger, host))
+  if (!keeper)
+    return;
+  if (name == host)
+    keeper->asked_ms = 0;
+  if (relayed && name == host)
+    pass_back (ledger, relayed, host, answer);
+  if (!turn)
     return;
   for (size_t i = 0; i < answer->n_entries; i++)
     {
@@ -316,17 +496,44 @@
 
       charges_merge (&turn->known->charges, &entry);
     }
-  if (!note_answer (turn, id_hash_text (host), ledger->keeper_count))
+  if (!note_answer (turn, id_hash_text (name), ledger->keeper_count))
     return;
   if (turn->answers >= charges_quorum (ledger->keeper_count))
     tell (turn, decide (turn));
+  else if (turn->answers + count_silent (ledger) >= ledger->keeper_count
+           && decide (turn) != CHARGES_UNKNOWN)
+    tell (turn, decide (turn));
+}
+
+static void
+take_relay (struct ledger *ledger, const char *host,
+            const Peer__LedgerRelay *relay)
+{
+  int64_t now_ms = clock_now_ms ();
+
+  for (size_t i = 0; i < relay->n_items; i++)
+    {
+      struct relayed *relayed;
+
+      if (relay->items[i]->id == 0)
+        continue;
+      relayed = xcalloc (1, sizeof *relayed);
+      relayed->id = relay->items[i]->id;
+      relayed->host = xstrdup (host);
+      relayed->asked_ms = now_ms;
+      g_hash_table_replace (ledger->relayed, &relayed->id, relayed);
+    }
+  send_to_keepers (ledger, relay->items, relay->n_items);
 }
 
-/* Takes a keeper's answers.  Other frames are left alone.  */
+/* Takes keepers' answers, and questions of other hosts that this one is to
+   pass on.  Other frames are left alone.  */
 void
 ledger_handle_frame (struct ledger *ledger, const char *host,
                      const Peer__Frame *frame)
 {
+  if (frame->body_case == PEER__FRAME__BODY_LEDGER_RELAY)
+    take_relay (ledger, host, frame->ledger_relay);
   if (frame->body_case != PEER__FRAME__BODY_LEDGER_ANSWERS)
     return;
   for (size_t i = 0; i < frame->ledger_answers->n_answers; i++)
@@ -366,12 +573,22 @@
   return known->turns == 0 && known->used_ms < *oldest_ms;
 }
 
+static gboolean
+is_old_relayed (gpointer key, gpointer value, gpointer data)
+{
+  const struct relayed *relayed = value;
+  const int64_t *now_ms = data;
+
+  return *now_ms - relayed->asked_ms > RELAYED_MS;
+}
+
 /* Sends what was settled and forgets programs that are long unused.  */
 void
 ledger_tick (struct ledger *ledger, int64_t now_ms)
 {
   int64_t oldest_ms = now_ms - ledger->options.retention_ms;
 
+  g_hash_table_foreach_remove (ledger->relayed, is_old_relayed, &now_ms);
   if (ledger->unsent == 0 || now_ms - ledger->settled_ms < SETTLE_MS)
     return;
   ledger->settled_ms = now_ms;
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &peer__ledger_answers__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__ledger_relay__init
+                     (Peer__LedgerRelay         *message)
+{
+  static const Peer__LedgerRelay init_value = PEER__LEDGER_RELAY__INIT;
+  *message = init_value;
+}
+size_t peer__ledger_relay__get_packed_size
+                     (const Peer__LedgerRelay *message)
+{
+  assert(message->base.descriptor == &peer__ledger_relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__ledger_relay__pack
+                     (const Peer__LedgerRelay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__ledger_relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__ledger_relay__pack_to_buffer
+                     (const Peer__LedgerRelay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__ledger_relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LedgerRelay *
+       peer__ledger_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LedgerRelay *)
+     protobuf_c_message_unpack (&peer__ledger_relay__descriptor,
+                                allocator, len, data);
+}
+void   peer__ledger_relay__free_unpacked
+                     (Peer__LedgerRelay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__ledger_relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__ledger_ask__init
                      (Peer__LedgerAsk         *message)
 {
@@ -3103,7 +3148,7 @@
   (ProtobufCMessageInit) peer__ledger_write__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ledger_answer__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__ledger_answer__field_descriptors[3] =
 {
   {
     "id",
@@ -3129,15 +3174,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keeper",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerAnswer, keeper),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__ledger_answer__field_indices_by_name[] = {
   1,   /* field[1] = entries */
   0,   /* field[0] = id */
+  2,   /* field[2] = keeper */
 };
 static const ProtobufCIntRange peer__ledger_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__ledger_answer__descriptor =
 {
@@ -3147,7 +3205,7 @@
   "Peer__LedgerAnswer",
   "peer",
   sizeof(Peer__LedgerAnswer),
-  2,
+  3,
   peer__ledger_answer__field_descriptors,
   peer__ledger_answer__field_indices_by_name,
   1,  peer__ledger_answer__number_ranges,
@@ -3192,6 +3250,44 @@
   (ProtobufCMessageInit) peer__ledger_answers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__ledger_relay__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerRelay, n_items),
+    offsetof(Peer__LedgerRelay, items),
+    &peer__ledger_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__ledger_relay__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange peer__ledger_relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__ledger_relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerRelay",
+  "LedgerRelay",
+  "Peer__LedgerRelay",
+  "peer",
+  sizeof(Peer__LedgerRelay),
+  1,
+  peer__ledger_relay__field_descriptors,
+  peer__ledger_relay__field_indices_by_name,
+  1,  peer__ledger_relay__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__ledger_ask__field_descriptors[1] =
 {
   {
@@ -3307,7 +3403,7 @@
   (ProtobufCMessageInit) peer__ledger_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[23] =
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[24] =
 {
   {
     "ping",
@@ -3585,6 +3681,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ledger_relay",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, ledger_relay),
+    &peer__ledger_relay__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -3599,6 +3707,7 @@
   20,   /* field[20] = ledger_answers */
   21,   /* field[21] = ledger_ask */
   22,   /* field[22] = ledger_page */
+  23,   /* field[23] = ledger_relay */
   19,   /* field[19] = ledger_write */
   7,   /* field[7] = limit_ask */
   9,   /* field[9] = limit_confirm */
@@ -3614,7 +3723,7 @@
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -3624,7 +3733,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  23,
+  24,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/policy/charges.c
+++ b/policy/charges.c
@@ -63,13 +63,18 @@
    keeper at least, so that both can be granted only where both fit.  */
 enum charges_verdict
 charges_decide (int64_t total, int64_t budget, uint32_t answers,
-                uint32_t keepers)
+                uint32_t keepers, bool some_are_silent)
 {
+  bool has_majority = keepers > 0 && answers >= charges_quorum (keepers);
+  int64_t percent = 100;
+
   if (total > budget)
     return CHARGES_SPENT;
-  if (keepers > 0 && answers >= charges_quorum (keepers))
-    return CHARGES_GRANTED;
-  if (answers > 0 && total <= budget * CHARGES_CUT_OFF_PERCENT / 100)
-    return CHARGES_GRANTED;
-  return CHARGES_UNKNOWN;
+  if (answers == 0)
+    return CHARGES_UNKNOWN;
+  if (!has_majority)
+    percent = CHARGES_MINORITY_PERCENT;
+  else if (some_are_silent)
+    percent = CHARGES_MAJORITY_PERCENT;
+  return total <= budget * percent / 100 ? CHARGES_GRANTED : CHARGES_UNKNOWN;
 }
