--- a/include/policy/place.h
+++ b/include/policy/place.h
@@ -1,5 +1,5 @@
-/* Which endpoint a request goes to: for engines the predicted time to its
-   first token, for plain services the least loaded of two. */
+/* Which endpoint a request goes to: where it and the requests that run there
+   lose the least time. */
 #ifndef GALENA_POLICY_PLACE_H
 #define GALENA_POLICY_PLACE_H
 
@@ -10,7 +10,7 @@
 enum
 {
   PLACE_PREFILL_TOKENS_PER_MS = 40, /* between the slowest and fastest sheet */
-  PLACE_RUNNING_US = 6000,          /* a running request slows the others */
+  PLACE_RUNNING_US = 10000, /* a request slows each other one's tokens */
   PLACE_WAITING_US = 40000,         /* one ahead in the endpoint's queue */
   PLACE_REMOTE_US = 2500,           /* another data centre: delay and price */
 };
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -78,6 +78,8 @@
                                  const struct pool_query *query,
                                  int64_t now_ms);
 struct pool_endpoint *pool_find (const struct pool *pool, uint64_t hash);
+int64_t pool_cached_tokens (const struct pool_endpoint *endpoint,
+                            const struct pool_query *query, int64_t now_ms);
 void pool_begin (struct pool_endpoint *endpoint,
                  const struct pool_query *query, int64_t now_ms);
 void pool_end (struct pool *pool, struct pool_endpoint *endpoint);
--- a/policy/place.c
+++ b/policy/place.c
@@ -23,8 +23,9 @@
   return mix (*seed);
 }
 
-/* Returns the predicted microseconds until the first token at ENDPOINT, with
-   the slow-down that the request brings to those that run there.  */
+/* Returns what the request costs at ENDPOINT, in microseconds of waiting: its
+   own until its first token and, as the endpoint's requests share its steps,
+   that of the requests that run there.  */
 int64_t
 place_cost_us (const struct place_endpoint *endpoint,
                const struct place_options *options)
@@ -33,7 +34,8 @@
   int64_t cost = 0;
 
   if (missing > 0)
-    cost += missing * US_PER_MS / PLACE_PREFILL_TOKENS_PER_MS;
+    cost += missing * US_PER_MS / PLACE_PREFILL_TOKENS_PER_MS
+            * (1 + endpoint->running);
   cost += endpoint->running * PLACE_RUNNING_US;
   cost += endpoint->waiting * PLACE_WAITING_US;
   if (endpoint->running >= endpoint->slots)
--- a/request/pool.c
+++ b/request/pool.c
@@ -180,9 +180,11 @@
   pool->endpoints = endpoints;
 }
 
-static int64_t
-cached_tokens (const struct pool_endpoint *endpoint,
-               const struct pool_query *query, int64_t now_ms)
+/* Returns how many tokens of the prompt ENDPOINT should have in its cache, by
+   what was placed there.  */
+int64_t
+pool_cached_tokens (const struct pool_endpoint *endpoint,
+                    const struct pool_query *query, int64_t now_ms)
 {
   int64_t cached = 0;
 
@@ -218,7 +220,7 @@
     out->running = endpoint->reported_running;
   if (is_fresh)
     out->waiting = endpoint->reported_waiting;
-  out->cached_tokens = cached_tokens (endpoint, query, now_ms);
+  out->cached_tokens = pool_cached_tokens (endpoint, query, now_ms);
 }
 
 static struct pool_endpoint *
--- a/request/request.c
+++ b/request/request.c
@@ -53,6 +53,9 @@
   uint64_t program;
   int64_t started_ms;
   int64_t ends_ms;
+  int64_t sent_ms;  /* when the present send began */
+  int64_t first_ms; /* when its first event came; 0 for none */
+  int64_t cached_tokens; /* of the prompt, expected at its endpoint */
   ev_timer deadline;
   ev_timer backoff;
   struct limits_wait *limit_wait;
@@ -408,6 +411,8 @@
       buf_append (&request->events.pending, bytes, len);
       return request->events.pending.len < MAX_ANSWER_BYTES;
     }
+  if (!request->first_ms)
+    request->first_ms = clock_now_ms ();
   if (request->step != STEP_STREAM)
     {
       request->step = STEP_STREAM;
@@ -432,15 +437,21 @@
 log_answer (struct request *request)
 {
   struct log_ids ids = log_ids (request);
-
-  log_write (LOG_INFO, "request", &ids,
-             "answered %ld by %s after %" G_GINT64_FORMAT
-             " ms: route %s, %u sends, %" G_GINT64_FORMAT
-             " events, configuration %" G_GINT64_FORMAT,
-             request->head.status, request->endpoint->id,
-             clock_now_ms () - request->started_ms, request->route->name,
-             request->sends, request->events_passed,
-             request->routing->version);
+  int64_t now_ms = clock_now_ms ();
+
+  log_write (
+      LOG_INFO, "request", &ids,
+      "answered %ld by %s after %" G_GINT64_FORMAT
+      " ms: route %s, %u sends, the last %" G_GINT64_FORMAT
+      " ms ago, first event after %" G_GINT64_FORMAT " ms, %" G_GINT64_FORMAT
+      " events, %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
+      " prompt tokens expected there, configuration %" G_GINT64_FORMAT,
+      request->head.status, request->endpoint->id,
+      now_ms - request->started_ms, request->route->name, request->sends,
+      now_ms - request->sent_ms,
+      request->first_ms ? request->first_ms - request->sent_ms : 0,
+      request->events_passed, request->cached_tokens,
+      request->input->prompt_tokens, request->routing->version);
 }
 
 /* Passes a whole answer on.  BODY stays the caller's.  */
@@ -598,7 +609,11 @@
   request->sends++;
   request->runs++;
   request->may_have_run = true;
-  pool_begin (endpoint, &query, clock_now_ms ());
+  request->sent_ms = clock_now_ms ();
+  request->first_ms = 0;
+  request->cached_tokens
+      = pool_cached_tokens (endpoint, &query, request->sent_ms);
+  pool_begin (endpoint, &query, request->sent_ms);
   request->fetch = fetch_start (parts->fetcher, &options);
   g_ptr_array_free (lines, TRUE);
   free (url);
