Test the new policies; keep turns where their prompt is known to lie

Cause: test_burst_keeps_turns_at_their_prompts failed: a program's preference could outweigh a prompt that is known to lie elsewhere. Change: the preference counts for the part of the prompt that is missing.

--- a/policy/place.c
+++ b/policy/place.c
@@ -59,9 +59,22 @@
   return eligible > 0 ? eligible : 1;
 }
 
+/* Returns how far down ENDPOINT stands in the program's own order, less where
+   more of the prompt is known to lie there.  */
+static int64_t
+preference_us (const struct place_endpoint *endpoint,
+               const struct place_options *options, uint64_t spread)
+{
+  int64_t rank_us = (int64_t)(mix (options->program ^ endpoint->hash) % spread);
+  int64_t missing = options->prompt_tokens - endpoint->cached_tokens;
+
+  if (missing <= 0)
+    return 0;
+  return rank_us * missing / options->prompt_tokens;
+}
+
 /* Returns the index of the endpoint with the least cost, -1 where none is
-   eligible.  Equal ones are told apart by the program's preference, or at
-   random for requests without a program.  */
+   eligible.  */
 int32_t
 place_pick (const struct place_endpoint *endpoints, size_t count,
             const struct place_options *options, uint64_t *seed)
@@ -72,16 +85,15 @@
 
   for (size_t i = 0; i < count; i++)
     {
-      uint64_t preference;
       int64_t cost;
 
       if (!endpoints[i].eligible)
         continue;
-      preference = options->program && options->prompt_tokens > 0
-                       ? mix (options->program ^ endpoints[i].hash)
-                       : next_random (seed) % TIE_US;
-      cost = place_cost_us (&endpoints[i], options)
-             + (int64_t)(preference % spread);
+      cost = place_cost_us (&endpoints[i], options);
+      if (options->program && options->prompt_tokens > 0)
+        cost += preference_us (&endpoints[i], options, spread);
+      else
+        cost += (int64_t)(next_random (seed) % TIE_US);
       if (best >= 0 && cost >= best_cost)
         continue;
       best = (int32_t)i;
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -6,8 +6,11 @@
 
 /* Sorted by name. */
 static CU_SuiteInfo suites[] = {
+  { "charges", NULL, NULL, NULL, NULL, charges_tests },
   { "config", NULL, NULL, NULL, NULL, config_tests },
   { "cursor", NULL, NULL, NULL, NULL, cursor_tests },
+  { "decode", NULL, NULL, NULL, NULL, decode_tests },
+  { "events", NULL, NULL, NULL, NULL, events_tests },
   { "fields", NULL, NULL, NULL, NULL, fields_tests },
   { "history", NULL, NULL, NULL, NULL, history_tests },
   { "holders", NULL, NULL, NULL, NULL, holders_tests },
@@ -16,11 +19,15 @@
   { "mesh", NULL, NULL, NULL, NULL, mesh_tests },
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
   { "owner", NULL, NULL, NULL, NULL, owner_tests },
+  { "place", NULL, NULL, NULL, NULL, place_tests },
   { "retry", NULL, NULL, NULL, NULL, retry_tests },
   { "route", NULL, NULL, NULL, NULL, route_tests },
   { "settings", NULL, NULL, NULL, NULL, settings_tests },
+  { "silence", NULL, NULL, NULL, NULL, silence_tests },
   { "store", NULL, NULL, NULL, NULL, store_tests },
   { "turn", NULL, NULL, NULL, NULL, turn_tests },
+  { "window", NULL, NULL, NULL, NULL, window_tests },
+  { "wire", NULL, NULL, NULL, NULL, wire_tests },
   CU_SUITE_INFO_NULL,
 };
 
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -4,8 +4,11 @@
 
 #include <CUnit/CUnit.h>
 
+extern CU_TestInfo charges_tests[];
 extern CU_TestInfo config_tests[];
 extern CU_TestInfo cursor_tests[];
+extern CU_TestInfo decode_tests[];
+extern CU_TestInfo events_tests[];
 extern CU_TestInfo fields_tests[];
 extern CU_TestInfo history_tests[];
 extern CU_TestInfo holders_tests[];
@@ -14,10 +17,14 @@
 extern CU_TestInfo mesh_tests[];
 extern CU_TestInfo objects_tests[];
 extern CU_TestInfo owner_tests[];
+extern CU_TestInfo place_tests[];
 extern CU_TestInfo retry_tests[];
 extern CU_TestInfo route_tests[];
 extern CU_TestInfo settings_tests[];
+extern CU_TestInfo silence_tests[];
 extern CU_TestInfo store_tests[];
 extern CU_TestInfo turn_tests[];
+extern CU_TestInfo window_tests[];
+extern CU_TestInfo wire_tests[];
 
 #endif
--- /dev/null
+++ b/test/unit/test_charges.c
@@ -0,0 +1,67 @@
+#include "policy/charges.h"
+#include "suites.h"
+
+static void
+test_newer_version_counts (void)
+{
+  struct charges charges = { 0 };
+  struct charge first = { .source = 1, .version = 1, .tokens = 100 };
+  struct charge settled = { .source = 1, .version = 2, .tokens = 40 };
+  struct charge other = { .source = 2, .version = 1, .tokens = 7 };
+
+  CU_ASSERT_TRUE (charges_merge (&charges, &first));
+  CU_ASSERT_TRUE (charges_merge (&charges, &settled));
+  CU_ASSERT_FALSE (charges_merge (&charges, &first));
+  CU_ASSERT_TRUE (charges_merge (&charges, &other));
+  CU_ASSERT_EQUAL (charges_total (&charges), 47);
+  CU_ASSERT_PTR_NULL (charges_find (&charges, 3));
+  charges_release (&charges);
+}
+
+static void
+test_two_majorities_share_a_keeper (void)
+{
+  for (uint32_t keepers = 1; keepers < 12; keepers++)
+    CU_ASSERT (2 * charges_quorum (keepers) > keepers);
+}
+
+static void
+test_decision_by_answers (void)
+{
+  CU_ASSERT_EQUAL (charges_decide (1000, 1000, 3, 4, false), CHARGES_GRANTED);
+  CU_ASSERT_EQUAL (charges_decide (1001, 1000, 3, 4, false), CHARGES_SPENT);
+  CU_ASSERT_EQUAL (charges_decide (1000, 1000, 2, 4, false), CHARGES_UNKNOWN);
+  CU_ASSERT_EQUAL (charges_decide (10, 1000, 0, 4, true), CHARGES_UNKNOWN);
+  CU_ASSERT_EQUAL (charges_decide (10, 1000, 0, 0, false), CHARGES_UNKNOWN);
+}
+
+/* Both sides of a cut know what was charged before it, and charge on as far as
+   they may: together they hold the budget.  */
+static void
+test_both_sides_of_a_cut_hold_the_budget (void)
+{
+  const int64_t budget = 1000;
+
+  for (int64_t before = 0; before <= budget; before += 10)
+    {
+      int64_t larger = before;
+      int64_t smaller = before;
+
+      while (charges_decide (larger + 10, budget, 3, 4, true)
+             == CHARGES_GRANTED)
+        larger += 10;
+      while (charges_decide (smaller + 10, budget, 1, 4, true)
+             == CHARGES_GRANTED)
+        smaller += 10;
+      CU_ASSERT (larger + smaller - before <= budget);
+    }
+}
+
+CU_TestInfo charges_tests[] = {
+  { "the newer version counts", test_newer_version_counts },
+  { "two majorities share a keeper", test_two_majorities_share_a_keeper },
+  { "the answers decide", test_decision_by_answers },
+  { "both sides of a cut hold the budget",
+    test_both_sides_of_a_cut_hold_the_budget },
+  CU_TEST_INFO_NULL,
+};
--- /dev/null
+++ b/test/unit/test_place.c
@@ -0,0 +1,127 @@
+#include "policy/place.h"
+#include "suites.h"
+
+enum
+{
+  ENDPOINTS = 12,
+  PROMPT_TOKENS = 3600,
+  PROGRAMS = 600,
+};
+
+static void
+fill (struct place_endpoint *endpoints)
+{
+  for (int i = 0; i < ENDPOINTS; i++)
+    endpoints[i]
+        = (struct place_endpoint){ .eligible = true,
+                                   .hash = (uint64_t)(i + 1) * 7919,
+                                   .slots = 64 };
+}
+
+/* A burst of one class: everybody's engine is as full as the next one.  A turn
+   whose prompt lies at a full engine stays there.  */
+static void
+test_burst_keeps_turns_at_their_prompts (void)
+{
+  struct place_endpoint endpoints[ENDPOINTS];
+  struct place_options options
+      = { .prompt_tokens = PROMPT_TOKENS, .program = 4711 };
+  uint64_t seed = 1;
+
+  fill (endpoints);
+  for (int i = 0; i < ENDPOINTS; i++)
+    endpoints[i].running = 8;
+  endpoints[5].running = 16;
+  endpoints[5].cached_tokens = PROMPT_TOKENS - 30;
+  CU_ASSERT_EQUAL (place_pick (endpoints, ENDPOINTS, &options, &seed), 5);
+}
+
+/* Engines replaced one by one: the turn goes on where there is one.  */
+static void
+test_ineligible_is_never_picked (void)
+{
+  struct place_endpoint endpoints[ENDPOINTS];
+  struct place_options options
+      = { .prompt_tokens = PROMPT_TOKENS, .program = 4711 };
+  uint64_t seed = 1;
+
+  fill (endpoints);
+  endpoints[5].cached_tokens = PROMPT_TOKENS;
+  endpoints[5].eligible = false;
+  CU_ASSERT_NOT_EQUAL (place_pick (endpoints, ENDPOINTS, &options, &seed), 5);
+  for (int i = 0; i < ENDPOINTS; i++)
+    endpoints[i].eligible = false;
+  CU_ASSERT_EQUAL (place_pick (endpoints, ENDPOINTS, &options, &seed), -1);
+}
+
+/* A turn comes through another host that knows nothing of its program.  */
+static void
+test_hosts_agree_on_a_program (void)
+{
+  struct place_endpoint endpoints[ENDPOINTS];
+  int agreed = 0;
+
+  fill (endpoints);
+  for (uint64_t program = 1; program <= PROGRAMS; program++)
+    {
+      struct place_options options
+          = { .prompt_tokens = PROMPT_TOKENS, .program = program * 104729 };
+      uint64_t one = 1;
+      uint64_t other = 99;
+
+      agreed += place_pick (endpoints, ENDPOINTS, &options, &one)
+                == place_pick (endpoints, ENDPOINTS, &options, &other);
+    }
+  CU_ASSERT_EQUAL (agreed, PROGRAMS);
+}
+
+/* New programs fill idle engines evenly.  */
+static void
+test_new_programs_spread (void)
+{
+  struct place_endpoint endpoints[ENDPOINTS];
+  uint64_t seed = 1;
+
+  fill (endpoints);
+  for (uint64_t program = 1; program <= PROGRAMS; program++)
+    {
+      struct place_options options
+          = { .prompt_tokens = PROMPT_TOKENS, .program = program * 104729 };
+      int32_t picked = place_pick (endpoints, ENDPOINTS, &options, &seed);
+
+      CU_ASSERT_FATAL (picked >= 0);
+      endpoints[picked].running++;
+    }
+  for (int i = 0; i < ENDPOINTS; i++)
+    CU_ASSERT (endpoints[i].running > PROGRAMS / ENDPOINTS / 2
+               && endpoints[i].running < PROGRAMS / ENDPOINTS * 2);
+}
+
+/* Plain services: no queue at one while another has a free slot.  */
+static void
+test_plain_goes_to_a_free_slot (void)
+{
+  struct place_endpoint endpoints[ENDPOINTS];
+  struct place_options options = { 0 };
+  uint64_t seed = 1;
+
+  fill (endpoints);
+  for (int i = 0; i < ENDPOINTS; i++)
+    {
+      endpoints[i].slots = 6;
+      endpoints[i].running = 6;
+    }
+  endpoints[3].running = 5;
+  endpoints[3].remote = true;
+  CU_ASSERT_EQUAL (place_pick (endpoints, ENDPOINTS, &options, &seed), 3);
+}
+
+CU_TestInfo place_tests[] = {
+  { "a burst keeps turns at their prompts",
+    test_burst_keeps_turns_at_their_prompts },
+  { "ineligible endpoints are never picked", test_ineligible_is_never_picked },
+  { "hosts agree on a program", test_hosts_agree_on_a_program },
+  { "new programs spread", test_new_programs_spread },
+  { "plain requests go to a free slot", test_plain_goes_to_a_free_slot },
+  CU_TEST_INFO_NULL,
+};
--- /dev/null
+++ b/test/unit/test_silence.c
@@ -0,0 +1,62 @@
+#include "policy/silence.h"
+#include "suites.h"
+
+enum
+{
+  TICK_MS = 50,
+  START_MS = 100000,
+};
+
+/* A data centre is cut off: nothing comes any more.  */
+static void
+test_cut_is_seen (void)
+{
+  struct silence silence;
+  int64_t now_ms = START_MS;
+
+  silence_init (&silence, now_ms);
+  while (!silence.is_cut && now_ms < START_MS + 5000)
+    silence_tick (&silence, now_ms += TICK_MS);
+  CU_ASSERT (now_ms - START_MS
+             <= SILENCE_PROBE_MS + SILENCE_CUT_MS + 3 * TICK_MS);
+  silence_note_heard (&silence, now_ms + 1);
+  CU_ASSERT_FALSE (silence.is_cut);
+}
+
+/* Nobody has anything to say, but each question is answered.  */
+static void
+test_quiet_is_no_cut (void)
+{
+  struct silence silence;
+
+  silence_init (&silence, START_MS);
+  for (int64_t now_ms = START_MS; now_ms < START_MS + 60000; now_ms += TICK_MS)
+    {
+      if (silence_tick (&silence, now_ms))
+        silence_note_heard (&silence, now_ms + TICK_MS / 2);
+      CU_ASSERT_FALSE (silence.is_cut);
+    }
+}
+
+/* This host itself stood still for seconds.  */
+static void
+test_own_pause_is_no_cut (void)
+{
+  struct silence silence;
+  int64_t now_ms = START_MS;
+
+  silence_init (&silence, now_ms);
+  for (int i = 0; i < 6; i++)
+    silence_tick (&silence, now_ms += TICK_MS);
+  CU_ASSERT (silence.probed_ms > 0);
+  silence_tick (&silence, now_ms += 5000);
+  silence_tick (&silence, now_ms += TICK_MS);
+  CU_ASSERT_FALSE (silence.is_cut);
+}
+
+CU_TestInfo silence_tests[] = {
+  { "a cut is seen", test_cut_is_seen },
+  { "quiet is no cut", test_quiet_is_no_cut },
+  { "an own pause is no cut", test_own_pause_is_no_cut },
+  CU_TEST_INFO_NULL,
+};
--- /dev/null
+++ b/test/unit/test_wire.c
@@ -0,0 +1,93 @@
+#include "platform/wire.h"
+#include "suites.h"
+#include <stdlib.h>
+#include <string.h>
+
+static bool
+has_line (const GPtrArray *lines, const char *line)
+{
+  for (guint i = 0; i < lines->len; i++)
+    if (strcmp (lines->pdata[i], line) == 0)
+      return true;
+  return false;
+}
+
+static void
+test_request_to_an_endpoint (void)
+{
+  struct header headers[] = { { (char *)"Attempt-Id", (char *)"9c41" },
+                              { (char *)"X-Empty", (char *)"" } };
+  struct request_input input = { .headers = headers,
+                                 .header_count = 2,
+                                 .prompt_tokens = 10,
+                                 .key = (char *)"secret" };
+  struct request_send send = { .input = &input,
+                               .customer = "hanmae",
+                               .endpoint = "i-1",
+                               .left_ms = 1200,
+                               .resume_after = 12,
+                               .priority = 42 };
+  GPtrArray *lines = g_ptr_array_new_with_free_func (free);
+
+  platform_wire.write (&send, lines);
+  CU_ASSERT_TRUE (has_line (lines, "Attempt-Id: 9c41"));
+  CU_ASSERT_TRUE (has_line (lines, "X-Empty;"));
+  CU_ASSERT_TRUE (has_line (lines, "Tenant: hanmae"));
+  CU_ASSERT_TRUE (has_line (lines, "Expect-Instance: i-1"));
+  CU_ASSERT_TRUE (has_line (lines, "Deadline-Ms: 1200"));
+  CU_ASSERT_TRUE (has_line (lines, "Last-Event-Id: 12"));
+  CU_ASSERT_TRUE (has_line (lines, "Request-Priority: 9"));
+  for (guint i = 0; i < lines->len; i++)
+    CU_ASSERT_PTR_NULL (strstr (lines->pdata[i], "secret"));
+  g_ptr_array_free (lines, TRUE);
+}
+
+static void
+test_headers_of_the_system_are_not_copied (void)
+{
+  static const char *const own[]
+      = { "credential", "Tenant", "Expect-Instance", "Deadline-Ms", "Hold",
+          "Pin-Ms", "Kv-From", "Kv-Backup", "Request-Priority" };
+
+  for (size_t i = 0; i < sizeof own / sizeof *own; i++)
+    CU_ASSERT_TRUE (wire_is_own_header (own[i]));
+  CU_ASSERT_FALSE (wire_is_own_header ("Attempt-Id"));
+  CU_ASSERT_TRUE (wire_is_hop_header ("transfer-encoding"));
+  CU_ASSERT_FALSE (wire_is_hop_header ("Content-Type"));
+}
+
+static void
+test_answer_of_an_endpoint (void)
+{
+  struct answer_head head = { .running = -1, .waiting = -1 };
+
+  platform_wire.read (&head, "Server-Load", "3,1,8");
+  platform_wire.read (&head, "Server-Stamp", "3e1b.07");
+  platform_wire.read (&head, "Attempt-Id", "9c41");
+  platform_wire.read (&head, "Connection", "close");
+  CU_ASSERT_EQUAL (head.running, 3);
+  CU_ASSERT_EQUAL (head.waiting, 1);
+  CU_ASSERT_TRUE (head.is_proven);
+  CU_ASSERT_FALSE (head.not_run);
+  CU_ASSERT_FALSE (head.is_encoded);
+  CU_ASSERT_EQUAL (head.header_count, 2);
+  platform_wire.read (&head, "not-executed", "1");
+  platform_wire.read (&head, "Content-Encoding", "gzip");
+  CU_ASSERT_TRUE (head.not_run);
+  CU_ASSERT_TRUE (head.is_encoded);
+  for (size_t i = 0; i < head.header_count; i++)
+    {
+      free (head.headers[i].name);
+      free (head.headers[i].value);
+    }
+  free (head.headers);
+  free (head.request_id);
+}
+
+CU_TestInfo wire_tests[] = {
+  { "a request to an endpoint", test_request_to_an_endpoint },
+  { "headers of the system are not copied",
+    test_headers_of_the_system_are_not_copied },
+  { "an answer of an endpoint", test_answer_of_an_endpoint },
+  CU_TEST_INFO_NULL,
+};
