--- a/common/httpd.c
+++ b/common/httpd.c
@@ -53,7 +53,7 @@
 handle_caller_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
   struct httpd_request *request = watcher->data;
-  void (*handle_gone) (struct httpd_request *request) = request->handle_gone;
+  void (*handle_gone) (struct httpd_request * request) = request->handle_gone;
   char byte;
   ssize_t got = recv (watcher->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
--- a/galenactl/client.c
+++ b/galenactl/client.c
@@ -1,5 +1,5 @@
-#include "galenactl/command.h"
 #include "config/config.h"
+#include "galenactl/command.h"
 #include <curl/curl.h>
 #include <inttypes.h>
 #include <stdarg.h>
--- a/galenactl/object.c
+++ b/galenactl/object.c
@@ -1,5 +1,5 @@
-#include "galenactl/command.h"
 #include "config/config.h"
+#include "galenactl/command.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/galenashored/main.c
+++ b/galenashored/main.c
@@ -116,8 +116,9 @@
     fprintf (stderr, "galenashored: \"%s\" is not expected; see --help\n",
              argv[1]);
   else if (on_platform && !path && !getenv (PLATFORM_SETTINGS_VARIABLE))
-    fputs ("galenashored: no settings; give --settings FILE or set "
-           PLATFORM_SETTINGS_VARIABLE "\n", stderr);
+    fputs ("galenashored: no settings; give --settings FILE or "
+           "set " PLATFORM_SETTINGS_VARIABLE "\n",
+           stderr);
   else if (!path && !on_platform)
     fputs ("galenashored: no settings; give --settings FILE\n", stderr);
   else if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -39,12 +39,12 @@
   int64_t timeout_ms;       /* whole transfer; 0 for none */
   int64_t stall_timeout_ms; /* no byte for so long; 0 for none */
   size_t max_body_bytes;
-  bool single_attempt; /* never sent twice, not even by libcurl */
-  int64_t max_idle_ms; /* of a kept connection to use; 0 for any */
-  const char *target;  /* as the request line names it; NULL for the URL's */
+  bool single_attempt;   /* never sent twice, not even by libcurl */
+  int64_t max_idle_ms;   /* of a kept connection to use; 0 for any */
+  const char *target;    /* as the request line names it; NULL for the URL's */
   int64_t alive_probe_s; /* TCP probes of a silent connection; 0 for none */
-  bool exact_headers;  /* adds none but those that HTTP requires */
-  fetch_data_handler *handle_data; /* NULL to collect the body */
+  bool exact_headers;    /* adds none but those that HTTP requires */
+  fetch_data_handler *handle_data;     /* NULL to collect the body */
   fetch_header_handler *handle_header; /* may be NULL */
   fetch_done_handler *handle_done;
   void (*release_data) (void *data); /* when the fetch goes; may be NULL */
--- a/include/galenashored/control_state.h
+++ b/include/galenashored/control_state.h
@@ -5,11 +5,11 @@
 #include "common/deferred.h"
 #include "common/fetch.h"
 #include "common/mailbox.h"
+#include "config/client.h"
+#include "config/objects.h"
 #include "galenashored/messages.h"
 #include "galenashored/settings.h"
 #include "galenashored/traffic.h"
-#include "config/client.h"
-#include "config/objects.h"
 #include <ev.h>
 
 struct admin;
--- a/include/galenashored/server.h
+++ b/include/galenashored/server.h
@@ -5,11 +5,11 @@
 #include "common/fetch.h"
 #include "common/httpd.h"
 #include "common/mailbox.h"
-#include "galenashored/settings.h"
-#include "peer/mesh.h"
 #include "config/client.h"
 #include "config/config.h"
+#include "galenashored/settings.h"
 #include "journal/journal.h"
+#include "peer/mesh.h"
 #include "policy/owner.h"
 #include "store/log.h"
 #include <ev.h>
--- a/include/peer/forward.h
+++ b/include/peer/forward.h
@@ -3,8 +3,8 @@
 #define GALENA_PEER_FORWARD_H
 
 #include "caller/api.h"
-#include "peer/peer.pb-c.h"
 #include "config/config.h"
+#include "peer/peer.pb-c.h"
 
 struct forwarder;
 
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -25,12 +25,10 @@
 void platform_store_init (struct platform_store *store,
                           struct fetcher *fetcher, const char *address);
 void platform_store_release (struct platform_store *store);
-struct platform_call *platform_call_start (struct platform_store *store,
-                                           const char *method,
-                                           const char *path, json_t *body,
-                                           int64_t timeout_ms,
-                                           platform_reply_handler *handle,
-                                           void *data);
+struct platform_call *
+platform_call_start (struct platform_store *store, const char *method,
+                     const char *path, json_t *body, int64_t timeout_ms,
+                     platform_reply_handler *handle, void *data);
 void platform_call_cancel (struct platform_call *call);
 
 #endif
--- a/include/platform/traffic.h
+++ b/include/platform/traffic.h
@@ -9,9 +9,9 @@
 
 struct node_traffic;
 
-struct node_traffic *node_traffic_create (
-    const struct platform_settings *settings, struct mailbox *control,
-    struct error *error);
+struct node_traffic *
+node_traffic_create (const struct platform_settings *settings,
+                     struct mailbox *control, struct error *error);
 bool node_traffic_start (struct node_traffic *traffic, struct error *error);
 void node_traffic_post (struct node_traffic *traffic,
                         struct node_message *message);
--- a/include/policy/place.h
+++ b/include/policy/place.h
@@ -11,8 +11,8 @@
 {
   PLACE_PREFILL_TOKENS_PER_MS = 40, /* between the slowest and fastest sheet */
   PLACE_RUNNING_US = 10000, /* a request slows each other one's tokens */
-  PLACE_WAITING_US = 40000,         /* one ahead in the endpoint's queue */
-  PLACE_REMOTE_US = 2500,           /* another data centre: delay and price */
+  PLACE_WAITING_US = 40000, /* one ahead in the endpoint's queue */
+  PLACE_REMOTE_US = 2500,   /* another data centre: delay and price */
 };
 
 /* What this host knows of an endpoint. */
--- a/include/policy/window.h
+++ b/include/policy/window.h
@@ -16,10 +16,10 @@
 struct window
 {
   int64_t length_ms;
-  int64_t limit;     /* tokens in a window, in millionths */
-  int64_t per_s;     /* of the limit, what the rate brings in a second */
+  int64_t limit;      /* tokens in a window, in millionths */
+  int64_t per_s;      /* of the limit, what the rate brings in a second */
   int64_t started_ms; /* what was given before is not known */
-  int64_t slot;      /* the newest one, counted since time 0 */
+  int64_t slot;       /* the newest one, counted since time 0 */
   int64_t given[WINDOW_SLOTS + 1];
   int64_t total;
 };
--- a/include/request/reach.h
+++ b/include/request/reach.h
@@ -1,4 +1,5 @@
-/* Which data centres this host can reach, by what it hears from their hosts. */
+/* Which data centres this host can reach, by what it hears from their hosts.
+ */
 #ifndef GALENA_REQUEST_REACH_H
 #define GALENA_REQUEST_REACH_H
 
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -76,8 +76,7 @@
 struct request_wire
 {
   void (*write) (const struct request_send *send, GPtrArray *lines);
-  void (*read) (struct answer_head *head, const char *name,
-                const char *value);
+  void (*read) (struct answer_head *head, const char *name, const char *value);
 };
 
 /* Where the answer goes.  After end, abort or refuse the request is gone. */
--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -27,8 +27,8 @@
   char *host;
   char *path_prefix;
   enum route_repeat repeat;
-  bool resumable;   /* a stream that goes on after its last event */
-  bool is_open;     /* needs no key */
+  bool resumable;    /* a stream that goes on after its last event */
+  bool is_open;      /* needs no key */
   bool has_programs; /* its requests are turns with token budgets */
   int64_t timeout_ms;
   int64_t objective_ms;
@@ -49,7 +49,7 @@
 struct customer
 {
   char *name;
-  int32_t priority; /* goes before the route's; negative for none */
+  int32_t priority;   /* goes before the route's; negative for none */
   int64_t rate_milli; /* requests in 1000 s; 0 for no limit */
   int64_t burst;
 };
@@ -69,8 +69,9 @@
   int64_t header_timeout_ms;
   int64_t idle_timeout_ms;
   GHashTable *keys; /* hash of a key -> customer + 1 */
-  GHashTable *hosts; /* name -> GArray of struct route *, longest prefix first */
-  uint32_t users;   /* references, on one thread at a time */
+  GHashTable
+      *hosts;     /* name -> GArray of struct route *, longest prefix first */
+  uint32_t users; /* references, on one thread at a time */
 };
 
 struct routing *routing_create (void);
--- a/include/standin/standin.h
+++ b/include/standin/standin.h
@@ -57,8 +57,10 @@
 };
 
 extern const struct standin_mode standin_engine;
+extern const struct standin_mode standin_objects;
 extern const struct standin_mode standin_platform;
 extern const struct standin_mode standin_service;
+extern const struct standin_mode standin_worker;
 
 void standin_respond_json (struct standin *standin,
                            struct httpd_request *request, unsigned status,
--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -236,9 +236,9 @@
       page->full = true;
       return TRUE;
     }
-  page->items = xrealloc (page->items,
-                          (page->count + account->charges.count + 1)
-                              * sizeof *page->items);
+  page->items
+      = xrealloc (page->items, (page->count + account->charges.count + 1)
+                                   * sizeof *page->items);
   for (size_t i = 0; i < account->charges.count; i++)
     {
       Peer__LedgerItem *item = &page->items[page->count++];
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -11,9 +11,9 @@
   /* A keeper in another data centre answers in a few milliseconds with its
      sync; beyond this a turn would lose more than a slow keeper can tell. */
   ANSWER_MS = 150,
-  SETTLE_MS = 100,  /* settlements wait so long to share a frame */
-  SILENT_MS = 250,  /* a keeper that leaves questions unanswered for so long */
-  RELAY_HOSTS = 2,  /* asked to pass a question on */
+  SETTLE_MS = 100, /* settlements wait so long to share a frame */
+  SILENT_MS = 250, /* a keeper that leaves questions unanswered for so long */
+  RELAY_HOSTS = 2, /* asked to pass a question on */
   RELAYED_MS = 2000, /* a question that was passed on is forgotten */
 };
 
@@ -67,7 +67,7 @@
   char **relays; /* entry hosts that may pass questions on */
   size_t relay_count;
   size_t next_relay;
-  GHashTable *relayed; /* id -> struct relayed */
+  GHashTable *relayed;  /* id -> struct relayed */
   GHashTable *programs; /* program -> struct known */
   GHashTable *waiting;  /* id -> struct ledger_turn */
   GArray *questions;    /* Peer__LedgerItem, for the next frame */
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -32,7 +32,7 @@
   int64_t ping_sent_ms; /* of the oldest unanswered ping; 0 for none */
   int64_t last_used_ms;
   int64_t heard_ms; /* when its last frame came; 0 for never */
-  uint32_t holds; /* requests under way there; the link stays meanwhile */
+  uint32_t holds;   /* requests under way there; the link stays meanwhile */
   int64_t suspect_until_ms;
   bool suspect;
   bool leaving;
--- a/policy/charges.c
+++ b/policy/charges.c
@@ -23,9 +23,8 @@
     return false;
   if (!known)
     {
-      charges->entries
-          = xrealloc (charges->entries,
-                      (charges->count + 1) * sizeof *charges->entries);
+      charges->entries = xrealloc (
+          charges->entries, (charges->count + 1) * sizeof *charges->entries);
       known = &charges->entries[charges->count++];
     }
   *known = *entry;
--- a/policy/place.c
+++ b/policy/place.c
@@ -65,7 +65,8 @@
 preference_us (const struct place_endpoint *endpoint,
                const struct place_options *options, uint64_t spread)
 {
-  int64_t rank_us = (int64_t)(mix (options->program ^ endpoint->hash) % spread);
+  int64_t rank_us
+      = (int64_t)(mix (options->program ^ endpoint->hash) % spread);
   int64_t missing = options->prompt_tokens - endpoint->cached_tokens;
 
   if (missing <= 0)
@@ -81,7 +82,8 @@
 {
   int32_t best = -1;
   int64_t best_cost = 0;
-  uint64_t spread = PREFERENCE_US * (uint64_t)count_eligible (endpoints, count);
+  uint64_t spread
+      = PREFERENCE_US * (uint64_t)count_eligible (endpoints, count);
 
   for (size_t i = 0; i < count; i++)
     {
--- a/policy/silence.c
+++ b/policy/silence.c
@@ -4,8 +4,7 @@
 void
 silence_init (struct silence *silence, int64_t now_ms)
 {
-  *silence
-      = (struct silence){ .heard_ms = now_ms, .ticked_ms = now_ms };
+  *silence = (struct silence){ .heard_ms = now_ms, .ticked_ms = now_ms };
 }
 
 /* Notes that one of its hosts was heard at HEARD_MS.  */
--- a/request/limits.c
+++ b/request/limits.c
@@ -10,10 +10,10 @@
 
 enum
 {
-  ASK_MS = 60,          /* other data centres answer within a few */
-  DENIED_MS = 50,       /* after a round without a loan, none is asked for */
-  LOAN_MS = 300,        /* a loan that is not used by then is lost */
-  AHEAD_PER_S = 8,      /* a loan is for an eighth of a second */
+  ASK_MS = 60,     /* other data centres answer within a few */
+  DENIED_MS = 50,  /* after a round without a loan, none is asked for */
+  LOAN_MS = 300,   /* a loan that is not used by then is lost */
+  AHEAD_PER_S = 8, /* a loan is for an eighth of a second */
   MAX_LOAN_TOKENS = 32,
   /* Programs begin at the pace at which the customer's tokens last for all of
      their requests: one that breaks off has used its tokens for nothing. */
@@ -43,16 +43,16 @@
   struct limits *limits;
   char *customer;
   uint64_t hash;
-  struct window own; /* empty where another host holds the part */
-  struct window begun;  /* programs that began with tokens of this part */
-  int64_t wait_ms;      /* until a token is expected, by the holder's word */
+  struct window own;   /* empty where another host holds the part */
+  struct window begun; /* programs that began with tokens of this part */
+  int64_t wait_ms;     /* until a token is expected, by the holder's word */
   bool is_holder;
   int64_t rate_milli;
   int64_t burst;
-  int64_t borrowed;    /* whole tokens */
+  int64_t borrowed;          /* whole tokens */
   int64_t borrowed_to_begin; /* of the round under way */
-  int64_t borrowed_ms; /* when the last loan was asked for */
-  uint64_t nonce;      /* of the round under way; 0 for none */
+  int64_t borrowed_ms;       /* when the last loan was asked for */
+  uint64_t nonce;            /* of the round under way; 0 for none */
   uint32_t unanswered;
   bool asked_elsewhere; /* the round is at other data centres by now */
   int64_t window_ms;    /* start of the window whose use is counted */
@@ -75,7 +75,7 @@
 struct limits
 {
   struct limits_options options;
-  GHashTable *buckets; /* customer -> struct bucket */
+  GHashTable *buckets;    /* customer -> struct bucket */
   struct member *members; /* all entry hosts, this one too */
   size_t member_count;
   uint64_t data_centres[MAX_DATA_CENTRES]; /* hashes; the first is the own */
@@ -292,16 +292,14 @@
 left_to_begin (struct bucket *bucket, int64_t now_ms)
 {
   const struct limits *limits = bucket->limits;
-  int64_t requests
-      = (limits->given + PROGRAM_REQUESTS * PROGRAMS_WEIGHED)
-        / (limits->begun_count + PROGRAMS_WEIGHED);
+  int64_t requests = (limits->given + PROGRAM_REQUESTS * PROGRAMS_WEIGHED)
+                     / (limits->begun_count + PROGRAMS_WEIGHED);
 
   if (requests < 1)
     requests = 1;
-  window_configure (&bucket->begun,
-                    bucket->own.limit / 100 * BEGIN_PERCENT / requests,
-                    bucket->own.per_s / 100 * BEGIN_PERCENT / requests,
-                    now_ms);
+  window_configure (
+      &bucket->begun, bucket->own.limit / 100 * BEGIN_PERCENT / requests,
+      bucket->own.per_s / 100 * BEGIN_PERCENT / requests, now_ms);
   return window_left (&bucket->begun, now_ms) / WINDOW_TOKEN;
 }
 
@@ -352,9 +350,8 @@
 {
   if (now_ms - bucket->window_ms >= USE_WINDOW_MS)
     {
-      bucket->used_before = now_ms - bucket->window_ms < 2 * USE_WINDOW_MS
-                                ? bucket->used
-                                : 0;
+      bucket->used_before
+          = now_ms - bucket->window_ms < 2 * USE_WINDOW_MS ? bucket->used : 0;
       bucket->used = 0;
       bucket->window_ms = now_ms;
     }
@@ -382,7 +379,8 @@
   return (uint32_t)(wanted < MAX_LOAN_TOKENS ? wanted : MAX_LOAN_TOKENS);
 }
 
-/* Asks the holder of a data centre's part.  False where there is none to ask. */
+/* Asks the holder of a data centre's part.  False where there is none to ask.
+ */
 static bool
 ask_holder (struct bucket *bucket, uint64_t data_centre)
 {
@@ -483,7 +481,8 @@
                " in 1000 s, burst %" G_GINT64_FORMAT
                ", part held here: %s, %u unanswered, asked elsewhere: %s",
                bucket->customer, bucket->rate_milli, bucket->burst,
-               bucket->is_holder ? "yes" : "no", bucket->unanswered, bucket->asked_elsewhere ? "yes" : "no");
+               bucket->is_holder ? "yes" : "no", bucket->unanswered,
+               bucket->asked_elsewhere ? "yes" : "no");
   while (bucket->waits->len > 0)
     answer_wait (bucket, 0, false);
 }
--- a/request/pool.c
+++ b/request/pool.c
@@ -7,17 +7,17 @@
 
 enum
 {
-  LOAD_FRESH_MS = 500,   /* an older report says nothing about now */
-  AVOID_BASE_MS = 250,   /* after a failure; doubles with each in a row */
-  AVOID_CAP_MS = 4000,   /* an endpoint that crashed is back in seconds */
-  MAX_PARTS = 4096,      /* prompt parts remembered of an endpoint */
-  PART_MS = 60 * 1000,   /* a part unused for so long has been evicted */
+  LOAD_FRESH_MS = 500, /* an older report says nothing about now */
+  AVOID_BASE_MS = 250, /* after a failure; doubles with each in a row */
+  AVOID_CAP_MS = 4000, /* an endpoint that crashed is back in seconds */
+  MAX_PARTS = 4096,    /* prompt parts remembered of an endpoint */
+  PART_MS = 60 * 1000, /* a part unused for so long has been evicted */
 };
 
 struct pool
 {
   char *data_centre;
-  GHashTable *cut; /* names of data centres that are out of reach */
+  GHashTable *cut;      /* names of data centres that are out of reach */
   GPtrArray *endpoints; /* struct pool_endpoint, those that are listed */
   GPtrArray *leftovers; /* gone, but still used by requests */
   uint64_t seed;
@@ -226,16 +226,15 @@
 static struct pool_endpoint *
 pick (struct pool *pool, const struct pool_query *query, int64_t now_ms)
 {
-  struct place_options options = { .prompt_tokens = query->prompt_tokens,
-                                   .program = query->program };
+  struct place_options options
+      = { .prompt_tokens = query->prompt_tokens, .program = query->program };
   struct place_endpoint *described
       = xcalloc (pool->endpoints->len + 1, sizeof *described);
   int32_t picked;
 
   for (guint i = 0; i < pool->endpoints->len; i++)
     describe (pool->endpoints->pdata[i], query, now_ms, &described[i]);
-  picked
-      = place_pick (described, pool->endpoints->len, &options, &pool->seed);
+  picked = place_pick (described, pool->endpoints->len, &options, &pool->seed);
   free (described);
   return picked >= 0 ? pool->endpoints->pdata[picked] : NULL;
 }
@@ -268,8 +267,8 @@
   return endpoint ? endpoint : pick_avoided (pool, query);
 }
 
-/* Returns the endpoint whose id has HASH, NULL where it is gone, leaving or out
-   of reach.  */
+/* Returns the endpoint whose id has HASH, NULL where it is gone, leaving or
+   out of reach.  */
 struct pool_endpoint *
 pool_find (const struct pool *pool, uint64_t hash)
 {
@@ -424,16 +423,14 @@
 
       json_array_append_new (
           list,
-          json_pack ("{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:I}", "id",
-                     endpoint->id, "service", endpoint->service, "address",
-                     endpoint->address, "slots", (json_int_t)endpoint->slots,
-                     "in_flight", (json_int_t)endpoint->in_flight,
-                     "reported_running",
-                     (json_int_t)endpoint->reported_running,
-                     "reported_waiting",
-                     (json_int_t)endpoint->reported_waiting, "leaving",
-                     endpoint->leaving, "failures",
-                     (json_int_t)endpoint->failures));
+          json_pack (
+              "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:I}", "id",
+              endpoint->id, "service", endpoint->service, "address",
+              endpoint->address, "slots", (json_int_t)endpoint->slots,
+              "in_flight", (json_int_t)endpoint->in_flight, "reported_running",
+              (json_int_t)endpoint->reported_running, "reported_waiting",
+              (json_int_t)endpoint->reported_waiting, "leaving",
+              endpoint->leaving, "failures", (json_int_t)endpoint->failures));
     }
   return list;
 }
--- a/request/reach.c
+++ b/request/reach.c
@@ -93,9 +93,8 @@
       if (strcmp (hosts[i].name, reach->options.host) == 0)
         continue;
       centre = find_centre (reach, hosts[i].data_centre);
-      centre->hosts
-          = xrealloc (centre->hosts,
-                      (centre->host_count + 1) * sizeof *centre->hosts);
+      centre->hosts = xrealloc (centre->hosts, (centre->host_count + 1)
+                                                   * sizeof *centre->hosts);
       centre->hosts[centre->host_count++] = xstrdup (hosts[i].name);
     }
 }
@@ -104,9 +103,8 @@
 tick_centre (struct reach *reach, struct data_centre *centre, int64_t now_ms)
 {
   for (size_t i = 0; i < centre->host_count; i++)
-    silence_note_heard (
-        &centre->silence,
-        mesh_heard_ms (reach->options.mesh, centre->hosts[i]));
+    silence_note_heard (&centre->silence,
+                        mesh_heard_ms (reach->options.mesh, centre->hosts[i]));
   if (!silence_tick (&centre->silence, now_ms))
     return;
   for (size_t i = 0; i < centre->host_count && i < PROBED_HOSTS; i++)
@@ -139,15 +137,15 @@
   for (size_t i = 0; i < reach->count; i++)
     {
       struct data_centre *centre = &reach->list[i];
-      bool is_cut = centre->silence.is_cut && centre->host_count > 0
-                    && !is_alone;
+      bool is_cut
+          = centre->silence.is_cut && centre->host_count > 0 && !is_alone;
 
       if (is_cut == centre->reported_cut)
         continue;
       centre->reported_cut = is_cut;
       log_write (is_cut ? LOG_WARN : LOG_INFO, "reach", NULL,
-                 "data centre %s is %s: last heard %lld ms ago",
-                 centre->name, is_cut ? "out of reach" : "in reach again",
+                 "data centre %s is %s: last heard %lld ms ago", centre->name,
+                 is_cut ? "out of reach" : "in reach again",
                  (long long)(now_ms - centre->silence.heard_ms));
       reach->options.handle_change (reach->options.data, centre->name,
                                     !is_cut);
--- a/request/request.c
+++ b/request/request.c
@@ -8,17 +8,17 @@
 
 enum
 {
-  CONNECT_MS = 250,      /* many times the way to any data centre */
-  IDLE_ONCE_MS = 2000,   /* older connections may be closed by their endpoint
-                            just as a request goes out */
+  CONNECT_MS = 250,    /* many times the way to any data centre */
+  IDLE_ONCE_MS = 2000, /* older connections may be closed by their endpoint
+                          just as a request goes out */
   IDLE_MS = 4000,
-  MAX_SENDS = 12,        /* of one request, those refused by endpoints too */
-  BACKOFF_MS = 15,       /* after a refusal by an endpoint, times their count */
-  MIN_LEFT_MS = 20,      /* less is not worth a send */
-  DEFAULT_ATTEMPTS = 2,  /* of idempotent requests whose route names none */
-  RETRY_AFTER_MS = 300,  /* after a passing shortage */
+  MAX_SENDS = 12,       /* of one request, those refused by endpoints too */
+  BACKOFF_MS = 15,      /* after a refusal by an endpoint, times their count */
+  MIN_LEFT_MS = 20,     /* less is not worth a send */
+  DEFAULT_ATTEMPTS = 2, /* of idempotent requests whose route names none */
+  RETRY_AFTER_MS = 300, /* after a passing shortage */
   STOPPING_RETRY_MS = 50, /* another host takes it at once */
-  BUDGET_RETRY_MS = 500, /* while the ledger's keepers cannot be reached */
+  BUDGET_RETRY_MS = 500,  /* while the ledger's keepers cannot be reached */
   MAX_ANSWER_BYTES = 64 * 1024 * 1024,
 };
 
@@ -53,8 +53,8 @@
   uint64_t program;
   int64_t started_ms;
   int64_t ends_ms;
-  int64_t sent_ms;  /* when the present send began */
-  int64_t first_ms; /* when its first event came; 0 for none */
+  int64_t sent_ms;       /* when the present send began */
+  int64_t first_ms;      /* when its first event came; 0 for none */
   int64_t cached_tokens; /* of the prompt, expected at its endpoint */
   ev_timer deadline;
   ev_timer backoff;
@@ -71,8 +71,8 @@
   uint32_t runs;     /* sends that may have run */
   uint32_t refusals; /* by endpoints */
   bool may_have_run;
-  bool is_foreign;   /* the answer belongs to another request */
-  bool not_whole;    /* a stream was stopped because its pieces do not fit */
+  bool is_foreign; /* the answer belongs to another request */
+  bool not_whole;  /* a stream was stopped because its pieces do not fit */
   GList link;
 };
 
@@ -439,19 +439,19 @@
   struct log_ids ids = log_ids (request);
   int64_t now_ms = clock_now_ms ();
 
-  log_write (
-      LOG_INFO, "request", &ids,
-      "answered %ld by %s after %" G_GINT64_FORMAT
-      " ms: route %s, %u sends, the last %" G_GINT64_FORMAT
-      " ms ago, first event after %" G_GINT64_FORMAT " ms, %" G_GINT64_FORMAT
-      " events, %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
-      " prompt tokens expected there, configuration %" G_GINT64_FORMAT,
-      request->head.status, request->endpoint->id,
-      now_ms - request->started_ms, request->route->name, request->sends,
-      now_ms - request->sent_ms,
-      request->first_ms ? request->first_ms - request->sent_ms : 0,
-      request->events_passed, request->cached_tokens,
-      request->input->prompt_tokens, request->routing->version);
+  log_write (LOG_INFO, "request", &ids,
+             "answered %ld by %s after %" G_GINT64_FORMAT
+             " ms: route %s, %u sends, the last %" G_GINT64_FORMAT
+             " ms ago, first event after %" G_GINT64_FORMAT
+             " ms, %" G_GINT64_FORMAT " events, %" G_GINT64_FORMAT
+             " of %" G_GINT64_FORMAT
+             " prompt tokens expected there, configuration %" G_GINT64_FORMAT,
+             request->head.status, request->endpoint->id,
+             now_ms - request->started_ms, request->route->name,
+             request->sends, now_ms - request->sent_ms,
+             request->first_ms ? request->first_ms - request->sent_ms : 0,
+             request->events_passed, request->cached_tokens,
+             request->input->prompt_tokens, request->routing->version);
 }
 
 /* Passes a whole answer on.  BODY stays the caller's.  */
--- a/request/routing.c
+++ b/request/routing.c
@@ -143,8 +143,7 @@
 routing_customer (const struct routing *routing, const char *key)
 {
   uint64_t hash = hash_key (key);
-  guint found
-      = GPOINTER_TO_UINT (g_hash_table_lookup (routing->keys, &hash));
+  guint found = GPOINTER_TO_UINT (g_hash_table_lookup (routing->keys, &hash));
 
   return found ? &routing->customers[found - 1] : NULL;
 }
--- a/standin/main.c
+++ b/standin/main.c
@@ -17,7 +17,8 @@
 };
 
 static const struct standin_mode *const modes[]
-    = { &standin_engine, &standin_platform, &standin_service };
+    = { &standin_engine, &standin_objects, &standin_platform, &standin_service,
+        &standin_worker };
 
 struct delayed
 {
@@ -208,6 +209,7 @@
           .connection_memory_bytes = CONNECTION_MEMORY_BYTES,
           .max_body_bytes = MAX_BODY_BYTES,
           .max_connections = MAX_CONNECTIONS,
+          .watch_callers = true,
           .handle_request = handle_request,
           .data = standin };
   ev_signal term;
@@ -246,7 +248,7 @@
   gboolean record_all = FALSE;
   GOptionEntry entries[] = {
     { "mode", 0, 0, G_OPTION_ARG_STRING, &mode_name,
-      "engine, platform or service", "MODE" },
+      "engine, objects, platform, service or worker", "MODE" },
     { "port", 0, 0, G_OPTION_ARG_INT, &port, "Port on 127.0.0.1", "PORT" },
     { "slots", 0, 0, G_OPTION_ARG_INT64, &slots, "Requests at once", "N" },
     { "token-us", 0, 0, G_OPTION_ARG_INT64, &token_us,
@@ -279,7 +281,9 @@
   standin.mode = find_mode (mode_name);
   if (!standin.mode || sodium_init () < 0)
     {
-      fputs ("standin: name a --mode: engine, platform or service\n", stderr);
+      fputs ("standin: name a --mode: engine, objects, platform, service or "
+             "worker\n",
+             stderr);
       goto out;
     }
   standin.settings
--- /dev/null
+++ b/standin/worker.c
@@ -0,0 +1,186 @@
+#include "common/id.h"
+#include "standin/standin.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* An endpoint in the platform's protocol: plain answers, or a stream of events
+   where the request names its tokens.  Paths choose what it does:
+   .../shed refuses, .../fail answers 500, .../early breaks off.  */
+
+enum
+{
+  STREAM_EVENTS = 6,
+};
+
+struct run
+{
+  ev_timer timer;
+  struct standin *standin;
+  struct httpd_request *request;
+  int64_t next; /* event */
+};
+
+struct worker
+{
+  json_t *counts; /* request id -> runs */
+  json_t *last;   /* headers of the newest request */
+  int64_t cancelled;
+};
+
+static void
+note_header (void *data, const char *name, const char *value)
+{
+  json_object_set_new (data, name, json_string (value));
+}
+
+static void
+add_mark (struct standin *standin, struct httpd_request *request)
+{
+  const char *id = httpd_header (request, "Attempt-Id");
+
+  if (standin_take (&standin->faults.crossed_next))
+    id = "another";
+  httpd_add_header (request, "Attempt-Id", id ? id : "none");
+  httpd_add_header (request, "Server-Stamp", "stamp-1");
+  httpd_add_header (request, "Server-Load", "1,0,8");
+}
+
+static void
+handle_gone (struct httpd_request *request)
+{
+  struct run *run = request->user;
+  struct worker *worker = run->standin->state;
+
+  worker->cancelled++;
+  ev_timer_stop (run->standin->loop, &run->timer);
+  free (run);
+}
+
+static void
+handle_event (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct run *run = timer->data;
+  struct httpd_request *request = run->request;
+  char text[64];
+
+  if (run->next <= STREAM_EVENTS
+      && !(run->next == STREAM_EVENTS / 2
+           && standin_take (&run->standin->faults.half_next)))
+    {
+      snprintf (text, sizeof text, "id: %lld\ndata: token-%lld\n\n",
+                (long long)run->next, (long long)run->next);
+      run->next++;
+      httpd_stream_write (request, text, strlen (text));
+      return;
+    }
+  request->handle_gone = NULL;
+  request->user = NULL;
+  if (run->next <= STREAM_EVENTS)
+    httpd_stream_abort (request);
+  else
+    httpd_stream_end (request);
+  ev_timer_stop (loop, timer);
+  free (run);
+}
+
+static void
+start_stream (struct standin *standin, struct httpd_request *request)
+{
+  const char *after = httpd_header (request, "Last-Event-Id");
+  struct run *run = xcalloc (1, sizeof *run);
+  double pause_s = (double)(standin->settings.work_ms + 1) / 1000.0;
+
+  run->standin = standin;
+  run->request = request;
+  run->next = after ? strtoll (after, NULL, 10) + 1 : 1;
+  request->user = run;
+  request->handle_gone = handle_gone;
+  add_mark (standin, request);
+  httpd_stream_begin (request, 200, "text/event-stream");
+  ev_timer_init (&run->timer, handle_event, pause_s, pause_s);
+  run->timer.data = run;
+  ev_timer_start (standin->loop, &run->timer);
+}
+
+static bool
+ends_with (const char *text, const char *end)
+{
+  size_t len = strlen (text);
+
+  return len >= strlen (end) && strcmp (text + len - strlen (end), end) == 0;
+}
+
+static void
+count_run (struct worker *worker, const char *id)
+{
+  json_int_t runs = json_integer_value (json_object_get (worker->counts, id));
+
+  json_object_set_new (worker->counts, id, json_integer (runs + 1));
+}
+
+static void
+worker_handle_request (struct standin *standin, struct httpd_request *request)
+{
+  struct worker *worker = standin->state;
+  const char *id = httpd_header (request, "Attempt-Id");
+
+  if (strcmp (request->path, "/counts") == 0)
+    {
+      standin_respond_json (standin, request, 200,
+                            json_pack ("{s:O, s:O, s:I}", "counts",
+                                       worker->counts, "last", worker->last,
+                                       "cancelled",
+                                       (json_int_t)worker->cancelled));
+      return;
+    }
+  if (ends_with (request->path, "/shed"))
+    {
+      httpd_add_header (request, "Not-Executed", "1");
+      httpd_respond (request, 503, "text/plain", "full", 4);
+      return;
+    }
+  count_run (worker, id ? id : "none");
+  json_object_clear (worker->last);
+  httpd_each_header (request, note_header, worker->last);
+  if (standin_take (&standin->faults.lose_answers)
+      || ends_with (request->path, "/early"))
+    {
+      standin_lose (request);
+      return;
+    }
+  if (httpd_header (request, "Token-Usage"))
+    {
+      start_stream (standin, request);
+      return;
+    }
+  add_mark (standin, request);
+  httpd_respond (request, ends_with (request->path, "/fail") ? 500 : 200,
+                 "text/plain", request->target, strlen (request->target));
+}
+
+static void
+worker_create (struct standin *standin)
+{
+  struct worker *worker = xcalloc (1, sizeof *worker);
+
+  worker->counts = json_object ();
+  worker->last = json_object ();
+  standin->state = worker;
+}
+
+static void
+worker_destroy (struct standin *standin)
+{
+  struct worker *worker = standin->state;
+
+  json_decref (worker->counts);
+  json_decref (worker->last);
+  free (worker);
+}
+
+const struct standin_mode standin_worker
+    = { .name = "worker",
+        .create = worker_create,
+        .handle_request = worker_handle_request,
+        .destroy = worker_destroy };
--- a/test/unit/test_decode.c
+++ b/test/unit/test_decode.c
@@ -37,15 +37,15 @@
       "{\"backend\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
       "\"max_concurrency\":6,\"state\":\"ready\",\"born\":12,\"more\":1}"));
   CU_ASSERT_FALSE (decodes ("{}"));
-  CU_ASSERT_FALSE (decodes (
-      "{\"backend\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
-      "\"max_concurrency\":\"6\",\"state\":\"ready\"}"));
-  CU_ASSERT_FALSE (decodes (
-      "{\"backend\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
-      "\"max_concurrency\":6,\"state\":\"asleep\"}"));
-  CU_ASSERT_FALSE (decodes (
-      "{\"backend\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
-      "\"max_concurrency\":6,\"state\":\"ready\"}"));
+  CU_ASSERT_FALSE (
+      decodes ("{\"backend\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+               "\"max_concurrency\":\"6\",\"state\":\"ready\"}"));
+  CU_ASSERT_FALSE (
+      decodes ("{\"backend\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+               "\"max_concurrency\":6,\"state\":\"asleep\"}"));
+  CU_ASSERT_FALSE (
+      decodes ("{\"backend\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+               "\"max_concurrency\":6,\"state\":\"ready\"}"));
 }
 
 static const char config_text[]
--- a/test/unit/test_place.c
+++ b/test/unit/test_place.c
@@ -12,10 +12,9 @@
 fill (struct place_endpoint *endpoints)
 {
   for (int i = 0; i < ENDPOINTS; i++)
-    endpoints[i]
-        = (struct place_endpoint){ .eligible = true,
-                                   .hash = (uint64_t)(i + 1) * 7919,
-                                   .slots = 64 };
+    endpoints[i] = (struct place_endpoint){ .eligible = true,
+                                            .hash = (uint64_t)(i + 1) * 7919,
+                                            .slots = 64 };
 }
 
 /* A burst of one class: everybody's engine is as full as the next one.  A turn
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -46,8 +46,9 @@
 test_headers_of_the_system_are_not_copied (void)
 {
   static const char *const own[]
-      = { "credential", "Tenant", "Expect-Instance", "Deadline-Ms", "Hold",
-          "Pin-Ms", "Kv-From", "Kv-Backup", "Request-Priority" };
+      = { "credential",  "Tenant",    "Expect-Instance",
+          "Deadline-Ms", "Hold",      "Pin-Ms",
+          "Kv-From",     "Kv-Backup", "Request-Priority" };
 
   for (size_t i = 0; i < sizeof own / sizeof *own; i++)
     CU_ASSERT_TRUE (wire_is_own_header (own[i]));
