Refuse requests that crashed two endpoints

Cause: nothing stopped a request that crashes whatever runs it. Change: requests that ran when an endpoint broke off are suspect; once the endpoint refuses connections they have crashed it, all hosts are told, and after the second crash the request is refused. Requests whose answer was merely lost are not counted. The functional test fails without it.

--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -34,6 +34,18 @@
   size_t count;
 };
 
+enum
+{
+  POOL_SUSPECTS = 8, /* requests that an endpoint broke off, remembered */
+};
+
+/* A request that was running when its endpoint broke off. */
+struct pool_suspect
+{
+  uint64_t fingerprint;
+  int64_t broken_ms;
+};
+
 /* Owned by the pool; held while requests use it. */
 struct pool_endpoint
 {
@@ -54,6 +66,8 @@
   int64_t reported_ms;
   uint32_t failures; /* in a row */
   int64_t avoid_until_ms;
+  struct pool_suspect suspects[POOL_SUSPECTS];
+  uint32_t suspect_count;
   GHashTable *parts; /* prompt part -> when it was last used, ms */
 };
 
@@ -88,6 +102,10 @@
 void pool_note_failure (struct pool_endpoint *endpoint, int64_t now_ms);
 void pool_set_reach (struct pool *pool, const char *data_centre,
                      bool reachable);
+void pool_note_broken (struct pool_endpoint *endpoint, uint64_t fingerprint,
+                       int64_t now_ms);
+uint32_t pool_take_suspects (struct pool_endpoint *endpoint, int64_t now_ms,
+                             uint64_t fingerprints[POOL_SUSPECTS]);
 bool pool_serves (const struct pool *pool, const char *service);
 size_t pool_count (const struct pool *pool);
 void pool_tick (struct pool *pool, int64_t now_ms);
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -92,6 +92,10 @@
                   const struct buf *body);
 };
 
+/* A request crashed an endpoint; the other hosts are to know. */
+typedef void pipeline_crash_handler (void *data, uint64_t fingerprint,
+                                     uint32_t crashes, const char *endpoint);
+
 struct pipeline_options
 {
   struct ev_loop *loop;
@@ -100,12 +104,16 @@
   struct limits *limits;
   struct ledger *ledger;
   const struct request_wire *wire;
+  pipeline_crash_handler *handle_crash;
+  void *data;
 };
 
 struct pipeline *pipeline_create (const struct pipeline_options *options);
 void pipeline_destroy (struct pipeline *pipeline);
 void pipeline_apply (struct pipeline *pipeline, struct routing *routing);
 void pipeline_leave (struct pipeline *pipeline, const char *data_centre);
+void pipeline_note_crash (struct pipeline *pipeline, uint64_t fingerprint,
+                          uint32_t crashes, const char *endpoint);
 void pipeline_close (struct pipeline *pipeline);
 bool pipeline_is_idle (const struct pipeline *pipeline);
 uint32_t pipeline_open_requests (const struct pipeline *pipeline);
--- a/request/pool.c
+++ b/request/pool.c
@@ -11,6 +11,7 @@
   AVOID_BASE_MS = 250, /* after a failure; doubles with each in a row */
   AVOID_CAP_MS = 4000, /* an endpoint that crashed is back in seconds */
   MAX_PARTS = 4096,    /* prompt parts remembered of an endpoint */
+  SUSPECT_MS = 3000,   /* a crashed endpoint is down for some seconds */
   PART_MS = 60 * 1000, /* a part unused for so long has been evicted */
 };
 
@@ -353,6 +354,38 @@
   endpoint->avoid_until_ms = now_ms + avoid_ms;
 }
 
+/* Notes that a request was running when ENDPOINT broke off.  It may be what
+   crashed it.  */
+void
+pool_note_broken (struct pool_endpoint *endpoint, uint64_t fingerprint,
+                  int64_t now_ms)
+{
+  struct pool_suspect *suspect
+      = &endpoint->suspects[endpoint->suspect_count++ % POOL_SUSPECTS];
+
+  *suspect = (struct pool_suspect){ .fingerprint = fingerprint,
+                                    .broken_ms = now_ms };
+}
+
+/* ENDPOINT refuses connections, so it has crashed: returns the requests that
+   broke off there lately, and forgets them.  */
+uint32_t
+pool_take_suspects (struct pool_endpoint *endpoint, int64_t now_ms,
+                    uint64_t fingerprints[POOL_SUSPECTS])
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < POOL_SUSPECTS; i++)
+    {
+      struct pool_suspect *suspect = &endpoint->suspects[i];
+
+      if (suspect->fingerprint && now_ms - suspect->broken_ms <= SUSPECT_MS)
+        fingerprints[count++] = suspect->fingerprint;
+      *suspect = (struct pool_suspect){ 0 };
+    }
+  return count;
+}
+
 /* Notes whether the endpoints of a data centre can be reached.  */
 void
 pool_set_reach (struct pool *pool, const char *data_centre, bool reachable)
--- a/request/request.c
+++ b/request/request.c
@@ -2,6 +2,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "policy/retry.h"
 #include "request/events.h"
 #include <stdlib.h>
 #include <string.h>
@@ -18,7 +19,8 @@
   DEFAULT_ATTEMPTS = 2, /* of idempotent requests whose route names none */
   RETRY_AFTER_MS = 300, /* after a passing shortage */
   STOPPING_RETRY_MS = 50, /* another host takes it at once */
-  BUDGET_RETRY_MS = 500,  /* while the ledger's keepers cannot be reached */
+  POISON_RETRY_MS = 60000,
+  BUDGET_RETRY_MS = 500, /* while the ledger's keepers cannot be reached */
   MAX_ANSWER_BYTES = 64 * 1024 * 1024,
 };
 
@@ -51,6 +53,7 @@
   const struct service *service;   /* of the present send */
   enum request_step step;
   uint64_t program;
+  uint64_t fingerprint; /* the same for each try of a caller */
   int64_t started_ms;
   int64_t ends_ms;
   int64_t sent_ms;       /* when the present send began */
@@ -81,6 +84,7 @@
   struct pipeline_options options;
   struct routing *routing; /* NULL until the first configuration */
   bool is_closed;          /* takes no requests any more */
+  struct poison poison;
   GQueue requests;
 };
 
@@ -268,6 +272,31 @@
   ev_timer_start (request->pipeline->options.loop, &request->backoff);
 }
 
+/* ENDPOINT cannot be reached: the requests that broke off there may have
+   crashed it.  */
+static void
+note_down (struct pipeline *pipeline, struct pool_endpoint *endpoint)
+{
+  uint64_t fingerprints[POOL_SUSPECTS];
+  int64_t now_ms = clock_now_ms ();
+  uint32_t count = pool_take_suspects (endpoint, now_ms, fingerprints);
+
+  pool_note_failure (endpoint, now_ms);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t crashes = poison_note_crash (&pipeline->poison, fingerprints[i],
+                                            endpoint->hash, 0, now_ms);
+
+      log_write (LOG_WARN, "request", NULL,
+                 "endpoint %s is down after a request with fingerprint "
+                 "%016" G_GINT64_MODIFIER "x: crash %u of it",
+                 endpoint->id, fingerprints[i], crashes);
+      if (pipeline->options.handle_crash)
+        pipeline->options.handle_crash (
+            pipeline->options.data, fingerprints[i], crashes, endpoint->id);
+    }
+}
+
 /* Sends a request again that has not run, or ends it.  */
 static void
 handle_not_run (struct request *request, const char *why)
@@ -330,6 +359,7 @@
   log_write (LOG_WARN, "request", &ids, "endpoint %s broke off: %s",
              request->endpoint->id, why);
   pool_note_failure (request->endpoint, clock_now_ms ());
+  pool_note_broken (request->endpoint, request->fingerprint, clock_now_ms ());
   if (!may_run_again (request))
     {
       give_up (request, why);
@@ -506,7 +536,7 @@
   note_load (request);
   if (!result->sent)
     {
-      pool_note_failure (request->endpoint, clock_now_ms ());
+      note_down (request->pipeline, request->endpoint);
       handle_not_run (request, "no endpoint could be reached");
       return;
     }
@@ -523,6 +553,7 @@
       return;
     }
   pool_note_success (request->endpoint);
+  poison_note_success (&request->pipeline->poison, request->fingerprint);
   if (request->step == STEP_STREAM)
     {
       if (!is_success (request->head.status))
@@ -690,6 +721,14 @@
       give_up (request, "its route or key has been withdrawn");
       return;
     }
+  if (poison_check (&request->pipeline->poison, request->fingerprint,
+                    clock_now_ms ())
+      == POISON_REFUSE)
+    {
+      refuse_with (request, ERROR_POISONED, POISON_RETRY_MS,
+                   "requests like this one crashed endpoints");
+      return;
+    }
   if (!request->service)
     request->service = pick_service (request);
   endpoint = request->service ? pick_endpoint (request) : NULL;
@@ -840,6 +879,15 @@
     }
 }
 
+/* Notes what another host has seen: a request has crashed an endpoint.  */
+void
+pipeline_note_crash (struct pipeline *pipeline, uint64_t fingerprint,
+                     uint32_t crashes, const char *endpoint)
+{
+  poison_note_crash (&pipeline->poison, fingerprint, id_hash_text (endpoint),
+                     crashes, clock_now_ms ());
+}
+
 /* Refuses requests from now on; those under way go on.  */
 void
 pipeline_close (struct pipeline *pipeline)
@@ -885,6 +933,19 @@
   return request;
 }
 
+static uint64_t
+fingerprint_of (const struct request *request)
+{
+  const struct request_input *input = request->input;
+  uint64_t hash = id_hash_text (input->target);
+
+  if (request->customer)
+    hash = id_hash64 (request->customer->name,
+                      strlen (request->customer->name), hash);
+  return id_hash64 (input->body.data ? input->body.data : "", input->body.len,
+                    hash);
+}
+
 static void
 set_deadline (struct request *request)
 {
@@ -942,6 +1003,7 @@
       refuse_with (request, ERROR_UNAUTHORIZED, 0, "the key is not known");
       return NULL;
     }
+  request->fingerprint = fingerprint_of (request);
   set_deadline (request);
   take_token (request);
   /* The newest request is the last one in the queue, if it is still there. */
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -3,10 +3,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 /* An endpoint in the platform's protocol: plain answers, or a stream of events
    where the request names its tokens.  Paths choose what it does:
-   .../shed refuses, .../fail answers 500, .../early breaks off.  */
+   .../shed refuses, .../fail answers 500, .../early breaks off, .../crash ends
+   the process.  */
 
 enum
 {
@@ -134,6 +136,8 @@
                                        (json_int_t)worker->cancelled));
       return;
     }
+  if (ends_with (request->path, "/crash"))
+    _exit (EXIT_FAILURE);
   if (ends_with (request->path, "/shed"))
     {
       httpd_add_header (request, "Not-Executed", "1");
--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -206,6 +206,24 @@
 [ "$(counts 1 | jq '.counts | length')" = "$before" ] || fail "a leaving endpoint got work"
 pass "a leaving endpoint gets no work"
 
+# A request that crashes each endpoint that runs it.
+restart_workers () {
+  for i in 3 4; do
+    curl -s -o /dev/null "$(worker $i)/counts" \
+      || fleet_standin worker $((FLEET_BASE_PORT + i)) --work-ms 1
+    fleet_wait_http "$(worker $i)/counts"
+  done
+}
+for _ in 1 2 3 4; do
+  ask 1 /note/crash key-1 >/dev/null
+  ask 1 /note/y key-1 >/dev/null # finds the endpoint down
+  restart_workers
+done
+expect "a request that crashed endpoints is refused" '^503$' "$(ask 1 /note/crash key-1)"
+expect "also at another host" '^503$' "$(ask 2 /note/crash key-1)"
+for i in 3 4; do fleet_wait_http "$(worker $i)/counts"; done
+wait_for "others are served again" '[ "$(ask 2 /note/x key-1 | tail -1)" = 200 ]'
+
 # Callers that leave, and rates.
 turn 1 p9 1000 40 --max-time 0.05 >/dev/null || true
 wait_for "a caller that leaves ends its run" \
