--- a/request/limits.c
+++ b/request/limits.c
@@ -541,6 +541,13 @@
   return false;
 }
 
+/* The last token is lent, too: a small customer has few in each part.  */
+static int64_t
+lendable (int64_t tokens, int64_t percent)
+{
+  return (tokens * percent + 99) / 100;
+}
+
 /* What is lent counts as given now, and the borrower uses it within LOAN_MS,
    by which the window is longer than the customer's.  */
 static void
@@ -549,13 +556,13 @@
 {
   int64_t now_ms = clock_now_ms ();
   int64_t percent = is_near_by ? 100 : 100 - KEPT_PERCENT;
-  int64_t spare
-      = window_left (&bucket->own, now_ms) / WINDOW_TOKEN * percent / 100;
+  int64_t spare = lendable (window_left (&bucket->own, now_ms) / WINDOW_TOKEN,
+                            percent);
 
   if (spare > question->tokens)
     spare = question->tokens;
   loan->tokens = (uint32_t)give (bucket, spare, false, now_ms);
-  spare = left_to_begin (bucket, now_ms) * percent / 100;
+  spare = lendable (left_to_begin (bucket, now_ms), percent);
   if (spare > question->begin_tokens)
     spare = question->begin_tokens;
   loan->begin_tokens = (uint32_t)give (bucket, spare, true, now_ms);
