Borrow tokens from one data centre at a time

Cause: a host that was short asked all other data centres at once, and what they lent beyond one token was lost after 300 ms: a customer far over its rate got 60% of it.

--- a/request/limits.c
+++ b/request/limits.c
@@ -17,7 +17,7 @@
   MAX_LOAN_TOKENS = 32,
   /* Programs begin at the pace at which the customer's tokens last for all of
      their requests: one that breaks off has used its tokens for nothing. */
-  BEGIN_PERCENT = 90,       /* of the tokens are spoken for in this way */
+  BEGIN_PERCENT = 100,      /* of the tokens are spoken for in this way */
   PROGRAM_REQUESTS = 8,     /* of a program, until some have been seen */
   PROGRAMS_WEIGHED = 8,     /* that the figure above counts for */
   PROGRAMS_REMEMBERED = 64, /* older ones count for less and less */
@@ -54,7 +54,7 @@
   int64_t borrowed_ms;       /* when the last loan was asked for */
   uint64_t nonce;            /* of the round under way; 0 for none */
   uint32_t unanswered;
-  bool asked_elsewhere; /* the round is at other data centres by now */
+  uint32_t asked_centres; /* of the round; the first is the own */
   int64_t window_ms;    /* start of the window whose use is counted */
   int64_t used;         /* in that window */
   int64_t used_before;  /* in the one before */
@@ -405,16 +405,30 @@
   return true;
 }
 
-static void
-ask_elsewhere (struct bucket *bucket)
+/* Asks the next data centre of the round that can be asked, one at a time: what
+   several lent at once would be lost but for what is needed.  False where none
+   is left.  */
+static bool
+ask_next (struct bucket *bucket)
 {
-  bucket->asked_elsewhere = true;
-  for (uint32_t i = 1; i < bucket->limits->data_centre_count; i++)
-    ask_holder (bucket, bucket->limits->data_centres[i]);
+  const struct limits *limits = bucket->limits;
+  uint32_t others = limits->data_centre_count - 1;
+
+  while (bucket->asked_centres <= others)
+    {
+      uint32_t at = bucket->asked_centres++;
+
+      /* Customers begin with different ones. */
+      if (at > 0)
+        at = 1 + (uint32_t)((bucket->nonce + at) % others);
+      if (ask_holder (bucket, limits->data_centres[at]))
+        return true;
+    }
+  return false;
 }
 
 /* Begins a round: the own data centre's holder is asked first, the others
-   where this host is that holder or it does not answer.  */
+   where this host is that holder or it has no tokens.  */
 static void
 ask (struct bucket *bucket, int64_t now_ms)
 {
@@ -425,10 +439,9 @@
   bucket->nonce = id_random64 ();
   bucket->asked_ms = now_ms;
   bucket->unanswered = 0;
-  bucket->asked_elsewhere = false;
+  bucket->asked_centres = 0;
   bucket->wait_ms = 0;
-  if (!ask_holder (bucket, limits->data_centres[0]))
-    ask_elsewhere (bucket);
+  ask_next (bucket);
   counter_add (COUNTER_TOKEN_PULLS, 1);
   ev_timer_stop (limits->options.loop, &bucket->timer);
   ev_timer_set (&bucket->timer,
@@ -479,10 +492,10 @@
     log_write (LOG_INFO, "limits", NULL,
                "customer %s has no token left: rate %" G_GINT64_FORMAT
                " in 1000 s, burst %" G_GINT64_FORMAT
-               ", part held here: %s, %u unanswered, asked elsewhere: %s",
+               ", part held here: %s, %u unanswered, %u data centres asked",
                bucket->customer, bucket->rate_milli, bucket->burst,
                bucket->is_holder ? "yes" : "no", bucket->unanswered,
-               bucket->asked_elsewhere ? "yes" : "no");
+               bucket->asked_centres);
   while (bucket->waits->len > 0)
     answer_wait (bucket, 0, false);
 }
@@ -650,11 +663,8 @@
   if (!bucket->wait_ms || loan->wait_ms < bucket->wait_ms)
     bucket->wait_ms = loan->wait_ms;
   serve_waits (bucket, clock_now_ms ());
-  if (bucket->unanswered > 0)
-    return;
-  if (bucket->waits->len > 0 && !bucket->asked_elsewhere)
-    ask_elsewhere (bucket);
-  if (bucket->unanswered == 0)
+  if (bucket->unanswered == 0
+      && (bucket->waits->len == 0 || !ask_next (bucket)))
     finish_round (bucket);
 }
 
