--- a/common/log.c
+++ b/common/log.c
@@ -1,15 +1,19 @@
 #include "common/log.h"
+#include <ck_pr.h>
+#include <fcntl.h>
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
 enum
 {
   LOG_MESSAGE_BYTES = 1024,
+  LOG_LINES_PER_S = 1000, /* about twice what a host at its limit decides */
 };
 
 static const char *const level_names[] = {
@@ -23,12 +27,39 @@
 static char log_host[64] = "-";
 static enum log_level log_threshold = LOG_INFO;
 
-/* Sets the host name and the level for the whole process.  */
+/* Lines of the present second, and those that were dropped since the last one
+   that was written.  */
+static uint64_t log_second;
+static uint32_t log_lines;
+static uint32_t log_dropped;
+
+/* Sets the host name and the level for the whole process.  A pipe that nobody
+   reads must not stop the process, so writes to one do not wait.  */
 void
 log_init (const char *host, enum log_level level)
 {
+  struct stat output;
+
   snprintf (log_host, sizeof log_host, "%s", host);
   log_threshold = level;
+  if (fstat (STDOUT_FILENO, &output) == 0 && S_ISFIFO (output.st_mode))
+    fcntl (STDOUT_FILENO, F_SETFL,
+           fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
+/* Whether the second at NOW_S holds one more line.  Errors always pass.  */
+static bool
+has_room (enum log_level level, uint64_t now_s)
+{
+  if (ck_pr_load_64 (&log_second) != now_s)
+    {
+      ck_pr_store_64 (&log_second, now_s);
+      ck_pr_store_32 (&log_lines, 0);
+    }
+  if (ck_pr_faa_32 (&log_lines, 1) < LOG_LINES_PER_S || level == LOG_ERROR)
+    return true;
+  ck_pr_inc_32 (&log_dropped);
+  return false;
 }
 
 /* Reads a level by its name; false where there is none.  */
@@ -51,7 +82,17 @@
     json_object_set_new (line, name, json_string (value));
 }
 
-/* Writes one line to standard error.  IDS may be NULL.  */
+static void
+write_line (char *text)
+{
+  size_t len = strlen (text);
+
+  text[len] = '\n'; /* in place of the NUL: one write keeps lines whole */
+  if (write (STDOUT_FILENO, text, len + 1) < 0)
+    ck_pr_inc_32 (&log_dropped);
+}
+
+/* Writes one line to standard output.  IDS may be NULL.  */
 void
 log_write (enum log_level level, const char *module, const struct log_ids *ids,
            const char *format, ...)
@@ -61,13 +102,16 @@
   va_list args;
   json_t *line;
   char *text;
+  uint32_t dropped;
 
   if (level > log_threshold)
     return;
+  clock_gettime (CLOCK_REALTIME, &now);
+  if (!has_room (level, (uint64_t)now.tv_sec))
+    return;
   va_start (args, format);
   vsnprintf (message, sizeof message, format, args);
   va_end (args);
-  clock_gettime (CLOCK_REALTIME, &now);
   line = json_pack ("{s:I, s:s, s:s, s:s, s:s}", "time_ms",
                     (json_int_t)now.tv_sec * 1000 + now.tv_nsec / 1000000,
                     "level", level_names[level], "module", module, "host",
@@ -80,10 +124,13 @@
       set_id (line, "program", ids->program);
       set_id (line, "customer", ids->customer);
     }
+  dropped = ck_pr_fas_32 (&log_dropped, 0);
+  if (dropped > 0)
+    json_object_set_new (line, "dropped_before", json_integer (dropped));
   text = json_dumps (line, JSON_COMPACT);
   json_decref (line);
   if (!text)
     return;
-  dprintf (STDERR_FILENO, "%s\n", text);
+  write_line (text);
   free (text);
 }
--- a/request/limits.c
+++ b/request/limits.c
@@ -55,9 +55,9 @@
   uint64_t nonce;            /* of the round under way; 0 for none */
   uint32_t unanswered;
   uint32_t asked_centres; /* of the round; the first is the own */
-  int64_t window_ms;    /* start of the window whose use is counted */
-  int64_t used;         /* in that window */
-  int64_t used_before;  /* in the one before */
+  int64_t window_ms;      /* start of the window whose use is counted */
+  int64_t used;           /* in that window */
+  int64_t used_before;    /* in the one before */
   int64_t asked_ms;
   int64_t denied_ms;       /* a request of a program under way */
   int64_t denied_begin_ms; /* a program that was to begin */
@@ -405,9 +405,9 @@
   return true;
 }
 
-/* Asks the next data centre of the round that can be asked, one at a time: what
-   several lent at once would be lost but for what is needed.  False where none
-   is left.  */
+/* Asks the next data centre of the round that can be asked, one at a time:
+   what several lent at once would be lost but for what is needed.  False where
+   none is left.  */
 static bool
 ask_next (struct bucket *bucket)
 {
@@ -569,8 +569,8 @@
 {
   int64_t now_ms = clock_now_ms ();
   int64_t percent = is_near_by ? 100 : 100 - KEPT_PERCENT;
-  int64_t spare = lendable (window_left (&bucket->own, now_ms) / WINDOW_TOKEN,
-                            percent);
+  int64_t spare
+      = lendable (window_left (&bucket->own, now_ms) / WINDOW_TOKEN, percent);
 
   if (spare > question->tokens)
     spare = question->tokens;
--- a/request/request.c
+++ b/request/request.c
@@ -1,5 +1,6 @@
 #include "request/request.h"
 #include "common/counters.h"
+#include "common/histogram.h"
 #include "common/id.h"
 #include "common/log.h"
 #include "policy/retry.h"
@@ -442,7 +443,11 @@
       return request->events.pending.len < MAX_ANSWER_BYTES;
     }
   if (!request->first_ms)
-    request->first_ms = clock_now_ms ();
+    {
+      request->first_ms = clock_now_ms ();
+      histogram_add (HISTOGRAM_FIRST_EVENT_MS,
+                     request->first_ms - request->sent_ms);
+    }
   if (request->step != STEP_STREAM)
     {
       request->step = STEP_STREAM;
@@ -469,6 +474,7 @@
   struct log_ids ids = log_ids (request);
   int64_t now_ms = clock_now_ms ();
 
+  histogram_add (HISTOGRAM_REQUEST_MS, now_ms - request->started_ms);
   log_write (LOG_INFO, "request", &ids,
              "answered %ld by %s after %" G_GINT64_FORMAT
              " ms: route %s, %u sends, the last %" G_GINT64_FORMAT
@@ -746,7 +752,9 @@
   struct request *request = data;
   struct log_ids ids = log_ids (request);
 
-  log_write (LOG_DEBUG, "request", &ids,
+  histogram_add (HISTOGRAM_BUDGET_MS, clock_now_ms () - request->started_ms);
+  log_write (verdict == CHARGES_GRANTED ? LOG_DEBUG : LOG_INFO, "request",
+             &ids,
              "budget %" G_GINT64_FORMAT ", charged %" G_GINT64_FORMAT
              " with this turn's %" G_GINT64_FORMAT ": verdict %d",
              request->input->token_budget, known,
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -71,7 +71,7 @@
 # fleet_host NAME: starts the host that fleet_settings has prepared
 fleet_host () {
   "$BUILD/galenashored/galenashored" --settings "$FLEET_DIR/$1.json" \
-    2>>"$FLEET_DIR/$1.log" &
+    >>"$FLEET_DIR/$1.log" 2>&1 &
   FLEET_HOST_PID[$1]=$!
   FLEET_PIDS+=($!)
 }
--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -2,7 +2,7 @@
 # The users' platform: entry hosts and keepers against a stand-in of its store
 # and of its endpoints.
 BUILD=$1
-FLEET_BASE_PORT=32000
+FLEET_BASE_PORT=15000
 # shellcheck source=test/functional/lib.sh
 . "$(dirname "$0")/lib.sh"
 
