Let a turn begin below the smaller side's part of a budget

Cause: on the smaller side of a cut the most of a turn counted against 45% of the budget; it is about a quarter of it, so programs under way were refused.

--- a/include/policy/charges.h
+++ b/include/policy/charges.h
@@ -35,8 +35,8 @@
 {
   /* While keepers are silent, a cut may have two sides that charge the same
      program.  The larger one, which has a majority, may bring the charges up
-     to the first part of the budget, the smaller one up to the second; both
-     together hold the budget.  Programs that end use less than the second.  */
+     to the first part of the budget; on the smaller one a turn may begin below
+     the second.  Together they hold the budget and the most of one turn.  */
   CHARGES_MAJORITY_PERCENT = 55,
   CHARGES_MINORITY_PERCENT = 45,
 };
@@ -48,7 +48,7 @@
 void charges_release (struct charges *charges);
 uint32_t charges_quorum (uint32_t keepers);
 enum charges_verdict charges_decide (int64_t total, int64_t budget,
-                                     uint32_t answers, uint32_t keepers,
-                                     bool some_are_silent);
+                                     int64_t turn, uint32_t answers,
+                                     uint32_t keepers, bool some_are_silent);
 
 #endif
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -254,7 +254,8 @@
 decide (const struct ledger_turn *turn)
 {
   return charges_decide (charges_total (&turn->known->charges), turn->budget,
-                         turn->answers, turn->known->ledger->keeper_count,
+                         turn->tokens, turn->answers,
+                         turn->known->ledger->keeper_count,
                          count_silent (turn->known->ledger) > 0);
 }
 
--- a/policy/charges.c
+++ b/policy/charges.c
@@ -57,23 +57,23 @@
   return keepers / 2 + 1;
 }
 
-/* Decides on a turn whose reservation is part of TOTAL already.  Two turns
-   that are reserved at the same time see each other's reservation at one
+/* Decides on a turn whose reservation, TURN, is part of TOTAL already.  Two
+   turns that are reserved at the same time see each other's reservation at one
    keeper at least, so that both can be granted only where both fit.  */
 enum charges_verdict
-charges_decide (int64_t total, int64_t budget, uint32_t answers,
+charges_decide (int64_t total, int64_t budget, int64_t turn, uint32_t answers,
                 uint32_t keepers, bool some_are_silent)
 {
   bool has_majority = keepers > 0 && answers >= charges_quorum (keepers);
-  int64_t percent = 100;
+  int64_t limit = budget;
 
   if (total > budget)
     return CHARGES_SPENT;
   if (answers == 0)
     return CHARGES_UNKNOWN;
   if (!has_majority)
-    percent = CHARGES_MINORITY_PERCENT;
+    limit = budget * CHARGES_MINORITY_PERCENT / 100 + turn;
   else if (some_are_silent)
-    percent = CHARGES_MAJORITY_PERCENT;
-  return total <= budget * percent / 100 ? CHARGES_GRANTED : CHARGES_UNKNOWN;
+    limit = budget * CHARGES_MAJORITY_PERCENT / 100;
+  return total <= limit ? CHARGES_GRANTED : CHARGES_UNKNOWN;
 }
