Take keepers and hosts that are gone out of the list; read what silent ones charged

Keepers now read from one that was silent, and until then say that they may miss charges, so the parts of the budget stay apart.

--- a/include/ledger/keeper.h
+++ b/include/ledger/keeper.h
@@ -10,6 +10,10 @@
 
 struct keeper;
 
+/* HOST has been silent for long, and the others have all that it had: it can
+   be taken out of the list of keepers. */
+typedef void keeper_absent_handler (void *data, const char *host);
+
 struct keeper_options
 {
   struct mesh *mesh;
@@ -17,6 +21,9 @@
   const char *host;
   bool first_start;     /* of the whole system: an empty disk is right */
   int64_t retention_ms; /* a program unused for so long is forgotten */
+  int64_t absent_ms;    /* a keeper that is silent for so long is gone */
+  keeper_absent_handler *handle_absent;
+  void *data;
 };
 
 struct keeper *keeper_create (const struct keeper_options *options);
@@ -27,6 +34,8 @@
                           const Peer__Frame *frame);
 void keeper_tick (struct keeper *keeper, int64_t now_ms);
 bool keeper_is_complete (const struct keeper *keeper);
+bool keeper_may_act (const struct keeper *keeper, int64_t since_ms,
+                     int64_t now_ms);
 bool keeper_hand_over (struct keeper *keeper, int64_t now_ms);
 
 #endif
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -395,10 +395,14 @@
   ProtobufCMessage base;
   size_t n_items;
   Peer__LedgerItem **items;
+  /*
+   * answered also by a keeper that does not know all yet
+   */
+  protobuf_c_boolean hand_over;
 };
 #define PEER__LEDGER_WRITE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_write__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 /*
@@ -414,10 +418,14 @@
    * where another host passes the answer on
    */
   char *keeper;
+  /*
+   * another keeper may know charges that this one does not
+   */
+  protobuf_c_boolean behind;
 };
 #define PEER__LEDGER_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_answer__descriptor) \
-    , 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Peer__LedgerAnswers
--- a/include/platform/messages.h
+++ b/include/platform/messages.h
@@ -42,14 +42,22 @@
   struct host_list *hosts;
 };
 
-/* Posted to control as a pointer's value; nothing to free. */
 enum node_event
 {
-  NODE_DRAINED = 1, /* nothing is under way any more */
+  NODE_DRAINED, /* nothing is under way any more */
   NODE_HANDED_OVER,
+  NODE_HOST_ABSENT, /* a host is gone and can be taken out of the list */
+};
+
+/* Made by traffic, freed by control. */
+struct node_report
+{
+  enum node_event event;
+  char *host; /* that is absent; owned */
 };
 
 void host_list_destroy (struct host_list *list);
 void node_message_destroy (struct node_message *message);
+void node_report_destroy (struct node_report *report);
 
 #endif
--- a/include/platform/registry.h
+++ b/include/platform/registry.h
@@ -23,6 +23,7 @@
 
 struct registry *registry_create (const struct registry_options *options);
 void registry_destroy (struct registry *registry);
+void registry_renew (struct registry *registry);
 void registry_remove (struct registry *registry);
 
 #endif
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -28,6 +28,7 @@
   int64_t stop_grace_s;   /* until the process is killed */
   int64_t limit_window_s; /* over which customers' rates are counted */
   int64_t watch_ms;
+  int64_t absent_ms; /* a silent host is taken out of the list then */
   int64_t retention_ms;
   int64_t max_connections;
   struct strings seeds;
--- a/include/policy/charges.h
+++ b/include/policy/charges.h
@@ -47,6 +47,7 @@
 int64_t charges_total (const struct charges *charges);
 void charges_release (struct charges *charges);
 uint32_t charges_quorum (uint32_t keepers);
+uint32_t charges_read_quorum (uint32_t keepers);
 enum charges_verdict charges_decide (int64_t total, int64_t budget,
                                      int64_t turn, uint32_t answers,
                                      uint32_t keepers, bool some_are_silent);
--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -15,6 +15,10 @@
   /* What this host answered before it lost its disk may be counted until the
      question is over; ledger.c gives questions up after 300 ms. */
   READ_AFTER_MS = 1000,
+  WATCH_MS = 400,
+  SILENT_MS = 1200, /* three questions without an answer */
+  REPORT_AGAIN_MS = 3000,
+  ACT_AFTER_MS = 2000,    /* between one keeper's turn and the next one's */
   FORGET_EVERY_MS = 5000, /* between looks for programs to forget */
   RECORD_BYTES = 64,      /* of a packed item, with room */
   PROGRAM_TEXT_BYTES = 17,
@@ -35,11 +39,14 @@
   char *name;
   uint64_t next; /* program to read on from */
   int64_t asked_ms;
-  bool complete;     /* all of its ledger has been read */
+  bool complete;     /* its ledger has been read since it was last silent */
+  bool is_silent;    /* for SILENT_MS; it may charge what is not known here */
   bool whole;        /* and it knows all that was ever answered */
   bool handed;       /* it has all of this host's ledger */
   uint64_t hand_id;  /* of the last item handed over */
   bool is_handed_to; /* the items were sent */
+  bool is_absent;    /* silent for long */
+  int64_t absent_ms; /* since when; 0 where it is not */
 };
 
 struct keeper
@@ -48,11 +55,13 @@
   GTree *accounts; /* program -> struct account, in order */
   struct other *others;
   size_t other_count;
-  bool named; /* the other keepers are known */
   bool complete;
   bool lost;        /* the disk was empty where it should not be */
   uint32_t loading; /* programs still to be read from the disk */
   int64_t started_ms;
+  int64_t watched_ms;  /* when the others were last looked at */
+  int64_t reported_ms; /* when an absent one was last reported */
+  char *removing;      /* absent keeper whose ledger is being made safe */
   int64_t forgot_ms;
 };
 
@@ -147,6 +156,16 @@
     }
 }
 
+/* Whether another keeper may know charges that this one does not.  */
+static bool
+is_behind (const struct keeper *keeper)
+{
+  for (size_t i = 0; i < keeper->other_count; i++)
+    if (keeper->others[i].is_silent || !keeper->others[i].complete)
+      return true;
+  return false;
+}
+
 static void
 send_answer (struct keeper *keeper, const char *host, uint64_t id,
              uint64_t program)
@@ -164,6 +183,7 @@
   answer.id = id;
   answer.entries = list;
   answer.n_entries = count;
+  answer.behind = is_behind (keeper);
   answers.answers = &only;
   answers.n_answers = 1;
   frame.body_case = PEER__FRAME__BODY_LEDGER_ANSWERS;
@@ -199,12 +219,12 @@
    due: its first copy may still be on its way to the disk.  */
 static void
 take_item (struct keeper *keeper, const char *host,
-           const Peer__LedgerItem *item)
+           const Peer__LedgerItem *item, bool is_handed_over)
 {
   bool is_new = merge_item (keeper, item);
   struct pending *pending;
 
-  if (item->id == 0 || !keeper->complete)
+  if (item->id == 0 || (!keeper->complete && !is_handed_over))
     {
       if (is_new)
         append_item (keeper, item, handle_unasked, NULL);
@@ -304,8 +324,8 @@
   append_item (keeper, &mark, handle_unasked, NULL);
 }
 
-/* A lost ledger is whole again once it has been read from a majority of the
-   keepers that know all: each charge that was answered lies with one of them.
+/* A lost ledger is whole again once it has been read from so many keepers that
+   know all that each charge that was answered lies with one of them.
    Where every other keeper has been read, nothing more can be known.  */
 static void
 check_complete (struct keeper *keeper)
@@ -320,7 +340,7 @@
     }
   if (keeper->complete || !keeper->lost || read == 0)
     return;
-  if (whole < charges_quorum ((uint32_t)keeper->other_count + 1)
+  if (whole < charges_read_quorum ((uint32_t)keeper->other_count + 1)
       && read < keeper->other_count)
     return;
   keeper->complete = true;
@@ -370,7 +390,8 @@
     {
     case PEER__FRAME__BODY_LEDGER_WRITE:
       for (size_t i = 0; i < frame->ledger_write->n_items; i++)
-        take_item (keeper, host, frame->ledger_write->items[i]);
+        take_item (keeper, host, frame->ledger_write->items[i],
+                   frame->ledger_write->hand_over);
       break;
     case PEER__FRAME__BODY_LEDGER_ASK:
       send_page (keeper, host, frame->ledger_ask->after);
@@ -465,6 +486,7 @@
   if (!keeper)
     return;
   release_others (keeper->others, keeper->other_count);
+  free (keeper->removing);
   g_tree_destroy (keeper->accounts);
   free (keeper);
 }
@@ -488,7 +510,6 @@
     }
   keeper->others = others;
   keeper->other_count = count;
-  keeper->named = true;
   release_others (old, old_count);
   check_complete (keeper);
 }
@@ -505,7 +526,8 @@
     {
       struct other *other = &keeper->others[i];
 
-      if (other->complete || now_ms - other->asked_ms < ASK_MS)
+      if (other->complete || other->is_silent
+          || now_ms - other->asked_ms < ASK_MS)
         continue;
       other->asked_ms = now_ms;
       ask.after = other->next;
@@ -551,19 +573,6 @@
   g_array_free (forgetting.programs, TRUE);
 }
 
-/* Reads on a lost ledger, and forgets programs that are long unused.  */
-void
-keeper_tick (struct keeper *keeper, int64_t now_ms)
-{
-  if (keeper->lost && !keeper->complete && keeper->named
-      && now_ms - keeper->started_ms >= READ_AFTER_MS)
-    ask_others (keeper, now_ms);
-  if (now_ms - keeper->forgot_ms < FORGET_EVERY_MS)
-    return;
-  keeper->forgot_ms = now_ms;
-  forget_stale (keeper, now_ms);
-}
-
 /* Whether this host knows all that was ever answered.  */
 bool
 keeper_is_complete (const struct keeper *keeper)
@@ -594,6 +603,7 @@
         list[i] = &page.items[i];
       write.items = list;
       write.n_items = page.count;
+      write.hand_over = true;
       frame.body_case = PEER__FRAME__BODY_LEDGER_WRITE;
       frame.ledger_write = &write;
       mesh_send (keeper->options.mesh, other->name, &frame);
@@ -605,17 +615,19 @@
   other->is_handed_to = true;
 }
 
-/* Gives the whole ledger to every other keeper, so that this host can go.
-   Call it until it returns true: then all of them have it on disk.  */
-bool
-keeper_hand_over (struct keeper *keeper, int64_t now_ms)
+/* Gives the whole ledger to the keepers that are there.  True once all of them
+   have it on disk.  */
+static bool
+hand_to_present (struct keeper *keeper, int64_t now_ms)
 {
-  bool done = keeper->complete && keeper->other_count > 0;
+  bool done = true;
 
   for (size_t i = 0; i < keeper->other_count; i++)
     {
       struct other *other = &keeper->others[i];
 
+      if (other->is_absent)
+        continue;
       if (!other->handed
           && (!other->is_handed_to || now_ms - other->asked_ms > ASK_MS))
         {
@@ -626,3 +638,145 @@
     }
   return done;
 }
+
+static uint32_t
+count_present (const struct keeper *keeper)
+{
+  uint32_t present = 1;
+
+  for (size_t i = 0; i < keeper->other_count; i++)
+    present += !keeper->others[i].is_absent;
+  return present;
+}
+
+/* Gives the whole ledger to every other keeper, so that this host can go.
+   Call it until it returns true: then all that are there have it on disk.  */
+bool
+keeper_hand_over (struct keeper *keeper, int64_t now_ms)
+{
+  return keeper->complete && count_present (keeper) > 1
+         && hand_to_present (keeper, now_ms);
+}
+
+/* Whether this host may act for all keepers on something that is known since
+   SINCE_MS.  They do so one after the other, by name, so that it is mostly
+   one; those that do not act may not know all, or be gone, too.  */
+bool
+keeper_may_act (const struct keeper *keeper, int64_t since_ms, int64_t now_ms)
+{
+  int64_t rank = 0;
+
+  if (!keeper->complete
+      || count_present (keeper)
+             < charges_quorum ((uint32_t)keeper->other_count + 1))
+    return false;
+  for (size_t i = 0; i < keeper->other_count; i++)
+    rank += !keeper->others[i].is_absent
+            && strcmp (keeper->others[i].name, keeper->options.host) < 0;
+  return now_ms - since_ms >= rank * ACT_AFTER_MS;
+}
+
+static void
+watch_others (struct keeper *keeper, int64_t now_ms)
+{
+  if (now_ms - keeper->watched_ms < WATCH_MS)
+    return;
+  keeper->watched_ms = now_ms;
+  for (size_t i = 0; i < keeper->other_count; i++)
+    {
+      struct other *other = &keeper->others[i];
+      int64_t heard_ms = mesh_heard_ms (keeper->options.mesh, other->name);
+
+      if (heard_ms < keeper->started_ms)
+        heard_ms = keeper->started_ms;
+      if (now_ms - heard_ms > SILENT_MS)
+        other->is_silent = true;
+      else if (other->is_silent)
+        {
+          other->is_silent = other->complete = false;
+          other->next = 0;
+        }
+      other->is_absent = now_ms - heard_ms > keeper->options.absent_ms;
+      if (!other->is_absent)
+        other->absent_ms = 0;
+      else if (!other->absent_ms)
+        other->absent_ms = now_ms;
+      mesh_probe (keeper->options.mesh, other->name);
+    }
+}
+
+static void
+begin_removal (struct keeper *keeper, const struct other *absent)
+{
+  keeper->removing = xstrdup (absent->name);
+  log_write (LOG_INFO, "keeper", NULL,
+             "keeper %s is silent; the others' ledgers are made the same "
+             "before it is taken out",
+             absent->name);
+  for (size_t i = 0; i < keeper->other_count; i++)
+    {
+      struct other *other = &keeper->others[i];
+
+      other->next = 0;
+      other->asked_ms = 0;
+      other->hand_id = 0;
+      other->complete = other->handed = other->is_handed_to = false;
+    }
+}
+
+static void
+end_removal (struct keeper *keeper)
+{
+  free (keeper->removing);
+  keeper->removing = NULL;
+}
+
+/* With an absent keeper out of the list a majority is smaller.  So that it
+   still holds each charge, the keepers that are there get the same ledger
+   first.  */
+static void
+remove_absent (struct keeper *keeper, int64_t now_ms)
+{
+  const struct other *absent
+      = keeper->removing ? find_other (keeper, keeper->removing) : NULL;
+
+  if (now_ms - keeper->reported_ms < REPORT_AGAIN_MS)
+    return;
+  if (keeper->removing && (!absent || !absent->is_absent))
+    {
+      end_removal (keeper);
+      return;
+    }
+  for (size_t i = 0; i < keeper->other_count && !keeper->removing; i++)
+    if (keeper->others[i].is_absent
+        && keeper_may_act (keeper, keeper->others[i].absent_ms, now_ms))
+      begin_removal (keeper, &keeper->others[i]);
+  if (!keeper->removing)
+    return;
+  for (size_t i = 0; i < keeper->other_count; i++)
+    if (!keeper->others[i].is_absent && !keeper->others[i].complete)
+      return;
+  if (!hand_to_present (keeper, now_ms))
+    return;
+  keeper->reported_ms = now_ms;
+  keeper->options.handle_absent (keeper->options.data, keeper->removing);
+  end_removal (keeper);
+}
+
+/* Reads the ledgers of keepers that were silent, or of all where this one's is
+   lost, takes out keepers that are gone, and forgets
+   programs that are long unused.  */
+void
+keeper_tick (struct keeper *keeper, int64_t now_ms)
+{
+  watch_others (keeper, now_ms);
+  if (keeper->options.handle_absent)
+    remove_absent (keeper, now_ms);
+  if (keeper->loading == 0
+      && (keeper->complete || now_ms - keeper->started_ms >= READ_AFTER_MS))
+    ask_others (keeper, now_ms);
+  if (now_ms - keeper->forgot_ms < FORGET_EVERY_MS)
+    return;
+  keeper->forgot_ms = now_ms;
+  forget_stale (keeper, now_ms);
+}
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -40,6 +40,7 @@
   uint64_t *answered; /* hashes of the keepers that did */
   uint32_t answers;
   bool is_relayed;
+  bool is_behind; /* a keeper that answered may miss charges of another */
   ev_timer timer;
   ledger_handler *handle; /* NULL once it has been told */
   void *data;
@@ -253,10 +254,10 @@
 static enum charges_verdict
 decide (const struct ledger_turn *turn)
 {
-  return charges_decide (charges_total (&turn->known->charges), turn->budget,
-                         turn->tokens, turn->answers,
-                         turn->known->ledger->keeper_count,
-                         count_silent (turn->known->ledger) > 0);
+  return charges_decide (
+      charges_total (&turn->known->charges), turn->budget, turn->tokens,
+      turn->answers, turn->known->ledger->keeper_count,
+      turn->is_behind || count_silent (turn->known->ledger) > 0);
 }
 
 /* Tries once more through other hosts before it decides with what is known. */
@@ -497,6 +498,7 @@
 
       charges_merge (&turn->known->charges, &entry);
     }
+  turn->is_behind = turn->is_behind || answer->behind;
   if (!note_answer (turn, id_hash_text (name), ledger->keeper_count))
     return;
   if (turn->answers >= charges_quorum (ledger->keeper_count))
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -3110,7 +3110,7 @@
   (ProtobufCMessageInit) peer__ledger_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ledger_write__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__ledger_write__field_descriptors[2] =
 {
   {
     "items",
@@ -3124,14 +3124,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hand_over",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerWrite, hand_over),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__ledger_write__field_indices_by_name[] = {
+  1,   /* field[1] = hand_over */
   0,   /* field[0] = items */
 };
 static const ProtobufCIntRange peer__ledger_write__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor peer__ledger_write__descriptor =
 {
@@ -3141,14 +3154,14 @@
   "Peer__LedgerWrite",
   "peer",
   sizeof(Peer__LedgerWrite),
-  1,
+  2,
   peer__ledger_write__field_descriptors,
   peer__ledger_write__field_indices_by_name,
   1,  peer__ledger_write__number_ranges,
   (ProtobufCMessageInit) peer__ledger_write__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ledger_answer__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__ledger_answer__field_descriptors[4] =
 {
   {
     "id",
@@ -3186,8 +3199,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "behind",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerAnswer, behind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__ledger_answer__field_indices_by_name[] = {
+  3,   /* field[3] = behind */
   1,   /* field[1] = entries */
   0,   /* field[0] = id */
   2,   /* field[2] = keeper */
@@ -3195,7 +3221,7 @@
 static const ProtobufCIntRange peer__ledger_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer__ledger_answer__descriptor =
 {
@@ -3205,7 +3231,7 @@
   "Peer__LedgerAnswer",
   "peer",
   sizeof(Peer__LedgerAnswer),
-  3,
+  4,
   peer__ledger_answer__field_descriptors,
   peer__ledger_answer__field_indices_by_name,
   1,  peer__ledger_answer__number_ranges,
--- a/policy/charges.c
+++ b/policy/charges.c
@@ -57,6 +57,14 @@
   return keepers / 2 + 1;
 }
 
+/* Returns from how many of the others a keeper must read that has lost its
+   disk: with itself gone, each majority still has one of them.  */
+uint32_t
+charges_read_quorum (uint32_t keepers)
+{
+  return keepers - charges_quorum (keepers) + 1;
+}
+
 /* Decides on a turn whose reservation, TURN, is part of TOTAL already.  Two
    turns that are reserved at the same time see each other's reservation at one
    keeper at least, so that both can be granted only where both fit.  */
--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -24,7 +24,7 @@
   "metrics_listen": "127.0.0.1:$((FLEET_BASE_PORT + 300 + $3))",
   "health_listen": "127.0.0.1:$((FLEET_BASE_PORT + 400 + $3))",
   "store_address": "$STORE", "data_dir": "$FLEET_DIR/data-$1",
-  "watch_ms": 1000, "stop_grace_s": 8, "first_start": $5
+  "watch_ms": 1000, "absent_ms": 2500, "stop_grace_s": 8, "first_start": $5
 }
 SETTINGS
   "$BUILD/galenashored/galenashored" --on-platform \
@@ -181,6 +181,43 @@
 expect "and they know what was spent" '^(402|503)$' "$(turn 1 p3 60 40 | tail -1)"
 host kb dc-b 12 keeper false
 
+# The smaller side of a cut goes on charging; the larger learns of it before it
+# charges the rest.
+wait_for "three keepers answer again" '[ "$(turn 1 p6 1000 40 | tail -1)" = 200 ]'
+kill -KILL "${FLEET_HOST_PID[ka]}" "${FLEET_HOST_PID[kc]}"
+sleep 0.5
+granted=0
+for _ in 1 2 3 4 5 6; do
+  [ "$(turn 1 p7 90 40 | tail -1)" = 200 ] && granted=$((granted + 1))
+  sleep 0.3
+done
+[ "$granted" -ge 2 ] && [ "$granted" -le 3 ] || fail "one keeper of three granted $granted turns"
+pass "one keeper of three grants a part of the budget"
+host ka dc-a 11 keeper false
+host kc dc-c 13 keeper false
+sleep 3
+kill -KILL "${FLEET_HOST_PID[kb]}"
+sleep 0.5
+for _ in 1 2 3; do
+  [ "$(turn 2 p7 90 40 | tail -1)" = 200 ] && fail "the others did not know what was charged"
+done
+pass "the others know what was charged meanwhile"
+host kb dc-b 12 keeper false
+wait_for "all keepers are there" '[ "$(turn 2 p8 1000 40 | tail -1)" = 200 ]'
+
+# A keeper is gone for good: it is taken out, and what it knew is not lost.
+sleep 1
+kill -KILL "${FLEET_HOST_PID[kc]}"
+wait_for "a keeper that is gone is taken out of the list" \
+  '! curl -s "http://$STORE/objects/galenashore-hosts" | grep -q "\"kc\""'
+wait_for "the others go on without it" '[ "$(turn 1 p5 1000 40 | tail -1)" = 200 ]'
+expect "with the same ledger" '^402$' "$(turn 2 p3 60 40 | tail -1)"
+host kc dc-c 13 keeper false
+wait_for "one that comes back is listed again" \
+  'curl -s "http://$STORE/objects/galenashore-hosts" | grep -q "\"kc\""'
+wait_for "all keepers are known" \
+  '[ "$(tail -n 3 "$FLEET_DIR/ka.log" | grep -c "2 other keepers")" -gt 0 ]'
+
 # A keeper is emptied.
 create retirements '{"metadata": {"name": "kc"}, "spec": {"duration_s": 10}}'
 wait_for "an emptied keeper says so" \
--- a/test/unit/test_charges.c
+++ b/test/unit/test_charges.c
@@ -25,6 +25,15 @@
     CU_ASSERT (2 * charges_quorum (keepers) > keepers);
 }
 
+/* A majority that had the lost keeper in it has one member less.  */
+static void
+test_reading_meets_each_majority (void)
+{
+  for (uint32_t keepers = 2; keepers < 12; keepers++)
+    CU_ASSERT (charges_read_quorum (keepers) + charges_quorum (keepers) - 1
+               > keepers - 1);
+}
+
 static void
 test_decision_by_answers (void)
 {
@@ -65,6 +74,7 @@
 CU_TestInfo charges_tests[] = {
   { "the newer version counts", test_newer_version_counts },
   { "two majorities share a keeper", test_two_majorities_share_a_keeper },
+  { "reading meets each majority", test_reading_meets_each_majority },
   { "the answers decide", test_decision_by_answers },
   { "both sides of a cut hold the budget",
     test_both_sides_of_a_cut_hold_the_budget },
