--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -31,7 +31,6 @@
   int64_t absent_ms; /* a silent host is taken out of the list then */
   int64_t retention_ms;
   int64_t max_connections;
-  struct strings seeds;
 };
 
 bool platform_settings_load (struct platform_settings *settings,
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -106,7 +106,6 @@
                        int64_t now_ms);
 uint32_t pool_take_suspects (struct pool_endpoint *endpoint, int64_t now_ms,
                              uint64_t fingerprints[POOL_SUSPECTS]);
-bool pool_serves (const struct pool *pool, const char *service);
 size_t pool_count (const struct pool *pool);
 void pool_tick (struct pool *pool, int64_t now_ms);
 json_t *pool_to_json (const struct pool *pool);
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -32,7 +32,6 @@
   char *host;
   char *key;
   char *program;
-  char *session;
   int64_t deadline_ms; /* time that the caller will wait */
   int64_t program_deadline_ms;
   int64_t token_budget;
--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -27,9 +27,8 @@
   char *host;
   char *path_prefix;
   enum route_repeat repeat;
-  bool resumable;    /* a stream that goes on after its last event */
-  bool is_open;      /* needs no key */
-  bool has_programs; /* its requests are turns with token budgets */
+  bool resumable; /* a stream that goes on after its last event */
+  bool is_open;   /* needs no key */
   int64_t timeout_ms;
   int64_t objective_ms;
   int32_t priority; /* 0 is the most urgent */
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -481,6 +481,8 @@
   const struct relayed *relayed = g_hash_table_lookup (ledger->relayed, &id);
   const char *name = answer->keeper && *answer->keeper ? answer->keeper : host;
   struct keeper_view *keeper = find_keeper (ledger, name);
+  bool has_majority;
+  bool is_last; /* of those that are not silent */
 
   if (!keeper)
     return;
@@ -501,10 +503,9 @@
   turn->is_behind = turn->is_behind || answer->behind;
   if (!note_answer (turn, id_hash_text (name), ledger->keeper_count))
     return;
-  if (turn->answers >= charges_quorum (ledger->keeper_count))
-    tell (turn, decide (turn));
-  else if (turn->answers + count_silent (ledger) >= ledger->keeper_count
-           && decide (turn) != CHARGES_UNKNOWN)
+  has_majority = turn->answers >= charges_quorum (ledger->keeper_count);
+  is_last = turn->answers + count_silent (ledger) >= ledger->keeper_count;
+  if (has_majority || (is_last && decide (turn) != CHARGES_UNKNOWN))
     tell (turn, decide (turn));
 }
 
--- a/request/limits.c
+++ b/request/limits.c
@@ -2,7 +2,6 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
-#include "policy/owner.h"
 #include "policy/window.h"
 #include <glib.h>
 #include <stdlib.h>
@@ -69,7 +68,8 @@
 {
   char *name;
   char *data_centre;
-  struct owner_candidate candidate;
+  uint64_t hash;    /* of the name */
+  uint64_t dc_hash; /* of its data centre's */
 };
 
 struct limits
@@ -148,10 +148,9 @@
       const struct member *member = &limits->members[i];
       uint64_t rank;
 
-      if (member->candidate.dc_hash != data_centre)
+      if (member->dc_hash != data_centre)
         continue;
-      rank = id_hash64 (&member->candidate.host_hash,
-                        sizeof member->candidate.host_hash, customer);
+      rank = id_hash64 (&member->hash, sizeof member->hash, customer);
       if (best && rank <= best_rank)
         continue;
       best = member;
@@ -227,9 +226,9 @@
 
       member->name = xstrdup (hosts[i].name);
       member->data_centre = xstrdup (hosts[i].data_centre);
-      member->candidate.host_hash = id_hash_text (member->name);
-      member->candidate.dc_hash = id_hash_text (member->data_centre);
-      note_data_centre (limits, member->candidate.dc_hash);
+      member->hash = id_hash_text (member->name);
+      member->dc_hash = id_hash_text (member->data_centre);
+      note_data_centre (limits, member->dc_hash);
     }
   limits->is_counted = true;
   g_hash_table_iter_init (&iter, limits->buckets);
@@ -292,8 +291,9 @@
 left_to_begin (struct bucket *bucket, int64_t now_ms)
 {
   const struct limits *limits = bucket->limits;
-  int64_t requests = (limits->given + PROGRAM_REQUESTS * PROGRAMS_WEIGHED)
-                     / (limits->begun_count + PROGRAMS_WEIGHED);
+  int64_t requests
+      = (limits->given + (int64_t)PROGRAM_REQUESTS * PROGRAMS_WEIGHED)
+        / (limits->begun_count + PROGRAMS_WEIGHED);
 
   if (requests < 1)
     requests = 1;
@@ -351,7 +351,9 @@
   if (now_ms - bucket->window_ms >= USE_WINDOW_MS)
     {
       bucket->used_before
-          = now_ms - bucket->window_ms < 2 * USE_WINDOW_MS ? bucket->used : 0;
+          = now_ms - bucket->window_ms < (int64_t)2 * USE_WINDOW_MS
+                ? bucket->used
+                : 0;
       bucket->used = 0;
       bucket->window_ms = now_ms;
     }
@@ -550,7 +552,7 @@
 {
   for (size_t i = 0; i < limits->member_count; i++)
     if (strcmp (limits->members[i].name, host) == 0)
-      return limits->members[i].candidate.dc_hash == limits->data_centres[0];
+      return limits->members[i].dc_hash == limits->data_centres[0];
   return false;
 }
 
--- a/request/pool.c
+++ b/request/pool.c
@@ -403,20 +403,6 @@
     }
 }
 
-/* Whether any endpoint of SERVICE takes requests.  */
-bool
-pool_serves (const struct pool *pool, const char *service)
-{
-  for (guint i = 0; i < pool->endpoints->len; i++)
-    {
-      const struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
-
-      if (!endpoint->leaving && strcmp (endpoint->service, service) == 0)
-        return true;
-    }
-  return false;
-}
-
 /* Returns how many endpoints are known.  */
 size_t
 pool_count (const struct pool *pool)
--- a/request/request.c
+++ b/request/request.c
@@ -126,7 +126,6 @@
   free (input->host);
   free (input->key);
   free (input->program);
-  free (input->session);
   free (input->parts);
   headers_destroy (input->headers, input->header_count);
   buf_release (&input->body);
--- a/standin/objects.c
+++ b/standin/objects.c
@@ -277,18 +277,18 @@
   const char *own = json_string_value (
       json_object_get (json_object_get (body, "metadata"), "name"));
   json_t *known;
+  bool is_stale;
   unsigned status = 200;
 
   if (creates)
     name = own ? own : "";
   known = json_object_get (find_kind (objects, kind), name);
   objects->writes++;
-  if (creates && known)
-    status = 409;
-  else if (!creates && !known)
+  is_stale = known && revision_of (body) > 0
+             && revision_of (body) != revision_of (known);
+  if (!creates && !known)
     status = 404;
-  else if (known && revision_of (body) > 0
-           && revision_of (body) != revision_of (known))
+  else if ((creates && known) || is_stale)
     status = 409;
   else if (is_status)
     put_object (objects, kind, name, json_object_get (known, "spec"),
