Go on to the next data centre when a holder of tokens does not answer

Cause: a round of borrowing ended after 60 ms with the first holder silent, so that a customer's requests were refused while others had tokens.

--- a/request/limits.c
+++ b/request/limits.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  ASK_MS = 60,     /* other data centres answer within a few */
+  ASK_MS = 60,     /* a holder answers within a few */
   DENIED_MS = 50,  /* after a round without a loan, none is asked for */
   LOAN_MS = 300,   /* a loan that is not used by then is lost */
   AHEAD_PER_S = 8, /* a loan is for an eighth of a second */
@@ -237,11 +237,19 @@
 }
 
 static void finish_round (struct bucket *bucket);
+static bool ask_next (struct bucket *bucket);
+static void wait_for_answer (struct bucket *bucket);
 
 static void
 handle_late (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  finish_round (timer->data);
+  struct bucket *bucket = timer->data;
+
+  bucket->unanswered = 0;
+  if (bucket->waits->len > 0 && ask_next (bucket))
+    wait_for_answer (bucket);
+  else
+    finish_round (bucket);
 }
 
 static struct bucket *
@@ -429,6 +437,18 @@
   return false;
 }
 
+/* Arms the timer for the answer to what was just asked, if anything was.  */
+static void
+wait_for_answer (struct bucket *bucket)
+{
+  struct ev_loop *loop = bucket->limits->options.loop;
+
+  ev_timer_stop (loop, &bucket->timer);
+  ev_timer_set (&bucket->timer,
+                bucket->unanswered > 0 ? (double)ASK_MS / 1000.0 : 0, 0);
+  ev_timer_start (loop, &bucket->timer);
+}
+
 /* Begins a round: the own data centre's holder is asked first, the others
    where this host is that holder or it has no tokens.  */
 static void
@@ -445,10 +465,7 @@
   bucket->wait_ms = 0;
   ask_next (bucket);
   counter_add (COUNTER_TOKEN_PULLS, 1);
-  ev_timer_stop (limits->options.loop, &bucket->timer);
-  ev_timer_set (&bucket->timer,
-                bucket->unanswered > 0 ? (double)ASK_MS / 1000.0 : 0, 0);
-  ev_timer_start (limits->options.loop, &bucket->timer);
+  wait_for_answer (bucket);
 }
 
 static void
@@ -658,7 +675,8 @@
 
   if (!bucket)
     return;
-  bucket->unanswered--;
+  if (bucket->unanswered > 0)
+    bucket->unanswered--;
   bucket->borrowed += loan->tokens;
   bucket->borrowed_to_begin += loan->begin_tokens;
   bucket->borrowed_ms = bucket->asked_ms;
