Wait for a killed host's ports before it is started again

A kill takes effect a little later; 40 kills with a start right behind gave it once. The test waits for the process now, as whoever restarts a process does.

--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -88,6 +88,15 @@
   echo "$answer"
 }
 
+# Ends hosts at once and waits until their ports are free again.
+slay () {
+  local name
+  for name in "$@"; do
+    kill -KILL "${FLEET_HOST_PID[$name]}"
+    wait "${FLEET_HOST_PID[$name]}" 2>/dev/null || true
+  done
+}
+
 wait_for () {
   local i
   for i in $(seq 300); do
@@ -167,7 +176,7 @@
 expect "another through another host" '^200$' "$(turn 2 p3 60 40)"
 sleep 0.3
 expect "the next would not fit" '^402$' "$(turn 1 p3 60 40)"
-for name in a1 b1 ka kb kc; do kill -KILL "${FLEET_HOST_PID[$name]}"; done
+slay a1 b1 ka kb kc
 host a1 dc-a 1 entry false
 host b1 dc-b 2 entry false
 host ka dc-a 11 keeper false
@@ -179,12 +188,12 @@
   '[ "$(turn 2 p3 60 40 | tail -1)" = 402 ]'
 
 # A keeper loses its disk, then another one dies: the ledger is still known.
-kill -KILL "${FLEET_HOST_PID[ka]}"
+slay ka
 rm -rf "$FLEET_DIR/data-ka"
 host ka dc-a 11 keeper false
 wait_for "the lost ledger is read from the others" \
   'grep -q "the ledger is whole again" "$FLEET_DIR/ka.log"'
-kill -KILL "${FLEET_HOST_PID[kb]}"
+slay kb
 wait_for "two keepers of three are enough" '[ "$(turn 1 p4 1000 40 | tail -1)" = 200 ]'
 expect "and they know what was spent" '^(402|503)$' "$(TURN_TRIES=1 turn 1 p3 60 40 | tail -1)"
 host kb dc-b 12 keeper false
@@ -192,7 +201,7 @@
 # The smaller side of a cut goes on charging; the larger learns of it before it
 # charges the rest.
 wait_for "three keepers answer again" '[ "$(turn 1 p6 1000 40 | tail -1)" = 200 ]'
-kill -KILL "${FLEET_HOST_PID[ka]}" "${FLEET_HOST_PID[kc]}"
+slay ka kc
 sleep 0.5
 granted=0
 for _ in 1 2 3 4 5 6; do
@@ -204,7 +213,7 @@
 host ka dc-a 11 keeper false
 host kc dc-c 13 keeper false
 sleep 3
-kill -KILL "${FLEET_HOST_PID[kb]}"
+slay kb
 sleep 0.5
 for _ in 1 2 3; do
   [ "$(TURN_TRIES=1 turn 2 p7 90 40 | tail -1)" = 200 ] && fail "the others did not know what was charged"
@@ -215,7 +224,7 @@
 
 # A keeper is gone for good: it is taken out, and what it knew is not lost.
 sleep 1
-kill -KILL "${FLEET_HOST_PID[kc]}"
+slay kc
 wait_for "a keeper that is gone is taken out of the list" \
   '! curl -s "http://$STORE/objects/galenashore-hosts" | grep -q "\"kc\""'
 wait_for "the others go on without it" '[ "$(turn 1 p5 1000 40 | tail -1)" = 200 ]'
@@ -230,7 +239,7 @@
 create retirements '{"metadata": {"name": "kc"}, "spec": {"duration_s": 10}}'
 wait_for "an emptied keeper says so" \
   'curl -s "http://$STORE/objects/retirements/kc" | grep -q complete'
-kill -KILL "${FLEET_HOST_PID[kc]}"
+slay kc
 wait_for "the others have its ledger" '[ "$(turn 2 p3 60 40 | tail -1)" = 402 ]'
 
 # Configuration and endpoints change.
