--- a/standin/objects.c
+++ b/standin/objects.c
@@ -298,8 +298,8 @@
                            json_object_get (body, "spec")))
     put_object (objects, kind, name, json_object_get (body, "spec"),
                 known ? json_object_get (known, "status") : NULL);
-  json_decref (body);
   known = json_object_get (find_kind (objects, kind), name);
+  json_decref (body);
   if (standin_take (&standin->faults.lose_answers))
     standin_lose (request);
   else
