--- a/include/policy/charges.h
+++ b/include/policy/charges.h
@@ -33,7 +33,7 @@
 
 enum
 {
-  /* While keepers are silent, a cut may have two sides that charge the same
+  /* Unless all keepers answer, a cut may have two sides that charge the same
      program.  The larger one, which has a majority, may bring the charges up
      to the first part of the budget; on the smaller one a turn may begin below
      the second.  Together they hold the budget and the most of one turn.  */
@@ -50,6 +50,7 @@
 uint32_t charges_read_quorum (uint32_t keepers);
 enum charges_verdict charges_decide (int64_t total, int64_t budget,
                                      int64_t turn, uint32_t answers,
-                                     uint32_t keepers, bool some_are_silent);
+                                     uint32_t keepers,
+                                     bool some_did_not_answer);
 
 #endif
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -257,7 +257,7 @@
   return charges_decide (
       charges_total (&turn->known->charges), turn->budget, turn->tokens,
       turn->answers, turn->known->ledger->keeper_count,
-      turn->is_behind || count_silent (turn->known->ledger) > 0);
+      turn->is_behind || turn->answers < turn->known->ledger->keeper_count);
 }
 
 /* Tries once more through other hosts before it decides with what is known. */
@@ -481,7 +481,6 @@
   const struct relayed *relayed = g_hash_table_lookup (ledger->relayed, &id);
   const char *name = answer->keeper && *answer->keeper ? answer->keeper : host;
   struct keeper_view *keeper = find_keeper (ledger, name);
-  bool has_majority;
   bool is_last; /* of those that are not silent */
 
   if (!keeper)
@@ -503,9 +502,9 @@
   turn->is_behind = turn->is_behind || answer->behind;
   if (!note_answer (turn, id_hash_text (name), ledger->keeper_count))
     return;
-  has_majority = turn->answers >= charges_quorum (ledger->keeper_count);
   is_last = turn->answers + count_silent (ledger) >= ledger->keeper_count;
-  if (has_majority || (is_last && decide (turn) != CHARGES_UNKNOWN))
+  if ((is_last || turn->answers >= charges_quorum (ledger->keeper_count))
+      && decide (turn) != CHARGES_UNKNOWN)
     tell (turn, decide (turn));
 }
 
--- a/policy/charges.c
+++ b/policy/charges.c
@@ -70,7 +70,7 @@
    keeper at least, so that both can be granted only where both fit.  */
 enum charges_verdict
 charges_decide (int64_t total, int64_t budget, int64_t turn, uint32_t answers,
-                uint32_t keepers, bool some_are_silent)
+                uint32_t keepers, bool some_did_not_answer)
 {
   bool has_majority = keepers > 0 && answers >= charges_quorum (keepers);
   int64_t limit = budget;
@@ -81,7 +81,7 @@
     return CHARGES_UNKNOWN;
   if (!has_majority)
     limit = budget * CHARGES_MINORITY_PERCENT / 100 + turn;
-  else if (some_are_silent)
+  else if (some_did_not_answer)
     limit = budget * CHARGES_MAJORITY_PERCENT / 100;
   return total <= limit ? CHARGES_GRANTED : CHARGES_UNKNOWN;
 }
