Do not take a cut for crashes of endpoints

Cause: each request that a cut of a data centre broke off counted as one that may have crashed its endpoint, since the connections to the endpoints there are refused as after a crash. Requests without a body share a fingerprint, so a second broken one made "crash 2", and the next of its kind would have been refused for ten minutes. Also counted were requests that this host took away from an endpoint, those whose endpoint answered another request, and endpoints whose connections merely timed out.

Ruled out: telling a cut by time-outs alone.

Change: a request is a suspect only where the endpoint itself broke the connection; an endpoint has crashed only when it refuses connections; outside the own data centre that counts 800 ms later, when a cut has been found, and the suspects of a data centre that is found cut off are dropped. An entry whose data centre changes is another endpoint. Two flags of a request that the transfer's result says as well are gone.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -1,5 +1,6 @@
 #include "common/fetch.h"
 #include "common/deferred.h"
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -106,11 +107,16 @@
 {
   struct fetch_result result = { .body = &fetch->body };
   long request_bytes = 0;
+  long system_error = 0;
 
   curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &result.status);
   curl_easy_getinfo (fetch->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo (fetch->easy, CURLINFO_OS_ERRNO, &system_error);
   result.complete = code == CURLE_OK;
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  result.refused
+      = code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
+  result.stopped = code == CURLE_WRITE_ERROR;
   result.sent = request_bytes > 0;
   result.reason = curl_easy_strerror (code);
   if (!fetch->is_cancelled && fetch->handle_done)
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -16,6 +16,8 @@
   long status;   /* 0 where no response began */
   bool complete; /* the whole response arrived */
   bool timed_out;
+  bool refused;       /* the peer's machine refused the connection */
+  bool stopped;       /* its handler gave it up, or the body was too long */
   bool sent;          /* a byte of the request may have left */
   const char *reason; /* for logs */
   struct buf *body;   /* what was collected; empty with handle_data */
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -37,6 +37,9 @@
 enum
 {
   POOL_SUSPECTS = 8, /* requests that an endpoint broke off, remembered */
+  /* Until then a data centre that is cut off has been found out, with 150 ms
+     to spare (policy/silence.h). */
+  POOL_CRASH_SETTLE_MS = 800,
 };
 
 /* A request that was running when its endpoint broke off. */
@@ -68,7 +71,9 @@
   int64_t avoid_until_ms;
   struct pool_suspect suspects[POOL_SUSPECTS];
   uint32_t suspect_count;
-  GHashTable *parts; /* prompt part -> when it was last used, ms */
+  int64_t refused_ms; /* first refused connection since a request broke off
+                         there; 0 for none */
+  GHashTable *parts;  /* prompt part -> when it was last used, ms */
 };
 
 struct pool;
@@ -104,7 +109,10 @@
                      bool reachable);
 void pool_note_broken (struct pool_endpoint *endpoint, uint64_t fingerprint,
                        int64_t now_ms);
-uint32_t pool_take_suspects (struct pool_endpoint *endpoint, int64_t now_ms,
+void pool_note_refused (struct pool_endpoint *endpoint, int64_t now_ms);
+struct pool_endpoint *pool_find_crashed (const struct pool *pool,
+                                         int64_t now_ms);
+uint32_t pool_take_suspects (struct pool_endpoint *endpoint,
                              uint64_t fingerprints[POOL_SUSPECTS]);
 size_t pool_count (const struct pool *pool);
 void pool_tick (struct pool *pool, int64_t now_ms);
--- a/request/pool.c
+++ b/request/pool.c
@@ -88,6 +88,7 @@
   return strcmp (endpoint->id, entry->id) == 0
          && strcmp (endpoint->address, entry->address) == 0
          && strcmp (endpoint->service, entry->service) == 0
+         && strcmp (endpoint->data_centre, entry->data_centre) == 0
          && endpoint->started_ms == entry->started_ms;
 }
 
@@ -354,6 +355,13 @@
   endpoint->avoid_until_ms = now_ms + avoid_ms;
 }
 
+static void
+forget_suspects (struct pool_endpoint *endpoint)
+{
+  memset (endpoint->suspects, 0, sizeof endpoint->suspects);
+  endpoint->refused_ms = 0;
+}
+
 /* Notes that a request was running when ENDPOINT broke off.  It may be what
    crashed it.  */
 void
@@ -367,26 +375,57 @@
                                     .broken_ms = now_ms };
 }
 
-/* ENDPOINT refuses connections, so it has crashed: returns the requests that
-   broke off there lately, and forgets them.  */
+static bool
+is_suspect (const struct pool_suspect *suspect, int64_t refused_ms)
+{
+  return suspect->fingerprint && refused_ms - suspect->broken_ms <= SUSPECT_MS;
+}
+
+/* Notes that ENDPOINT refused a connection.  It has crashed if a request broke
+   off there shortly before.  */
+void
+pool_note_refused (struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < POOL_SUSPECTS && !endpoint->refused_ms; i++)
+    if (is_suspect (&endpoint->suspects[i], now_ms))
+      endpoint->refused_ms = now_ms;
+}
+
+/* Returns an endpoint that has crashed and whose suspects have not been taken,
+   NULL where there is none.  A cut off data centre looks the same at first, so
+   that endpoints of others are returned only when that would be known.  */
+struct pool_endpoint *
+pool_find_crashed (const struct pool *pool, int64_t now_ms)
+{
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      if (endpoint->refused_ms
+          && (!endpoint->remote
+              || now_ms - endpoint->refused_ms >= POOL_CRASH_SETTLE_MS))
+        return endpoint;
+    }
+  return NULL;
+}
+
+/* Returns the requests that broke off shortly before ENDPOINT crashed, and
+   forgets them.  */
 uint32_t
-pool_take_suspects (struct pool_endpoint *endpoint, int64_t now_ms,
+pool_take_suspects (struct pool_endpoint *endpoint,
                     uint64_t fingerprints[POOL_SUSPECTS])
 {
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < POOL_SUSPECTS; i++)
-    {
-      struct pool_suspect *suspect = &endpoint->suspects[i];
-
-      if (suspect->fingerprint && now_ms - suspect->broken_ms <= SUSPECT_MS)
-        fingerprints[count++] = suspect->fingerprint;
-      *suspect = (struct pool_suspect){ 0 };
-    }
+    if (is_suspect (&endpoint->suspects[i], endpoint->refused_ms))
+      fingerprints[count++] = endpoint->suspects[i].fingerprint;
+  forget_suspects (endpoint);
   return count;
 }
 
-/* Notes whether the endpoints of a data centre can be reached.  */
+/* Notes whether the endpoints of a data centre can be reached.  What broke off
+   at those that cannot says nothing of the requests.  */
 void
 pool_set_reach (struct pool *pool, const char *data_centre, bool reachable)
 {
@@ -398,8 +437,11 @@
     {
       struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
 
-      if (strcmp (endpoint->data_centre, data_centre) == 0)
-        endpoint->unreachable = !reachable;
+      if (strcmp (endpoint->data_centre, data_centre) != 0)
+        continue;
+      endpoint->unreachable = !reachable;
+      if (!reachable)
+        forget_suspects (endpoint);
     }
 }
 
--- a/request/request.c
+++ b/request/request.c
@@ -75,8 +75,6 @@
   uint32_t runs;     /* sends that may have run */
   uint32_t refusals; /* by endpoints */
   bool may_have_run;
-  bool is_foreign; /* the answer belongs to another request */
-  bool not_whole;  /* a stream was stopped because its pieces do not fit */
   GList link;
 };
 
@@ -272,16 +270,14 @@
   ev_timer_start (request->pipeline->options.loop, &request->backoff);
 }
 
-/* ENDPOINT cannot be reached: the requests that broke off there may have
-   crashed it.  */
+/* ENDPOINT has crashed: counts that against the requests that it broke off. */
 static void
-note_down (struct pipeline *pipeline, struct pool_endpoint *endpoint)
+count_crash (struct pipeline *pipeline, struct pool_endpoint *endpoint,
+             int64_t now_ms)
 {
   uint64_t fingerprints[POOL_SUSPECTS];
-  int64_t now_ms = clock_now_ms ();
-  uint32_t count = pool_take_suspects (endpoint, now_ms, fingerprints);
+  uint32_t count = pool_take_suspects (endpoint, fingerprints);
 
-  pool_note_failure (endpoint, now_ms);
   for (uint32_t i = 0; i < count; i++)
     {
       uint32_t crashes = poison_note_crash (&pipeline->poison, fingerprints[i],
@@ -297,6 +293,30 @@
     }
 }
 
+/* Counts crashes of endpoints.  Call it every 100 ms or more often.  */
+void
+pipeline_tick (struct pipeline *pipeline, int64_t now_ms)
+{
+  struct pool_endpoint *endpoint;
+
+  while ((endpoint = pool_find_crashed (pipeline->options.pool, now_ms)))
+    count_crash (pipeline, endpoint, now_ms);
+}
+
+/* Notes that a connection to ENDPOINT could not be opened.  */
+static void
+note_unreached (struct pipeline *pipeline, struct pool_endpoint *endpoint,
+                bool is_refused)
+{
+  int64_t now_ms = clock_now_ms ();
+
+  pool_note_failure (endpoint, now_ms);
+  if (!is_refused)
+    return;
+  pool_note_refused (endpoint, now_ms);
+  pipeline_tick (pipeline, now_ms);
+}
+
 /* Sends a request again that has not run, or ends it.  */
 static void
 handle_not_run (struct request *request, const char *why)
@@ -349,7 +369,8 @@
   return request->runs < attempts;
 }
 
-/* Deals with an endpoint that broke off after it may have run the request.  */
+/* Deals with a request that may have run, and whose answer will not come from
+   its endpoint.  */
 static void
 handle_broken (struct request *request, const char *why)
 {
@@ -359,7 +380,6 @@
   log_write (LOG_WARN, "request", &ids, "endpoint %s broke off: %s",
              request->endpoint->id, why);
   pool_note_failure (request->endpoint, clock_now_ms ());
-  pool_note_broken (request->endpoint, request->fingerprint, clock_now_ms ());
   if (!may_run_again (request))
     {
       give_up (request, why);
@@ -410,10 +430,7 @@
   if (id >= 0 && request->last_event >= 0 && id <= request->last_event)
     return true;
   if (id >= 0 && request->last_event >= 0 && id != request->last_event + 1)
-    {
-      request->not_whole = true;
-      return false;
-    }
+    return false;
   if (id >= 0)
     request->last_event = id;
   request->events_passed++;
@@ -432,10 +449,7 @@
       note_load (request);
     }
   if (!is_ours (request))
-    {
-      request->is_foreign = true;
-      return false;
-    }
+    return false;
   if (!is_success (request->head.status))
     {
       buf_append (&request->events.pending, bytes, len);
@@ -524,10 +538,21 @@
     case STATUS_UNAVAILABLE:
       return false;
     default:
-      return is_ours (request) && !request->is_foreign && !request->not_whole;
+      return is_ours (request);
     }
 }
 
+static const char *
+describe_break (const struct request *request,
+                const struct fetch_result *result)
+{
+  if (result->complete || !is_ours (request))
+    return "the answer is not this request's own";
+  if (result->stopped)
+    return "its answer is too long or its events do not follow each other";
+  return result->reason;
+}
+
 static void
 handle_done (void *data, const struct fetch_result *result)
 {
@@ -541,7 +566,7 @@
   note_load (request);
   if (!result->sent)
     {
-      note_down (request->pipeline, request->endpoint);
+      note_unreached (request->pipeline, request->endpoint, result->refused);
       handle_not_run (request, "no endpoint could be reached");
       return;
     }
@@ -552,9 +577,10 @@
     }
   if (!result->complete || !may_be_passed_on (request))
     {
-      handle_broken (request, result->complete
-                                  ? "the answer is not this request's own"
-                                  : result->reason);
+      if (!result->complete && !result->stopped)
+        pool_note_broken (request->endpoint, request->fingerprint,
+                          clock_now_ms ());
+      handle_broken (request, describe_break (request, result));
       return;
     }
   pool_note_success (request->endpoint);
@@ -635,8 +661,6 @@
   if (request->step != STEP_STREAM)
     request->step = STEP_SENT;
   events_release (&request->events);
-  request->is_foreign = false;
-  request->not_whole = false;
   parts->wire->write (&send, lines);
   g_ptr_array_add (lines, NULL);
   options.headers = (const char *const *)lines->pdata;
