--- a/common/mailbox.c
+++ b/common/mailbox.c
@@ -2,6 +2,12 @@
 #include "common/buf.h"
 #include "common/handoff.h"
 #include <stdlib.h>
+#include <unistd.h>
+
+enum
+{
+  FULL_US = 100, /* a full ring is emptied in one turn of its loop */
+};
 
 static void
 handle_wake (struct ev_loop *loop, ev_async *watcher, int events)
@@ -45,6 +51,15 @@
   return true;
 }
 
+/* Posts MESSAGE from a thread other than the loop's; waits while the ring is
+   full.  */
+void
+mailbox_post_wait (struct mailbox *mailbox, void *message)
+{
+  while (!mailbox_post (mailbox, message))
+    usleep (FULL_US);
+}
+
 /* Hands what is still in the mailbox to HANDLE, before it is destroyed.  */
 void
 mailbox_drain (struct mailbox *mailbox, mailbox_handler *handle, void *data)
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -4,6 +4,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/loop_thread.h"
 #include "endpoint/dispatcher.h"
 #include "endpoint/holds.h"
 #include "peer/forward.h"
@@ -12,12 +13,9 @@
 #include "program/handover.h"
 #include "program/once.h"
 #include "program/program.h"
-#include <errno.h>
 #include <netinet/in.h>
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 enum
 {
@@ -31,8 +29,7 @@
 {
   struct server server;
   struct listener *listener;
-  pthread_t thread;
-  bool started;
+  struct loop_thread thread;
   bool drained;
   bool announced;
   int64_t quiet_since_ms;
@@ -42,8 +39,7 @@
 static void
 tell_control (struct traffic *traffic, struct control_message *message)
 {
-  while (!mailbox_post (traffic->server.control, message))
-    usleep (1000);
+  mailbox_post_wait (traffic->server.control, message);
 }
 
 static struct control_message *
@@ -447,45 +443,26 @@
   return NULL;
 }
 
-static void *
-run (void *data)
-{
-  struct traffic *traffic = data;
-
-  ev_run (traffic->server.loop, 0);
-  return NULL;
-}
-
 /* Starts the thread.  */
 bool
 traffic_start (struct traffic *traffic, struct error *error)
 {
-  if (pthread_create (&traffic->thread, NULL, run, traffic) == 0)
-    {
-      traffic->started = true;
-      return true;
-    }
-  error_set (error, ERROR_INTERNAL, RUN_NOT_RUN,
-             "cannot start the traffic thread: %s; raise the process limit",
-             strerror (errno));
-  return false;
+  return loop_thread_start (&traffic->thread, traffic->server.loop, "traffic",
+                            error);
 }
 
 /* Hands MESSAGE to the thread, which frees it.  */
 void
 traffic_post (struct traffic *traffic, struct traffic_message *message)
 {
-  while (!mailbox_post (traffic->server.inbox, message))
-    usleep (1000);
+  mailbox_post_wait (traffic->server.inbox, message);
 }
 
 /* Waits for the thread, which has been told to quit.  */
 void
 traffic_join (struct traffic *traffic)
 {
-  if (traffic->started)
-    pthread_join (traffic->thread, NULL);
-  traffic->started = false;
+  loop_thread_join (&traffic->thread);
 }
 
 static void
--- a/store/log.c
+++ b/store/log.c
@@ -367,8 +367,7 @@
       job_destroy (job);
       return;
     }
-  while (!mailbox_post (store->answers, job))
-    usleep (100);
+  mailbox_post_wait (store->answers, job);
 }
 
 /* Writes every append that waits, then syncs once for all of them.  */
