--- a/common/fields.c
+++ b/common/fields.c
@@ -72,6 +72,15 @@
   *strings = (struct strings){ 0 };
 }
 
+/* Appends a copy of ITEM.  */
+void
+strings_add (struct strings *strings, const char *item)
+{
+  strings->items = xrealloc (strings->items,
+                             (strings->count + 1) * sizeof *strings->items);
+  strings->items[strings->count++] = xstrdup (item);
+}
+
 /* Copies a list of strings.  */
 void
 strings_copy (struct strings *to, const struct strings *from)
--- a/include/common/fields.h
+++ b/include/common/fields.h
@@ -37,6 +37,7 @@
                   struct error *error);
 void fields_release (const struct field *fields, size_t count, void *out);
 void strings_release (struct strings *strings);
+void strings_add (struct strings *strings, const char *item);
 void strings_copy (struct strings *to, const struct strings *from);
 bool strings_contain (const struct strings *strings, const char *item);
 
--- a/include/ledger/keeper.h
+++ b/include/ledger/keeper.h
@@ -2,6 +2,7 @@
 #ifndef GALENA_LEDGER_KEEPER_H
 #define GALENA_LEDGER_KEEPER_H
 
+#include "common/fields.h"
 #include "peer/mesh.h"
 #include "store/log.h"
 #include <stdbool.h>
@@ -28,8 +29,7 @@
 
 struct keeper *keeper_create (const struct keeper_options *options);
 void keeper_destroy (struct keeper *keeper);
-void keeper_set_others (struct keeper *keeper, const char *const *names,
-                        size_t count);
+void keeper_set_others (struct keeper *keeper, const struct strings *names);
 void keeper_handle_frame (struct keeper *keeper, const char *host,
                           const Peer__Frame *frame);
 void keeper_tick (struct keeper *keeper, int64_t now_ms);
--- a/include/ledger/ledger.h
+++ b/include/ledger/ledger.h
@@ -2,6 +2,7 @@
 #ifndef GALENA_LEDGER_LEDGER_H
 #define GALENA_LEDGER_LEDGER_H
 
+#include "common/fields.h"
 #include "peer/mesh.h"
 #include "policy/charges.h"
 #include <ev.h>
@@ -25,10 +26,8 @@
 
 struct ledger *ledger_create (const struct ledger_options *options);
 void ledger_destroy (struct ledger *ledger);
-void ledger_set_keepers (struct ledger *ledger, const char *const *names,
-                         size_t count);
-void ledger_set_relays (struct ledger *ledger, const char *const *names,
-                        size_t count);
+void ledger_set_keepers (struct ledger *ledger, const struct strings *names);
+void ledger_set_relays (struct ledger *ledger, const struct strings *names);
 bool ledger_knows (const struct ledger *ledger, uint64_t program);
 struct ledger_turn *ledger_reserve (struct ledger *ledger, uint64_t program,
                                     int64_t budget, int64_t tokens,
--- a/include/request/limits.h
+++ b/include/request/limits.h
@@ -7,6 +7,7 @@
 #define GALENA_REQUEST_LIMITS_H
 
 #include "peer/mesh.h"
+#include "request/host.h"
 #include "request/routing.h"
 #include <ev.h>
 
@@ -22,13 +23,6 @@
   int64_t window_ms; /* over which a customer's rate is counted */
 };
 
-/* An entry host. */
-struct limits_host
-{
-  const char *name;
-  const char *data_centre;
-};
-
 typedef void limits_handler (void *data, bool admitted);
 
 enum limits_verdict
@@ -40,8 +34,8 @@
 
 struct limits *limits_create (const struct limits_options *options);
 void limits_destroy (struct limits *limits);
-void limits_set_hosts (struct limits *limits, const struct limits_host *hosts,
-                       size_t count);
+void limits_set_hosts (struct limits *limits,
+                       const struct host_location *hosts, size_t count);
 void limits_apply (struct limits *limits, const struct routing *routing);
 enum limits_verdict limits_admit (struct limits *limits,
                                   const struct customer *customer, bool begins,
--- a/include/request/reach.h
+++ b/include/request/reach.h
@@ -4,17 +4,12 @@
 #define GALENA_REQUEST_REACH_H
 
 #include "peer/mesh.h"
+#include "request/host.h"
 #include <stdbool.h>
 #include <stdint.h>
 
 struct reach;
 
-struct reach_host
-{
-  const char *name;
-  const char *data_centre;
-};
-
 typedef void reach_handler (void *data, const char *data_centre,
                             bool reachable);
 
@@ -29,7 +24,7 @@
 
 struct reach *reach_create (const struct reach_options *options);
 void reach_destroy (struct reach *reach);
-void reach_set_hosts (struct reach *reach, const struct reach_host *hosts,
+void reach_set_hosts (struct reach *reach, const struct host_location *hosts,
                       size_t count);
 void reach_tick (struct reach *reach, int64_t now_ms);
 
--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -493,23 +493,22 @@
 
 /* Names the other keepers.  What was read from one that stays is kept.  */
 void
-keeper_set_others (struct keeper *keeper, const char *const *names,
-                   size_t count)
+keeper_set_others (struct keeper *keeper, const struct strings *names)
 {
-  struct other *others = xcalloc (count + 1, sizeof *others);
+  struct other *others = xcalloc (names->count + 1, sizeof *others);
   struct other *old = keeper->others;
   size_t old_count = keeper->other_count;
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < names->count; i++)
     {
-      const struct other *known = find_other (keeper, names[i]);
+      const struct other *known = find_other (keeper, names->items[i]);
 
       if (known)
         others[i] = *known;
-      others[i].name = xstrdup (names[i]);
+      others[i].name = xstrdup (names->items[i]);
     }
   keeper->others = others;
-  keeper->other_count = count;
+  keeper->other_count = names->count;
   release_others (old, old_count);
   check_complete (keeper);
 }
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -65,8 +65,7 @@
   struct ledger_options options;
   struct keeper_view *keepers;
   uint32_t keeper_count;
-  char **relays; /* entry hosts that may pass questions on */
-  size_t relay_count;
+  struct strings relays; /* entry hosts that may pass questions on */
   size_t next_relay;
   GHashTable *relayed;  /* id -> struct relayed */
   GHashTable *programs; /* program -> struct known */
@@ -195,10 +194,10 @@
   relay.n_items = count;
   frame.body_case = PEER__FRAME__BODY_LEDGER_RELAY;
   frame.ledger_relay = &relay;
-  for (size_t i = 0; i < ledger->relay_count && sent < RELAY_HOSTS; i++)
+  for (size_t i = 0; i < ledger->relays.count && sent < RELAY_HOSTS; i++)
     {
       const char *host
-          = ledger->relays[ledger->next_relay++ % ledger->relay_count];
+          = ledger->relays.items[ledger->next_relay++ % ledger->relays.count];
 
       if (!mesh_is_suspect (ledger->options.mesh, host)
           && mesh_send (ledger->options.mesh, host, &frame))
@@ -268,7 +267,7 @@
   struct ledger *ledger = turn->known->ledger;
 
   if (!turn->is_relayed && decide (turn) == CHARGES_UNKNOWN
-      && ledger->relay_count > 0)
+      && ledger->relays.count > 0)
     {
       Peer__LedgerItem item;
       Peer__LedgerItem *only = &item;
@@ -309,20 +308,21 @@
   return ledger;
 }
 
-static void
-release_keepers (struct ledger *ledger)
+static struct keeper_view *
+find_keeper (struct ledger *ledger, const char *host)
 {
   for (uint32_t i = 0; i < ledger->keeper_count; i++)
-    free (ledger->keepers[i].name);
-  free (ledger->keepers);
+    if (strcmp (ledger->keepers[i].name, host) == 0)
+      return &ledger->keepers[i];
+  return NULL;
 }
 
 static void
-release_relays (struct ledger *ledger)
+release_keepers (struct ledger *ledger)
 {
-  for (size_t i = 0; i < ledger->relay_count; i++)
-    free (ledger->relays[i]);
-  free (ledger->relays);
+  for (uint32_t i = 0; i < ledger->keeper_count; i++)
+    free (ledger->keepers[i].name);
+  free (ledger->keepers);
 }
 
 /* Frees the ledger.  Every turn must have been settled.  */
@@ -333,7 +333,7 @@
     return;
   deferred_release (&ledger->send);
   release_keepers (ledger);
-  release_relays (ledger);
+  strings_release (&ledger->relays);
   g_hash_table_destroy (ledger->relayed);
   g_hash_table_destroy (ledger->waiting);
   g_hash_table_destroy (ledger->programs);
@@ -343,34 +343,28 @@
 
 /* Names the hosts that keep the ledger; they are written to from now on.  */
 void
-ledger_set_keepers (struct ledger *ledger, const char *const *names,
-                    size_t count)
+ledger_set_keepers (struct ledger *ledger, const struct strings *names)
 {
-  struct keeper_view *keepers = xcalloc (count + 1, sizeof *keepers);
+  struct keeper_view *keepers = xcalloc (names->count + 1, sizeof *keepers);
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < names->count; i++)
     {
-      keepers[i].name = xstrdup (names[i]);
-      for (uint32_t j = 0; j < ledger->keeper_count; j++)
-        if (strcmp (ledger->keepers[j].name, names[i]) == 0)
-          keepers[i].asked_ms = ledger->keepers[j].asked_ms;
+      const struct keeper_view *known = find_keeper (ledger, names->items[i]);
+
+      keepers[i].name = xstrdup (names->items[i]);
+      keepers[i].asked_ms = known ? known->asked_ms : 0;
     }
   release_keepers (ledger);
   ledger->keepers = keepers;
-  ledger->keeper_count = (uint32_t)count;
+  ledger->keeper_count = (uint32_t)names->count;
 }
 
 /* Names the entry hosts that pass questions on where this one does not reach
    the keepers.  */
 void
-ledger_set_relays (struct ledger *ledger, const char *const *names,
-                   size_t count)
+ledger_set_relays (struct ledger *ledger, const struct strings *names)
 {
-  release_relays (ledger);
-  ledger->relays = xcalloc (count + 1, sizeof *ledger->relays);
-  for (size_t i = 0; i < count; i++)
-    ledger->relays[i] = xstrdup (names[i]);
-  ledger->relay_count = count;
+  strings_copy (&ledger->relays, names);
 }
 
 /* Whether a turn of PROGRAM has come to this host lately.  */
@@ -434,15 +428,6 @@
   free (turn);
 }
 
-static struct keeper_view *
-find_keeper (struct ledger *ledger, const char *host)
-{
-  for (uint32_t i = 0; i < ledger->keeper_count; i++)
-    if (strcmp (ledger->keepers[i].name, host) == 0)
-      return &ledger->keepers[i];
-  return NULL;
-}
-
 static bool
 note_answer (struct ledger_turn *turn, uint64_t keeper, uint32_t keepers)
 {
--- a/request/limits.c
+++ b/request/limits.c
@@ -67,9 +67,8 @@
 struct member
 {
   char *name;
-  char *data_centre;
   uint64_t hash;    /* of the name */
-  uint64_t dc_hash; /* of its data centre's */
+  uint64_t dc_hash; /* of its data centre's name */
 };
 
 struct limits
@@ -116,10 +115,7 @@
 release_members (struct limits *limits)
 {
   for (size_t i = 0; i < limits->member_count; i++)
-    {
-      free (limits->members[i].name);
-      free (limits->members[i].data_centre);
-    }
+    free (limits->members[i].name);
   free (limits->members);
 }
 
@@ -209,7 +205,7 @@
 /* Names all entry hosts.  The parts that fall to this one begin empty: it, or
    the host that held them, may have used them up before.  */
 void
-limits_set_hosts (struct limits *limits, const struct limits_host *hosts,
+limits_set_hosts (struct limits *limits, const struct host_location *hosts,
                   size_t count)
 {
   GHashTableIter iter;
@@ -225,9 +221,8 @@
       struct member *member = &limits->members[i];
 
       member->name = xstrdup (hosts[i].name);
-      member->data_centre = xstrdup (hosts[i].data_centre);
       member->hash = id_hash_text (member->name);
-      member->dc_hash = id_hash_text (member->data_centre);
+      member->dc_hash = id_hash_text (hosts[i].data_centre);
       note_data_centre (limits, member->dc_hash);
     }
   limits->is_counted = true;
--- a/request/reach.c
+++ b/request/reach.c
@@ -1,5 +1,6 @@
 #include "request/reach.h"
 #include "common/buf.h"
+#include "common/fields.h"
 #include "common/id.h"
 #include "common/log.h"
 #include "policy/silence.h"
@@ -14,9 +15,8 @@
 struct data_centre
 {
   char *name;
-  char **hosts;
-  size_t host_count;
-  size_t next; /* host to ask first */
+  struct strings hosts; /* names */
+  size_t next;          /* host to ask first */
   struct silence silence;
   bool reported_cut;
 };
@@ -38,16 +38,6 @@
   return reach;
 }
 
-static void
-release_hosts (struct data_centre *centre)
-{
-  for (size_t i = 0; i < centre->host_count; i++)
-    free (centre->hosts[i]);
-  free (centre->hosts);
-  centre->hosts = NULL;
-  centre->host_count = 0;
-}
-
 /* Frees the view.  */
 void
 reach_destroy (struct reach *reach)
@@ -56,7 +46,7 @@
     return;
   for (size_t i = 0; i < reach->count; i++)
     {
-      release_hosts (&reach->list[i]);
+      strings_release (&reach->list[i].hosts);
       free (reach->list[i].name);
     }
   free (reach->list);
@@ -81,35 +71,32 @@
 
 /* Names all hosts of the system; this one is left out.  */
 void
-reach_set_hosts (struct reach *reach, const struct reach_host *hosts,
+reach_set_hosts (struct reach *reach, const struct host_location *hosts,
                  size_t count)
 {
   for (size_t i = 0; i < reach->count; i++)
-    release_hosts (&reach->list[i]);
+    strings_release (&reach->list[i].hosts);
   for (size_t i = 0; i < count; i++)
     {
-      struct data_centre *centre;
-
       if (strcmp (hosts[i].name, reach->options.host) == 0)
         continue;
-      centre = find_centre (reach, hosts[i].data_centre);
-      centre->hosts = xrealloc (centre->hosts, (centre->host_count + 1)
-                                                   * sizeof *centre->hosts);
-      centre->hosts[centre->host_count++] = xstrdup (hosts[i].name);
+      strings_add (&find_centre (reach, hosts[i].data_centre)->hosts,
+                   hosts[i].name);
     }
 }
 
 static void
 tick_centre (struct reach *reach, struct data_centre *centre, int64_t now_ms)
 {
-  for (size_t i = 0; i < centre->host_count; i++)
-    silence_note_heard (&centre->silence,
-                        mesh_heard_ms (reach->options.mesh, centre->hosts[i]));
+  for (size_t i = 0; i < centre->hosts.count; i++)
+    silence_note_heard (
+        &centre->silence,
+        mesh_heard_ms (reach->options.mesh, centre->hosts.items[i]));
   if (!silence_tick (&centre->silence, now_ms))
     return;
-  for (size_t i = 0; i < centre->host_count && i < PROBED_HOSTS; i++)
+  for (size_t i = 0; i < centre->hosts.count && i < PROBED_HOSTS; i++)
     mesh_probe (reach->options.mesh,
-                centre->hosts[centre->next++ % centre->host_count]);
+                centre->hosts.items[centre->next++ % centre->hosts.count]);
 }
 
 /* Where the hosts beside this one are silent, too, it is this host that is cut
@@ -119,7 +106,7 @@
 {
   for (size_t i = 0; i < reach->count; i++)
     if (strcmp (reach->list[i].name, reach->options.data_centre) == 0)
-      return reach->list[i].host_count > 0 && reach->list[i].silence.is_cut;
+      return reach->list[i].hosts.count > 0 && reach->list[i].silence.is_cut;
   return false;
 }
 
@@ -131,14 +118,14 @@
   bool is_alone;
 
   for (size_t i = 0; i < reach->count; i++)
-    if (reach->list[i].host_count > 0)
+    if (reach->list[i].hosts.count > 0)
       tick_centre (reach, &reach->list[i], now_ms);
   is_alone = is_cut_off_itself (reach);
   for (size_t i = 0; i < reach->count; i++)
     {
       struct data_centre *centre = &reach->list[i];
       bool is_cut
-          = centre->silence.is_cut && centre->host_count > 0 && !is_alone;
+          = centre->silence.is_cut && centre->hosts.count > 0 && !is_alone;
 
       if (is_cut == centre->reported_cut)
         continue;
