Make and read the ledger's items in one place

Filling an item from a charge, reading it back and listing items for a frame each stood in two to four places of ledger.c and keeper.c. They are in ledger/item.c now; what a process charges to a program is a struct charge, as everywhere else.

--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -1,6 +1,7 @@
 #include "ledger/keeper.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "ledger/item.h"
 #include "policy/charges.h"
 #include <glib.h>
 #include <inttypes.h>
@@ -116,9 +117,7 @@
 static bool
 merge_item (struct keeper *keeper, const Peer__LedgerItem *item)
 {
-  struct charge entry = { .source = item->source,
-                          .version = item->version,
-                          .tokens = item->charged };
+  struct charge entry = ledger_item_charge (item);
 
   return charges_merge (&find_account (keeper, item->program)->charges,
                         &entry);
@@ -142,18 +141,11 @@
 }
 
 static void
-fill_entries (const struct account *account, Peer__LedgerItem *items,
-              Peer__LedgerItem **list)
+set_items (Peer__LedgerItem *items, const struct account *account)
 {
   for (size_t i = 0; i < account->charges.count; i++)
-    {
-      peer__ledger_item__init (&items[i]);
-      items[i].program = account->program;
-      items[i].source = account->charges.entries[i].source;
-      items[i].version = account->charges.entries[i].version;
-      items[i].charged = account->charges.entries[i].tokens;
-      list[i] = &items[i];
-    }
+    ledger_item_set (&items[i], account->program,
+                     &account->charges.entries[i]);
 }
 
 /* Whether another keeper may know charges that this one does not.  */
@@ -173,13 +165,13 @@
   struct account *account = find_account (keeper, program);
   size_t count = account->charges.count;
   Peer__LedgerItem *items = xcalloc (count + 1, sizeof *items);
-  Peer__LedgerItem **list = xcalloc (count + 1, sizeof *list);
+  Peer__LedgerItem **list = ledger_items_list (items, count);
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LedgerAnswers answers = PEER__LEDGER_ANSWERS__INIT;
   Peer__LedgerAnswer answer = PEER__LEDGER_ANSWER__INIT;
   Peer__LedgerAnswer *only = &answer;
 
-  fill_entries (account, items, list);
+  set_items (items, account);
   answer.id = id;
   answer.entries = list;
   answer.n_entries = count;
@@ -263,16 +255,8 @@
   page->items
       = xrealloc (page->items, (page->count + account->charges.count + 1)
                                    * sizeof *page->items);
-  for (size_t i = 0; i < account->charges.count; i++)
-    {
-      Peer__LedgerItem *item = &page->items[page->count++];
-
-      peer__ledger_item__init (item);
-      item->program = account->program;
-      item->source = account->charges.entries[i].source;
-      item->version = account->charges.entries[i].version;
-      item->charged = account->charges.entries[i].tokens;
-    }
+  set_items (&page->items[page->count], account);
+  page->count += account->charges.count;
   page->next = account->program;
   return FALSE;
 }
@@ -288,9 +272,7 @@
   if (keeper->loading > 0)
     return;
   g_tree_foreach (keeper->accounts, add_to_page, &page);
-  list = xcalloc (page.count + 1, sizeof *list);
-  for (size_t i = 0; i < page.count; i++)
-    list[i] = &page.items[i];
+  list = ledger_items_list (page.items, page.count);
   answer.items = list;
   answer.n_items = page.count;
   answer.next = page.next;
@@ -597,9 +579,7 @@
         break;
       other->hand_id = id_random64 ();
       page.items[page.count - 1].id = other->hand_id;
-      list = xcalloc (page.count, sizeof *list);
-      for (size_t i = 0; i < page.count; i++)
-        list[i] = &page.items[i];
+      list = ledger_items_list (page.items, page.count);
       write.items = list;
       write.n_items = page.count;
       write.hand_over = true;
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -2,6 +2,7 @@
 #include "common/buf.h"
 #include "common/deferred.h"
 #include "common/id.h"
+#include "ledger/item.h"
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,9 +24,8 @@
   struct ledger *ledger;
   uint64_t program;
   struct charges charges;
-  int64_t own_tokens;
-  uint64_t own_version;
-  uint32_t turns; /* that are under way here */
+  struct charge own; /* this process's entry */
+  uint32_t turns;    /* that are under way here */
   int64_t used_ms;
   bool unsent; /* the keepers have an older version */
 };
@@ -95,6 +95,7 @@
   known = xcalloc (1, sizeof *known);
   known->ledger = ledger;
   known->program = program;
+  known->own.source = ledger->options.process;
   g_hash_table_insert (ledger->programs, &known->program, known);
   return known;
 }
@@ -102,25 +103,19 @@
 static void
 change_own (struct known *known, int64_t amount)
 {
-  struct charge own;
-
-  known->own_tokens += amount;
-  known->own_version++;
-  own = (struct charge){ .source = known->ledger->options.process,
-                         .version = known->own_version,
-                         .tokens = known->own_tokens };
-  charges_merge (&known->charges, &own);
+  known->own.tokens += amount;
+  known->own.version++;
+  charges_merge (&known->charges, &known->own);
 }
 
-static void
-fill_item (Peer__LedgerItem *item, const struct known *known, uint64_t id)
+static Peer__LedgerItem
+make_item (const struct known *known, uint64_t id)
 {
-  peer__ledger_item__init (item);
-  item->id = id;
-  item->program = known->program;
-  item->source = known->ledger->options.process;
-  item->version = known->own_version;
-  item->charged = known->own_tokens;
+  Peer__LedgerItem item;
+
+  ledger_item_set (&item, known->program, &known->own);
+  item.id = id;
+  return item;
 }
 
 static bool
@@ -149,16 +144,6 @@
                 < charges_quorum (ledger->keeper_count);
 }
 
-static Peer__LedgerItem **
-list_items (Peer__LedgerItem *items, size_t count)
-{
-  Peer__LedgerItem **list = xcalloc (count + 1, sizeof *list);
-
-  for (size_t i = 0; i < count; i++)
-    list[i] = &items[i];
-  return list;
-}
-
 static void
 send_to_keepers (struct ledger *ledger, Peer__LedgerItem **list, size_t count)
 {
@@ -212,7 +197,7 @@
 
   if (count == 0)
     return;
-  list = list_items (items, count);
+  list = ledger_items_list (items, count);
   send_to_keepers (ledger, list, count);
   if (needs_relay (ledger))
     send_to_relays (ledger, list, count);
@@ -269,11 +254,10 @@
   if (!turn->is_relayed && decide (turn) == CHARGES_UNKNOWN
       && ledger->relays.count > 0)
     {
-      Peer__LedgerItem item;
+      Peer__LedgerItem item = make_item (turn->known, turn->id);
       Peer__LedgerItem *only = &item;
 
       turn->is_relayed = true;
-      fill_item (&item, turn->known, turn->id);
       send_to_relays (ledger, &only, 1);
       ev_timer_set (timer, (double)ANSWER_MS / 1000.0, 0);
       ev_timer_start (loop, timer);
@@ -394,7 +378,7 @@
   turn->handle = handle;
   turn->data = data;
   change_own (turn->known, tokens);
-  fill_item (&item, turn->known, turn->id);
+  item = make_item (turn->known, turn->id);
   g_array_append_val (ledger->questions, item);
   g_hash_table_insert (ledger->waiting, &turn->id, turn);
   deferred_schedule (&ledger->send);
@@ -478,9 +462,7 @@
     return;
   for (size_t i = 0; i < answer->n_entries; i++)
     {
-      struct charge entry = { .source = answer->entries[i]->source,
-                              .version = answer->entries[i]->version,
-                              .tokens = answer->entries[i]->charged };
+      struct charge entry = ledger_item_charge (answer->entries[i]);
 
       charges_merge (&turn->known->charges, &entry);
     }
@@ -544,7 +526,7 @@
       if (!known->unsent)
         continue;
       known->unsent = false;
-      fill_item (&item, known, 0);
+      item = make_item (known, 0);
       g_array_append_val (items, item);
     }
   send_items (ledger, (Peer__LedgerItem *)(void *)items->data, items->len);
