Send settlements from a list, and forget programs also while it is quiet

Each tick with a settlement due went through every program that a host knows, twice, ten times a second under load; and a host whose last settlement had been sent forgot nothing, for the two went together. Programs with unsent charges are in a list now, and unused ones are looked for every five seconds.

--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -15,7 +15,8 @@
   SETTLE_MS = 100, /* settlements wait so long to share a frame */
   SILENT_MS = 250, /* a keeper that leaves questions unanswered for so long */
   RELAY_HOSTS = 2, /* asked to pass a question on */
-  RELAYED_MS = 2000, /* a question that was passed on is forgotten */
+  RELAYED_MS = 2000,      /* a question that was passed on is forgotten */
+  FORGET_EVERY_MS = 5000, /* between looks for programs to forget */
 };
 
 /* What this host knows of a program.  Owned by the ledger. */
@@ -27,7 +28,7 @@
   struct charge own; /* this process's entry */
   uint32_t turns;    /* that are under way here */
   int64_t used_ms;
-  bool unsent; /* the keepers have an older version */
+  bool is_unsent; /* the keepers have an older version */
 };
 
 /* A turn's reservation.  Owned by the ledger until it is settled. */
@@ -72,8 +73,9 @@
   GHashTable *waiting;  /* id -> struct ledger_turn */
   GArray *questions;    /* Peer__LedgerItem, for the next frame */
   struct deferred send;
+  GPtrArray *unsent; /* struct known that the keepers have older */
   int64_t settled_ms;
-  uint32_t unsent;
+  int64_t forgot_ms;
 };
 
 static void
@@ -287,6 +289,7 @@
   ledger->waiting = g_hash_table_new (g_int64_hash, g_int64_equal);
   ledger->relayed = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                            relayed_destroy);
+  ledger->unsent = g_ptr_array_new ();
   ledger->questions = g_array_new (FALSE, FALSE, sizeof (Peer__LedgerItem));
   deferred_init (&ledger->send, options->loop, handle_send, ledger);
   return ledger;
@@ -321,6 +324,7 @@
   g_hash_table_destroy (ledger->relayed);
   g_hash_table_destroy (ledger->waiting);
   g_hash_table_destroy (ledger->programs);
+  g_ptr_array_free (ledger->unsent, TRUE);
   g_array_free (ledger->questions, TRUE);
   free (ledger);
 }
@@ -404,9 +408,9 @@
   if (used != turn->tokens)
     {
       change_own (known, used - turn->tokens);
-      if (!known->unsent)
-        known->ledger->unsent++;
-      known->unsent = true;
+      if (!known->is_unsent)
+        g_ptr_array_add (known->ledger->unsent, known);
+      known->is_unsent = true;
     }
   free (turn->answered);
   free (turn);
@@ -513,25 +517,19 @@
 static void
 send_settlements (struct ledger *ledger)
 {
-  GArray *items = g_array_new (FALSE, FALSE, sizeof (Peer__LedgerItem));
-  GHashTableIter iter;
-  gpointer value;
+  guint count = ledger->unsent->len;
+  Peer__LedgerItem *items = xcalloc (count + 1, sizeof *items);
 
-  g_hash_table_iter_init (&iter, ledger->programs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < count; i++)
     {
-      struct known *known = value;
-      Peer__LedgerItem item;
+      struct known *known = ledger->unsent->pdata[i];
 
-      if (!known->unsent)
-        continue;
-      known->unsent = false;
-      item = make_item (known, 0);
-      g_array_append_val (items, item);
+      known->is_unsent = false;
+      items[i] = make_item (known, 0);
     }
-  send_items (ledger, (Peer__LedgerItem *)(void *)items->data, items->len);
-  g_array_free (items, TRUE);
-  ledger->unsent = 0;
+  send_items (ledger, items, count);
+  free (items);
+  g_ptr_array_set_size (ledger->unsent, 0);
 }
 
 static gboolean
@@ -540,7 +538,7 @@
   const struct known *known = value;
   const int64_t *oldest_ms = data;
 
-  return known->turns == 0 && known->used_ms < *oldest_ms;
+  return known->turns == 0 && !known->is_unsent && known->used_ms < *oldest_ms;
 }
 
 static gboolean
@@ -559,10 +557,14 @@
   int64_t oldest_ms = now_ms - ledger->options.retention_ms;
 
   g_hash_table_foreach_remove (ledger->relayed, is_old_relayed, &now_ms);
-  if (ledger->unsent == 0 || now_ms - ledger->settled_ms < SETTLE_MS)
+  if (ledger->unsent->len > 0 && now_ms - ledger->settled_ms >= SETTLE_MS)
+    {
+      ledger->settled_ms = now_ms;
+      send_settlements (ledger);
+    }
+  if (now_ms - ledger->forgot_ms < FORGET_EVERY_MS)
     return;
-  ledger->settled_ms = now_ms;
-  send_settlements (ledger);
+  ledger->forgot_ms = now_ms;
   g_hash_table_foreach_remove (ledger->programs, is_stale, &oldest_ms);
 }
 
@@ -570,5 +572,5 @@
 bool
 ledger_is_settled (const struct ledger *ledger)
 {
-  return ledger->unsent == 0;
+  return ledger->unsent->len == 0;
 }
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -15,6 +15,7 @@
   { "history", NULL, NULL, NULL, NULL, history_tests },
   { "holders", NULL, NULL, NULL, NULL, holders_tests },
   { "journal", NULL, NULL, NULL, NULL, journal_tests },
+  { "ledger", NULL, NULL, NULL, NULL, ledger_tests },
   { "limit", NULL, NULL, NULL, NULL, limit_tests },
   { "mesh", NULL, NULL, NULL, NULL, mesh_tests },
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -13,6 +13,7 @@
 extern CU_TestInfo history_tests[];
 extern CU_TestInfo holders_tests[];
 extern CU_TestInfo journal_tests[];
+extern CU_TestInfo ledger_tests[];
 extern CU_TestInfo limit_tests[];
 extern CU_TestInfo mesh_tests[];
 extern CU_TestInfo objects_tests[];
