Charge a program that a host had forgotten

Cause: an entry of the ledger was named after its host's process and counted its versions from one. A host that forgot a program after its retention began again at version one, which the keepers took for old where other hosts had kept the program in use: what it granted from then on was charged to nobody.

Change: the source is drawn anew whenever a host gets to know a program. The process's id is not needed in the ledger any more.

Test: "a program that was forgotten is charged" in test_ledger.c; before, the second turn was granted though 190 of 150 tokens were spoken for.

--- a/include/ledger/ledger.h
+++ b/include/ledger/ledger.h
@@ -15,7 +15,6 @@
 {
   struct ev_loop *loop;
   struct mesh *mesh;
-  uint64_t process;     /* the source of this process's charges */
   int64_t retention_ms; /* a program unused for so long is forgotten */
 };
 
--- a/include/policy/charges.h
+++ b/include/policy/charges.h
@@ -1,8 +1,8 @@
-/* What every process has charged to one program, and whether a turn fits its
+/* What every host has charged to one program, and whether a turn fits its
    budget.
 
-   Each process is the only writer of its own entry, so that two copies of the
-   charges merge by taking the newer version of each entry.  */
+   Each entry has one writer, its source, so that two copies of the charges
+   merge by taking the newer version of each entry.  */
 #ifndef GALENA_POLICY_CHARGES_H
 #define GALENA_POLICY_CHARGES_H
 
@@ -12,7 +12,7 @@
 
 struct charge
 {
-  uint64_t source; /* the process */
+  uint64_t source; /* a host, from when it knows the program */
   uint64_t version;
   int64_t tokens;
 };
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -25,8 +25,10 @@
   struct ledger *ledger;
   uint64_t program;
   struct charges charges;
-  struct charge own; /* this process's entry */
-  uint32_t turns;    /* that are under way here */
+  /* What this host has charged since it knows the program.  The source is new
+     each time: keepers may have an older entry with a later version.  */
+  struct charge own;
+  uint32_t turns; /* that are under way here */
   int64_t used_ms;
   bool is_unsent; /* the keepers have an older version */
 };
@@ -97,7 +99,7 @@
   known = xcalloc (1, sizeof *known);
   known->ledger = ledger;
   known->program = program;
-  known->own.source = ledger->options.process;
+  known->own.source = id_random64 ();
   g_hash_table_insert (ledger->programs, &known->program, known);
   return known;
 }
--- a/test/unit/test_ledger.c
+++ b/test/unit/test_ledger.c
@@ -201,7 +201,26 @@
   scene_close (&scene);
 }
 
+/* The keeper still has what this host charged before: other hosts may have
+   gone on with the program.  */
+static void
+test_program_that_was_forgotten_is_charged (void)
+{
+  struct scene scene;
+
+  scene_open (&scene);
+  settle (&scene, reserve (&scene, 100), 90);
+  ledger_tick (scene.ledger, clock_now_ms () + 100 * RETENTION_MS);
+  CU_ASSERT_FALSE (ledger_knows (scene.ledger, PROGRAM));
+  ledger_settle (reserve (&scene, 100), 0);
+  CU_ASSERT_EQUAL (scene.verdict, CHARGES_SPENT);
+  CU_ASSERT_EQUAL (scene.known, 190);
+  scene_close (&scene);
+}
+
 CU_TestInfo ledger_tests[]
     = { { "turns fill a budget", test_turns_fill_a_budget },
         { "an unused program is forgotten", test_unused_program_is_forgotten },
+        { "a program that was forgotten is charged",
+          test_program_that_was_forgotten_is_charged },
         CU_TEST_INFO_NULL };
