Check addresses, log levels and settings files in one place

Both programs' settings checked IP:port and the log level with the same lines and messages, and the platform's parsed the level a second time at the start. address_check, log_level_check and fields_load serve both.

--- a/common/address.c
+++ b/common/address.c
@@ -45,3 +45,20 @@
   address->sin_port = htons (port);
   return inet_pton (AF_INET, ip, &address->sin_addr) == 1;
 }
+
+/* Checks a setting called NAME that is to hold "IP:port", or NULL where it is
+   not required.  False and ERROR otherwise.  */
+bool
+address_check (const char *name, const char *value, bool is_required,
+               struct error *error)
+{
+  struct sockaddr_in address;
+
+  if (value ? address_parse (value, &address) : !is_required)
+    return true;
+  error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+             "settings: \"%s\" is \"%s\"; write IP:port, such as "
+             "127.0.0.1:8080",
+             name, value ? value : "missing");
+  return false;
+}
--- a/common/fields.c
+++ b/common/fields.c
@@ -223,3 +223,18 @@
       return true;
   return false;
 }
+
+/* Reads a file of settings, a JSON object.  The caller owns it; NULL and ERROR
+   where it cannot be read.  */
+json_t *
+fields_load (const char *path, struct error *error)
+{
+  json_error_t problem;
+  json_t *root = json_load_file (path, JSON_REJECT_DUPLICATES, &problem);
+
+  if (!root)
+    error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+               "%s:%d: %s; give a readable JSON file", path, problem.line,
+               problem.text);
+  return root;
+}
--- a/common/log.c
+++ b/common/log.c
@@ -62,16 +62,24 @@
   return false;
 }
 
-/* Reads a level by its name; false where there is none.  */
+/* Reads the setting log_level; NULL stands for "info".  False and ERROR where
+   there is no such level.  */
 bool
-log_level_parse (const char *name, enum log_level *level)
+log_level_check (const char *name, enum log_level *level, struct error *error)
 {
+  *level = LOG_INFO;
+  if (!name)
+    return true;
   for (size_t i = 0; i < sizeof level_names / sizeof *level_names; i++)
     if (strcmp (level_names[i], name) == 0)
       {
         *level = (enum log_level)i;
         return true;
       }
+  error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
+             "settings: \"log_level\" is \"%s\"; use error, warn, info or "
+             "debug",
+             name);
   return false;
 }
 
--- a/galenashored/main.c
+++ b/galenashored/main.c
@@ -55,7 +55,6 @@
 {
   struct platform_settings settings;
   struct error error;
-  enum log_level level = LOG_INFO;
   int status = EXIT_SUCCESS;
 
   if (!platform_settings_load (&settings, path, &error))
@@ -64,9 +63,7 @@
       platform_settings_release (&settings);
       return EXIT_USAGE;
     }
-  if (settings.log_level)
-    log_level_parse (settings.log_level, &level);
-  log_init (settings.host, level);
+  log_init (settings.host, settings.level);
   if (only_check)
     puts ("the settings are good");
   else
--- a/galenashored/settings.c
+++ b/galenashored/settings.c
@@ -68,20 +68,6 @@
   SETTING_COUNT = sizeof setting_fields / sizeof *setting_fields,
 };
 
-static bool
-check_address (const char *name, const char *value, struct error *error)
-{
-  struct sockaddr_in address;
-
-  if (address_parse (value, &address))
-    return true;
-  error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
-             "settings: \"%s\" is \"%s\"; write IP:port, such as "
-             "127.0.0.1:8080",
-             name, value);
-  return false;
-}
-
 static bool
 check_pair (const char *first_name, const char *first, const char *second_name,
             const char *second, struct error *error)
@@ -99,7 +85,7 @@
 check_seeds (const struct settings *settings, struct error *error)
 {
   for (size_t i = 0; i < settings->seeds.count; i++)
-    if (!check_address ("seeds", settings->seeds.items[i], error))
+    if (!address_check ("seeds", settings->seeds.items[i], true, error))
       return false;
   return true;
 }
@@ -108,9 +94,10 @@
 check_values (struct settings *settings, struct error *error)
 {
   if (!check_seeds (settings, error)
-      || !check_address ("caller_listen", settings->caller_listen, error)
-      || !check_address ("peer_listen", settings->peer_listen, error)
-      || !check_address ("operator_listen", settings->operator_listen, error)
+      || !address_check ("caller_listen", settings->caller_listen, true, error)
+      || !address_check ("peer_listen", settings->peer_listen, true, error)
+      || !address_check ("operator_listen", settings->operator_listen, true,
+                         error)
       || !check_pair ("caller_cert_file", settings->caller_cert_file,
                       "caller_key_file", settings->caller_key_file, error)
       || !check_pair ("operator_cert_file", settings->operator_cert_file,
@@ -125,16 +112,7 @@
                  "https://");
       return false;
     }
-  if (!log_level_parse (settings->log_level ? settings->log_level : "info",
-                        &settings->level))
-    {
-      error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
-                 "settings: \"log_level\" is \"%s\"; use error, warn, info "
-                 "or debug",
-                 settings->log_level);
-      return false;
-    }
-  return true;
+  return log_level_check (settings->log_level, &settings->level, error);
 }
 
 static bool
@@ -259,8 +237,7 @@
 settings_load (struct settings *settings, const char *path,
                struct error *error)
 {
-  json_error_t problem;
-  json_t *root = json_load_file (path, JSON_REJECT_DUPLICATES, &problem);
+  json_t *root = fields_load (path, error);
   bool ok;
 
   *settings
@@ -269,12 +246,7 @@
                            .max_connections = DEFAULT_CONNECTIONS,
                            .drain_limit_ms = DEFAULT_DRAIN_MS };
   if (!root)
-    {
-      error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
-                 "%s:%d: %s; give a readable JSON file", path, problem.line,
-                 problem.text);
-      return false;
-    }
+    return false;
   ok = fields_read (root, setting_fields, SETTING_COUNT, "settings", settings,
                     error)
        && check_values (settings, error)
--- a/include/common/fields.h
+++ b/include/common/fields.h
@@ -32,6 +32,7 @@
   const char *remedy;
 };
 
+json_t *fields_load (const char *path, struct error *error);
 bool fields_read (const json_t *object, const struct field *fields,
                   size_t count, const char *where, void *out,
                   struct error *error);
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -5,6 +5,7 @@
 
 #include "common/error.h"
 #include "common/fields.h"
+#include "common/log.h"
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -24,6 +25,7 @@
   char *store_address;
   char *data_dir; /* keepers only */
   char *log_level;
+  enum log_level level; /* that it names */
   bool first_start;
   int64_t stop_grace_s;   /* until the process is killed */
   int64_t limit_window_s; /* over which customers' rates are counted */
