Drop state that nothing reads or that follows from other state

Decoded and never used: a route's objective, a service's kind and connection limit, the configuration's revision, three limits on what callers may send and a program's deadline. Never set: an endpoint for the pool to avoid.

The limit on bodies stays decoded, as a test asserts it; enforcing the configuration's limits is still to be done.

--- a/include/platform/registry.h
+++ b/include/platform/registry.h
@@ -15,8 +15,7 @@
   struct ev_loop *loop;
   struct platform_store *store;
   const struct platform_settings *settings;
-  /* WAS_LISTED: the host had an entry before. */
-  void (*handle_registered) (void *data, bool was_listed);
+  void (*handle_registered) (void *data);
   void (*handle_removed) (void *data);
   void *data;
 };
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -14,7 +14,6 @@
 #define WIRE_LAST_EVENT_ID "Last-Event-Id"
 #define WIRE_PRIORITY "Request-Priority"
 #define WIRE_PROGRAM "Program-Id"
-#define WIRE_PROGRAM_DEADLINE_MS "Program-Deadline-Ms"
 #define WIRE_TOKEN_BUDGET "Token-Budget"
 #define WIRE_TOKENS "Token-Usage" /* prompt tokens, most output tokens */
 #define WIRE_PROMPT_PARTS "Prompt-Prefix"
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -85,7 +85,6 @@
   size_t part_count;
   int64_t prompt_tokens;
   uint64_t program;
-  const struct pool_endpoint *avoid; /* may be NULL */
 };
 
 void endpoint_list_destroy (struct endpoint_list *list);
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -33,7 +33,6 @@
   char *key;
   char *program;
   int64_t deadline_ms; /* time that the caller will wait */
-  int64_t program_deadline_ms;
   int64_t token_budget;
   int64_t prompt_tokens;
   int64_t max_output_tokens;
--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -30,7 +30,6 @@
   bool resumable; /* a stream that goes on after its last event */
   bool is_open;   /* needs no key */
   int64_t timeout_ms;
-  int64_t objective_ms;
   int32_t priority; /* 0 is the most urgent */
   uint32_t max_attempts;
   struct route_target *targets;
@@ -40,8 +39,6 @@
 struct service
 {
   char *name;
-  bool is_engine;
-  uint32_t max_connections;
   int64_t tokens_per_event; /* of an engine's streams */
 };
 
@@ -56,17 +53,13 @@
 struct routing
 {
   int64_t version;
-  int64_t revision; /* of the object that held it */
   struct route *routes;
   uint32_t route_count;
   struct service *services;
   uint32_t service_count;
   struct customer *customers;
   uint32_t customer_count;
-  int64_t max_header_bytes;
   int64_t max_body_bytes;
-  int64_t header_timeout_ms;
-  int64_t idle_timeout_ms;
   GHashTable *keys; /* hash of a key -> customer + 1 */
   GHashTable
       *hosts;     /* name -> GArray of struct route *, longest prefix first */
--- a/request/pool.c
+++ b/request/pool.c
@@ -213,7 +213,6 @@
                                   .slots = endpoint->slots,
                                   .running = endpoint->in_flight };
   out->eligible = !endpoint->leaving && !endpoint->unreachable
-                  && endpoint != query->avoid
                   && endpoint->avoid_until_ms <= now_ms
                   && strcmp (endpoint->service, query->service) == 0;
   if (!out->eligible)
@@ -250,8 +249,7 @@
     {
       struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
 
-      if (endpoint->leaving || endpoint == query->avoid
-          || strcmp (endpoint->service, query->service) != 0)
+      if (endpoint->leaving || strcmp (endpoint->service, query->service) != 0)
         continue;
       if (!best || endpoint->avoid_until_ms < best->avoid_until_ms)
         best = endpoint;
--- a/request/request.c
+++ b/request/request.c
@@ -74,7 +74,6 @@
   uint32_t sends;
   uint32_t runs;     /* sends that may have run */
   uint32_t refusals; /* by endpoints */
-  bool may_have_run;
   GList link;
 };
 
@@ -216,9 +215,8 @@
 {
   struct error error;
 
-  error_set (&error, kind,
-             request->may_have_run ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN, "%s",
-             message);
+  error_set (&error, kind, request->runs > 0 ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN,
+             "%s", message);
   error.retry_after_ms = retry_after_ms;
   refuse (request, &error);
 }
@@ -239,7 +237,7 @@
       sink->abort (sink);
       return;
     }
-  if (request->may_have_run)
+  if (request->runs > 0)
     refuse_with (request,
                  left_ms (request) <= 0 ? ERROR_ENDPOINT_TIMEOUT
                                         : ERROR_ENDPOINT,
@@ -324,7 +322,6 @@
   struct pool_endpoint *endpoint = request->endpoint;
 
   request->runs--;
-  request->may_have_run = request->runs > 0;
   request->refusals++;
   if (request->step != STEP_STREAM)
     request->runner = 0;
@@ -668,7 +665,6 @@
   request->runner = endpoint->hash;
   request->sends++;
   request->runs++;
-  request->may_have_run = true;
   request->sent_ms = clock_now_ms ();
   request->first_ms = 0;
   request->cached_tokens
