--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -5,6 +5,21 @@
 #include "common/fetch.h"
 #include <jansson.h>
 
+enum
+{
+  /* Of calls that do not wait for changes: a slow store is given so long
+     (chosen, not measured). */
+  PLATFORM_CALL_TIMEOUT_MS = 3000,
+};
+
+enum platform_status
+{
+  PLATFORM_OK = 200,
+  PLATFORM_NOT_FOUND = 404,
+  PLATFORM_CONFLICT = 409,
+  PLATFORM_GONE = 410, /* the changes since a revision */
+};
+
 struct platform_store
 {
   struct fetcher *fetcher;
@@ -29,6 +44,7 @@
 platform_call_start (struct platform_store *store, const char *method,
                      const char *path, json_t *body, int64_t timeout_ms,
                      platform_reply_handler *handle, void *data);
+bool platform_reply_is_success (const struct platform_reply *reply);
 void platform_call_cancel (struct platform_call *call);
 
 #endif
