--- a/include/standin/standin.h
+++ b/include/standin/standin.h
@@ -56,11 +56,11 @@
   void *state; /* of the mode */
 };
 
+extern const struct standin_mode standin_endpoint;
 extern const struct standin_mode standin_engine;
 extern const struct standin_mode standin_objects;
 extern const struct standin_mode standin_platform;
 extern const struct standin_mode standin_service;
-extern const struct standin_mode standin_worker;
 
 void standin_respond_json (struct standin *standin,
                            struct httpd_request *request, unsigned status,
--- a/standin/worker.c
+++ b/standin/endpoint.c
@@ -23,7 +23,7 @@
   int64_t next; /* event */
 };
 
-struct worker
+struct endpoint
 {
   json_t *counts; /* request id -> runs */
   json_t *last;   /* headers of the newest request */
@@ -52,9 +52,9 @@
 handle_gone (struct httpd_request *request)
 {
   struct run *run = request->user;
-  struct worker *worker = run->standin->state;
+  struct endpoint *endpoint = run->standin->state;
 
-  worker->cancelled++;
+  endpoint->cancelled++;
   ev_timer_stop (run->standin->loop, &run->timer);
   free (run);
 }
@@ -114,26 +114,28 @@
 }
 
 static void
-count_run (struct worker *worker, const char *id)
+count_run (struct endpoint *endpoint, const char *id)
 {
-  json_int_t runs = json_integer_value (json_object_get (worker->counts, id));
+  json_int_t runs
+      = json_integer_value (json_object_get (endpoint->counts, id));
 
-  json_object_set_new (worker->counts, id, json_integer (runs + 1));
+  json_object_set_new (endpoint->counts, id, json_integer (runs + 1));
 }
 
 static void
-worker_handle_request (struct standin *standin, struct httpd_request *request)
+endpoint_handle_request (struct standin *standin,
+                         struct httpd_request *request)
 {
-  struct worker *worker = standin->state;
+  struct endpoint *endpoint = standin->state;
   const char *id = httpd_header (request, "Attempt-Id");
 
   if (strcmp (request->path, "/counts") == 0)
     {
       standin_respond_json (standin, request, 200,
                             json_pack ("{s:O, s:O, s:I}", "counts",
-                                       worker->counts, "last", worker->last,
-                                       "cancelled",
-                                       (json_int_t)worker->cancelled));
+                                       endpoint->counts, "last",
+                                       endpoint->last, "cancelled",
+                                       (json_int_t)endpoint->cancelled));
       return;
     }
   if (ends_with (request->path, "/crash"))
@@ -144,9 +146,9 @@
       httpd_respond (request, 503, "text/plain", "full", 4);
       return;
     }
-  count_run (worker, id ? id : "none");
-  json_object_clear (worker->last);
-  httpd_each_header (request, note_header, worker->last);
+  count_run (endpoint, id ? id : "none");
+  json_object_clear (endpoint->last);
+  httpd_each_header (request, note_header, endpoint->last);
   if (standin_take (&standin->faults.lose_answers)
       || ends_with (request->path, "/early"))
     {
@@ -164,27 +166,27 @@
 }
 
 static void
-worker_create (struct standin *standin)
+endpoint_create (struct standin *standin)
 {
-  struct worker *worker = xcalloc (1, sizeof *worker);
+  struct endpoint *endpoint = xcalloc (1, sizeof *endpoint);
 
-  worker->counts = json_object ();
-  worker->last = json_object ();
-  standin->state = worker;
+  endpoint->counts = json_object ();
+  endpoint->last = json_object ();
+  standin->state = endpoint;
 }
 
 static void
-worker_destroy (struct standin *standin)
+endpoint_destroy (struct standin *standin)
 {
-  struct worker *worker = standin->state;
+  struct endpoint *endpoint = standin->state;
 
-  json_decref (worker->counts);
-  json_decref (worker->last);
-  free (worker);
+  json_decref (endpoint->counts);
+  json_decref (endpoint->last);
+  free (endpoint);
 }
 
-const struct standin_mode standin_worker
-    = { .name = "worker",
-        .create = worker_create,
-        .handle_request = worker_handle_request,
-        .destroy = worker_destroy };
+const struct standin_mode standin_endpoint
+    = { .name = "endpoint",
+        .create = endpoint_create,
+        .handle_request = endpoint_handle_request,
+        .destroy = endpoint_destroy };
--- a/standin/main.c
+++ b/standin/main.c
@@ -17,8 +17,8 @@
 };
 
 static const struct standin_mode *const modes[]
-    = { &standin_engine, &standin_objects, &standin_platform, &standin_service,
-        &standin_worker };
+    = { &standin_endpoint, &standin_engine, &standin_objects,
+        &standin_platform, &standin_service };
 
 struct delayed
 {
@@ -248,7 +248,7 @@
   gboolean record_all = FALSE;
   GOptionEntry entries[] = {
     { "mode", 0, 0, G_OPTION_ARG_STRING, &mode_name,
-      "engine, objects, platform, service or worker", "MODE" },
+      "endpoint, engine, objects, platform or service", "MODE" },
     { "port", 0, 0, G_OPTION_ARG_INT, &port, "Port on 127.0.0.1", "PORT" },
     { "slots", 0, 0, G_OPTION_ARG_INT64, &slots, "Requests at once", "N" },
     { "token-us", 0, 0, G_OPTION_ARG_INT64, &token_us,
@@ -281,8 +281,8 @@
   standin.mode = find_mode (mode_name);
   if (!standin.mode || sodium_init () < 0)
     {
-      fputs ("standin: name a --mode: engine, objects, platform, service or "
-             "worker\n",
+      fputs ("standin: name a --mode: endpoint, engine, objects, platform or "
+             "service\n",
              stderr);
       goto out;
     }
--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -9,10 +9,10 @@
 STORE=127.0.0.1:$FLEET_BASE_PORT
 entry () { echo "http://127.0.0.1:$((FLEET_BASE_PORT + 100 + $1))"; }
 health () { echo "http://127.0.0.1:$((FLEET_BASE_PORT + 400 + $1))/readyz"; }
-worker () { echo "http://127.0.0.1:$((FLEET_BASE_PORT + $1))"; }
+endpoint () { echo "http://127.0.0.1:$((FLEET_BASE_PORT + $1))"; }
 put () { curl -s -X PUT -H 'Content-Type: application/json' -d "$2" "http://$STORE/objects/$1"; }
 create () { curl -s -o /dev/null -X POST -H 'Content-Type: application/json' -d "$2" "http://$STORE/objects/$1"; }
-counts () { curl -s "$(worker "$1")/counts"; }
+counts () { curl -s "$(endpoint "$1")/counts"; }
 
 # host NAME DC INDEX ROLE FIRST_START
 host () {
@@ -54,7 +54,7 @@
 CONFIG
 }
 
-server () {
+listing () {
   cat <<ENTRY
 {"metadata": {"name": "$1"}, "spec": {"backend": "$2", "address": "127.0.0.1:$((FLEET_BASE_PORT + $3))",
  "zone": "$4", "version": "v1", "max_concurrency": 8, "state": "${5:-ready}", "born": 1, "seq": 1}}
@@ -109,8 +109,8 @@
 
 fleet_standin objects "$FLEET_BASE_PORT"
 fleet_wait_http "http://$STORE/stats"
-for i in 1 2; do fleet_standin worker $((FLEET_BASE_PORT + i)) --work-ms 20; done
-for i in 3 4; do fleet_standin worker $((FLEET_BASE_PORT + i)) --work-ms 1; done
+for i in 1 2; do fleet_standin endpoint $((FLEET_BASE_PORT + i)) --work-ms 20; done
+for i in 3 4; do fleet_standin endpoint $((FLEET_BASE_PORT + i)) --work-ms 1; done
 
 host a1 dc-a 1 entry true
 host b1 dc-b 2 entry true
@@ -122,10 +122,10 @@
   "$(curl -s -o /dev/null -w '%{http_code}' "$(health 1)")"
 expect "and refuses with a time to come back" 503 "$(ask 1 /note/x key-1)"
 create config "$(config 3 "")"
-create servers "$(server m1 models 1 dc-a)"
-create servers "$(server m2 models 2 dc-b)"
-create servers "$(server s1 app 3 dc-a)"
-create servers "$(server s2 app 4 dc-b)"
+create servers "$(listing m1 models 1 dc-a)"
+create servers "$(listing m2 models 2 dc-b)"
+create servers "$(listing s1 app 3 dc-a)"
+create servers "$(listing s2 app 4 dc-b)"
 create servers '{"metadata": {"name": "forged"}, "spec": {"backend": 7, "address": "nowhere"}}'
 wait_for "the first host gets ready" 'is_ready 1'
 wait_for "the second host gets ready" 'is_ready 2'
@@ -151,24 +151,24 @@
 expect "a stream is whole" 'token-6' "$answer"
 [ "$(grep -c '^id: ' <<<"$answer")" = 6 ] || fail "pieces: $answer"
 pass "each piece comes once"
-for i in 1 2; do curl -s -o /dev/null -d '{"half_next": 1}' "$(worker $i)/faults"; done
+for i in 1 2; do curl -s -o /dev/null -d '{"half_next": 1}' "$(endpoint $i)/faults"; done
 answer=$(turn 1 p2 1000 50)
 [ "$(grep -c '^id: ' <<<"$answer")" = 6 ] || fail "pieces after a break: $answer"
 [ "$(grep '^id: ' <<<"$answer" | sort -u | wc -l)" = 6 ] || fail "twice: $answer"
 expect "a broken stream goes on in the same answer" '^200$' "$answer"
-for i in 1 2; do curl -s -o /dev/null -d '{"half_next": 0}' "$(worker $i)/faults"; done
+for i in 1 2; do curl -s -o /dev/null -d '{"half_next": 0}' "$(endpoint $i)/faults"; done
 
 # What may not run twice does not, whatever happens to the answer.
-for i in 3 4; do curl -s -o /dev/null -d '{"lose_answers": 1}' "$(worker $i)/faults"; done
+for i in 3 4; do curl -s -o /dev/null -d '{"lose_answers": 1}' "$(endpoint $i)/faults"; done
 expect "a lost answer of a charge may have run" '^502$' "$(ask 1 /charge/x key-1 -X POST -d a)"
 runs=$( (counts 3; counts 4) | jq -s "[.[].counts[\"$(cat "$FLEET_DIR/id")\"] // 0] | add")
 [ "$runs" = 1 ] || fail "the charge ran $runs times"
 pass "the charge ran once"
-for i in 3 4; do curl -s -o /dev/null -d '{"lose_answers": 1}' "$(worker $i)/faults"; done
+for i in 3 4; do curl -s -o /dev/null -d '{"lose_answers": 1}' "$(endpoint $i)/faults"; done
 ask 1 /note/x key-1 >/dev/null
-for i in 3 4; do curl -s -o /dev/null -d '{"lose_answers": 0, "crossed_next": 1}' "$(worker $i)/faults"; done
+for i in 3 4; do curl -s -o /dev/null -d '{"lose_answers": 0, "crossed_next": 1}' "$(endpoint $i)/faults"; done
 expect "another request's answer is not passed on" '^502$' "$(ask 1 /charge/x key-1 -X POST -d a)"
-for i in 3 4; do curl -s -o /dev/null -d '{"crossed_next": 0}' "$(worker $i)/faults"; done
+for i in 3 4; do curl -s -o /dev/null -d '{"crossed_next": 0}' "$(endpoint $i)/faults"; done
 
 # Budgets hold over hosts and over the restart of all of them.
 expect "a turn within the budget" '^200$' "$(turn 1 p3 60 40)"
@@ -253,7 +253,7 @@
 put config/main "$(config 7 ', {"name": "new", "hostname": "h", "path_prefix": "/new/", "type": "idempotent", "timeout_ms": 2000, "backend": "app"}')" >/dev/null
 sleep 0.3
 expect "an older version does not come back" '^404$' "$(ask 1 /new/x key-1)"
-put servers/m1 "$(server m1 models 1 dc-a draining)" >/dev/null
+put servers/m1 "$(listing m1 models 1 dc-a draining)" >/dev/null
 wait_for "an endpoint that leaves is known" 'grep -q "endpoint m1 .* is leaving" "$FLEET_DIR/a1.log"'
 before=$(counts 1 | jq '.counts | length')
 for i in 1 2 3 4 5; do turn 1 "q$i" 1000 40 >/dev/null; done
@@ -261,21 +261,21 @@
 pass "a leaving endpoint gets no work"
 
 # A request that crashes each endpoint that runs it.
-restart_workers () {
+restart_endpoints () {
   for i in 3 4; do
-    curl -s -o /dev/null "$(worker $i)/counts" \
-      || fleet_standin worker $((FLEET_BASE_PORT + i)) --work-ms 1
-    fleet_wait_http "$(worker $i)/counts"
+    curl -s -o /dev/null "$(endpoint $i)/counts" \
+      || fleet_standin endpoint $((FLEET_BASE_PORT + i)) --work-ms 1
+    fleet_wait_http "$(endpoint $i)/counts"
   done
 }
 for _ in 1 2 3 4; do
   ask 1 /note/crash key-1 >/dev/null
   ask 1 /note/y key-1 >/dev/null # finds the endpoint down
-  restart_workers
+  restart_endpoints
 done
 expect "a request that crashed endpoints is refused" '^503$' "$(ask 1 /note/crash key-1)"
 expect "also at another host" '^503$' "$(ask 2 /note/crash key-1)"
-for i in 3 4; do fleet_wait_http "$(worker $i)/counts"; done
+for i in 3 4; do fleet_wait_http "$(endpoint $i)/counts"; done
 wait_for "others are served again" '[ "$(ask 2 /note/x key-1 | tail -1)" = 200 ]'
 
 # Callers that leave, and rates.
