--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -21,7 +21,7 @@
 {
   HOSTS = 380,
   DCS = 8,
-  WORKERS = 600,
+  ENDPOINTS = 600,
   CUSTOMERS = 1800,
   PROGRAMS = 120000,
   SAMPLES = 20000,
@@ -80,14 +80,14 @@
 }
 
 static void
-measure_route (uint32_t workers)
+measure_route (uint32_t endpoints)
 {
-  struct route_engine *engines = xcalloc (workers, sizeof *engines);
+  struct route_engine *engines = xcalloc (endpoints, sizeof *engines);
   struct route_options options
       = { .prompt_tokens = 8000, .prefill_us_per_token = 20, .avoid = -1 };
   double *took = xcalloc (SAMPLES, sizeof *took);
 
-  for (uint32_t i = 0; i < workers; i++)
+  for (uint32_t i = 0; i < endpoints; i++)
     engines[i]
         = (struct route_engine){ .eligible = true,
                                  .slots = 64,
@@ -102,12 +102,12 @@
       struct timespec b;
 
       clock_gettime (CLOCK_MONOTONIC, &a);
-      route_pick (engines, workers, &options, &seed);
+      route_pick (engines, endpoints, &options, &seed);
       clock_gettime (CLOCK_MONOTONIC, &b);
       took[i] = (double)(b.tv_sec - a.tv_sec) * US_PER_S
                 + (double)(b.tv_nsec - a.tv_nsec) / 1000.0;
     }
-  print_size ("route_decision_p99", workers, "workers",
+  print_size ("route_decision_p99", endpoints, "endpoints",
               figure_percentile (took, SAMPLES, 99), "us", 20, FIGURE_AT_MOST);
   free (took);
   free (engines);
@@ -259,8 +259,8 @@
     return 2;
   for (uint32_t programs = PROGRAMS / 16; programs <= PROGRAMS; programs *= 4)
     measure_fair (programs);
-  for (uint32_t workers = 40; workers <= WORKERS; workers *= 15)
-    measure_route (workers);
+  for (uint32_t endpoints = 40; endpoints <= ENDPOINTS; endpoints *= 15)
+    measure_route (endpoints);
   for (uint32_t hosts = 8; hosts < HOSTS; hosts *= 6)
     measure_owner (hosts);
   measure_owner (HOSTS);
--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -16,8 +16,10 @@
   /* What this host answered before it lost its disk may be counted until the
      question is over; ledger.c gives questions up after 300 ms. */
   READ_AFTER_MS = 1000,
-  WATCH_MS = 400,
+  WATCH_MS = 400,   /* between questions for a sign of life */
   SILENT_MS = 1200, /* three questions without an answer */
+  /* Until an absent keeper is reported again: as long as the call that takes
+     it out may last. */
   REPORT_AGAIN_MS = 3000,
   ACT_AFTER_MS = 2000,    /* between one keeper's turn and the next one's */
   FORGET_EVERY_MS = 5000, /* between looks for programs to forget */
@@ -743,8 +745,8 @@
 }
 
 /* Reads the ledgers of keepers that were silent, or of all where this one's is
-   lost, takes out keepers that are gone, and forgets
-   programs that are long unused.  */
+   lost, takes out keepers that are gone, and forgets programs that are long
+   unused.  */
 void
 keeper_tick (struct keeper *keeper, int64_t now_ms)
 {
--- a/policy/place.c
+++ b/policy/place.c
@@ -4,9 +4,9 @@
 {
   US_PER_MS = 1000,
   TIE_US = 1000, /* equal ones are told apart at random */
-  /* A program's next choice costs so much more (as 4,000 tokens to
-     read, a grown program's), so that hosts that know nothing
-     of it mostly agree where its prompt lies. */
+  /* A program's next choice costs so much more (as 4,000 tokens to read, a
+     grown program's), so that hosts that know nothing of it mostly agree
+     where its prompt lies. */
   PREFERENCE_US = 100000,
 };
 
