--- a/request/limits.c
+++ b/request/limits.c
@@ -20,11 +20,11 @@
   PROGRAM_REQUESTS = 8,     /* of a program, until some have been seen */
   PROGRAMS_WEIGHED = 8,     /* that the figure above counts for */
   PROGRAMS_REMEMBERED = 64, /* older ones count for less and less */
-  KEPT_PERCENT = 50, /* a holder keeps so much from other data centres */
-  MIN_RETRY_MS = 100,
-  MAX_RETRY_MS = 1500,
+  KEPT_PERCENT = 50,   /* a holder keeps so much from other data centres */
+  MIN_RETRY_MS = 100,  /* sooner, the next try finds the window as full */
+  MAX_RETRY_MS = 1500, /* callers wait for seconds in all */
   MAX_DATA_CENTRES = 32,
-  USE_WINDOW_MS = 1000,
+  USE_WINDOW_MS = 1000, /* over which a customer's use is counted */
 };
 
 /* A request that waits for a loan.  Owned by its bucket. */
@@ -75,6 +75,7 @@
 {
   struct limits_options options;
   GHashTable *buckets;    /* customer -> struct bucket */
+  GHashTable *rounds;     /* nonce -> struct bucket whose round it is */
   struct member *members; /* all entry hosts, this one too */
   size_t member_count;
   uint64_t data_centres[MAX_DATA_CENTRES]; /* hashes; the first is the own */
@@ -108,6 +109,7 @@
   limits->options = *options;
   limits->buckets
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, bucket_destroy);
+  limits->rounds = g_hash_table_new (g_int64_hash, g_int64_equal);
   return limits;
 }
 
@@ -125,6 +127,7 @@
 {
   if (!limits)
     return;
+  g_hash_table_destroy (limits->rounds);
   g_hash_table_destroy (limits->buckets);
   release_members (limits);
   free (limits);
@@ -312,8 +315,8 @@
 {
   struct limits *limits = bucket->limits;
 
-  if (begins && tokens > left_to_begin (bucket, now_ms))
-    tokens = left_to_begin (bucket, now_ms);
+  if (begins)
+    tokens = MIN (tokens, left_to_begin (bucket, now_ms));
   if (tokens <= 0)
     return 0;
   tokens = window_take (&bucket->own, tokens, now_ms);
@@ -454,6 +457,7 @@
   if (bucket->nonce || !limits->is_counted)
     return;
   bucket->nonce = id_random64 ();
+  g_hash_table_insert (limits->rounds, &bucket->nonce, bucket);
   bucket->asked_ms = now_ms;
   bucket->unanswered = 0;
   bucket->asked_centres = 0;
@@ -494,6 +498,7 @@
   int64_t now_ms = clock_now_ms ();
 
   ev_timer_stop (bucket->limits->options.loop, &bucket->timer);
+  g_hash_table_remove (bucket->limits->rounds, &bucket->nonce);
   bucket->nonce = 0;
   serve_waits (bucket, now_ms);
   bucket->borrowed += bucket->borrowed_to_begin;
@@ -525,8 +530,8 @@
 }
 
 /* Takes a token for a request of CUSTOMER, which BEGINS a program or does not.
-   With LIMITS_ASKING, HANDLE is
-   called later unless *WAIT is cancelled before.  */
+   With LIMITS_ASKING, HANDLE is called later unless *WAIT is cancelled before.
+ */
 enum limits_verdict
 limits_admit (struct limits *limits, const struct customer *customer,
               bool begins, limits_handler *handle, void *data,
@@ -647,26 +652,13 @@
   mesh_send (limits->options.mesh, host, &frame);
 }
 
-static struct bucket *
-find_round (struct limits *limits, uint64_t nonce)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, limits->buckets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct bucket *)value)->nonce == nonce)
-      return value;
-  return NULL;
-}
-
 /* A loan that comes after its round counts for nothing: its lender has spent
    it.  */
 static void
 take_loan (struct limits *limits, const Peer__LimitLoan *loan)
 {
-  struct bucket *bucket
-      = loan->nonce ? find_round (limits, loan->nonce) : NULL;
+  uint64_t nonce = loan->nonce;
+  struct bucket *bucket = g_hash_table_lookup (limits->rounds, &nonce);
 
   if (!bucket)
     return;
