--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -137,7 +137,10 @@
   record.id = 0;
   program_text (item->program, program);
   if (peer__ledger_item__get_packed_size (&record) > sizeof packed)
-    return;
+    {
+      handle (data, false);
+      return;
+    }
   len = peer__ledger_item__pack (&record, packed);
   store_append (keeper->options.store, program, packed, len, handle, data);
 }
