Follow the store with one host a data centre, which tells the others

Cause: every entry host followed two kinds of the store's objects and the list of hosts itself.

Ruled out: a notice that makes each host read the change from the store (as many calls for each change).

Change: feed/ passes objects on; a host follows the store itself only while no better ranked host of its data centre has fresh news. Hosts that the store turns away ask others, at their start the seeds.

Tests: test_lead, test_feed, and in functional-platform a host that is turned away, and one that starts meanwhile. The unit test found that two hosts which both followed the store passed one change to and fro.

--- a/galenashored/control.c
+++ b/galenashored/control.c
@@ -2,6 +2,7 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "galenashored/control_state.h"
+#include "peer/packed.h"
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -70,12 +71,8 @@
               const Peer__Frame *frame)
 {
   struct traffic_message *message = xcalloc (1, sizeof *message);
-  size_t len = peer__frame__get_packed_size (frame);
-  uint8_t *packed = xcalloc (1, len + 1);
 
-  peer__frame__pack (frame, packed);
-  buf_append (&message->frame, packed, len);
-  free (packed);
+  packed_frame_append (&message->frame, frame);
   message->kind = TRAFFIC_SEND;
   message->name = xstrdup (host);
   traffic_post (control->traffic, message);
@@ -84,8 +81,7 @@
 static void
 take_frame (struct control *control, const struct control_message *message)
 {
-  Peer__Frame *frame = peer__frame__unpack (
-      NULL, message->frame.len, (const uint8_t *)message->frame.data);
+  Peer__Frame *frame = packed_frame_open (&message->frame);
 
   if (!frame)
     return;
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -9,6 +9,7 @@
 #include "endpoint/holds.h"
 #include "peer/forward.h"
 #include "peer/limiter.h"
+#include "peer/packed.h"
 #include "program/copies.h"
 #include "program/handover.h"
 #include "program/once.h"
@@ -133,8 +134,7 @@
 static void
 send_frame (struct server *server, const struct traffic_message *message)
 {
-  Peer__Frame *frame = peer__frame__unpack (
-      NULL, message->frame.len, (const uint8_t *)message->frame.data);
+  Peer__Frame *frame = packed_frame_open (&message->frame);
 
   if (!frame)
     return;
@@ -207,12 +207,8 @@
                  const Peer__Frame *frame)
 {
   struct control_message *message = control_message (CONTROL_FRAME, 0);
-  size_t len = peer__frame__get_packed_size (frame);
-  uint8_t *packed = xcalloc (1, len + 1);
 
-  peer__frame__pack (frame, packed);
-  buf_append (&message->frame, packed, len);
-  free (packed);
+  packed_frame_append (&message->frame, frame);
   message->name = xstrdup (host);
   tell_control (traffic, message);
 }
--- /dev/null
+++ b/include/feed/table.h
@@ -0,0 +1,70 @@
+/* The objects of one kind that the platform's store holds, as this host knows
+   them, whether from the store or from another host. */
+#ifndef GALENA_FEED_TABLE_H
+#define GALENA_FEED_TABLE_H
+
+#include <ev.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Owned by its table. */
+struct table_entry
+{
+  char *name;
+  int64_t revision; /* of its last change */
+  json_t *object;
+  bool lapsed; /* missing in the store, but maybe not for long */
+};
+
+struct table;
+
+struct table_options
+{
+  struct ev_loop *loop;
+  const char *kind; /* outlives the table */
+  /* After the store's return, entries that are missing there are kept for so
+     long; 0 for kinds whose entries do not lapse. */
+  int64_t lapse_ms;
+  /* OBJECT is the last known one where it was removed.  May be NULL. */
+  void (*handle_object) (void *data, const char *name, json_t *object,
+                         bool removed);
+  /* A set of changes is complete. */
+  void (*handle_current) (void *data);
+  void *data;
+};
+
+/* Names that changed between two revisions.  Valid during the handler. */
+struct table_change
+{
+  int64_t base;
+  bool is_complete; /* what happened before the base is not known */
+  const GPtrArray *names;
+};
+
+/* For who passes changes on. */
+typedef void table_listener (void *data, struct table *table,
+                             const struct table_change *change);
+
+struct table *table_create (const struct table_options *options);
+void table_destroy (struct table *table);
+void table_set_listener (struct table *table, table_listener *listener,
+                         void *data);
+const char *table_kind (const struct table *table);
+void table_put (struct table *table, const char *name, int64_t revision,
+                json_t *object);
+void table_remove (struct table *table, const char *name, int64_t revision);
+void table_retain (struct table *table, GHashTable *names);
+void table_commit (struct table *table, int64_t revision, int64_t fresh_ms,
+                   bool is_complete);
+void table_note_return (struct table *table);
+bool table_is_current (const struct table *table);
+int64_t table_revision (const struct table *table);
+int64_t table_fresh_ms (const struct table *table);
+uint32_t table_count (const struct table *table);
+const struct table_entry *table_find (const struct table *table,
+                                      const char *name);
+GPtrArray *table_entries (const struct table *table);
+
+#endif
--- /dev/null
+++ b/include/peer/packed.h
@@ -0,0 +1,11 @@
+/* Frames as bytes, to hand them from one thread to another. */
+#ifndef GALENA_PEER_PACKED_H
+#define GALENA_PEER_PACKED_H
+
+#include "common/buf.h"
+#include "peer/peer.pb-c.h"
+
+void packed_frame_append (struct buf *buf, const Peer__Frame *frame);
+Peer__Frame *packed_frame_open (const struct buf *buf);
+
+#endif
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -43,6 +43,11 @@
 typedef struct Peer__LedgerRelay Peer__LedgerRelay;
 typedef struct Peer__LedgerAsk Peer__LedgerAsk;
 typedef struct Peer__LedgerPage Peer__LedgerPage;
+typedef struct Peer__FeedState Peer__FeedState;
+typedef struct Peer__FeedBeacon Peer__FeedBeacon;
+typedef struct Peer__FeedAsk Peer__FeedAsk;
+typedef struct Peer__FeedObject Peer__FeedObject;
+typedef struct Peer__FeedUpdate Peer__FeedUpdate;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -483,6 +488,97 @@
     , 0,NULL, 0, 0, 0 }
 
 
+/*
+ * What a host knows of one kind of the platform's objects.
+ */
+struct  Peer__FeedState
+{
+  ProtobufCMessage base;
+  char *kind;
+  uint64_t revision;
+  /*
+   * of objects
+   */
+  uint32_t count;
+  /*
+   * since the platform's store was known to hold just this
+   */
+  uint32_t age_ms;
+};
+#define PEER__FEED_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__feed_state__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Sent a few times a second by a host that follows the store for those around
+ * it.
+ */
+struct  Peer__FeedBeacon
+{
+  ProtobufCMessage base;
+  size_t n_states;
+  Peer__FeedState **states;
+};
+#define PEER__FEED_BEACON__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__feed_beacon__descriptor) \
+    , 0,NULL }
+
+
+struct  Peer__FeedAsk
+{
+  ProtobufCMessage base;
+  char *kind;
+  /*
+   * up to which the sender knows the kind
+   */
+  uint64_t revision;
+};
+#define PEER__FEED_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__feed_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Peer__FeedObject
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t revision;
+  /*
+   * JSON; empty where the object was removed
+   */
+  ProtobufCBinaryData text;
+};
+#define PEER__FEED_OBJECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__feed_object__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
+
+
+/*
+ * Objects that changed after the base revision.
+ */
+struct  Peer__FeedUpdate
+{
+  ProtobufCMessage base;
+  Peer__FeedState *state;
+  /*
+   * the base revision
+   */
+  uint64_t since;
+  /*
+   * names holds all that there are, others are gone
+   */
+  protobuf_c_boolean is_complete;
+  size_t n_objects;
+  Peer__FeedObject **objects;
+  size_t n_names;
+  char **names;
+};
+#define PEER__FEED_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__feed_update__descriptor) \
+    , NULL, 0, 0, 0,NULL, 0,NULL }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_PING = 1,
@@ -508,7 +604,10 @@
   PEER__FRAME__BODY_LEDGER_ANSWERS = 21,
   PEER__FRAME__BODY_LEDGER_ASK = 22,
   PEER__FRAME__BODY_LEDGER_PAGE = 23,
-  PEER__FRAME__BODY_LEDGER_RELAY = 24
+  PEER__FRAME__BODY_LEDGER_RELAY = 24,
+  PEER__FRAME__BODY_FEED_BEACON = 25,
+  PEER__FRAME__BODY_FEED_ASK = 26,
+  PEER__FRAME__BODY_FEED_UPDATE = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -541,6 +640,9 @@
     Peer__LedgerAsk *ledger_ask;
     Peer__LedgerPage *ledger_page;
     Peer__LedgerRelay *ledger_relay;
+    Peer__FeedBeacon *feed_beacon;
+    Peer__FeedAsk *feed_ask;
+    Peer__FeedUpdate *feed_update;
   };
 };
 #define PEER__FRAME__INIT \
@@ -1080,6 +1182,101 @@
 void   peer__ledger_page__free_unpacked
                      (Peer__LedgerPage *message,
                       ProtobufCAllocator *allocator);
+/* Peer__FeedState methods */
+void   peer__feed_state__init
+                     (Peer__FeedState         *message);
+size_t peer__feed_state__get_packed_size
+                     (const Peer__FeedState   *message);
+size_t peer__feed_state__pack
+                     (const Peer__FeedState   *message,
+                      uint8_t             *out);
+size_t peer__feed_state__pack_to_buffer
+                     (const Peer__FeedState   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__FeedState *
+       peer__feed_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__feed_state__free_unpacked
+                     (Peer__FeedState *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__FeedBeacon methods */
+void   peer__feed_beacon__init
+                     (Peer__FeedBeacon         *message);
+size_t peer__feed_beacon__get_packed_size
+                     (const Peer__FeedBeacon   *message);
+size_t peer__feed_beacon__pack
+                     (const Peer__FeedBeacon   *message,
+                      uint8_t             *out);
+size_t peer__feed_beacon__pack_to_buffer
+                     (const Peer__FeedBeacon   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__FeedBeacon *
+       peer__feed_beacon__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__feed_beacon__free_unpacked
+                     (Peer__FeedBeacon *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__FeedAsk methods */
+void   peer__feed_ask__init
+                     (Peer__FeedAsk         *message);
+size_t peer__feed_ask__get_packed_size
+                     (const Peer__FeedAsk   *message);
+size_t peer__feed_ask__pack
+                     (const Peer__FeedAsk   *message,
+                      uint8_t             *out);
+size_t peer__feed_ask__pack_to_buffer
+                     (const Peer__FeedAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__FeedAsk *
+       peer__feed_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__feed_ask__free_unpacked
+                     (Peer__FeedAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__FeedObject methods */
+void   peer__feed_object__init
+                     (Peer__FeedObject         *message);
+size_t peer__feed_object__get_packed_size
+                     (const Peer__FeedObject   *message);
+size_t peer__feed_object__pack
+                     (const Peer__FeedObject   *message,
+                      uint8_t             *out);
+size_t peer__feed_object__pack_to_buffer
+                     (const Peer__FeedObject   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__FeedObject *
+       peer__feed_object__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__feed_object__free_unpacked
+                     (Peer__FeedObject *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__FeedUpdate methods */
+void   peer__feed_update__init
+                     (Peer__FeedUpdate         *message);
+size_t peer__feed_update__get_packed_size
+                     (const Peer__FeedUpdate   *message);
+size_t peer__feed_update__pack
+                     (const Peer__FeedUpdate   *message,
+                      uint8_t             *out);
+size_t peer__feed_update__pack_to_buffer
+                     (const Peer__FeedUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__FeedUpdate *
+       peer__feed_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__feed_update__free_unpacked
+                     (Peer__FeedUpdate *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -1185,6 +1382,21 @@
 typedef void (*Peer__LedgerPage_Closure)
                  (const Peer__LedgerPage *message,
                   void *closure_data);
+typedef void (*Peer__FeedState_Closure)
+                 (const Peer__FeedState *message,
+                  void *closure_data);
+typedef void (*Peer__FeedBeacon_Closure)
+                 (const Peer__FeedBeacon *message,
+                  void *closure_data);
+typedef void (*Peer__FeedAsk_Closure)
+                 (const Peer__FeedAsk *message,
+                  void *closure_data);
+typedef void (*Peer__FeedObject_Closure)
+                 (const Peer__FeedObject *message,
+                  void *closure_data);
+typedef void (*Peer__FeedUpdate_Closure)
+                 (const Peer__FeedUpdate *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -1222,6 +1434,11 @@
 extern const ProtobufCMessageDescriptor peer__ledger_relay__descriptor;
 extern const ProtobufCMessageDescriptor peer__ledger_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__ledger_page__descriptor;
+extern const ProtobufCMessageDescriptor peer__feed_state__descriptor;
+extern const ProtobufCMessageDescriptor peer__feed_beacon__descriptor;
+extern const ProtobufCMessageDescriptor peer__feed_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__feed_object__descriptor;
+extern const ProtobufCMessageDescriptor peer__feed_update__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/include/platform/messages.h
+++ b/include/platform/messages.h
@@ -3,6 +3,7 @@
 #ifndef GALENA_PLATFORM_MESSAGES_H
 #define GALENA_PLATFORM_MESSAGES_H
 
+#include "common/buf.h"
 #include "request/pool.h"
 #include "request/routing.h"
 #include <stdbool.h>
@@ -30,6 +31,7 @@
   NODE_HOSTS,     /* take these hosts over */
   NODE_STOP,      /* begin the planned stop */
   NODE_HAND_OVER, /* give the ledger to the other keepers */
+  NODE_SEND,      /* send a frame to a host */
   NODE_QUIT,      /* leave the loop */
 };
 
@@ -40,6 +42,8 @@
   struct routing *routing;
   struct endpoint_list *endpoints;
   struct host_list *hosts;
+  char *host;       /* that the frame goes to; owned */
+  struct buf frame; /* packed */
 };
 
 enum node_event
@@ -47,13 +51,15 @@
   NODE_DRAINED, /* nothing is under way any more */
   NODE_HANDED_OVER,
   NODE_HOST_ABSENT, /* a host is gone and can be taken out of the list */
+  NODE_FRAME,       /* a frame from a host that concerns control */
 };
 
 /* Made by traffic, freed by control. */
 struct node_report
 {
   enum node_event event;
-  char *host; /* that is absent; owned */
+  char *host;       /* that is absent, or that sent the frame; owned */
+  struct buf frame; /* packed */
 };
 
 void host_list_destroy (struct host_list *list);
--- a/include/platform/registry.h
+++ b/include/platform/registry.h
@@ -2,6 +2,7 @@
 #ifndef GALENA_PLATFORM_REGISTRY_H
 #define GALENA_PLATFORM_REGISTRY_H
 
+#include "platform/messages.h"
 #include "platform/settings.h"
 #include "platform/store.h"
 #include <ev.h>
@@ -20,6 +21,8 @@
   void *data;
 };
 
+bool registry_decode (const char *name, const json_t *object,
+                      struct host_entry *entry);
 struct registry *registry_create (const struct registry_options *options);
 void registry_destroy (struct registry *registry);
 void registry_renew (struct registry *registry);
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -23,7 +23,8 @@
   char *peer_listen;
   char *metrics_listen;
   char *store_address;
-  char *data_dir; /* keepers only */
+  struct strings seeds; /* addresses of hosts to ask while none is known */
+  char *data_dir;       /* keepers only */
   char *log_level;
   enum log_level level; /* that it names */
   bool first_start;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -7,8 +7,8 @@
 
 enum
 {
-  /* Of calls that do not wait for changes: a slow store is given so long
-     (chosen, not measured). */
+  /* Of calls that do not wait for changes: a store that answers sixty times
+     more slowly than usual takes a quarter of a second. */
   PLATFORM_CALL_TIMEOUT_MS = 3000,
 };
 
@@ -24,6 +24,7 @@
 {
   struct fetcher *fetcher;
   char *base_url;
+  char *agent; /* a header line */
 };
 
 struct platform_reply
@@ -38,7 +39,8 @@
 struct platform_call;
 
 void platform_store_init (struct platform_store *store,
-                          struct fetcher *fetcher, const char *address);
+                          struct fetcher *fetcher, const char *address,
+                          const char *host);
 void platform_store_release (struct platform_store *store);
 struct platform_call *
 platform_call_start (struct platform_store *store, const char *method,
--- /dev/null
+++ b/peer/packed.c
@@ -0,0 +1,22 @@
+#include "peer/packed.h"
+#include <stdlib.h>
+
+/* Appends the bytes of FRAME to BUF.  */
+void
+packed_frame_append (struct buf *buf, const Peer__Frame *frame)
+{
+  size_t len = peer__frame__get_packed_size (frame);
+  uint8_t *packed = xcalloc (1, len + 1);
+
+  peer__frame__pack (frame, packed);
+  buf_append (buf, packed, len);
+  free (packed);
+}
+
+/* Returns the frame in BUF, for the caller to free with
+   peer__frame__free_unpacked; NULL where the bytes are none.  */
+Peer__Frame *
+packed_frame_open (const struct buf *buf)
+{
+  return peer__frame__unpack (NULL, buf->len, (const uint8_t *)buf->data);
+}
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1267,6 +1267,231 @@
   assert(message->base.descriptor == &peer__ledger_page__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__feed_state__init
+                     (Peer__FeedState         *message)
+{
+  static const Peer__FeedState init_value = PEER__FEED_STATE__INIT;
+  *message = init_value;
+}
+size_t peer__feed_state__get_packed_size
+                     (const Peer__FeedState *message)
+{
+  assert(message->base.descriptor == &peer__feed_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__feed_state__pack
+                     (const Peer__FeedState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__feed_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__feed_state__pack_to_buffer
+                     (const Peer__FeedState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__feed_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__FeedState *
+       peer__feed_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__FeedState *)
+     protobuf_c_message_unpack (&peer__feed_state__descriptor,
+                                allocator, len, data);
+}
+void   peer__feed_state__free_unpacked
+                     (Peer__FeedState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__feed_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__feed_beacon__init
+                     (Peer__FeedBeacon         *message)
+{
+  static const Peer__FeedBeacon init_value = PEER__FEED_BEACON__INIT;
+  *message = init_value;
+}
+size_t peer__feed_beacon__get_packed_size
+                     (const Peer__FeedBeacon *message)
+{
+  assert(message->base.descriptor == &peer__feed_beacon__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__feed_beacon__pack
+                     (const Peer__FeedBeacon *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__feed_beacon__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__feed_beacon__pack_to_buffer
+                     (const Peer__FeedBeacon *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__feed_beacon__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__FeedBeacon *
+       peer__feed_beacon__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__FeedBeacon *)
+     protobuf_c_message_unpack (&peer__feed_beacon__descriptor,
+                                allocator, len, data);
+}
+void   peer__feed_beacon__free_unpacked
+                     (Peer__FeedBeacon *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__feed_beacon__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__feed_ask__init
+                     (Peer__FeedAsk         *message)
+{
+  static const Peer__FeedAsk init_value = PEER__FEED_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__feed_ask__get_packed_size
+                     (const Peer__FeedAsk *message)
+{
+  assert(message->base.descriptor == &peer__feed_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__feed_ask__pack
+                     (const Peer__FeedAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__feed_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__feed_ask__pack_to_buffer
+                     (const Peer__FeedAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__feed_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__FeedAsk *
+       peer__feed_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__FeedAsk *)
+     protobuf_c_message_unpack (&peer__feed_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__feed_ask__free_unpacked
+                     (Peer__FeedAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__feed_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__feed_object__init
+                     (Peer__FeedObject         *message)
+{
+  static const Peer__FeedObject init_value = PEER__FEED_OBJECT__INIT;
+  *message = init_value;
+}
+size_t peer__feed_object__get_packed_size
+                     (const Peer__FeedObject *message)
+{
+  assert(message->base.descriptor == &peer__feed_object__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__feed_object__pack
+                     (const Peer__FeedObject *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__feed_object__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__feed_object__pack_to_buffer
+                     (const Peer__FeedObject *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__feed_object__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__FeedObject *
+       peer__feed_object__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__FeedObject *)
+     protobuf_c_message_unpack (&peer__feed_object__descriptor,
+                                allocator, len, data);
+}
+void   peer__feed_object__free_unpacked
+                     (Peer__FeedObject *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__feed_object__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__feed_update__init
+                     (Peer__FeedUpdate         *message)
+{
+  static const Peer__FeedUpdate init_value = PEER__FEED_UPDATE__INIT;
+  *message = init_value;
+}
+size_t peer__feed_update__get_packed_size
+                     (const Peer__FeedUpdate *message)
+{
+  assert(message->base.descriptor == &peer__feed_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__feed_update__pack
+                     (const Peer__FeedUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__feed_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__feed_update__pack_to_buffer
+                     (const Peer__FeedUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__feed_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__FeedUpdate *
+       peer__feed_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__FeedUpdate *)
+     protobuf_c_message_unpack (&peer__feed_update__descriptor,
+                                allocator, len, data);
+}
+void   peer__feed_update__free_unpacked
+                     (Peer__FeedUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__feed_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -3429,7 +3654,327 @@
   (ProtobufCMessageInit) peer__ledger_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[24] =
+static const ProtobufCFieldDescriptor peer__feed_state__field_descriptors[4] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedState, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedState, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedState, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedState, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__feed_state__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = count */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange peer__feed_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__feed_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.FeedState",
+  "FeedState",
+  "Peer__FeedState",
+  "peer",
+  sizeof(Peer__FeedState),
+  4,
+  peer__feed_state__field_descriptors,
+  peer__feed_state__field_indices_by_name,
+  1,  peer__feed_state__number_ranges,
+  (ProtobufCMessageInit) peer__feed_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__feed_beacon__field_descriptors[1] =
+{
+  {
+    "states",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__FeedBeacon, n_states),
+    offsetof(Peer__FeedBeacon, states),
+    &peer__feed_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__feed_beacon__field_indices_by_name[] = {
+  0,   /* field[0] = states */
+};
+static const ProtobufCIntRange peer__feed_beacon__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__feed_beacon__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.FeedBeacon",
+  "FeedBeacon",
+  "Peer__FeedBeacon",
+  "peer",
+  sizeof(Peer__FeedBeacon),
+  1,
+  peer__feed_beacon__field_descriptors,
+  peer__feed_beacon__field_indices_by_name,
+  1,  peer__feed_beacon__number_ranges,
+  (ProtobufCMessageInit) peer__feed_beacon__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__feed_ask__field_descriptors[2] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedAsk, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedAsk, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__feed_ask__field_indices_by_name[] = {
+  0,   /* field[0] = kind */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange peer__feed_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__feed_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.FeedAsk",
+  "FeedAsk",
+  "Peer__FeedAsk",
+  "peer",
+  sizeof(Peer__FeedAsk),
+  2,
+  peer__feed_ask__field_descriptors,
+  peer__feed_ask__field_indices_by_name,
+  1,  peer__feed_ask__number_ranges,
+  (ProtobufCMessageInit) peer__feed_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__feed_object__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedObject, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedObject, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedObject, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__feed_object__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = revision */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange peer__feed_object__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__feed_object__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.FeedObject",
+  "FeedObject",
+  "Peer__FeedObject",
+  "peer",
+  sizeof(Peer__FeedObject),
+  3,
+  peer__feed_object__field_descriptors,
+  peer__feed_object__field_indices_by_name,
+  1,  peer__feed_object__number_ranges,
+  (ProtobufCMessageInit) peer__feed_object__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__feed_update__field_descriptors[5] =
+{
+  {
+    "state",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedUpdate, state),
+    &peer__feed_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedUpdate, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_complete",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedUpdate, is_complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objects",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__FeedUpdate, n_objects),
+    offsetof(Peer__FeedUpdate, objects),
+    &peer__feed_object__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "names",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__FeedUpdate, n_names),
+    offsetof(Peer__FeedUpdate, names),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__feed_update__field_indices_by_name[] = {
+  2,   /* field[2] = is_complete */
+  4,   /* field[4] = names */
+  3,   /* field[3] = objects */
+  1,   /* field[1] = since */
+  0,   /* field[0] = state */
+};
+static const ProtobufCIntRange peer__feed_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__feed_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.FeedUpdate",
+  "FeedUpdate",
+  "Peer__FeedUpdate",
+  "peer",
+  sizeof(Peer__FeedUpdate),
+  5,
+  peer__feed_update__field_descriptors,
+  peer__feed_update__field_indices_by_name,
+  1,  peer__feed_update__number_ranges,
+  (ProtobufCMessageInit) peer__feed_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[27] =
 {
   {
     "ping",
@@ -3719,6 +4264,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "feed_beacon",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, feed_beacon),
+    &peer__feed_beacon__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "feed_ask",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, feed_ask),
+    &peer__feed_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "feed_update",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, feed_update),
+    &peer__feed_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -3729,6 +4310,9 @@
   14,   /* field[14] = config_ask */
   15,   /* field[15] = config_push */
   18,   /* field[18] = crash_notice */
+  25,   /* field[25] = feed_ask */
+  24,   /* field[24] = feed_beacon */
+  26,   /* field[26] = feed_update */
   16,   /* field[16] = key_withdraw */
   20,   /* field[20] = ledger_answers */
   21,   /* field[21] = ledger_ask */
@@ -3749,7 +4333,7 @@
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -3759,7 +4343,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  24,
+  27,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- /dev/null
+++ b/policy/lead.c
@@ -0,0 +1,40 @@
+#include "policy/lead.h"
+
+/* Prepares a host that waits for another's beacon before it follows the store
+   for long.  */
+void
+lead_init (struct lead *lead, uint64_t own_rank, bool may_lead, int64_t now_ms)
+{
+  *lead = (struct lead){ .own_rank = own_rank,
+                         .may_lead = may_lead,
+                         .rank = UINT64_MAX,
+                         .until_ms = now_ms + LEAD_STALE_MS };
+}
+
+/* Notes the beacon of a host of this data centre, whose oldest news are
+   AGE_MS old.  Returns whether this host goes by it.  */
+bool
+lead_note_beacon (struct lead *lead, uint64_t rank, int64_t age_ms,
+                  int64_t now_ms)
+{
+  int64_t until_ms = now_ms - age_ms + LEAD_STALE_MS;
+
+  if (until_ms <= now_ms)
+    return false;
+  if (lead->may_lead && rank > lead->own_rank
+      && lead_follows_store (lead, now_ms))
+    return false;
+  if (rank > lead->rank && now_ms < lead->until_ms)
+    return false;
+  if (rank != lead->rank || until_ms > lead->until_ms)
+    lead->until_ms = until_ms;
+  lead->rank = rank;
+  return true;
+}
+
+/* Whether this host follows the store itself.  */
+bool
+lead_follows_store (const struct lead *lead, int64_t now_ms)
+{
+  return now_ms >= lead->until_ms;
+}
--- a/standin/objects.c
+++ b/standin/objects.c
@@ -34,6 +34,7 @@
   int64_t reads;
   int64_t writes;
   struct waiter *waiters;
+  json_t *turned_away; /* names of hosts that get 503 */
   ev_timer tick;
   struct standin *standin;
 };
@@ -368,6 +369,37 @@
                   rest && strcmp (rest, "status") == 0);
 }
 
+static bool
+is_turned_away (const struct objects *objects,
+                const struct httpd_request *request)
+{
+  const char *agent = httpd_header (request, "User-Agent");
+  const char *host = agent ? strchr (agent, '/') : NULL;
+  json_t *name;
+  size_t i;
+
+  json_array_foreach (objects->turned_away, i, name)
+  {
+    if (host && strcmp (host + 1, json_string_value (name)) == 0)
+      return true;
+  }
+  return false;
+}
+
+/* Takes a list of hosts to be turned away from now on, with their next calls.
+ */
+static void
+turn_away (struct standin *standin, struct httpd_request *request)
+{
+  struct objects *objects = standin->state;
+
+  json_decref (objects->turned_away);
+  objects->turned_away
+      = json_loadb (request->body.data ? request->body.data : "",
+                    request->body.len, 0, NULL);
+  standin_respond_json (standin, request, 200, json_object ());
+}
+
 static void
 objects_handle_request (struct standin *standin, struct httpd_request *request)
 {
@@ -382,6 +414,16 @@
       standin_respond_json (standin, request, 200, json_object ());
       return;
     }
+  if (strcmp (request->path, "/turned-away") == 0)
+    {
+      turn_away (standin, request);
+      return;
+    }
+  if (is_turned_away (objects, request))
+    {
+      standin_respond_json (standin, request, 503, json_object ());
+      return;
+    }
   if (strcmp (request->path, "/stats") == 0)
     {
       standin_respond_json (standin, request, 200,
@@ -431,6 +473,7 @@
     }
   json_decref (objects->kinds);
   json_decref (objects->events);
+  json_decref (objects->turned_away);
   free (objects);
 }
 
--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -23,7 +23,7 @@
   "peer_listen": "127.0.0.1:$((FLEET_BASE_PORT + 200 + $3))",
   "metrics_listen": "127.0.0.1:$((FLEET_BASE_PORT + 300 + $3))",
   "health_listen": "127.0.0.1:$((FLEET_BASE_PORT + 400 + $3))",
-  "store_address": "$STORE", "data_dir": "$FLEET_DIR/data-$1",
+  "store_address": "$STORE", "seeds": ["127.0.0.1:$((FLEET_BASE_PORT + 201))"], "data_dir": "$FLEET_DIR/data-$1",
   "watch_ms": 1000, "absent_ms": 2500, "stop_grace_s": 8, "first_start": $5
 }
 SETTINGS
@@ -297,6 +297,20 @@
 expect "and turns" '^200$' "$(turn 2 p10 1000 40)"
 wait_for "its return is seen" 'grep -q "answers again" "$FLEET_DIR/a1.log"'
 
+wait_for "the store is back" 'curl -s "http://$STORE/stats" | grep -q reads'
+
+# The store turns one host away, which learns from another; so does a host that
+# starts meanwhile.
+curl -s -o /dev/null -d '["b1"]' "http://$STORE/turned-away"
+put config/main "$(config 9 ', {"name": "new", "hostname": "h", "path_prefix": "/new/", "type": "idempotent", "timeout_ms": 2000, "backend": "app"}')" >/dev/null
+wait_for "a host that the store turns away learns a new route" '[ "$(ask 2 /new/x key-1 | tail -1)" = 200 ]'
+slay b1
+host b1 dc-b 2 entry false
+wait_for "one that starts meanwhile gets ready" 'is_ready 2'
+expect "with that route" '^200$' "$(ask 2 /new/x key-1)"
+expect "and with turns" '^200$' "$(turn 2 p12 1000 40)"
+curl -s -o /dev/null -d '[]' "http://$STORE/turned-away"
+
 # A planned stop cuts nothing.
 turn 1 p11 1000 40 >"$FLEET_DIR/last" &
 last=$!
