Keep calls of plain services in their data centre while it has free slots

A call's cost elsewhere was 2.5 ms, that of one running beside it 10 ms, though a service's slots are each its own, so half of the calls went elsewhere.

Change: calls have costs of their own: 2 ms for each that runs there, 15 ms for another data centre.

Ruled out: 60 ms for another data centre (no difference).

Test: test_burst_of_calls_stays_near fails on the policy before.

--- a/include/policy/place.h
+++ b/include/policy/place.h
@@ -11,8 +11,13 @@
 {
   PLACE_PREFILL_TOKENS_PER_MS = 40, /* between the slowest and fastest sheet */
   PLACE_RUNNING_US = 10000, /* a request slows each other one's tokens */
+  /* Of a plain service's slots each is its own; some slow down a little. */
+  PLACE_SLOT_US = 2000,
   PLACE_WAITING_US = 40000, /* one ahead in the endpoint's queue */
   PLACE_REMOTE_US = 2500,   /* another data centre: delay and price */
+  /* A call that cannot be repeated is lost when its data centre is cut off
+     while it runs; so it stays near until the near endpoints are full. */
+  PLACE_REMOTE_CALL_US = 15000,
 };
 
 /* What this host knows of an endpoint. */
--- a/policy/place.c
+++ b/policy/place.c
@@ -27,6 +27,24 @@
   return mix (*seed);
 }
 
+static int64_t
+waiting_cost_us (const struct place_endpoint *endpoint)
+{
+  int64_t cost = endpoint->waiting * PLACE_WAITING_US;
+
+  if (endpoint->running >= endpoint->slots)
+    cost += (endpoint->running - endpoint->slots + 1) * PLACE_WAITING_US;
+  return cost;
+}
+
+/* Returns what a call of a plain service costs at ENDPOINT.  */
+static int64_t
+call_cost_us (const struct place_endpoint *endpoint)
+{
+  return waiting_cost_us (endpoint) + endpoint->running * PLACE_SLOT_US
+         + (endpoint->remote ? PLACE_REMOTE_CALL_US : 0);
+}
+
 /* Returns what the request costs at ENDPOINT, in microseconds of waiting: its
    own until its first token and, as the endpoint's requests share its steps,
    that of the requests that run there.  */
@@ -35,15 +53,15 @@
                const struct place_options *options)
 {
   int64_t missing = options->prompt_tokens - endpoint->cached_tokens;
-  int64_t cost = 0;
+  int64_t cost = waiting_cost_us (endpoint);
+
+  if (options->prompt_tokens == 0)
+    return call_cost_us (endpoint);
 
   if (missing > 0)
     cost += missing * US_PER_MS / PLACE_PREFILL_TOKENS_PER_MS
             * (1 + endpoint->running);
   cost += endpoint->running * PLACE_RUNNING_US;
-  cost += endpoint->waiting * PLACE_WAITING_US;
-  if (endpoint->running >= endpoint->slots)
-    cost += (endpoint->running - endpoint->slots + 1) * PLACE_WAITING_US;
   if (endpoint->remote)
     cost += PLACE_REMOTE_US;
   return cost;
--- a/test/unit/test_place.c
+++ b/test/unit/test_place.c
@@ -115,6 +115,34 @@
   CU_ASSERT_EQUAL (place_pick (endpoints, ENDPOINTS, &options, &seed), 3);
 }
 
+/* A data centre is cut off: of the calls that ran there for the others, those
+   that cannot be repeated are lost.  So in a burst calls stay near as long as
+   a near endpoint has a free slot.  */
+static void
+test_burst_of_calls_stays_near (void)
+{
+  struct place_endpoint endpoints[ENDPOINTS];
+  struct place_options options = { 0 };
+  uint64_t seed = 1;
+  int remote = 0;
+
+  fill (endpoints);
+  for (int i = 0; i < ENDPOINTS; i++)
+    {
+      endpoints[i].slots = 6;
+      endpoints[i].remote = i >= ENDPOINTS / 3;
+    }
+  for (int i = 0; i < ENDPOINTS / 3 * 6; i++)
+    {
+      int32_t picked = place_pick (endpoints, ENDPOINTS, &options, &seed);
+
+      CU_ASSERT_FATAL (picked >= 0);
+      endpoints[picked].running++;
+      remote += endpoints[picked].remote;
+    }
+  CU_ASSERT_EQUAL (remote, 0);
+}
+
 CU_TestInfo place_tests[] = {
   { "a burst keeps turns at their prompts",
     test_burst_keeps_turns_at_their_prompts },
@@ -122,5 +150,6 @@
   { "hosts agree on a program", test_hosts_agree_on_a_program },
   { "new programs spread", test_new_programs_spread },
   { "plain requests go to a free slot", test_plain_goes_to_a_free_slot },
+  { "a burst of calls stays near", test_burst_of_calls_stays_near },
   CU_TEST_INFO_NULL,
 };
