--- a/include/platform/watch.h
+++ b/include/platform/watch.h
@@ -18,12 +18,15 @@
   int64_t wait_ms;     /* a call waits so long for changes */
   /* The store stopped answering, or answers again. */
   void (*handle_reach) (void *data);
+  /* The store has answered.  May be NULL. */
+  void (*handle_answer) (void *data);
   void *data;
 };
 
 struct watch *watch_create (const struct watch_options *options);
 void watch_destroy (struct watch *watch);
 void watch_set_active (struct watch *watch, bool active);
+void watch_vouch (struct watch *watch);
 bool watch_is_out (const struct watch *watch);
 
 #endif
