Let a turn's list of keepers grow while it waits; begin the soak

A turn's list of the keepers that answered was as long as there were keepers when it was reserved; where the list of hosts grew before their answers came, it was written beyond. Test: test_keepers_are_added_meanwhile, which AddressSanitizer stops on the code before.

soak/ runs four entry hosts and three keepers on stand-ins, spoils their links and processes at random, and checks what 24 callers get.

--- /dev/null
+++ b/include/soak/callers.h
@@ -0,0 +1,47 @@
+/* Agents that run programs through the entry hosts and check what they get. */
+#ifndef GALENA_SOAK_CALLERS_H
+#define GALENA_SOAK_CALLERS_H
+
+#include "common/fetch.h"
+#include <ev.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  CALLERS_TOKENS_PER_EVENT = 3, /* as in the soak's configuration */
+};
+
+struct callers;
+
+struct callers_options
+{
+  struct ev_loop *loop;
+  struct fetcher *fetcher;
+  uint16_t first_port; /* of the entry hosts' listeners for callers */
+  int hosts;
+  int count; /* of callers */
+  uint64_t seed;
+};
+
+struct callers_totals
+{
+  uint32_t attempts;
+  uint32_t answered;
+  uint32_t refused;
+  uint32_t broken;
+  uint32_t programs;
+  uint32_t violations;
+};
+
+struct callers *callers_create (const struct callers_options *options);
+void callers_destroy (struct callers *callers);
+void callers_stop (struct callers *callers);
+bool callers_are_done (const struct callers *callers);
+void callers_check_runs (struct callers *callers, const json_t *runs);
+void callers_violation (struct callers *callers, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+struct callers_totals callers_totals (const struct callers *callers);
+
+#endif
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -382,7 +382,6 @@
   turn->id = id_random64 ();
   turn->budget = budget;
   turn->tokens = tokens;
-  turn->answered = xcalloc (ledger->keeper_count + 1, sizeof *turn->answered);
   turn->handle = handle;
   turn->data = data;
   change_own (turn->known, tokens);
@@ -396,6 +395,13 @@
   return turn;
 }
 
+/* Returns the id of the question that the keepers are asked.  */
+uint64_t
+ledger_turn_id (const struct ledger_turn *turn)
+{
+  return turn->id;
+}
+
 /* Ends the turn: USED tokens of its reservation stay charged.  Frees it.  */
 void
 ledger_settle (struct ledger_turn *turn, int64_t used)
@@ -428,6 +434,9 @@
       return false;
   if (turn->answers >= keepers)
     return false;
+  /* Keepers may have been added since the turn was reserved. */
+  turn->answered = xrealloc (turn->answered,
+                             (turn->answers + 1) * sizeof *turn->answered);
   turn->answered[turn->answers++] = keeper;
   return true;
 }
--- /dev/null
+++ b/soak/main.c
@@ -0,0 +1,682 @@
+#include "common/buf.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "soak/callers.h"
+#include "soak/fleet.h"
+#include "soak/proxy.h"
+#include <errno.h>
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+
+/* A randomized soak: the real programs as separate processes, faults from
+   outside them, and callers that check the promises while it runs.  */
+
+enum
+{
+  CALLERS = 24,
+  MAX_FAULTS = 3,       /* at once */
+  FAULT_EVERY_MS = 400, /* on average */
+  FAULT_MIN_MS = 200,   /* how long one lasts */
+  FAULT_MAX_MS = 2500,
+  KEEPER_REST_MS = 4000, /* a keeper that came back reads from the others */
+  RECOVERY_MS = 12000,   /* until all is served after the last fault */
+  START_MS = 10000,
+  STOP_MS = 9000, /* a stopping host ends by then */
+  CALL_MS = 2000,
+  DEFAULT_SECONDS = 15,
+  DEFAULT_PORT = 26000,
+  EXIT_USAGE = 2,
+};
+
+enum fault_kind
+{
+  FAULT_KILL,
+  FAULT_STOP,
+  FAULT_PAUSE,
+  FAULT_WIPE, /* a keeper's disk */
+  FAULT_STORE_LINK,
+  FAULT_ENDPOINT_LINK,
+  FAULT_TURN_AWAY,
+  FAULT_STORE_ANSWERS,
+  FAULT_COMPACT,
+  FAULT_ENDPOINT_ANSWERS,
+  FAULT_CONFIG,
+  FAULT_KINDS,
+};
+
+/* A fault under way. */
+struct fault
+{
+  enum fault_kind kind;
+  int target; /* host or proxy */
+  int64_t ends_ms;
+  bool active;
+};
+
+struct soak
+{
+  struct fleet fleet;
+  struct ev_loop *loop;
+  struct fetcher *fetcher;
+  struct proxy *proxies[1 + FLEET_ENDPOINTS];
+  struct callers *callers;
+  struct fault faults[MAX_FAULTS];
+  uint64_t seed;
+  int64_t next_fault_ms;
+  int64_t keeper_well_ms; /* since when no keeper was lost */
+  int64_t config_version;
+  ev_timer tick;
+  bool injecting;
+  uint32_t injected;
+};
+
+static const char *const fault_names[FAULT_KINDS]
+    = { "kill",         "stop",
+        "pause",        "wipe",
+        "store link",   "endpoint link",
+        "turn away",    "lost store answers",
+        "compact",      "endpoint answers",
+        "configuration" };
+
+static uint64_t
+draw (struct soak *soak, uint64_t below)
+{
+  soak->seed = id_hash64 (&soak->seed, sizeof soak->seed, 2);
+  return soak->seed % below;
+}
+
+/* A call of the soak's own, past the proxies. */
+struct call
+{
+  bool done;
+  long status;
+  json_t *body;
+};
+
+static void
+handle_called (void *data, const struct fetch_result *result)
+{
+  struct call *call = data;
+
+  call->done = true;
+  call->status = result->complete ? result->status : 0;
+  call->body = json_loadb (result->body->data ? result->body->data : "",
+                           result->body->len, 0, NULL);
+}
+
+/* Waits for the answer; the caller frees the body.  */
+static struct call
+call_port (struct soak *soak, int port, const char *method, const char *path,
+           const char *body)
+{
+  struct call call = { 0 };
+  char *url = xasprintf ("http://127.0.0.1:%d%s", soak->fleet.base_port + port,
+                         path);
+  const char *const headers[] = { "Content-Type: application/json", NULL };
+  struct fetch_options options = { .method = method,
+                                   .url = url,
+                                   .headers = headers,
+                                   .body = body,
+                                   .body_len = body ? strlen (body) : 0,
+                                   .timeout_ms = CALL_MS,
+                                   .connect_timeout_ms = CALL_MS,
+                                   .max_body_bytes = 64 * 1024 * 1024,
+                                   .handle_done = handle_called,
+                                   .data = &call };
+
+  fetch_start (soak->fetcher, &options);
+  while (!call.done)
+    ev_run (soak->loop, EVRUN_ONCE);
+  free (url);
+  return call;
+}
+
+static void
+tell (struct soak *soak, int port, const char *method, const char *path,
+      const char *body)
+{
+  struct call call = call_port (soak, port, method, path, body);
+
+  json_decref (call.body);
+}
+
+static bool
+is_answered (struct soak *soak, int port, const char *path)
+{
+  struct call call = call_port (soak, port, "GET", path, NULL);
+
+  json_decref (call.body);
+  return call.status == 200;
+}
+
+/* Versions with an odd number have a route more.  */
+static void
+write_config (struct soak *soak, const char *method)
+{
+  int64_t version = ++soak->config_version;
+  char *body = xasprintf (
+      "{\"metadata\": {\"name\": \"main\"}, \"spec\": {\"version\": %lld, "
+      "\"routes\": ["
+      "{\"name\": \"turns\", \"hostname\": \"h\", \"path_prefix\": \"/turn/\","
+      " \"type\": \"streaming\", \"timeout_ms\": 4000, \"backend\": "
+      "\"models\","
+      " \"max_attempts\": 1, \"resumable\": true},"
+      "{\"name\": \"notes\", \"hostname\": \"h\", \"path_prefix\": \"/note/\","
+      " \"type\": \"idempotent\", \"timeout_ms\": 2000, \"backend\": \"app\"},"
+      "{\"name\": \"charges\", \"hostname\": \"h\", \"path_prefix\": "
+      "\"/charge/\", \"type\": \"non_idempotent\", \"timeout_ms\": 2000, "
+      "\"backend\": \"app\", \"max_attempts\": 1}%s],"
+      "\"services\": [{\"name\": \"models\", \"engine\": {\"chunk_tokens\": "
+      "%d}}, {\"name\": \"app\"}],"
+      "\"tenants\": [{\"name\": \"c\", \"api_keys\": [\"key\"], "
+      "\"rate_per_s\": 2000, \"burst\": 2000}]}}",
+      (long long)version,
+      version % 2
+          ? ", {\"name\": \"more\", \"hostname\": \"h\", \"path_prefix\": "
+            "\"/more/\", \"type\": \"idempotent\", \"timeout_ms\": 2000, "
+            "\"backend\": \"app\"}"
+          : "",
+      CALLERS_TOKENS_PER_EVENT);
+
+  tell (soak, FLEET_STORE_PORT, method,
+        strcmp (method, "PUT") == 0 ? "/objects/config/main"
+                                    : "/objects/config",
+        body);
+  free (body);
+}
+
+static void
+list_endpoints (struct soak *soak)
+{
+  for (int i = 0; i < FLEET_ENDPOINTS; i++)
+    {
+      char *body = xasprintf (
+          "{\"metadata\": {\"name\": \"w%d\"}, \"spec\": {\"backend\": \"%s\","
+          " \"address\": \"127.0.0.1:%d\", \"zone\": \"%s\", \"version\": "
+          "\"v1\", \"max_concurrency\": 8, \"state\": \"ready\", \"born\": 1, "
+          "\"seq\": 1}}",
+          i, i < FLEET_ENDPOINTS / 2 ? "models" : "app",
+          soak->fleet.base_port + FLEET_PROXY_PORT + 1 + i,
+          fleet_data_centre (i));
+
+      tell (soak, FLEET_STORE_PORT, "POST", "/objects/servers", body);
+      free (body);
+    }
+}
+
+static bool
+is_targeted (const struct soak *soak, bool is_host, int target)
+{
+  for (int i = 0; i < MAX_FAULTS; i++)
+    {
+      const struct fault *fault = &soak->faults[i];
+      bool hits_host
+          = fault->kind <= FAULT_WIPE || fault->kind == FAULT_TURN_AWAY;
+
+      if (fault->active && hits_host == is_host && fault->target == target)
+        return true;
+    }
+  return false;
+}
+
+static bool
+keeper_may_be_lost (const struct soak *soak, int64_t now_ms)
+{
+  for (int i = FLEET_ENTRIES; i < FLEET_HOSTS; i++)
+    if (is_targeted (soak, true, i))
+      return false;
+  return now_ms - soak->keeper_well_ms > KEEPER_REST_MS;
+}
+
+static void
+turn_away (struct soak *soak, int host)
+{
+  char name[FLEET_NAME_BYTES];
+  char *body;
+
+  if (host >= 0)
+    fleet_host_name (host, name);
+  body = host >= 0 ? xasprintf ("[\"%s\"]", name) : xstrdup ("[]");
+  tell (soak, FLEET_STORE_PORT, "POST", "/turned-away", body);
+  free (body);
+}
+
+static void
+spoil_endpoint (struct soak *soak, int endpoint)
+{
+  static const char *const bodies[]
+      = { "{\"half_next\": 2}", "{\"lose_answers\": 2}",
+          "{\"crossed_next\": 1}" };
+
+  tell (soak, FLEET_ENDPOINT_PORT + endpoint, "POST", "/faults",
+        bodies[draw (soak, sizeof bodies / sizeof *bodies)]);
+}
+
+static void
+spoil_link (struct soak *soak, int proxy)
+{
+  proxy_set_fault (soak->proxies[proxy],
+                   (enum proxy_fault) (1 + draw (soak, PROXY_FAULTS - 1)));
+}
+
+static void
+begin_fault (struct soak *soak, struct fault *fault)
+{
+  struct fleet *fleet = &soak->fleet;
+
+  fault->active = true;
+  soak->injected++;
+  printf ("%lld ms: %s %d\n", (long long)clock_now_ms (),
+          fault_names[fault->kind], fault->target);
+  switch (fault->kind)
+    {
+    case FAULT_KILL:
+      fleet_end (&fleet->hosts[fault->target]);
+      break;
+    case FAULT_WIPE:
+      fleet_end (&fleet->hosts[fault->target]);
+      fleet_wipe (fleet, fault->target);
+      break;
+    case FAULT_STOP:
+      fleet_signal (&fleet->hosts[fault->target], SIGTERM);
+      fault->ends_ms = clock_now_ms () + STOP_MS;
+      break;
+    case FAULT_PAUSE:
+      fleet_signal (&fleet->hosts[fault->target], SIGSTOP);
+      break;
+    case FAULT_STORE_LINK:
+    case FAULT_ENDPOINT_LINK:
+      spoil_link (soak, fault->target);
+      break;
+    case FAULT_TURN_AWAY:
+      turn_away (soak, fault->target);
+      break;
+    case FAULT_STORE_ANSWERS:
+      tell (soak, FLEET_STORE_PORT, "POST", "/faults",
+            "{\"lose_answers\": 3}");
+      break;
+    case FAULT_COMPACT:
+      tell (soak, FLEET_STORE_PORT, "GET", "/compact", NULL);
+      break;
+    case FAULT_ENDPOINT_ANSWERS:
+      spoil_endpoint (soak, fault->target - 1);
+      break;
+    case FAULT_CONFIG:
+      write_config (soak, "PUT");
+      break;
+    case FAULT_KINDS:
+      break;
+    }
+}
+
+static void
+end_fault (struct soak *soak, struct fault *fault)
+{
+  struct fleet *fleet = &soak->fleet;
+
+  fault->active = false;
+  if (fault->kind <= FAULT_WIPE && fleet_is_keeper (fault->target))
+    soak->keeper_well_ms = clock_now_ms ();
+  switch (fault->kind)
+    {
+    case FAULT_KILL:
+    case FAULT_WIPE:
+      fleet_start_host (fleet, fault->target, false);
+      break;
+    case FAULT_STOP:
+      if (fleet->hosts[fault->target].pid > 0)
+        {
+          callers_violation (soak->callers, "host %d has not stopped in %d ms",
+                             fault->target, STOP_MS);
+          fleet_end (&fleet->hosts[fault->target]);
+        }
+      fleet_start_host (fleet, fault->target, false);
+      break;
+    case FAULT_PAUSE:
+      fleet_signal (&fleet->hosts[fault->target], SIGCONT);
+      break;
+    case FAULT_STORE_LINK:
+    case FAULT_ENDPOINT_LINK:
+      proxy_set_fault (soak->proxies[fault->target], PROXY_NONE);
+      break;
+    case FAULT_TURN_AWAY:
+      turn_away (soak, -1);
+      break;
+    default:
+      break;
+    }
+}
+
+static int
+pick_target (struct soak *soak, enum fault_kind kind)
+{
+  switch (kind)
+    {
+    case FAULT_KILL:
+    case FAULT_STOP:
+    case FAULT_PAUSE:
+      return (int)draw (soak, FLEET_HOSTS);
+    case FAULT_WIPE:
+      return FLEET_ENTRIES + (int)draw (soak, FLEET_KEEPERS);
+    case FAULT_TURN_AWAY:
+      return (int)draw (soak, FLEET_ENTRIES);
+    case FAULT_ENDPOINT_LINK:
+    case FAULT_ENDPOINT_ANSWERS:
+      return 1 + (int)draw (soak, FLEET_ENDPOINTS);
+    default:
+      return 0;
+    }
+}
+
+/* Begins a fault in FAULT, if what was drawn may come now.  */
+static void
+inject (struct soak *soak, struct fault *fault, int64_t now_ms)
+{
+  enum fault_kind kind = (enum fault_kind)draw (soak, FAULT_KINDS);
+  int target = pick_target (soak, kind);
+  bool is_host = kind <= FAULT_WIPE || kind == FAULT_TURN_AWAY;
+
+  if (is_targeted (soak, is_host, target)
+      || (kind <= FAULT_WIPE && fleet_is_keeper (target)
+          && !keeper_may_be_lost (soak, now_ms)))
+    return;
+  *fault = (struct fault){ .kind = kind,
+                           .target = target,
+                           .ends_ms = now_ms + FAULT_MIN_MS
+                                      + (int64_t)draw (
+                                          soak, FAULT_MAX_MS - FAULT_MIN_MS) };
+  begin_fault (soak, fault);
+}
+
+/* A process that ends by itself, or not as it was told.  */
+static void
+watch_hosts (struct soak *soak)
+{
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    {
+      struct fleet_process *host = &soak->fleet.hosts[i];
+      bool told = host->told;
+      int status = 0;
+
+      if (!fleet_has_ended (host, &status))
+        continue;
+      if (!told || !WIFEXITED (status) || WEXITSTATUS (status) != 0)
+        callers_violation (soak->callers, "host %d ended with status %d%s", i,
+                           status, told ? "" : " by itself");
+      for (int f = 0; f < MAX_FAULTS; f++)
+        if (soak->faults[f].active && soak->faults[f].kind == FAULT_STOP
+            && soak->faults[f].target == i)
+          soak->faults[f].ends_ms = 0;
+    }
+}
+
+static void
+handle_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct soak *soak = timer->data;
+  int64_t now_ms = clock_now_ms ();
+
+  watch_hosts (soak);
+  for (int i = 0; i < MAX_FAULTS; i++)
+    {
+      struct fault *fault = &soak->faults[i];
+
+      if (fault->active && now_ms >= fault->ends_ms)
+        end_fault (soak, fault);
+      if (fault->active || !soak->injecting || now_ms < soak->next_fault_ms)
+        continue;
+      soak->next_fault_ms = now_ms + (int64_t)draw (soak, 2 * FAULT_EVERY_MS);
+      inject (soak, fault, now_ms);
+    }
+}
+
+static void
+run_for (struct soak *soak, int64_t duration_ms)
+{
+  int64_t until_ms = clock_now_ms () + duration_ms;
+
+  while (clock_now_ms () < until_ms)
+    {
+      handle_tick (soak->loop, &soak->tick, 0);
+      ev_run (soak->loop, EVRUN_NOWAIT);
+      ev_sleep (0.005);
+    }
+}
+
+static bool
+all_are_ready (struct soak *soak)
+{
+  for (int i = 0; i < FLEET_ENTRIES; i++)
+    if (!is_answered (soak, FLEET_HEALTH_PORT + i, "/readyz"))
+      return false;
+  return true;
+}
+
+static bool
+wait_until_ready (struct soak *soak, int64_t limit_ms)
+{
+  int64_t until_ms = clock_now_ms () + limit_ms;
+
+  while (clock_now_ms () < until_ms)
+    {
+      if (all_are_ready (soak))
+        return true;
+      run_for (soak, 100);
+    }
+  return false;
+}
+
+static bool
+open_proxies (struct soak *soak)
+{
+  for (int i = 0; i <= FLEET_ENDPOINTS; i++)
+    {
+      soak->proxies[i] = proxy_create (
+          soak->loop, (uint16_t)(soak->fleet.base_port + FLEET_PROXY_PORT + i),
+          (uint16_t)(soak->fleet.base_port + i));
+      if (!soak->proxies[i])
+        return false;
+    }
+  return true;
+}
+
+static bool
+start (struct soak *soak)
+{
+  struct callers_options callers
+      = { .loop = soak->loop,
+          .fetcher = soak->fetcher,
+          .first_port = (uint16_t)(soak->fleet.base_port + FLEET_CALLER_PORT),
+          .hosts = FLEET_ENTRIES,
+          .count = CALLERS,
+          .seed = soak->seed };
+
+  fleet_start_standins (&soak->fleet);
+  for (int i = 0; i < 100 && !is_answered (soak, FLEET_STORE_PORT, "/stats");
+       i++)
+    ev_sleep (0.05);
+  if (!open_proxies (soak))
+    {
+      printf ("a port from %d on is not free; name another --port\n",
+              soak->fleet.base_port);
+      return false;
+    }
+  write_config (soak, "POST");
+  list_endpoints (soak);
+  for (int i = 0; i < FLEET_HOSTS; i++)
+    fleet_start_host (&soak->fleet, i, true);
+  if (!wait_until_ready (soak, START_MS))
+    {
+      printf ("the hosts have not got ready in %d ms\n", START_MS);
+      return false;
+    }
+  soak->callers = callers_create (&callers);
+  return true;
+}
+
+/* Ends every fault, and waits until all hosts serve again.  */
+static void
+recover (struct soak *soak)
+{
+  soak->injecting = false;
+  for (int i = 0; i < MAX_FAULTS; i++)
+    while (soak->faults[i].active)
+      {
+        if (soak->faults[i].kind != FAULT_STOP)
+          soak->faults[i].ends_ms = 0;
+        run_for (soak, 50);
+      }
+  if (!wait_until_ready (soak, RECOVERY_MS))
+    callers_violation (soak->callers,
+                       "not every host is ready %d ms after the last fault",
+                       RECOVERY_MS);
+}
+
+static json_t *
+collect_runs (struct soak *soak)
+{
+  json_t *runs = json_object ();
+
+  for (int i = 0; i < FLEET_ENDPOINTS; i++)
+    {
+      struct call call
+          = call_port (soak, FLEET_ENDPOINT_PORT + i, "GET", "/counts", NULL);
+      const char *id;
+      json_t *count;
+
+      if (call.status != 200)
+        callers_violation (soak->callers, "endpoint %d does not answer", i);
+      json_object_foreach (json_object_get (call.body, "counts"), id, count)
+      {
+        json_int_t sum = json_integer_value (json_object_get (runs, id));
+
+        json_object_set_new (runs, id,
+                             json_integer (sum + json_integer_value (count)));
+      }
+      json_decref (call.body);
+    }
+  return runs;
+}
+
+/* Callers that come when all is well again are served.  */
+static void
+check_service (struct soak *soak)
+{
+  struct callers_totals before;
+  struct callers_totals after;
+
+  run_for (soak, KEEPER_REST_MS);
+  before = callers_totals (soak->callers);
+  run_for (soak, CALL_MS);
+  after = callers_totals (soak->callers);
+  if (after.answered == before.answered || after.broken > before.broken)
+    callers_violation (
+        soak->callers, "%u answered and %u broken off with all hosts well",
+        after.answered - before.answered, after.broken - before.broken);
+}
+
+static void
+finish (struct soak *soak)
+{
+  json_t *runs;
+
+  recover (soak);
+  check_service (soak);
+  callers_stop (soak->callers);
+  while (!callers_are_done (soak->callers))
+    run_for (soak, 50);
+  runs = collect_runs (soak);
+  callers_check_runs (soak->callers, runs);
+  json_decref (runs);
+}
+
+static void
+close_soak (struct soak *soak)
+{
+  callers_destroy (soak->callers);
+  for (int i = 0; i <= FLEET_ENDPOINTS; i++)
+    proxy_destroy (soak->proxies[i]);
+  fetcher_destroy (soak->fetcher);
+  fleet_stop (&soak->fleet);
+}
+
+static int
+run_soak (struct soak *soak, uint64_t seed, gint seconds)
+{
+  struct callers_totals totals = { .violations = 1 };
+
+  soak->loop = ev_default_loop (EVFLAG_AUTO);
+  soak->fetcher = fetcher_create (soak->loop);
+  ev_timer_init (&soak->tick, handle_tick, 0, 0);
+  soak->tick.data = soak;
+  if (start (soak))
+    {
+      soak->injecting = true;
+      run_for (soak, (int64_t)seconds * 1000);
+      finish (soak);
+      totals = callers_totals (soak->callers);
+    }
+  printf ("seed %" G_GUINT64_FORMAT ": %u faults, %u programs, %u attempts: "
+          "%u answered, %u refused, %u broken off; %u violations\n",
+          seed, soak->injected, totals.programs, totals.attempts,
+          totals.answered, totals.refused, totals.broken, totals.violations);
+  close_soak (soak);
+  return totals.violations > 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  gint64 seed = 1;
+  gint seconds = DEFAULT_SECONDS;
+  gint port = DEFAULT_PORT;
+  char *build = NULL;
+  GOptionEntry entries[] = {
+    { "seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Of the faults", "N" },
+    { "seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "With faults", "N" },
+    { "port", 0, 0, G_OPTION_ARG_INT, &port, "First of 100 free ports", "N" },
+    { "build", 0, 0, G_OPTION_ARG_STRING, &build, "Folder of the programs",
+      "DIR" },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  GOptionContext *context
+      = g_option_context_new ("- the programs under random faults");
+  GError *problem = NULL;
+  char folder[] = "/tmp/galena-soak-XXXXXX";
+  struct soak soak = { 0 };
+  int status = EXIT_USAGE;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &problem))
+    {
+      fprintf (stderr, "soak: %s\n", problem->message);
+      g_error_free (problem);
+      goto out;
+    }
+  if (!build || sodium_init () < 0 || !mkdtemp (folder))
+    {
+      fputs ("soak: name the folder of the built programs with --build\n",
+             stderr);
+      goto out;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  log_init ("soak", LOG_ERROR);
+  soak.fleet.build = build;
+  soak.fleet.folder = folder;
+  soak.fleet.base_port = (uint16_t)port;
+  soak.seed = (uint64_t)seed;
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  printf ("logs and disks are in %s\n", folder);
+  status = run_soak (&soak, (uint64_t)seed, seconds);
+out:
+  g_option_context_free (context);
+  g_free (build);
+  return status;
+}
--- a/test/unit/test_ledger.c
+++ b/test/unit/test_ledger.c
@@ -216,6 +216,50 @@
   scene_close (&scene);
 }
 
+static void
+answer_as (struct scene *scene, const char *keeper, uint64_t id)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LedgerAnswers answers = PEER__LEDGER_ANSWERS__INIT;
+  Peer__LedgerAnswer answer = PEER__LEDGER_ANSWER__INIT;
+  Peer__LedgerAnswer *only = &answer;
+
+  answer.id = id;
+  answer.behind = true;
+  answers.answers = &only;
+  answers.n_answers = 1;
+  frame.body_case = PEER__FRAME__BODY_LEDGER_ANSWERS;
+  frame.ledger_answers = &answers;
+  ledger_handle_frame (scene->ledger, keeper, &frame);
+}
+
+/* Keepers are added while a turn waits for their answers.  Their word is not
+   enough for the larger part of the budget, so it waits for all.  */
+static void
+test_keepers_are_added_meanwhile (void)
+{
+  static const char *const names[] = { "k1", "k2", "k3", "k4", "k5", "k6" };
+  struct scene scene;
+  struct strings keepers = { 0 };
+  struct ledger_turn *turn;
+
+  scene_open (&scene);
+  scene.verdict = -1;
+  turn = ledger_reserve (scene.ledger, PROGRAM, BUDGET, BUDGET, handle_verdict,
+                         &scene);
+  for (size_t i = 0; i < sizeof names / sizeof *names; i++)
+    strings_add (&keepers, names[i]);
+  ledger_set_keepers (scene.ledger, &keepers);
+  for (size_t i = 0; i < sizeof names / sizeof *names; i++)
+    answer_as (&scene, names[i], ledger_turn_id (turn));
+  for (int i = 0; i < MAX_TURNS && scene.verdict < 0; i++)
+    ev_run (scene.loop, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (scene.verdict, CHARGES_UNKNOWN);
+  ledger_settle (turn, 0);
+  strings_release (&keepers);
+  scene_close (&scene);
+}
+
 /* The keeper still has what this host charged before: other hosts may have
    gone on with the program.  */
 static void
@@ -237,6 +281,7 @@
     = { { "turns fill a budget", test_turns_fill_a_budget },
         { "an unused program is forgotten", test_unused_program_is_forgotten },
         { "a refused turn begins nothing", test_refused_turn_begins_nothing },
+        { "keepers are added meanwhile", test_keepers_are_added_meanwhile },
         { "a program that was forgotten is charged",
           test_program_that_was_forgotten_is_charged },
         CU_TEST_INFO_NULL };
