--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= 6
 
-.PHONY: all deps build demo test asan tsan lint format clean
+.PHONY: all deps build demo test asan tsan soak lint format clean
 .PHONY: bench-capacity bench-config bench-failover bench-fairness
 .PHONY: bench-limits bench-overhead bench-stop
 
@@ -40,6 +40,12 @@
 	TSAN_OPTIONS=suppressions=$(abspath scripts/tsan.supp) \
 	  meson test -C build-tsan --no-rebuild --print-errorlogs --suite functional
 
+# The programs under random faults; SEED names which.
+SEED ?= 1
+SECONDS ?= 8
+soak: build
+	$(BUILD)/soak/soak --build $(abspath $(BUILD)) --seed $(SEED) --seconds $(SECONDS)
+
 # Each prints a JSON line a figure: figure, value, unit, bound, met.
 bench-capacity bench-fairness bench-limits: build
 	$(BUILD)/bench/$@
--- a/request/request.c
+++ b/request/request.c
@@ -893,16 +893,12 @@
   return pipeline;
 }
 
-/* Gives every request up, without telling its sink, and frees the pipeline. */
+/* Frees the pipeline.  No request is under way, and none comes any more.  */
 void
 pipeline_destroy (struct pipeline *pipeline)
 {
-  GList *link;
-
   if (!pipeline)
     return;
-  while ((link = g_queue_peek_head_link (&pipeline->requests)))
-    request_destroy (link->data);
   routing_unref (pipeline->routing);
   free (pipeline);
 }
@@ -944,6 +940,17 @@
                      crashes, clock_now_ms ());
 }
 
+/* Refuses requests from now on and ends those that are under way.  */
+void
+pipeline_end (struct pipeline *pipeline)
+{
+  GList *link;
+
+  pipeline->is_closed = true;
+  while ((link = g_queue_peek_head_link (&pipeline->requests)))
+    give_up (link->data, "this host has stopped");
+}
+
 /* Refuses requests from now on; those under way go on.  */
 void
 pipeline_close (struct pipeline *pipeline)
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 
 files=$(git ls-files 'common/*.c' 'policy/*.c' 'peer/*.c' 'platform/*.c' 'request/*.c' 'ledger/*.c' 'feed/*.c' 'config/*.c' 'journal/*.c' \
   'endpoint/*.c' 'store/*.c' 'program/*.c' 'caller/*.c' 'operator/*.c' \
-  'galenashored/*.c' 'galenactl/*.c' 'standin/*.c' 'bench/*.c' \
+  'galenashored/*.c' 'galenactl/*.c' 'standin/*.c' 'soak/*.c' 'bench/*.c' \
   | grep -v '\.pb-c\.c$')
 # shellcheck disable=SC2086
 printf '%s\n' $files | xargs -P "${JOBS:-6}" -n 4 clang-tidy -p "$build" --quiet
--- a/soak/main.c
+++ b/soak/main.c
@@ -30,6 +30,7 @@
   START_MS = 10000,
   STOP_MS = 9000, /* a stopping host ends by then */
   CALL_MS = 2000,
+  MAX_COUNTS_BYTES = 64 * 1024 * 1024, /* every attempt of a soak */
   DEFAULT_SECONDS = 15,
   DEFAULT_PORT = 26000,
   EXIT_USAGE = 2,
@@ -127,7 +128,7 @@
                                    .body_len = body ? strlen (body) : 0,
                                    .timeout_ms = CALL_MS,
                                    .connect_timeout_ms = CALL_MS,
-                                   .max_body_bytes = 64 * 1024 * 1024,
+                                   .max_body_bytes = MAX_COUNTS_BYTES,
                                    .handle_done = handle_called,
                                    .data = &call };
 
@@ -432,7 +433,8 @@
         end_fault (soak, fault);
       if (fault->active || !soak->injecting || now_ms < soak->next_fault_ms)
         continue;
-      soak->next_fault_ms = now_ms + (int64_t)draw (soak, 2 * FAULT_EVERY_MS);
+      soak->next_fault_ms
+          = now_ms + (int64_t)draw (soak, FAULT_EVERY_MS * UINT64_C (2));
       inject (soak, fault, now_ms);
     }
 }
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -21,6 +21,7 @@
   { "limit", NULL, NULL, NULL, NULL, limit_tests },
   { "limits", NULL, NULL, NULL, NULL, limits_tests },
   { "mesh", NULL, NULL, NULL, NULL, mesh_tests },
+  { "node traffic", NULL, NULL, NULL, NULL, node_traffic_tests },
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
   { "owner", NULL, NULL, NULL, NULL, owner_tests },
   { "place", NULL, NULL, NULL, NULL, place_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -19,6 +19,7 @@
 extern CU_TestInfo limit_tests[];
 extern CU_TestInfo limits_tests[];
 extern CU_TestInfo mesh_tests[];
+extern CU_TestInfo node_traffic_tests[];
 extern CU_TestInfo objects_tests[];
 extern CU_TestInfo owner_tests[];
 extern CU_TestInfo place_tests[];
