--- a/feed/feed.c
+++ b/feed/feed.c
@@ -9,10 +9,10 @@
 enum
 {
   MAX_TABLES = 8,
-  BEACON_MS = 250, /* five chances to be heard before news are stale */
+  BEACON_MS = 250, /* five chances to be heard before state is stale */
   ASK_MS = 200, /* between questions about one kind to the host that leads */
   ASKED_HOSTS = 2, /* at once, where the store does not answer */
-  /* Older news: the store has had time to answer this host.  */
+  /* Older state: the store has had time to answer this host.  */
   ASK_AROUND_MS = LEAD_STALE_MS + BEACON_MS,
 };
 
@@ -59,7 +59,7 @@
   return true;
 }
 
-/* Whether the others may go by what this host says.  */
+/* Whether the others may rely on this host.  */
 static bool
 leads (const struct feed *feed)
 {
@@ -342,9 +342,9 @@
   return NULL;
 }
 
-/* HOST follows the store and this host's tables are as it says.  */
+/* HOST follows the store and this host's tables equal its own.  */
 static void
-go_by (struct feed *feed, const char *host)
+rely_on (struct feed *feed, const char *host)
 {
   int64_t now_ms = clock_now_ms ();
 
@@ -386,7 +386,7 @@
       fed->asked_ms = now_ms;
       ask (feed, host, fed->table);
     }
-  go_by (feed, host);
+  rely_on (feed, host);
 }
 
 static void
@@ -451,11 +451,11 @@
       return;
     }
   apply_update (feed, fed->table, update);
-  go_by (feed, host);
+  rely_on (feed, host);
 }
 
-/* Answers with what changed after the asker's revision, and all names.  Old
-   news are not passed on.  */
+/* Answers with what changed after the asker's revision, and all names.  Stale
+   state is not passed on.  */
 static void
 answer (struct feed *feed, const char *host, const Peer__FeedAsk *question)
 {
--- a/include/policy/lead.h
+++ b/include/policy/lead.h
@@ -1,9 +1,9 @@
 /* Which host of a data centre follows the platform's store for the others.
 
-   Every host that follows it says so a few times a second.  A host goes by the
-   best ranked one that it hears and whose news are fresh; without any it
-   follows the store itself.  So no host is chosen: one that dies, freezes or
-   loses the store is done without as soon as its news are stale.  */
+   Every host that follows it sends beacons a few times a second.  A host
+   relies on the best ranked one whose state is fresh; without any it follows
+   the store itself.  There is no election: a leader that dies, freezes or
+   loses the store is replaced as soon as its state is stale.  */
 #ifndef GALENA_POLICY_LEAD_H
 #define GALENA_POLICY_LEAD_H
 
@@ -23,7 +23,7 @@
   uint64_t own_rank; /* the lowest leads */
   bool may_lead;     /* else every other host ranks before this one */
   uint64_t rank;     /* of the host that is followed */
-  int64_t until_ms;  /* its news are fresh until then */
+  int64_t until_ms;  /* its state is fresh until then */
 };
 
 void lead_init (struct lead *lead, uint64_t own_rank, bool may_lead,
--- a/policy/lead.c
+++ b/policy/lead.c
@@ -11,8 +11,8 @@
                          .until_ms = now_ms + LEAD_STALE_MS };
 }
 
-/* Notes the beacon of a host of this data centre, whose oldest news are
-   AGE_MS old.  Returns whether this host goes by it.  */
+/* Notes the beacon of a host of this data centre, whose oldest state is AGE_MS
+   old.  Returns whether this host relies on it.  */
 bool
 lead_note_beacon (struct lead *lead, uint64_t rank, int64_t age_ms,
                   int64_t now_ms)
