--- a/feed/feed.c
+++ b/feed/feed.c
@@ -355,7 +355,8 @@
     set_follows (feed, false);
 }
 
-/* Takes over how fresh the table is, where it is what STATE describes.  */
+/* Takes over how fresh the table is.  False where it misses something that
+   STATE describes.  */
 static bool
 take_state (struct table *table, const Peer__FeedState *state)
 {
--- a/request/limits.c
+++ b/request/limits.c
@@ -9,12 +9,12 @@
 
 enum
 {
-  ASK_MS = 60,       /* a holder answers within a few */
-  DENIED_MS = 50,    /* after a round without a loan, none is asked for */
-  LOAN_MS = 150,     /* a loan that is not used by then is lost */
-  PAUSE_MIN_MS = 40, /* between rounds for requests that wait */
-  PAUSE_MAX_MS = 100,
-  AHEAD_PER_S = 8, /* a loan is for an eighth of a second */
+  ASK_MS = 60,        /* a holder answers within a few */
+  DENIED_MS = 50,     /* after a round without a loan, none is asked for */
+  LOAN_MS = 150,      /* a loan that is not used by then is lost */
+  PAUSE_MIN_MS = 40,  /* between rounds for requests that wait */
+  PAUSE_MAX_MS = 100, /* another data centre may have a token sooner */
+  AHEAD_PER_S = 8,    /* a loan is for an eighth of a second */
   MAX_LOAN_TOKENS = 32,
   /* Programs begin at the pace at which the customer's tokens last for all of
      their requests: one that breaks off has used its tokens for nothing. */
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
--- a/soak/main.c
+++ b/soak/main.c
@@ -4,7 +4,6 @@
 #include "soak/callers.h"
 #include "soak/fleet.h"
 #include "soak/proxy.h"
-#include <errno.h>
 #include <glib.h>
 #include <jansson.h>
 #include <signal.h>
@@ -12,7 +11,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
 #include <sys/wait.h>
 
 /* A randomized soak: the real programs as separate processes, faults from
