httpd: end open requests before libmicrohttpd is stopped

Cause: a host that stopped ended with status 134, "MHD_stop_daemon() called while we have suspended connections". httpd_destroy ran libmicrohttpd once more, and a request that arrived with that run reached the handler, which suspended it; a stream that had not ended suspended itself again.

Ruled out: requests that the owner of the listener had left open; both owners respond to theirs first (listener_destroy, admin_destroy).

Change: while a server is destroyed, new requests are refused as not run before they reach the handler, open ones get "outcome unknown", and open streams are cut off.

Before: the unit test that leaves a request open aborts the process.

--- a/common/httpd.c
+++ b/common/httpd.c
@@ -13,6 +13,9 @@
   STREAM_BLOCK_BYTES = 2048,
   MAX_STREAM_BACKLOG_BYTES = 256 * 1024,
   LISTEN_BACKLOG = 1024,
+  /* Runs of libmicrohttpd in which open requests end before the server is
+     destroyed.  A response takes one for its headers and one for its body. */
+  FINAL_RUNS = 8,
 };
 
 struct httpd
@@ -24,7 +27,9 @@
   struct deferred deferred_run;
   bool closing; /* responses carry "Connection: close" */
   bool stopped_listening;
+  bool destroying; /* requests are refused before they reach the handler */
   uint32_t open_requests;
+  struct httpd_request *requests; /* open ones */
 };
 
 static void
@@ -123,6 +128,10 @@
   request->httpd = httpd;
   request->connection = connection;
   request->target = xstrdup (target);
+  request->next = httpd->requests;
+  if (request->next)
+    request->next->previous = request;
+  httpd->requests = request;
   httpd->open_requests++;
   return request;
 }
@@ -146,6 +155,8 @@
     return MHD_CONTENT_READER_END_WITH_ERROR;
   if (request->stream_ended)
     return MHD_CONTENT_READER_END_OF_STREAM;
+  if (request->httpd->destroying)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
   suspend_request (request);
   return 0;
 }
@@ -205,6 +216,16 @@
   httpd_respond_error (request, &error);
 }
 
+static void
+refuse_while_destroying (struct httpd_request *request)
+{
+  struct error error;
+
+  error_set (&error, ERROR_STOPPING, RUN_NOT_RUN,
+             "the host is stopping; retry on another host");
+  httpd_respond_error (request, &error);
+}
+
 /* libmicrohttpd calls this once after the headers, then for each part of the
    body, and then without data until a response is queued.  */
 static enum MHD_Result
@@ -219,7 +240,9 @@
     {
       request->method = xstrdup (method);
       request->path = xstrdup (url);
-      if (httpd->options.handle_headers)
+      if (httpd->destroying)
+        refuse_while_destroying (request);
+      else if (httpd->options.handle_headers)
         httpd->options.handle_headers (httpd->options.data, request);
       if (request->state == HTTPD_RESPONDED)
         return queue_response (request);
@@ -235,7 +258,9 @@
   if (request->state == HTTPD_READING)
     {
       request->state = HTTPD_WAITING;
-      if (request->body_too_large)
+      if (httpd->destroying)
+        refuse_while_destroying (request);
+      else if (request->body_too_large)
         respond_too_large (request);
       else
         httpd->options.handle_request (httpd->options.data, request);
@@ -257,6 +282,12 @@
   if (!request)
     return;
   *request_slot = NULL;
+  if (request->previous)
+    request->previous->next = request->next;
+  else
+    httpd->requests = request->next;
+  if (request->next)
+    request->next->previous = request->previous;
   httpd->open_requests--;
   if (request->handle_disconnect)
     request->handle_disconnect (request);
@@ -405,17 +436,39 @@
   return info ? info->port : httpd->options.port;
 }
 
-/* Closes all connections and frees the server.  Suspended requests must have
-   a response before this call.  */
+/* Responds to the requests that the handler has left open, and aborts open
+   streams.  libmicrohttpd must not be stopped while a request is suspended.
+   */
+static void
+end_open_requests (struct httpd *httpd)
+{
+  struct error error;
+
+  error_set (&error, ERROR_OUTCOME_UNKNOWN, RUN_MAY_HAVE_RUN,
+             "the host stopped while the request was open; check its outcome "
+             "before repeating it");
+  for (struct httpd_request *request = httpd->requests; request;
+       request = request->next)
+    if (request->state == HTTPD_WAITING)
+      httpd_respond_error (request, &error);
+    else if (request->streaming && !request->stream_ended)
+      httpd_stream_abort (request);
+}
+
+/* Closes all connections and frees the server.  Requests that are still open
+   end first; their handle_disconnect is called.  */
 void
 httpd_destroy (struct httpd *httpd)
 {
   if (!httpd)
     return;
+  httpd->destroying = true;
+  end_open_requests (httpd);
+  for (int i = 0; i < FINAL_RUNS; i++)
+    MHD_run (httpd->daemon);
   ev_io_stop (httpd->options.loop, &httpd->epoll_watch);
   ev_timer_stop (httpd->options.loop, &httpd->timer);
   deferred_cancel (&httpd->deferred_run);
-  MHD_run (httpd->daemon);
   MHD_stop_daemon (httpd->daemon);
   free (httpd);
 }
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -52,6 +52,8 @@
 struct httpd_request
 {
   struct httpd *httpd;
+  struct httpd_request *previous; /* in the list of open requests */
+  struct httpd_request *next;
   struct MHD_Connection *connection;
   char *method;
   char *target; /* undecoded request target, with the query */
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -16,6 +16,7 @@
   { "fields", NULL, NULL, NULL, NULL, fields_tests },
   { "history", NULL, NULL, NULL, NULL, history_tests },
   { "holders", NULL, NULL, NULL, NULL, holders_tests },
+  { "httpd", NULL, NULL, NULL, NULL, httpd_tests },
   { "journal", NULL, NULL, NULL, NULL, journal_tests },
   { "leader", NULL, NULL, NULL, NULL, leader_tests },
   { "ledger", NULL, NULL, NULL, NULL, ledger_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -14,6 +14,7 @@
 extern CU_TestInfo fields_tests[];
 extern CU_TestInfo history_tests[];
 extern CU_TestInfo holders_tests[];
+extern CU_TestInfo httpd_tests[];
 extern CU_TestInfo journal_tests[];
 extern CU_TestInfo leader_tests[];
 extern CU_TestInfo ledger_tests[];
--- /dev/null
+++ b/test/unit/test_httpd.c
@@ -0,0 +1,193 @@
+#include "common/httpd.h"
+#include "suites.h"
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  MAX_LOOP_ITERATIONS = 1000,
+  READ_TIMEOUT_S = 5,
+};
+
+static const char request_text[] = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+
+/* A server whose handler leaves its requests open, and one client. */
+struct fixture
+{
+  struct ev_loop *loop;
+  struct httpd *httpd;
+  struct httpd_request *last;
+  int handled;
+  int disconnected;
+  int client;
+};
+
+static void
+handle_disconnect (struct httpd_request *request)
+{
+  ((struct fixture *)request->user)->disconnected++;
+}
+
+static void
+handle_request (void *data, struct httpd_request *request)
+{
+  struct fixture *fixture = data;
+
+  fixture->handled++;
+  fixture->last = request;
+  request->user = fixture;
+  request->handle_disconnect = handle_disconnect;
+}
+
+static void
+setup (struct fixture *fixture)
+{
+  struct httpd_options options = { .address = "127.0.0.1",
+                                   .connection_memory_bytes = 8192,
+                                   .max_body_bytes = 8192,
+                                   .max_connections = 8,
+                                   .handle_request = handle_request,
+                                   .data = fixture };
+  struct timeval timeout = { .tv_sec = READ_TIMEOUT_S };
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct error error;
+
+  memset (fixture, 0, sizeof *fixture);
+  fixture->loop = ev_loop_new (EVFLAG_AUTO);
+  options.loop = fixture->loop;
+  fixture->httpd = httpd_create (&options, &error);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fixture->httpd);
+  address.sin_port = htons (httpd_port (fixture->httpd));
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  fixture->client = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (fixture->client, SOL_SOCKET, SO_RCVTIMEO, &timeout,
+              sizeof timeout);
+  CU_ASSERT_EQUAL_FATAL (
+      connect (fixture->client, (struct sockaddr *)&address, sizeof address),
+      0);
+}
+
+static void
+send_request (const struct fixture *fixture)
+{
+  CU_ASSERT_EQUAL (
+      write (fixture->client, request_text, sizeof request_text - 1),
+      (ssize_t)sizeof request_text - 1);
+}
+
+static void
+run_until_handled (const struct fixture *fixture, int count)
+{
+  for (int i = 0; i < MAX_LOOP_ITERATIONS && fixture->handled < count; i++)
+    ev_run (fixture->loop, EVRUN_ONCE);
+  CU_ASSERT_EQUAL_FATAL (fixture->handled, count);
+}
+
+/* Reads all that the client receives until the server closes.  */
+static void
+read_response (const struct fixture *fixture, char *text, size_t size)
+{
+  size_t len = 0;
+  ssize_t got;
+
+  while (len + 1 < size
+         && (got = read (fixture->client, text + len, size - 1 - len)) > 0)
+    len += (size_t)got;
+  text[len] = '\0';
+}
+
+static void
+teardown (struct fixture *fixture)
+{
+  close (fixture->client);
+  ev_loop_destroy (fixture->loop);
+}
+
+/* The handler has a request without a response when the server is destroyed:
+   the caller gets a response, and the handler learns that the request is
+   over.  */
+static void
+answers_a_waiting_request (void)
+{
+  struct fixture fixture;
+  char text[1024];
+
+  setup (&fixture);
+  send_request (&fixture);
+  run_until_handled (&fixture, 1);
+  httpd_destroy (fixture.httpd);
+  read_response (&fixture, text, sizeof text);
+  CU_ASSERT_EQUAL (strncmp (text, "HTTP/1.1 409", 12), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "may_have_run"));
+  CU_ASSERT_EQUAL (fixture.disconnected, 1);
+  teardown (&fixture);
+}
+
+/* A request that is read only while the server is destroyed does not reach
+   the handler.  */
+static void
+refuses_a_request_that_arrives_last (void)
+{
+  struct fixture fixture;
+  char text[1024];
+
+  setup (&fixture);
+  send_request (&fixture);
+  httpd_destroy (fixture.httpd);
+  read_response (&fixture, text, sizeof text);
+  CU_ASSERT_EQUAL (fixture.handled, 0);
+  CU_ASSERT_TRUE (*text == '\0' || strstr (text, "not_run"));
+  teardown (&fixture);
+}
+
+/* A second request on a kept connection arrives with the server's last turn.
+ */
+static void
+refuses_a_second_request (void)
+{
+  struct fixture fixture;
+  char text[2048];
+
+  setup (&fixture);
+  send_request (&fixture);
+  run_until_handled (&fixture, 1);
+  fixture.last->handle_disconnect = NULL;
+  httpd_respond (fixture.last, 200, "text/plain", "first", 5);
+  send_request (&fixture);
+  httpd_destroy (fixture.httpd);
+  read_response (&fixture, text, sizeof text);
+  CU_ASSERT_EQUAL (fixture.handled, 1);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "first"));
+  teardown (&fixture);
+}
+
+/* A stream that has not ended must not look complete.  */
+static void
+aborts_an_open_stream (void)
+{
+  struct fixture fixture;
+  char text[2048];
+
+  setup (&fixture);
+  send_request (&fixture);
+  run_until_handled (&fixture, 1);
+  httpd_stream_begin (fixture.last, 200, "text/event-stream");
+  httpd_stream_write (fixture.last, "data", 4);
+  for (int i = 0; i < 4; i++)
+    ev_run (fixture.loop, EVRUN_NOWAIT);
+  httpd_destroy (fixture.httpd);
+  read_response (&fixture, text, sizeof text);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "data"));
+  CU_ASSERT_PTR_NULL (strstr (text, "\r\n0\r\n\r\n"));
+  teardown (&fixture);
+}
+
+CU_TestInfo httpd_tests[]
+    = { { "answers a waiting request", answers_a_waiting_request },
+        { "refuses a request that arrives last",
+          refuses_a_request_that_arrives_last },
+        { "refuses a second request", refuses_a_second_request },
+        { "aborts an open stream", aborts_an_open_stream },
+        CU_TEST_INFO_NULL };
