feed: ignore unknown objects that the table has removed since

Cause: an answer of the store that was asked for before another host forwarded later changes could put back an object that these removed, as table_put knew the revisions of known objects only (model/feed.pml, FAULT_PUT_REMOVED).

Change: a table that is loaded ignores an unknown object whose revision is not above the table's. The model's rule was that already; the code now follows it.

Before: the new test finds the removed object again. After: it passes.

--- a/feed/table.c
+++ b/feed/table.c
@@ -119,8 +119,18 @@
   return table->options.kind;
 }
 
+/* Whether the table's content already accounts for an unknown object's
+   REVISION: it has been removed since then.  A table that is still being read
+   has no such content.  */
+static bool
+is_removed_since (const struct table *table, int64_t revision)
+{
+  return table->is_loaded && revision <= table->revision;
+}
+
 /* Stores OBJECT under NAME, adding a reference, unless the table already has
-   this or a later revision of it.  */
+   this or a later revision of it, or has removed it since: a delayed answer of
+   the store may be older than the changes that another host has forwarded.  */
 void
 table_put (struct table *table, const char *name, int64_t revision,
            json_t *object)
@@ -129,7 +139,7 @@
 
   if (entry)
     entry->is_missing = false;
-  if (entry && entry->revision >= revision)
+  if (entry ? entry->revision >= revision : is_removed_since (table, revision))
     return;
   if (!entry)
     {
--- a/test/unit/test_feed.c
+++ b/test/unit/test_feed.c
@@ -343,6 +343,37 @@
   fixture_release (&fixture);
 }
 
+/* An answer of the store that was delayed until another host had forwarded
+   later changes must not put back an object that these removed
+   (FAULT_PUT_REMOVED in model/feed.pml).  */
+static void
+test_delayed_answer_puts_nothing_back (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct table_options options
+      = { .loop = loop, .kind = kind, .handle_commit = handle_commit };
+  struct table *table = table_create (&options);
+  json_t *object = json_object ();
+
+  table_put (table, "kept", 3, object);
+  table_put (table, "removed", 4, object);
+  table_commit (table, 4, clock_now_ms (), true);
+  table_remove (table, "removed", INT64_MAX);
+  table_commit (table, 5, clock_now_ms (), false);
+
+  table_put (table, "removed", 4, object);
+  table_put (table, "kept", 3, object);
+  table_commit (table, 4, clock_now_ms (), true);
+  CU_ASSERT_PTR_NULL (table_find (table, "removed"));
+  CU_ASSERT_PTR_NOT_NULL (table_find (table, "kept"));
+  table_put (table, "removed", 6, object);
+  table_commit (table, 6, clock_now_ms (), false);
+  CU_ASSERT_PTR_NOT_NULL (table_find (table, "removed"));
+  json_decref (object);
+  table_destroy (table);
+  ev_loop_destroy (loop);
+}
+
 CU_TestInfo feed_tests[] = {
   { "one host follows the store", test_one_follows },
   { "the leader is lost", test_leader_is_lost },
@@ -350,5 +381,7 @@
   { "a host catches up after a missed update",
     test_missed_update_is_recovered },
   { "no updates are sent without changes", test_no_updates_without_changes },
+  { "a delayed answer puts nothing back",
+    test_delayed_answer_puts_nothing_back },
   CU_TEST_INFO_NULL,
 };
