store: fetches and deletions wait for space in the job queue

Cause: with 8,192 jobs queued, a fetch was answered at once with no records, and a deletion was dropped. A keeper that starts fetches all of its programs at once, so one with more programs took the rest for empty: their charges were forgotten. A host that serves a fetch then told another one that it has no records, which counts as a complete answer.

Change: they wait in the caller's thread until jobs complete. Appends still fail at once, since their callers try elsewhere.

Before: the new test of 60,000 fetches gets fewer records than fetches.

--- a/store/store.c
+++ b/store/store.c
@@ -87,6 +87,9 @@
   pthread_t thread;
   ck_ring_t ring; /* submitted jobs */
   ck_ring_buffer_t *ring_slots;
+  /* Fetches and deletions that wait for space in the ring; caller's thread
+     only. */
+  GQueue *waiting_jobs;
   sem_t jobs_ready;            /* posted once for each submitted job */
   struct mailbox *completions; /* finished jobs, for the caller's thread */
   GHashTable *index; /* program id to GArray of locations; store thread only */
@@ -445,11 +448,54 @@
   return NULL;
 }
 
+/* Calls the job's handler with its result and frees it.  */
+static void
+finish_job (struct job *job)
+{
+  if (job->kind == JOB_APPEND && job->handle_append)
+    job->handle_append (job->arg, job->durable);
+  if (job->kind == JOB_FETCH && job->handle_fetch)
+    job->handle_fetch (job->arg, job->records, job->record_count);
+  job_destroy (job);
+}
+
+/* Queues a job for the store's thread.  Returns false when the queue is
+   full.  */
+static bool
+submit (struct store *store, struct job *job)
+{
+  handoff_release (job);
+  if (!ck_ring_enqueue_spsc (&store->ring, store->ring_slots, job))
+    return false;
+  sem_post (&store->jobs_ready);
+  return true;
+}
+
+/* Queues a fetch or deletion.  It waits for space if the queue is full, as
+   nobody would repeat it.  */
+static void
+submit_or_wait (struct store *store, struct job *job)
+{
+  if (!g_queue_is_empty (store->waiting_jobs) || !submit (store, job))
+    g_queue_push_tail (store->waiting_jobs, job);
+}
+
+static void
+submit_waiting_jobs (struct store *store)
+{
+  while (!g_queue_is_empty (store->waiting_jobs)
+         && submit (store, g_queue_peek_head (store->waiting_jobs)))
+    g_queue_pop_head (store->waiting_jobs);
+}
+
 static void
 handle_completion (void *data, void *message)
 {
+  struct store *store = data;
   struct job *job = message;
 
+  submit_waiting_jobs (store);
+
   if (job->kind == JOB_APPEND && job->handle_append)
     job->handle_append (job->arg, job->durable);
   if (job->kind == JOB_FETCH && job->handle_fetch)
@@ -662,6 +708,7 @@
   if (store->directory_fd >= 0)
     close (store->directory_fd);
   sem_destroy (&store->jobs_ready);
+  g_queue_free (store->waiting_jobs);
   free (store->ring_slots);
   free (store->directory);
   free (store);
@@ -682,6 +729,7 @@
   store->directory_fd = -1;
   store->ring_slots = xcalloc (RING_SLOTS, sizeof *store->ring_slots);
   ck_ring_init (&store->ring, RING_SLOTS);
+  store->waiting_jobs = g_queue_new ();
   sem_init (&store->jobs_ready, 0, 0);
   store->index = g_hash_table_new_full (g_str_hash, g_str_equal, free,
                                         locations_destroy);
@@ -706,20 +754,9 @@
   return store;
 }
 
-/* Queues a job for the store's thread.  Returns false when the queue is
-   full.  */
-static bool
-submit (struct store *store, struct job *job)
-{
-  handoff_release (job);
-  if (!ck_ring_enqueue_spsc (&store->ring, store->ring_slots, job))
-    return false;
-  sem_post (&store->jobs_ready);
-  return true;
-}
-
-/* Finishes the submitted jobs, runs their callbacks and frees the log.  STORE
-   may be NULL.  */
+/* Finishes the submitted jobs, runs their callbacks and frees the log.  Jobs
+   that still wait for space are dropped; a fetch among them gets no records.
+   STORE may be NULL.  */
 void
 store_destroy (struct store *store)
 {
@@ -732,6 +769,8 @@
   while (!submit (store, job))
     usleep (1000);
   pthread_join (store->thread, NULL);
+  while ((job = g_queue_pop_head (store->waiting_jobs)))
+    finish_job (job);
   mailbox_drain (store->completions, handle_completion, store);
   store_free (store);
 }
@@ -760,15 +799,14 @@
   job->arg = data_arg;
   if (!g_hash_table_contains (store->programs, program))
     g_hash_table_add (store->programs, xstrdup (program));
-  if (submit (store, job))
+  if (g_queue_is_empty (store->waiting_jobs) && submit (store, job))
     return;
   job_destroy (job);
   handle (data_arg, false);
 }
 
-/* Reads all records of a program, oldest first, without the damaged ones. When
-   the job queue is full, HANDLE is called with no records before the function
-   returns.  */
+/* Reads all records of a program, oldest first, without the damaged ones.
+   HANDLE is called after the function has returned.  */
 void
 store_fetch (struct store *store, const char *program,
              store_fetch_handler *handle, void *data_arg)
@@ -777,22 +815,17 @@
 
   job->handle_fetch = handle;
   job->arg = data_arg;
-  if (submit (store, job))
-    return;
-  job_destroy (job);
-  handle (data_arg, NULL, 0);
+  submit_or_wait (store, job);
 }
 
-/* Deletes the records of a program.  They remain on disk when the job queue is
-   full.  */
+/* Deletes the records of a program.  */
 void
 store_delete (struct store *store, const char *program)
 {
   struct job *job = job_create (JOB_DELETE, program);
 
   g_hash_table_remove (store->programs, program);
-  if (!submit (store, job))
-    job_destroy (job);
+  submit_or_wait (store, job);
 }
 
 /* Calls HANDLE for each program that has records, including those whose first
--- a/test/unit/test_store.c
+++ b/test/unit/test_store.c
@@ -20,7 +20,8 @@
   struct store *store;
   int durable_count; /* durable appends; far below 0 after a failed one */
   size_t fetched;    /* number of fetched records plus 1; 0 while pending */
-  char last[64];     /* the last fetched record */
+  size_t fetched_records; /* by all fetches */
+  char last[64];          /* the last fetched record */
 };
 
 static void
@@ -228,6 +229,38 @@
   stop (&fixture);
 }
 
+static void
+count_fetched (void *data, const struct buf *records, size_t count)
+{
+  struct fixture *fixture = data;
+
+  fixture->fetched++;
+  fixture->fetched_records += count;
+}
+
+/* A keeper that starts reads all of its programs at once.  None may look empty
+   because the job queue is full.  */
+static void
+test_more_fetches_than_the_queue_holds (void)
+{
+  enum
+  {
+    FETCHES = 60000,
+  };
+  struct fixture fixture;
+
+  start (&fixture);
+  append (&fixture, "p", "one");
+  fixture.fetched = 0;
+  for (int i = 0; i < FETCHES; i++)
+    store_fetch (fixture.store, "p", count_fetched, &fixture);
+  for (int i = 0; i < FETCHES && fixture.fetched < FETCHES; i++)
+    ev_run (fixture.loop, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (fixture.fetched, FETCHES);
+  CU_ASSERT_EQUAL (fixture.fetched_records, FETCHES);
+  stop (&fixture);
+}
+
 CU_TestInfo store_tests[]
     = { { "records survive reopening the log", test_records_survive_reopen },
         { "a duplicate record is stored once",
@@ -239,4 +272,6 @@
         { "segments without live records are removed",
           test_segments_without_live_records_are_removed },
         { "a directory is locked by its user", test_directory_is_locked },
+        { "more fetches than the queue holds",
+          test_more_fetches_than_the_queue_holds },
         CU_TEST_INFO_NULL };
