--- a/request/limits.c
+++ b/request/limits.c
@@ -759,8 +759,7 @@
     make_loan (rate_limit, request, is_local_host (limits, host), &loan);
   if (rate_limit)
     loan.wait_ms = share_wait_ms (rate_limit, request->begin_tokens > 0);
-  if (loan.tokens + loan.begin_tokens > 0)
-    counter_add (COUNTER_TOKEN_GRANTS, 1);
+  counter_add (COUNTER_TOKEN_GRANTS, loan.tokens + loan.begin_tokens);
   frame.body_case = PEER__FRAME__BODY_LIMIT_LOAN;
   frame.limit_loan = &loan;
   mesh_send (limits->options.mesh, host, &frame);
