mesh, reach: messages that do not grow with the fleet

Cause: each frame to a host that had no ping pending brought a ping and a pong, each open link was pinged twice a second, and a silent data centre was probed at three hosts in turn, so that a host came to hold links to all others. On the large deployment (295 hosts) a host handled 270 to 760 messages a second. Peers were found by a walk over a list, and the monitor of data centres walked over all hosts 20 times a second: both grew with the square of the fleet.

Ruled out: fewer pings by a longer interval, as it delays the detection.

Change: on the platform, a host is pinged only if it was sent something and has not been heard since; each frame from it counts as an answer. The own interface keeps its pings, which carry the status. A data centre is probed at one host, drawn at random and kept while it answers, at three others once it does not. Peers are hashed by name; a message reaches its data centre's detector at once.

--- a/include/peer/mesh.h
+++ b/include/peer/mesh.h
@@ -38,6 +38,10 @@
   const char *listen_address;
   uint16_t listen_port;
   const struct keyring *keyring; /* must outlive the mesh */
+  /* Pings only hosts that have been sent a frame and have not been heard
+     since.  Otherwise, all open links are pinged, which also carries the
+     status of mesh_set_status. */
+  bool has_sparse_pings;
   mesh_frame_handler *handle_frame;
   mesh_down_handler *handle_down;
   void *data;
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -5,6 +5,7 @@
 #include "common/log.h"
 #include "peer/link.h"
 #include <errno.h>
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -13,6 +14,7 @@
 enum
 {
   PING_MS = 500,
+  UNHEARD_MS = 100,  /* an answer to a frame takes a few milliseconds */
   SUSPECT_MS = 1500, /* without a pong, until a host is suspect */
   /* Wait before reconnecting after a failed connection. */
   RECONNECT_DELAY_MS = 3000,
@@ -29,8 +31,10 @@
   char *address;
   struct link *link;  /* outbound; owned by this peer */
   struct buf pending; /* length-prefixed frames queued until the link opens */
-  uint64_t ping_sequence;   /* of the last ping sent */
-  int64_t ping_sent_ms;     /* of the oldest unanswered ping; 0 for none */
+  uint64_t ping_sequence; /* of the last ping sent */
+  int64_t ping_sent_ms;   /* of the oldest unanswered ping; 0 for none */
+  /* When the first frame was sent since one was received; 0 for none. */
+  int64_t unheard_since_ms;
   int64_t last_used_ms;     /* when mesh_send or mesh_ping last sent a frame */
   int64_t last_received_ms; /* when the last frame arrived; 0 for never */
   uint32_t link_refs;       /* requests in progress that keep the link open */
@@ -50,6 +54,7 @@
   ev_io accept_watcher;
   ev_timer ping_timer;
   struct peer *peers;
+  GHashTable *peers_by_name; /* name -> struct peer */
   struct link *inbound; /* linked list of accepted links; owned by the mesh */
   char *own_address;
   uint64_t config_revision;
@@ -59,10 +64,7 @@
 static struct peer *
 find_peer (const struct mesh *mesh, const char *name)
 {
-  for (struct peer *peer = mesh->peers; peer; peer = peer->next)
-    if (strcmp (peer->name, name) == 0)
-      return peer;
-  return NULL;
+  return g_hash_table_lookup (mesh->peers_by_name, name);
 }
 
 /* Sends FRAME, or queues it until the link opens.  Drops it when the queue is
@@ -117,6 +119,7 @@
   link_destroy (peer->link);
   peer->link = NULL;
   peer->ping_sent_ms = 0;
+  peer->unheard_since_ms = 0;
   buf_release (&peer->pending);
 }
 
@@ -231,6 +234,7 @@
   peer->name = xstrdup (name);
   peer->next = mesh->peers;
   mesh->peers = peer;
+  g_hash_table_insert (mesh->peers_by_name, peer->name, peer);
   return peer;
 }
 
@@ -263,6 +267,18 @@
     shutdown (link->fd, SHUT_RDWR);
 }
 
+/* Records that a frame from PEER arrived.  Where pings are sparse, each one
+   shows that it answers.  */
+static void
+record_received (struct peer *peer)
+{
+  peer->last_received_ms = clock_now_ms ();
+  if (!peer->mesh->options.has_sparse_pings)
+    return;
+  peer->unheard_since_ms = 0;
+  mark_answering (peer);
+}
+
 static void
 handle_inbound_frame (void *data, struct link *link, const Peer__Frame *frame)
 {
@@ -272,7 +288,7 @@
   if (peer && peer->blocked)
     return;
   if (peer)
-    peer->last_received_ms = clock_now_ms ();
+    record_received (peer);
   if (peer && frame->body_case == PEER__FRAME__BODY_PING)
     {
       peer->leaving = frame->ping->leaving;
@@ -315,6 +331,13 @@
   mesh->inbound = link;
 }
 
+static bool
+is_unheard (const struct peer *peer, int64_t now_ms)
+{
+  return peer->unheard_since_ms
+         && now_ms - peer->unheard_since_ms >= UNHEARD_MS;
+}
+
 /* Reconnects to PEER, pings it, marks it as suspect or closes its idle link,
    as its state requires.  */
 static void
@@ -330,7 +353,8 @@
   if (!peer->suspect && peer->link_refs == 0
       && now_ms - peer->last_used_ms > LINK_IDLE_MS)
     close_link (peer);
-  else
+  else if (!peer->mesh->options.has_sparse_pings || peer->ping_sent_ms
+           || is_unheard (peer, now_ms))
     send_ping (peer);
 }
 
@@ -379,11 +403,13 @@
   struct mesh *mesh = xcalloc (1, sizeof *mesh);
 
   mesh->options = *options;
+  mesh->peers_by_name = g_hash_table_new (g_str_hash, g_str_equal);
   mesh->own_address
       = xasprintf ("%s:%u", options->listen_address, options->listen_port);
   mesh->listener = listen_on (options, error);
   if (mesh->listener < 0)
     {
+      g_hash_table_destroy (mesh->peers_by_name);
       free (mesh->own_address);
       free (mesh);
       return NULL;
@@ -432,6 +458,7 @@
       mesh->peers = peer->next;
       peer_destroy (peer);
     }
+  g_hash_table_destroy (mesh->peers_by_name);
   free (mesh->own_address);
   free (mesh);
 }
@@ -480,7 +507,9 @@
   if (!open_link (peer))
     return false;
   peer->last_used_ms = clock_now_ms ();
-  if (!peer->ping_sent_ms)
+  if (!peer->unheard_since_ms)
+    peer->unheard_since_ms = peer->last_used_ms;
+  if (!mesh->options.has_sparse_pings && !peer->ping_sent_ms)
     send_ping (peer);
   send_frame (peer, frame);
   return true;
--- a/request/reachability.c
+++ b/request/reachability.c
@@ -4,6 +4,7 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "policy/failure_detector.h"
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,7 +18,7 @@
 {
   char *name;
   struct strings hosts; /* names */
-  size_t next;          /* index of the host to probe first */
+  size_t probed;        /* index of the host that was probed last */
   struct failure_detector detector;
   bool reported_unreachable;
 };
@@ -27,6 +28,7 @@
   struct reachability_options options;
   struct data_centre *data_centres;
   size_t count;
+  GHashTable *centre_of_host; /* name -> index of its data centre, plus 1 */
 };
 
 /* Creates a reachability monitor that knows no hosts yet.  */
@@ -36,6 +38,7 @@
   struct reachability *reach = xcalloc (1, sizeof *reach);
 
   reach->options = *options;
+  reach->centre_of_host = g_hash_table_new (g_str_hash, g_str_equal);
   return reach;
 }
 
@@ -45,6 +48,7 @@
 {
   if (!reach)
     return;
+  g_hash_table_destroy (reach->centre_of_host);
   for (size_t i = 0; i < reach->count; i++)
     {
       strings_release (&reach->data_centres[i].hosts);
@@ -54,20 +58,22 @@
   free (reach);
 }
 
-static struct data_centre *
+/* Returns the index of a data centre.  */
+static size_t
 find_or_add_centre (struct reachability *reach, const char *name)
 {
   struct data_centre *centre;
 
   for (size_t i = 0; i < reach->count; i++)
     if (strcmp (reach->data_centres[i].name, name) == 0)
-      return &reach->data_centres[i];
+      return i;
   reach->data_centres = xrealloc (
       reach->data_centres, (reach->count + 1) * sizeof *reach->data_centres);
   centre = &reach->data_centres[reach->count++];
-  *centre = (struct data_centre){ .name = xstrdup (name) };
+  *centre = (struct data_centre){ .name = xstrdup (name),
+                                  .probed = (size_t)id_random64 () };
   failure_detector_init (&centre->detector, clock_now_ms ());
-  return centre;
+  return reach->count - 1;
 }
 
 /* Sets the list of all hosts.  This host is ignored if listed.  */
@@ -75,30 +81,57 @@
 reachability_set_hosts (struct reachability *reach,
                         const struct host_location *hosts, size_t count)
 {
+  g_hash_table_remove_all (reach->centre_of_host);
   for (size_t i = 0; i < reach->count; i++)
     strings_release (&reach->data_centres[i].hosts);
   for (size_t i = 0; i < count; i++)
     {
+      size_t index;
+
       if (strcmp (hosts[i].name, reach->options.host) == 0)
         continue;
-      strings_add (&find_or_add_centre (reach, hosts[i].data_centre)->hosts,
-                   hosts[i].name);
+      index = find_or_add_centre (reach, hosts[i].data_centre);
+      strings_add (&reach->data_centres[index].hosts, hosts[i].name);
     }
+  for (size_t i = 0; i < reach->count; i++)
+    for (size_t k = 0; k < reach->data_centres[i].hosts.count; k++)
+      g_hash_table_insert (reach->centre_of_host,
+                           reach->data_centres[i].hosts.items[k],
+                           GSIZE_TO_POINTER (i + 1));
+}
+
+/* Records that a message from HOST arrived at NOW_MS.  Hosts that are not on
+   the list are ignored.  */
+void
+reachability_record_heard (struct reachability *reach, const char *host,
+                           int64_t now_ms)
+{
+  size_t index
+      = GPOINTER_TO_SIZE (g_hash_table_lookup (reach->centre_of_host, host));
+
+  if (index > 0)
+    failure_detector_record_heard (&reach->data_centres[index - 1].detector,
+                                   now_ms);
 }
 
+/* Probes a silent data centre: the host that answered last, and others once it
+   does not.  The first one is drawn at random, so that the hosts of a fleet
+   spread their probes, and then kept, so that few links are open.  */
 static void
 tick_centre (struct reachability *reach, struct data_centre *centre,
              int64_t now_ms)
 {
-  for (size_t i = 0; i < centre->hosts.count; i++)
-    failure_detector_record_heard (
-        &centre->detector,
-        mesh_last_received_ms (reach->options.mesh, centre->hosts.items[i]));
+  bool was_answered = centre->detector.unanswered_since_ms == 0;
+  size_t probes = was_answered ? 1 : MAX_PROBED_HOSTS;
+
   if (!failure_detector_tick (&centre->detector, now_ms))
     return;
-  for (size_t i = 0; i < centre->hosts.count && i < MAX_PROBED_HOSTS; i++)
-    mesh_ping (reach->options.mesh,
-               centre->hosts.items[centre->next++ % centre->hosts.count]);
+  for (size_t i = 0; i < centre->hosts.count && i < probes; i++)
+    {
+      centre->probed += !was_answered;
+      mesh_ping (reach->options.mesh,
+                 centre->hosts.items[centre->probed % centre->hosts.count]);
+    }
 }
 
 /* Whether this host is itself disconnected: the other hosts of its own data
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -26,6 +26,7 @@
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
   { "owner", NULL, NULL, NULL, NULL, owner_tests },
   { "place", NULL, NULL, NULL, NULL, place_tests },
+  { "reachability", NULL, NULL, NULL, NULL, reachability_tests },
   { "request", NULL, NULL, NULL, NULL, request_tests },
   { "retry", NULL, NULL, NULL, NULL, retry_tests },
   { "route", NULL, NULL, NULL, NULL, route_tests },
--- a/test/unit/test_mesh.c
+++ b/test/unit/test_mesh.c
@@ -16,16 +16,33 @@
   char from[32];  /* sender of the last limit ask */
   uint64_t nonce; /* of the last limit ask */
   int frames;     /* limit asks received */
+  int pings;      /* received */
+  bool answers;   /* each limit ask with another one */
   int down_events;
 };
 
+static bool
+send_nonce (struct node *node, const char *host, uint64_t nonce)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LimitAsk ask = PEER__LIMIT_ASK__INIT;
+
+  ask.nonce = nonce;
+  frame.body_case = PEER__FRAME__BODY_LIMIT_ASK;
+  frame.limit_ask = &ask;
+  return mesh_send (node->mesh, host, &frame);
+}
+
 static void
 handle_frame (void *data, const char *host, const Peer__Frame *frame)
 {
   struct node *node = data;
 
+  node->pings += frame->body_case == PEER__FRAME__BODY_PING;
   if (frame->body_case != PEER__FRAME__BODY_LIMIT_ASK)
     return;
+  if (node->answers)
+    send_nonce (node, host, frame->limit_ask->nonce);
   node->frames++;
   node->nonce = frame->limit_ask->nonce;
   strncpy (node->from, host, sizeof node->from - 1);
@@ -38,8 +55,8 @@
 }
 
 static void
-open_node (struct node *node, struct ev_loop *loop, const char *name,
-           uint16_t port, uint8_t key)
+open_node_with (struct node *node, struct ev_loop *loop, const char *name,
+                uint16_t port, uint8_t key, bool has_sparse_pings)
 {
   struct mesh_host hosts[]
       = { { "a", "127.0.0.1:23901" }, { "b", "127.0.0.1:23902" } };
@@ -50,6 +67,7 @@
                                   .listen_address = "127.0.0.1",
                                   .listen_port = port,
                                   .keyring = &node->keyring,
+                                  .has_sparse_pings = has_sparse_pings,
                                   .handle_frame = handle_frame,
                                   .handle_down = handle_down,
                                   .data = node };
@@ -64,16 +82,11 @@
   mesh_set_hosts (node->mesh, hosts, 2);
 }
 
-static bool
-send_nonce (struct node *node, const char *host, uint64_t nonce)
+static void
+open_node (struct node *node, struct ev_loop *loop, const char *name,
+           uint16_t port, uint8_t key)
 {
-  Peer__Frame frame = PEER__FRAME__INIT;
-  Peer__LimitAsk ask = PEER__LIMIT_ASK__INIT;
-
-  ask.nonce = nonce;
-  frame.body_case = PEER__FRAME__BODY_LIMIT_ASK;
-  frame.limit_ask = &ask;
-  return mesh_send (node->mesh, host, &frame);
+  open_node_with (node, loop, name, port, key, false);
 }
 
 static void
@@ -140,10 +153,61 @@
   ev_loop_destroy (loop);
 }
 
+static void
+run_for (struct ev_loop *loop, double duration_s)
+{
+  ev_tstamp until = ev_time () + duration_s;
+
+  while (ev_time () < until)
+    {
+      ev_sleep (0.002);
+      ev_run (loop, EVRUN_NOWAIT);
+    }
+}
+
+/* A host whose frames are answered, or to which nothing is sent, costs no
+   pings; one that does not answer is pinged and becomes suspect.  */
+static void
+test_sparse_pings (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct node a;
+  struct node b;
+
+  open_node_with (&a, loop, "a", 23901, 7, true);
+  open_node_with (&b, loop, "b", 23902, 7, true);
+  b.answers = true;
+  for (uint64_t i = 1; i <= 60; i++)
+    {
+      send_nonce (&a, "b", i);
+      run_for (loop, 0.02);
+    }
+  CU_ASSERT_EQUAL (a.frames, 60);
+  CU_ASSERT_EQUAL (b.pings, 0);
+  run_for (loop, 0.7);
+  CU_ASSERT_EQUAL (b.pings, 0);
+  b.answers = false;
+  send_nonce (&a, "b", 100);
+  run_for (loop, 0.8);
+  CU_ASSERT_EQUAL (b.pings, 1);
+  CU_ASSERT_FALSE (mesh_is_suspect (a.mesh, "b"));
+  mesh_block (b.mesh, "a", true);
+  for (int i = 0; i < 200 && a.down_events == 0; i++)
+    {
+      send_nonce (&a, "b", 200);
+      run_for (loop, 0.02);
+    }
+  CU_ASSERT_EQUAL (a.down_events, 1);
+  mesh_destroy (a.mesh);
+  mesh_destroy (b.mesh);
+  ev_loop_destroy (loop);
+}
+
 CU_TestInfo mesh_tests[]
     = { { "frames arrive in order", test_frames_arrive_in_order },
         { "a host with another fleet key is rejected",
           test_wrong_fleet_key_is_rejected },
         { "no frames are sent to a blocked host",
           test_blocked_host_gets_no_frames },
+        { "only unheard hosts are pinged", test_sparse_pings },
         CU_TEST_INFO_NULL };
