ledger: store each program on few keepers, found by hashing

Cause: a turn sent its charge to all keepers, which answer one by one, and settled it with all of them: on the large deployment 36 keepers handled some 1,800 messages a second each, and each entry host kept 36 links busy. Each keeper also pinged all 259 entry hosts every second.

Ruled out: fixed groups of keepers, as nobody assigns a newcomer to one; an odd number of replicas, as majorities of two selections that differ in one keeper may then have none in common (model/replicas.pml, FAULT_ODD_REPLICAS).

Change: a program is stored by 2f + 2 keepers, f being the losses to be borne at once, spread over the data centres (policy/replicas.c); a majority of these decides. Lists that differ in one keeper give selections whose majorities still meet, so a dead keeper is removed without a full synchronisation, but only once the change before has settled. A keeper reads, hands over and calls itself behind for the programs that it shares with another. Fleets of up to 2f + 2 keepers work as before. An entry host is watched by three keepers.

--- a/include/ledger/ledger.h
+++ b/include/ledger/ledger.h
@@ -4,6 +4,7 @@
 #define GALENA_LEDGER_LEDGER_H
 
 #include "common/fields.h"
+#include "peer/host.h"
 #include "peer/mesh.h"
 #include "policy/charges.h"
 #include <ev.h>
@@ -16,6 +17,7 @@
 {
   struct ev_loop *loop;
   struct mesh *mesh;
+  uint32_t losses;      /* of keepers, that the ledger survives */
   int64_t retention_ms; /* programs unused for longer are dropped from this
                            host's memory; the keepers still hold them */
 };
@@ -27,7 +29,8 @@
 
 struct ledger *ledger_create (const struct ledger_options *options);
 void ledger_destroy (struct ledger *ledger);
-void ledger_set_keepers (struct ledger *ledger, const struct strings *names);
+void ledger_set_keepers (struct ledger *ledger,
+                         const struct host_location *locations, size_t count);
 void ledger_set_relays (struct ledger *ledger, const struct strings *names);
 bool ledger_has_turns (const struct ledger *ledger, uint64_t program);
 struct ledger_reservation *
--- a/include/request/host.h
+++ b/include/peer/host.h
@@ -1,6 +1,6 @@
-/* Name and location of a host, as used by the request path. */
-#ifndef GALENA_REQUEST_HOST_H
-#define GALENA_REQUEST_HOST_H
+/* Name and location of a host, as in the host list. */
+#ifndef GALENA_PEER_HOST_H
+#define GALENA_PEER_HOST_H
 
 /* The strings are borrowed from the caller. */
 struct host_location
--- a/include/request/limits.h
+++ b/include/request/limits.h
@@ -8,8 +8,8 @@
 #ifndef GALENA_REQUEST_LIMITS_H
 #define GALENA_REQUEST_LIMITS_H
 
+#include "peer/host.h"
 #include "peer/mesh.h"
-#include "request/host.h"
 #include "request/routing.h"
 #include <ev.h>
 
--- a/include/request/reachability.h
+++ b/include/request/reachability.h
@@ -3,8 +3,8 @@
 #ifndef GALENA_REQUEST_REACHABILITY_H
 #define GALENA_REQUEST_REACHABILITY_H
 
+#include "peer/host.h"
 #include "peer/mesh.h"
-#include "request/host.h"
 #include <stdbool.h>
 #include <stdint.h>
 
--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -2,6 +2,7 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "ledger/item.h"
+#include "ledger/keeper_set.h"
 #include "policy/charges.h"
 #include <glib.h>
 #include <inttypes.h>
@@ -29,7 +30,11 @@
      keeper_may_coordinate. */
   ACT_INTERVAL_MS = 2000,
   EXPIRE_INTERVAL_MS = 5000, /* between scans for expired accounts */
-  MAX_RECORD_BYTES = 64,     /* upper bound of a packed item */
+  /* Time in which keepers read, after a change of the list, what they have
+     become a replica of.  The next change must come after it. */
+  SETTLE_MS = 4000,
+  WATCHERS = 3,          /* keepers that watch an entry host */
+  MAX_RECORD_BYTES = 64, /* upper bound of a packed item */
   PROGRAM_TEXT_BYTES = 17,
   /* Key of the marker record, see write_marker.  No program id hashes to 1 in
      practice. */
@@ -42,6 +47,8 @@
   uint64_t program;
   struct charges charges;
   int64_t last_used_ms;
+  struct keeper_replicas replicas;
+  uint64_t replicas_generation; /* of the list that they are selected from */
 };
 
 /* State of another keeper.  Owned by this keeper. */
@@ -66,6 +73,11 @@
   GTree *accounts; /* program -> struct account, sorted */
   struct remote_keeper *remotes;
   size_t remote_count;
+  /* The keepers on the list.  This host follows the others, which have the
+     indexes of their entries in remotes. */
+  struct keeper_set set;
+  uint64_t generation; /* of the list; grows with each change */
+  int64_t list_changed_ms;
   bool is_complete;          /* see keeper_is_complete */
   bool is_disk_lost;         /* the store had no marker on a restart */
   uint32_t programs_loading; /* programs not yet read from the store */
@@ -120,6 +132,19 @@
   return account;
 }
 
+/* Returns the keepers that store ACCOUNT.  Without others on the list, this
+   host does.  */
+static const struct keeper_replicas *
+account_replicas (const struct keeper *keeper, struct account *account)
+{
+  if (account->replicas_generation != keeper->generation)
+    {
+      account->replicas = keeper_set_replicas (&keeper->set, account->program);
+      account->replicas_generation = keeper->generation;
+    }
+  return &account->replicas;
+}
+
 static void
 format_program (uint64_t program, char out[PROGRAM_TEXT_BYTES])
 {
@@ -165,13 +190,22 @@
                      &account->charges.entries[i]);
 }
 
-/* Returns whether another keeper may hold charges that this one lacks.  */
+/* Returns whether another keeper of ACCOUNT may hold charges that this one
+   lacks.  */
 static bool
-is_behind (const struct keeper *keeper)
+is_behind (const struct keeper *keeper, struct account *account)
 {
-  for (size_t i = 0; i < keeper->remote_count; i++)
-    if (keeper->remotes[i].is_silent || !keeper->remotes[i].is_read)
-      return true;
+  const struct keeper_replicas *replicas = account_replicas (keeper, account);
+
+  for (uint32_t i = 0; i < replicas->count; i++)
+    {
+      uint32_t index = replicas->keepers[i];
+
+      if (index < keeper->remote_count
+          && (keeper->remotes[index].is_silent
+              || !keeper->remotes[index].is_read))
+        return true;
+    }
   return false;
 }
 
@@ -192,7 +226,7 @@
   answer.id = id;
   answer.entries = list;
   answer.n_entries = count;
-  answer.behind = is_behind (keeper);
+  answer.behind = is_behind (keeper, account);
   answers.answers = &only;
   answers.n_answers = 1;
   frame.body_case = PEER__FRAME__BODY_LEDGER_ANSWERS;
@@ -252,9 +286,32 @@
   append_item (keeper, item, handle_answered_item_stored, pending);
 }
 
+/* Returns the index of the keeper NAME, or -1 if it is not on the list.  */
+static int32_t
+find_remote_index (const struct keeper *keeper, const char *name)
+{
+  for (size_t i = 0; i < keeper->remote_count; i++)
+    if (strcmp (keeper->remotes[i].name, name) == 0)
+      return (int32_t)i;
+  return -1;
+}
+
+static struct remote_keeper *
+find_remote (struct keeper *keeper, const char *name)
+{
+  int32_t index = find_remote_index (keeper, name);
+
+  return index >= 0 ? &keeper->remotes[index] : NULL;
+}
+
 /* A part of the ledger, in the order of the programs. */
 struct page
 {
+  const struct keeper *keeper;
+  /* Only accounts that this remote keeper stores, or will store without this
+     host if IS_HAND_OVER; all if negative. */
+  int32_t recipient;
+  bool is_hand_over;
   Peer__LedgerItem *items;
   size_t count;
   uint64_t after; /* the page starts after this program; 0: at the first */
@@ -262,13 +319,32 @@
   bool has_more;  /* another page follows */
 };
 
+/* Whether the recipient of PAGE stores ACCOUNT.  */
+static bool
+is_for_recipient (const struct page *page, struct account *account)
+{
+  const struct keeper *keeper = page->keeper;
+  struct keeper_set others = keeper->set;
+  struct keeper_replicas replicas;
+
+  if (page->recipient < 0 || account->program == MARKER_PROGRAM)
+    return page->recipient < 0;
+  if (!page->is_hand_over)
+    return keeper_replicas_contain (account_replicas (keeper, account),
+                                    (uint32_t)page->recipient);
+  others.count = (uint32_t)keeper->remote_count;
+  replicas = keeper_set_replicas (&others, account->program);
+  return keeper_replicas_contain (&replicas, (uint32_t)page->recipient);
+}
+
 static gboolean
 add_to_page (gpointer key, gpointer value, gpointer data)
 {
-  const struct account *account = value;
+  struct account *account = value;
   struct page *page = data;
 
-  if (account->program <= page->after && page->after > 0)
+  if ((account->program <= page->after && page->after > 0)
+      || !is_for_recipient (page, account))
     return FALSE;
   if (page->count + account->charges.count > PAGE_ITEMS && page->count > 0)
     {
@@ -289,7 +365,10 @@
 static void
 send_page (struct keeper *keeper, const char *host, uint64_t after)
 {
-  struct page page = { .after = after, .next = after };
+  struct page page = { .keeper = keeper,
+                       .recipient = find_remote_index (keeper, host),
+                       .after = after,
+                       .next = after };
   Peer__LedgerItem **list;
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LedgerPage answer = PEER__LEDGER_PAGE__INIT;
@@ -310,15 +389,6 @@
   free (page.items);
 }
 
-static struct remote_keeper *
-find_remote (struct keeper *keeper, const char *name)
-{
-  for (size_t i = 0; i < keeper->remote_count; i++)
-    if (strcmp (keeper->remotes[i].name, name) == 0)
-      return &keeper->remotes[i];
-  return NULL;
-}
-
 /* Writes the marker record, which tells after a restart that the disk has not
    been lost: it is written once the disk holds every charge acknowledged so
    far.  */
@@ -333,13 +403,16 @@
   append_item (keeper, &marker, handle_unanswered_item_stored, NULL);
 }
 
-/* Marks a lost ledger as complete once it has been read from a read quorum of
-   complete keepers: each acknowledged charge is held by at least one of them.
-   If every other keeper has been read, nothing more can be recovered, so the
-   ledger is complete as well.  */
+/* Marks a lost ledger as complete once it has been read from so many complete
+   keepers that a read quorum of each program's is among them: each
+   acknowledged charge is held by at least one of them.  If every other keeper
+   has been read, nothing more can be recovered, so the ledger is complete as
+   well.  */
 static void
 check_complete (struct keeper *keeper)
 {
+  uint32_t replicas = MIN (keeper->set.wanted, keeper->set.count);
+  uint32_t unread_max; /* of the other keepers of a program */
   uint32_t complete = 0;
   uint32_t read = 0;
 
@@ -350,7 +423,8 @@
     }
   if (keeper->is_complete || !keeper->is_disk_lost || read == 0)
     return;
-  if (complete < charges_read_quorum ((uint32_t)keeper->remote_count + 1)
+  unread_max = replicas - 1 - charges_read_quorum (replicas);
+  if (complete + unread_max < keeper->remote_count
       && read < keeper->remote_count)
     return;
   keeper->is_complete = true;
@@ -503,33 +577,62 @@
   if (!keeper)
     return;
   release_remotes (keeper->remotes, keeper->remote_count);
+  keeper_set_release (&keeper->set);
   free (keeper->removing);
   g_tree_destroy (keeper->accounts);
   free (keeper);
 }
 
-/* Sets the list of other keepers.  State of keepers that are on the old list
-   as well is kept.  */
-void
-keeper_set_others (struct keeper *keeper, const struct strings *names)
+/* Copies the state of the keepers that stay on the list.  Where a program is
+   stored by some keepers only, all are to be read again, as this host may have
+   become one of its keepers.  */
+static void
+carry_remotes_over (struct keeper *keeper, struct remote_keeper *remotes)
 {
-  struct remote_keeper *remotes = xcalloc (names->count + 1, sizeof *remotes);
-  struct remote_keeper *old = keeper->remotes;
-  size_t old_count = keeper->remote_count;
+  bool is_selective = keeper->set.count > keeper->set.wanted;
 
-  for (size_t i = 0; i < names->count; i++)
+  for (size_t i = 0; i + 1 < keeper->set.count; i++)
     {
       const struct remote_keeper *known
-          = find_remote (keeper, names->items[i]);
+          = find_remote (keeper, keeper->set.names[i]);
 
       if (known)
         remotes[i] = *known;
-      remotes[i].name = xstrdup (names->items[i]);
+      remotes[i].name = xstrdup (keeper->set.names[i]);
+      if (!is_selective)
+        continue;
+      remotes[i].is_read = false;
+      remotes[i].page_after = 0;
+      remotes[i].last_request_ms = 0;
     }
-  keeper->remotes = remotes;
-  keeper->remote_count = names->count;
-  release_remotes (old, old_count);
-  check_complete (keeper);
+}
+
+/* Sets the list of other keepers.  */
+void
+keeper_set_others (struct keeper *keeper, const struct host_location *others,
+                   size_t count)
+{
+  struct host_location *all = xcalloc (count + 1, sizeof *all);
+  struct remote_keeper *remotes = xcalloc (count + 1, sizeof *remotes);
+
+  for (size_t i = 0; i < count; i++)
+    all[i] = others[i];
+  all[count]
+      = (struct host_location){ .name = keeper->options.host,
+                                .data_centre = keeper->options.data_centre };
+  if (keeper_set_assign (&keeper->set, all, count + 1, keeper->options.losses))
+    {
+      carry_remotes_over (keeper, remotes);
+      release_remotes (keeper->remotes, keeper->remote_count);
+      keeper->remotes = remotes;
+      keeper->remote_count = count;
+      keeper->generation++;
+      keeper->list_changed_ms = clock_now_ms ();
+      check_complete (keeper);
+    }
+  else
+    free (remotes);
+  free (all);
 }
 
 static void
@@ -602,10 +705,14 @@
   return keeper->is_complete;
 }
 
+/* Sends REMOTE all accounts that it stores once this host is not on the list.
+ */
 static void
 send_whole_ledger (struct keeper *keeper, struct remote_keeper *remote)
 {
-  struct page page = { 0 };
+  struct page page = { .keeper = keeper,
+                       .recipient = find_remote_index (keeper, remote->name),
+                       .is_hand_over = true };
   Peer__LedgerItem **list;
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LedgerWrite write = PEER__LEDGER_WRITE__INIT;
@@ -671,9 +778,9 @@
   return present;
 }
 
-/* Sends the whole ledger to the other present keepers, so that this host can
-   be removed from the list.  To be called repeatedly until it returns true:
-   then all of them have the ledger on disk.  */
+/* Sends the ledger to the other present keepers, so that this host can be
+   removed from the list.  To be called repeatedly until it returns true: then
+   they have it on disk.  */
 bool
 keeper_hand_over (struct keeper *keeper, int64_t now_ms)
 {
@@ -681,20 +788,27 @@
          && hand_over_to_present (keeper, now_ms);
 }
 
+/* Whether this host's ledger is complete, and it hears most keepers.  */
+static bool
+has_majority (const struct keeper *keeper)
+{
+  return keeper->is_complete
+         && count_present (keeper)
+                >= charges_quorum ((uint32_t)keeper->remote_count + 1);
+}
+
 /* Returns whether this host may act on behalf of all keepers on a condition
    that holds since SINCE_MS.  Present keepers get permission one after the
    other, ordered by name and ACT_INTERVAL_MS apart, so that usually one acts.
    The later ones are the fallback where an earlier one is incomplete or has
    failed as well.  */
-bool
+static bool
 keeper_may_coordinate (const struct keeper *keeper, int64_t since_ms,
                        int64_t now_ms)
 {
   int64_t rank = 0;
 
-  if (!keeper->is_complete
-      || count_present (keeper)
-             < charges_quorum ((uint32_t)keeper->remote_count + 1))
+  if (!has_majority (keeper))
     return false;
   for (size_t i = 0; i < keeper->remote_count; i++)
     rank += !keeper->remotes[i].is_absent
@@ -702,6 +816,46 @@
   return now_ms - since_ms >= rank * ACT_INTERVAL_MS;
 }
 
+/* Returns the rank of this host among the present keepers that watch the entry
+   host HOST, or -1 if it does not watch it.  Each entry host is watched by few
+   keepers, so that a keeper's work does not grow with the fleet.  */
+static int32_t
+watcher_rank (const struct keeper *keeper, const char *host)
+{
+  uint32_t watchers[REPLICAS_MAX];
+  uint32_t count = replicas_select (id_hash_text (host), keeper->set.hosts,
+                                    keeper->set.count, WATCHERS, watchers);
+  int32_t rank = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (watchers[i] >= keeper->remote_count)
+        return rank;
+      rank += !keeper->remotes[watchers[i]].is_absent;
+    }
+  return -1;
+}
+
+/* Whether this host watches the entry host HOST.  */
+bool
+keeper_watches (const struct keeper *keeper, const char *host)
+{
+  return watcher_rank (keeper, host) >= 0;
+}
+
+/* Returns whether this host may have the entry host HOST removed, which has
+   been absent since SINCE_MS.  Its watchers may one after the other; see
+   keeper_may_coordinate.  */
+bool
+keeper_may_remove (const struct keeper *keeper, const char *host,
+                   int64_t since_ms, int64_t now_ms)
+{
+  int32_t rank = watcher_rank (keeper, host);
+
+  return rank >= 0 && has_majority (keeper)
+         && now_ms - since_ms >= (int64_t)rank * ACT_INTERVAL_MS;
+}
+
 /* Updates which keepers are silent or absent, and pings all of them.  A keeper
    that was silent and is heard again is to be read anew.  */
 static void
@@ -763,9 +917,42 @@
   keeper->removing = NULL;
 }
 
+/* Whether every present keeper has been read since the list changed, and the
+   others have had time to do the same.  */
+static bool
+is_settled (const struct keeper *keeper, int64_t now_ms)
+{
+  for (size_t i = 0; i < keeper->remote_count; i++)
+    if (!keeper->remotes[i].is_absent && !keeper->remotes[i].is_read)
+      return false;
+  return now_ms - keeper->list_changed_ms >= SETTLE_MS;
+}
+
+/* Reports an absent keeper where each program is stored by some keepers only.
+   One change of the list leaves any two majorities of a program's keepers with
+   one in common (policy/replicas.h), so it waits only until the change before
+   has settled.  */
+static void
+report_absent_replica (struct keeper *keeper, int64_t now_ms)
+{
+  if (!is_settled (keeper, now_ms))
+    return;
+  for (size_t i = 0; i < keeper->remote_count; i++)
+    if (keeper->remotes[i].is_absent
+        && keeper_may_coordinate (keeper, keeper->remotes[i].absent_since_ms,
+                                  now_ms))
+      {
+        keeper->last_report_ms = now_ms;
+        keeper->options.handle_absent (keeper->options.data,
+                                       keeper->remotes[i].name);
+        return;
+      }
+}
+
 /* Reports an absent keeper to handle_absent, which removes it from the list.
-   The shorter list has a smaller majority, so the present keepers are brought
-   to the same ledger first: then every majority still holds each charge.  */
+   Where all keepers store all programs, the shorter list has a smaller
+   majority, so the present keepers are brought to the same ledger first: then
+   every majority still holds each charge.  */
 static void
 report_absent_keeper (struct keeper *keeper, int64_t now_ms)
 {
@@ -774,6 +961,12 @@
 
   if (now_ms - keeper->last_report_ms < REPORT_INTERVAL_MS)
     return;
+  if (keeper->set.count > keeper->set.wanted)
+    {
+      end_sync_for_removal (keeper);
+      report_absent_replica (keeper, now_ms);
+      return;
+    }
   if (keeper->removing && (!absent || !absent->is_absent))
     {
       end_sync_for_removal (keeper);
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -3,6 +3,7 @@
 #include "common/deferred.h"
 #include "common/id.h"
 #include "ledger/item.h"
+#include "ledger/keeper_set.h"
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -60,8 +61,8 @@
 /* What this host knows about a keeper. */
 struct keeper_view
 {
-  char *name;
   int64_t unanswered_since_ms; /* oldest unanswered request; 0 for none */
+  GPtrArray *batch;            /* Peer__LedgerItem, in the frame being built */
 };
 
 /* A request that this host relayed for another one. */
@@ -75,12 +76,12 @@
 struct ledger
 {
   struct ledger_options options;
-  struct keeper_view *keepers;
-  uint32_t keeper_count;
-  struct strings relays; /* entry hosts that can relay requests */
-  size_t next_relay;     /* relays are used in rotation */
-  GHashTable *relayed;   /* reservation id -> struct relayed_request */
-  GHashTable *programs;  /* hash of program id -> struct program_state */
+  struct keeper_set set;
+  struct keeper_view *keepers; /* by index in the set */
+  struct strings relays;       /* entry hosts that can relay requests */
+  size_t next_relay;           /* relays are used in rotation */
+  GHashTable *relayed;         /* reservation id -> struct relayed_request */
+  GHashTable *programs;        /* hash of program id -> struct program_state */
   /* Reservations without a verdict: id -> struct ledger_reservation. */
   GHashTable *reservations;
   GArray *pending_items; /* Peer__LedgerItem, to send in the next frame */
@@ -141,51 +142,82 @@
          && now_ms - keeper->unanswered_since_ms > SILENT_MS;
 }
 
+/* Returns how many of the keepers do not respond to this host.  */
 static uint32_t
-count_silent (const struct ledger *ledger)
+count_silent (const struct ledger *ledger,
+              const struct keeper_replicas *replicas)
 {
   int64_t now_ms = clock_now_ms ();
   uint32_t count = 0;
 
-  for (uint32_t i = 0; i < ledger->keeper_count; i++)
-    count += is_silent (&ledger->keepers[i], now_ms);
+  for (uint32_t i = 0; i < replicas->count; i++)
+    count += is_silent (&ledger->keepers[replicas->keepers[i]], now_ms);
   return count;
 }
 
-/* Returns whether requests must also be relayed, because fewer keepers than a
+/* Returns whether a request must also be relayed, because fewer keepers than a
    majority respond to this host.  */
 static bool
-needs_relay (const struct ledger *ledger)
+needs_relay (const struct ledger *ledger,
+             const struct keeper_replicas *replicas)
 {
-  return ledger->keeper_count > 0
-         && ledger->keeper_count - count_silent (ledger)
-                < charges_quorum (ledger->keeper_count);
+  return replicas->count > 0
+         && replicas->count - count_silent (ledger, replicas)
+                < charges_quorum (replicas->count);
 }
 
-/* Sends the items in LIST to all keepers.  Only items with an id are answered.
+/* Sends a keeper the items of its batch.  Only items with an id are answered.
  */
 static void
-send_to_keepers (struct ledger *ledger, Peer__LedgerItem **list, size_t count)
+send_batch (struct ledger *ledger, uint32_t index, int64_t now_ms)
 {
+  struct keeper_view *keeper = &ledger->keepers[index];
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LedgerWrite write = PEER__LEDGER_WRITE__INIT;
-  int64_t now_ms = clock_now_ms ();
   bool expects_answer = false;
 
-  for (size_t i = 0; i < count; i++)
-    expects_answer = expects_answer || list[i]->id != 0;
-  write.items = list;
-  write.n_items = count;
+  for (guint i = 0; i < keeper->batch->len; i++)
+    expects_answer
+        = expects_answer
+          || ((const Peer__LedgerItem *)keeper->batch->pdata[i])->id != 0;
+  write.items = (Peer__LedgerItem **)keeper->batch->pdata;
+  write.n_items = keeper->batch->len;
   frame.body_case = PEER__FRAME__BODY_LEDGER_WRITE;
   frame.ledger_write = &write;
-  for (uint32_t i = 0; i < ledger->keeper_count; i++)
-    {
-      struct keeper_view *keeper = &ledger->keepers[i];
+  mesh_send (ledger->options.mesh, ledger->set.names[index], &frame);
+  if (expects_answer && !keeper->unanswered_since_ms)
+    keeper->unanswered_since_ms = now_ms;
+  g_ptr_array_set_size (keeper->batch, 0);
+}
 
-      mesh_send (ledger->options.mesh, keeper->name, &frame);
-      if (expects_answer && !keeper->unanswered_since_ms)
-        keeper->unanswered_since_ms = now_ms;
+/* Sends each item in LIST to the keepers of its program, in one frame a
+   keeper.  Moves the items that must also be relayed to the front of LIST and
+   returns their number.  */
+static size_t
+send_to_keepers (struct ledger *ledger, Peer__LedgerItem **list, size_t count)
+{
+  int64_t now_ms = clock_now_ms ();
+  size_t relayed = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct keeper_replicas replicas
+          = keeper_set_replicas (&ledger->set, list[i]->program);
+
+      for (uint32_t k = 0; k < replicas.count; k++)
+        g_ptr_array_add (ledger->keepers[replicas.keepers[k]].batch, list[i]);
+      if (needs_relay (ledger, &replicas))
+        {
+          Peer__LedgerItem *item = list[i];
+
+          list[i] = list[relayed];
+          list[relayed++] = item;
+        }
     }
+  for (uint32_t i = 0; i < ledger->set.count; i++)
+    if (ledger->keepers[i].batch->len > 0)
+      send_batch (ledger, i, now_ms);
+  return relayed;
 }
 
 static void
@@ -215,13 +247,14 @@
 send_items (struct ledger *ledger, Peer__LedgerItem *items, size_t count)
 {
   Peer__LedgerItem **list;
+  size_t relayed;
 
   if (count == 0)
     return;
   list = ledger_items_list (items, count);
-  send_to_keepers (ledger, list, count);
-  if (needs_relay (ledger))
-    send_to_relays (ledger, list, count);
+  relayed = send_to_keepers (ledger, list, count);
+  if (relayed > 0)
+    send_to_relays (ledger, list, relayed);
   free (list);
 }
 
@@ -260,16 +293,40 @@
             charges_total (&reservation->state->charges));
 }
 
+static bool
+has_answered (const struct ledger_reservation *reservation, uint64_t keeper)
+{
+  for (uint32_t i = 0; i < reservation->answer_count; i++)
+    if (reservation->answered_keepers[i] == keeper)
+      return true;
+  return false;
+}
+
+/* Returns how many of the program's present keepers have answered: the list
+   may have changed since the reservation was made.  */
+static uint32_t
+count_answers (const struct ledger_reservation *reservation,
+               const struct keeper_replicas *replicas)
+{
+  const struct keeper_set *set = &reservation->state->ledger->set;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < replicas->count; i++)
+    count += has_answered (reservation, set->hosts[replicas->keepers[i]].hash);
+  return count;
+}
+
 static enum charges_verdict
 decide (const struct ledger_reservation *reservation)
 {
-  return charges_decide (
-      charges_total (&reservation->state->charges), reservation->budget,
-      reservation->tokens, reservation->answer_count,
-      reservation->state->ledger->keeper_count,
-      reservation->is_behind
-          || reservation->answer_count
-                 < reservation->state->ledger->keeper_count);
+  struct keeper_replicas replicas = keeper_set_replicas (
+      &reservation->state->ledger->set, reservation->state->program);
+  uint32_t answers = count_answers (reservation, &replicas);
+
+  return charges_decide (charges_total (&reservation->state->charges),
+                         reservation->budget, reservation->tokens, answers,
+                         replicas.count,
+                         reservation->is_behind || answers < replicas.count);
 }
 
 /* Handles the timeout of a reservation.  The first time, sends the request
@@ -324,21 +381,13 @@
   return ledger;
 }
 
-static struct keeper_view *
-find_keeper (struct ledger *ledger, const char *host)
-{
-  for (uint32_t i = 0; i < ledger->keeper_count; i++)
-    if (strcmp (ledger->keepers[i].name, host) == 0)
-      return &ledger->keepers[i];
-  return NULL;
-}
-
 static void
 release_keepers (struct ledger *ledger)
 {
-  for (uint32_t i = 0; i < ledger->keeper_count; i++)
-    free (ledger->keepers[i].name);
+  for (uint32_t i = 0; i < ledger->set.count; i++)
+    g_ptr_array_free (ledger->keepers[i].batch, TRUE);
   free (ledger->keepers);
+  keeper_set_release (&ledger->set);
 }
 
 /* Frees the ledger.  Every reservation must have been settled.  */
@@ -360,20 +409,25 @@
 
 /* Sets the keepers, to which all later requests are sent.  */
 void
-ledger_set_keepers (struct ledger *ledger, const struct strings *names)
+ledger_set_keepers (struct ledger *ledger,
+                    const struct host_location *locations, size_t count)
 {
-  struct keeper_view *keepers = xcalloc (names->count + 1, sizeof *keepers);
+  struct keeper_set set = { 0 };
+  struct keeper_view *keepers = xcalloc (count + 1, sizeof *keepers);
 
-  for (size_t i = 0; i < names->count; i++)
+  keeper_set_assign (&set, locations, count, ledger->options.losses);
+  for (uint32_t i = 0; i < set.count; i++)
     {
-      const struct keeper_view *known = find_keeper (ledger, names->items[i]);
+      int32_t known = keeper_set_find (&ledger->set, set.names[i]);
 
-      keepers[i].name = xstrdup (names->items[i]);
-      keepers[i].unanswered_since_ms = known ? known->unanswered_since_ms : 0;
+      keepers[i].batch = g_ptr_array_new ();
+      if (known >= 0)
+        keepers[i].unanswered_since_ms
+            = ledger->keepers[known].unanswered_since_ms;
     }
   release_keepers (ledger);
+  ledger->set = set;
   ledger->keepers = keepers;
-  ledger->keeper_count = (uint32_t)names->count;
 }
 
 /* Sets the entry hosts that relay requests when this host cannot reach enough
@@ -460,18 +514,13 @@
   free (reservation);
 }
 
-/* Counts the answer of KEEPER, a hash of its name.  Returns false if it was
-   counted before or if KEEPERS answers have been counted already.  */
+/* Records the answer of KEEPER, a hash of its name.  Returns false if it has
+   answered before.  */
 static bool
-count_answer (struct ledger_reservation *reservation, uint64_t keeper,
-              uint32_t keepers)
+record_answer (struct ledger_reservation *reservation, uint64_t keeper)
 {
-  for (uint32_t i = 0; i < reservation->answer_count; i++)
-    if (reservation->answered_keepers[i] == keeper)
-      return false;
-  if (reservation->answer_count >= keepers)
+  if (has_answered (reservation, keeper))
     return false;
-  /* Keepers may have been added since the reservation was made. */
   reservation->answered_keepers = xrealloc (
       reservation->answered_keepers,
       (reservation->answer_count + 1) * sizeof *reservation->answered_keepers);
@@ -507,13 +556,15 @@
   const struct relayed_request *relayed
       = g_hash_table_lookup (ledger->relayed, &id);
   const char *name = answer->keeper && *answer->keeper ? answer->keeper : host;
-  struct keeper_view *keeper = find_keeper (ledger, name);
+  int32_t keeper = keeper_set_find (&ledger->set, name);
+  struct keeper_replicas replicas;
+  uint32_t answers;
   bool is_last; /* every keeper has answered or is silent */
 
-  if (!keeper)
+  if (keeper < 0)
     return;
   if (name == host)
-    keeper->unanswered_since_ms = 0;
+    ledger->keepers[keeper].unanswered_since_ms = 0;
   if (relayed && name == host)
     forward_answer (ledger, relayed, host, answer);
   if (!reservation)
@@ -525,12 +576,12 @@
       charges_merge (&reservation->state->charges, &entry);
     }
   reservation->is_behind = reservation->is_behind || answer->behind;
-  if (!count_answer (reservation, id_hash_text (name), ledger->keeper_count))
+  if (!record_answer (reservation, ledger->set.hosts[keeper].hash))
     return;
-  is_last = reservation->answer_count + count_silent (ledger)
-            >= ledger->keeper_count;
-  if ((is_last
-       || reservation->answer_count >= charges_quorum (ledger->keeper_count))
+  replicas = keeper_set_replicas (&ledger->set, reservation->state->program);
+  answers = count_answers (reservation, &replicas);
+  is_last = answers + count_silent (ledger, &replicas) >= replicas.count;
+  if ((is_last || answers >= charges_quorum (replicas.count))
       && decide (reservation) != CHARGES_UNDECIDED)
     report_verdict (reservation, decide (reservation));
 }
--- a/test/unit/test_ledger.c
+++ b/test/unit/test_ledger.c
@@ -2,6 +2,7 @@
 #include "ledger/item.h"
 #include "ledger/ledger.h"
 #include "suites.h"
+#include <stdio.h>
 #include <string.h>
 
 enum
@@ -12,6 +13,7 @@
   PROGRAM = 7,
   BUDGET = 150,
   RETENTION_MS = 1000,
+  LOSSES = 2,
 };
 
 /* An entry host's ledger and a keeper that stores charges in memory. */
@@ -112,8 +114,9 @@
 static void
 fixture_open (struct fixture *fixture)
 {
-  struct ledger_options options = { .retention_ms = RETENTION_MS };
-  struct strings keepers = { 0 };
+  struct ledger_options options
+      = { .losses = LOSSES, .retention_ms = RETENTION_MS };
+  struct host_location keeper = { .name = "k", .data_centre = "dc" };
 
   *fixture = (struct fixture){ .loop = ev_loop_new (EVFLAG_AUTO) };
   fixture->keyring.count = 1;
@@ -123,9 +126,7 @@
   options.loop = fixture->loop;
   options.mesh = fixture->entry;
   fixture->ledger = ledger_create (&options);
-  strings_add (&keepers, "k");
-  ledger_set_keepers (fixture->ledger, &keepers);
-  strings_release (&keepers);
+  ledger_set_keepers (fixture->ledger, &keeper, 1);
 }
 
 static void
@@ -242,25 +243,25 @@
 static void
 test_keepers_added_while_waiting (void)
 {
-  static const char *const names[] = { "k1", "k2", "k3", "k4", "k5", "k6" };
+  static const struct host_location keepers[]
+      = { { "k1", "dc" }, { "k2", "dc" }, { "k3", "dc" },
+          { "k4", "dc" }, { "k5", "dc" }, { "k6", "dc" } };
   struct fixture fixture;
-  struct strings keepers = { 0 };
   struct ledger_reservation *reservation;
 
   fixture_open (&fixture);
   fixture.verdict = -1;
   reservation = ledger_reserve (fixture.ledger, PROGRAM, BUDGET, BUDGET,
                                 handle_verdict, &fixture);
-  for (size_t i = 0; i < sizeof names / sizeof *names; i++)
-    strings_add (&keepers, names[i]);
-  ledger_set_keepers (fixture.ledger, &keepers);
-  for (size_t i = 0; i < sizeof names / sizeof *names; i++)
-    inject_answer (&fixture, names[i], ledger_reservation_id (reservation));
+  ledger_set_keepers (fixture.ledger, keepers,
+                      sizeof keepers / sizeof *keepers);
+  for (size_t i = 0; i < sizeof keepers / sizeof *keepers; i++)
+    inject_answer (&fixture, keepers[i].name,
+                   ledger_reservation_id (reservation));
   for (int i = 0; i < MAX_LOOP_ITERATIONS && fixture.verdict < 0; i++)
     ev_run (fixture.loop, EVRUN_ONCE);
   CU_ASSERT_EQUAL (fixture.verdict, CHARGES_UNDECIDED);
   ledger_settle (reservation, 0);
-  strings_release (&keepers);
   fixture_close (&fixture);
 }
 
@@ -281,12 +282,118 @@
   fixture_close (&fixture);
 }
 
+enum
+{
+  FLEET_KEEPERS = 36,
+  FLEET_PORT = 23940,
+  FLEET_REPLICAS = 2 * LOSSES + 2,
+};
+
+/* A keeper of a large fleet: counts the items that it receives. */
+struct fleet_keeper
+{
+  struct mesh *mesh;
+  int items;
+};
+
+static void
+count_items (void *data, const char *host, const Peer__Frame *frame)
+{
+  struct fleet_keeper *keeper = data;
+
+  if (frame->body_case == PEER__FRAME__BODY_LEDGER_WRITE)
+    keeper->items += (int)frame->ledger_write->n_items;
+}
+
+static struct mesh *
+open_fleet_mesh (struct fixture *fixture, const char *name, uint16_t port,
+                 struct fleet_keeper *keeper)
+{
+  struct mesh_options options = { .loop = fixture->loop,
+                                  .host = name,
+                                  .data_centre = "dc",
+                                  .process = port,
+                                  .listen_address = "127.0.0.1",
+                                  .listen_port = port,
+                                  .keyring = &fixture->keyring,
+                                  .has_sparse_pings = true,
+                                  .handle_frame = count_items,
+                                  .handle_down = handle_down,
+                                  .data = keeper };
+  struct error error;
+
+  return mesh_create (&options, &error);
+}
+
+static int
+count_fleet_items (const struct fleet_keeper *keepers)
+{
+  int items = 0;
+
+  for (int i = 0; i < FLEET_KEEPERS; i++)
+    items += keepers[i].items;
+  return items;
+}
+
+/* In a fleet of 36 keepers, a turn costs messages to its program's keepers
+   only, one in each of six data centres.  */
+static void
+test_large_fleet (void)
+{
+  static const char *const centres[]
+      = { "dc-a", "dc-b", "dc-c", "dc-d", "dc-e", "dc-f" };
+  static char names[FLEET_KEEPERS][8];
+  static char addresses[FLEET_KEEPERS][24];
+  struct host_location locations[FLEET_KEEPERS];
+  struct mesh_host hosts[FLEET_KEEPERS];
+  struct fleet_keeper keepers[FLEET_KEEPERS] = { 0 };
+  struct ledger_reservation *reservation;
+  struct fixture fixture;
+
+  fixture_open (&fixture);
+  for (int i = 0; i < FLEET_KEEPERS; i++)
+    {
+      snprintf (names[i], sizeof names[i], "k%d", i);
+      snprintf (addresses[i], sizeof addresses[i], "127.0.0.1:%d",
+                FLEET_PORT + i);
+      hosts[i] = (struct mesh_host){ names[i], addresses[i] };
+      locations[i] = (struct host_location){ names[i], centres[i % (int)6] };
+      keepers[i].mesh = open_fleet_mesh (
+          &fixture, names[i], (uint16_t)(FLEET_PORT + i), &keepers[i]);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (keepers[i].mesh);
+    }
+  mesh_set_hosts (fixture.entry, hosts, FLEET_KEEPERS);
+  ledger_set_keepers (fixture.ledger, locations, FLEET_KEEPERS);
+  reservation = ledger_reserve (fixture.ledger, PROGRAM, BUDGET, 10,
+                                handle_verdict, &fixture);
+  for (int i = 0;
+       i < MAX_LOOP_ITERATIONS && count_fleet_items (keepers) < FLEET_REPLICAS;
+       i++)
+    ev_run (fixture.loop, EVRUN_ONCE);
+  for (int i = 0; i < 200; i++)
+    ev_run (fixture.loop, EVRUN_NOWAIT);
+  CU_ASSERT_EQUAL (count_fleet_items (keepers), FLEET_REPLICAS);
+  for (int c = 0; c < 6; c++)
+    {
+      int items = 0;
+
+      for (int i = c; i < FLEET_KEEPERS; i += 6)
+        items += keepers[i].items;
+      CU_ASSERT_EQUAL (items, 1);
+    }
+  ledger_settle (reservation, 0);
+  for (int i = 0; i < FLEET_KEEPERS; i++)
+    mesh_destroy (keepers[i].mesh);
+  fixture_close (&fixture);
+}
+
 CU_TestInfo ledger_tests[] = {
   { "turns exhaust a budget", test_turns_exhaust_budget },
   { "an unused program is dropped", test_unused_program_is_dropped },
   { "a refused turn does not begin the program",
     test_refused_turn_is_not_first },
   { "keepers are added while a turn waits", test_keepers_added_while_waiting },
+  { "a large fleet sends to a program's keepers only", test_large_fleet },
   { "a dropped program stays charged", test_dropped_program_stays_charged },
   CU_TEST_INFO_NULL
 };
