feed: one host of the fleet follows the store, others relay its state

Ruled out: hosts that start again still list themselves, as asking others first delays them by up to half a second.

--- a/feed/feed.c
+++ b/feed/feed.c
@@ -8,14 +8,20 @@
 
 enum
 {
+  MS_PER_S = 1000,
   MAX_TABLES = 8,
-  /* Between beacons; five are sent before state becomes stale. */
-  BEACON_MS = 250,
+  BEACONS_PER_STALE = 5,     /* sent before state becomes stale */
   REQUEST_INTERVAL_MS = 200, /* between requests for one kind to the leader */
   HOSTS_PER_REQUEST = 2,     /* asked at once while the store is unreachable */
-  /* Age of state at which a host that follows the store asks other hosts: by
-     then, the store has had time to answer. */
-  MAX_STATE_AGE_MS = LEADER_STALE_MS + BEACON_MS,
+  RELAYS_PER_DATA_CENTRE = 2, /* hosts that the leader sends to elsewhere */
+  /* The hosts of a data centre take over one after the other, in the order of
+     their ranks.  While the store is down, so few of them call it. */
+  TAKEOVER_STEP_MS = 150,
+  MAX_TAKEOVER_DELAY_MS = 4000,
+  /* Hosts of other data centres that follow the store beside this one, and how
+     long they are sent beacons after their last one. */
+  MAX_RIVALS = 8,
+  RIVAL_MS = 10000,
 };
 
 /* A table that is replicated between hosts. */
@@ -25,19 +31,37 @@
   int64_t requested_ms; /* when an update was last requested from the leader */
 };
 
+/* Another host. */
+struct feed_member
+{
+  char *name;
+  uint64_t rank;
+  uint64_t data_centre_hash;
+  bool is_local; /* of this host's data centre */
+  bool is_entry;
+};
+
+/* A host of another data centre that also followed the store. */
+struct rival
+{
+  char *name;
+  int64_t until_ms;
+};
+
 struct feed
 {
   struct feed_options options;
   struct leader leader;
   struct replicated_table tables[MAX_TABLES];
   size_t table_count;
-  struct strings local_hosts;       /* other hosts of the data centre */
-  struct strings leader_candidates; /* those of them that may lead */
-  struct strings entry_hosts;       /* other entry hosts of all data centres */
-  size_t next_host;                 /* index of the host to ask next */
+  GHashTable *members;        /* name -> struct feed_member */
+  struct strings local_hosts; /* other hosts of the data centre */
+  struct strings relays;      /* in other data centres */
+  struct strings entry_hosts; /* other entry hosts of all data centres */
+  struct rival rivals[MAX_RIVALS];
+  size_t next_host;   /* index of the host to ask next */
   bool follows_store; /* whether this host was last told to follow the store */
   bool is_store_reachable; /* by this host */
-  bool is_applying;        /* while an update from another host is applied */
   ev_timer tick;
 };
 
@@ -62,8 +86,8 @@
   return true;
 }
 
-/* Whether this host sends beacons and updates to the other hosts of the data
-   centre.  */
+/* Whether this host sends beacons and updates to relays in the other data
+   centres.  */
 static bool
 is_leading (const struct feed *feed)
 {
@@ -71,6 +95,39 @@
          && feed->is_store_reachable && are_tables_loaded (feed);
 }
 
+/* Whether this host sends beacons and updates to the other hosts of its data
+   centre.  */
+static bool
+is_relaying (const struct feed *feed, int64_t now_ms)
+{
+  return is_leading (feed)
+         || (feed->options.may_lead && are_tables_loaded (feed)
+             && !feed->follows_store && leader_relays (&feed->leader, now_ms));
+}
+
+static void
+send_to (struct feed *feed, const struct strings *hosts,
+         const Peer__Frame *frame)
+{
+  for (size_t i = 0; i < hosts->count; i++)
+    feed->options.send (feed->options.data, hosts->items[i], frame);
+}
+
+/* Sends FRAME to the hosts that rely on this one.  */
+static void
+send_to_followers (struct feed *feed, const Peer__Frame *frame, int64_t now_ms)
+{
+  if (is_relaying (feed, now_ms))
+    send_to (feed, &feed->local_hosts, frame);
+  if (!is_leading (feed))
+    return;
+  send_to (feed, &feed->relays, frame);
+  for (size_t i = 0; i < MAX_RIVALS; i++)
+    if (feed->rivals[i].name && now_ms < feed->rivals[i].until_ms
+        && !strings_contain (&feed->relays, feed->rivals[i].name))
+      feed->options.send (feed->options.data, feed->rivals[i].name, frame);
+}
+
 static void
 fill_state (Peer__FeedState *state, const struct table *table, int64_t now_ms)
 {
@@ -98,9 +155,7 @@
   beacon.n_states = feed->table_count;
   frame.body_case = PEER__FRAME__BODY_FEED_BEACON;
   frame.feed_beacon = &beacon;
-  for (size_t i = 0; i < feed->local_hosts.count; i++)
-    feed->options.send (feed->options.data, feed->local_hosts.items[i],
-                        &frame);
+  send_to_followers (feed, &frame, now_ms);
 }
 
 static void
@@ -140,38 +195,61 @@
   feed->follows_store = follows_store;
   log_write (LOG_INFO, "feed", NULL,
              follows_store
-                 ? "following the store: no other host of the data centre "
-                   "sends up-to-date beacons"
-                 : "following another host of the data centre");
+                 ? "following the store: no other host sends up-to-date "
+                   "beacons"
+                 : "following another host");
   feed->options.handle_follow (feed->options.data, follows_store);
 }
 
+static int64_t
+beacon_interval_ms (const struct feed *feed)
+{
+  return feed->options.stale_ms / BEACONS_PER_STALE;
+}
+
 static void
 handle_tick (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct feed *feed = timer->data;
   int64_t now_ms = clock_now_ms ();
 
-  set_follows_store (feed, leader_is_self (&feed->leader, now_ms));
-  if (is_leading (feed))
+  set_follows_store (feed, leader_watches_store (&feed->leader, now_ms));
+  if (is_relaying (feed, now_ms))
     send_beacon (feed, now_ms);
+  /* By then, the store has had time to answer. */
   if (feed->follows_store
-      && now_ms - oldest_as_of_ms (feed) > MAX_STATE_AGE_MS)
+      && now_ms - oldest_as_of_ms (feed)
+             > feed->options.stale_ms + beacon_interval_ms (feed))
     request_from_other_hosts (feed);
 }
 
+static void
+feed_member_destroy (gpointer data)
+{
+  struct feed_member *member = data;
+
+  free (member->name);
+  free (member);
+}
+
 /* Creates a feed without tables.  It does not follow the store at first.  */
 struct feed *
 feed_create (const struct feed_options *options)
 {
   struct feed *feed = xcalloc (1, sizeof *feed);
 
+  struct leader_options leader = { .own_rank = id_hash_text (options->host),
+                                   .may_lead = options->may_lead,
+                                   .stale_ms = options->stale_ms };
+  double interval_s;
+
   feed->options = *options;
+  feed->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         feed_member_destroy);
   feed->is_store_reachable = true;
-  leader_init (&feed->leader, id_hash_text (options->host), options->may_lead,
-               clock_now_ms ());
-  ev_timer_init (&feed->tick, handle_tick, BEACON_MS / 1000.0,
-                 BEACON_MS / 1000.0);
+  leader_init (&feed->leader, &leader, clock_now_ms ());
+  interval_s = (double)beacon_interval_ms (feed) / MS_PER_S;
+  ev_timer_init (&feed->tick, handle_tick, interval_s, interval_s);
   feed->tick.data = feed;
   ev_timer_start (options->loop, &feed->tick);
   return feed;
@@ -187,8 +265,11 @@
     table_set_listener (feed->tables[i].table, NULL, NULL);
   ev_timer_stop (feed->options.loop, &feed->tick);
   strings_release (&feed->local_hosts);
-  strings_release (&feed->leader_candidates);
+  strings_release (&feed->relays);
   strings_release (&feed->entry_hosts);
+  for (size_t i = 0; i < MAX_RIVALS; i++)
+    free (feed->rivals[i].name);
+  g_hash_table_destroy (feed->members);
   free (feed);
 }
 
@@ -259,10 +340,11 @@
   g_ptr_array_free (entries, TRUE);
 }
 
-/* Sends the update to HOSTS and frees its arrays.  */
+/* Sends the update to HOST, or to all hosts that rely on this one if it is
+   NULL, and frees its arrays.  */
 static void
 update_send (struct feed *feed, struct pending_update *update,
-             const struct strings *hosts)
+             const char *host)
 {
   Peer__Frame frame = PEER__FRAME__INIT;
 
@@ -272,14 +354,16 @@
   update->message.n_names = update->names->len;
   frame.body_case = PEER__FRAME__BODY_FEED_UPDATE;
   frame.feed_update = &update->message;
-  for (size_t i = 0; i < hosts->count; i++)
-    feed->options.send (feed->options.data, hosts->items[i], &frame);
+  if (host)
+    feed->options.send (feed->options.data, host, &frame);
+  else
+    send_to_followers (feed, &frame, clock_now_ms ());
   g_ptr_array_free (update->objects, TRUE);
   g_ptr_array_free (update->names, TRUE);
 }
 
-/* Forwards a change that this host has read from the store to the other hosts
-   of the data centre, if it is their leader.  */
+/* Forwards a change that this host has read from the store, or received from
+   the leader, to the hosts that rely on this one.  */
 static void
 forward_change (void *data, struct table *table,
                 const struct table_change *change)
@@ -287,7 +371,7 @@
   struct feed *feed = data;
   struct pending_update update;
 
-  if (feed->is_applying || !is_leading (feed) || change->names->len == 0)
+  if (!is_relaying (feed, clock_now_ms ()) || change->names->len == 0)
     return;
   update_init (&update, table, change->base);
   for (guint i = 0; i < change->names->len; i++)
@@ -302,7 +386,7 @@
     }
   if (change->is_complete)
     update_add_names (&update, table);
-  update_send (feed, &update, &feed->local_hosts);
+  update_send (feed, &update, NULL);
 }
 
 /* Adds a table, which must outlive the feed.  */
@@ -314,27 +398,86 @@
   table_set_listener (table, forward_change, feed);
 }
 
+static void
+add_member (struct feed *feed, const struct feed_host *host)
+{
+  struct feed_member *member = xcalloc (1, sizeof *member);
+
+  member->name = xstrdup (host->name);
+  member->rank = id_hash_text (host->name);
+  member->data_centre_hash = id_hash_text (host->data_centre);
+  member->is_local
+      = strcmp (host->data_centre, feed->options.data_centre) == 0;
+  member->is_entry = host->is_entry;
+  g_hash_table_replace (feed->members, member->name, member);
+  if (member->is_local)
+    strings_add (&feed->local_hosts, member->name);
+  if (member->is_entry)
+    strings_add (&feed->entry_hosts, member->name);
+}
+
+/* Returns how many entry hosts of MEMBER's data centre rank before it.  */
+static size_t
+count_better_ranked (const struct feed *feed, const struct feed_member *member)
+{
+  GHashTableIter iter;
+  gpointer value;
+  size_t count = 0;
+
+  g_hash_table_iter_init (&iter, feed->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct feed_member *other = value;
+
+      count += other->is_entry && other->rank < member->rank
+               && other->data_centre_hash == member->data_centre_hash;
+    }
+  return count;
+}
+
+static void
+select_relays (struct feed *feed)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, feed->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct feed_member *member = value;
+
+      if (member->is_entry && !member->is_local
+          && count_better_ranked (feed, member) < RELAYS_PER_DATA_CENTRE)
+        strings_add (&feed->relays, member->name);
+    }
+}
+
+static int64_t
+takeover_delay_ms (const struct feed *feed)
+{
+  struct feed_member self
+      = { .rank = feed->leader.options.own_rank,
+          .data_centre_hash = id_hash_text (feed->options.data_centre) };
+  int64_t position = (int64_t)count_better_ranked (feed, &self);
+
+  if (!feed->options.may_lead)
+    return MAX_TAKEOVER_DELAY_MS;
+  return MIN (position * TAKEOVER_STEP_MS, MAX_TAKEOVER_DELAY_MS);
+}
+
 /* Sets the list of all hosts.  This host is ignored if listed.  */
 void
 feed_set_hosts (struct feed *feed, const struct feed_host *hosts, size_t count)
 {
   strings_release (&feed->local_hosts);
-  strings_release (&feed->leader_candidates);
+  strings_release (&feed->relays);
   strings_release (&feed->entry_hosts);
+  g_hash_table_remove_all (feed->members);
   for (size_t i = 0; i < count; i++)
-    {
-      bool is_local
-          = strcmp (hosts[i].data_centre, feed->options.data_centre) == 0;
-
-      if (strcmp (hosts[i].name, feed->options.host) == 0)
-        continue;
-      if (is_local)
-        strings_add (&feed->local_hosts, hosts[i].name);
-      if (is_local && hosts[i].is_entry)
-        strings_add (&feed->leader_candidates, hosts[i].name);
-      if (hosts[i].is_entry)
-        strings_add (&feed->entry_hosts, hosts[i].name);
-    }
+    if (strcmp (hosts[i].name, feed->options.host) != 0)
+      add_member (feed, &hosts[i]);
+  select_relays (feed);
+  feed->leader.takeover_delay_ms = takeover_delay_ms (feed);
 }
 
 /* Records whether the store is reachable.  While it is not, this host cannot
@@ -343,7 +486,7 @@
 feed_set_store_reachable (struct feed *feed, bool is_reachable)
 {
   feed->is_store_reachable = is_reachable;
-  feed->leader.may_lead = feed->options.may_lead && is_reachable;
+  feed->leader.options.may_lead = feed->options.may_lead && is_reachable;
 }
 
 static struct replicated_table *
@@ -355,19 +498,45 @@
   return NULL;
 }
 
-/* Records that HOST follows the store.  This host relies on it if the local
-   tables are up to date.  */
+/* Remembers a host that follows the store although this one does, so that it
+   gets this host's beacons.  */
+static void
+record_rival (struct feed *feed, const char *host, int64_t now_ms)
+{
+  struct rival *oldest = &feed->rivals[0];
+
+  for (size_t i = 0; i < MAX_RIVALS; i++)
+    {
+      struct rival *rival = &feed->rivals[i];
+
+      if (rival->name && strcmp (rival->name, host) == 0)
+        {
+          rival->until_ms = now_ms + RIVAL_MS;
+          return;
+        }
+      if (rival->until_ms < oldest->until_ms)
+        oldest = rival;
+    }
+  free (oldest->name);
+  oldest->name = xstrdup (host);
+  oldest->until_ms = now_ms + RIVAL_MS;
+}
+
+/* Records that HOST sends beacons or updates.  This host relies on it if the
+   local tables are up to date.  */
 static void
 record_leader (struct feed *feed, const char *host)
 {
+  const struct feed_member *member = g_hash_table_lookup (feed->members, host);
   int64_t now_ms = clock_now_ms ();
 
-  if (!are_tables_loaded (feed)
-      || !strings_contain (&feed->leader_candidates, host))
+  if (!are_tables_loaded (feed) || !member || !member->is_entry)
     return;
-  if (leader_record_beacon (&feed->leader, id_hash_text (host),
+  if (leader_record_beacon (&feed->leader, member->is_local, member->rank,
                             now_ms - oldest_as_of_ms (feed), now_ms))
-    set_follows_store (feed, false);
+    set_follows_store (feed, leader_watches_store (&feed->leader, now_ms));
+  else if (!member->is_local && feed->follows_store)
+    record_rival (feed, host, now_ms);
 }
 
 /* Updates the time at which the table was last up to date.  Returns false if
@@ -428,8 +597,7 @@
 }
 
 static void
-apply_update (struct feed *feed, struct table *table,
-              const Peer__FeedUpdate *update)
+apply_update (struct table *table, const Peer__FeedUpdate *update)
 {
   GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
 
@@ -439,10 +607,8 @@
     g_hash_table_add (names, update->names[i]);
   if (update->is_complete)
     table_retain (table, names);
-  feed->is_applying = true;
   table_commit (table, (int64_t)update->state->revision,
                 clock_now_ms () - update->state->age_ms, update->is_complete);
-  feed->is_applying = false;
   g_hash_table_destroy (names);
 }
 
@@ -461,6 +627,11 @@
   revision = table_revision (replicated->table);
   if ((int64_t)update->state->revision < revision)
     return;
+  if (confirm_state (replicated->table, update->state))
+    {
+      record_leader (feed, host);
+      return;
+    }
   if (update->is_complete ? (int64_t)update->since > revision
                           : !table_is_loaded (replicated->table)
                                 || (int64_t)update->since != revision)
@@ -468,7 +639,7 @@
       request_update (feed, host, replicated->table);
       return;
     }
-  apply_update (feed, replicated->table, update);
+  apply_update (replicated->table, update);
   record_leader (feed, host);
 }
 
@@ -479,14 +650,12 @@
                 const Peer__FeedAsk *request)
 {
   const struct replicated_table *replicated = find_table (feed, request->kind);
-  char *name = (char *)(uintptr_t)host;
-  struct strings recipient = { .items = &name, .count = 1 };
   struct pending_update update;
   GPtrArray *entries;
 
   if (!replicated || !table_is_loaded (replicated->table)
       || clock_now_ms () - table_as_of_ms (replicated->table)
-             > LEADER_STALE_MS)
+             > feed->options.stale_ms)
     return;
   update_init (&update, replicated->table, (int64_t)request->revision);
   entries = table_entries (replicated->table);
@@ -499,7 +668,7 @@
     }
   g_ptr_array_free (entries, TRUE);
   update_add_names (&update, replicated->table);
-  update_send (feed, &update, &recipient);
+  update_send (feed, &update, host);
 }
 
 /* Handles beacons, requests and updates of other hosts; ignores other frames.
--- a/include/feed/feed.h
+++ b/include/feed/feed.h
@@ -1,8 +1,8 @@
 /* Replicates the platform's objects between hosts.
 
-   In each data centre one entry host, the leader, follows the store: it
-   watches the store for changes and sends them to the others as updates
-   (policy/leader.h).  Its beacons tell the others a few times per second which
+   One entry host, the leader, follows the store: it watches the store for
+   changes and sends them as updates to its data centre and to relays in the
+   others (policy/leader.h).  Its beacons tell a few times per second which
    state of the objects is current.  A host that cannot reach the store
    requests updates from other hosts, or from the seeds while it knows no
    hosts.  */
@@ -30,6 +30,8 @@
   const char *host;        /* name of this host; outlives the feed */
   const char *data_centre; /* outlives the feed */
   bool may_lead; /* this host may become the leader; set on entry hosts */
+  /* Age at which state is stale, and the leader is replaced. */
+  int64_t stale_ms;
   const struct strings *seeds; /* hosts to ask while no other is known */
   void (*send) (void *data, const char *host, const Peer__Frame *frame);
   /* Called when this host must start or stop following the store. */
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -35,8 +35,14 @@
       first_start; /* of the whole system: a keeper's empty disk is expected */
   int64_t stop_grace_s; /* from the stop signal until the process is killed */
   int64_t limit_window_s; /* window over which customers' rates are measured */
-  int64_t watch_ms;  /* how long the store may hold a watch call for changes */
-  int64_t absent_ms; /* a silent host is removed from the list after this */
+  /* Times within which a change of the configuration, and the end of an
+     endpoint, must be in force. */
+  int64_t config_within_ms;
+  int64_t drain_within_ms;
+  int64_t contact_ms;   /* after a fault, the platform's limits apply again */
+  int64_t stale_ms;     /* age at which state of the store is stale; derived */
+  int64_t watch_ms;     /* how long the store may hold a watch call; derived */
+  int64_t absent_ms;    /* a silent host is removed from the list after this */
   int64_t retention_ms; /* the ledger drops programs unused for longer */
   int64_t max_connections;
   int64_t tolerated_losses; /* of keepers at once */
--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -24,7 +24,7 @@
   "metrics_listen": "127.0.0.1:$((FLEET_BASE_PORT + 300 + $3))",
   "health_listen": "127.0.0.1:$((FLEET_BASE_PORT + 400 + $3))",
   "store_address": "$STORE", "seeds": ["127.0.0.1:$((FLEET_BASE_PORT + 201))"], "data_dir": "$FLEET_DIR/data-$1",
-  "watch_ms": 1000, "absent_ms": 2500, "stop_grace_s": 8, "first_start": $5
+  "config_within_ms": 2000, "absent_ms": 2500, "stop_grace_s": 8, "first_start": $5
 }
 SETTINGS
   "$BUILD/galenashored/galenashored" --on-platform \
--- a/test/unit/test_feed.c
+++ b/test/unit/test_feed.c
@@ -2,7 +2,6 @@
 #include "common/id.h"
 #include "feed/feed.h"
 #include "peer/packed_frame.h"
-#include "policy/leader.h"
 #include "suites.h"
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +11,7 @@
   HOSTS = 3,
   FALLBACK_LEADER = 0, /* index of the host used if none follows the store */
   TICK_MS = 10,
+  STALE_MS = 1300,
   SETTLE_MS = 600, /* long enough for two beacons */
   WAIT_MS = 60000, /* limit for expected events, allowing for a busy machine */
 };
@@ -154,6 +154,7 @@
                                   .host = names[index],
                                   .data_centre = "dc",
                                   .may_lead = true,
+                                  .stale_ms = STALE_MS,
                                   .seeds = &no_seeds,
                                   .send = send_frame,
                                   .handle_follow = handle_follow,
@@ -182,7 +183,7 @@
   for (size_t i = 0; i < HOSTS; i++)
     feed_set_hosts (fixture->hosts[i].feed, hosts, HOSTS);
   store_put (fixture, "one");
-  run_for (fixture, LEADER_STALE_MS + SETTLE_MS);
+  run_for (fixture, STALE_MS + SETTLE_MS);
 }
 
 static void
