--- a/test/unit/test_feed.c
+++ b/test/unit/test_feed.c
@@ -3,12 +3,14 @@
 #include "feed/feed.h"
 #include "peer/packed_frame.h"
 #include "suites.h"
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum
 {
-  HOSTS = 3,
+  HOSTS = 3, /* of the small fixture, in one data centre */
+  MAX_HOSTS = 48,
   FALLBACK_LEADER = 0, /* index of the host used if none follows the store */
   TICK_MS = 10,
   STALE_MS = 1300,
@@ -16,7 +18,6 @@
   WAIT_MS = 60000, /* limit for expected events, allowing for a busy machine */
 };
 
-static const char *const names[HOSTS] = { "a", "b", "c" };
 static const char kind[] = "things";
 
 struct fixture;
@@ -24,20 +25,23 @@
 struct host
 {
   struct fixture *fixture;
-  const char *name;
+  char name[8];
+  char data_centre[8];
   struct table *table;
   struct feed *feed;
   bool follows;
   bool is_disconnected; /* disconnected from the store and the other hosts */
   bool is_refused;      /* refused by the store */
+  bool is_centre_cut;   /* its data centre is cut off from the others */
   int updates;          /* update frames received */
 };
 
-/* The hosts of one data centre, and a store implemented as a hash table. */
+/* Hosts, and a store implemented as a hash table. */
 struct fixture
 {
   struct ev_loop *loop;
-  struct host hosts[HOSTS];
+  struct host hosts[MAX_HOSTS];
+  size_t count; /* of hosts */
   int64_t revision;
   GHashTable *store; /* name -> revision */
 };
@@ -45,7 +49,7 @@
 static struct host *
 find_host (struct fixture *fixture, const char *name)
 {
-  for (size_t i = 0; i < HOSTS; i++)
+  for (size_t i = 0; i < fixture->count; i++)
     if (strcmp (fixture->hosts[i].name, name) == 0)
       return &fixture->hosts[i];
   return NULL;
@@ -59,7 +63,9 @@
   struct buf packed = { 0 };
   Peer__Frame *copy;
 
-  if (!to || to->is_disconnected || from->is_disconnected)
+  if (!to || to->is_disconnected || from->is_disconnected
+      || (to->is_centre_cut != from->is_centre_cut
+          && strcmp (to->data_centre, from->data_centre) != 0))
     return;
   to->updates += frame->body_case == PEER__FRAME__BODY_FEED_UPDATE;
   packed_frame_append (&packed, frame);
@@ -113,7 +119,7 @@
 
   while (clock_now_ms () < until_ms)
     {
-      for (size_t i = 0; i < HOSTS; i++)
+      for (size_t i = 0; i < fixture->count; i++)
         read_store (&fixture->hosts[i]);
       ev_sleep (TICK_MS / 1000.0);
       ev_run (fixture->loop, EVRUN_NOWAIT);
@@ -143,7 +149,7 @@
 }
 
 static void
-host_init (struct fixture *fixture, size_t index)
+host_init (struct fixture *fixture, size_t index, size_t centres)
 {
   static const struct strings no_seeds;
   struct host *host = &fixture->hosts[index];
@@ -151,8 +157,8 @@
                                  .kind = kind,
                                  .handle_commit = handle_commit };
   struct feed_options options = { .loop = fixture->loop,
-                                  .host = names[index],
-                                  .data_centre = "dc",
+                                  .host = host->name,
+                                  .data_centre = host->data_centre,
                                   .may_lead = true,
                                   .stale_ms = STALE_MS,
                                   .seeds = &no_seeds,
@@ -160,36 +166,49 @@
                                   .handle_follow = handle_follow,
                                   .data = host };
 
-  *host = (struct host){ .fixture = fixture, .name = names[index] };
+  *host = (struct host){ .fixture = fixture };
+  snprintf (host->name, sizeof host->name, "h%zu", index);
+  snprintf (host->data_centre, sizeof host->data_centre, "dc%zu",
+            index % centres);
   host->table = table_create (&table);
   host->feed = feed_create (&options);
   feed_add_table (host->feed, host->table);
 }
 
+/* Starts COUNT hosts in CENTRES data centres.  */
 static void
-fixture_init (struct fixture *fixture)
+fixture_init_fleet (struct fixture *fixture, size_t count, size_t centres)
 {
-  struct feed_host hosts[HOSTS];
+  struct feed_host hosts[MAX_HOSTS];
 
-  *fixture
-      = (struct fixture){ .loop = ev_loop_new (EVFLAG_AUTO), .revision = 1 };
+  *fixture = (struct fixture){ .loop = ev_loop_new (EVFLAG_AUTO),
+                               .count = count,
+                               .revision = 1 };
   fixture->store = g_hash_table_new (g_str_hash, g_str_equal);
-  for (size_t i = 0; i < HOSTS; i++)
-    host_init (fixture, i);
-  for (size_t i = 0; i < HOSTS; i++)
-    hosts[i] = (struct feed_host){ .name = names[i],
-                                   .data_centre = "dc",
-                                   .is_entry = true };
-  for (size_t i = 0; i < HOSTS; i++)
-    feed_set_hosts (fixture->hosts[i].feed, hosts, HOSTS);
+  for (size_t i = 0; i < count; i++)
+    {
+      host_init (fixture, i, centres);
+      hosts[i]
+          = (struct feed_host){ .name = fixture->hosts[i].name,
+                                .data_centre = fixture->hosts[i].data_centre,
+                                .is_entry = true };
+    }
+  for (size_t i = 0; i < count; i++)
+    feed_set_hosts (fixture->hosts[i].feed, hosts, count);
   store_put (fixture, "one");
   run_for (fixture, STALE_MS + SETTLE_MS);
 }
 
+static void
+fixture_init (struct fixture *fixture)
+{
+  fixture_init_fleet (fixture, HOSTS, 1);
+}
+
 static void
 fixture_release (struct fixture *fixture)
 {
-  for (size_t i = 0; i < HOSTS; i++)
+  for (size_t i = 0; i < fixture->count; i++)
     {
       feed_destroy (fixture->hosts[i].feed);
       table_destroy (fixture->hosts[i].table);
@@ -201,7 +220,7 @@
 static bool
 all_have_object (struct fixture *fixture, const char *name)
 {
-  for (size_t i = 0; i < HOSTS; i++)
+  for (size_t i = 0; i < fixture->count; i++)
     if (!fixture->hosts[i].is_disconnected
         && !table_find (fixture->hosts[i].table, name))
       return false;
@@ -211,7 +230,7 @@
 static bool
 no_host_has_object (struct fixture *fixture, const char *name)
 {
-  for (size_t i = 0; i < HOSTS; i++)
+  for (size_t i = 0; i < fixture->count; i++)
     if (!fixture->hosts[i].is_disconnected
         && table_find (fixture->hosts[i].table, name))
       return false;
@@ -224,7 +243,7 @@
 {
   int count = 0;
 
-  for (size_t i = 0; i < HOSTS; i++)
+  for (size_t i = 0; i < fixture->count; i++)
     count += fixture->hosts[i].follows && !fixture->hosts[i].is_refused;
   return count == 1;
 }
@@ -236,7 +255,7 @@
 {
   const struct host *best = &fixture->hosts[0];
 
-  for (size_t i = 1; i < HOSTS; i++)
+  for (size_t i = 1; i < fixture->count; i++)
     if (id_hash_text (fixture->hosts[i].name) < id_hash_text (best->name))
       best = &fixture->hosts[i];
   return best->follows && one_host_follows (fixture, name);
@@ -246,7 +265,7 @@
 find_leader (struct fixture *fixture)
 {
   wait_until (fixture, one_host_follows, NULL);
-  for (size_t i = 0; i < HOSTS; i++)
+  for (size_t i = 0; i < fixture->count; i++)
     if (fixture->hosts[i].follows && !fixture->hosts[i].is_refused)
       return &fixture->hosts[i];
   return &fixture->hosts[FALLBACK_LEADER];
@@ -335,15 +354,54 @@
   int updates = 0;
 
   fixture_init (&fixture);
-  for (size_t i = 0; i < HOSTS; i++)
+  for (size_t i = 0; i < fixture.count; i++)
     fixture.hosts[i].updates = 0;
   run_for (&fixture, SETTLE_MS);
-  for (size_t i = 0; i < HOSTS; i++)
+  for (size_t i = 0; i < fixture.count; i++)
     updates += fixture.hosts[i].updates;
   CU_ASSERT_EQUAL (updates, 0);
   fixture_release (&fixture);
 }
 
+/* Whether two hosts follow the store: one on each side of a cut.  */
+static bool
+two_hosts_follow (struct fixture *fixture, const char *name)
+{
+  int count = 0;
+
+  for (size_t i = 0; i < fixture->count; i++)
+    count += fixture->hosts[i].follows;
+  return count == 2;
+}
+
+/* A fleet of 48 hosts in six data centres: one of them follows the store, a
+   data centre that is cut off gets one of its own, and after the cut there is
+   one again.  Changes reach all hosts throughout.  */
+static void
+test_fleet_follows_one_host (void)
+{
+  struct fixture fixture;
+
+  fixture_init_fleet (&fixture, MAX_HOSTS, 6);
+  wait_until (&fixture, best_ranked_host_follows, NULL);
+  store_put (&fixture, "two");
+  wait_until (&fixture, all_have_object, "two");
+  CU_ASSERT_TRUE (one_host_follows (&fixture, NULL));
+  for (size_t i = 0; i < fixture.count; i++)
+    fixture.hosts[i].is_centre_cut
+        = strcmp (fixture.hosts[i].data_centre, "dc3") == 0;
+  store_put (&fixture, "three");
+  wait_until (&fixture, all_have_object, "three");
+  wait_until (&fixture, two_hosts_follow, NULL);
+  for (size_t i = 0; i < fixture.count; i++)
+    fixture.hosts[i].is_centre_cut = false;
+  wait_until (&fixture, best_ranked_host_follows, NULL);
+  g_hash_table_remove (fixture.store, "one");
+  fixture.revision++;
+  wait_until (&fixture, no_host_has_object, "one");
+  fixture_release (&fixture);
+}
+
 /* An answer of the store that was delayed until another host had forwarded
    later changes must not put back an object that these removed
    (FAULT_PUT_REMOVED in model/feed.pml).  */
@@ -382,6 +440,7 @@
   { "a host catches up after a missed update",
     test_missed_update_is_recovered },
   { "no updates are sent without changes", test_no_updates_without_changes },
+  { "a fleet follows one host", test_fleet_follows_one_host },
   { "a delayed answer puts nothing back",
     test_delayed_answer_puts_nothing_back },
   CU_TEST_INFO_NULL,
