--- a/include/peer/mesh.h
+++ b/include/peer/mesh.h
@@ -7,6 +7,7 @@
 #ifndef GALENA_PEER_MESH_H
 #define GALENA_PEER_MESH_H
 
+#include "common/buf.h"
 #include "common/error.h"
 #include "peer/peer.pb-c.h"
 #include "policy/cursor.h"
@@ -63,5 +64,6 @@
 void mesh_ping (struct mesh *mesh, const char *host);
 void mesh_block (struct mesh *mesh, const char *host, bool blocked);
 json_t *mesh_to_json (const struct mesh *mesh);
+void mesh_to_text (const struct mesh *mesh, struct buf *text);
 
 #endif
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -21,6 +21,7 @@
   LINK_IDLE_MS = 30000, /* after which an unused link is closed */
   MAX_PENDING_BYTES = 8 * 1024 * 1024,
   ACCEPT_BACKLOG = 256,
+  MAX_FRAME_KINDS = 64, /* above the numbers in peer.proto */
 };
 
 /* Another host and the link to it.  Owned by the mesh. */
@@ -47,6 +48,13 @@
   struct peer *next;
 };
 
+/* Frames of one kind that this host has sent. */
+struct sent_frames
+{
+  uint64_t frames;
+  uint64_t bytes; /* packed, without encryption and headers */
+};
+
 struct mesh
 {
   struct mesh_options options;
@@ -59,6 +67,7 @@
   char *own_address;
   uint64_t config_revision;
   bool leaving;
+  struct sent_frames sent[MAX_FRAME_KINDS]; /* by the number of the body */
 };
 
 static struct peer *
@@ -77,6 +86,11 @@
   uint32_t prefix = (uint32_t)len;
 
   peer__frame__pack (frame, packed);
+  if ((unsigned)frame->body_case < MAX_FRAME_KINDS)
+    {
+      peer->mesh->sent[frame->body_case].frames++;
+      peer->mesh->sent[frame->body_case].bytes += len;
+    }
   if (peer->link && peer->link->state == LINK_OPEN)
     link_send (peer->link, packed, len);
   else if (peer->pending.len + len < MAX_PENDING_BYTES)
@@ -607,6 +621,26 @@
   mark_suspect (peer, RECONNECT_DELAY_MS);
 }
 
+/* Appends, in the Prometheus text format, how many frames and bytes of each
+   kind this host has sent.  */
+void
+mesh_to_text (const struct mesh *mesh, struct buf *text)
+{
+  for (unsigned i = 1; i < MAX_FRAME_KINDS; i++)
+    {
+      const ProtobufCFieldDescriptor *field
+          = protobuf_c_message_descriptor_get_field (&peer__frame__descriptor,
+                                                     i);
+
+      if (!field)
+        continue;
+      buf_printf (text, "galenashore_peer_frames{kind=\"%s\"} %llu\n",
+                  field->name, (unsigned long long)mesh->sent[i].frames);
+      buf_printf (text, "galenashore_peer_frame_bytes{kind=\"%s\"} %llu\n",
+                  field->name, (unsigned long long)mesh->sent[i].bytes);
+    }
+}
+
 /* Returns the state of every peer as a new reference.  */
 json_t *
 mesh_to_json (const struct mesh *mesh)
