--- a/test/unit/test_ledger.c
+++ b/test/unit/test_ledger.c
@@ -1,6 +1,7 @@
 #include "common/id.h"
 #include "ledger/item.h"
 #include "ledger/ledger.h"
+#include "local_mesh.h"
 #include "suites.h"
 #include <stdio.h>
 #include <string.h>
@@ -82,31 +83,20 @@
     }
 }
 
-static void
-handle_down (void *data, const char *host)
-{
-}
-
 static struct mesh *
 open_mesh (struct fixture *fixture, const char *name, uint16_t port,
            mesh_frame_handler *handle)
 {
   const struct mesh_host hosts[]
       = { { "e", "127.0.0.1:23911" }, { "k", "127.0.0.1:23912" } };
-  struct mesh_options options = { .loop = fixture->loop,
-                                  .host = name,
-                                  .data_centre = "dc",
-                                  .process = port,
-                                  .listen_address = "127.0.0.1",
-                                  .listen_port = port,
-                                  .keyring = &fixture->keyring,
-                                  .handle_frame = handle,
-                                  .handle_down = handle_down,
-                                  .data = fixture };
-  struct error error;
-  struct mesh *mesh = mesh_create (&options, &error);
-
-  CU_ASSERT_PTR_NOT_NULL_FATAL (mesh);
+  struct local_mesh_options options = { .loop = fixture->loop,
+                                        .keyring = &fixture->keyring,
+                                        .name = name,
+                                        .port = port,
+                                        .handle_frame = handle,
+                                        .data = fixture };
+  struct mesh *mesh = local_mesh_open (&options);
+
   mesh_set_hosts (mesh, hosts, 2);
   return mesh;
 }
@@ -309,20 +299,15 @@
 open_fleet_mesh (struct fixture *fixture, const char *name, uint16_t port,
                  struct fleet_keeper *keeper)
 {
-  struct mesh_options options = { .loop = fixture->loop,
-                                  .host = name,
-                                  .data_centre = "dc",
-                                  .process = port,
-                                  .listen_address = "127.0.0.1",
-                                  .listen_port = port,
-                                  .keyring = &fixture->keyring,
-                                  .has_sparse_pings = true,
-                                  .handle_frame = count_items,
-                                  .handle_down = handle_down,
-                                  .data = keeper };
-  struct error error;
-
-  return mesh_create (&options, &error);
+  struct local_mesh_options options = { .loop = fixture->loop,
+                                        .keyring = &fixture->keyring,
+                                        .name = name,
+                                        .port = port,
+                                        .has_sparse_pings = true,
+                                        .handle_frame = count_items,
+                                        .data = keeper };
+
+  return local_mesh_open (&options);
 }
 
 static int
@@ -360,7 +345,6 @@
       locations[i] = (struct host_location){ names[i], centres[i % (int)6] };
       keepers[i].mesh = open_fleet_mesh (
           &fixture, names[i], (uint16_t)(FLEET_PORT + i), &keepers[i]);
-      CU_ASSERT_PTR_NOT_NULL_FATAL (keepers[i].mesh);
     }
   mesh_set_hosts (fixture.entry, hosts, FLEET_KEEPERS);
   ledger_set_keepers (fixture.ledger, locations, FLEET_KEEPERS);
--- a/test/unit/test_mesh.c
+++ b/test/unit/test_mesh.c
@@ -1,4 +1,4 @@
-#include "peer/mesh.h"
+#include "local_mesh.h"
 #include "suites.h"
 #include <ev.h>
 #include <string.h>
@@ -60,25 +60,20 @@
 {
   struct mesh_host hosts[]
       = { { "a", "127.0.0.1:23901" }, { "b", "127.0.0.1:23902" } };
-  struct mesh_options options = { .loop = loop,
-                                  .host = name,
-                                  .data_centre = "dc",
-                                  .process = port,
-                                  .listen_address = "127.0.0.1",
-                                  .listen_port = port,
-                                  .keyring = &node->keyring,
-                                  .has_sparse_pings = has_sparse_pings,
-                                  .handle_frame = handle_frame,
-                                  .handle_down = handle_down,
-                                  .data = node };
-  struct error error;
+  struct local_mesh_options options = { .loop = loop,
+                                        .keyring = &node->keyring,
+                                        .name = name,
+                                        .port = port,
+                                        .has_sparse_pings = has_sparse_pings,
+                                        .handle_frame = handle_frame,
+                                        .handle_down = handle_down,
+                                        .data = node };
 
   memset (node, 0, sizeof *node);
   node->keyring.count = 1;
   node->keyring.keys[0].id = 1;
   memset (node->keyring.keys[0].secret, key, KEYRING_KEY_BYTES);
-  node->mesh = mesh_create (&options, &error);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (node->mesh);
+  node->mesh = local_mesh_open (&options);
   mesh_set_hosts (node->mesh, hosts, 2);
 }
 
--- a/test/unit/test_reachability.c
+++ b/test/unit/test_reachability.c
@@ -1,6 +1,6 @@
 #include "common/buf.h"
 #include "common/id.h"
-#include "peer/mesh.h"
+#include "local_mesh.h"
 #include "request/reachability.h"
 #include "suites.h"
 #include <stdlib.h>
@@ -48,11 +48,6 @@
   ++*(int *)data;
 }
 
-static void
-handle_down (void *data, const char *host)
-{
-}
-
 static void
 handle_change (void *data, const char *data_centre, bool reachable)
 {
@@ -63,22 +58,15 @@
 open_mesh (const struct fixture *fixture, const char *name, uint16_t port,
            mesh_frame_handler *handle, void *data)
 {
-  struct mesh_options options = { .loop = fixture->loop,
-                                  .host = name,
-                                  .data_centre = "dc",
-                                  .process = port,
-                                  .listen_address = "127.0.0.1",
-                                  .listen_port = port,
-                                  .keyring = &fixture->keyring,
-                                  .has_sparse_pings = true,
-                                  .handle_frame = handle,
-                                  .handle_down = handle_down,
-                                  .data = data };
-  struct error error;
-  struct mesh *mesh = mesh_create (&options, &error);
-
-  CU_ASSERT_PTR_NOT_NULL_FATAL (mesh);
-  return mesh;
+  struct local_mesh_options options = { .loop = fixture->loop,
+                                        .keyring = &fixture->keyring,
+                                        .name = name,
+                                        .port = port,
+                                        .has_sparse_pings = true,
+                                        .handle_frame = handle,
+                                        .data = data };
+
+  return local_mesh_open (&options);
 }
 
 static void
