feed: a start of the fleet does not wait for the leader's link

The leader sent the whole list of endpoints to all its followers when it had read it, and again to each that asked: some 50 times a megabyte, over 30 Mbit/s. The pool matched each endpoint of a list against all others.

Change: a change of more than 64 objects is not forwarded; hosts ask for it. A host answers with 512 KB between two beacons, and a host that lacks a whole table asks any host of its data centre every other time, so those that have it pass it on. Endpoints are matched by a hash of their ids.

New test: 48 hosts of one data centre get 201 objects, and their leader sends fewer than 47 updates.

--- a/feed/feed.c
+++ b/feed/feed.c
@@ -13,6 +13,12 @@
   BEACONS_PER_STALE = 5,     /* sent before state becomes stale */
   REQUEST_INTERVAL_MS = 200, /* between requests for one kind to the leader */
   HOSTS_PER_REQUEST = 2,     /* asked at once while the store is unreachable */
+  /* A change of more objects is not sent to all followers: they ask for it, so
+     that a host of the data centre need not send it to each of them. */
+  MAX_FORWARDED_OBJECTS = 64,
+  /* Sent in answers between two beacons; further requests are not answered and
+     are repeated, to this host or another. */
+  MAX_ANSWER_BYTES = 512 * 1024,
   RELAYS_PER_DATA_CENTRE = 2, /* hosts that the leader sends to elsewhere */
   /* The hosts of a data centre take over one after the other, in the order of
      their ranks.  While the store is down, so few of them call it. */
@@ -62,6 +68,7 @@
   size_t next_host;   /* index of the host to ask next */
   bool follows_store; /* whether this host was last told to follow the store */
   bool is_store_reachable; /* by this host */
+  size_t answered_bytes;   /* of objects, since the last beacon */
   ev_timer tick;
 };
 
@@ -213,6 +220,7 @@
   struct feed *feed = timer->data;
   int64_t now_ms = clock_now_ms ();
 
+  feed->answered_bytes = 0;
   set_follows_store (feed, leader_watches_store (&feed->leader, now_ms));
   if (is_relaying (feed, now_ms))
     send_beacon (feed, now_ms);
@@ -371,8 +379,15 @@
   struct feed *feed = data;
   struct pending_update update;
 
-  if (!is_relaying (feed, clock_now_ms ()) || change->names->len == 0)
+  int64_t now_ms = clock_now_ms ();
+
+  if (!is_relaying (feed, now_ms) || change->names->len == 0)
     return;
+  if (change->names->len > MAX_FORWARDED_OBJECTS)
+    {
+      send_beacon (feed, now_ms);
+      return;
+    }
   update_init (&update, table, change->base);
   for (guint i = 0; i < change->names->len; i++)
     {
@@ -555,6 +570,20 @@
   return true;
 }
 
+/* Returns the host to ask for what TABLE lacks, as LEADER's beacon tells.  A
+   whole table is asked of any host of the data centre every other time, so
+   that a start of all hosts does not wait for the leader's link.  */
+static const char *
+pick_source (const struct feed *feed, const struct table *table,
+             const char *leader)
+{
+  uint64_t draw = id_random64 ();
+
+  if (table_is_loaded (table) || feed->local_hosts.count == 0 || draw % 2 == 0)
+    return leader;
+  return feed->local_hosts.items[draw / 2 % feed->local_hosts.count];
+}
+
 static void
 handle_beacon (struct feed *feed, const char *host,
                const Peer__FeedBeacon *beacon)
@@ -570,7 +599,8 @@
           || now_ms - replicated->requested_ms < REQUEST_INTERVAL_MS)
         continue;
       replicated->requested_ms = now_ms;
-      request_update (feed, host, replicated->table);
+      request_update (feed, pick_source (feed, replicated->table, host),
+                      replicated->table);
     }
   record_leader (feed, host);
 }
@@ -643,8 +673,19 @@
   record_leader (feed, host);
 }
 
+static size_t
+count_bytes (const struct pending_update *update)
+{
+  size_t bytes = 0;
+
+  for (guint i = 0; i < update->objects->len; i++)
+    bytes += ((const Peer__FeedObject *)update->objects->pdata[i])->text.len;
+  return bytes;
+}
+
 /* Answers a request with the objects that changed after its revision and the
-   names of all objects.  Stale state is not sent.  */
+   names of all objects.  Stale state is not sent, and no more than
+   MAX_ANSWER_BYTES between two beacons.  */
 static void
 handle_request (struct feed *feed, const char *host,
                 const Peer__FeedAsk *request)
@@ -654,6 +695,7 @@
   GPtrArray *entries;
 
   if (!replicated || !table_is_loaded (replicated->table)
+      || feed->answered_bytes > MAX_ANSWER_BYTES
       || clock_now_ms () - table_as_of_ms (replicated->table)
              > feed->options.stale_ms)
     return;
@@ -668,6 +710,7 @@
     }
   g_ptr_array_free (entries, TRUE);
   update_add_names (&update, replicated->table);
+  feed->answered_bytes += count_bytes (&update);
   update_send (feed, &update, host);
 }
 
--- a/request/pool.c
+++ b/request/pool.c
@@ -111,22 +111,20 @@
   return endpoint;
 }
 
-/* Returns the endpoint that ENTRY describes and removes it from the list; NULL
-   if there is none.  */
+/* Returns the endpoint that ENTRY describes and removes it from the list,
+   where BY_ID has its index plus 1; NULL if there is none.  */
 static struct pool_endpoint *
-take_matching (struct pool *pool, const struct endpoint_entry *entry)
+take_matching (struct pool *pool, GHashTable *by_id,
+               const struct endpoint_entry *entry)
 {
-  for (guint i = 0; i < pool->endpoints->len; i++)
-    {
-      struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+  size_t index = GPOINTER_TO_SIZE (g_hash_table_lookup (by_id, entry->id));
+  struct pool_endpoint *endpoint
+      = index > 0 ? pool->endpoints->pdata[index - 1] : NULL;
 
-      if (endpoint && matches_entry (endpoint, entry))
-        {
-          pool->endpoints->pdata[i] = NULL;
-          return endpoint;
-        }
-    }
-  return NULL;
+  if (!endpoint || !matches_entry (endpoint, entry))
+    return NULL;
+  pool->endpoints->pdata[index - 1] = NULL;
+  return endpoint;
 }
 
 static void
@@ -161,11 +159,16 @@
 pool_apply (struct pool *pool, const struct endpoint_list *list)
 {
   GPtrArray *endpoints = g_ptr_array_new_with_free_func (endpoint_destroy);
+  GHashTable *by_id = g_hash_table_new (g_str_hash, g_str_equal);
 
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    g_hash_table_insert (
+        by_id, ((struct pool_endpoint *)pool->endpoints->pdata[i])->id,
+        GSIZE_TO_POINTER ((gsize)i + 1));
   for (size_t i = 0; i < list->count; i++)
     {
       const struct endpoint_entry *entry = &list->entries[i];
-      struct pool_endpoint *endpoint = take_matching (pool, entry);
+      struct pool_endpoint *endpoint = take_matching (pool, by_id, entry);
 
       if (!endpoint)
         {
@@ -181,6 +184,7 @@
                                                      entry->data_centre);
       g_ptr_array_add (endpoints, endpoint);
     }
+  g_hash_table_destroy (by_id);
   remove_unlisted (pool);
   g_ptr_array_set_free_func (pool->endpoints, NULL);
   g_ptr_array_free (pool->endpoints, TRUE);
--- a/test/unit/test_feed.c
+++ b/test/unit/test_feed.c
@@ -11,6 +11,7 @@
 {
   HOSTS = 3, /* of the small fixture, in one data centre */
   MAX_HOSTS = 48,
+  MANY_OBJECTS = 200,  /* more than are forwarded at once */
   FALLBACK_LEADER = 0, /* index of the host used if none follows the store */
   TICK_MS = 10,
   STALE_MS = 1300,
@@ -34,6 +35,7 @@
   bool is_refused;      /* refused by the store */
   bool is_centre_cut;   /* its data centre is cut off from the others */
   int updates;          /* update frames received */
+  int sent_updates;     /* update frames sent */
 };
 
 /* Hosts, and a store implemented as a hash table. */
@@ -42,6 +44,8 @@
   struct ev_loop *loop;
   struct host hosts[MAX_HOSTS];
   size_t count; /* of hosts */
+  /* Hosts read the store only if they follow it, not at their start. */
+  bool is_first_start;
   int64_t revision;
   GHashTable *store; /* name -> revision */
 };
@@ -58,7 +62,7 @@
 static void
 send_frame (void *data, const char *name, const Peer__Frame *frame)
 {
-  const struct host *from = data;
+  struct host *from = data;
   struct host *to = find_host (from->fixture, name);
   struct buf packed = { 0 };
   Peer__Frame *copy;
@@ -68,6 +72,7 @@
           && strcmp (to->data_centre, from->data_centre) != 0))
     return;
   to->updates += frame->body_case == PEER__FRAME__BODY_FEED_UPDATE;
+  from->sent_updates += frame->body_case == PEER__FRAME__BODY_FEED_UPDATE;
   packed_frame_append (&packed, frame);
   copy = packed_frame_unpack (&packed);
   feed_handle_frame (to->feed, from->name, copy);
@@ -96,8 +101,9 @@
   gpointer revision;
   json_t *object = json_pack ("{s:s}", "from", "store");
 
-  if ((!host->follows && table_is_loaded (host->table)) || host->is_refused
-      || host->is_disconnected)
+  if ((!host->follows
+       && (table_is_loaded (host->table) || fixture->is_first_start))
+      || host->is_refused || host->is_disconnected)
     {
       feed_set_store_reachable (host->feed, !host->is_refused);
       json_decref (object);
@@ -175,14 +181,29 @@
   feed_add_table (host->feed, host->table);
 }
 
-/* Starts COUNT hosts in CENTRES data centres.  */
 static void
-fixture_init_fleet (struct fixture *fixture, size_t count, size_t centres)
+put_many (struct fixture *fixture)
+{
+  static char object_names[MANY_OBJECTS][8];
+
+  for (size_t i = 0; i < MANY_OBJECTS; i++)
+    {
+      snprintf (object_names[i], sizeof object_names[i], "o%zu", i);
+      store_put (fixture, object_names[i]);
+    }
+}
+
+/* Starts COUNT hosts in CENTRES data centres, with MANY_OBJECTS in the store
+   if HAS_MANY.  */
+static void
+fixture_init_fleet (struct fixture *fixture, size_t count, size_t centres,
+                    bool has_many)
 {
   struct feed_host hosts[MAX_HOSTS];
 
   *fixture = (struct fixture){ .loop = ev_loop_new (EVFLAG_AUTO),
                                .count = count,
+                               .is_first_start = has_many,
                                .revision = 1 };
   fixture->store = g_hash_table_new (g_str_hash, g_str_equal);
   for (size_t i = 0; i < count; i++)
@@ -196,13 +217,15 @@
   for (size_t i = 0; i < count; i++)
     feed_set_hosts (fixture->hosts[i].feed, hosts, count);
   store_put (fixture, "one");
+  if (has_many)
+    put_many (fixture);
   run_for (fixture, STALE_MS + SETTLE_MS);
 }
 
 static void
 fixture_init (struct fixture *fixture)
 {
-  fixture_init_fleet (fixture, HOSTS, 1);
+  fixture_init_fleet (fixture, HOSTS, 1, false);
 }
 
 static void
@@ -382,7 +405,7 @@
 {
   struct fixture fixture;
 
-  fixture_init_fleet (&fixture, MAX_HOSTS, 6);
+  fixture_init_fleet (&fixture, MAX_HOSTS, 6, false);
   wait_until (&fixture, best_ranked_host_follows, NULL);
   store_put (&fixture, "two");
   wait_until (&fixture, all_have_object, "two");
@@ -402,6 +425,23 @@
   fixture_release (&fixture);
 }
 
+/* A start of a large data centre: the objects reach all hosts, and the leader
+   sends them to few, because hosts that have them pass them on.  */
+static void
+test_start_is_shared (void)
+{
+  struct fixture fixture;
+  struct host *leader;
+
+  fixture_init_fleet (&fixture, MAX_HOSTS, 1, true);
+  wait_until (&fixture, all_have_object, "o199");
+  wait_until (&fixture, best_ranked_host_follows, NULL);
+  leader = find_leader (&fixture);
+  CU_ASSERT_TRUE (leader->sent_updates > 0);
+  CU_ASSERT_TRUE (leader->sent_updates < MAX_HOSTS - 1);
+  fixture_release (&fixture);
+}
+
 /* An answer of the store that was delayed until another host had forwarded
    later changes must not put back an object that these removed
    (FAULT_PUT_REMOVED in model/feed.pml).  */
@@ -441,6 +481,7 @@
     test_missed_update_is_recovered },
   { "no updates are sent without changes", test_no_updates_without_changes },
   { "a fleet follows one host", test_fleet_follows_one_host },
+  { "hosts share a start", test_start_is_shared },
   { "a delayed answer puts nothing back",
     test_delayed_answer_puts_nothing_back },
   CU_TEST_INFO_NULL,
