feed: changes are answered without a limit

The store came back at 7.6 s with a change of the configuration; the hosts of a data centre asked their relay for it, which answers with 512 KB between two beacons, and one had it only after more than 4.9 s.

Change: the limit holds for hosts that lack a whole table, as at a start of the fleet; what changed since a revision is answered at once, as before.

--- a/feed/feed.c
+++ b/feed/feed.c
@@ -16,8 +16,8 @@
   /* A change of more objects is not sent to all followers: they ask for it, so
      that a host of the data centre need not send it to each of them. */
   MAX_FORWARDED_OBJECTS = 64,
-  /* Sent in answers between two beacons; further requests are not answered and
-     are repeated, to this host or another. */
+  /* Sent between two beacons to hosts that lack a whole table; their further
+     requests are not answered and are repeated, to this host or another. */
   MAX_ANSWER_BYTES = 512 * 1024,
   RELAYS_PER_DATA_CENTRE = 2, /* hosts that the leader sends to elsewhere */
   /* The hosts of a data centre take over one after the other, in the order of
@@ -68,7 +68,7 @@
   size_t next_host;   /* index of the host to ask next */
   bool follows_store; /* whether this host was last told to follow the store */
   bool is_store_reachable; /* by this host */
-  size_t answered_bytes;   /* of objects, since the last beacon */
+  size_t answered_bytes;   /* of whole tables, since the last beacon */
   ev_timer tick;
 };
 
@@ -684,8 +684,8 @@
 }
 
 /* Answers a request with the objects that changed after its revision and the
-   names of all objects.  Stale state is not sent, and no more than
-   MAX_ANSWER_BYTES between two beacons.  */
+   names of all objects.  Stale state is not sent, and of whole tables no more
+   than MAX_ANSWER_BYTES between two beacons.  */
 static void
 handle_request (struct feed *feed, const char *host,
                 const Peer__FeedAsk *request)
@@ -695,7 +695,7 @@
   GPtrArray *entries;
 
   if (!replicated || !table_is_loaded (replicated->table)
-      || feed->answered_bytes > MAX_ANSWER_BYTES
+      || (request->revision == 0 && feed->answered_bytes > MAX_ANSWER_BYTES)
       || clock_now_ms () - table_as_of_ms (replicated->table)
              > feed->options.stale_ms)
     return;
@@ -710,7 +710,8 @@
     }
   g_ptr_array_free (entries, TRUE);
   update_add_names (&update, replicated->table);
-  feed->answered_bytes += count_bytes (&update);
+  if (request->revision == 0)
+    feed->answered_bytes += count_bytes (&update);
   update_send (feed, &update, host);
 }
 
