ledger: one decision an answer; tests: one way to block hosts and to fail a watch

Found in reading the whole change: handle_answer decided twice, and each decision selects the program's keepers anew; two comments said more than the code does; two tests each of the watch and of the monitor began with the same steps.

No behaviour changes; the tests keep their assertions.

--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -132,8 +132,7 @@
   return account;
 }
 
-/* Returns the keepers that store ACCOUNT.  Without others on the list, this
-   host does.  */
+/* Returns the keepers that store ACCOUNT; none before the list is known.  */
 static const struct keeper_replicas *
 account_replicas (const struct keeper *keeper, struct account *account)
 {
@@ -818,7 +817,7 @@
 
 /* Returns the rank of this host among the present keepers that watch the entry
    host HOST, or -1 if it does not watch it.  Each entry host is watched by few
-   keepers, so that a keeper's work does not grow with the fleet.  */
+   keepers, so that a keeper pings only its part of the fleet.  */
 static int32_t
 watcher_rank (const struct keeper *keeper, const char *host)
 {
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -560,6 +560,7 @@
   struct keeper_replicas replicas;
   uint32_t answers;
   bool is_last; /* every keeper has answered or is silent */
+  enum charges_verdict verdict;
 
   if (keeper < 0)
     return;
@@ -581,9 +582,11 @@
   replicas = keeper_set_replicas (&ledger->set, reservation->state->program);
   answers = count_answers (reservation, &replicas);
   is_last = answers + count_silent (ledger, &replicas) >= replicas.count;
-  if ((is_last || answers >= charges_quorum (replicas.count))
-      && decide (reservation) != CHARGES_UNDECIDED)
-    report_verdict (reservation, decide (reservation));
+  if (!is_last && answers < charges_quorum (replicas.count))
+    return;
+  verdict = decide (reservation);
+  if (verdict != CHARGES_UNDECIDED)
+    report_verdict (reservation, verdict);
 }
 
 /* Sends another host's items to the keepers, and remembers where their answers
--- a/test/unit/test_reachability.c
+++ b/test/unit/test_reachability.c
@@ -122,6 +122,14 @@
   ev_loop_destroy (fixture->loop);
 }
 
+/* No remote host hears this one, or answers it, any more.  */
+static void
+block_all (const struct fixture *fixture)
+{
+  for (int i = 0; i < REMOTE_HOSTS; i++)
+    mesh_block (fixture->remotes[i], "own", true);
+}
+
 static int
 count_probed (const struct fixture *fixture)
 {
@@ -200,8 +208,7 @@
 
   fixture_open (&fixture);
   run_round (&fixture, ANSWER_MS);
-  for (int i = 0; i < REMOTE_HOSTS; i++)
-    mesh_block (fixture.remotes[i], "own", true);
+  block_all (&fixture);
   for (int i = 0; i < ROUNDS; i++)
     run_round (&fixture, SILENT_MS);
   CU_ASSERT_FALSE (fixture.is_reachable);
@@ -216,8 +223,7 @@
 
   fixture_open (&fixture);
   run_round (&fixture, ANSWER_MS);
-  for (int i = 0; i < REMOTE_HOSTS; i++)
-    mesh_block (fixture.remotes[i], "own", true);
+  block_all (&fixture);
   for (int i = 0; i < ROUNDS; i++)
     {
       run_round (&fixture, SILENT_MS);
--- a/test/unit/test_watch.c
+++ b/test/unit/test_watch.c
@@ -130,6 +130,16 @@
   CU_ASSERT_TRUE (is_met (fixture));
 }
 
+/* Activates the watch while the store is down, until a call has failed.  */
+static void
+fail_active_watch (struct fixture *fixture)
+{
+  run_until (fixture, is_listed);
+  fixture->is_down = true;
+  watch_set_active (fixture->watch, true);
+  run_until (fixture, is_failing);
+}
+
 /* A host that could not reach the store leaves the watch to another one.  When
    it watches again, long after, an endpoint that was removed meanwhile must go
    at once: its removal is no lapse in an outage.  */
@@ -139,10 +149,7 @@
   struct fixture fixture;
 
   fixture_open (&fixture);
-  run_until (&fixture, is_listed);
-  fixture.is_down = true;
-  watch_set_active (fixture.watch, true);
-  run_until (&fixture, is_failing);
+  fail_active_watch (&fixture);
   watch_set_active (fixture.watch, false);
   CU_ASSERT_FALSE (is_failing (&fixture));
   fixture.is_down = false;
@@ -160,10 +167,7 @@
   struct fixture fixture;
 
   fixture_open (&fixture);
-  run_until (&fixture, is_listed);
-  fixture.is_down = true;
-  watch_set_active (fixture.watch, true);
-  run_until (&fixture, is_failing);
+  fail_active_watch (&fixture);
   fixture.is_down = false;
   fixture.is_removed = true;
   for (int i = 0; i < MAX_LOOP_ITERATIONS && is_failing (&fixture); i++)
