--- a/common/counters.c
+++ b/common/counters.c
@@ -26,6 +26,7 @@
   [COUNTER_STORE_SYNCS] = "store_syncs",
   [COUNTER_ENDPOINT_RETRIES] = "endpoint_retries",
   [COUNTER_ENDPOINT_FAILURES] = "endpoint_failures",
+  [COUNTER_UNFINISHED_EVENTS] = "unfinished_events",
   [COUNTER_HOLDS_PLACED] = "holds_placed",
   [COUNTER_HOLDS_SWEPT] = "holds_swept",
 };
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -41,6 +41,7 @@
   char *request_body;
   size_t request_body_len;
   size_t request_body_sent;
+  enum fetch_framing framing;
   struct buf body;
   size_t max_body_bytes;
   fetch_data_handler *handle_data;
@@ -112,6 +113,7 @@
   curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &result.status);
   curl_easy_getinfo (fetch->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_easy_getinfo (fetch->easy, CURLINFO_OS_ERRNO, &system_error);
+  result.framing = fetch->framing;
   result.complete = code == CURLE_OK;
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
   result.connection_refused
@@ -247,6 +249,16 @@
   return len;
 }
 
+static void
+read_framing (struct fetch *fetch, const char *name)
+{
+  if (strcasecmp (name, "Transfer-Encoding") == 0)
+    fetch->framing = FETCH_FRAMING_CHUNKS;
+  else if (strcasecmp (name, "Content-Length") == 0
+           && fetch->framing == FETCH_FRAMING_CLOSE)
+    fetch->framing = FETCH_FRAMING_LENGTH;
+}
+
 static size_t
 handle_header_line (char *bytes, size_t size, size_t count, void *data)
 {
@@ -260,7 +272,9 @@
       *value++ = '\0';
       value += strspn (value, " ");
       value[strcspn (value, "\r\n")] = '\0';
-      fetch->handle_header (fetch->data, line, value);
+      read_framing (fetch, line);
+      if (fetch->handle_header)
+        fetch->handle_header (fetch->data, line, value);
     }
   free (line);
   return len;
@@ -423,12 +437,8 @@
   curl_easy_setopt (fetch->easy, CURLOPT_WRITEFUNCTION, handle_body);
   curl_easy_setopt (fetch->easy, CURLOPT_WRITEDATA, fetch);
   curl_easy_setopt (fetch->easy, CURLOPT_PRIVATE, fetch);
-  if (fetch->handle_header)
-    {
-      curl_easy_setopt (fetch->easy, CURLOPT_HEADERFUNCTION,
-                        handle_header_line);
-      curl_easy_setopt (fetch->easy, CURLOPT_HEADERDATA, fetch);
-    }
+  curl_easy_setopt (fetch->easy, CURLOPT_HEADERFUNCTION, handle_header_line);
+  curl_easy_setopt (fetch->easy, CURLOPT_HEADERDATA, fetch);
   if (options->target)
     curl_easy_setopt (fetch->easy, CURLOPT_REQUEST_TARGET, options->target);
   if (options->body || strcmp (options->method, "POST") == 0)
@@ -463,3 +473,18 @@
   curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &status);
   return status;
 }
+
+/* Returns what ends the body, for logs.  */
+const char *
+fetch_framing_name (enum fetch_framing framing)
+{
+  switch (framing)
+    {
+    case FETCH_FRAMING_LENGTH:
+      return "a length";
+    case FETCH_FRAMING_CHUNKS:
+      return "chunks";
+    default:
+      return "the end of its connection";
+    }
+}
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -33,6 +33,7 @@
   COUNTER_STORE_SYNCS,
   COUNTER_ENDPOINT_RETRIES,
   COUNTER_ENDPOINT_FAILURES,
+  COUNTER_UNFINISHED_EVENTS, /* responses that ended inside an event */
   COUNTER_HOLDS_PLACED,
   COUNTER_HOLDS_SWEPT, /* deleted from endpoints as orphans */
   COUNTER_COUNT,
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -11,9 +11,18 @@
 struct fetcher; /* the client */
 struct fetch;   /* a transfer */
 
+/* How a response shows where its body ends. */
+enum fetch_framing
+{
+  FETCH_FRAMING_CLOSE, /* at the end of its connection */
+  FETCH_FRAMING_LENGTH,
+  FETCH_FRAMING_CHUNKS,
+};
+
 struct fetch_result
 {
-  long status;   /* 0 if no response arrived */
+  long status; /* 0 if no response arrived */
+  enum fetch_framing framing;
   bool complete; /* the entire response arrived */
   bool timed_out;
   bool connection_refused; /* ECONNREFUSED */
@@ -60,5 +69,6 @@
                            const struct fetch_options *options);
 void fetch_cancel (struct fetch *fetch);
 long fetch_status (const struct fetch *fetch);
+const char *fetch_framing_name (enum fetch_framing framing);
 
 #endif
--- a/request/request.c
+++ b/request/request.c
@@ -516,7 +516,7 @@
 }
 
 static void
-log_response (struct request *request)
+log_response (struct request *request, enum fetch_framing framing)
 {
   struct log_ids ids = log_ids (request);
   int64_t now_ms = clock_now_ms ();
@@ -529,23 +529,26 @@
       " ms ago, first event after %" G_GINT64_FORMAT " ms, %" G_GINT64_FORMAT
       " events, %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
       " prompt tokens expected in its cache, configuration "
-      "%" G_GINT64_FORMAT,
+      "%" G_GINT64_FORMAT ", framed by %s, %zu bytes of an unfinished event",
       request->head.status, request->endpoint->id,
       now_ms - request->started_ms, request->route->name, request->sends,
       now_ms - request->sent_ms,
       request->first_event_ms ? request->first_event_ms - request->sent_ms : 0,
       request->events_forwarded, request->cached_tokens,
-      request->input->prompt_tokens, request->routing->version);
+      request->input->prompt_tokens, request->routing->version,
+      fetch_framing_name (framing),
+      is_success (request->head.status) ? request->events.pending.len : 0);
 }
 
 /* Forwards a complete response.  The caller keeps ownership of BODY.  */
 static void
-forward_response (struct request *request, const struct buf *body)
+forward_response (struct request *request, enum fetch_framing framing,
+                  const struct buf *body)
 {
   struct request_sink *sink = request->sink;
   struct response_head head = request->head;
 
-  log_response (request);
+  log_response (request, framing);
   request->head = (struct response_head){ 0 };
   request_destroy (request);
   sink->respond (sink, &head, body);
@@ -632,18 +635,20 @@
           fail_request (request, "the endpoint failed to resume the stream");
           return;
         }
-      log_response (request);
+      if (request->events.pending.len > 0)
+        counter_add (COUNTER_UNFINISHED_EVENTS, 1);
+      log_response (request, result->framing);
       end_stream (request);
       return;
     }
   if (request->route->retry_mode != ROUTE_STREAM)
     {
-      forward_response (request, body);
+      forward_response (request, result->framing, body);
       return;
     }
   pending = request->events.pending;
   request->events.pending = (struct buf){ 0 };
-  forward_response (request, &pending);
+  forward_response (request, result->framing, &pending);
   buf_release (&pending);
 }
 
