--- /dev/null
+++ b/test/unit/local_pipeline.c
@@ -0,0 +1,191 @@
+#include "local_pipeline.h"
+#include "platform/wire.h"
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct local_pipeline *
+local_from_sink (struct request_sink *sink)
+{
+  return (struct local_pipeline *)((char *)sink
+                                   - offsetof (struct local_pipeline, sink));
+}
+
+static void
+finish (struct local_pipeline *local, enum local_outcome outcome)
+{
+  CU_ASSERT_EQUAL (local->response.outcome, LOCAL_PENDING);
+  local->response.outcome = outcome;
+  ev_break (local->loop, EVBREAK_ALL);
+}
+
+static void
+sink_begin (struct request_sink *sink, const struct response_head *head)
+{
+  struct local_pipeline *local = local_from_sink (sink);
+
+  CU_ASSERT_EQUAL (local->response.status, 0);
+  local->response.status = head->status;
+}
+
+static bool
+sink_write (struct request_sink *sink, const char *bytes, size_t len)
+{
+  buf_append (&local_from_sink (sink)->response.body, bytes, len);
+  return true;
+}
+
+static void
+sink_end (struct request_sink *sink)
+{
+  finish (local_from_sink (sink), LOCAL_ENDED);
+}
+
+static void
+sink_abort (struct request_sink *sink)
+{
+  finish (local_from_sink (sink), LOCAL_ABORTED);
+}
+
+static void
+sink_refuse (struct request_sink *sink, const struct error *error)
+{
+  struct local_pipeline *local = local_from_sink (sink);
+
+  local->response.error = *error;
+  finish (local, LOCAL_REFUSED);
+}
+
+static void
+sink_respond (struct request_sink *sink, const struct response_head *head,
+              const struct buf *body)
+{
+  struct local_pipeline *local = local_from_sink (sink);
+
+  local->response.status = head->status;
+  buf_append (&local->response.body, body->data, body->len);
+  finish (local, LOCAL_RESPONDED);
+}
+
+static void
+apply_route (struct local_pipeline *local,
+             const struct local_pipeline_options *options)
+{
+  struct routing *routing = routing_create ();
+
+  routing->services = xcalloc (1, sizeof *routing->services);
+  routing->services[0]
+      = (struct service){ .name = xstrdup ("app"), .tokens_per_event = 1 };
+  routing->service_count = 1;
+  routing->routes = xcalloc (1, sizeof *routing->routes);
+  routing->route_count = 1;
+  routing->routes[0]
+      = (struct route){ .name = xstrdup ("r"),
+                        .host = xstrdup ("h"),
+                        .path_prefix = xstrdup ("/"),
+                        .retry_mode = options->retry_mode,
+                        .resumable = options->resumable,
+                        .is_open = true,
+                        .timeout_ms = options->timeout_ms,
+                        .targets = xcalloc (1, sizeof (struct route_target)),
+                        .target_count = 1 };
+  routing->routes[0].targets[0].weight = 1;
+  routing_build_index (routing);
+  pipeline_apply (local->pipeline, routing);
+}
+
+static void
+apply_endpoint (struct local_pipeline *local)
+{
+  struct endpoint_list *list = xcalloc (1, sizeof *list);
+
+  list->entries = xcalloc (1, sizeof *list->entries);
+  list->count = 1;
+  list->entries[0]
+      = (struct endpoint_entry){ .id = xstrdup ("e"),
+                                 .service = xstrdup ("app"),
+                                 .address = xasprintf ("127.0.0.1:%u",
+                                                       local->endpoint->port),
+                                 .data_centre = xstrdup ("a"),
+                                 .slots = 8 };
+  pool_apply (local->pool, list);
+  endpoint_list_destroy (list);
+}
+
+/* Creates a pipeline with one route to one endpoint.  */
+struct local_pipeline *
+local_pipeline_create (const struct local_pipeline_options *options)
+{
+  struct local_pipeline *local = xcalloc (1, sizeof *local);
+  struct limits_options limits = { .host = "x", .data_centre = "a" };
+  struct pipeline_options pipeline = { .wire = &platform_wire };
+
+  limits.loop = pipeline.loop = local->loop = ev_loop_new (EVFLAG_AUTO);
+  pipeline.fetcher = local->fetcher = fetcher_create (local->loop);
+  pipeline.pool = local->pool = pool_create ("a");
+  pipeline.limits = local->limits = limits_create (&limits);
+  local->pipeline = pipeline_create (&pipeline);
+  local->endpoint
+      = raw_endpoint_create (local->loop, options->answer, options->data);
+  local->sink = (struct request_sink){ .begin = sink_begin,
+                                       .write = sink_write,
+                                       .end = sink_end,
+                                       .abort = sink_abort,
+                                       .refuse = sink_refuse,
+                                       .respond = sink_respond };
+  apply_route (local, options);
+  apply_endpoint (local);
+  return local;
+}
+
+/* Frees the pipeline, which must have no active request.  */
+void
+local_pipeline_destroy (struct local_pipeline *local)
+{
+  pipeline_destroy (local->pipeline);
+  limits_destroy (local->limits);
+  pool_destroy (local->pool);
+  raw_endpoint_destroy (local->endpoint);
+  fetcher_destroy (local->fetcher);
+  buf_release (&local->response.body);
+  ev_loop_destroy (local->loop);
+  free (local);
+}
+
+/* Starts a request with the id "1" and forgets the response before it.  */
+void
+local_pipeline_start (struct local_pipeline *local)
+{
+  struct request_input *input = xcalloc (1, sizeof *input);
+
+  buf_release (&local->response.body);
+  local->response = (struct local_response){ 0 };
+  input->id = xstrdup ("1");
+  input->method = xstrdup ("GET");
+  input->target = xstrdup ("/x");
+  input->path = xstrdup ("/x");
+  input->host = xstrdup ("h");
+  input->deadline_ms = input->token_budget = input->prompt_tokens = -1;
+  input->max_output_tokens = input->resume_after = -1;
+  request_start (local->pipeline, input, &local->sink);
+}
+
+/* Runs a request to its end.  */
+const struct local_response *
+local_pipeline_run (struct local_pipeline *local)
+{
+  local_pipeline_start (local);
+  if (local->response.outcome == LOCAL_PENDING)
+    ev_run (local->loop, 0);
+  return &local->response;
+}
+
+/* Whether the caller takes the response for a complete success.  */
+bool
+local_response_is_success (const struct local_response *response)
+{
+  return (response->outcome == LOCAL_ENDED
+          || response->outcome == LOCAL_RESPONDED)
+         && response->status >= 200 && response->status < 300;
+}
--- /dev/null
+++ b/test/unit/local_pipeline.h
@@ -0,0 +1,56 @@
+/* A request pipeline on raw endpoints, with a caller that records what it
+   gets. */
+#ifndef GALENA_TEST_LOCAL_PIPELINE_H
+#define GALENA_TEST_LOCAL_PIPELINE_H
+
+#include "raw_endpoint.h"
+#include "request/request.h"
+
+/* How a request ended. */
+enum local_outcome
+{
+  LOCAL_PENDING,
+  LOCAL_ENDED,     /* a stream, marked as complete */
+  LOCAL_ABORTED,   /* a stream, marked as incomplete */
+  LOCAL_RESPONDED, /* a complete response in one piece */
+  LOCAL_REFUSED,
+};
+
+/* What the caller got. */
+struct local_response
+{
+  enum local_outcome outcome;
+  long status;
+  struct buf body;
+  struct error error; /* of a refusal */
+};
+
+struct local_pipeline_options
+{
+  enum route_retry_mode retry_mode;
+  bool resumable;
+  int64_t timeout_ms;
+  raw_answer_handler *answer;
+  void *data;
+};
+
+struct local_pipeline
+{
+  struct ev_loop *loop;
+  struct fetcher *fetcher;
+  struct pool *pool;
+  struct limits *limits;
+  struct pipeline *pipeline;
+  struct raw_endpoint *endpoint;
+  struct request_sink sink;
+  struct local_response response;
+};
+
+struct local_pipeline *
+local_pipeline_create (const struct local_pipeline_options *options);
+void local_pipeline_destroy (struct local_pipeline *local);
+void local_pipeline_start (struct local_pipeline *local);
+const struct local_response *local_pipeline_run (struct local_pipeline *local);
+bool local_response_is_success (const struct local_response *response);
+
+#endif
--- /dev/null
+++ b/test/unit/raw_endpoint.c
@@ -0,0 +1,187 @@
+#include "raw_endpoint.h"
+#include <CUnit/CUnit.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  LISTEN_BACKLOG = 64,
+  RECEIVE_BYTES = 4096,
+};
+
+static const char HEAD_END[] = "\r\n\r\n";
+
+struct raw_connection
+{
+  struct raw_endpoint *endpoint;
+  int fd; /* -1 once it is closed */
+  ev_io readable;
+  ev_io writable;
+  struct buf request;
+  const char *repeat; /* NULL if nothing is to be sent */
+  size_t repeat_sent;
+};
+
+static void
+close_connection (struct raw_connection *connection)
+{
+  if (connection->fd < 0)
+    return;
+  ev_io_stop (connection->endpoint->loop, &connection->readable);
+  ev_io_stop (connection->endpoint->loop, &connection->writable);
+  close (connection->fd);
+  connection->fd = -1;
+  connection->endpoint->open--;
+}
+
+static void
+reset_connection (struct raw_connection *connection)
+{
+  struct linger linger = { .l_onoff = 1 };
+
+  setsockopt (connection->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close_connection (connection);
+}
+
+static void
+handle_writable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct raw_connection *connection = watcher->data;
+  const char *bytes = connection->repeat + connection->repeat_sent;
+  ssize_t sent = send (connection->fd, bytes, strlen (bytes), MSG_NOSIGNAL);
+
+  if (sent < 0)
+    {
+      if (errno != EAGAIN)
+        close_connection (connection);
+      return;
+    }
+  connection->endpoint->bytes_sent += (uint64_t)sent;
+  connection->repeat_sent += (size_t)sent;
+  if (!connection->repeat[connection->repeat_sent])
+    connection->repeat_sent = 0;
+}
+
+static void
+send_answer (struct raw_connection *connection)
+{
+  struct raw_endpoint *endpoint = connection->endpoint;
+  struct raw_answer answer
+      = endpoint->answer (endpoint->data, connection->request.data);
+
+  buf_release (&connection->request);
+  endpoint->requests++;
+  if (answer.len > 0)
+    {
+      CU_ASSERT_EQUAL (
+          send (connection->fd, answer.bytes, answer.len, MSG_NOSIGNAL),
+          (ssize_t)answer.len);
+      endpoint->bytes_sent += answer.len;
+    }
+  if (answer.end == RAW_CLOSE)
+    close_connection (connection);
+  else if (answer.end == RAW_RESET)
+    reset_connection (connection);
+  else if (answer.end == RAW_REPEAT)
+    {
+      connection->repeat = answer.repeat;
+      ev_io_start (endpoint->loop, &connection->writable);
+    }
+}
+
+/* The tests send requests without a body.  */
+static void
+handle_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct raw_connection *connection = watcher->data;
+  char bytes[RECEIVE_BYTES];
+  ssize_t got = recv (connection->fd, bytes, sizeof bytes, 0);
+
+  if (got <= 0)
+    {
+      if (got == 0 || errno != EAGAIN)
+        close_connection (connection);
+      return;
+    }
+  buf_append (&connection->request, bytes, (size_t)got);
+  buf_append (&connection->request, "", 1);
+  connection->request.len--;
+  if (strstr (connection->request.data, HEAD_END))
+    send_answer (connection);
+}
+
+static void
+handle_accept (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct raw_endpoint *endpoint = watcher->data;
+  int fd
+      = accept4 (endpoint->listener, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  struct raw_connection *connection;
+
+  if (fd < 0)
+    return;
+  connection = xcalloc (1, sizeof *connection);
+  connection->endpoint = endpoint;
+  connection->fd = fd;
+  ev_io_init (&connection->readable, handle_readable, fd, EV_READ);
+  connection->readable.data = connection;
+  ev_io_init (&connection->writable, handle_writable, fd, EV_WRITE);
+  connection->writable.data = connection;
+  ev_io_start (loop, &connection->readable);
+  g_ptr_array_add (endpoint->connections, connection);
+  endpoint->open++;
+}
+
+static void
+connection_destroy (gpointer data)
+{
+  struct raw_connection *connection = data;
+
+  close_connection (connection);
+  buf_release (&connection->request);
+  free (connection);
+}
+
+/* Starts an endpoint on the loopback interface that calls ANSWER with DATA for
+   each request.  */
+struct raw_endpoint *
+raw_endpoint_create (struct ev_loop *loop, raw_answer_handler *answer,
+                     void *data)
+{
+  struct raw_endpoint *endpoint = xcalloc (1, sizeof *endpoint);
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+
+  endpoint->loop = loop;
+  endpoint->answer = answer;
+  endpoint->data = data;
+  endpoint->connections = g_ptr_array_new_with_free_func (connection_destroy);
+  endpoint->listener
+      = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (endpoint->listener, (struct sockaddr *)&address, len), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (endpoint->listener, LISTEN_BACKLOG), 0);
+  getsockname (endpoint->listener, (struct sockaddr *)&address, &len);
+  endpoint->port = ntohs (address.sin_port);
+  ev_io_init (&endpoint->acceptor, handle_accept, endpoint->listener, EV_READ);
+  endpoint->acceptor.data = endpoint;
+  ev_io_start (loop, &endpoint->acceptor);
+  return endpoint;
+}
+
+/* Closes all connections and frees the endpoint.  */
+void
+raw_endpoint_destroy (struct raw_endpoint *endpoint)
+{
+  g_ptr_array_free (endpoint->connections, TRUE);
+  ev_io_stop (endpoint->loop, &endpoint->acceptor);
+  close (endpoint->listener);
+  free (endpoint);
+}
--- /dev/null
+++ b/test/unit/raw_endpoint.h
@@ -0,0 +1,51 @@
+/* An endpoint that answers each request with bytes that the test chooses. */
+#ifndef GALENA_TEST_RAW_ENDPOINT_H
+#define GALENA_TEST_RAW_ENDPOINT_H
+
+#include "common/buf.h"
+#include <ev.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* What follows the bytes of an answer. */
+enum raw_end
+{
+  RAW_KEEP,   /* the connection stays open and silent */
+  RAW_CLOSE,  /* an orderly close */
+  RAW_RESET,  /* a reset */
+  RAW_REPEAT, /* REPEAT, over and over until the peer closes */
+};
+
+struct raw_answer
+{
+  const char *bytes;
+  size_t len;
+  enum raw_end end;
+  const char *repeat;
+};
+
+/* Chooses the answer to REQUEST, the bytes of its head. */
+typedef struct raw_answer raw_answer_handler (void *data, const char *request);
+
+struct raw_endpoint
+{
+  struct ev_loop *loop;
+  raw_answer_handler *answer;
+  void *data;
+  int listener;
+  uint16_t port;
+  ev_io acceptor;
+  GPtrArray *connections;
+  uint32_t requests;   /* that have been answered */
+  uint32_t open;       /* connections that neither side has closed */
+  uint64_t bytes_sent; /* of all answers */
+};
+
+struct raw_endpoint *raw_endpoint_create (struct ev_loop *loop,
+                                          raw_answer_handler *answer,
+                                          void *data);
+void raw_endpoint_destroy (struct raw_endpoint *endpoint);
+
+#endif
--- /dev/null
+++ b/test/unit/test_broken_answers.c
@@ -0,0 +1,216 @@
+#include "local_pipeline.h"
+#include "suites.h"
+#include <string.h>
+
+enum
+{
+  TIMEOUT_MS = 2000,
+};
+
+#define HEAD "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Stamp: s\r\n"
+#define STREAM_HEAD HEAD "Content-Type: text/event-stream\r\n\r\n"
+#define EVENT_1 "id: 1\ndata: a\n\n"
+#define EVENT_2 "id: 2\r\ndata: b\r\n\r\n"
+#define EVENT_3 "id: 3\ndata: c\n\n"
+
+static const char unframed_stream[] = STREAM_HEAD EVENT_1 EVENT_2 EVENT_3;
+static const char unframed_answer[] = HEAD "\r\nbody";
+static const char framed_answer[] = HEAD "Content-Length: 4\r\n\r\nbody";
+
+/* An answer of which the first send gets only a part. */
+struct cut_answer
+{
+  const char *bytes;
+  size_t cut;
+  enum raw_end end;
+  uint32_t sends;
+};
+
+static struct raw_answer
+answer_cut (void *data, const char *request)
+{
+  struct cut_answer *cut = data;
+
+  cut->sends++;
+  return (struct raw_answer){ .bytes = cut->bytes,
+                              .len = cut->cut,
+                              .end = cut->end };
+}
+
+/* Resumes the stream completely once it has been cut.  */
+static struct raw_answer
+answer_cut_then_resume (void *data, const char *request)
+{
+  struct cut_answer *cut = data;
+  const char *after = strstr (request, "Last-Event-Id: ");
+  int64_t id = after ? strtoll (strchr (after, ' '), NULL, 10) : 0;
+  static const char *const rest[]
+      = { unframed_stream, STREAM_HEAD EVENT_2 EVENT_3, STREAM_HEAD EVENT_3 };
+
+  if (cut->sends == 0)
+    return answer_cut (data, request);
+  cut->sends++;
+  CU_ASSERT_FATAL (id < 3);
+  return (struct raw_answer){ .bytes = rest[id],
+                              .len = strlen (rest[id]),
+                              .end = RAW_CLOSE };
+}
+
+static size_t
+head_len (const char *answer)
+{
+  return (size_t)(strstr (answer, "\r\n\r\n") - answer) + strlen ("\r\n\r\n");
+}
+
+/* Whether a stream that was cut after LEN bytes ends with a whole event.  */
+static bool
+ends_with_event (size_t len)
+{
+  size_t first = head_len (unframed_stream) + strlen (EVENT_1);
+
+  return len == first || len == first + strlen (EVENT_2)
+         || len == first + strlen (EVENT_2 EVENT_3);
+}
+
+static bool
+consists_of_events (const struct buf *body)
+{
+  static const char events[] = EVENT_1 EVENT_2 EVENT_3;
+
+  return body->len == 0
+         || (memcmp (body->data, events, body->len) == 0
+             && ends_with_event (head_len (unframed_stream) + body->len));
+}
+
+/* Guards against passing on a stream that broke off inside an event, or before
+   its first one, as complete: the response has neither a length nor chunks and
+   its connection is closed.  */
+static void
+test_unframed_stream_closed_at_every_byte (void)
+{
+  struct cut_answer cut = { .bytes = unframed_stream, .end = RAW_CLOSE };
+  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
+                                            .timeout_ms = TIMEOUT_MS,
+                                            .answer = answer_cut,
+                                            .data = &cut };
+
+  for (cut.cut = 0; cut.cut < sizeof unframed_stream; cut.cut++)
+    {
+      struct local_pipeline *local = local_pipeline_create (&options);
+      const struct local_response *response = local_pipeline_run (local);
+
+      CU_ASSERT_EQUAL (local_response_is_success (response),
+                       ends_with_event (cut.cut));
+      CU_ASSERT_TRUE (consists_of_events (&response->body));
+      local_pipeline_destroy (local);
+    }
+}
+
+/* Guards against passing on a stream as complete whose connection was reset.
+ */
+static void
+test_unframed_stream_reset_at_every_byte (void)
+{
+  struct cut_answer cut = { .bytes = unframed_stream, .end = RAW_RESET };
+  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
+                                            .timeout_ms = TIMEOUT_MS,
+                                            .answer = answer_cut,
+                                            .data = &cut };
+
+  for (cut.cut = 0; cut.cut < sizeof unframed_stream; cut.cut++)
+    {
+      struct local_pipeline *local = local_pipeline_create (&options);
+      const struct local_response *response = local_pipeline_run (local);
+
+      CU_ASSERT_FALSE (local_response_is_success (response));
+      CU_ASSERT_TRUE (consists_of_events (&response->body));
+      local_pipeline_destroy (local);
+    }
+}
+
+/* Guards against losing or repeating events when a stream without a length or
+   chunks breaks off and is resumed.  A close after a whole event cannot be
+   told from the stream's end.  */
+static void
+test_unframed_stream_is_resumed_at_every_byte (void)
+{
+  static const char events[] = EVENT_1 EVENT_2 EVENT_3;
+  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
+                                            .resumable = true,
+                                            .timeout_ms = TIMEOUT_MS,
+                                            .answer = answer_cut_then_resume };
+
+  for (size_t len = 0; len < sizeof unframed_stream - 1; len++)
+    {
+      struct cut_answer cut
+          = { .bytes = unframed_stream, .cut = len, .end = RAW_CLOSE };
+      struct local_pipeline *local;
+      const struct local_response *response;
+
+      if (ends_with_event (len))
+        continue;
+      options.data = &cut;
+      local = local_pipeline_create (&options);
+      response = local_pipeline_run (local);
+      CU_ASSERT_TRUE (local_response_is_success (response));
+      CU_ASSERT_EQUAL (response->body.len, strlen (events));
+      CU_ASSERT_TRUE (consists_of_events (&response->body));
+      local_pipeline_destroy (local);
+    }
+}
+
+/* Runs a request that is not repeated whose answer ends after LEN bytes.
+   Returns whether the caller takes the response for a success.  */
+static bool
+succeeds_if_cut (const char *answer, size_t len, enum raw_end end)
+{
+  struct cut_answer cut = { .bytes = answer, .cut = len, .end = end };
+  struct local_pipeline_options options = { .retry_mode = ROUTE_ONCE,
+                                            .timeout_ms = TIMEOUT_MS,
+                                            .answer = answer_cut,
+                                            .data = &cut };
+  struct local_pipeline *local = local_pipeline_create (&options);
+  bool succeeds = local_response_is_success (local_pipeline_run (local));
+
+  local_pipeline_destroy (local);
+  return succeeds;
+}
+
+/* Guards against passing on an answer whose head broke off as complete.  */
+static void
+test_answer_closed_inside_its_head (void)
+{
+  for (size_t len = 0; len < head_len (framed_answer); len++)
+    CU_ASSERT_FALSE (succeeds_if_cut (framed_answer, len, RAW_CLOSE));
+  for (size_t len = 0; len < head_len (unframed_answer); len++)
+    CU_ASSERT_FALSE (succeeds_if_cut (unframed_answer, len, RAW_CLOSE));
+}
+
+/* Guards against passing on an answer as complete that broke off before its
+   declared length, or whose connection was reset.  */
+static void
+test_answer_cut_inside_its_body (void)
+{
+  for (size_t len = head_len (framed_answer); len < strlen (framed_answer);
+       len++)
+    CU_ASSERT_FALSE (succeeds_if_cut (framed_answer, len, RAW_CLOSE));
+  for (size_t len = 0; len <= strlen (unframed_answer); len++)
+    CU_ASSERT_FALSE (succeeds_if_cut (unframed_answer, len, RAW_RESET));
+  CU_ASSERT_TRUE (
+      succeeds_if_cut (framed_answer, strlen (framed_answer), RAW_CLOSE));
+  CU_ASSERT_TRUE (
+      succeeds_if_cut (unframed_answer, strlen (unframed_answer), RAW_CLOSE));
+}
+
+CU_TestInfo broken_answers_tests[] = {
+  { "an unframed stream that is closed at any byte",
+    test_unframed_stream_closed_at_every_byte },
+  { "an unframed stream that is reset at any byte",
+    test_unframed_stream_reset_at_every_byte },
+  { "an unframed stream is resumed whatever byte it was closed at",
+    test_unframed_stream_is_resumed_at_every_byte },
+  { "an answer that is closed inside its head",
+    test_answer_closed_inside_its_head },
+  { "an answer that is cut inside its body", test_answer_cut_inside_its_body },
+  CU_TEST_INFO_NULL,
+};
