--- a/request/request.c
+++ b/request/request.c
@@ -390,8 +390,10 @@
 
   counter_add (COUNTER_ENDPOINT_FAILURES, 1);
   log_write (LOG_WARN, "request", &ids,
-             "no usable response from endpoint %s: %s", request->endpoint->id,
-             reason);
+             "no usable response from endpoint %s: %s (after event "
+             "%" G_GINT64_FORMAT ", %zu bytes follow it)",
+             request->endpoint->id, reason, request->last_event_id,
+             request->events.pending.len);
   pool_record_failure (request->endpoint, clock_now_ms ());
   if (!may_run_again (request))
     {
@@ -436,13 +438,26 @@
              || strcmp (request->head.request_id, request->input->id) == 0);
 }
 
+static void
+record_first_event (struct request *request)
+{
+  if (request->first_event_ms)
+    return;
+  request->first_event_ms = clock_now_ms ();
+  histogram_record (HISTOGRAM_FIRST_EVENT_MS,
+                    request->first_event_ms - request->sent_ms);
+}
+
 /* Forwards an event, skipping those that the caller has already received from
-   an earlier send.  Returns false to stop if an event is missing.  */
+   an earlier send.  The response's head is forwarded with the first event, so
+   that both come from the same endpoint.  Returns false to stop if an event is
+   missing.  */
 static bool
 forward_event (void *data, int64_t id, const char *bytes, size_t len)
 {
   struct request *request = data;
 
+  record_first_event (request);
   if (id >= 0 && request->last_event_id >= 0 && id <= request->last_event_id)
     return true;
   if (id >= 0 && request->last_event_id >= 0
@@ -451,6 +466,11 @@
   if (id >= 0)
     request->last_event_id = id;
   request->events_forwarded++;
+  if (request->step != STEP_STREAM)
+    {
+      request->step = STEP_STREAM;
+      request->sink->begin (request->sink, &request->head);
+    }
   return request->sink->write (request->sink, bytes, len);
 }
 
@@ -488,17 +508,6 @@
       buf_append (&request->events.pending, bytes, len);
       return request->events.pending.len < MAX_RESPONSE_BYTES;
     }
-  if (!request->first_event_ms)
-    {
-      request->first_event_ms = clock_now_ms ();
-      histogram_record (HISTOGRAM_FIRST_EVENT_MS,
-                        request->first_event_ms - request->sent_ms);
-    }
-  if (request->step != STEP_STREAM)
-    {
-      request->step = STEP_STREAM;
-      request->sink->begin (request->sink, &request->head);
-    }
   return event_splitter_append (&request->events, bytes, len, forward_event,
                                 request);
 }
@@ -508,9 +517,6 @@
 {
   struct request_sink *sink = request->sink;
 
-  if (request->events.pending.len > 0)
-    sink->write (sink, request->events.pending.data,
-                 request->events.pending.len);
   request_destroy (request);
   sink->end (sink);
 }
@@ -529,15 +535,14 @@
       " ms ago, first event after %" G_GINT64_FORMAT " ms, %" G_GINT64_FORMAT
       " events, %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
       " prompt tokens expected in its cache, configuration "
-      "%" G_GINT64_FORMAT ", framed by %s, %zu bytes of an unfinished event",
+      "%" G_GINT64_FORMAT ", framed by %s",
       request->head.status, request->endpoint->id,
       now_ms - request->started_ms, request->route->name, request->sends,
       now_ms - request->sent_ms,
       request->first_event_ms ? request->first_event_ms - request->sent_ms : 0,
       request->events_forwarded, request->cached_tokens,
       request->input->prompt_tokens, request->routing->version,
-      fetch_framing_name (framing),
-      is_success (request->head.status) ? request->events.pending.len : 0);
+      fetch_framing_name (framing));
 }
 
 /* Forwards a complete response.  The caller keeps ownership of BODY.  */
@@ -582,10 +587,27 @@
     }
 }
 
+/* Whether a stream ended inside an event or, without a framing that shows that
+   it is complete, before its first one.  */
+static bool
+is_broken_off (const struct request *request,
+               const struct fetch_result *result)
+{
+  if (request->route->retry_mode != ROUTE_STREAM
+      || !is_success (request->head.status))
+    return false;
+  return request->events.pending.len > 0
+         || (result->framing == FETCH_FRAMING_CLOSE
+             && !request->first_event_ms);
+}
+
 static const char *
 describe_failure (const struct request *request,
                   const struct fetch_result *result)
 {
+  if (result->complete && is_matching_response (request)
+      && is_broken_off (request, result))
+    return "the stream was broken off";
   if (result->complete || !is_matching_response (request))
     return "the response does not belong to this request";
   if (result->aborted)
@@ -599,6 +621,7 @@
   struct request *request = data;
   const struct buf *body = result->body;
   struct buf pending;
+  bool is_complete;
 
   request->fetch = NULL;
   if (result->status > 0)
@@ -618,9 +641,12 @@
       retry_not_run (request, "the endpoints are full");
       return;
     }
-  if (!result->complete || !may_forward_response (request))
+  is_complete = result->complete && !is_broken_off (request, result);
+  if (!is_complete || !may_forward_response (request))
     {
-      if (!result->complete && !result->aborted)
+      if (is_success (request->head.status) && request->events.pending.len > 0)
+        counter_add (COUNTER_UNFINISHED_EVENTS, 1);
+      if (!is_complete && !result->aborted)
         pool_record_interrupted (request->endpoint, request->fingerprint,
                                  clock_now_ms ());
       handle_endpoint_failure (request, describe_failure (request, result));
@@ -635,8 +661,6 @@
           fail_request (request, "the endpoint failed to resume the stream");
           return;
         }
-      if (request->events.pending.len > 0)
-        counter_add (COUNTER_UNFINISHED_EVENTS, 1);
       log_response (request, result->framing);
       end_stream (request);
       return;
