--- a/common/fetch.c
+++ b/common/fetch.c
@@ -11,6 +11,7 @@
   MAX_IDLE_HANDLES = 256,
   MAX_CACHED_CONNECTIONS = 1024,
   DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024,
+  FIRST_FINAL_STATUS = 200, /* lower ones are of interim responses */
 };
 
 struct socket_watch
@@ -41,6 +42,8 @@
   char *request_body;
   size_t request_body_len;
   size_t request_body_sent;
+  long head_status;      /* of the head that is being received */
+  bool is_head_complete; /* the head of the final response has arrived */
   enum fetch_framing framing;
   struct buf body;
   size_t max_body_bytes;
@@ -114,13 +117,17 @@
   curl_easy_getinfo (fetch->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_easy_getinfo (fetch->easy, CURLINFO_OS_ERRNO, &system_error);
   result.framing = fetch->framing;
-  result.complete = code == CURLE_OK;
+  /* libcurl also reports success for a connection that closes inside the
+     head.  */
+  result.complete = code == CURLE_OK && fetch->is_head_complete;
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
   result.connection_refused
       = code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
   result.aborted = code == CURLE_WRITE_ERROR;
   result.sent = request_bytes > 0;
-  result.reason = curl_easy_strerror (code);
+  result.reason = code == CURLE_OK && !result.complete
+                      ? "the head of the response is incomplete"
+                      : curl_easy_strerror (code);
   if (!fetch->is_cancelled && fetch->handle_done)
     fetch->handle_done (fetch->data, &result);
   if (!fetch->is_cancelled)
@@ -249,6 +256,14 @@
   return len;
 }
 
+/* Starts the head of a response, which follows those of any interim ones.  */
+static void
+read_status_line (struct fetch *fetch, const char *line)
+{
+  fetch->head_status = strtol (line + strcspn (line, " "), NULL, 10);
+  fetch->framing = FETCH_FRAMING_CLOSE;
+}
+
 static void
 read_framing (struct fetch *fetch, const char *name)
 {
@@ -259,23 +274,42 @@
     fetch->framing = FETCH_FRAMING_LENGTH;
 }
 
-static size_t
-handle_header_line (char *bytes, size_t size, size_t count, void *data)
+/* Handles a line of a head.  Headers of interim responses are dropped.  */
+static void
+read_head_line (struct fetch *fetch, char *line)
 {
-  struct fetch *fetch = data;
-  size_t len = size * count;
-  char *line = strndup (bytes, len);
-  char *value = line ? strchr (line, ':') : NULL;
-
-  if (value && !fetch->is_cancelled)
+  static const char version[] = "HTTP/";
+  char *value = strchr (line, ':');
+
+  line[strcspn (line, "\r\n")] = '\0';
+  if (strncmp (line, version, strlen (version)) == 0)
+    read_status_line (fetch, line);
+  else if (!*line)
+    fetch->is_head_complete = fetch->head_status >= FIRST_FINAL_STATUS;
+  else if (value && fetch->head_status >= FIRST_FINAL_STATUS)
     {
       *value++ = '\0';
       value += strspn (value, " ");
-      value[strcspn (value, "\r\n")] = '\0';
       read_framing (fetch, line);
       if (fetch->handle_header)
         fetch->handle_header (fetch->data, line, value);
     }
+}
+
+/* libcurl also calls this for the trailers of a body in chunks, which are
+   dropped.  */
+static size_t
+handle_header_line (char *bytes, size_t size, size_t count, void *data)
+{
+  struct fetch *fetch = data;
+  size_t len = size * count;
+  char *line;
+
+  if (fetch->is_cancelled || fetch->is_head_complete)
+    return len;
+  line = strndup (bytes, len);
+  if (line)
+    read_head_line (fetch, line);
   free (line);
   return len;
 }
