--- a/common/httpd.c
+++ b/common/httpd.c
@@ -98,6 +98,17 @@
   ev_io_start (request->httpd->options.loop, &request->disconnect_watch);
 }
 
+static void
+clear_headers (struct httpd_request *request)
+{
+  for (uint32_t i = 0; i < request->header_count; i++)
+    {
+      free (request->header_names[i]);
+      free (request->header_values[i]);
+    }
+  request->header_count = 0;
+}
+
 static void
 request_destroy (struct httpd_request *request)
 {
@@ -108,11 +119,7 @@
   free (request->target);
   free (request->path);
   free (request->content_type);
-  for (uint32_t i = 0; i < request->header_count; i++)
-    {
-      free (request->header_names[i]);
-      free (request->header_values[i]);
-    }
+  clear_headers (request);
   free (request);
 }
 
@@ -239,6 +246,7 @@
   if (!request->method)
     {
       request->method = xstrdup (method);
+      request->lacks_chunks = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
       request->path = xstrdup (url);
       if (httpd->destroying)
         refuse_while_destroying (request);
@@ -449,10 +457,10 @@
              "before repeating it");
   for (struct httpd_request *request = httpd->requests; request;
        request = request->next)
-    if (request->state == HTTPD_WAITING)
-      httpd_respond_error (request, &error);
-    else if (request->streaming && !request->stream_ended)
+    if (request->buffering || (request->streaming && !request->stream_ended))
       httpd_stream_abort (request);
+    else if (request->state == HTTPD_WAITING)
+      httpd_respond_error (request, &error);
 }
 
 /* Closes all connections and frees the server.  Requests that are still open
@@ -606,11 +614,20 @@
   free (body);
 }
 
-/* Starts a response whose body is written with httpd_stream_write.  */
+/* Starts a response whose body is written with httpd_stream_write.  A client
+   that does not know chunks gets it in one piece with its length, since an
+   orderly close would mark an aborted body as complete.  */
 void
 httpd_stream_begin (struct httpd_request *request, unsigned status,
                     const char *content_type)
 {
+  if (request->lacks_chunks && request->state == HTTPD_WAITING)
+    {
+      request->buffering = true;
+      request->status = status;
+      request->content_type = content_type ? xstrdup (content_type) : NULL;
+      return;
+    }
   if (!set_status (request, status, content_type))
     return;
   request->streaming = true;
@@ -636,16 +653,41 @@
 void
 httpd_stream_end (struct httpd_request *request)
 {
+  if (request->buffering)
+    {
+      request->buffering = false;
+      request->state = HTTPD_RESPONDED;
+      resume_request (request);
+      return;
+    }
   request->stream_ended = true;
   if (request->state == HTTPD_QUEUED)
     resume_request (request);
 }
 
+static void
+respond_broken_off (struct httpd_request *request)
+{
+  struct error error;
+
+  error_set (&error, ERROR_ENDPOINT, RUN_MAY_HAVE_RUN,
+             "the response was broken off; send the request again if it may "
+             "run twice");
+  request->buffering = false;
+  clear_headers (request);
+  httpd_respond_error (request, &error);
+}
+
 /* Closes the connection without a proper end of the body, so that the client
    can tell that the response is incomplete.  */
 void
 httpd_stream_abort (struct httpd_request *request)
 {
+  if (request->buffering)
+    {
+      respond_broken_off (request);
+      return;
+    }
   request->stream_aborted = true;
   buf_release (&request->response_body);
   if (request->state == HTTPD_QUEUED)
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -71,6 +71,8 @@
   bool stream_ended;
   bool stream_aborted;
   bool body_too_large;
+  bool lacks_chunks;      /* the client speaks HTTP/1.0 */
+  bool buffering;         /* the stream is sent in one piece when it ends */
   ev_io disconnect_watch; /* detects that the client closes while suspended */
   bool watching_disconnect;
   void *user; /* for the handler */
--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -184,10 +184,86 @@
   teardown (&fixture);
 }
 
+/* Sends REQUEST and aborts the stream that is the response to it.  Returns
+   whether the client takes the response for complete.  */
+static bool
+aborted_stream_looks_complete (const char *request)
+{
+  struct fixture fixture;
+  char text[2048];
+  size_t len = 0;
+  ssize_t got;
+  bool is_chunked;
+
+  setup (&fixture);
+  CU_ASSERT_EQUAL (write (fixture.client, request, strlen (request)),
+                   (ssize_t)strlen (request));
+  run_until_handled (&fixture, 1);
+  httpd_stream_begin (fixture.last, 200, "text/event-stream");
+  httpd_stream_write (fixture.last, "data", 4);
+  for (int i = 0; i < 4; i++)
+    ev_run (fixture.loop, EVRUN_NOWAIT);
+  httpd_stream_abort (fixture.last);
+  for (int i = 0; i < 4; i++)
+    ev_run (fixture.loop, EVRUN_NOWAIT);
+  while (len + 1 < sizeof text
+         && (got = read (fixture.client, text + len, sizeof text - 1 - len))
+                > 0)
+    len += (size_t)got;
+  text[len] = '\0';
+  is_chunked = strstr (text, "chunked") != NULL;
+  httpd_destroy (fixture.httpd);
+  teardown (&fixture);
+  return got == 0 && strstr (text, " 200 ")
+         && (!is_chunked || strstr (text, "\r\n0\r\n\r\n"));
+}
+
+/* A client that does not know chunks gets a whole stream with its length.  */
+static void
+stream_without_chunks_has_length (void)
+{
+  static const char old_request[] = "GET / HTTP/1.0\r\n\r\n";
+  struct fixture fixture;
+  char text[2048];
+
+  setup (&fixture);
+  CU_ASSERT_EQUAL (write (fixture.client, old_request, strlen (old_request)),
+                   (ssize_t)strlen (old_request));
+  run_until_handled (&fixture, 1);
+  httpd_stream_begin (fixture.last, 200, "text/event-stream");
+  httpd_stream_write (fixture.last, "da", 2);
+  httpd_stream_write (fixture.last, "ta", 2);
+  httpd_stream_end (fixture.last);
+  for (int i = 0; i < 4; i++)
+    ev_run (fixture.loop, EVRUN_NOWAIT);
+  read_response (&fixture, text, sizeof text);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, " 200 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "Content-Length: 4\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "\r\n\r\ndata"));
+  httpd_destroy (fixture.httpd);
+  teardown (&fixture);
+}
+
+/* Guards against an orderly close that ends a response without a length or
+   chunks, which callers take for its complete end.  */
+static void
+aborted_stream_never_looks_complete (void)
+{
+  CU_ASSERT_FALSE (
+      aborted_stream_looks_complete ("GET / HTTP/1.1\r\nHost: test\r\n\r\n"));
+  CU_ASSERT_FALSE (aborted_stream_looks_complete (
+      "GET / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n"));
+  CU_ASSERT_FALSE (aborted_stream_looks_complete ("GET / HTTP/1.0\r\n\r\n"));
+}
+
 CU_TestInfo httpd_tests[]
     = { { "answers a waiting request", answers_a_waiting_request },
         { "refuses a request that arrives last",
           refuses_a_request_that_arrives_last },
         { "refuses a second request", refuses_a_second_request },
         { "aborts an open stream", aborts_an_open_stream },
+        { "a stream without chunks has a length",
+          stream_without_chunks_has_length },
+        { "an aborted stream never looks complete",
+          aborted_stream_never_looks_complete },
         CU_TEST_INFO_NULL };
