--- a/common/fetch.c
+++ b/common/fetch.c
@@ -11,6 +11,11 @@
   MAX_IDLE_HANDLES = 256,
   MAX_CACHED_CONNECTIONS = 1024,
   DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024,
+  MAX_HEAD_BYTES = 64 * 1024, /* of all heads of a transfer, with trailers */
+  /* Of all buffered bodies together.  Those up to MIN_BUFFERED_BYTES are not
+     limited, so that a few long ones cannot stop all others. */
+  MAX_BUFFERED_BYTES = 24 * 1024 * 1024,
+  MIN_BUFFERED_BYTES = 256 * 1024,
   FIRST_FINAL_STATUS = 200, /* lower ones are of interim responses */
 };
 
@@ -31,6 +36,7 @@
   CURL *idle[MAX_IDLE_HANDLES]; /* easy handles kept for reuse */
   uint32_t idle_count;
   uint32_t active_count;
+  size_t buffered_bytes; /* of the bodies of active transfers */
 };
 
 /* A transfer.  Owned by its fetcher. */
@@ -42,10 +48,12 @@
   char *request_body;
   size_t request_body_len;
   size_t request_body_sent;
+  size_t head_bytes;     /* received */
   long head_status;      /* of the head that is being received */
   bool is_head_complete; /* the head of the final response has arrived */
   enum fetch_framing framing;
   struct buf body;
+  size_t buffered_bytes; /* received into the body */
   size_t max_body_bytes;
   fetch_data_handler *handle_data;
   fetch_header_handler *handle_header;
@@ -90,6 +98,7 @@
   struct fetcher *fetcher = fetch->fetcher;
 
   unlink_fetch (fetch);
+  fetcher->buffered_bytes -= fetch->buffered_bytes;
   curl_multi_remove_handle (fetcher->multi, fetch->easy);
   if (fetcher->idle_count < MAX_IDLE_HANDLES)
     {
@@ -123,7 +132,8 @@
   result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
   result.connection_refused
       = code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED;
-  result.aborted = code == CURLE_WRITE_ERROR;
+  result.aborted
+      = code == CURLE_WRITE_ERROR || code == CURLE_FILESIZE_EXCEEDED;
   result.sent = request_bytes > 0;
   result.reason = code == CURLE_OK && !result.complete
                       ? "the head of the response is incomplete"
@@ -240,6 +250,17 @@
     }
 }
 
+/* Whether LEN more bytes of the body may be buffered.  */
+static bool
+has_room (const struct fetch *fetch, size_t len)
+{
+  size_t total = fetch->buffered_bytes + len;
+
+  return total <= fetch->max_body_bytes
+         && (total <= MIN_BUFFERED_BYTES
+             || fetch->fetcher->buffered_bytes + len <= MAX_BUFFERED_BYTES);
+}
+
 static size_t
 handle_body (char *bytes, size_t size, size_t count, void *data)
 {
@@ -250,9 +271,11 @@
     return 0;
   if (fetch->handle_data)
     return fetch->handle_data (fetch->data, bytes, len) ? len : 0;
-  if (fetch->body.len + len > fetch->max_body_bytes)
+  if (!has_room (fetch, len))
     return 0;
   buf_append (&fetch->body, bytes, len);
+  fetch->buffered_bytes += len;
+  fetch->fetcher->buffered_bytes += len;
   return len;
 }
 
@@ -305,7 +328,10 @@
   size_t len = size * count;
   char *line;
 
-  if (fetch->is_cancelled || fetch->is_head_complete)
+  fetch->head_bytes += len;
+  if (fetch->is_cancelled || fetch->head_bytes > MAX_HEAD_BYTES)
+    return 0;
+  if (fetch->is_head_complete)
     return len;
   line = strndup (bytes, len);
   if (line)
@@ -471,6 +497,9 @@
   curl_easy_setopt (fetch->easy, CURLOPT_WRITEFUNCTION, handle_body);
   curl_easy_setopt (fetch->easy, CURLOPT_WRITEDATA, fetch);
   curl_easy_setopt (fetch->easy, CURLOPT_PRIVATE, fetch);
+  if (!fetch->handle_data)
+    curl_easy_setopt (fetch->easy, CURLOPT_MAXFILESIZE_LARGE,
+                      (curl_off_t)fetch->max_body_bytes);
   curl_easy_setopt (fetch->easy, CURLOPT_HEADERFUNCTION, handle_header_line);
   curl_easy_setopt (fetch->easy, CURLOPT_HEADERDATA, fetch);
   if (options->target)
@@ -498,6 +527,13 @@
   deferred_schedule (&fetch->fetcher->deferred_destroy);
 }
 
+/* Returns the number of bytes in the bodies of active transfers.  */
+size_t
+fetcher_buffered_bytes (const struct fetcher *fetcher)
+{
+  return fetcher->buffered_bytes;
+}
+
 /* Returns the HTTP status received so far, or 0 if there is none.  */
 long
 fetch_status (const struct fetch *fetch)
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -64,6 +64,7 @@
 
 struct fetcher *fetcher_create (struct ev_loop *loop);
 void fetcher_destroy (struct fetcher *fetcher);
+size_t fetcher_buffered_bytes (const struct fetcher *fetcher);
 
 struct fetch *fetch_start (struct fetcher *fetcher,
                            const struct fetch_options *options);
--- a/include/request/event_splitter.h
+++ b/include/request/event_splitter.h
@@ -11,10 +11,19 @@
 typedef bool event_handler (void *data, int64_t id, const char *bytes,
                             size_t len);
 
+enum
+{
+  /* A stream with a larger event is not valid: no caller's backlog could hold
+     it. */
+  EVENT_SPLITTER_MAX_EVENT_BYTES = 256 * 1024,
+};
+
 /* State of the splitter; initially all zero. */
 struct event_splitter
 {
   struct buf pending; /* an incomplete event */
+  size_t scanned;     /* bytes of it that have been searched for its end */
+  size_t line_start;  /* offset of the line in which the search stopped */
 };
 
 bool event_splitter_append (struct event_splitter *events, const char *bytes,
--- a/request/event_splitter.c
+++ b/request/event_splitter.c
@@ -2,22 +2,29 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Returns the length of the first event including its blank line, or 0 if it
-   is incomplete.  */
+/* Returns the length of the event that starts at OFFSET of the pending bytes,
+   including its blank line, or 0 if it is incomplete.  */
 static size_t
-complete_event_len (const char *bytes, size_t len)
+find_event_end (struct event_splitter *events, size_t offset)
 {
-  size_t line_start = 0;
+  const char *bytes = events->pending.data + offset;
+  size_t len = events->pending.len - offset;
 
-  for (size_t i = 0; i < len; i++)
+  for (size_t i = events->scanned; i < len; i++)
     {
+      size_t line_start = events->line_start;
+
       if (bytes[i] != '\n')
         continue;
+      events->line_start = i + 1;
       if (i == line_start
           || (i == line_start + 1 && bytes[line_start] == '\r'))
-        return i + 1;
-      line_start = i + 1;
+        {
+          events->scanned = events->line_start = 0;
+          return i + 1;
+        }
     }
+  events->scanned = len;
   return 0;
 }
 
@@ -41,7 +48,7 @@
 }
 
 /* Appends bytes of the stream and calls HANDLER with each event that is
-   complete.  Returns false if HANDLER did.  */
+   complete.  Returns false if HANDLER did, or if an event is too long.  */
 bool
 event_splitter_append (struct event_splitter *events, const char *bytes,
                        size_t len, event_handler *handler, void *data)
@@ -52,9 +59,7 @@
 
   buf_append (&events->pending, bytes, len);
   while (should_continue
-         && (event_length = complete_event_len (events->pending.data + offset,
-                                                events->pending.len - offset))
-                > 0)
+         && (event_length = find_event_end (events, offset)) > 0)
     {
       const char *event = events->pending.data + offset;
 
@@ -63,12 +68,14 @@
       offset += event_length;
     }
   buf_consume (&events->pending, offset);
-  return should_continue;
+  return should_continue
+         && events->pending.len <= EVENT_SPLITTER_MAX_EVENT_BYTES;
 }
 
-/* Frees the buffered data.  */
+/* Frees the buffered data and starts a new stream.  */
 void
 event_splitter_release (struct event_splitter *events)
 {
   buf_release (&events->pending);
+  events->scanned = events->line_start = 0;
 }
--- a/request/request.c
+++ b/request/request.c
@@ -25,7 +25,7 @@
   POISON_RETRY_MS = 60000,  /* for requests that crash endpoints */
   MAX_TOKEN_WAIT_MS = 1000, /* with longer waits, most programs are late */
   BUDGET_RETRY_MS = 500,    /* while too few of the ledger's keepers respond */
-  MAX_RESPONSE_BYTES = 64 * 1024 * 1024,
+  MAX_RESPONSE_BYTES = 8 * 1024 * 1024,
 };
 
 enum
@@ -506,7 +506,7 @@
   if (!is_success (request->head.status))
     {
       buf_append (&request->events.pending, bytes, len);
-      return request->events.pending.len < MAX_RESPONSE_BYTES;
+      return request->events.pending.len <= EVENT_SPLITTER_MAX_EVENT_BYTES;
     }
   return event_splitter_append (&request->events, bytes, len, forward_event,
                                 request);
--- a/test/unit/raw_endpoint.c
+++ b/test/unit/raw_endpoint.c
@@ -13,6 +13,7 @@
 {
   LISTEN_BACKLOG = 64,
   RECEIVE_BYTES = 4096,
+  BLOCK_BYTES = 16 * 1024,
 };
 
 static const char HEAD_END[] = "\r\n\r\n";
@@ -24,8 +25,9 @@
   ev_io readable;
   ev_io writable;
   struct buf request;
-  const char *repeat; /* NULL if nothing is to be sent */
-  size_t repeat_sent;
+  char block[BLOCK_BYTES]; /* sent over and over, if it is not empty */
+  size_t block_len;
+  size_t block_sent;
 };
 
 static void
@@ -49,12 +51,26 @@
   close_connection (connection);
 }
 
+/* Fills BLOCK with repetitions of TEXT and returns their length.  */
+static size_t
+fill_block (char *block, size_t size, const char *text)
+{
+  size_t text_len = strlen (text);
+  size_t len = 0;
+
+  for (; len + text_len <= size; len += text_len)
+    memcpy (block + len, text, text_len);
+  return len;
+}
+
 static void
 handle_writable (struct ev_loop *loop, ev_io *watcher, int events)
 {
   struct raw_connection *connection = watcher->data;
-  const char *bytes = connection->repeat + connection->repeat_sent;
-  ssize_t sent = send (connection->fd, bytes, strlen (bytes), MSG_NOSIGNAL);
+  size_t left = connection->block_len - connection->block_sent;
+  ssize_t sent
+      = send (connection->fd, connection->block + connection->block_sent, left,
+              MSG_NOSIGNAL);
 
   if (sent < 0)
     {
@@ -62,10 +78,9 @@
         close_connection (connection);
       return;
     }
-  connection->endpoint->bytes_sent += (uint64_t)sent;
-  connection->repeat_sent += (size_t)sent;
-  if (!connection->repeat[connection->repeat_sent])
-    connection->repeat_sent = 0;
+  connection->block_sent += (size_t)sent;
+  if (connection->block_sent == connection->block_len)
+    connection->block_sent = 0;
 }
 
 static void
@@ -82,7 +97,6 @@
       CU_ASSERT_EQUAL (
           send (connection->fd, answer.bytes, answer.len, MSG_NOSIGNAL),
           (ssize_t)answer.len);
-      endpoint->bytes_sent += answer.len;
     }
   if (answer.end == RAW_CLOSE)
     close_connection (connection);
@@ -90,7 +104,8 @@
     reset_connection (connection);
   else if (answer.end == RAW_REPEAT)
     {
-      connection->repeat = answer.repeat;
+      connection->block_len
+          = fill_block (connection->block, BLOCK_BYTES, answer.repeat);
       ev_io_start (endpoint->loop, &connection->writable);
     }
 }
--- a/test/unit/raw_endpoint.h
+++ b/test/unit/raw_endpoint.h
@@ -38,9 +38,8 @@
   uint16_t port;
   ev_io acceptor;
   GPtrArray *connections;
-  uint32_t requests;   /* that have been answered */
-  uint32_t open;       /* connections that neither side has closed */
-  uint64_t bytes_sent; /* of all answers */
+  uint32_t requests; /* that have been answered */
+  uint32_t open;     /* connections that neither side has closed */
 };
 
 struct raw_endpoint *raw_endpoint_create (struct ev_loop *loop,
--- a/test/unit/test_broken_answers.c
+++ b/test/unit/test_broken_answers.c
@@ -1,12 +1,23 @@
+#include "common/id.h"
 #include "local_pipeline.h"
 #include "suites.h"
+#include <stdlib.h>
 #include <string.h>
 
 enum
 {
   TIMEOUT_MS = 2000,
+  ENDLESS_TIMEOUT_MS = 4000,
+  PARALLEL_BODIES = 16,
+  MAX_BODY_BYTES = 8 * 1024 * 1024,
+  /* A third of the memory of the smallest hosts, 88 MB. */
+  BODIES_MEMORY_BYTES = 88 * 1000 * 1000 / 3,
 };
 
+/* 64 bytes without the end of a line. */
+static const char filler[]
+    = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx";
+
 #define HEAD "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Stamp: s\r\n"
 #define STREAM_HEAD HEAD "Content-Type: text/event-stream\r\n\r\n"
 #define EVENT_1 "id: 1\ndata: a\n\n"
@@ -202,6 +213,111 @@
       succeeds_if_cut (unframed_answer, strlen (unframed_answer), RAW_CLOSE));
 }
 
+static struct raw_answer
+answer_endless (void *data, const char *request)
+{
+  const char *const *parts = data;
+
+  return (struct raw_answer){ .bytes = parts[0],
+                              .len = strlen (parts[0]),
+                              .end = RAW_REPEAT,
+                              .repeat = parts[1] };
+}
+
+/* Runs a request whose answer is START and then REPEAT without end.  The host
+   must close the connection before the request's deadline.  */
+static void
+expect_endless_answer_to_end (enum route_retry_mode retry_mode,
+                              const char *start, const char *repeat)
+{
+  const char *parts[] = { start, repeat };
+  struct local_pipeline_options options = { .retry_mode = retry_mode,
+                                            .timeout_ms = ENDLESS_TIMEOUT_MS,
+                                            .answer = answer_endless,
+                                            .data = parts };
+  struct local_pipeline *local = local_pipeline_create (&options);
+  int64_t started_ms = clock_now_ms ();
+  const struct local_response *response = local_pipeline_run (local);
+
+  CU_ASSERT_FALSE (local_response_is_success (response));
+  CU_ASSERT_EQUAL (response->body.len, 0);
+  CU_ASSERT_TRUE (clock_now_ms () - started_ms < ENDLESS_TIMEOUT_MS);
+  while (local->endpoint->open > 0
+         && clock_now_ms () - started_ms < ENDLESS_TIMEOUT_MS)
+    ev_run (local->loop, EVRUN_ONCE);
+  CU_ASSERT_EQUAL (local->endpoint->open, 0);
+  local_pipeline_destroy (local);
+}
+
+/* Guards against reading a head that never ends until the request's deadline.
+ */
+static void
+test_head_without_end (void)
+{
+  expect_endless_answer_to_end (ROUTE_ONCE, "", "x");
+  expect_endless_answer_to_end (ROUTE_ONCE, "HTTP/1.1 200 OK\r\nA: ", "x");
+  expect_endless_answer_to_end (ROUTE_ONCE, HEAD, "A: b\r\n");
+  expect_endless_answer_to_end (ROUTE_STREAM, HEAD, "A: b\r\n");
+  expect_endless_answer_to_end (ROUTE_ONCE, "",
+                                "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+/* Guards against buffering a body that never ends until the process is out of
+   memory.  */
+static void
+test_body_without_end (void)
+{
+  expect_endless_answer_to_end (ROUTE_ONCE, HEAD "\r\n", filler);
+  expect_endless_answer_to_end (ROUTE_STREAM, STREAM_HEAD, filler);
+  expect_endless_answer_to_end (ROUTE_STREAM,
+                                HEAD "Transfer-Encoding: chunked\r\n\r\n",
+                                "10\r\nxxxxxxxxxxxxxxxx\r\n");
+  expect_endless_answer_to_end (
+      ROUTE_STREAM, "HTTP/1.1 500 Oops\r\nAttempt-Id: 1\r\n\r\n", filler);
+  expect_endless_answer_to_end (
+      ROUTE_ONCE, HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n");
+}
+
+static void
+count_response (void *data, const struct fetch_result *result)
+{
+  CU_ASSERT_FALSE (result->complete);
+  ++*(int *)data;
+}
+
+/* Guards against buffering many bodies without end until the process is out of
+   memory, though each stays below the limit of one.  */
+static void
+test_many_bodies_without_end (void)
+{
+  const char *parts[] = { HEAD "\r\n", filler };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct fetcher *fetcher = fetcher_create (loop);
+  struct raw_endpoint *endpoint
+      = raw_endpoint_create (loop, answer_endless, parts);
+  char *url = xasprintf ("http://127.0.0.1:%u/", endpoint->port);
+  int ended = 0;
+  struct fetch_options options = { .method = "GET",
+                                   .url = url,
+                                   .max_body_bytes = MAX_BODY_BYTES,
+                                   .handle_done = count_response,
+                                   .data = &ended };
+
+  for (int i = 0; i < PARALLEL_BODIES; i++)
+    fetch_start (fetcher, &options);
+  while (ended < PARALLEL_BODIES)
+    {
+      ev_run (loop, EVRUN_ONCE);
+      CU_ASSERT_TRUE_FATAL (fetcher_buffered_bytes (fetcher)
+                            <= BODIES_MEMORY_BYTES);
+    }
+  CU_ASSERT_EQUAL (fetcher_buffered_bytes (fetcher), 0);
+  free (url);
+  raw_endpoint_destroy (endpoint);
+  fetcher_destroy (fetcher);
+  ev_loop_destroy (loop);
+}
+
 CU_TestInfo broken_answers_tests[] = {
   { "an unframed stream that is closed at any byte",
     test_unframed_stream_closed_at_every_byte },
@@ -212,5 +328,8 @@
   { "an answer that is closed inside its head",
     test_answer_closed_inside_its_head },
   { "an answer that is cut inside its body", test_answer_cut_inside_its_body },
+  { "a head without end", test_head_without_end },
+  { "a body without end", test_body_without_end },
+  { "many bodies without end", test_many_bodies_without_end },
   CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_event_splitter.c
+++ b/test/unit/test_event_splitter.c
@@ -60,9 +60,29 @@
   event_splitter_release (&events);
 }
 
+/* Guards against buffering a stream that has no end of an event.  */
+static void
+test_event_without_end (void)
+{
+  char block[4096];
+  struct event_splitter events = { 0 };
+  struct recorded_events recorded = { 0 };
+  size_t appended = 0;
+
+  memset (block, 'x', sizeof block);
+  while (appended <= 2 * EVENT_SPLITTER_MAX_EVENT_BYTES
+         && event_splitter_append (&events, block, sizeof block, record_event,
+                                   &recorded))
+    appended += sizeof block;
+  CU_ASSERT_EQUAL (appended, EVENT_SPLITTER_MAX_EVENT_BYTES);
+  CU_ASSERT_EQUAL (recorded.count, 0);
+  event_splitter_release (&events);
+}
+
 CU_TestInfo events_tests[] = {
   { "chunk boundaries do not affect events",
     test_chunk_boundaries_do_not_affect_events },
   { "the handler stops", test_handler_stops },
+  { "an event without end", test_event_without_end },
   CU_TEST_INFO_NULL,
 };
