--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -12,6 +12,7 @@
 #define WIRE_CUSTOMER "Tenant"
 #define WIRE_ENDPOINT_ID "Expect-Instance"
 #define WIRE_LAST_EVENT_ID "Last-Event-Id"
+#define WIRE_RESUMES "Resumes" /* WIRE_ATTEMPT_ID of the first event */
 #define WIRE_PRIORITY "Request-Priority"
 #define WIRE_PROGRAM "Program-Id"
 #define WIRE_TOKEN_BUDGET "Token-Budget"
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -23,6 +23,7 @@
   char *service;
   char *address; /* "IP:port" */
   char *data_centre;
+  char *version; /* of its software; NULL if it states none */
   int64_t slots;
   int64_t started_ms; /* of the endpoint's process, Unix time */
   bool leaving;       /* is shutting down and gets no new requests */
@@ -59,6 +60,7 @@
   char *service;
   char *address;
   char *data_centre;
+  char *version; /* NULL if it states none */
   uint64_t hash; /* of the id */
   int64_t slots;
   int64_t started_ms;
@@ -100,6 +102,7 @@
 void pool_apply (struct pool *pool, const struct endpoint_list *list);
 struct pool_endpoint *
 pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms);
+const char *pool_endpoint_version (const struct pool_endpoint *endpoint);
 struct pool_endpoint *pool_find_available (const struct pool *pool,
                                            uint64_t hash);
 int64_t pool_cached_tokens (const struct pool_endpoint *endpoint,
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -38,6 +38,8 @@
   int64_t prompt_tokens;
   int64_t max_output_tokens;
   int64_t resume_after; /* id of the last event that the caller received */
+  char *resumed_id; /* of the attempt that brought the stream's first event;
+                       may be NULL */
   struct prompt_part *parts;
   size_t part_count;
   struct header *headers; /* forwarded to the endpoint */
--- a/request/pool.c
+++ b/request/pool.c
@@ -38,6 +38,7 @@
       free (list->entries[i].service);
       free (list->entries[i].address);
       free (list->entries[i].data_centre);
+      free (list->entries[i].version);
     }
   free (list->entries);
   free (list);
@@ -52,6 +53,7 @@
   free (endpoint->service);
   free (endpoint->address);
   free (endpoint->data_centre);
+  free (endpoint->version);
   g_hash_table_destroy (endpoint->parts);
   free (endpoint);
 }
@@ -104,6 +106,7 @@
   endpoint->service = xstrdup (entry->service);
   endpoint->address = xstrdup (entry->address);
   endpoint->data_centre = xstrdup (entry->data_centre);
+  endpoint->version = entry->version ? xstrdup (entry->version) : NULL;
   endpoint->hash = id_hash_text (entry->id);
   endpoint->started_ms = entry->started_ms;
   endpoint->parts
@@ -127,11 +130,20 @@
   return endpoint;
 }
 
+/* Returns the endpoint's software version, for logs.  */
+const char *
+pool_endpoint_version (const struct pool_endpoint *endpoint)
+{
+  return endpoint->version ? endpoint->version : "unknown";
+}
+
 static void
 log_change (const struct pool_endpoint *endpoint, const char *what)
 {
-  log_write (LOG_INFO, "pool", NULL, "endpoint %s of service %s at %s %s",
-             endpoint->id, endpoint->service, endpoint->address, what);
+  log_write (LOG_INFO, "pool", NULL,
+             "endpoint %s of service %s, version %s, at %s %s", endpoint->id,
+             endpoint->service, pool_endpoint_version (endpoint),
+             endpoint->address, what);
 }
 
 static void
@@ -502,10 +514,11 @@
       json_array_append_new (
           list,
           json_pack (
-              "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:I}", "id",
-              endpoint->id, "service", endpoint->service, "address",
-              endpoint->address, "slots", (json_int_t)endpoint->slots,
-              "in_flight", (json_int_t)endpoint->in_flight, "reported_running",
+              "{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:I}", "id",
+              endpoint->id, "service", endpoint->service, "version",
+              pool_endpoint_version (endpoint), "address", endpoint->address,
+              "slots", (json_int_t)endpoint->slots, "in_flight",
+              (json_int_t)endpoint->in_flight, "reported_running",
               (json_int_t)endpoint->reported_running, "reported_waiting",
               (json_int_t)endpoint->reported_waiting, "leaving",
               endpoint->leaving, "failures", (json_int_t)endpoint->failures));
--- a/request/request.c
+++ b/request/request.c
@@ -129,6 +129,7 @@
   free (input->host);
   free (input->key);
   free (input->program);
+  free (input->resumed_id);
   free (input->parts);
   headers_destroy (input->headers, input->header_count);
   buf_release (&input->body);
@@ -389,11 +390,12 @@
   struct log_ids ids = log_ids (request);
 
   counter_add (COUNTER_ENDPOINT_FAILURES, 1);
-  log_write (LOG_WARN, "request", &ids,
-             "no usable response from endpoint %s: %s (after event "
-             "%" G_GINT64_FORMAT ", %zu bytes follow it)",
-             request->endpoint->id, reason, request->last_event_id,
-             request->events.pending.len);
+  log_write (
+      LOG_WARN, "request", &ids,
+      "no usable response from endpoint %s, version %s: %s (after event "
+      "%" G_GINT64_FORMAT ", %zu bytes follow it)",
+      request->endpoint->id, pool_endpoint_version (request->endpoint), reason,
+      request->last_event_id, request->events.pending.len);
   pool_record_failure (request->endpoint, clock_now_ms ());
   if (!may_run_again (request))
     {
@@ -530,15 +532,15 @@
   histogram_record (HISTOGRAM_REQUEST_MS, now_ms - request->started_ms);
   log_write (
       LOG_INFO, "request", &ids,
-      "status %ld from endpoint %s after %" G_GINT64_FORMAT
+      "status %ld from endpoint %s, version %s, after %" G_GINT64_FORMAT
       " ms: route %s, %u sends, the last %" G_GINT64_FORMAT
       " ms ago, first event after %" G_GINT64_FORMAT " ms, %" G_GINT64_FORMAT
       " events, %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
       " prompt tokens expected in its cache, configuration "
       "%" G_GINT64_FORMAT ", framed by %s",
       request->head.status, request->endpoint->id,
-      now_ms - request->started_ms, request->route->name, request->sends,
-      now_ms - request->sent_ms,
+      pool_endpoint_version (request->endpoint), now_ms - request->started_ms,
+      request->route->name, request->sends, now_ms - request->sent_ms,
       request->first_event_ms ? request->first_event_ms - request->sent_ms : 0,
       request->events_forwarded, request->cached_tokens,
       request->input->prompt_tokens, request->routing->version,
@@ -1117,6 +1119,18 @@
   return request->customer != NULL;
 }
 
+static void
+log_resumption (const struct request *request)
+{
+  const struct request_input *input = request->input;
+  struct log_ids ids = log_ids (request);
+
+  log_write (LOG_INFO, "request", &ids,
+             "its caller resumes stream %s after event %" G_GINT64_FORMAT,
+             input->resumed_id ? input->resumed_id : "(without an id)",
+             input->resume_after);
+}
+
 /* Starts a request, taking ownership of INPUT.  The response goes to SINK.
    Returns NULL if the request has already ended; otherwise the request, which
    is valid until the sink's end, abort, refuse or respond is called.  */
@@ -1152,6 +1166,8 @@
                            "the API key is unknown");
       return NULL;
     }
+  if (input->resume_after >= 0)
+    log_resumption (request);
   request->fingerprint = compute_fingerprint (request);
   set_deadline (request);
   continue_admission (request);
--- a/test/unit/test_decode.c
+++ b/test/unit/test_decode.c
@@ -26,6 +26,7 @@
   free (entry.service);
   free (entry.address);
   free (entry.data_centre);
+  free (entry.version);
   return true;
 }
 
@@ -44,6 +45,9 @@
   CU_ASSERT_FALSE (endpoint_is_decoded (
       "{\"backend\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
       "\"max_concurrency\":6,\"state\":\"asleep\"}"));
+  CU_ASSERT_FALSE (endpoint_is_decoded (
+      "{\"backend\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+      "\"max_concurrency\":6,\"state\":\"ready\",\"version\":2}"));
   CU_ASSERT_FALSE (endpoint_is_decoded (
       "{\"backend\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
       "\"max_concurrency\":6,\"state\":\"ready\"}"));
