--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -95,28 +95,35 @@
   pipeline_apply (local->pipeline, routing);
 }
 
-static void
-apply_endpoint (struct local_pipeline *local)
+/* Makes the pool know the endpoints as LISTED describes them.  */
+void
+local_pipeline_list_endpoints (struct local_pipeline *local)
 {
   struct endpoint_list *list = xcalloc (1, sizeof *list);
 
-  list->entries = xcalloc (1, sizeof *list->entries);
-  list->count = 1;
-  list->entries[0]
-      = (struct endpoint_entry){ .id = xstrdup ("e"),
-                                 .service = xstrdup ("app"),
-                                 .address = xasprintf ("127.0.0.1:%u",
-                                                       local->endpoint->port),
-                                 .data_centre = xstrdup ("a"),
-                                 .slots = 8 };
+  list->entries = xcalloc (local->endpoint_count, sizeof *list->entries);
+  for (uint32_t i = 0; i < local->endpoint_count; i++)
+    if (!local->listed[i].is_gone)
+      list->entries[list->count++] = (struct endpoint_entry){
+        .id = xstrdup (local->listed[i].id),
+        .service = xstrdup ("app"),
+        .address = xasprintf ("127.0.0.1:%u", local->endpoints[i]->port),
+        .data_centre = xstrdup ("a"),
+        .version
+        = local->listed[i].version ? xstrdup (local->listed[i].version) : NULL,
+        .slots = 8
+      };
   pool_apply (local->pool, list);
   endpoint_list_destroy (list);
 }
 
-/* Creates a pipeline with one route to one endpoint.  */
+/* Creates a pipeline with one route to one service, whose endpoints have no
+   version.  */
 struct local_pipeline *
 local_pipeline_create (const struct local_pipeline_options *options)
 {
+  static const char *const names[LOCAL_MAX_ENDPOINTS]
+      = { "e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7" };
   struct local_pipeline *local = xcalloc (1, sizeof *local);
   struct limits_options limits = { .host = "x", .data_centre = "a" };
   struct pipeline_options pipeline = { .wire = &platform_wire };
@@ -126,8 +133,14 @@
   pipeline.pool = local->pool = pool_create ("a");
   pipeline.limits = local->limits = limits_create (&limits);
   local->pipeline = pipeline_create (&pipeline);
-  local->endpoint
-      = raw_endpoint_create (local->loop, options->answer, options->data);
+  local->endpoint_count
+      = options->endpoint_count > 0 ? options->endpoint_count : 1;
+  for (uint32_t i = 0; i < local->endpoint_count; i++)
+    {
+      local->endpoints[i]
+          = raw_endpoint_create (local->loop, options->answer, options->data);
+      local->listed[i].id = names[i];
+    }
   local->sink = (struct request_sink){ .begin = sink_begin,
                                        .write = sink_write,
                                        .end = sink_end,
@@ -135,7 +148,7 @@
                                        .refuse = sink_refuse,
                                        .respond = sink_respond };
   apply_route (local, options);
-  apply_endpoint (local);
+  local_pipeline_list_endpoints (local);
   return local;
 }
 
@@ -146,16 +159,19 @@
   pipeline_destroy (local->pipeline);
   limits_destroy (local->limits);
   pool_destroy (local->pool);
-  raw_endpoint_destroy (local->endpoint);
+  for (uint32_t i = 0; i < local->endpoint_count; i++)
+    raw_endpoint_destroy (local->endpoints[i]);
   fetcher_destroy (local->fetcher);
   buf_release (&local->response.body);
   ev_loop_destroy (local->loop);
   free (local);
 }
 
-/* Starts a request with the id "1" and forgets the response before it.  */
+/* Starts a request with the id "1" and forgets the response before it.  Unless
+   RESUME_AFTER is negative, it resumes the stream of an attempt "0" after this
+   event.  */
 void
-local_pipeline_start (struct local_pipeline *local)
+local_pipeline_start (struct local_pipeline *local, int64_t resume_after)
 {
   struct request_input *input = xcalloc (1, sizeof *input);
 
@@ -167,7 +183,10 @@
   input->path = xstrdup ("/x");
   input->host = xstrdup ("h");
   input->deadline_ms = input->token_budget = input->prompt_tokens = -1;
-  input->max_output_tokens = input->resume_after = -1;
+  input->max_output_tokens = -1;
+  input->resume_after = resume_after;
+  if (resume_after >= 0)
+    input->resumed_id = xstrdup ("0");
   request_start (local->pipeline, input, &local->sink);
 }
 
@@ -175,7 +194,15 @@
 const struct local_response *
 local_pipeline_run (struct local_pipeline *local)
 {
-  local_pipeline_start (local);
+  return local_pipeline_resume (local, -1);
+}
+
+/* Runs a request to its end that resumes a stream after the event
+   RESUME_AFTER.  */
+const struct local_response *
+local_pipeline_resume (struct local_pipeline *local, int64_t resume_after)
+{
+  local_pipeline_start (local, resume_after);
   if (local->response.outcome == LOCAL_PENDING)
     ev_run (local->loop, 0);
   return &local->response;
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -25,6 +25,19 @@
   struct error error; /* of a refusal */
 };
 
+enum
+{
+  LOCAL_MAX_ENDPOINTS = 8,
+};
+
+/* An endpoint of the pipeline's only service. */
+struct local_endpoint
+{
+  const char *id;
+  const char *version; /* NULL for none */
+  bool is_gone;        /* not listed */
+};
+
 struct local_pipeline_options
 {
   enum route_retry_mode retry_mode;
@@ -32,6 +45,7 @@
   int64_t timeout_ms;
   raw_answer_handler *answer;
   void *data;
+  uint32_t endpoint_count; /* 0 for one */
 };
 
 struct local_pipeline
@@ -41,7 +55,9 @@
   struct pool *pool;
   struct limits *limits;
   struct pipeline *pipeline;
-  struct raw_endpoint *endpoint;
+  struct raw_endpoint *endpoints[LOCAL_MAX_ENDPOINTS];
+  struct local_endpoint listed[LOCAL_MAX_ENDPOINTS];
+  uint32_t endpoint_count;
   struct request_sink sink;
   struct local_response response;
 };
@@ -49,8 +65,11 @@
 struct local_pipeline *
 local_pipeline_create (const struct local_pipeline_options *options);
 void local_pipeline_destroy (struct local_pipeline *local);
-void local_pipeline_start (struct local_pipeline *local);
+void local_pipeline_list_endpoints (struct local_pipeline *local);
+void local_pipeline_start (struct local_pipeline *local, int64_t resume_after);
 const struct local_response *local_pipeline_run (struct local_pipeline *local);
+const struct local_response *
+local_pipeline_resume (struct local_pipeline *local, int64_t resume_after);
 bool local_response_is_success (const struct local_response *response);
 
 #endif
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -45,6 +45,7 @@
 /* Suites that run only if their name is the program's argument. */
 static CU_SuiteInfo separate_suites[] = {
   { "broken answers", NULL, NULL, NULL, NULL, broken_answers_tests },
+  { "stream versions", NULL, NULL, NULL, NULL, stream_versions_tests },
   CU_SUITE_INFO_NULL,
 };
 
--- a/test/unit/raw_endpoint.c
+++ b/test/unit/raw_endpoint.c
@@ -88,7 +88,7 @@
 {
   struct raw_endpoint *endpoint = connection->endpoint;
   struct raw_answer answer
-      = endpoint->answer (endpoint->data, connection->request.data);
+      = endpoint->answer (endpoint->data, endpoint, connection->request.data);
 
   buf_release (&connection->request);
   endpoint->requests++;
--- a/test/unit/raw_endpoint.h
+++ b/test/unit/raw_endpoint.h
@@ -26,8 +26,12 @@
   const char *repeat;
 };
 
-/* Chooses the answer to REQUEST, the bytes of its head. */
-typedef struct raw_answer raw_answer_handler (void *data, const char *request);
+struct raw_endpoint;
+
+/* Chooses the answer of ENDPOINT to REQUEST, the bytes of its head. */
+typedef struct raw_answer raw_answer_handler (void *data,
+                                              struct raw_endpoint *endpoint,
+                                              const char *request);
 
 struct raw_endpoint
 {
--- a/test/unit/test_broken_answers.c
+++ b/test/unit/test_broken_answers.c
@@ -38,7 +38,7 @@
 };
 
 static struct raw_answer
-answer_cut (void *data, const char *request)
+answer_cut (void *data, struct raw_endpoint *endpoint, const char *request)
 {
   struct cut_answer *cut = data;
 
@@ -50,7 +50,8 @@
 
 /* Resumes the stream completely once it has been cut.  */
 static struct raw_answer
-answer_cut_then_resume (void *data, const char *request)
+answer_cut_then_resume (void *data, struct raw_endpoint *endpoint,
+                        const char *request)
 {
   struct cut_answer *cut = data;
   const char *after = strstr (request, "Last-Event-Id: ");
@@ -59,7 +60,7 @@
       = { unframed_stream, STREAM_HEAD EVENT_2 EVENT_3, STREAM_HEAD EVENT_3 };
 
   if (cut->sends == 0)
-    return answer_cut (data, request);
+    return answer_cut (data, endpoint, request);
   cut->sends++;
   CU_ASSERT_FATAL (id < 3);
   return (struct raw_answer){ .bytes = rest[id],
@@ -214,7 +215,7 @@
 }
 
 static struct raw_answer
-answer_endless (void *data, const char *request)
+answer_endless (void *data, struct raw_endpoint *endpoint, const char *request)
 {
   const char *const *parts = data;
 
@@ -242,10 +243,10 @@
   CU_ASSERT_FALSE (local_response_is_success (response));
   CU_ASSERT_EQUAL (response->body.len, 0);
   CU_ASSERT_TRUE (clock_now_ms () - started_ms < ENDLESS_TIMEOUT_MS);
-  while (local->endpoint->open > 0
+  while (local->endpoints[0]->open > 0
          && clock_now_ms () - started_ms < ENDLESS_TIMEOUT_MS)
     ev_run (local->loop, EVRUN_ONCE);
-  CU_ASSERT_EQUAL (local->endpoint->open, 0);
+  CU_ASSERT_EQUAL (local->endpoints[0]->open, 0);
   local_pipeline_destroy (local);
 }
 
--- /dev/null
+++ b/test/unit/test_stream_versions.c
@@ -0,0 +1,510 @@
+#include "common/buf.h"
+#include "common/fetch.h"
+#include "common/id.h"
+#include "common/mailbox.h"
+#include "local_pipeline.h"
+#include "platform/traffic.h"
+#include "suites.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  TIMEOUT_MS = 2000,
+  NODES = 3, /* two entry hosts and a keeper */
+  FIRST_PORT = 24021,
+  PORTS_PER_NODE = 3,
+  STREAMS = 16,
+  VERSIONS = 2,
+  READY_TIMEOUT_MS = 5000,
+};
+
+#define HEAD                                                                  \
+  "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n"                  \
+  "Content-Type: text/event-stream\r\n\r\n"
+#define EVENT_1 "id: 1\ndata: a\n\n"
+#define EVENT_2 "id: 2\ndata: b\n\n"
+
+/* Endpoints that break off the first send of a stream after its first event
+   and complete the second. */
+struct breaking_endpoints
+{
+  struct local_pipeline *local;
+  uint32_t sends;
+  uint32_t began;   /* index of the endpoint that got the first send */
+  uint32_t resumed; /* of the one that got the last */
+  char answer[512];
+  /* Called when the stream has broken off; may be NULL. */
+  void (*handle_break) (struct breaking_endpoints *endpoints);
+};
+
+static uint32_t
+endpoint_index (const struct local_pipeline *local,
+                const struct raw_endpoint *endpoint)
+{
+  uint32_t i = 0;
+
+  while (local->endpoints[i] != endpoint)
+    i++;
+  return i;
+}
+
+static struct raw_answer
+answer_breaking (void *data, struct raw_endpoint *endpoint,
+                 const char *request)
+{
+  struct breaking_endpoints *endpoints = data;
+  uint32_t index = endpoint_index (endpoints->local, endpoint);
+  bool is_first = endpoints->sends++ == 0;
+
+  *(is_first ? &endpoints->began : &endpoints->resumed) = index;
+  snprintf (endpoints->answer, sizeof endpoints->answer, HEAD "%s", "1",
+            is_first ? EVENT_1 "id: " : EVENT_2);
+  if (is_first && endpoints->handle_break)
+    endpoints->handle_break (endpoints);
+  return (struct raw_answer){ .bytes = endpoints->answer,
+                              .len = strlen (endpoints->answer),
+                              .end = RAW_CLOSE };
+}
+
+static struct local_pipeline *
+create_breaking (struct breaking_endpoints *endpoints, uint32_t count)
+{
+  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
+                                            .resumable = true,
+                                            .timeout_ms = TIMEOUT_MS,
+                                            .answer = answer_breaking,
+                                            .data = endpoints,
+                                            .endpoint_count = count };
+
+  endpoints->local = local_pipeline_create (&options);
+  return endpoints->local;
+}
+
+/* Gives the endpoints the versions "v1", "v2" and so on in turn, so that
+   endpoints I and I + VERSIONS have the same one.  */
+static void
+list_versions (struct local_pipeline *local)
+{
+  static const char *const names[VERSIONS] = { "v1", "v2" };
+
+  for (uint32_t i = 0; i < local->endpoint_count; i++)
+    local->listed[i].version = names[i % VERSIONS];
+  local_pipeline_list_endpoints (local);
+}
+
+static void
+remove_first_endpoint (struct breaking_endpoints *endpoints)
+{
+  endpoints->local->listed[endpoints->began].is_gone = true;
+  local_pipeline_list_endpoints (endpoints->local);
+}
+
+/* Guards against going on at another software version within one response
+   when the endpoint that began the stream is gone.  */
+static void
+test_response_goes_on_at_its_version (void)
+{
+  for (int i = 0; i < STREAMS; i++)
+    {
+      struct breaking_endpoints endpoints
+          = { .handle_break = remove_first_endpoint };
+      struct local_pipeline *local = create_breaking (&endpoints, 4);
+      const struct local_response *response;
+
+      list_versions (local);
+      response = local_pipeline_run (local);
+      CU_ASSERT_EQUAL (response->outcome, LOCAL_ENDED);
+      CU_ASSERT_EQUAL (endpoints.sends, 2);
+      CU_ASSERT_NOT_EQUAL (endpoints.resumed, endpoints.began);
+      CU_ASSERT_EQUAL (endpoints.resumed % VERSIONS,
+                       endpoints.began % VERSIONS);
+      local_pipeline_destroy (local);
+    }
+}
+
+/* Guards against going on at another software version within one response
+   when no endpoint of the first one is left: the stream is aborted at once.
+ */
+static void
+test_response_ends_with_its_version (void)
+{
+  struct breaking_endpoints endpoints
+      = { .handle_break = remove_first_endpoint };
+  struct local_pipeline *local = create_breaking (&endpoints, 2);
+  int64_t started_ms = clock_now_ms ();
+
+  list_versions (local);
+  CU_ASSERT_EQUAL (local_pipeline_run (local)->outcome, LOCAL_ABORTED);
+  CU_ASSERT_EQUAL (endpoints.sends, 1);
+  CU_ASSERT_TRUE (clock_now_ms () - started_ms < TIMEOUT_MS);
+  local_pipeline_destroy (local);
+}
+
+static void
+restart_at_other_version (struct breaking_endpoints *endpoints)
+{
+  endpoints->local->listed[0].version = "v9";
+  local_pipeline_list_endpoints (endpoints->local);
+}
+
+/* Guards against going on at an endpoint that came back under its id and
+   address with another software version.  */
+static void
+test_restarted_endpoint_is_another_version (void)
+{
+  struct breaking_endpoints endpoints
+      = { .handle_break = restart_at_other_version };
+  struct local_pipeline *local = create_breaking (&endpoints, 1);
+
+  list_versions (local);
+  CU_ASSERT_EQUAL (local_pipeline_run (local)->outcome, LOCAL_ABORTED);
+  CU_ASSERT_EQUAL (endpoints.sends, 1);
+  local_pipeline_destroy (local);
+}
+
+/* Guards against resuming a stream of which no host knows where it began while
+   two software versions serve.  The refusal says truly that it has not run.
+ */
+static void
+test_unknown_stream_is_refused_with_two_versions (void)
+{
+  struct breaking_endpoints endpoints = { .sends = 1 };
+  struct local_pipeline *local = create_breaking (&endpoints, 2);
+  const struct local_response *response;
+
+  list_versions (local);
+  response = local_pipeline_resume (local, 1);
+  CU_ASSERT_EQUAL (response->outcome, LOCAL_REFUSED);
+  CU_ASSERT_EQUAL (response->error.run, RUN_NOT_RUN);
+  CU_ASSERT_EQUAL (endpoints.sends, 1);
+  local_pipeline_destroy (local);
+}
+
+/* Guards against refusing streams that can only have begun at the one software
+   version that serves.  */
+static void
+test_unknown_stream_goes_on_with_one_version (void)
+{
+  struct breaking_endpoints endpoints = { .sends = 1 };
+  struct local_pipeline *local = create_breaking (&endpoints, 2);
+
+  local->listed[0].version = local->listed[1].version = "v1";
+  local_pipeline_list_endpoints (local);
+  CU_ASSERT_EQUAL (local_pipeline_resume (local, 1)->outcome, LOCAL_ENDED);
+  CU_ASSERT_EQUAL (endpoints.sends, 2);
+  local_pipeline_destroy (local);
+}
+
+/* Two entry hosts and a keeper, each with its traffic thread, before endpoints
+   of two software versions. */
+struct fleet
+{
+  struct ev_loop *loop;
+  struct fetcher *fetcher;
+  struct mailbox *control;
+  char directory[32]; /* of the keeper */
+  struct platform_settings settings[NODES];
+  struct node_traffic *nodes[NODES];
+  struct raw_endpoint *endpoints[VERSIONS];
+  int last_version; /* index of the endpoint of the last send; negative: none
+                     */
+  char answer[512];
+  /* The caller's current attempt. */
+  struct fetch *fetch;
+  long status;
+  struct buf body;
+  bool leaves_after_event; /* breaks off the response after its first event */
+};
+
+static void
+drop_report (void *data, void *message)
+{
+  node_report_destroy (message);
+}
+
+/* Sends the first event to an attempt that begins a stream and the second one
+   to one that resumes it.  */
+static struct raw_answer
+answer_fleet (void *data, struct raw_endpoint *endpoint, const char *request)
+{
+  struct fleet *fleet = data;
+  bool is_resumed = strstr (request, "Last-Event-Id: 1\r\n") != NULL;
+  char id[32] = "";
+
+  sscanf (strstr (request, "Attempt-Id: "), "Attempt-Id: %31s", id);
+  fleet->last_version = endpoint == fleet->endpoints[1];
+  snprintf (fleet->answer, sizeof fleet->answer, HEAD "%s", id,
+            is_resumed ? EVENT_2 : EVENT_1);
+  return (struct raw_answer){ .bytes = fleet->answer,
+                              .len = strlen (fleet->answer),
+                              .end = is_resumed ? RAW_CLOSE : RAW_KEEP };
+}
+
+static char *
+node_address (uint32_t node, uint32_t port)
+{
+  return xasprintf ("127.0.0.1:%u", FIRST_PORT + node * PORTS_PER_NODE + port);
+}
+
+static bool
+is_keeper (uint32_t node)
+{
+  return node == NODES - 1;
+}
+
+static void
+start_node (struct fleet *fleet, uint32_t node)
+{
+  struct platform_settings *settings = &fleet->settings[node];
+  struct error error;
+
+  *settings = (struct platform_settings){
+    .host = xasprintf ("host-%u", node),
+    .data_centre = xstrdup ("a"),
+    .role = xstrdup (is_keeper (node) ? "keeper" : "entry"),
+    .peer_listen = node_address (node, 0),
+    .caller_listen = node_address (node, 1),
+    .health_listen = node_address (node, 2),
+    .store_address = xstrdup ("127.0.0.1:1"),
+    .data_dir = is_keeper (node) ? xstrdup (fleet->directory) : NULL,
+    .first_start = true,
+    .stop_grace_s = 1,
+    .limit_window_s = 1,
+    .absent_ms = 60 * 1000,
+    .retention_ms = 60 * 1000,
+    .max_connections = 64,
+  };
+  fleet->nodes[node] = node_traffic_create (settings, fleet->control, &error);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fleet->nodes[node]);
+  CU_ASSERT_TRUE_FATAL (node_traffic_start (fleet->nodes[node], &error));
+}
+
+static struct routing *
+create_routing (void)
+{
+  struct routing *routing = routing_create ();
+
+  routing->services = xcalloc (1, sizeof *routing->services);
+  routing->services[0] = (struct service){ .name = xstrdup ("app") };
+  routing->service_count = 1;
+  routing->routes = xcalloc (1, sizeof *routing->routes);
+  routing->route_count = 1;
+  routing->routes[0]
+      = (struct route){ .name = xstrdup ("r"),
+                        .host = xstrdup ("h"),
+                        .path_prefix = xstrdup ("/"),
+                        .retry_mode = ROUTE_STREAM,
+                        .resumable = true,
+                        .is_open = true,
+                        .timeout_ms = TIMEOUT_MS,
+                        .targets = xcalloc (1, sizeof (struct route_target)),
+                        .target_count = 1 };
+  routing->routes[0].targets[0].weight = 1;
+  routing_build_index (routing);
+  return routing;
+}
+
+static struct endpoint_list *
+create_endpoint_list (const struct fleet *fleet)
+{
+  struct endpoint_list *list = xcalloc (1, sizeof *list);
+
+  list->entries = xcalloc (VERSIONS, sizeof *list->entries);
+  list->count = VERSIONS;
+  for (uint32_t i = 0; i < VERSIONS; i++)
+    list->entries[i] = (struct endpoint_entry){
+      .id = xasprintf ("e%u", i),
+      .service = xstrdup ("app"),
+      .address = xasprintf ("127.0.0.1:%u", fleet->endpoints[i]->port),
+      .data_centre = xstrdup ("a"),
+      .version = xasprintf ("v%u", i + 1),
+      .slots = 8
+    };
+  return list;
+}
+
+static struct host_list *
+create_host_list (void)
+{
+  struct host_list *list = xcalloc (1, sizeof *list);
+
+  list->entries = xcalloc (NODES, sizeof *list->entries);
+  list->count = NODES;
+  for (uint32_t i = 0; i < NODES; i++)
+    list->entries[i] = (struct host_entry){ .name = xasprintf ("host-%u", i),
+                                            .address = node_address (i, 0),
+                                            .data_centre = xstrdup ("a"),
+                                            .is_keeper = is_keeper (i) };
+  return list;
+}
+
+static void
+post (struct node_traffic *node, struct node_message content)
+{
+  struct node_message *message = xcalloc (1, sizeof *message);
+
+  *message = content;
+  node_traffic_post (node, message);
+}
+
+static void
+fleet_start (struct fleet *fleet)
+{
+  *fleet = (struct fleet){ .directory = "/tmp/galena-versions-XXXXXX" };
+  CU_ASSERT_PTR_NOT_NULL_FATAL (mkdtemp (fleet->directory));
+  fleet->loop = ev_loop_new (EVFLAG_AUTO);
+  fleet->fetcher = fetcher_create (fleet->loop);
+  fleet->control = mailbox_create (fleet->loop, drop_report, NULL);
+  for (uint32_t i = 0; i < VERSIONS; i++)
+    fleet->endpoints[i]
+        = raw_endpoint_create (fleet->loop, answer_fleet, fleet);
+  for (uint32_t i = 0; i < NODES; i++)
+    start_node (fleet, i);
+  for (uint32_t i = 0; i < NODES; i++)
+    {
+      post (fleet->nodes[i],
+            (struct node_message){ .kind = NODE_HOSTS,
+                                   .hosts = create_host_list () });
+      if (is_keeper (i))
+        continue;
+      post (fleet->nodes[i],
+            (struct node_message){ .kind = NODE_ROUTING,
+                                   .routing = create_routing () });
+      post (fleet->nodes[i], (struct node_message){
+                                 .kind = NODE_ENDPOINTS,
+                                 .endpoints = create_endpoint_list (fleet) });
+    }
+}
+
+static void
+fleet_stop (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < NODES; i++)
+    {
+      post (fleet->nodes[i], (struct node_message){ .kind = NODE_QUIT });
+      node_traffic_join (fleet->nodes[i]);
+      node_traffic_destroy (fleet->nodes[i]);
+      platform_settings_release (&fleet->settings[i]);
+    }
+  for (uint32_t i = 0; i < VERSIONS; i++)
+    raw_endpoint_destroy (fleet->endpoints[i]);
+  fetcher_destroy (fleet->fetcher);
+  mailbox_drain (fleet->control, drop_report, NULL);
+  mailbox_destroy (fleet->control);
+  ev_loop_destroy (fleet->loop);
+  buf_release (&fleet->body);
+}
+
+static bool
+handle_caller_data (void *data, const char *bytes, size_t len)
+{
+  struct fleet *fleet = data;
+
+  buf_append (&fleet->body, bytes, len);
+  return !fleet->leaves_after_event;
+}
+
+static void
+handle_caller_done (void *data, const struct fetch_result *result)
+{
+  struct fleet *fleet = data;
+
+  fleet->fetch = NULL;
+  fleet->status = result->status;
+}
+
+/* Runs the attempt ID at an entry host.  If RESUMED is not NULL, it resumes
+   the stream that attempt RESUMED began after its first event; else it breaks
+   off after the first event.  */
+static void
+run_attempt (struct fleet *fleet, uint32_t node, const char *id,
+             const char *resumed)
+{
+  char *url = xasprintf ("http://%s/x", fleet->settings[node].caller_listen);
+  char *id_line = xasprintf ("Attempt-Id: %s", id);
+  char *resumes_line = resumed ? xasprintf ("Resumes: %s", resumed) : NULL;
+  const char *headers[]
+      = { "Host: h", id_line, resumes_line ? "Last-Event-Id: 1" : NULL,
+          resumes_line, NULL };
+  struct fetch_options options = { .method = "GET",
+                                   .url = url,
+                                   .headers = headers,
+                                   .single_attempt = true,
+                                   .handle_data = handle_caller_data,
+                                   .handle_done = handle_caller_done,
+                                   .data = fleet };
+
+  buf_release (&fleet->body);
+  fleet->last_version = -1;
+  fleet->leaves_after_event = !resumed;
+  fleet->fetch = fetch_start (fleet->fetcher, &options);
+  while (fleet->fetch)
+    ev_run (fleet->loop, EVRUN_ONCE);
+  free (url);
+  free (id_line);
+  free (resumes_line);
+}
+
+/* Waits until both entry hosts have applied their configuration.  */
+static void
+wait_until_ready (struct fleet *fleet)
+{
+  int64_t started_ms = clock_now_ms ();
+
+  for (uint32_t node = 0; !is_keeper (node); node++)
+    do
+      {
+        run_attempt (fleet, node, "ready", NULL);
+        CU_ASSERT_TRUE_FATAL (clock_now_ms () - started_ms < READY_TIMEOUT_MS);
+      }
+    while (fleet->status != 200);
+}
+
+/* Guards against going on at another software version when the caller resumes
+   its stream at another host than the one at which it began, and a second time
+   back at the first host.  */
+static void
+test_caller_resumes_at_another_host (void)
+{
+  struct fleet fleet;
+
+  fleet_start (&fleet);
+  wait_until_ready (&fleet);
+  for (int i = 0; i < STREAMS; i++)
+    {
+      char *first = xasprintf ("%d-first", i);
+      char *second = xasprintf ("%d-second", i);
+      char *third = xasprintf ("%d-third", i);
+      int version;
+
+      run_attempt (&fleet, 0, first, NULL);
+      version = fleet.last_version;
+      CU_ASSERT_TRUE (version >= 0);
+      run_attempt (&fleet, 1, second, first);
+      CU_ASSERT_EQUAL (fleet.status, 200);
+      CU_ASSERT_EQUAL (fleet.last_version, version);
+      run_attempt (&fleet, 0, third, first);
+      CU_ASSERT_EQUAL (fleet.status, 200);
+      CU_ASSERT_EQUAL (fleet.last_version, version);
+      free (first);
+      free (second);
+      free (third);
+    }
+  fleet_stop (&fleet);
+}
+
+CU_TestInfo stream_versions_tests[] = {
+  { "a response goes on at its version",
+    test_response_goes_on_at_its_version },
+  { "a response ends with its version", test_response_ends_with_its_version },
+  { "a restarted endpoint is another version",
+    test_restarted_endpoint_is_another_version },
+  { "an unknown stream is refused with two versions",
+    test_unknown_stream_is_refused_with_two_versions },
+  { "an unknown stream goes on with one version",
+    test_unknown_stream_goes_on_with_one_version },
+  { "a caller resumes at another host", test_caller_resumes_at_another_host },
+  CU_TEST_INFO_NULL,
+};
