--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -62,6 +62,9 @@
   char *data_centre;
   char *version; /* NULL if it states none */
   uint64_t hash; /* of the id */
+  /* Equal for endpoints of one service with the same software version.  One
+     that states none is a build of its own. */
+  uint64_t build;
   int64_t slots;
   int64_t started_ms;
   bool remote;      /* in another data centre */
@@ -93,6 +96,7 @@
   size_t part_count;
   int64_t prompt_tokens;
   uint64_t program; /* hash of its id; 0 for none */
+  uint64_t build;   /* that the endpoint must have; 0 for any */
 };
 
 void endpoint_list_destroy (struct endpoint_list *list);
@@ -102,6 +106,8 @@
 void pool_apply (struct pool *pool, const struct endpoint_list *list);
 struct pool_endpoint *
 pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms);
+bool pool_has_build (const struct pool *pool, const char *service,
+                     uint64_t build);
 const char *pool_endpoint_version (const struct pool_endpoint *endpoint);
 struct pool_endpoint *pool_find_available (const struct pool *pool,
                                            uint64_t hash);
--- a/request/pool.c
+++ b/request/pool.c
@@ -86,6 +86,19 @@
   free (pool);
 }
 
+static uint64_t
+compute_build (const struct endpoint_entry *entry)
+{
+  uint64_t build
+      = entry->version
+            ? id_hash64 (entry->version, strlen (entry->version),
+                         id_hash_text (entry->service))
+            : id_hash64 (&entry->started_ms, sizeof entry->started_ms,
+                         id_hash_text (entry->id));
+
+  return build ? build : 1;
+}
+
 static bool
 matches_entry (const struct pool_endpoint *endpoint,
                const struct endpoint_entry *entry)
@@ -94,7 +107,8 @@
          && strcmp (endpoint->address, entry->address) == 0
          && strcmp (endpoint->service, entry->service) == 0
          && strcmp (endpoint->data_centre, entry->data_centre) == 0
-         && endpoint->started_ms == entry->started_ms;
+         && endpoint->started_ms == entry->started_ms
+         && endpoint->build == compute_build (entry);
 }
 
 static struct pool_endpoint *
@@ -108,6 +122,7 @@
   endpoint->data_centre = xstrdup (entry->data_centre);
   endpoint->version = entry->version ? xstrdup (entry->version) : NULL;
   endpoint->hash = id_hash_text (entry->id);
+  endpoint->build = compute_build (entry);
   endpoint->started_ms = entry->started_ms;
   endpoint->parts
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, free, free);
@@ -223,6 +238,14 @@
   return cached;
 }
 
+static bool
+may_serve (const struct pool_endpoint *endpoint,
+           const struct pool_query *query)
+{
+  return !endpoint->leaving && strcmp (endpoint->service, query->service) == 0
+         && (!query->build || endpoint->build == query->build);
+}
+
 static void
 fill_candidate (const struct pool_endpoint *endpoint,
                 const struct pool_query *query, int64_t now_ms,
@@ -234,9 +257,8 @@
                                   .hash = endpoint->hash,
                                   .slots = endpoint->slots,
                                   .running = endpoint->in_flight };
-  out->eligible = !endpoint->leaving && !endpoint->unreachable
-                  && endpoint->avoid_until_ms <= now_ms
-                  && strcmp (endpoint->service, query->service) == 0;
+  out->eligible = may_serve (endpoint, query) && !endpoint->unreachable
+                  && endpoint->avoid_until_ms <= now_ms;
   if (!out->eligible)
     return;
   if (is_fresh && endpoint->reported_running > out->running)
@@ -274,7 +296,7 @@
     {
       struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
 
-      if (endpoint->leaving || strcmp (endpoint->service, query->service) != 0)
+      if (!may_serve (endpoint, query))
         continue;
       if (!best || endpoint->avoid_until_ms < best->avoid_until_ms)
         best = endpoint;
@@ -293,6 +315,18 @@
   return endpoint ? endpoint : pick_least_avoided (pool, query);
 }
 
+/* Whether SERVICE has an endpoint of BUILD that is not leaving.  */
+bool
+pool_has_build (const struct pool *pool, const char *service, uint64_t build)
+{
+  struct pool_query query = { .service = service, .build = build };
+
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    if (may_serve (pool->endpoints->pdata[i], &query))
+      return true;
+  return false;
+}
+
 /* Returns the endpoint whose id has HASH, or NULL if it is removed, leaving or
    unreachable.  */
 struct pool_endpoint *
--- a/request/request.c
+++ b/request/request.c
@@ -72,6 +72,9 @@
   struct pool_endpoint *endpoint; /* of the current send; NULL if none */
   /* Of the endpoint that may have run the request; 0 for none. */
   uint64_t last_endpoint_hash;
+  /* Of the endpoint that began the stream, at which alone it may go on; 0
+     until the first event. */
+  uint64_t build;
   struct fetch *fetch;
   struct response_head head;
   struct event_splitter events;
@@ -355,9 +358,14 @@
 static struct pool_endpoint *
 find_last_endpoint (const struct request *request)
 {
-  return request->last_endpoint_hash ? pool_find_available (
-             request->pipeline->options.pool, request->last_endpoint_hash)
-                                     : NULL;
+  struct pool_endpoint *endpoint
+      = request->last_endpoint_hash ? pool_find_available (
+            request->pipeline->options.pool, request->last_endpoint_hash)
+                                    : NULL;
+
+  return endpoint && (!request->build || endpoint->build == request->build)
+             ? endpoint
+             : NULL;
 }
 
 /* Whether a request that may have run may be sent again.  */
@@ -471,6 +479,7 @@
   if (request->step != STEP_STREAM)
     {
       request->step = STEP_STREAM;
+      request->build = request->endpoint->build;
       request->sink->begin (request->sink, &request->head);
     }
   return request->sink->write (request->sink, bytes, len);
@@ -688,7 +697,8 @@
                               = request->input->prompt_tokens > 0
                                     ? request->input->prompt_tokens
                                     : 0,
-                              .program = request->program };
+                              .program = request->program,
+                              .build = request->build };
 }
 
 static void
@@ -776,8 +786,27 @@
   return true;
 }
 
+/* Returns the route's target that has endpoints of the stream's build, or
+   NULL.  */
+static const struct service *
+find_service_of_build (const struct request *request)
+{
+  const struct route *route = request->route;
+
+  for (uint32_t i = 0; i < route->target_count; i++)
+    {
+      const struct service *service
+          = &request->routing->services[route->targets[i].service];
+
+      if (pool_has_build (request->pipeline->options.pool, service->name,
+                          request->build))
+        return service;
+    }
+  return NULL;
+}
+
 /* Selects a target of the route by weight.  All requests of a program go to
-   the same service.  */
+   the same service, and a stream stays at the one that began it.  */
 static const struct service *
 pick_service (const struct request *request)
 {
@@ -785,6 +814,8 @@
   uint64_t weights = 0;
   uint64_t at;
 
+  if (request->build)
+    return find_service_of_build (request);
   for (uint32_t i = 0; i < route->target_count; i++)
     weights += route->targets[i].weight;
   if (weights == 0)
@@ -840,7 +871,10 @@
       send_to_endpoint (request, endpoint);
       return;
     }
-  fail_request (request, "the route's service has no endpoint");
+  fail_request (request,
+                request->build
+                    ? "no endpoint has the software version of the stream"
+                    : "the route's service has no endpoint");
 }
 
 /* Returns the maximum number of tokens that the request may generate, or 0 if
