--- a/common/counters.c
+++ b/common/counters.c
@@ -27,6 +27,8 @@
   [COUNTER_ENDPOINT_RETRIES] = "endpoint_retries",
   [COUNTER_ENDPOINT_FAILURES] = "endpoint_failures",
   [COUNTER_UNFINISHED_EVENTS] = "unfinished_events",
+  [COUNTER_STREAM_LOOKUPS] = "stream_lookups",
+  [COUNTER_STREAM_ORIGINS_UNKNOWN] = "stream_origins_unknown",
   [COUNTER_HOLDS_PLACED] = "holds_placed",
   [COUNTER_HOLDS_SWEPT] = "holds_swept",
 };
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -33,7 +33,9 @@
   COUNTER_STORE_SYNCS,
   COUNTER_ENDPOINT_RETRIES,
   COUNTER_ENDPOINT_FAILURES,
-  COUNTER_UNFINISHED_EVENTS, /* responses that ended inside an event */
+  COUNTER_UNFINISHED_EVENTS,      /* responses that ended inside an event */
+  COUNTER_STREAM_LOOKUPS,         /* questions where a resumed stream began */
+  COUNTER_STREAM_ORIGINS_UNKNOWN, /* of them, without an answer */
   COUNTER_HOLDS_PLACED,
   COUNTER_HOLDS_SWEPT, /* deleted from endpoints as orphans */
   COUNTER_COUNT,
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -48,6 +48,8 @@
 typedef struct Peer__FeedAsk Peer__FeedAsk;
 typedef struct Peer__FeedObject Peer__FeedObject;
 typedef struct Peer__FeedUpdate Peer__FeedUpdate;
+typedef struct Peer__StreamOrigin Peer__StreamOrigin;
+typedef struct Peer__StreamAsk Peer__StreamAsk;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -579,6 +581,39 @@
     , NULL, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * Which build of a service began a stream.  Sent to keepers with the stream's
+ * first event, and by them as the answer to a question.
+ */
+struct  Peer__StreamOrigin
+{
+  ProtobufCMessage base;
+  /*
+   * of the question
+   */
+  uint64_t id;
+  uint64_t stream;
+  /*
+   * 0 if it is not known
+   */
+  uint64_t build;
+};
+#define PEER__STREAM_ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__stream_origin__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Peer__StreamAsk
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint64_t stream;
+};
+#define PEER__STREAM_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__stream_ask__descriptor) \
+    , 0, 0 }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_PING = 1,
@@ -607,7 +642,10 @@
   PEER__FRAME__BODY_LEDGER_RELAY = 24,
   PEER__FRAME__BODY_FEED_BEACON = 25,
   PEER__FRAME__BODY_FEED_ASK = 26,
-  PEER__FRAME__BODY_FEED_UPDATE = 27
+  PEER__FRAME__BODY_FEED_UPDATE = 27,
+  PEER__FRAME__BODY_STREAM_RECORD = 28,
+  PEER__FRAME__BODY_STREAM_ASK = 29,
+  PEER__FRAME__BODY_STREAM_ANSWER = 30
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -643,6 +681,9 @@
     Peer__FeedBeacon *feed_beacon;
     Peer__FeedAsk *feed_ask;
     Peer__FeedUpdate *feed_update;
+    Peer__StreamOrigin *stream_record;
+    Peer__StreamAsk *stream_ask;
+    Peer__StreamOrigin *stream_answer;
   };
 };
 #define PEER__FRAME__INIT \
@@ -1277,6 +1318,44 @@
 void   peer__feed_update__free_unpacked
                      (Peer__FeedUpdate *message,
                       ProtobufCAllocator *allocator);
+/* Peer__StreamOrigin methods */
+void   peer__stream_origin__init
+                     (Peer__StreamOrigin         *message);
+size_t peer__stream_origin__get_packed_size
+                     (const Peer__StreamOrigin   *message);
+size_t peer__stream_origin__pack
+                     (const Peer__StreamOrigin   *message,
+                      uint8_t             *out);
+size_t peer__stream_origin__pack_to_buffer
+                     (const Peer__StreamOrigin   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__StreamOrigin *
+       peer__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__stream_origin__free_unpacked
+                     (Peer__StreamOrigin *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__StreamAsk methods */
+void   peer__stream_ask__init
+                     (Peer__StreamAsk         *message);
+size_t peer__stream_ask__get_packed_size
+                     (const Peer__StreamAsk   *message);
+size_t peer__stream_ask__pack
+                     (const Peer__StreamAsk   *message,
+                      uint8_t             *out);
+size_t peer__stream_ask__pack_to_buffer
+                     (const Peer__StreamAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__StreamAsk *
+       peer__stream_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__stream_ask__free_unpacked
+                     (Peer__StreamAsk *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -1397,6 +1476,12 @@
 typedef void (*Peer__FeedUpdate_Closure)
                  (const Peer__FeedUpdate *message,
                   void *closure_data);
+typedef void (*Peer__StreamOrigin_Closure)
+                 (const Peer__StreamOrigin *message,
+                  void *closure_data);
+typedef void (*Peer__StreamAsk_Closure)
+                 (const Peer__StreamAsk *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -1439,6 +1524,8 @@
 extern const ProtobufCMessageDescriptor peer__feed_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__feed_object__descriptor;
 extern const ProtobufCMessageDescriptor peer__feed_update__descriptor;
+extern const ProtobufCMessageDescriptor peer__stream_origin__descriptor;
+extern const ProtobufCMessageDescriptor peer__stream_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -106,6 +106,8 @@
 void pool_apply (struct pool *pool, const struct endpoint_list *list);
 struct pool_endpoint *
 pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms);
+uint64_t pool_sole_build (const struct pool *pool, const char *service,
+                          int64_t now_ms);
 bool pool_has_build (const struct pool *pool, const char *service,
                      uint64_t build);
 const char *pool_endpoint_version (const struct pool_endpoint *endpoint);
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -11,6 +11,7 @@
 #include "request/limits.h"
 #include "request/pool.h"
 #include "request/routing.h"
+#include "request/stream_index.h"
 #include <ev.h>
 #include <glib.h>
 
@@ -117,6 +118,7 @@
   struct pool *pool;
   struct limits *limits;
   struct ledger *ledger;
+  struct stream_index *streams; /* may be NULL */
   const struct request_wire *wire;
   pipeline_crash_handler *handle_crash;
   pipeline_heard_handler *handle_heard; /* may be NULL */
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1492,6 +1492,96 @@
   assert(message->base.descriptor == &peer__feed_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__stream_origin__init
+                     (Peer__StreamOrigin         *message)
+{
+  static const Peer__StreamOrigin init_value = PEER__STREAM_ORIGIN__INIT;
+  *message = init_value;
+}
+size_t peer__stream_origin__get_packed_size
+                     (const Peer__StreamOrigin *message)
+{
+  assert(message->base.descriptor == &peer__stream_origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__stream_origin__pack
+                     (const Peer__StreamOrigin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__stream_origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__stream_origin__pack_to_buffer
+                     (const Peer__StreamOrigin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__stream_origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__StreamOrigin *
+       peer__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__StreamOrigin *)
+     protobuf_c_message_unpack (&peer__stream_origin__descriptor,
+                                allocator, len, data);
+}
+void   peer__stream_origin__free_unpacked
+                     (Peer__StreamOrigin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__stream_origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__stream_ask__init
+                     (Peer__StreamAsk         *message)
+{
+  static const Peer__StreamAsk init_value = PEER__STREAM_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__stream_ask__get_packed_size
+                     (const Peer__StreamAsk *message)
+{
+  assert(message->base.descriptor == &peer__stream_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__stream_ask__pack
+                     (const Peer__StreamAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__stream_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__stream_ask__pack_to_buffer
+                     (const Peer__StreamAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__stream_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__StreamAsk *
+       peer__stream_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__StreamAsk *)
+     protobuf_c_message_unpack (&peer__stream_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__stream_ask__free_unpacked
+                     (Peer__StreamAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__stream_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -3974,7 +4064,122 @@
   (ProtobufCMessageInit) peer__feed_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[27] =
+static const ProtobufCFieldDescriptor peer__stream_origin__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "build",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, build),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__stream_origin__field_indices_by_name[] = {
+  2,   /* field[2] = build */
+  0,   /* field[0] = id */
+  1,   /* field[1] = stream */
+};
+static const ProtobufCIntRange peer__stream_origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__stream_origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StreamOrigin",
+  "StreamOrigin",
+  "Peer__StreamOrigin",
+  "peer",
+  sizeof(Peer__StreamOrigin),
+  3,
+  peer__stream_origin__field_descriptors,
+  peer__stream_origin__field_indices_by_name,
+  1,  peer__stream_origin__number_ranges,
+  (ProtobufCMessageInit) peer__stream_origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__stream_ask__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamAsk, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__stream_ask__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = stream */
+};
+static const ProtobufCIntRange peer__stream_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__stream_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StreamAsk",
+  "StreamAsk",
+  "Peer__StreamAsk",
+  "peer",
+  sizeof(Peer__StreamAsk),
+  2,
+  peer__stream_ask__field_descriptors,
+  peer__stream_ask__field_indices_by_name,
+  1,  peer__stream_ask__number_ranges,
+  (ProtobufCMessageInit) peer__stream_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[30] =
 {
   {
     "ping",
@@ -4300,6 +4505,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_record",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, stream_record),
+    &peer__stream_origin__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_ask",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, stream_ask),
+    &peer__stream_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_answer",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, stream_answer),
+    &peer__stream_origin__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -4329,11 +4570,14 @@
   10,   /* field[10] = store_append */
   12,   /* field[12] = store_fetch */
   13,   /* field[13] = store_records */
+  29,   /* field[29] = stream_answer */
+  28,   /* field[28] = stream_ask */
+  27,   /* field[27] = stream_record */
 };
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -4343,7 +4587,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  27,
+  30,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/request/request.c
+++ b/request/request.c
@@ -25,6 +25,8 @@
   POISON_RETRY_MS = 60000,  /* for requests that crash endpoints */
   MAX_TOKEN_WAIT_MS = 1000, /* with longer waits, most programs are late */
   BUDGET_RETRY_MS = 500,    /* while too few of the ledger's keepers respond */
+  /* For streams that cannot be resumed: the caller can start them again. */
+  RESUME_RETRY_MS = 50,
   MAX_RESPONSE_BYTES = 8 * 1024 * 1024,
 };
 
@@ -38,6 +40,7 @@
 
 enum request_step
 {
+  STEP_ORIGIN,  /* waiting to know where the stream began */
   STEP_LIMIT,   /* waiting for a rate limit token */
   STEP_BUDGET,  /* waiting for the ledger */
   STEP_BACKOFF, /* waiting for the next send */
@@ -57,6 +60,7 @@
   const struct service *service;   /* of the current send */
   enum request_step step;
   uint64_t program;
+  uint64_t stream;      /* hash of the id of the stream's first attempt */
   uint64_t fingerprint; /* hash of the content, equal for repeated attempts */
   int64_t started_ms;
   int64_t deadline_at_ms;
@@ -66,7 +70,9 @@
   ev_timer deadline;
   ev_timer backoff;
   bool begins_program; /* no turn of the program has run before */
+  bool has_origin;     /* build is known, or the stream begins */
   bool has_token;      /* holds a token of the customer's rate limit */
+  struct stream_lookup *origin_lookup;
   struct limits_waiter *token_wait;
   struct ledger_reservation *reservation;
   struct pool_endpoint *endpoint; /* of the current send; NULL if none */
@@ -185,6 +191,7 @@
   struct pipeline *pipeline = request->pipeline;
 
   release_endpoint (request);
+  stream_lookup_cancel (request->origin_lookup);
   limits_cancel (request->token_wait);
   ledger_settle (request->reservation, tokens_used (request));
   ev_timer_stop (pipeline->options.loop, &request->deadline);
@@ -458,6 +465,20 @@
                     request->first_event_ms - request->sent_ms);
 }
 
+/* Forwards the response's head.  The stream stays at the build that sends its
+   first event.  */
+static void
+begin_stream (struct request *request)
+{
+  const struct pipeline_options *options = &request->pipeline->options;
+
+  request->step = STEP_STREAM;
+  request->build = request->endpoint->build;
+  if (options->streams && request->stream)
+    stream_index_record (options->streams, request->stream, request->build);
+  request->sink->begin (request->sink, &request->head);
+}
+
 /* Forwards an event, skipping those that the caller has already received from
    an earlier send.  The response's head is forwarded with the first event, so
    that both come from the same endpoint.  Returns false to stop if an event is
@@ -477,11 +498,7 @@
     request->last_event_id = id;
   request->events_forwarded++;
   if (request->step != STEP_STREAM)
-    {
-      request->step = STEP_STREAM;
-      request->build = request->endpoint->build;
-      request->sink->begin (request->sink, &request->head);
-    }
+    begin_stream (request);
   return request->sink->write (request->sink, bytes, len);
 }
 
@@ -897,11 +914,13 @@
                        "the customer's rate limit is exceeded");
 }
 
+static void find_origin (struct request *request);
 static void reserve_budget (struct request *request);
 static void acquire_token (struct request *request);
 
 /* Runs the next step of admission, or dispatches the request if none is left.
-   The steps are the rate limit and the token budget.  If this host has not
+   The steps are the origin of a stream that is resumed, the rate limit and the
+   token budget.  If this host has not
    seen the program before, the budget comes first: the ledger's reply tells
    whether this is the program's first request, which the rate limit treats
    differently.  */
@@ -916,8 +935,10 @@
         && ledger_has_turns (request->pipeline->options.ledger,
                              request->program);
 
-  if (!request->has_token && request->customer
-      && (!has_budget || is_program_known || request->reservation))
+  if (!request->has_origin)
+    find_origin (request);
+  else if (!request->has_token && request->customer
+           && (!has_budget || is_program_known || request->reservation))
     acquire_token (request);
   else if (has_budget && !request->reservation)
     reserve_budget (request);
@@ -925,6 +946,68 @@
     dispatch (request);
 }
 
+/* Lets a stream of unknown origin go on only if a single build can have begun
+   it.  */
+static void
+resolve_unrecorded (struct request *request)
+{
+  request->service = pick_service (request);
+  if (request->service)
+    request->build = pool_sole_build (request->pipeline->options.pool,
+                                      request->service->name, clock_now_ms ());
+  request->has_origin = true;
+  if (request->build)
+    continue_admission (request);
+  else
+    refuse_with_message (request, ERROR_OVERLOADED, RESUME_RETRY_MS,
+                         "it is not known which software version began the "
+                         "stream; start it again");
+}
+
+static void
+handle_origin (void *data, enum stream_origin origin, uint64_t build)
+{
+  struct request *request = data;
+
+  request->origin_lookup = NULL;
+  if (origin == STREAM_ORIGIN_NOT_RECORDED)
+    {
+      resolve_unrecorded (request);
+      return;
+    }
+  request->build = build;
+  request->has_origin = true;
+  if (origin == STREAM_ORIGIN_FOUND)
+    continue_admission (request);
+  else
+    refuse_with_message (request, ERROR_OVERLOADED, RESUME_RETRY_MS,
+                         "no keeper told which software version began the "
+                         "stream");
+}
+
+/* Finds the build that began the stream which the caller resumes.  */
+static void
+find_origin (struct request *request)
+{
+  struct stream_index *streams = request->pipeline->options.streams;
+
+  request->step = STEP_ORIGIN;
+  if (!streams || !request->input->resumed_id)
+    {
+      resolve_unrecorded (request);
+      return;
+    }
+  request->build = stream_index_find_local (streams, request->stream);
+  if (request->build)
+    {
+      request->has_origin = true;
+      continue_admission (request);
+      return;
+    }
+  request->origin_lookup
+      = stream_index_find (streams, request->stream, handle_origin, request);
+}
+
 static void
 handle_budget_reserved (void *data, enum charges_verdict verdict,
                         int64_t charged)
@@ -1153,6 +1236,26 @@
   return request->customer != NULL;
 }
 
+/* Sets what identifies the stream on all hosts, or leaves it 0 if it cannot be
+   resumed.  */
+static void
+set_stream (struct request *request)
+{
+  const struct request_input *input = request->input;
+  bool is_resumed = input->resume_after >= 0;
+  const char *id
+      = is_resumed && input->resumed_id ? input->resumed_id : input->id;
+
+  request->has_origin = true;
+  if (request->route->retry_mode != ROUTE_STREAM || !request->route->resumable)
+    return;
+  request->has_origin = !is_resumed;
+  if (id)
+    request->stream = id_hash64 (
+        id, strlen (id),
+        request->customer ? id_hash_text (request->customer->name) : 0);
+}
+
 static void
 log_resumption (const struct request *request)
 {
@@ -1202,6 +1305,7 @@
     }
   if (input->resume_after >= 0)
     log_resumption (request);
+  set_stream (request);
   request->fingerprint = compute_fingerprint (request);
   set_deadline (request);
   continue_admission (request);
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -117,8 +117,7 @@
   endpoint_list_destroy (list);
 }
 
-/* Creates a pipeline with one route to one service, whose endpoints have no
-   version.  */
+/* Creates a pipeline with one route to one service.  */
 struct local_pipeline *
 local_pipeline_create (const struct local_pipeline_options *options)
 {
@@ -140,6 +139,8 @@
       local->endpoints[i]
           = raw_endpoint_create (local->loop, options->answer, options->data);
       local->listed[i].id = names[i];
+      local->listed[i].version
+          = options->versions ? options->versions[i] : NULL;
     }
   local->sink = (struct request_sink){ .begin = sink_begin,
                                        .write = sink_write,
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -45,7 +45,8 @@
   int64_t timeout_ms;
   raw_answer_handler *answer;
   void *data;
-  uint32_t endpoint_count; /* 0 for one */
+  uint32_t endpoint_count;     /* 0 for one */
+  const char *const *versions; /* of the endpoints; NULL for none */
 };
 
 struct local_pipeline
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -34,6 +34,7 @@
   { "route", NULL, NULL, NULL, NULL, route_tests },
   { "settings", NULL, NULL, NULL, NULL, settings_tests },
   { "store", NULL, NULL, NULL, NULL, store_tests },
+  { "stream index", NULL, NULL, NULL, NULL, stream_index_tests },
   { "token bucket", NULL, NULL, NULL, NULL, token_bucket_tests },
   { "turn", NULL, NULL, NULL, NULL, turn_tests },
   { "watch", NULL, NULL, NULL, NULL, watch_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -32,6 +32,7 @@
 extern CU_TestInfo route_tests[];
 extern CU_TestInfo settings_tests[];
 extern CU_TestInfo store_tests[];
+extern CU_TestInfo stream_index_tests[];
 extern CU_TestInfo stream_versions_tests[];
 extern CU_TestInfo token_bucket_tests[];
 extern CU_TestInfo turn_tests[];
--- /dev/null
+++ b/test/unit/test_stream_index.c
@@ -0,0 +1,215 @@
+#include "common/id.h"
+#include "local_mesh.h"
+#include "request/stream_index.h"
+#include "suites.h"
+#include <string.h>
+
+enum
+{
+  CAPACITY = 100,
+  ENTRY_PORT = 24041,
+  KEEPER_PORT = 24042,
+  STREAM = 5,
+  BUILD = 7,
+  RUN_MS = 3000, /* bounds the wait for the end of a lookup */
+};
+
+/* An entry host's index and a keeper's table. */
+struct fixture
+{
+  struct ev_loop *loop;
+  struct keyring keyring;
+  struct mesh *entry;
+  struct mesh *keeper;
+  struct stream_index *index;
+  struct stream_table *table;
+  int asked;       /* questions that the keeper received */
+  int deaf_rounds; /* it does not store records before so many questions */
+  bool is_silent;  /* the keeper does not answer */
+  int origin;      /* of the latest lookup; negative until it ends */
+  uint64_t build;
+};
+
+static void
+handle_entry_frame (void *data, const char *host, const Peer__Frame *frame)
+{
+  struct fixture *fixture = data;
+
+  stream_index_handle_frame (fixture->index, host, frame);
+}
+
+static void
+handle_keeper_frame (void *data, const char *host, const Peer__Frame *frame)
+{
+  struct fixture *fixture = data;
+
+  if (frame->body_case == PEER__FRAME__BODY_STREAM_ASK
+      && ++fixture->asked == fixture->deaf_rounds)
+    stream_table_record (fixture->table, STREAM, BUILD, clock_now_ms ());
+  if (!fixture->is_silent)
+    stream_keeper_handle_frame (fixture->table, fixture->keeper, host, frame);
+}
+
+static void
+setup (struct fixture *fixture)
+{
+  struct local_mesh_options entry = { .name = "entry",
+                                      .port = ENTRY_PORT,
+                                      .handle_frame = handle_entry_frame,
+                                      .data = fixture };
+  struct local_mesh_options keeper = { .name = "keeper",
+                                       .port = KEEPER_PORT,
+                                       .handle_frame = handle_keeper_frame,
+                                       .data = fixture };
+  struct mesh_host hosts[]
+      = { { "entry", "127.0.0.1:24041" }, { "keeper", "127.0.0.1:24042" } };
+  struct stream_index_options options = { .losses = 1 };
+
+  memset (fixture, 0, sizeof *fixture);
+  fixture->keyring.count = 1;
+  fixture->keyring.keys[0].id = 1;
+  entry.keyring = keeper.keyring = &fixture->keyring;
+  entry.loop = keeper.loop = options.loop = fixture->loop
+      = ev_loop_new (EVFLAG_AUTO);
+  options.mesh = fixture->entry = local_mesh_open (&entry);
+  fixture->keeper = local_mesh_open (&keeper);
+  mesh_set_hosts (fixture->entry, hosts, 2);
+  mesh_set_hosts (fixture->keeper, hosts, 2);
+  fixture->index = stream_index_create (&options);
+  fixture->table = stream_table_create (CAPACITY);
+}
+
+static void
+list_keeper (struct fixture *fixture)
+{
+  struct host_location location = { .name = "keeper", .data_centre = "dc" };
+
+  stream_index_set_keepers (fixture->index, &location, 1);
+}
+
+static void
+teardown (struct fixture *fixture)
+{
+  stream_index_destroy (fixture->index);
+  stream_table_destroy (fixture->table);
+  mesh_destroy (fixture->entry);
+  mesh_destroy (fixture->keeper);
+  ev_loop_destroy (fixture->loop);
+}
+
+static void
+handle_origin (void *data, enum stream_origin origin, uint64_t build)
+{
+  struct fixture *fixture = data;
+
+  fixture->origin = (int)origin;
+  fixture->build = build;
+}
+
+/* Looks STREAM up and returns what the index tells of it.  */
+static int
+find (struct fixture *fixture)
+{
+  int64_t started_ms = clock_now_ms ();
+
+  fixture->origin = -1;
+  stream_index_find (fixture->index, STREAM, handle_origin, fixture);
+  CU_ASSERT_EQUAL (fixture->origin, -1);
+  while (fixture->origin < 0 && clock_now_ms () - started_ms < RUN_MS)
+    ev_run (fixture->loop, EVRUN_ONCE);
+  return fixture->origin;
+}
+
+/* Guards against memory that grows with the number of streams.  */
+static void
+test_table_is_bounded (void)
+{
+  struct stream_table *table = stream_table_create (CAPACITY);
+
+  for (uint64_t i = 1; i <= 3 * CAPACITY; i++)
+    stream_table_record (table, i, BUILD, 0);
+  CU_ASSERT_EQUAL (stream_table_count (table), CAPACITY);
+  CU_ASSERT_EQUAL (stream_table_find (table, 1, 0), 0);
+  CU_ASSERT_EQUAL (stream_table_find (table, 3 * CAPACITY, 0), BUILD);
+  CU_ASSERT_EQUAL (stream_table_find (table, 3 * CAPACITY, STREAM_TTL_MS + 1),
+                   0);
+  CU_ASSERT_EQUAL (stream_table_count (table), 0);
+  stream_table_destroy (table);
+}
+
+/* Guards against a second build that replaces the one that began a stream, and
+   against dropping a stream that goes on.  */
+static void
+test_first_build_is_kept (void)
+{
+  struct stream_table *table = stream_table_create (2);
+
+  stream_table_record (table, STREAM, BUILD, 0);
+  stream_table_record (table, STREAM + 1, BUILD, 1);
+  stream_table_record (table, STREAM, BUILD + 1, 2);
+  stream_table_record (table, STREAM + 2, BUILD, 3);
+  CU_ASSERT_EQUAL (stream_table_find (table, STREAM, 3), BUILD);
+  CU_ASSERT_EQUAL (stream_table_find (table, STREAM + 1, 3), 0);
+  stream_table_destroy (table);
+}
+
+/* A stream that began at another host is found at the keeper, also if its
+   record arrives after the first question.  */
+static void
+test_record_is_found (void)
+{
+  struct fixture fixture;
+
+  setup (&fixture);
+  list_keeper (&fixture);
+  fixture.deaf_rounds = 2;
+  CU_ASSERT_EQUAL (find (&fixture), STREAM_ORIGIN_FOUND);
+  CU_ASSERT_EQUAL (fixture.build, BUILD);
+  CU_ASSERT_EQUAL (stream_index_find_local (fixture.index, STREAM), BUILD);
+  teardown (&fixture);
+}
+
+/* Guards against taking silence for the answer that a stream is not recorded:
+   its record may be at a keeper that is cut off.  */
+static void
+test_silence_is_no_answer (void)
+{
+  struct fixture fixture;
+
+  setup (&fixture);
+  CU_ASSERT_EQUAL (find (&fixture), STREAM_ORIGIN_UNREACHABLE);
+  list_keeper (&fixture);
+  fixture.is_silent = true;
+  CU_ASSERT_EQUAL (find (&fixture), STREAM_ORIGIN_UNREACHABLE);
+  CU_ASSERT_TRUE (fixture.asked > 1);
+  fixture.is_silent = false;
+  CU_ASSERT_EQUAL (find (&fixture), STREAM_ORIGIN_NOT_RECORDED);
+  stream_index_set_keepers (fixture.index, NULL, 0);
+  CU_ASSERT_EQUAL (find (&fixture), STREAM_ORIGIN_NOT_RECORDED);
+  teardown (&fixture);
+}
+
+/* A lookup that its request no longer needs does not call back.  */
+static void
+test_cancelled_lookup (void)
+{
+  struct fixture fixture;
+  struct stream_lookup *lookup;
+
+  setup (&fixture);
+  list_keeper (&fixture);
+  lookup = stream_index_find (fixture.index, STREAM, handle_origin, &fixture);
+  stream_lookup_cancel (lookup);
+  fixture.deaf_rounds = 1;
+  CU_ASSERT_EQUAL (find (&fixture), STREAM_ORIGIN_FOUND);
+  teardown (&fixture);
+}
+
+CU_TestInfo stream_index_tests[] = {
+  { "the table is bounded", test_table_is_bounded },
+  { "the first build is kept", test_first_build_is_kept },
+  { "a record is found", test_record_is_found },
+  { "silence is no answer", test_silence_is_no_answer },
+  { "a cancelled lookup", test_cancelled_lookup },
+  CU_TEST_INFO_NULL,
+};
--- a/test/unit/test_stream_versions.c
+++ b/test/unit/test_stream_versions.c
@@ -68,32 +68,25 @@
                               .end = RAW_CLOSE };
 }
 
+/* Endpoints I and I + VERSIONS have the same one.  */
+static const char *const alternating[] = { "v1", "v2", "v1", "v2" };
+
 static struct local_pipeline *
-create_breaking (struct breaking_endpoints *endpoints, uint32_t count)
+create_breaking (struct breaking_endpoints *endpoints, uint32_t count,
+                 const char *const *versions)
 {
   struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
                                             .resumable = true,
                                             .timeout_ms = TIMEOUT_MS,
                                             .answer = answer_breaking,
                                             .data = endpoints,
-                                            .endpoint_count = count };
+                                            .endpoint_count = count,
+                                            .versions = versions };
 
   endpoints->local = local_pipeline_create (&options);
   return endpoints->local;
 }
 
-/* Gives the endpoints the versions "v1", "v2" and so on in turn, so that
-   endpoints I and I + VERSIONS have the same one.  */
-static void
-list_versions (struct local_pipeline *local)
-{
-  static const char *const names[VERSIONS] = { "v1", "v2" };
-
-  for (uint32_t i = 0; i < local->endpoint_count; i++)
-    local->listed[i].version = names[i % VERSIONS];
-  local_pipeline_list_endpoints (local);
-}
-
 static void
 remove_first_endpoint (struct breaking_endpoints *endpoints)
 {
@@ -110,10 +103,10 @@
     {
       struct breaking_endpoints endpoints
           = { .handle_break = remove_first_endpoint };
-      struct local_pipeline *local = create_breaking (&endpoints, 4);
+      struct local_pipeline *local
+          = create_breaking (&endpoints, 4, alternating);
       const struct local_response *response;
 
-      list_versions (local);
       response = local_pipeline_run (local);
       CU_ASSERT_EQUAL (response->outcome, LOCAL_ENDED);
       CU_ASSERT_EQUAL (endpoints.sends, 2);
@@ -132,10 +125,9 @@
 {
   struct breaking_endpoints endpoints
       = { .handle_break = remove_first_endpoint };
-  struct local_pipeline *local = create_breaking (&endpoints, 2);
+  struct local_pipeline *local = create_breaking (&endpoints, 2, alternating);
   int64_t started_ms = clock_now_ms ();
 
-  list_versions (local);
   CU_ASSERT_EQUAL (local_pipeline_run (local)->outcome, LOCAL_ABORTED);
   CU_ASSERT_EQUAL (endpoints.sends, 1);
   CU_ASSERT_TRUE (clock_now_ms () - started_ms < TIMEOUT_MS);
@@ -156,9 +148,8 @@
 {
   struct breaking_endpoints endpoints
       = { .handle_break = restart_at_other_version };
-  struct local_pipeline *local = create_breaking (&endpoints, 1);
+  struct local_pipeline *local = create_breaking (&endpoints, 1, alternating);
 
-  list_versions (local);
   CU_ASSERT_EQUAL (local_pipeline_run (local)->outcome, LOCAL_ABORTED);
   CU_ASSERT_EQUAL (endpoints.sends, 1);
   local_pipeline_destroy (local);
@@ -171,10 +162,9 @@
 test_unknown_stream_is_refused_with_two_versions (void)
 {
   struct breaking_endpoints endpoints = { .sends = 1 };
-  struct local_pipeline *local = create_breaking (&endpoints, 2);
+  struct local_pipeline *local = create_breaking (&endpoints, 2, alternating);
   const struct local_response *response;
 
-  list_versions (local);
   response = local_pipeline_resume (local, 1);
   CU_ASSERT_EQUAL (response->outcome, LOCAL_REFUSED);
   CU_ASSERT_EQUAL (response->error.run, RUN_NOT_RUN);
@@ -183,17 +173,21 @@
 }
 
 /* Guards against refusing streams that can only have begun at the one software
-   version that serves.  */
+   version that serves, and against resuming them at another one that replaces
+   it.  */
 static void
-test_unknown_stream_goes_on_with_one_version (void)
+test_unknown_stream_with_one_version (void)
 {
+  static const char *const versions[] = { "v1", "v1" };
   struct breaking_endpoints endpoints = { .sends = 1 };
-  struct local_pipeline *local = create_breaking (&endpoints, 2);
+  struct local_pipeline *local = create_breaking (&endpoints, 2, versions);
 
-  local->listed[0].version = local->listed[1].version = "v1";
-  local_pipeline_list_endpoints (local);
   CU_ASSERT_EQUAL (local_pipeline_resume (local, 1)->outcome, LOCAL_ENDED);
   CU_ASSERT_EQUAL (endpoints.sends, 2);
+  local->listed[0].version = local->listed[1].version = "v2";
+  local_pipeline_list_endpoints (local);
+  CU_ASSERT_EQUAL (local_pipeline_resume (local, 1)->outcome, LOCAL_REFUSED);
+  CU_ASSERT_EQUAL (endpoints.sends, 2);
   local_pipeline_destroy (local);
 }
 
@@ -378,6 +372,24 @@
     }
 }
 
+static void
+remove_directory (const char *path)
+{
+  GDir *directory = g_dir_open (path, 0, NULL);
+  const char *name;
+
+  while (directory && (name = g_dir_read_name (directory)))
+    {
+      char *file = xasprintf ("%s/%s", path, name);
+
+      remove (file);
+      free (file);
+    }
+  if (directory)
+    g_dir_close (directory);
+  remove (path);
+}
+
 static void
 fleet_stop (struct fleet *fleet)
 {
@@ -395,6 +407,7 @@
   mailbox_destroy (fleet->control);
   ev_loop_destroy (fleet->loop);
   buf_release (&fleet->body);
+  remove_directory (fleet->directory);
 }
 
 static bool
@@ -503,8 +516,8 @@
     test_restarted_endpoint_is_another_version },
   { "an unknown stream is refused with two versions",
     test_unknown_stream_is_refused_with_two_versions },
-  { "an unknown stream goes on with one version",
-    test_unknown_stream_goes_on_with_one_version },
+  { "an unknown stream with one version",
+    test_unknown_stream_with_one_version },
   { "a caller resumes at another host", test_caller_resumes_at_another_host },
   CU_TEST_INFO_NULL,
 };
