--- a/request/request.c
+++ b/request/request.c
@@ -84,7 +84,9 @@
   struct fetch *fetch;
   struct response_head head;
   struct event_splitter events;
-  int64_t last_event_id; /* id of the last one forwarded; negative for none */
+  /* Id of the last event that the caller has, also from earlier attempts;
+     negative for none. */
+  int64_t last_event_id;
   int64_t events_forwarded;
   uint32_t sends;         /* including those that certainly did not run */
   uint32_t possible_runs; /* sends after which the request may have run */
@@ -728,8 +730,7 @@
           .customer = request->customer ? request->customer->name : NULL,
           .endpoint = endpoint->id,
           .remaining_ms = remaining_ms (request),
-          .resume_after = request->last_event_id >= 0 ? request->last_event_id
-                                                      : input->resume_after,
+          .resume_after = request->last_event_id,
           .priority = request->customer && request->customer->priority >= 0
                           ? request->customer->priority
                           : request->route->priority };
@@ -1185,7 +1186,7 @@
   request->input = input;
   request->sink = sink;
   request->started_ms = clock_now_ms ();
-  request->last_event_id = -1;
+  request->last_event_id = input->resume_after >= 0 ? input->resume_after : -1;
   request->head = (struct response_head){ .running = -1, .waiting = -1 };
   if (input->program)
     request->program = id_hash_text (input->program);
--- a/test/unit/test_broken_answers.c
+++ b/test/unit/test_broken_answers.c
@@ -214,6 +214,41 @@
       succeeds_if_cut (unframed_answer, strlen (unframed_answer), RAW_CLOSE));
 }
 
+/* Resumes a stream after its event 1 at an endpoint that answers BYTES.  */
+static struct local_pipeline *
+resume_after_first (const char *bytes)
+{
+  struct cut_answer cut
+      = { .bytes = bytes, .cut = strlen (bytes), .end = RAW_CLOSE };
+  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
+                                            .resumable = true,
+                                            .timeout_ms = TIMEOUT_MS,
+                                            .answer = answer_cut,
+                                            .data = &cut };
+  struct local_pipeline *local = local_pipeline_create (&options);
+
+  local_pipeline_resume (local, 1);
+  return local;
+}
+
+/* Guards against events that are missing or come twice over a caller's tries,
+   when an endpoint does not go on just after the event that the caller named.
+ */
+static void
+test_caller_resumes_after_its_event (void)
+{
+  struct local_pipeline *local
+      = resume_after_first (STREAM_HEAD EVENT_1 EVENT_2);
+
+  CU_ASSERT_TRUE (local_response_is_success (&local->response));
+  CU_ASSERT_EQUAL (local->response.body.len, strlen (EVENT_2));
+  local_pipeline_destroy (local);
+  local = resume_after_first (STREAM_HEAD EVENT_3);
+  CU_ASSERT_FALSE (local_response_is_success (&local->response));
+  CU_ASSERT_EQUAL (local->response.body.len, 0);
+  local_pipeline_destroy (local);
+}
+
 static struct raw_answer
 answer_endless (void *data, struct raw_endpoint *endpoint, const char *request)
 {
@@ -326,6 +361,8 @@
     test_unframed_stream_reset_at_every_byte },
   { "an unframed stream is resumed whatever byte it was closed at",
     test_unframed_stream_is_resumed_at_every_byte },
+  { "a caller resumes after the event that it named",
+    test_caller_resumes_after_its_event },
   { "an answer that is closed inside its head",
     test_answer_closed_inside_its_head },
   { "an answer that is cut inside its body", test_answer_cut_inside_its_body },
