--- /dev/null
+++ b/include/common/recent_table.h
@@ -0,0 +1,24 @@
+/* A table of 64-bit values under 64-bit keys, bounded in number and age. */
+#ifndef GALENA_COMMON_RECENT_TABLE_H
+#define GALENA_COMMON_RECENT_TABLE_H
+
+#include <stdint.h>
+
+struct recent_table;
+
+struct recent_table_options
+{
+  uint32_t capacity; /* the oldest entries beyond it are dropped */
+  int64_t ttl_ms;    /* after which an entry is dropped */
+};
+
+struct recent_table *
+recent_table_create (const struct recent_table_options *options);
+void recent_table_destroy (struct recent_table *table);
+void recent_table_record (struct recent_table *table, uint64_t key,
+                          uint64_t value, int64_t now_ms);
+uint64_t recent_table_find (struct recent_table *table, uint64_t key,
+                            int64_t now_ms);
+uint32_t recent_table_count (const struct recent_table *table);
+
+#endif
--- a/include/request/stream_index.h
+++ b/include/request/stream_index.h
@@ -7,13 +7,19 @@
 #ifndef GALENA_REQUEST_STREAM_INDEX_H
 #define GALENA_REQUEST_STREAM_INDEX_H
 
+#include "common/recent_table.h"
 #include "peer/host.h"
 #include "peer/mesh.h"
-#include "request/stream_table.h"
 #include <ev.h>
 #include <stddef.h>
 #include <stdint.h>
 
+enum
+{
+  /* Longer than a caller takes to resume a stream. */
+  STREAM_TTL_MS = 60 * 1000,
+};
+
 struct stream_index;
 struct stream_lookup;
 
@@ -52,7 +58,7 @@
 void stream_index_handle_frame (struct stream_index *index, const char *host,
                                 const Peer__Frame *frame);
 
-void stream_keeper_handle_frame (struct stream_table *table, struct mesh *mesh,
+void stream_keeper_handle_frame (struct recent_table *table, struct mesh *mesh,
                                  const char *host, const Peer__Frame *frame);
 
 #endif
--- a/request/pool.c
+++ b/request/pool.c
@@ -2,7 +2,7 @@
 #include "common/buf.h"
 #include "common/id.h"
 #include "common/log.h"
-#include "request/stream_table.h"
+#include "request/stream_index.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/request/stream_index.c
+++ b/request/stream_index.c
@@ -18,7 +18,7 @@
 struct stream_index
 {
   struct stream_index_options options;
-  struct stream_table *table; /* streams that had events through this host */
+  struct recent_table *table; /* streams that had events through this host */
   struct keeper_set set;
   bool knows_keepers;  /* the list of keepers has been set */
   GHashTable *lookups; /* id -> struct stream_lookup */
@@ -44,10 +44,12 @@
 struct stream_index *
 stream_index_create (const struct stream_index_options *options)
 {
+  struct recent_table_options table
+      = { .capacity = LOCAL_CAPACITY, .ttl_ms = STREAM_TTL_MS };
   struct stream_index *index = xcalloc (1, sizeof *index);
 
   index->options = *options;
-  index->table = stream_table_create (LOCAL_CAPACITY);
+  index->table = recent_table_create (&table);
   index->lookups = g_hash_table_new (g_int64_hash, g_int64_equal);
   return index;
 }
@@ -58,7 +60,7 @@
 {
   if (!index)
     return;
-  stream_table_destroy (index->table);
+  recent_table_destroy (index->table);
   keeper_set_release (&index->set);
   g_hash_table_destroy (index->lookups);
   free (index);
@@ -93,7 +95,7 @@
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__StreamOrigin origin = PEER__STREAM_ORIGIN__INIT;
 
-  stream_table_record (index->table, stream, build, clock_now_ms ());
+  recent_table_record (index->table, stream, build, clock_now_ms ());
   origin.stream = stream;
   origin.build = build;
   frame.body_case = PEER__FRAME__BODY_STREAM_RECORD;
@@ -106,7 +108,7 @@
 uint64_t
 stream_index_find_local (struct stream_index *index, uint64_t stream)
 {
-  return stream_table_find (index->table, stream, clock_now_ms ());
+  return recent_table_find (index->table, stream, clock_now_ms ());
 }
 
 static void
@@ -117,7 +119,7 @@
   void *data = lookup->data;
 
   if (origin == STREAM_ORIGIN_FOUND)
-    stream_table_record (lookup->index->table, lookup->stream, build,
+    recent_table_record (lookup->index->table, lookup->stream, build,
                          clock_now_ms ());
   else
     counter_add (COUNTER_STREAM_ORIGINS_UNKNOWN, 1);
@@ -247,7 +249,7 @@
 /* On a keeper: stores records in TABLE, answers questions from it and ignores
    all other frames.  */
 void
-stream_keeper_handle_frame (struct stream_table *table, struct mesh *mesh,
+stream_keeper_handle_frame (struct recent_table *table, struct mesh *mesh,
                             const char *host, const Peer__Frame *frame)
 {
   Peer__Frame reply = PEER__FRAME__INIT;
@@ -256,13 +258,13 @@
 
   if (frame->body_case == PEER__FRAME__BODY_STREAM_RECORD
       && frame->stream_record->build)
-    stream_table_record (table, frame->stream_record->stream,
+    recent_table_record (table, frame->stream_record->stream,
                          frame->stream_record->build, now_ms);
   if (frame->body_case != PEER__FRAME__BODY_STREAM_ASK)
     return;
   origin.id = frame->stream_ask->id;
   origin.stream = frame->stream_ask->stream;
-  origin.build = stream_table_find (table, origin.stream, now_ms);
+  origin.build = recent_table_find (table, origin.stream, now_ms);
   reply.body_case = PEER__FRAME__BODY_STREAM_ANSWER;
   reply.stream_answer = &origin;
   mesh_send (mesh, host, &reply);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -28,6 +28,7 @@
   { "owner", NULL, NULL, NULL, NULL, owner_tests },
   { "place", NULL, NULL, NULL, NULL, place_tests },
   { "reachability", NULL, NULL, NULL, NULL, reachability_tests },
+  { "recent table", NULL, NULL, NULL, NULL, recent_table_tests },
   { "replicas", NULL, NULL, NULL, NULL, replicas_tests },
   { "request", NULL, NULL, NULL, NULL, request_tests },
   { "retry", NULL, NULL, NULL, NULL, retry_tests },
