--- a/common/counters.c
+++ b/common/counters.c
@@ -26,6 +26,7 @@
   [COUNTER_STORE_SYNCS] = "store_syncs",
   [COUNTER_ENDPOINT_RETRIES] = "endpoint_retries",
   [COUNTER_ENDPOINT_FAILURES] = "endpoint_failures",
+  [COUNTER_ENDPOINTS_LEAVING] = "endpoints_leaving",
   [COUNTER_UNFINISHED_EVENTS] = "unfinished_events",
   [COUNTER_STREAM_LOOKUPS] = "stream_lookups",
   [COUNTER_STREAM_ORIGINS_UNKNOWN] = "stream_origins_unknown",
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -33,6 +33,7 @@
   COUNTER_STORE_SYNCS,
   COUNTER_ENDPOINT_RETRIES,
   COUNTER_ENDPOINT_FAILURES,
+  COUNTER_ENDPOINTS_LEAVING,      /* learnt from their responses */
   COUNTER_UNFINISHED_EVENTS,      /* responses that ended inside an event */
   COUNTER_STREAM_LOOKUPS,         /* questions where a resumed stream began */
   COUNTER_STREAM_ORIGINS_UNKNOWN, /* of them, without an answer */
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -120,6 +120,8 @@
 void pool_release (struct pool *pool, struct pool_endpoint *endpoint);
 void pool_record_load (struct pool_endpoint *endpoint, int64_t running,
                        int64_t waiting, int64_t now_ms);
+bool pool_record_leaving (struct pool *pool, struct pool_endpoint *endpoint,
+                          int64_t now_ms);
 void pool_record_success (struct pool_endpoint *endpoint);
 void pool_record_failure (struct pool_endpoint *endpoint, int64_t now_ms);
 void pool_set_reachable (struct pool *pool, const char *data_centre,
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -55,6 +55,7 @@
   char *request_id; /* id of the request to which it responds; may be NULL */
   bool not_run;     /* the endpoint states that it has not run the request */
   bool is_from_endpoint; /* has a header that only endpoints send */
+  bool is_leaving;       /* the endpoint states that it is shutting down */
   bool is_encoded;       /* has a content encoding, which was not requested */
   int64_t running;       /* negative if the endpoint reports no load */
   int64_t waiting;
--- a/request/pool.c
+++ b/request/pool.c
@@ -2,6 +2,7 @@
 #include "common/buf.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/recent_table.h"
 #include "request/stream_index.h"
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +16,10 @@
   /* Between an interrupted request and a refused connection that shows a
      crash. A crashed endpoint is down for a few seconds. */
   MAX_SUSPECT_AGE_MS = 3000,
+  /* Endpoints that have announced in a response that they leave.  The registry
+     may list them for as long as its state is old. */
+  LEAVING_CAPACITY = 4096,
+  LEAVING_TTL_MS = 10 * 60 * 1000,
   PART_TTL_MS = 60 * 1000, /* a part unused for longer is assumed evicted */
 };
 
@@ -22,6 +27,7 @@
 {
   char *data_centre;
   GHashTable *unreachable_centres; /* names of unreachable data centres */
+  struct recent_table *announced;  /* starts of endpoints that leave */
   GHashTable *service_builds;      /* name -> struct service_builds */
   GPtrArray *endpoints;      /* struct pool_endpoint, those currently listed */
   GPtrArray *removed_in_use; /* removed, but still in use by requests */
@@ -72,8 +78,11 @@
 struct pool *
 pool_create (const char *data_centre)
 {
+  struct recent_table_options announced
+      = { .capacity = LEAVING_CAPACITY, .ttl_ms = LEAVING_TTL_MS };
   struct pool *pool = xcalloc (1, sizeof *pool);
 
+  pool->announced = recent_table_create (&announced);
   pool->data_centre = xstrdup (data_centre);
   pool->endpoints = g_ptr_array_new_with_free_func (endpoint_destroy);
   pool->removed_in_use = g_ptr_array_new_with_free_func (endpoint_destroy);
@@ -95,6 +104,7 @@
   g_ptr_array_free (pool->removed_in_use, TRUE);
   g_hash_table_destroy (pool->unreachable_centres);
   g_hash_table_destroy (pool->service_builds);
+  recent_table_destroy (pool->announced);
   free (pool->data_centre);
   free (pool);
 }
@@ -230,8 +240,32 @@
   g_hash_table_foreach_remove (pool->service_builds, is_forgotten, &now_ms);
 }
 
+/* Returns a hash of the endpoint's process: a later one at the same address,
+   or with the same id, has another.  */
+static uint64_t
+start_hash (const struct pool_endpoint *endpoint)
+{
+  return id_hash64 (&endpoint->started_ms, sizeof endpoint->started_ms,
+                    endpoint->hash);
+}
+
+/* Whether ENDPOINT has announced that it leaves.  It stays marked while the
+   registry lists it.  */
+static bool
+has_announced_leaving (struct pool *pool, const struct pool_endpoint *endpoint)
+{
+  uint64_t start = start_hash (endpoint);
+  int64_t now_ms = clock_now_ms ();
+
+  if (!recent_table_find (pool->announced, start, now_ms))
+    return false;
+  recent_table_record (pool->announced, start, 1, now_ms);
+  return true;
+}
+
 /* Applies a list of endpoints: adds new ones and removes missing ones.  The
-   state of endpoints that stay is kept.  */
+   state of endpoints that stay is kept, and one that has announced that it
+   leaves is leaving, whatever the list says.  */
 void
 pool_apply (struct pool *pool, const struct endpoint_list *list)
 {
@@ -254,7 +288,8 @@
         }
       if (entry->leaving && !endpoint->leaving)
         log_change (endpoint, "is leaving");
-      endpoint->leaving = entry->leaving;
+      endpoint->leaving
+          = entry->leaving || has_announced_leaving (pool, endpoint);
       endpoint->slots = entry->slots;
       endpoint->remote = strcmp (entry->data_centre, pool->data_centre) != 0;
       endpoint->unreachable = g_hash_table_contains (pool->unreachable_centres,
@@ -459,6 +494,20 @@
   endpoint->reported_ms = now_ms;
 }
 
+/* Records that ENDPOINT has announced in a response that it leaves: it gets no
+   further requests.  Returns whether this is news.  */
+bool
+pool_record_leaving (struct pool *pool, struct pool_endpoint *endpoint,
+                     int64_t now_ms)
+{
+  uint64_t start = start_hash (endpoint);
+  bool is_known = recent_table_find (pool->announced, start, now_ms) != 0;
+
+  recent_table_record (pool->announced, start, 1, now_ms);
+  endpoint->leaving = true;
+  return !is_known;
+}
+
 /* Records a successful response of an endpoint.  */
 void
 pool_record_success (struct pool_endpoint *endpoint)
--- a/request/request.c
+++ b/request/request.c
@@ -432,12 +432,32 @@
                       request->head.waiting, clock_now_ms ());
 }
 
+static void
+record_leaving (const struct request *request)
+{
+  struct log_ids ids = log_ids (request);
+
+  if (!pool_record_leaving (request->pipeline->options.pool, request->endpoint,
+                            clock_now_ms ()))
+    return;
+  counter_add (COUNTER_ENDPOINTS_LEAVING, 1);
+  log_write (LOG_INFO, "request", &ids,
+             "endpoint %s announced in its response, status %ld, that it is "
+             "leaving",
+             request->endpoint->id, fetch_status (request->fetch));
+}
+
+/* Handles a header of any response from the endpoint, also of one that will
+   not be forwarded.  A misdirected request has reached another endpoint.  */
 static void
 handle_header (void *data, const char *name, const char *value)
 {
   struct request *request = data;
 
   request->pipeline->options.wire->read_header (&request->head, name, value);
+  if (request->head.is_leaving
+      && fetch_status (request->fetch) != STATUS_MISDIRECTED)
+    record_leaving (request);
 }
 
 static bool
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -111,6 +111,7 @@
         .data_centre = xstrdup ("a"),
         .version
         = local->listed[i].version ? xstrdup (local->listed[i].version) : NULL,
+        .started_ms = local->listed[i].started_ms,
         .slots = 8
       };
   pool_apply (local->pool, list);
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -35,7 +35,8 @@
 {
   const char *id;
   const char *version; /* NULL for none */
-  bool is_gone;        /* not listed */
+  int64_t started_ms;
+  bool is_gone; /* not listed */
 };
 
 struct local_pipeline_options
