--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -103,7 +103,8 @@
 
 struct pool *pool_create (const char *data_centre);
 void pool_destroy (struct pool *pool);
-void pool_apply (struct pool *pool, const struct endpoint_list *list);
+void pool_apply (struct pool *pool, const struct endpoint_list *list,
+                 int64_t now_ms);
 struct pool_endpoint *
 pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms);
 uint64_t pool_sole_build (const struct pool *pool, const char *service,
--- a/request/pool.c
+++ b/request/pool.c
@@ -230,11 +230,10 @@
   return *(const int64_t *)data - builds->listed_ms > STREAM_TTL_MS;
 }
 
+/* Must be called with the endpoints before and after each change.  */
 static void
-record_builds (struct pool *pool)
+record_builds (struct pool *pool, int64_t now_ms)
 {
-  int64_t now_ms = clock_now_ms ();
-
   for (guint i = 0; i < pool->endpoints->len; i++)
     record_build (pool, pool->endpoints->pdata[i], now_ms);
   g_hash_table_foreach_remove (pool->service_builds, is_forgotten, &now_ms);
@@ -252,10 +251,10 @@
 /* Whether ENDPOINT has announced that it leaves.  It stays marked while the
    registry lists it.  */
 static bool
-has_announced_leaving (struct pool *pool, const struct pool_endpoint *endpoint)
+has_announced_leaving (struct pool *pool, const struct pool_endpoint *endpoint,
+                       int64_t now_ms)
 {
   uint64_t start = start_hash (endpoint);
-  int64_t now_ms = clock_now_ms ();
 
   if (!recent_table_find (pool->announced, start, now_ms))
     return false;
@@ -267,11 +266,13 @@
    state of endpoints that stay is kept, and one that has announced that it
    leaves is leaving, whatever the list says.  */
 void
-pool_apply (struct pool *pool, const struct endpoint_list *list)
+pool_apply (struct pool *pool, const struct endpoint_list *list,
+            int64_t now_ms)
 {
   GPtrArray *endpoints = g_ptr_array_new_with_free_func (endpoint_destroy);
   GHashTable *by_id = g_hash_table_new (g_str_hash, g_str_equal);
 
+  record_builds (pool, now_ms);
   for (guint i = 0; i < pool->endpoints->len; i++)
     g_hash_table_insert (
         by_id, ((struct pool_endpoint *)pool->endpoints->pdata[i])->id,
@@ -289,7 +290,7 @@
       if (entry->leaving && !endpoint->leaving)
         log_change (endpoint, "is leaving");
       endpoint->leaving
-          = entry->leaving || has_announced_leaving (pool, endpoint);
+          = entry->leaving || has_announced_leaving (pool, endpoint, now_ms);
       endpoint->slots = entry->slots;
       endpoint->remote = strcmp (entry->data_centre, pool->data_centre) != 0;
       endpoint->unreachable = g_hash_table_contains (pool->unreachable_centres,
@@ -301,7 +302,7 @@
   g_ptr_array_set_free_func (pool->endpoints, NULL);
   g_ptr_array_free (pool->endpoints, TRUE);
   pool->endpoints = endpoints;
-  record_builds (pool);
+  record_builds (pool, now_ms);
 }
 
 /* Estimates how many tokens of the prompt ENDPOINT has in its cache, from the
@@ -412,6 +413,14 @@
   if (!builds
       || (builds->changed_ms && now_ms - builds->changed_ms <= STREAM_TTL_MS))
     return 0;
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      const struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      if (strcmp (endpoint->service, service) == 0
+          && endpoint->build != builds->latest)
+        return 0;
+    }
   return builds->latest;
 }
 
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -1,4 +1,5 @@
 #include "local_pipeline.h"
+#include "common/id.h"
 #include "platform/wire.h"
 #include <CUnit/CUnit.h>
 #include <stdio.h>
@@ -114,7 +115,7 @@
         .started_ms = local->listed[i].started_ms,
         .slots = 8
       };
-  pool_apply (local->pool, list);
+  pool_apply (local->pool, list, clock_now_ms ());
   endpoint_list_destroy (list);
 }
 
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -28,6 +28,7 @@
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
   { "owner", NULL, NULL, NULL, NULL, owner_tests },
   { "place", NULL, NULL, NULL, NULL, place_tests },
+  { "pool", NULL, NULL, NULL, NULL, pool_tests },
   { "reachability", NULL, NULL, NULL, NULL, reachability_tests },
   { "recent table", NULL, NULL, NULL, NULL, recent_table_tests },
   { "replicas", NULL, NULL, NULL, NULL, replicas_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -26,6 +26,7 @@
 extern CU_TestInfo objects_tests[];
 extern CU_TestInfo owner_tests[];
 extern CU_TestInfo place_tests[];
+extern CU_TestInfo pool_tests[];
 extern CU_TestInfo reachability_tests[];
 extern CU_TestInfo recent_table_tests[];
 extern CU_TestInfo replicas_tests[];
--- /dev/null
+++ b/test/unit/test_pool.c
@@ -0,0 +1,93 @@
+#include "common/buf.h"
+#include "request/pool.h"
+#include "request/stream_index.h"
+#include "suites.h"
+#include <stdlib.h>
+
+enum
+{
+  NOW_MS = 1000,
+  LATER_MS = NOW_MS + 2 * STREAM_TTL_MS,
+};
+
+/* Lists an endpoint of service "app" for each of VERSIONS, which ends with
+   NULL.  */
+static void
+list_versions (struct pool *pool, const char *const *versions, int64_t now_ms)
+{
+  struct endpoint_list *list = xcalloc (1, sizeof *list);
+
+  for (; versions[list->count]; list->count++)
+    {
+      list->entries = xrealloc (list->entries,
+                                (list->count + 1) * sizeof *list->entries);
+      list->entries[list->count]
+          = (struct endpoint_entry){ .id = xasprintf ("e%zu", list->count),
+                                     .service = xstrdup ("app"),
+                                     .address = xstrdup ("127.0.0.1:1"),
+                                     .data_centre = xstrdup ("a"),
+                                     .version
+                                     = xstrdup (versions[list->count]),
+                                     .slots = 1 };
+    }
+  pool_apply (pool, list, now_ms);
+  endpoint_list_destroy (list);
+}
+
+static const char *const both[] = { "v1", "v2", NULL };
+static const char *const first[] = { "v1", NULL };
+static const char *const second[] = { "v2", NULL };
+
+/* Guards against taking the latest of several versions for the only one when
+   they have served side by side for long without a change of the list.  */
+static void
+test_versions_side_by_side (void)
+{
+  struct pool *pool = pool_create ("a");
+
+  list_versions (pool, both, NOW_MS);
+  CU_ASSERT_EQUAL (pool_sole_build (pool, "app", NOW_MS), 0);
+  CU_ASSERT_EQUAL (pool_sole_build (pool, "app", LATER_MS), 0);
+  pool_destroy (pool);
+}
+
+/* Guards against forgetting a version that has just been removed: streams that
+   it began may still be resumed.  */
+static void
+test_removed_version (void)
+{
+  struct pool *pool = pool_create ("a");
+
+  list_versions (pool, both, NOW_MS);
+  list_versions (pool, second, LATER_MS);
+  CU_ASSERT_EQUAL (pool_sole_build (pool, "app", LATER_MS), 0);
+  CU_ASSERT_EQUAL (pool_sole_build (pool, "app", LATER_MS + STREAM_TTL_MS), 0);
+  CU_ASSERT_NOT_EQUAL (
+      pool_sole_build (pool, "app", LATER_MS + STREAM_TTL_MS + 1), 0);
+  pool_destroy (pool);
+}
+
+/* Guards against taking a version that replaces all endpoints at once for the
+   only one.  */
+static void
+test_replaced_version (void)
+{
+  struct pool *pool = pool_create ("a");
+  uint64_t build;
+
+  list_versions (pool, first, NOW_MS);
+  build = pool_sole_build (pool, "app", NOW_MS);
+  CU_ASSERT_NOT_EQUAL (build, 0);
+  list_versions (pool, second, LATER_MS);
+  CU_ASSERT_EQUAL (pool_sole_build (pool, "app", LATER_MS), 0);
+  CU_ASSERT_NOT_EQUAL (
+      pool_sole_build (pool, "app", LATER_MS + STREAM_TTL_MS + 1), build);
+  pool_destroy (pool);
+}
+
+CU_TestInfo pool_tests[] = {
+  { "versions side by side", test_versions_side_by_side },
+  { "a removed version", test_removed_version },
+  { "a replaced version", test_replaced_version },
+  CU_TEST_INFO_NULL,
+};
--- a/test/unit/test_request.c
+++ b/test/unit/test_request.c
@@ -212,7 +212,7 @@
                                  .address = xstrdup (address),
                                  .data_centre = xstrdup (data_centre),
                                  .slots = 8 };
-  pool_apply (fixture->pool, list);
+  pool_apply (fixture->pool, list, clock_now_ms ());
   endpoint_list_destroy (list);
 }
 
