--- a/include/soak/callers.h
+++ b/include/soak/callers.h
@@ -32,6 +32,7 @@
   uint32_t answered;   /* complete responses with status 200 */
   uint32_t refused;    /* status 402, 429 or 5xx */
   uint32_t broken_off; /* no response or an incomplete one */
+  uint32_t resumed;    /* attempts that resume a stream */
   uint32_t programs;
   uint32_t violations;
 };
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -46,6 +46,9 @@
   int64_t tokens; /* received by the current program */
   int steps;
   struct attempt *attempt; /* in progress; NULL between steps */
+  char stream[20]; /* id of the attempt that brought the first event of the
+                      stream; empty for none */
+  unsigned source; /* endpoint that sent this event */
   struct fetch *fetch;
   struct event_splitter events;
   int64_t last_event;
@@ -96,11 +99,37 @@
   ev_timer_start (caller->callers->options.loop, &caller->step_timer);
 }
 
+/* Every endpoint has a software version of its own, so that all events of a
+   stream must come from one, over all attempts.  */
+static void
+check_source (struct caller *caller, const char *bytes, size_t len)
+{
+  static const char marker[] = " from ";
+  const char *source = memmem (bytes, len, marker, strlen (marker));
+  unsigned port
+      = source ? (unsigned)strtoul (source + strlen (marker), NULL, 10) : 0;
+
+  if (!*caller->stream)
+    {
+      snprintf (caller->stream, sizeof caller->stream, "%s",
+                caller->attempt->id);
+      caller->source = port;
+    }
+  if (port != caller->source)
+    callers_report_violation (caller->callers,
+                              "%s: stream %s began at endpoint %u and goes on "
+                              "at %u",
+                              caller->attempt->id, caller->stream,
+                              caller->source, port);
+}
+
 static bool
 handle_event (void *data, int64_t id, const char *bytes, size_t len)
 {
   struct caller *caller = data;
 
+  check_source (caller, bytes, len);
+
   if (id != caller->last_event + 1)
     callers_report_violation (caller->callers,
                               "%s: event %" PRId64 " follows event %" PRId64,
@@ -181,12 +210,15 @@
   attempt->complete = result->complete;
   check_response (caller, result);
   event_splitter_release (&caller->events);
+  if (attempt->complete || attempt->kind != ATTEMPT_TURN)
+    *caller->stream = '\0';
   schedule_next_step (caller);
 }
 
 static void
 start_program (struct caller *caller)
 {
+  *caller->stream = '\0';
   caller->program = next_random (caller->callers);
   caller->tokens = 0;
   caller->steps = 0;
@@ -230,6 +262,11 @@
   add_header (headers, &count,
               xasprintf ("Token-Usage: 20,%d", MAX_TURN_TOKENS));
   add_header (headers, &count, xstrdup ("Prompt-Prefix: a1:10,b2:10"));
+  if (!*caller->stream)
+    return count;
+  add_header (headers, &count,
+              xasprintf ("Last-Event-Id: %" PRId64, caller->last_event));
+  add_header (headers, &count, xasprintf ("Resumes: %s", caller->stream));
   return count;
 }
 
@@ -252,7 +289,10 @@
   size_t count;
 
   caller->attempt = create_attempt (callers, kind);
-  caller->last_event = 0;
+  if (!*caller->stream)
+    caller->last_event = 0;
+  else
+    callers->totals.resumed++;
   count = build_headers (caller, headers);
   url = xasprintf ("http://127.0.0.1:%d/%s/%s",
                    callers->options.first_port + host, paths[kind],
@@ -272,7 +312,8 @@
   free (url);
 }
 
-/* Sends the next request; turns and tool calls alternate.  */
+/* Sends the next request; turns and tool calls alternate, but a stream that
+   broke off is resumed first, at any host.  */
 static void
 handle_step_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -285,6 +326,11 @@
       caller->done = true;
       return;
     }
+  if (*caller->stream)
+    {
+      send_attempt (caller, ATTEMPT_TURN);
+      return;
+    }
   if (caller->steps == STEPS_PER_PROGRAM)
     start_program (caller);
   if (caller->steps++ % 2 == 1)
--- a/soak/main.c
+++ b/soak/main.c
@@ -203,11 +203,12 @@
       char *body = xasprintf (
           "{\"metadata\": {\"name\": \"w%d\"}, \"spec\": {\"backend\": \"%s\","
           " \"address\": \"127.0.0.1:%d\", \"zone\": \"%s\", \"version\": "
-          "\"v1\", \"max_concurrency\": 8, \"state\": \"ready\", \"born\": 1, "
+          "\"v%d\", \"max_concurrency\": 8, \"state\": \"ready\", \"born\": "
+          "1, "
           "\"seq\": 1}}",
           i, i < FLEET_ENDPOINTS / 2 ? "models" : "app",
           soak->fleet.base_port + FLEET_PROXY_PORT + 1 + i,
-          fleet_data_centre (i));
+          fleet_data_centre (i), i);
 
       send_command (soak, FLEET_STORE_PORT, "POST", "/objects/servers", body);
       free (body);
@@ -636,9 +637,10 @@
       totals = callers_totals (soak->callers);
     }
   printf ("seed %" G_GUINT64_FORMAT ": %u faults, %u programs, %u attempts: "
-          "%u answered, %u refused, %u broken off; %u violations\n",
+          "%u answered, %u refused, %u broken off, %u resumptions; "
+          "%u violations\n",
           seed, soak->injected_count, totals.programs, totals.attempts,
-          totals.answered, totals.refused, totals.broken_off,
+          totals.answered, totals.refused, totals.broken_off, totals.resumed,
           totals.violations);
   close_soak (soak);
   return totals.violations > 0;
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -64,14 +64,15 @@
 {
   struct stream *stream = timer->data;
   struct httpd_request *request = stream->request;
-  char text[64];
+  char text[96];
 
   if (stream->next <= STREAM_EVENTS
       && !(stream->next == STREAM_EVENTS / 2
            && standin_use_fault (&stream->standin->faults.half_next)))
     {
-      snprintf (text, sizeof text, "id: %lld\ndata: token-%lld\n\n",
-                (long long)stream->next, (long long)stream->next);
+      snprintf (text, sizeof text, "id: %lld\ndata: token-%lld from %u\n\n",
+                (long long)stream->next, (long long)stream->next,
+                httpd_port (stream->standin->httpd));
       stream->next++;
       httpd_stream_write (request, text, strlen (text));
       return;
