--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -69,9 +69,10 @@
   finish (local, LOCAL_RESPONDED);
 }
 
-static void
-apply_route (struct local_pipeline *local,
-             const struct local_pipeline_options *options)
+/* Returns a configuration with one open route, of all paths of host "h" to the
+   service "app".  */
+struct routing *
+local_routing_create (const struct local_route *route)
 {
   struct routing *routing = routing_create ();
 
@@ -85,15 +86,16 @@
       = (struct route){ .name = xstrdup ("r"),
                         .host = xstrdup ("h"),
                         .path_prefix = xstrdup ("/"),
-                        .retry_mode = options->retry_mode,
-                        .resumable = options->resumable,
+                        .retry_mode = route->retry_mode,
+                        .resumable = route->resumable,
                         .is_open = true,
-                        .timeout_ms = options->timeout_ms,
+                        .timeout_ms = route->timeout_ms,
+                        .max_attempts = route->max_attempts,
                         .targets = xcalloc (1, sizeof (struct route_target)),
                         .target_count = 1 };
   routing->routes[0].targets[0].weight = 1;
   routing_build_index (routing);
-  pipeline_apply (local->pipeline, routing);
+  return routing;
 }
 
 /* Makes the pool know the endpoints as LISTED describes them.  */
@@ -150,7 +152,7 @@
                                        .abort = sink_abort,
                                        .refuse = sink_refuse,
                                        .respond = sink_respond };
-  apply_route (local, options);
+  pipeline_apply (local->pipeline, local_routing_create (&options->route));
   local_pipeline_list_endpoints (local);
   return local;
 }
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -39,11 +39,18 @@
   bool is_gone; /* not listed */
 };
 
-struct local_pipeline_options
+/* The only route; see struct route. */
+struct local_route
 {
   enum route_retry_mode retry_mode;
   bool resumable;
   int64_t timeout_ms;
+  uint32_t max_attempts;
+};
+
+struct local_pipeline_options
+{
+  struct local_route route;
   raw_answer_handler *answer;
   void *data;
   uint32_t endpoint_count;     /* 0 for one */
@@ -64,6 +71,7 @@
   struct local_response response;
 };
 
+struct routing *local_routing_create (const struct local_route *route);
 struct local_pipeline *
 local_pipeline_create (const struct local_pipeline_options *options);
 void local_pipeline_destroy (struct local_pipeline *local);
--- a/test/unit/test_broken_answers.c
+++ b/test/unit/test_broken_answers.c
@@ -94,15 +94,14 @@
              && ends_with_event (head_len (unframed_stream) + body->len));
 }
 
-/* Guards against passing on a stream that broke off inside an event, or before
-   its first one, as complete: the response has neither a length nor chunks and
-   its connection is closed.  */
+/* Cuts the connection of an unframed stream after each byte.  It may look
+   complete only if MAY_END and where it ends with a whole event.  */
 static void
-test_unframed_stream_closed_at_every_byte (void)
+cut_unframed_stream (enum raw_end end, bool may_end)
 {
-  struct cut_answer cut = { .bytes = unframed_stream, .end = RAW_CLOSE };
-  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
-                                            .timeout_ms = TIMEOUT_MS,
+  struct cut_answer cut = { .bytes = unframed_stream, .end = end };
+  struct local_pipeline_options options = { .route.retry_mode = ROUTE_STREAM,
+                                            .route.timeout_ms = TIMEOUT_MS,
                                             .answer = answer_cut,
                                             .data = &cut };
 
@@ -112,32 +111,27 @@
       const struct local_response *response = local_pipeline_run (local);
 
       CU_ASSERT_EQUAL (local_response_is_success (response),
-                       ends_with_event (cut.cut));
+                       may_end && ends_with_event (cut.cut));
       CU_ASSERT_TRUE (consists_of_events (&response->body));
       local_pipeline_destroy (local);
     }
 }
 
+/* Guards against passing on a stream that broke off inside an event, or before
+   its first one, as complete: the response has neither a length nor chunks and
+   its connection is closed.  */
+static void
+test_unframed_stream_closed_at_every_byte (void)
+{
+  cut_unframed_stream (RAW_CLOSE, true);
+}
+
 /* Guards against passing on a stream as complete whose connection was reset.
  */
 static void
 test_unframed_stream_reset_at_every_byte (void)
 {
-  struct cut_answer cut = { .bytes = unframed_stream, .end = RAW_RESET };
-  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
-                                            .timeout_ms = TIMEOUT_MS,
-                                            .answer = answer_cut,
-                                            .data = &cut };
-
-  for (cut.cut = 0; cut.cut < sizeof unframed_stream; cut.cut++)
-    {
-      struct local_pipeline *local = local_pipeline_create (&options);
-      const struct local_response *response = local_pipeline_run (local);
-
-      CU_ASSERT_FALSE (local_response_is_success (response));
-      CU_ASSERT_TRUE (consists_of_events (&response->body));
-      local_pipeline_destroy (local);
-    }
+  cut_unframed_stream (RAW_RESET, false);
 }
 
 /* Guards against losing or repeating events when a stream without a length or
@@ -147,9 +141,9 @@
 test_unframed_stream_is_resumed_at_every_byte (void)
 {
   static const char events[] = EVENT_1 EVENT_2 EVENT_3;
-  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
-                                            .resumable = true,
-                                            .timeout_ms = TIMEOUT_MS,
+  struct local_pipeline_options options = { .route.retry_mode = ROUTE_STREAM,
+                                            .route.resumable = true,
+                                            .route.timeout_ms = TIMEOUT_MS,
                                             .answer = answer_cut_then_resume };
 
   for (size_t len = 0; len < sizeof unframed_stream - 1; len++)
@@ -177,8 +171,8 @@
 succeeds_if_cut (const char *answer, size_t len, enum raw_end end)
 {
   struct cut_answer cut = { .bytes = answer, .cut = len, .end = end };
-  struct local_pipeline_options options = { .retry_mode = ROUTE_ONCE,
-                                            .timeout_ms = TIMEOUT_MS,
+  struct local_pipeline_options options = { .route.retry_mode = ROUTE_ONCE,
+                                            .route.timeout_ms = TIMEOUT_MS,
                                             .answer = answer_cut,
                                             .data = &cut };
   struct local_pipeline *local = local_pipeline_create (&options);
@@ -220,9 +214,9 @@
 {
   struct cut_answer cut
       = { .bytes = bytes, .cut = strlen (bytes), .end = RAW_CLOSE };
-  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
-                                            .resumable = true,
-                                            .timeout_ms = TIMEOUT_MS,
+  struct local_pipeline_options options = { .route.retry_mode = ROUTE_STREAM,
+                                            .route.resumable = true,
+                                            .route.timeout_ms = TIMEOUT_MS,
                                             .answer = answer_cut,
                                             .data = &cut };
   struct local_pipeline *local = local_pipeline_create (&options);
@@ -267,10 +261,11 @@
                               const char *start, const char *repeat)
 {
   const char *parts[] = { start, repeat };
-  struct local_pipeline_options options = { .retry_mode = retry_mode,
-                                            .timeout_ms = ENDLESS_TIMEOUT_MS,
-                                            .answer = answer_endless,
-                                            .data = parts };
+  struct local_pipeline_options options
+      = { .route.retry_mode = retry_mode,
+          .route.timeout_ms = ENDLESS_TIMEOUT_MS,
+          .answer = answer_endless,
+          .data = parts };
   struct local_pipeline *local = local_pipeline_create (&options);
   int64_t started_ms = clock_now_ms ();
   const struct local_response *response = local_pipeline_run (local);
--- a/test/unit/test_leaving_endpoints.c
+++ b/test/unit/test_leaving_endpoints.c
@@ -60,9 +60,9 @@
         uint32_t count)
 {
   static const char *const versions[] = { "v1", "v1" };
-  struct local_pipeline_options options = { .retry_mode = retry_mode,
-                                            .resumable = true,
-                                            .timeout_ms = TIMEOUT_MS,
+  struct local_pipeline_options options = { .route.retry_mode = retry_mode,
+                                            .route.resumable = true,
+                                            .route.timeout_ms = TIMEOUT_MS,
                                             .answer = answer_leaving,
                                             .data = endpoints,
                                             .endpoint_count = count,
--- a/test/unit/test_request.c
+++ b/test/unit/test_request.c
@@ -1,4 +1,5 @@
 #include "common/id.h"
+#include "local_pipeline.h"
 #include "request/request.h"
 #include "suites.h"
 #include <arpa/inet.h>
@@ -174,26 +175,11 @@
 static void
 apply_route (struct fixture *fixture, uint32_t max_attempts)
 {
-  struct routing *routing = routing_create ();
-
-  routing->services = xcalloc (1, sizeof *routing->services);
-  routing->services[0].name = xstrdup ("app");
-  routing->service_count = 1;
-  routing->routes = xcalloc (1, sizeof *routing->routes);
-  routing->route_count = 1;
-  routing->routes[0]
-      = (struct route){ .name = xstrdup ("r"),
-                        .host = xstrdup ("h"),
-                        .path_prefix = xstrdup ("/"),
-                        .retry_mode = ROUTE_IDEMPOTENT,
-                        .is_open = true,
-                        .timeout_ms = DEADLINE_MS,
-                        .max_attempts = max_attempts,
-                        .targets = xcalloc (1, sizeof (struct route_target)),
-                        .target_count = 1 };
-  routing->routes[0].targets[0].weight = 1;
-  routing_build_index (routing);
-  pipeline_apply (fixture->pipeline, routing);
+  struct local_route route = { .retry_mode = ROUTE_IDEMPOTENT,
+                               .timeout_ms = DEADLINE_MS,
+                               .max_attempts = max_attempts };
+
+  pipeline_apply (fixture->pipeline, local_routing_create (&route));
 }
 
 static void
--- a/test/unit/test_stream_versions.c
+++ b/test/unit/test_stream_versions.c
@@ -75,9 +75,9 @@
 create_breaking (struct breaking_endpoints *endpoints, uint32_t count,
                  const char *const *versions)
 {
-  struct local_pipeline_options options = { .retry_mode = ROUTE_STREAM,
-                                            .resumable = true,
-                                            .timeout_ms = TIMEOUT_MS,
+  struct local_pipeline_options options = { .route.retry_mode = ROUTE_STREAM,
+                                            .route.resumable = true,
+                                            .route.timeout_ms = TIMEOUT_MS,
                                             .answer = answer_breaking,
                                             .data = endpoints,
                                             .endpoint_count = count,
@@ -275,31 +275,6 @@
   CU_ASSERT_TRUE_FATAL (node_traffic_start (fleet->nodes[node], &error));
 }
 
-static struct routing *
-create_routing (void)
-{
-  struct routing *routing = routing_create ();
-
-  routing->services = xcalloc (1, sizeof *routing->services);
-  routing->services[0] = (struct service){ .name = xstrdup ("app") };
-  routing->service_count = 1;
-  routing->routes = xcalloc (1, sizeof *routing->routes);
-  routing->route_count = 1;
-  routing->routes[0]
-      = (struct route){ .name = xstrdup ("r"),
-                        .host = xstrdup ("h"),
-                        .path_prefix = xstrdup ("/"),
-                        .retry_mode = ROUTE_STREAM,
-                        .resumable = true,
-                        .is_open = true,
-                        .timeout_ms = TIMEOUT_MS,
-                        .targets = xcalloc (1, sizeof (struct route_target)),
-                        .target_count = 1 };
-  routing->routes[0].targets[0].weight = 1;
-  routing_build_index (routing);
-  return routing;
-}
-
 static struct endpoint_list *
 create_endpoint_list (const struct fleet *fleet)
 {
@@ -346,6 +321,10 @@
 static void
 fleet_start (struct fleet *fleet)
 {
+  struct local_route route = { .retry_mode = ROUTE_STREAM,
+                               .resumable = true,
+                               .timeout_ms = TIMEOUT_MS };
+
   *fleet = (struct fleet){ .directory = "/tmp/galena-versions-XXXXXX" };
   CU_ASSERT_PTR_NOT_NULL_FATAL (mkdtemp (fleet->directory));
   fleet->loop = ev_loop_new (EVFLAG_AUTO);
@@ -365,7 +344,7 @@
         continue;
       post (fleet->nodes[i],
             (struct node_message){ .kind = NODE_ROUTING,
-                                   .routing = create_routing () });
+                                   .routing = local_routing_create (&route) });
       post (fleet->nodes[i], (struct node_message){
                                  .kind = NODE_ENDPOINTS,
                                  .endpoints = create_endpoint_list (fleet) });
