--- a/soak/main.c
+++ b/soak/main.c
@@ -618,6 +618,7 @@
     proxy_destroy (soak->proxies[i]);
   fetcher_destroy (soak->fetcher);
   fleet_kill_all (&soak->fleet);
+  ev_loop_destroy (soak->loop);
 }
 
 static int
@@ -625,7 +626,8 @@
 {
   struct callers_totals totals = { .violations = 1 };
 
-  soak->loop = ev_default_loop (EVFLAG_AUTO);
+  /* The default loop would reap the programs before fleet_has_exited.  */
+  soak->loop = ev_loop_new (EVFLAG_AUTO);
   soak->fetcher = fetcher_create (soak->loop);
   ev_timer_init (&soak->tick, handle_tick, 0, 0);
   soak->tick.data = soak;
