request, pool: log and count endpoints to which this host has no connection

Callers of cut-off hosts waited until their deadlines and no line told why. No decision depends on it yet.

--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -33,6 +33,9 @@
   COUNTER_STORE_SYNCS,
   COUNTER_ENDPOINT_RETRIES,
   COUNTER_ENDPOINT_FAILURES,
+  COUNTER_ENDPOINT_CONNECT_FAILURES,
+  /* Requests whose deadline passed while the endpoint was silent. */
+  COUNTER_SILENT_DEADLINES,
   COUNTER_ENDPOINTS_LEAVING,      /* learnt from their responses */
   COUNTER_ENDPOINT_LIMIT_CHANGES, /* named, changed or ended in responses */
   COUNTER_MALFORMED_LIMITS,       /* in responses of endpoints */
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -84,8 +84,10 @@
   int64_t limit_heard_ms;         /* when this host last heard of the limit */
   int64_t permit_after_ms;        /* before, no permit can be had */
   int64_t holder_silent_until_ms; /* before, the spare holder is asked */
-  int64_t heard_ms;  /* when its latest bytes were reported as heard */
-  uint32_t failures; /* consecutive */
+  int64_t heard_ms;          /* when its latest bytes were reported as heard */
+  int64_t last_heard_ms;     /* when its latest bytes arrived; 0 for never */
+  uint32_t connect_failures; /* consecutive */
+  uint32_t failures;         /* consecutive */
   /* Gets no requests before, unless no other endpoint is available. */
   int64_t avoid_until_ms;
   struct pool_suspect suspects[POOL_MAX_SUSPECTS];
--- a/request/pool.c
+++ b/request/pool.c
@@ -740,15 +740,18 @@
       json_array_append_new (
           list,
           json_pack (
-              "{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:I, s:I}", "id",
-              endpoint->id, "service", endpoint->service, "version",
+              "{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:I, s:I, s:I, "
+              "s:I}",
+              "id", endpoint->id, "service", endpoint->service, "version",
               pool_endpoint_version (endpoint), "address", endpoint->address,
               "slots", (json_int_t)endpoint->slots, "in_flight",
               (json_int_t)endpoint->in_flight, "reported_running",
               (json_int_t)endpoint->reported_running, "reported_waiting",
               (json_int_t)endpoint->reported_waiting, "leaving",
               endpoint->leaving, "failures", (json_int_t)endpoint->failures,
-              "limit_per_1000_s", (json_int_t)endpoint->limit_milli));
+              "limit_per_1000_s", (json_int_t)endpoint->limit_milli,
+              "connect_failures", (json_int_t)endpoint->connect_failures,
+              "last_heard_ms", (json_int_t)endpoint->last_heard_ms));
     }
   return list;
 }
--- a/request/request.c
+++ b/request/request.c
@@ -16,6 +16,7 @@
      endpoint may close one just as a request is sent on it. */
   MAX_IDLE_NON_IDEMPOTENT_MS = 2000,
   MAX_IDLE_MS = 4000,     /* the same for idempotent requests */
+  SILENT_MS = 1000,       /* silence of an endpoint that is logged */
   HEARD_INTERVAL_MS = 50, /* between reports that an endpoint sends */
   MAX_SENDS = 12,  /* per request, including sends that endpoints refuse */
   BACKOFF_MS = 15, /* multiplied by the number of failed sends */
@@ -287,9 +288,32 @@
     refuse_with_message (request, ERROR_OVERLOADED, RETRY_AFTER_MS, reason);
 }
 
+/* Logs for how long the endpoint has been silent, if that is long enough for
+   the connection to be the cause.  */
+static void
+log_silence (const struct request *request)
+{
+  const struct pool_endpoint *endpoint = request->endpoint;
+  struct log_ids ids = log_ids (request);
+  int64_t silent_ms;
+
+  if (!endpoint)
+    return;
+  silent_ms
+      = clock_now_ms () - MAX (endpoint->last_heard_ms, request->sent_ms);
+  if (silent_ms < SILENT_MS)
+    return;
+  counter_add (COUNTER_SILENT_DEADLINES, 1);
+  log_write (LOG_INFO, "request", &ids,
+             "endpoint %s has sent nothing to this host for %" G_GINT64_FORMAT
+             " ms; %u connections to it failed since the last one",
+             endpoint->id, silent_ms, endpoint->connect_failures);
+}
+
 static void
 handle_deadline (struct ev_loop *loop, ev_timer *timer, int events)
 {
+  log_silence (timer->data);
   fail_request (timer->data, "the request's deadline has passed");
 }
 
@@ -348,17 +372,35 @@
 /* Records that a connection to ENDPOINT could not be opened.  */
 static void
 record_connect_failure (struct pipeline *pipeline,
-                        struct pool_endpoint *endpoint, bool is_refused)
+                        struct pool_endpoint *endpoint,
+                        const struct fetch_result *result)
 {
   int64_t now_ms = clock_now_ms ();
 
+  counter_add (COUNTER_ENDPOINT_CONNECT_FAILURES, 1);
+  if (endpoint->connect_failures++ == 0)
+    log_write (LOG_WARN, "request", NULL,
+               "no connection to endpoint %s in data centre %s: %s",
+               endpoint->id, endpoint->data_centre, result->reason);
   pool_record_failure (endpoint, now_ms);
-  if (!is_refused)
+  if (!result->connection_refused)
     return;
   pool_record_connection_refused (endpoint, now_ms);
   pipeline_tick (pipeline, now_ms);
 }
 
+/* Records that the request was sent to ENDPOINT, to which connections had
+   failed.  */
+static void
+record_connected (struct pool_endpoint *endpoint)
+{
+  log_write (LOG_INFO, "request", NULL,
+             "requests are sent to endpoint %s again, after %u failed "
+             "connections",
+             endpoint->id, endpoint->connect_failures);
+  endpoint->connect_failures = 0;
+}
+
 /* Retries a request that has not run, or ends it if no retry is possible.  */
 static void
 retry_not_run (struct request *request, const char *reason)
@@ -616,6 +658,7 @@
   const struct pipeline_options *options = &request->pipeline->options;
   int64_t now_ms = clock_now_ms ();
 
+  request->endpoint->last_heard_ms = now_ms;
   if (!options->handle_heard
       || now_ms - request->endpoint->heard_ms < HEARD_INTERVAL_MS)
     return;
@@ -762,6 +805,8 @@
   bool is_complete;
 
   request->fetch = NULL;
+  if (result->sent && request->endpoint->connect_failures > 0)
+    record_connected (request->endpoint);
   if (result->status > 0)
     report_heard (request);
   if (request->head.status == 0 && result->status > 0)
@@ -773,8 +818,7 @@
   record_load (request);
   if (!result->sent)
     {
-      record_connect_failure (request->pipeline, request->endpoint,
-                              result->connection_refused);
+      record_connect_failure (request->pipeline, request->endpoint, result);
       retry_not_run (request, "no endpoint could be reached");
       return;
     }
