test, KNOWN-RED: callers of hosts that are cut off from all endpoints

Fails on the current code for each cut-off host of a simulated fleet, for connections that hang, are reset, live on while new ones are refused, and pass one way only; requests that no host can serve are held until their deadline. Hosts that are not cut off pass. A gate stands between a host and an endpoint and cuts them off from each other. Listed until the fix.

--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -117,7 +117,9 @@
       list->entries[list->count++] = (struct endpoint_entry){
         .id = xstrdup (local->listed[i].id),
         .service = xstrdup ("app"),
-        .address = xasprintf ("127.0.0.1:%u", local->endpoints[i]->port),
+        .address = xasprintf ("127.0.0.1:%u", local->listed[i].port > 0
+                                                  ? local->listed[i].port
+                                                  : local->endpoints[i]->port),
         .data_centre = xstrdup ("a"),
         .version
         = local->listed[i].version ? xstrdup (local->listed[i].version) : NULL,
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -37,7 +37,8 @@
   const char *id;
   const char *version; /* NULL for none */
   int64_t started_ms;
-  bool is_gone; /* not listed */
+  bool is_gone;  /* not listed */
+  uint16_t port; /* through which this host reaches it; 0 for directly */
 };
 
 /* The only route; see struct route. */
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -51,6 +51,7 @@
 /* Suites that run only if their name is the program's argument. */
 static CU_SuiteInfo separate_suites[] = {
   { "broken answers", NULL, NULL, NULL, NULL, broken_answers_tests },
+  { "cut-off hosts", NULL, NULL, NULL, NULL, cut_off_hosts_tests },
   { "endpoint limits", NULL, NULL, NULL, NULL, endpoint_limits_tests },
   { "endpoint turns", NULL, NULL, NULL, NULL, endpoint_turns_tests },
   { "stream versions", NULL, NULL, NULL, NULL, stream_versions_tests },
--- /dev/null
+++ b/test/unit/test_cut_off_hosts.c
@@ -0,0 +1,281 @@
+#include "common/id.h"
+#include "gate.h"
+#include "local_pipeline.h"
+#include "suites.h"
+#include <string.h>
+
+enum
+{
+  HOSTS = 4,
+  ENDPOINTS = 3,
+  TIMEOUT_MS = 2000,
+  WARM_UP_MS = 300, /* until all hosts have connections to all endpoints */
+  /* The users' bound is 3,000 ms after a cut begins. */
+  LEARN_MS = 2500,
+  RUN_MS = 1000,
+  SEND_INTERVAL_MS = 10,
+  MAX_FAILURE_SHARE = 50, /* the users' bound: one request in 50 */
+  REFUSAL_MS = 250,       /* until a request that no host can serve ends */
+};
+
+#define HEAD "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Stamp: s\r\n"
+#define PLAIN HEAD "Content-Length: 2\r\n\r\nok"
+#define STREAM                                                                \
+  HEAD "Content-Type: text/event-stream\r\n"                                  \
+       "Transfer-Encoding: chunked\r\n\r\n"                                   \
+       "f\r\nid: 0\ndata: a\n\n\r\nf\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n"
+
+/* What the callers of a host got. */
+struct cut_tally
+{
+  uint32_t requests;
+  uint32_t successes;
+  uint32_t refusals;
+  int64_t slowest_ms;
+  int64_t started_ms; /* of the active request */
+};
+
+/* Hosts of one fleet, whose callers send without a pause.  The first hosts are
+   cut off from all endpoints. */
+struct cut_fleet
+{
+  enum route_retry_mode retry_mode;
+  enum gate_mode mode; /* of the cut */
+  uint32_t cut_count;  /* hosts that are cut off */
+  struct local_pipeline *hosts[HOSTS];
+  struct gate *gates[HOSTS][ENDPOINTS];
+  struct cut_tally tallies[HOSTS];
+  uint32_t arrivals; /* at all endpoints */
+  uint32_t sent;     /* requests of all callers */
+  ev_timer sender;
+};
+
+static struct raw_answer
+answer (void *data, struct raw_endpoint *endpoint, const char *request)
+{
+  struct cut_fleet *fleet = data;
+  const char *bytes = fleet->retry_mode == ROUTE_STREAM ? STREAM : PLAIN;
+
+  fleet->arrivals++;
+  return (struct raw_answer){ .bytes = bytes, .len = strlen (bytes) };
+}
+
+static void
+count_response (struct cut_tally *tally, const struct local_response *response)
+{
+  int64_t took_ms = clock_now_ms () - tally->started_ms;
+
+  tally->requests++;
+  tally->successes += local_response_is_success (response);
+  tally->refusals += response->outcome == LOCAL_REFUSED
+                     && response->error.run == RUN_NOT_RUN;
+  tally->slowest_ms = MAX (tally->slowest_ms, took_ms);
+}
+
+/* Starts the next request of each host that has no active one.  */
+static void
+handle_sender (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct cut_fleet *fleet = timer->data;
+
+  for (int i = 0; i < HOSTS; i++)
+    {
+      struct local_pipeline *host = fleet->hosts[i];
+
+      if (host->is_started && host->response.outcome == LOCAL_PENDING)
+        continue;
+      if (host->is_started)
+        count_response (&fleet->tallies[i], &host->response);
+      fleet->tallies[i].started_ms = clock_now_ms ();
+      fleet->sent++;
+      local_pipeline_start (host, -1);
+    }
+}
+
+static void
+run_for (struct cut_fleet *fleet, int64_t duration_ms)
+{
+  int64_t until_ms = clock_now_ms () + duration_ms;
+
+  while (clock_now_ms () < until_ms)
+    ev_run (fleet->hosts[0]->loop, EVRUN_ONCE);
+}
+
+static void
+create_fleet (struct cut_fleet *fleet)
+{
+  static const char *const names[HOSTS] = { "h0", "h1", "h2", "h3" };
+  struct local_pipeline_options options
+      = { .route.retry_mode = fleet->retry_mode,
+          .route.resumable = true,
+          .route.timeout_ms = TIMEOUT_MS,
+          .answer = answer,
+          .data = fleet,
+          .endpoint_count = ENDPOINTS };
+
+  for (int i = 0; i < HOSTS; i++)
+    {
+      options.host = names[i];
+      options.shared = fleet->hosts[0];
+      fleet->hosts[i] = local_pipeline_create (&options);
+      for (int k = 0; k < ENDPOINTS; k++)
+        {
+          fleet->gates[i][k] = gate_create (
+              fleet->hosts[0]->loop, fleet->hosts[0]->endpoints[k]->port);
+          fleet->hosts[i]->listed[k].port = gate_port (fleet->gates[i][k]);
+        }
+      local_pipeline_list_endpoints (fleet->hosts[i]);
+    }
+  ev_timer_init (&fleet->sender, handle_sender, 0, SEND_INTERVAL_MS / 1000.0);
+  fleet->sender.data = fleet;
+  ev_timer_start (fleet->hosts[0]->loop, &fleet->sender);
+}
+
+static void
+release_fleet (struct cut_fleet *fleet)
+{
+  ev_timer_stop (fleet->hosts[0]->loop, &fleet->sender);
+  for (int i = 0; i < HOSTS; i++)
+    while (fleet->hosts[i]->response.outcome == LOCAL_PENDING)
+      ev_run (fleet->hosts[0]->loop, EVRUN_ONCE);
+  for (int i = 0; i < HOSTS; i++)
+    for (int k = 0; k < ENDPOINTS; k++)
+      gate_destroy (fleet->gates[i][k]);
+  for (int i = HOSTS - 1; i >= 0; i--)
+    local_pipeline_destroy (fleet->hosts[i]);
+}
+
+static void
+set_mode (struct cut_fleet *fleet, enum gate_mode mode)
+{
+  for (uint32_t i = 0; i < fleet->cut_count; i++)
+    for (int k = 0; k < ENDPOINTS; k++)
+      gate_set_mode (fleet->gates[i][k], mode);
+}
+
+/* Runs until all callers have learnt what they can, and forgets their
+   responses so far.  */
+static void
+learn (struct cut_fleet *fleet)
+{
+  run_for (fleet, LEARN_MS);
+  for (int i = 0; i < HOSTS; i++)
+    fleet->tallies[i]
+        = (struct cut_tally){ .started_ms = fleet->tallies[i].started_ms };
+}
+
+static bool
+is_served (const struct cut_tally *tally)
+{
+  uint32_t failures = tally->requests - tally->successes;
+
+  return tally->requests > MAX_FAILURE_SHARE / 2
+         && failures * MAX_FAILURE_SHARE <= tally->requests;
+}
+
+/* Checks that the callers of cut-off hosts fare as those of the others.  */
+static void
+check_cut (struct cut_fleet *fleet)
+{
+  create_fleet (fleet);
+  run_for (fleet, WARM_UP_MS);
+  set_mode (fleet, fleet->mode);
+  learn (fleet);
+  run_for (fleet, RUN_MS);
+  for (int i = 0; i < HOSTS; i++)
+    CU_ASSERT (is_served (&fleet->tallies[i]));
+  if (fleet->retry_mode == ROUTE_ONCE)
+    CU_ASSERT (fleet->arrivals <= fleet->sent);
+  set_mode (fleet, GATE_OPEN);
+  learn (fleet);
+  run_for (fleet, RUN_MS);
+  for (int i = 0; i < HOSTS; i++)
+    CU_ASSERT (is_served (&fleet->tallies[i]));
+  release_fleet (fleet);
+}
+
+/* Guards against a host that sends to endpoints to which it has no connection
+   until its callers' deadlines pass, while other hosts serve.  */
+static void
+test_hanging_connections (void)
+{
+  struct cut_fleet streams
+      = { .retry_mode = ROUTE_STREAM, .mode = GATE_HANG, .cut_count = 2 };
+  struct cut_fleet calls
+      = { .retry_mode = ROUTE_ONCE, .mode = GATE_HANG, .cut_count = 3 };
+
+  check_cut (&streams);
+  check_cut (&calls);
+}
+
+/* Guards against the same where connections are reset and refused.  */
+static void
+test_reset_connections (void)
+{
+  struct cut_fleet calls
+      = { .retry_mode = ROUTE_ONCE, .mode = GATE_RESET, .cut_count = 3 };
+  struct cut_fleet streams
+      = { .retry_mode = ROUTE_STREAM, .mode = GATE_RESET, .cut_count = 1 };
+
+  check_cut (&calls);
+  check_cut (&streams);
+}
+
+/* Guards against requests that wait for new connections while open ones live
+   on.  */
+static void
+test_refused_connections (void)
+{
+  struct cut_fleet calls
+      = { .retry_mode = ROUTE_ONCE, .mode = GATE_KEEP, .cut_count = 2 };
+
+  check_cut (&calls);
+}
+
+/* Guards against requests that endpoints run while their responses are lost.
+ */
+static void
+test_one_way (void)
+{
+  struct cut_fleet calls = { .retry_mode = ROUTE_IDEMPOTENT,
+                             .mode = GATE_ONE_WAY,
+                             .cut_count = 2 };
+
+  check_cut (&calls);
+}
+
+/* Guards against requests that no host can serve and that are held, or passed
+   from host to host, instead of refused.  */
+static void
+test_what_no_host_reaches_is_refused (void)
+{
+  struct cut_fleet fleet
+      = { .retry_mode = ROUTE_ONCE, .mode = GATE_HANG, .cut_count = HOSTS };
+
+  create_fleet (&fleet);
+  run_for (&fleet, WARM_UP_MS);
+  set_mode (&fleet, fleet.mode);
+  learn (&fleet);
+  run_for (&fleet, RUN_MS);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      CU_ASSERT (fleet.tallies[i].requests > 0);
+      CU_ASSERT_EQUAL (fleet.tallies[i].refusals, fleet.tallies[i].requests);
+      CU_ASSERT (fleet.tallies[i].slowest_ms <= REFUSAL_MS);
+    }
+  set_mode (&fleet, GATE_OPEN);
+  learn (&fleet);
+  run_for (&fleet, RUN_MS);
+  for (int i = 0; i < HOSTS; i++)
+    CU_ASSERT (is_served (&fleet.tallies[i]));
+  release_fleet (&fleet);
+}
+
+CU_TestInfo cut_off_hosts_tests[] = {
+  { "connections that hang", test_hanging_connections },
+  { "connections that are reset", test_reset_connections },
+  { "new connections that are refused", test_refused_connections },
+  { "one way only", test_one_way },
+  { "what no host reaches is refused", test_what_no_host_reaches_is_refused },
+  CU_TEST_INFO_NULL,
+};
