--- a/common/fetch.c
+++ b/common/fetch.c
@@ -125,6 +125,7 @@
   struct fetch_result result = { .body = &fetch->body };
   long request_bytes = 0;
   long system_error = 0;
+  long connections = 0;
 
   curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &result.status);
   curl_easy_getinfo (fetch->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
@@ -139,6 +140,11 @@
   result.aborted
       = code == CURLE_WRITE_ERROR || code == CURLE_FILESIZE_EXCEEDED;
   result.sent = request_bytes > 0;
+  curl_easy_getinfo (fetch->easy, CURLINFO_NUM_CONNECTS, &connections);
+  result.connection_failed
+      = code == CURLE_COULDNT_CONNECT || (result.timed_out && !result.sent);
+  result.connection_opened
+      = connections > 0 && result.sent && !result.connection_failed;
   result.resend_refused = fetch->resend_refused;
   result.reason = code == CURLE_OK && !result.complete
                       ? "the head of the response is incomplete"
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -34,6 +34,11 @@
   COUNTER_ENDPOINT_RETRIES,
   COUNTER_ENDPOINT_FAILURES,
   COUNTER_ENDPOINT_CONNECT_FAILURES,
+  COUNTER_PATH_PROBES,    /* connections that only tell whether they open */
+  COUNTER_RELAYS_SENT,    /* requests that another host was to send */
+  COUNTER_RELAYS_SERVED,  /* sent for other hosts */
+  COUNTER_RELAYS_REFUSED, /* of other hosts */
+  COUNTER_RELAYS_LOST,    /* helping hosts that fell silent */
   /* Requests whose deadline passed while the endpoint was silent. */
   COUNTER_SILENT_DEADLINES,
   COUNTER_ENDPOINTS_LEAVING,      /* learnt from their responses */
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -26,6 +26,8 @@
   bool complete; /* the entire response arrived */
   bool timed_out;
   bool connection_refused; /* ECONNREFUSED */
+  bool connection_opened;  /* a new one was opened for the transfer */
+  bool connection_failed;  /* a new one could not be opened */
   bool aborted; /* aborted by its handler, or the body was too long */
   bool sent;    /* part of the request may have been sent */
   /* A reused connection was closed before a response, and the request not
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -55,6 +55,12 @@
 typedef struct Peer__EndpointReport Peer__EndpointReport;
 typedef struct Peer__EndpointFact Peer__EndpointFact;
 typedef struct Peer__EndpointNotice Peer__EndpointNotice;
+typedef struct Peer__RelayAsk Peer__RelayAsk;
+typedef struct Peer__RelayOffer Peer__RelayOffer;
+typedef struct Peer__RelaySend Peer__RelaySend;
+typedef struct Peer__RelayData Peer__RelayData;
+typedef struct Peer__RelayDone Peer__RelayDone;
+typedef struct Peer__RelayCancel Peer__RelayCancel;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -729,6 +735,148 @@
     , 0,NULL, 0 }
 
 
+/*
+ * A host that has no connection to some endpoints asks another one whether it
+ * would send requests for it.
+ */
+struct  Peer__RelayAsk
+{
+  ProtobufCMessage base;
+  /*
+   * relays of the sender that are long without a frame
+   */
+  size_t n_silent;
+  uint64_t *silent;
+};
+#define PEER__RELAY_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__relay_ask__descriptor) \
+    , 0,NULL }
+
+
+struct  Peer__RelayOffer
+{
+  ProtobufCMessage base;
+  /*
+   * for further relays
+   */
+  uint32_t room;
+  /*
+   * hashes of the names of those that it reaches
+   */
+  size_t n_services;
+  uint64_t *services;
+};
+#define PEER__RELAY_OFFER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__relay_offer__descriptor) \
+    , 0, 0,NULL }
+
+
+/*
+ * A request for one endpoint, which the receiver sends itself or refuses.
+ */
+struct  Peer__RelaySend
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * hash of its id and start
+   */
+  uint64_t endpoint;
+  /*
+   * of the request
+   */
+  uint64_t fingerprint;
+  char *method;
+  char *target;
+  /*
+   * "Name: value"
+   */
+  size_t n_headers;
+  char **headers;
+  ProtobufCBinaryData body;
+  uint32_t timeout_ms;
+  /*
+   * of a connection that is used again
+   */
+  uint32_t max_idle_ms;
+  protobuf_c_boolean is_streamed;
+  protobuf_c_boolean is_single_attempt;
+  /*
+   * for an endpoint with a limit
+   */
+  protobuf_c_boolean has_permit;
+};
+#define PEER__RELAY_SEND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__relay_send__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A part of the response.
+ */
+struct  Peer__RelayData
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * counts the frames of a relay
+   */
+  uint32_t sequence;
+  uint32_t status;
+  /*
+   * of headers, in the first frame
+   */
+  size_t n_names;
+  char **names;
+  size_t n_values;
+  char **values;
+  ProtobufCBinaryData bytes;
+};
+#define PEER__RELAY_DATA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__relay_data__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, {0,NULL} }
+
+
+struct  Peer__RelayDone
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t sequence;
+  uint32_t status;
+  /*
+   * of headers, if this is the first frame
+   */
+  size_t n_names;
+  char **names;
+  size_t n_values;
+  char **values;
+  ProtobufCBinaryData body;
+  /*
+   * why the request was not sent; 0 if it was
+   */
+  uint32_t refusal;
+  uint32_t framing;
+  protobuf_c_boolean is_complete;
+  protobuf_c_boolean is_sent;
+  protobuf_c_boolean is_aborted;
+  protobuf_c_boolean is_resend_refused;
+  char *reason;
+};
+#define PEER__RELAY_DONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__relay_done__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Peer__RelayCancel
+{
+  ProtobufCMessage base;
+  uint64_t id;
+};
+#define PEER__RELAY_CANCEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__relay_cancel__descriptor) \
+    , 0 }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_PING = 1,
@@ -764,7 +912,13 @@
   PEER__FRAME__BODY_ENDPOINT_ASK = 31,
   PEER__FRAME__BODY_ENDPOINT_PERMIT = 32,
   PEER__FRAME__BODY_ENDPOINT_REPORT = 33,
-  PEER__FRAME__BODY_ENDPOINT_NOTICE = 34
+  PEER__FRAME__BODY_ENDPOINT_NOTICE = 34,
+  PEER__FRAME__BODY_RELAY_ASK = 35,
+  PEER__FRAME__BODY_RELAY_OFFER = 36,
+  PEER__FRAME__BODY_RELAY_SEND = 37,
+  PEER__FRAME__BODY_RELAY_DATA = 38,
+  PEER__FRAME__BODY_RELAY_DONE = 39,
+  PEER__FRAME__BODY_RELAY_CANCEL = 40
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -807,6 +961,12 @@
     Peer__EndpointPermit *endpoint_permit;
     Peer__EndpointReport *endpoint_report;
     Peer__EndpointNotice *endpoint_notice;
+    Peer__RelayAsk *relay_ask;
+    Peer__RelayOffer *relay_offer;
+    Peer__RelaySend *relay_send;
+    Peer__RelayData *relay_data;
+    Peer__RelayDone *relay_done;
+    Peer__RelayCancel *relay_cancel;
   };
 };
 #define PEER__FRAME__INIT \
@@ -1574,6 +1734,120 @@
 void   peer__endpoint_notice__free_unpacked
                      (Peer__EndpointNotice *message,
                       ProtobufCAllocator *allocator);
+/* Peer__RelayAsk methods */
+void   peer__relay_ask__init
+                     (Peer__RelayAsk         *message);
+size_t peer__relay_ask__get_packed_size
+                     (const Peer__RelayAsk   *message);
+size_t peer__relay_ask__pack
+                     (const Peer__RelayAsk   *message,
+                      uint8_t             *out);
+size_t peer__relay_ask__pack_to_buffer
+                     (const Peer__RelayAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RelayAsk *
+       peer__relay_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__relay_ask__free_unpacked
+                     (Peer__RelayAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RelayOffer methods */
+void   peer__relay_offer__init
+                     (Peer__RelayOffer         *message);
+size_t peer__relay_offer__get_packed_size
+                     (const Peer__RelayOffer   *message);
+size_t peer__relay_offer__pack
+                     (const Peer__RelayOffer   *message,
+                      uint8_t             *out);
+size_t peer__relay_offer__pack_to_buffer
+                     (const Peer__RelayOffer   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RelayOffer *
+       peer__relay_offer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__relay_offer__free_unpacked
+                     (Peer__RelayOffer *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RelaySend methods */
+void   peer__relay_send__init
+                     (Peer__RelaySend         *message);
+size_t peer__relay_send__get_packed_size
+                     (const Peer__RelaySend   *message);
+size_t peer__relay_send__pack
+                     (const Peer__RelaySend   *message,
+                      uint8_t             *out);
+size_t peer__relay_send__pack_to_buffer
+                     (const Peer__RelaySend   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RelaySend *
+       peer__relay_send__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__relay_send__free_unpacked
+                     (Peer__RelaySend *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RelayData methods */
+void   peer__relay_data__init
+                     (Peer__RelayData         *message);
+size_t peer__relay_data__get_packed_size
+                     (const Peer__RelayData   *message);
+size_t peer__relay_data__pack
+                     (const Peer__RelayData   *message,
+                      uint8_t             *out);
+size_t peer__relay_data__pack_to_buffer
+                     (const Peer__RelayData   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RelayData *
+       peer__relay_data__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__relay_data__free_unpacked
+                     (Peer__RelayData *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RelayDone methods */
+void   peer__relay_done__init
+                     (Peer__RelayDone         *message);
+size_t peer__relay_done__get_packed_size
+                     (const Peer__RelayDone   *message);
+size_t peer__relay_done__pack
+                     (const Peer__RelayDone   *message,
+                      uint8_t             *out);
+size_t peer__relay_done__pack_to_buffer
+                     (const Peer__RelayDone   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RelayDone *
+       peer__relay_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__relay_done__free_unpacked
+                     (Peer__RelayDone *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__RelayCancel methods */
+void   peer__relay_cancel__init
+                     (Peer__RelayCancel         *message);
+size_t peer__relay_cancel__get_packed_size
+                     (const Peer__RelayCancel   *message);
+size_t peer__relay_cancel__pack
+                     (const Peer__RelayCancel   *message,
+                      uint8_t             *out);
+size_t peer__relay_cancel__pack_to_buffer
+                     (const Peer__RelayCancel   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RelayCancel *
+       peer__relay_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__relay_cancel__free_unpacked
+                     (Peer__RelayCancel *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -1715,6 +1989,24 @@
 typedef void (*Peer__EndpointNotice_Closure)
                  (const Peer__EndpointNotice *message,
                   void *closure_data);
+typedef void (*Peer__RelayAsk_Closure)
+                 (const Peer__RelayAsk *message,
+                  void *closure_data);
+typedef void (*Peer__RelayOffer_Closure)
+                 (const Peer__RelayOffer *message,
+                  void *closure_data);
+typedef void (*Peer__RelaySend_Closure)
+                 (const Peer__RelaySend *message,
+                  void *closure_data);
+typedef void (*Peer__RelayData_Closure)
+                 (const Peer__RelayData *message,
+                  void *closure_data);
+typedef void (*Peer__RelayDone_Closure)
+                 (const Peer__RelayDone *message,
+                  void *closure_data);
+typedef void (*Peer__RelayCancel_Closure)
+                 (const Peer__RelayCancel *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -1764,6 +2056,12 @@
 extern const ProtobufCMessageDescriptor peer__endpoint_report__descriptor;
 extern const ProtobufCMessageDescriptor peer__endpoint_fact__descriptor;
 extern const ProtobufCMessageDescriptor peer__endpoint_notice__descriptor;
+extern const ProtobufCMessageDescriptor peer__relay_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__relay_offer__descriptor;
+extern const ProtobufCMessageDescriptor peer__relay_send__descriptor;
+extern const ProtobufCMessageDescriptor peer__relay_data__descriptor;
+extern const ProtobufCMessageDescriptor peer__relay_done__descriptor;
+extern const ProtobufCMessageDescriptor peer__relay_cancel__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/include/policy/failure_detector.h
+++ b/include/policy/failure_detector.h
@@ -26,6 +26,7 @@
   int64_t unanswered_since_ms; /* oldest unanswered probe; 0: none */
   int64_t last_probe_ms;       /* latest probe */
   int64_t last_tick_ms;
+  int64_t timeout_ms; /* of a probe; FAILURE_DETECTOR_TIMEOUT_MS at first */
   bool is_unreachable;
 };
 
--- /dev/null
+++ b/include/policy/path_detector.h
@@ -0,0 +1,42 @@
+/* Decides whether this host can open connections to an endpoint.
+
+   A path is broken once connections have failed for PATH_BROKEN_MS, and whole
+   again after several have been opened.  Bytes that arrive over a connection
+   opened before tell nothing about new ones.  */
+#ifndef GALENA_POLICY_PATH_DETECTOR_H
+#define GALENA_POLICY_PATH_DETECTOR_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  PATH_PROBE_INTERVAL_MS = 200, /* while connections fail */
+  /* An endpoint that is busy with long requests is silent for longer than
+     this; then a probe tells. */
+  PATH_SILENT_MS = 500,
+  PATH_SILENT_INTERVAL_MS = 1000, /* between probes of a silent endpoint */
+  PATH_BROKEN_MS = 200,  /* longer than the pause of a host that has used up
+                            its share of the processor */
+  PATH_MIN_FAILURES = 2, /* consecutive, until the path is broken */
+  PATH_MIN_OPENED = 2,   /* consecutive, until it is whole again */
+};
+
+/* The state of one path.  Owned by the caller; zeroed at first. */
+struct path_detector
+{
+  int64_t failing_since_ms; /* first failure since an opened connection; 0 for
+                               none */
+  int64_t opened_ms;        /* when the latest connection was opened */
+  int64_t probed_ms;        /* start of the latest probe */
+  uint32_t failures;        /* consecutive */
+  uint32_t opened;          /* consecutive, while the path is broken */
+  bool is_broken;
+};
+
+bool path_detector_record_opened (struct path_detector *path, int64_t now_ms);
+bool path_detector_record_failed (struct path_detector *path, int64_t now_ms);
+bool path_detector_is_probe_due (const struct path_detector *path,
+                                 int64_t silent_ms, int64_t now_ms);
+
+#endif
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -3,6 +3,7 @@
 #ifndef GALENA_REQUEST_POOL_H
 #define GALENA_REQUEST_POOL_H
 
+#include "policy/path_detector.h"
 #include "policy/place.h"
 #include <glib.h>
 #include <jansson.h>
@@ -86,8 +87,14 @@
   int64_t holder_silent_until_ms; /* before, the spare holder is asked */
   int64_t heard_ms;          /* when its latest bytes were reported as heard */
   int64_t last_heard_ms;     /* when its latest bytes arrived; 0 for never */
-  uint32_t connect_failures; /* consecutive */
-  uint32_t failures;         /* consecutive */
+  struct path_detector path; /* from this host */
+  uint32_t direct;           /* of in_flight, those that this host sent */
+  int64_t direct_since_ms;   /* since when there are any */
+  /* Of requests that other hosts sent for this one; as failures and
+     avoid_until_ms are of those that it sent. */
+  uint32_t relay_failures;
+  int64_t relay_avoid_until_ms;
+  uint32_t failures; /* consecutive */
   /* Gets no requests before, unless no other endpoint is available. */
   int64_t avoid_until_ms;
   struct pool_suspect suspects[POOL_MAX_SUSPECTS];
@@ -109,6 +116,14 @@
   uint64_t program;  /* hash of its id; 0 for none */
   uint64_t build;    /* that the endpoint must have; 0 for any */
   bool is_unlimited; /* only endpoints without a limit */
+  bool is_relayed;   /* only endpoints to which this host has no path */
+};
+
+/* What this host has of a service's endpoints that are listed. */
+struct pool_paths
+{
+  uint32_t listed;
+  uint32_t broken; /* no connection can be opened */
 };
 
 void endpoint_list_destroy (struct endpoint_list *list);
@@ -119,6 +134,12 @@
                  int64_t now_ms);
 struct pool_endpoint *
 pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms);
+struct pool_endpoint *pool_pick_least_avoided (struct pool *pool,
+                                               const struct pool_query *query,
+                                               int64_t now_ms);
+bool pool_lacks_path (const struct pool_endpoint *endpoint, int64_t now_ms);
+struct pool_paths pool_count_paths (const struct pool *pool,
+                                    const char *service);
 struct pool_endpoint *
 pool_pick_awaiting_permit (struct pool *pool, const struct pool_query *query,
                            int64_t now_ms);
@@ -139,12 +160,17 @@
 void pool_acquire (struct pool_endpoint *endpoint,
                    const struct pool_query *query, int64_t now_ms);
 void pool_release (struct pool *pool, struct pool_endpoint *endpoint);
+void pool_begin_direct (struct pool_endpoint *endpoint, int64_t now_ms);
+void pool_end_direct (struct pool_endpoint *endpoint);
 void pool_record_load (struct pool_endpoint *endpoint, int64_t running,
                        int64_t waiting, int64_t now_ms);
 bool pool_record_leaving (struct pool *pool, struct pool_endpoint *endpoint,
                           int64_t now_ms);
 void pool_record_success (struct pool_endpoint *endpoint);
 void pool_record_failure (struct pool_endpoint *endpoint, int64_t now_ms);
+void pool_record_relay_success (struct pool_endpoint *endpoint);
+void pool_record_relay_failure (struct pool_endpoint *endpoint,
+                                int64_t now_ms);
 void pool_set_reachable (struct pool *pool, const char *data_centre,
                          bool reachable);
 void pool_record_interrupted (struct pool_endpoint *endpoint,
@@ -153,9 +179,11 @@
                                      int64_t now_ms);
 struct pool_endpoint *pool_find_crashed (const struct pool *pool,
                                          int64_t now_ms);
+void pool_clear_suspects (struct pool_endpoint *endpoint);
+size_t pool_count (const struct pool *pool);
+struct pool_endpoint *pool_at (const struct pool *pool, size_t index);
 uint32_t pool_take_suspects (struct pool_endpoint *endpoint,
                              uint64_t fingerprints[POOL_MAX_SUSPECTS]);
-size_t pool_count (const struct pool *pool);
 void pool_expire_prompt_parts (struct pool *pool, int64_t now_ms);
 json_t *pool_to_json (const struct pool *pool);
 
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -10,7 +10,9 @@
 #include "ledger/ledger.h"
 #include "request/endpoint_limiter.h"
 #include "request/limits.h"
+#include "request/path_monitor.h"
 #include "request/pool.h"
+#include "request/relay_client.h"
 #include "request/routing.h"
 #include "request/stream_index.h"
 #include <ev.h>
@@ -124,6 +126,8 @@
   struct pool *pool;
   struct limits *limits;
   struct endpoint_limiter *limiter; /* NULL to ignore endpoints' limits */
+  struct path_monitor *monitor;     /* may be NULL, as may relays */
+  struct relay_client *relays; /* NULL to send all requests from this host */
   struct ledger *ledger;
   struct stream_index *streams; /* may be NULL */
   const struct request_wire *wire;
@@ -137,6 +141,9 @@
 void pipeline_apply (struct pipeline *pipeline, struct routing *routing);
 void pipeline_tick (struct pipeline *pipeline, int64_t now_ms);
 void pipeline_fail_over (struct pipeline *pipeline, const char *data_centre);
+void pipeline_fail_path (struct pipeline *pipeline,
+                         const struct pool_endpoint *endpoint,
+                         int64_t silent_ms);
 void pipeline_record_remote_crash (struct pipeline *pipeline,
                                    uint64_t fingerprint, uint32_t crashes,
                                    const char *endpoint);
@@ -150,6 +157,8 @@
                                struct request_sink *sink);
 void request_cancel (struct request *request);
 void request_input_destroy (struct request_input *input);
+void response_head_init (struct response_head *head);
+void response_head_release (struct response_head *head);
 void headers_add (struct header **headers, size_t *count, const char *name,
                   const char *value);
 
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1807,6 +1807,276 @@
   assert(message->base.descriptor == &peer__endpoint_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__relay_ask__init
+                     (Peer__RelayAsk         *message)
+{
+  static const Peer__RelayAsk init_value = PEER__RELAY_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__relay_ask__get_packed_size
+                     (const Peer__RelayAsk *message)
+{
+  assert(message->base.descriptor == &peer__relay_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__relay_ask__pack
+                     (const Peer__RelayAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__relay_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__relay_ask__pack_to_buffer
+                     (const Peer__RelayAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__relay_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RelayAsk *
+       peer__relay_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RelayAsk *)
+     protobuf_c_message_unpack (&peer__relay_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__relay_ask__free_unpacked
+                     (Peer__RelayAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__relay_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__relay_offer__init
+                     (Peer__RelayOffer         *message)
+{
+  static const Peer__RelayOffer init_value = PEER__RELAY_OFFER__INIT;
+  *message = init_value;
+}
+size_t peer__relay_offer__get_packed_size
+                     (const Peer__RelayOffer *message)
+{
+  assert(message->base.descriptor == &peer__relay_offer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__relay_offer__pack
+                     (const Peer__RelayOffer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__relay_offer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__relay_offer__pack_to_buffer
+                     (const Peer__RelayOffer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__relay_offer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RelayOffer *
+       peer__relay_offer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RelayOffer *)
+     protobuf_c_message_unpack (&peer__relay_offer__descriptor,
+                                allocator, len, data);
+}
+void   peer__relay_offer__free_unpacked
+                     (Peer__RelayOffer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__relay_offer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__relay_send__init
+                     (Peer__RelaySend         *message)
+{
+  static const Peer__RelaySend init_value = PEER__RELAY_SEND__INIT;
+  *message = init_value;
+}
+size_t peer__relay_send__get_packed_size
+                     (const Peer__RelaySend *message)
+{
+  assert(message->base.descriptor == &peer__relay_send__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__relay_send__pack
+                     (const Peer__RelaySend *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__relay_send__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__relay_send__pack_to_buffer
+                     (const Peer__RelaySend *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__relay_send__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RelaySend *
+       peer__relay_send__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RelaySend *)
+     protobuf_c_message_unpack (&peer__relay_send__descriptor,
+                                allocator, len, data);
+}
+void   peer__relay_send__free_unpacked
+                     (Peer__RelaySend *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__relay_send__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__relay_data__init
+                     (Peer__RelayData         *message)
+{
+  static const Peer__RelayData init_value = PEER__RELAY_DATA__INIT;
+  *message = init_value;
+}
+size_t peer__relay_data__get_packed_size
+                     (const Peer__RelayData *message)
+{
+  assert(message->base.descriptor == &peer__relay_data__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__relay_data__pack
+                     (const Peer__RelayData *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__relay_data__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__relay_data__pack_to_buffer
+                     (const Peer__RelayData *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__relay_data__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RelayData *
+       peer__relay_data__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RelayData *)
+     protobuf_c_message_unpack (&peer__relay_data__descriptor,
+                                allocator, len, data);
+}
+void   peer__relay_data__free_unpacked
+                     (Peer__RelayData *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__relay_data__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__relay_done__init
+                     (Peer__RelayDone         *message)
+{
+  static const Peer__RelayDone init_value = PEER__RELAY_DONE__INIT;
+  *message = init_value;
+}
+size_t peer__relay_done__get_packed_size
+                     (const Peer__RelayDone *message)
+{
+  assert(message->base.descriptor == &peer__relay_done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__relay_done__pack
+                     (const Peer__RelayDone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__relay_done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__relay_done__pack_to_buffer
+                     (const Peer__RelayDone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__relay_done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RelayDone *
+       peer__relay_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RelayDone *)
+     protobuf_c_message_unpack (&peer__relay_done__descriptor,
+                                allocator, len, data);
+}
+void   peer__relay_done__free_unpacked
+                     (Peer__RelayDone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__relay_done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__relay_cancel__init
+                     (Peer__RelayCancel         *message)
+{
+  static const Peer__RelayCancel init_value = PEER__RELAY_CANCEL__INIT;
+  *message = init_value;
+}
+size_t peer__relay_cancel__get_packed_size
+                     (const Peer__RelayCancel *message)
+{
+  assert(message->base.descriptor == &peer__relay_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__relay_cancel__pack
+                     (const Peer__RelayCancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__relay_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__relay_cancel__pack_to_buffer
+                     (const Peer__RelayCancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__relay_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RelayCancel *
+       peer__relay_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RelayCancel *)
+     protobuf_c_message_unpack (&peer__relay_cancel__descriptor,
+                                allocator, len, data);
+}
+void   peer__relay_cancel__free_unpacked
+                     (Peer__RelayCancel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__relay_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -4802,73 +5072,678 @@
   (ProtobufCMessageInit) peer__endpoint_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[34] =
+static const ProtobufCFieldDescriptor peer__relay_ask__field_descriptors[1] =
 {
   {
-    "ping",
+    "silent",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__RelayAsk, n_silent),
+    offsetof(Peer__RelayAsk, silent),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__relay_ask__field_indices_by_name[] = {
+  0,   /* field[0] = silent */
+};
+static const ProtobufCIntRange peer__relay_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__relay_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RelayAsk",
+  "RelayAsk",
+  "Peer__RelayAsk",
+  "peer",
+  sizeof(Peer__RelayAsk),
+  1,
+  peer__relay_ask__field_descriptors,
+  peer__relay_ask__field_indices_by_name,
+  1,  peer__relay_ask__number_ranges,
+  (ProtobufCMessageInit) peer__relay_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__relay_offer__field_descriptors[2] =
+{
+  {
+    "room",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Frame, body_case),
-    offsetof(Peer__Frame, ping),
-    &peer__ping__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayOffer, room),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pong",
+    "services",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Frame, body_case),
-    offsetof(Peer__Frame, pong),
-    &peer__pong__descriptor,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__RelayOffer, n_services),
+    offsetof(Peer__RelayOffer, services),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__relay_offer__field_indices_by_name[] = {
+  0,   /* field[0] = room */
+  1,   /* field[1] = services */
+};
+static const ProtobufCIntRange peer__relay_offer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__relay_offer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RelayOffer",
+  "RelayOffer",
+  "Peer__RelayOffer",
+  "peer",
+  sizeof(Peer__RelayOffer),
+  2,
+  peer__relay_offer__field_descriptors,
+  peer__relay_offer__field_indices_by_name,
+  1,  peer__relay_offer__number_ranges,
+  (ProtobufCMessageInit) peer__relay_offer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__relay_send__field_descriptors[12] =
+{
   {
-    "call_request",
-    3,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Frame, body_case),
-    offsetof(Peer__Frame, call_request),
-    &peer__call_request__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, id),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "call_head",
-    4,
+    "endpoint",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Frame, body_case),
-    offsetof(Peer__Frame, call_head),
-    &peer__call_head__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, endpoint),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "call_data",
-    5,
+    "fingerprint",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Frame, body_case),
-    offsetof(Peer__Frame, call_data),
-    &peer__call_data__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, fingerprint),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "call_end",
-    6,
+    "method",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelaySend, n_headers),
+    offsetof(Peer__RelaySend, headers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_idle_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, max_idle_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_streamed",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, is_streamed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_single_attempt",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, is_single_attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_permit",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, has_permit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__relay_send__field_indices_by_name[] = {
+  6,   /* field[6] = body */
+  1,   /* field[1] = endpoint */
+  2,   /* field[2] = fingerprint */
+  11,   /* field[11] = has_permit */
+  5,   /* field[5] = headers */
+  0,   /* field[0] = id */
+  10,   /* field[10] = is_single_attempt */
+  9,   /* field[9] = is_streamed */
+  8,   /* field[8] = max_idle_ms */
+  3,   /* field[3] = method */
+  4,   /* field[4] = target */
+  7,   /* field[7] = timeout_ms */
+};
+static const ProtobufCIntRange peer__relay_send__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor peer__relay_send__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RelaySend",
+  "RelaySend",
+  "Peer__RelaySend",
+  "peer",
+  sizeof(Peer__RelaySend),
+  12,
+  peer__relay_send__field_descriptors,
+  peer__relay_send__field_indices_by_name,
+  1,  peer__relay_send__number_ranges,
+  (ProtobufCMessageInit) peer__relay_send__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__relay_data__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayData, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayData, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayData, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "names",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelayData, n_names),
+    offsetof(Peer__RelayData, names),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelayData, n_values),
+    offsetof(Peer__RelayData, values),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayData, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__relay_data__field_indices_by_name[] = {
+  5,   /* field[5] = bytes */
+  0,   /* field[0] = id */
+  3,   /* field[3] = names */
+  1,   /* field[1] = sequence */
+  2,   /* field[2] = status */
+  4,   /* field[4] = values */
+};
+static const ProtobufCIntRange peer__relay_data__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer__relay_data__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RelayData",
+  "RelayData",
+  "Peer__RelayData",
+  "peer",
+  sizeof(Peer__RelayData),
+  6,
+  peer__relay_data__field_descriptors,
+  peer__relay_data__field_indices_by_name,
+  1,  peer__relay_data__number_ranges,
+  (ProtobufCMessageInit) peer__relay_data__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__relay_done__field_descriptors[13] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "names",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelayDone, n_names),
+    offsetof(Peer__RelayDone, names),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelayDone, n_values),
+    offsetof(Peer__RelayDone, values),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusal",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, refusal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "framing",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, framing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_complete",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, is_complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_sent",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, is_sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_aborted",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, is_aborted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_resend_refused",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, is_resend_refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__relay_done__field_indices_by_name[] = {
+  5,   /* field[5] = body */
+  7,   /* field[7] = framing */
+  0,   /* field[0] = id */
+  10,   /* field[10] = is_aborted */
+  8,   /* field[8] = is_complete */
+  11,   /* field[11] = is_resend_refused */
+  9,   /* field[9] = is_sent */
+  3,   /* field[3] = names */
+  12,   /* field[12] = reason */
+  6,   /* field[6] = refusal */
+  1,   /* field[1] = sequence */
+  2,   /* field[2] = status */
+  4,   /* field[4] = values */
+};
+static const ProtobufCIntRange peer__relay_done__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor peer__relay_done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RelayDone",
+  "RelayDone",
+  "Peer__RelayDone",
+  "peer",
+  sizeof(Peer__RelayDone),
+  13,
+  peer__relay_done__field_descriptors,
+  peer__relay_done__field_indices_by_name,
+  1,  peer__relay_done__number_ranges,
+  (ProtobufCMessageInit) peer__relay_done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__relay_cancel__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayCancel, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__relay_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer__relay_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__relay_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RelayCancel",
+  "RelayCancel",
+  "Peer__RelayCancel",
+  "peer",
+  sizeof(Peer__RelayCancel),
+  1,
+  peer__relay_cancel__field_descriptors,
+  peer__relay_cancel__field_indices_by_name,
+  1,  peer__relay_cancel__number_ranges,
+  (ProtobufCMessageInit) peer__relay_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[40] =
+{
+  {
+    "ping",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, ping),
+    &peer__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pong",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, pong),
+    &peer__pong__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_request",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, call_request),
+    &peer__call_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_head",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, call_head),
+    &peer__call_head__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_data",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, call_data),
+    &peer__call_data__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_end",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Peer__Frame, body_case),
     offsetof(Peer__Frame, call_end),
     &peer__call_end__descriptor,
@@ -5212,6 +6087,78 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay_ask",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, relay_ask),
+    &peer__relay_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_offer",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, relay_offer),
+    &peer__relay_offer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_send",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, relay_send),
+    &peer__relay_send__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_data",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, relay_data),
+    &peer__relay_data__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_done",
+    39,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, relay_done),
+    &peer__relay_done__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_cancel",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, relay_cancel),
+    &peer__relay_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -5241,6 +6188,12 @@
   0,   /* field[0] = ping */
   1,   /* field[1] = pong */
   17,   /* field[17] = program_handover */
+  34,   /* field[34] = relay_ask */
+  39,   /* field[39] = relay_cancel */
+  37,   /* field[37] = relay_data */
+  38,   /* field[38] = relay_done */
+  35,   /* field[35] = relay_offer */
+  36,   /* field[36] = relay_send */
   11,   /* field[11] = store_ack */
   10,   /* field[10] = store_append */
   12,   /* field[12] = store_fetch */
@@ -5252,7 +6205,7 @@
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 34 }
+  { 0, 40 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -5262,7 +6215,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  34,
+  40,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/policy/failure_detector.c
+++ b/policy/failure_detector.c
@@ -4,8 +4,10 @@
 void
 failure_detector_init (struct failure_detector *detector, int64_t now_ms)
 {
-  *detector = (struct failure_detector){ .last_heard_ms = now_ms,
-                                         .last_tick_ms = now_ms };
+  *detector
+      = (struct failure_detector){ .last_heard_ms = now_ms,
+                                   .last_tick_ms = now_ms,
+                                   .timeout_ms = FAILURE_DETECTOR_TIMEOUT_MS };
 }
 
 /* Records that a message from one of its hosts arrived at HEARD_MS.  */
@@ -35,7 +37,7 @@
   if (was_paused && !detector->is_unreachable)
     detector->unanswered_since_ms = 0;
   if (detector->unanswered_since_ms
-      && now_ms - detector->unanswered_since_ms > FAILURE_DETECTOR_TIMEOUT_MS)
+      && now_ms - detector->unanswered_since_ms > detector->timeout_ms)
     detector->is_unreachable = true;
   if (now_ms - detector->last_heard_ms < FAILURE_DETECTOR_PROBE_MS
       || now_ms - detector->last_probe_ms < FAILURE_DETECTOR_PROBE_MS)
--- a/request/pool.c
+++ b/request/pool.c
@@ -337,6 +337,14 @@
          || (!query->is_unlimited && endpoint->permit_after_ms <= now_ms);
 }
 
+/* Whether this host cannot send to ENDPOINT, as far as it knows.  */
+bool
+pool_lacks_path (const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  return endpoint->unreachable || endpoint->path.is_broken
+         || (endpoint->path.failures > 0 && endpoint->avoid_until_ms > now_ms);
+}
+
 static void
 fill_candidate (const struct pool_endpoint *endpoint,
                 const struct pool_query *query, int64_t now_ms,
@@ -344,12 +352,17 @@
 {
   bool is_fresh = now_ms - endpoint->reported_ms <= MAX_LOAD_AGE_MS;
 
+  bool is_usable = query->is_relayed
+                       ? pool_lacks_path (endpoint, now_ms)
+                             && endpoint->relay_avoid_until_ms <= now_ms
+                       : !endpoint->unreachable && !endpoint->path.is_broken
+                             && endpoint->avoid_until_ms <= now_ms;
+
   *out = (struct place_endpoint){ .remote = endpoint->remote,
                                   .hash = endpoint->hash,
                                   .slots = endpoint->slots,
                                   .running = endpoint->in_flight };
-  out->eligible = may_serve (endpoint, query) && !endpoint->unreachable
-                  && endpoint->avoid_until_ms <= now_ms
+  out->eligible = may_serve (endpoint, query) && is_usable
                   && may_be_permitted (endpoint, query, now_ms);
   if (!out->eligible)
     return;
@@ -360,9 +373,9 @@
   out->cached_tokens = pool_cached_tokens (endpoint, query, now_ms);
 }
 
-static struct pool_endpoint *
-pick_eligible (struct pool *pool, const struct pool_query *query,
-               int64_t now_ms)
+/* Returns the best endpoint for QUERY that is usable now, or NULL.  */
+struct pool_endpoint *
+pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms)
 {
   struct place_options options
       = { .prompt_tokens = query->prompt_tokens, .program = query->program };
@@ -378,10 +391,12 @@
   return picked >= 0 ? pool->endpoints->pdata[picked] : NULL;
 }
 
-/* Returns the endpoint whose avoidance ends first.  */
-static struct pool_endpoint *
-pick_least_avoided (struct pool *pool, const struct pool_query *query,
-                    int64_t now_ms)
+/* Returns the endpoint whose avoidance ends first, even if its data centre is
+   unreachable, or NULL if there is none to which a connection may be opened or
+   none for which a permit can be had.  */
+struct pool_endpoint *
+pool_pick_least_avoided (struct pool *pool, const struct pool_query *query,
+                         int64_t now_ms)
 {
   struct pool_endpoint *best = NULL;
 
@@ -389,7 +404,7 @@
     {
       struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
 
-      if (!may_serve (endpoint, query)
+      if (!may_serve (endpoint, query) || endpoint->path.is_broken
           || !may_be_permitted (endpoint, query, now_ms))
         continue;
       if (!best || endpoint->avoid_until_ms < best->avoid_until_ms)
@@ -398,17 +413,6 @@
   return best;
 }
 
-/* Returns the best endpoint for QUERY, or NULL if the service has none, or
-   none for which a permit can be had.  If none is eligible, returns the one
-   whose avoidance ends first, even if its data centre is unreachable.  */
-struct pool_endpoint *
-pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms)
-{
-  struct pool_endpoint *endpoint = pick_eligible (pool, query, now_ms);
-
-  return endpoint ? endpoint : pick_least_avoided (pool, query, now_ms);
-}
-
 /* Returns the endpoint for which a permit can be had first, or NULL if the
    service has none with a limit.  */
 struct pool_endpoint *
@@ -445,7 +449,7 @@
   if (query->prompt_tokens == 0)
     return 0;
   unlimited.is_unlimited = true;
-  other = pick_eligible (pool, &unlimited, now_ms);
+  other = pool_pick (pool, &unlimited, now_ms);
   if (!other)
     return 0;
   fill_candidate (other, &unlimited, now_ms, &candidate);
@@ -562,6 +566,21 @@
     g_ptr_array_remove_fast (pool->removed_in_use, endpoint);
 }
 
+/* Records that this host sends a request to ENDPOINT itself.  */
+void
+pool_begin_direct (struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  if (endpoint->direct++ == 0)
+    endpoint->direct_since_ms = now_ms;
+}
+
+/* Records the end of a request that began with pool_begin_direct.  */
+void
+pool_end_direct (struct pool_endpoint *endpoint)
+{
+  endpoint->direct--;
+}
+
 /* Records the load that an endpoint reported in a response.  */
 void
 pool_record_load (struct pool_endpoint *endpoint, int64_t running,
@@ -593,22 +612,47 @@
   endpoint->failures = 0;
 }
 
+/* Returns for how long an endpoint is avoided after a failure that FAILURES
+   others precede.  */
+static int64_t
+avoid_duration_ms (uint32_t failures)
+{
+  int64_t avoid_ms = MIN_AVOID_MS;
+
+  for (uint32_t i = 0; i < failures && avoid_ms < MAX_AVOID_MS; i++)
+    avoid_ms *= 2;
+  return avoid_ms;
+}
+
 /* Records that an endpoint could not be reached or failed to respond.  It gets
    no requests for a time that grows with each consecutive failure, unless no
    other endpoint is available.  */
 void
 pool_record_failure (struct pool_endpoint *endpoint, int64_t now_ms)
 {
-  int64_t avoid_ms = MIN_AVOID_MS;
+  endpoint->avoid_until_ms = now_ms + avoid_duration_ms (endpoint->failures++);
+}
 
-  for (uint32_t i = 0; i < endpoint->failures && avoid_ms < MAX_AVOID_MS; i++)
-    avoid_ms *= 2;
-  endpoint->failures++;
-  endpoint->avoid_until_ms = now_ms + avoid_ms;
+/* Records a success of a request that another host sent for this one.  */
+void
+pool_record_relay_success (struct pool_endpoint *endpoint)
+{
+  endpoint->relay_failures = 0;
 }
 
-static void
-clear_suspects (struct pool_endpoint *endpoint)
+/* Records that a request which another host should send did not reach ENDPOINT
+   or got no response.  */
+void
+pool_record_relay_failure (struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  endpoint->relay_avoid_until_ms
+      = now_ms + avoid_duration_ms (endpoint->relay_failures++);
+}
+
+/* Forgets which requests were running at ENDPOINT when their connections
+   ended.  */
+void
+pool_clear_suspects (struct pool_endpoint *endpoint)
 {
   memset (endpoint->suspects, 0, sizeof endpoint->suspects);
   endpoint->refused_ms = 0;
@@ -675,7 +719,7 @@
   for (uint32_t i = 0; i < POOL_MAX_SUSPECTS; i++)
     if (is_suspect (&endpoint->suspects[i], endpoint->refused_ms))
       fingerprints[count++] = endpoint->suspects[i].fingerprint;
-  clear_suspects (endpoint);
+  pool_clear_suspects (endpoint);
   return count;
 }
 
@@ -696,7 +740,7 @@
         continue;
       endpoint->unreachable = !reachable;
       if (!reachable)
-        clear_suspects (endpoint);
+        pool_clear_suspects (endpoint);
     }
 }
 
@@ -707,6 +751,31 @@
   return pool->endpoints->len;
 }
 
+/* Returns the listed endpoint at INDEX, below pool_count.  */
+struct pool_endpoint *
+pool_at (const struct pool *pool, size_t index)
+{
+  return pool->endpoints->pdata[index];
+}
+
+/* Counts the listed endpoints of SERVICE.  */
+struct pool_paths
+pool_count_paths (const struct pool *pool, const char *service)
+{
+  struct pool_paths paths = { 0 };
+
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      const struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      if (strcmp (endpoint->service, service) != 0)
+        continue;
+      paths.listed++;
+      paths.broken += endpoint->path.is_broken;
+    }
+  return paths;
+}
+
 static gboolean
 is_expired (gpointer key, gpointer value, gpointer data)
 {
@@ -750,7 +819,7 @@
               (json_int_t)endpoint->reported_waiting, "leaving",
               endpoint->leaving, "failures", (json_int_t)endpoint->failures,
               "limit_per_1000_s", (json_int_t)endpoint->limit_milli,
-              "connect_failures", (json_int_t)endpoint->connect_failures,
+              "connect_failures", (json_int_t)endpoint->path.failures,
               "last_heard_ms", (json_int_t)endpoint->last_heard_ms));
     }
   return list;
--- a/request/request.c
+++ b/request/request.c
@@ -6,6 +6,7 @@
 #include "policy/endpoint_limit.h"
 #include "policy/retry.h"
 #include "request/event_splitter.h"
+#include "request/observation.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -93,12 +94,15 @@
   bool has_awaited_permit;  /* has asked for a permit in advance */
   bool is_last_denied;      /* by the endpoint that may have run the request */
   struct pool_endpoint *endpoint; /* of the current send; NULL if none */
+  bool is_relayed;                /* the current send, by another host */
   /* Of the endpoint that may have run the request; 0 for none. */
   uint64_t last_endpoint_hash;
   /* Of the endpoint that began the stream, at which alone it may go on; 0
      until the first event. */
   uint64_t build;
-  struct fetch *fetch;
+  /* Of the current send, one of: */
+  struct fetch *fetch; /* from this host */
+  struct relay *relay; /* from another one */
   struct response_head head;
   struct event_splitter events;
   /* Id of the last event that the caller has, also from earlier attempts;
@@ -164,16 +168,24 @@
   free (input);
 }
 
-static void
-head_release (struct response_head *head)
+/* Initializes a head that tells nothing yet.  */
+void
+response_head_init (struct response_head *head)
 {
-  free (head->request_id);
-  headers_destroy (head->headers, head->header_count);
   *head = (struct response_head){ .running = -1,
                                   .waiting = -1,
                                   .limit_milli = -1 };
 }
 
+/* Frees the content of HEAD and initializes it again.  */
+void
+response_head_release (struct response_head *head)
+{
+  free (head->request_id);
+  headers_destroy (head->headers, head->header_count);
+  response_head_init (head);
+}
+
 static struct log_ids
 log_ids (const struct request *request)
 {
@@ -190,6 +202,10 @@
   if (request->fetch)
     fetch_cancel (request->fetch);
   request->fetch = NULL;
+  relay_cancel (request->relay);
+  request->relay = NULL;
+  if (request->endpoint && !request->is_relayed)
+    pool_end_direct (request->endpoint);
   if (request->endpoint)
     pool_release (request->pipeline->options.pool, request->endpoint);
   request->endpoint = NULL;
@@ -219,7 +235,7 @@
   ev_timer_stop (pipeline->options.loop, &request->deadline);
   ev_timer_stop (pipeline->options.loop, &request->backoff);
   g_queue_unlink (&pipeline->requests, &request->link);
-  head_release (&request->head);
+  response_head_release (&request->head);
   event_splitter_release (&request->events);
   request_input_destroy (request->input);
   routing_unref (request->routing);
@@ -297,7 +313,7 @@
   struct log_ids ids = log_ids (request);
   int64_t silent_ms;
 
-  if (!endpoint)
+  if (!endpoint || request->is_relayed)
     return;
   silent_ms
       = clock_now_ms () - MAX (endpoint->last_heard_ms, request->sent_ms);
@@ -307,7 +323,7 @@
   log_write (LOG_INFO, "request", &ids,
              "endpoint %s has sent nothing to this host for %" G_GINT64_FORMAT
              " ms; %u connections to it failed since the last one",
-             endpoint->id, silent_ms, endpoint->connect_failures);
+             endpoint->id, silent_ms, endpoint->path.failures);
 }
 
 static void
@@ -372,35 +388,17 @@
 /* Records that a connection to ENDPOINT could not be opened.  */
 static void
 record_connect_failure (struct pipeline *pipeline,
-                        struct pool_endpoint *endpoint,
-                        const struct fetch_result *result)
+                        struct pool_endpoint *endpoint, bool is_refused)
 {
   int64_t now_ms = clock_now_ms ();
 
-  counter_add (COUNTER_ENDPOINT_CONNECT_FAILURES, 1);
-  if (endpoint->connect_failures++ == 0)
-    log_write (LOG_WARN, "request", NULL,
-               "no connection to endpoint %s in data centre %s: %s",
-               endpoint->id, endpoint->data_centre, result->reason);
   pool_record_failure (endpoint, now_ms);
-  if (!result->connection_refused)
+  if (!is_refused)
     return;
   pool_record_connection_refused (endpoint, now_ms);
   pipeline_tick (pipeline, now_ms);
 }
 
-/* Records that the request was sent to ENDPOINT, to which connections had
-   failed.  */
-static void
-record_connected (struct pool_endpoint *endpoint)
-{
-  log_write (LOG_INFO, "request", NULL,
-             "requests are sent to endpoint %s again, after %u failed "
-             "connections",
-             endpoint->id, endpoint->connect_failures);
-  endpoint->connect_failures = 0;
-}
-
 /* Retries a request that has not run, or ends it if no retry is possible.  */
 static void
 retry_not_run (struct request *request, const char *reason)
@@ -412,8 +410,9 @@
   if (request->step != STEP_STREAM)
     request->last_endpoint_hash = 0;
   counter_add (COUNTER_ENDPOINT_RETRIES, 1);
-  if (endpoint)
-    endpoint->avoid_until_ms = clock_now_ms () + BACKOFF_MS;
+  if (endpoint && !request->is_relayed)
+    endpoint->avoid_until_ms
+        = MAX (endpoint->avoid_until_ms, clock_now_ms () + BACKOFF_MS);
   release_endpoint (request);
   if (request->sends >= MAX_SENDS || remaining_ms (request) < MIN_REMAINING_MS)
     {
@@ -479,7 +478,10 @@
       "%" G_GINT64_FORMAT ", %zu bytes follow it)",
       request->endpoint->id, pool_endpoint_version (request->endpoint), reason,
       request->last_event_id, request->events.pending.len);
-  pool_record_failure (request->endpoint, clock_now_ms ());
+  if (request->is_relayed)
+    pool_record_relay_failure (request->endpoint, clock_now_ms ());
+  else
+    pool_record_failure (request->endpoint, clock_now_ms ());
   if (!may_run_again (request))
     {
       fail_request (request, reason);
@@ -490,87 +492,37 @@
   schedule_retry (request);
 }
 
-static void
-record_load (struct request *request)
-{
-  if (request->head.running >= 0)
-    pool_record_load (request->endpoint, request->head.running,
-                      request->head.waiting, clock_now_ms ());
-}
-
-static void
-record_limit (const struct request *request)
+/* Returns the HTTP status received so far, or 0 if there is none.  */
+static long
+received_status (const struct request *request)
 {
-  struct endpoint_limiter *limiter = request->pipeline->options.limiter;
-  struct log_ids ids = log_ids (request);
-
-  if (!limiter
-      || !endpoint_limiter_record_limit (limiter, request->endpoint,
-                                         request->head.limit_milli,
-                                         request->sent_ms, clock_now_ms ()))
-    return;
-  counter_add (COUNTER_ENDPOINT_LIMIT_CHANGES, 1);
-  if (request->head.limit_milli >= 0)
-    log_write (LOG_INFO, "request", &ids,
-               "endpoint %s takes %" G_GINT64_FORMAT
-               " requests per 1000 s from all hosts together",
-               request->endpoint->id, request->head.limit_milli);
-  else
-    log_write (LOG_INFO, "request", &ids, "endpoint %s names no limit",
-               request->endpoint->id);
+  return request->relay ? relay_status (request->relay)
+                        : fetch_status (request->fetch);
 }
 
-/* Handles the end of the response's head.  Without a limit in it the endpoint
-   has none, but a malformed one tells nothing.  */
-static void
-record_unlimited (const struct request *request)
-{
-  if (request->head.has_malformed_limit)
-    {
-      struct log_ids ids = log_ids (request);
-
-      counter_add (COUNTER_MALFORMED_LIMITS, 1);
-      log_write (LOG_WARN, "request", &ids,
-                 "endpoint %s names a malformed limit", request->endpoint->id);
-    }
-  else if (request->head.limit_milli < 0
-           && request->head.status != STATUS_MISDIRECTED)
-    record_limit (request);
-}
-
-static void
-record_leaving (const struct request *request)
+static struct observation
+make_observation (const struct request *request, long status)
 {
   const struct pipeline_options *options = &request->pipeline->options;
-  struct log_ids ids = log_ids (request);
-  int64_t now_ms = clock_now_ms ();
 
-  if (!pool_record_leaving (options->pool, request->endpoint, now_ms))
-    return;
-  if (options->limiter)
-    endpoint_limiter_record_leaving (options->limiter, request->endpoint,
-                                     now_ms);
-  counter_add (COUNTER_ENDPOINTS_LEAVING, 1);
-  log_write (LOG_INFO, "request", &ids,
-             "endpoint %s announced in its response, status %ld, that it is "
-             "leaving",
-             request->endpoint->id, fetch_status (request->fetch));
+  return (struct observation){ .pool = options->pool,
+                               .limiter = options->limiter,
+                               .endpoint = request->endpoint,
+                               .head = &request->head,
+                               .sent_ms = request->sent_ms,
+                               .status = status,
+                               .ids = log_ids (request) };
 }
 
-/* Handles a header of any response from the endpoint, also of one that will
-   not be forwarded.  A misdirected request has reached another endpoint.  */
 static void
 handle_header (void *data, const char *name, const char *value)
 {
   struct request *request = data;
+  struct observation observation
+      = make_observation (request, received_status (request));
 
   request->pipeline->options.wire->read_header (&request->head, name, value);
-  if (fetch_status (request->fetch) == STATUS_MISDIRECTED)
-    return;
-  if (request->head.is_leaving)
-    record_leaving (request);
-  if (request->head.limit_milli >= 0)
-    record_limit (request);
+  observation_record_header (&observation);
 }
 
 static bool
@@ -651,13 +603,16 @@
   return request->sink->write (request->sink, bytes, len);
 }
 
-/* Reports that the request's endpoint sends: its data centre is reachable.  */
+/* Reports that this host hears the request's endpoint: its data centre is
+   reachable.  */
 static void
 report_heard (const struct request *request)
 {
   const struct pipeline_options *options = &request->pipeline->options;
   int64_t now_ms = clock_now_ms ();
 
+  if (request->is_relayed)
+    return;
   request->endpoint->last_heard_ms = now_ms;
   if (!options->handle_heard
       || now_ms - request->endpoint->heard_ms < HEARD_INTERVAL_MS)
@@ -676,9 +631,12 @@
   report_heard (request);
   if (request->head.status == 0)
     {
-      request->head.status = fetch_status (request->fetch);
-      record_load (request);
-      record_unlimited (request);
+      struct observation observation
+          = make_observation (request, received_status (request));
+
+      request->head.status = observation.status;
+      observation_record_load (&observation);
+      observation_record_head_end (&observation);
     }
   if (!is_matching_response (request))
     return false;
@@ -736,7 +694,7 @@
   request->head = (struct response_head){ 0 };
   request_destroy (request);
   sink->respond (sink, &head, body);
-  head_release (&head);
+  response_head_release (&head);
 }
 
 /* Whether the endpoint states that it has not run the request.  */
@@ -796,32 +754,40 @@
   return result->reason;
 }
 
+/* Records what a send from this host tells about its path to the endpoint.  */
 static void
-handle_fetch_done (void *data, const struct fetch_result *result)
+record_path (const struct request *request, const struct fetch_result *result)
+{
+  struct path_monitor *monitor = request->pipeline->options.monitor;
+  struct pool_endpoint *endpoint = request->endpoint;
+  int64_t now_ms = clock_now_ms ();
+
+  if (result->connection_failed && endpoint->path.failures == 0)
+    log_write (LOG_WARN, "request", NULL,
+               "no connection to endpoint %s in data centre %s: %s",
+               endpoint->id, endpoint->data_centre, result->reason);
+  if (monitor && (result->connection_opened || result->connection_failed))
+    path_monitor_record (monitor, endpoint, result->connection_opened, now_ms);
+}
+
+/* Handles the end of a response, or of a send without one, that was sent.  */
+static void
+handle_sent (struct request *request, const struct fetch_result *result)
 {
-  struct request *request = data;
   const struct buf *body = result->body;
+  struct observation observation = make_observation (request, result->status);
   struct buf pending;
   bool is_complete;
 
-  request->fetch = NULL;
-  if (result->sent && request->endpoint->connect_failures > 0)
-    record_connected (request->endpoint);
   if (result->status > 0)
     report_heard (request);
   if (request->head.status == 0 && result->status > 0)
     {
       request->head.status = result->status;
       if (result->complete)
-        record_unlimited (request);
-    }
-  record_load (request);
-  if (!result->sent)
-    {
-      record_connect_failure (request->pipeline, request->endpoint, result);
-      retry_not_run (request, "no endpoint could be reached");
-      return;
+        observation_record_head_end (&observation);
     }
+  observation_record_load (&observation);
   if (reports_not_run (request))
     {
       retry_not_run (request, "the endpoints are full");
@@ -832,13 +798,17 @@
     {
       if (is_success (request->head.status) && request->events.pending.len > 0)
         counter_add (COUNTER_UNFINISHED_EVENTS, 1);
-      if (!is_complete && !result->aborted && !result->resend_refused)
+      if (!is_complete && !result->aborted && !result->resend_refused
+          && !request->is_relayed)
         pool_record_interrupted (request->endpoint, request->fingerprint,
                                  clock_now_ms ());
       handle_endpoint_failure (request, describe_failure (request, result));
       return;
     }
-  pool_record_success (request->endpoint);
+  if (request->is_relayed)
+    pool_record_relay_success (request->endpoint);
+  else
+    pool_record_success (request->endpoint);
   poison_record_success (&request->pipeline->poison, request->fingerprint);
   if (request->step == STEP_STREAM)
     {
@@ -862,6 +832,46 @@
   buf_release (&pending);
 }
 
+static void
+handle_fetch_done (void *data, const struct fetch_result *result)
+{
+  struct request *request = data;
+
+  request->fetch = NULL;
+  record_path (request, result);
+  if (result->sent)
+    {
+      handle_sent (request, result);
+      return;
+    }
+  record_connect_failure (request->pipeline, request->endpoint,
+                          result->connection_refused);
+  retry_not_run (request, "no endpoint could be reached");
+}
+
+static void
+handle_relay_done (void *data, const struct fetch_result *result,
+                   enum relay_refusal refusal)
+{
+  struct request *request = data;
+  struct log_ids ids = log_ids (request);
+
+  request->relay = NULL;
+  if (refusal == RELAY_NOT_REFUSED && result->sent)
+    {
+      handle_sent (request, result);
+      return;
+    }
+  log_write (LOG_INFO, "request", &ids,
+             "another host did not send it to endpoint %s: %s, %s",
+             request->endpoint->id, relay_refusal_name (refusal),
+             result->reason);
+  if (refusal == RELAY_NO_PATH || refusal == RELAY_LEAVING
+      || refusal == RELAY_UNKNOWN_ENDPOINT || refusal == RELAY_NO_PERMIT)
+    pool_record_relay_failure (request->endpoint, clock_now_ms ());
+  retry_not_run (request, "no endpoint could be reached");
+}
+
 static struct pool_query
 make_pool_query (const struct request *request)
 {
@@ -876,6 +886,40 @@
                               .build = request->build };
 }
 
+/* Has another host send the request, if this one has no path to its endpoint
+   and another one offers that.  */
+static struct relay *
+start_relay (struct request *request, const struct fetch_options *options)
+{
+  struct relay_request relay
+      = { .endpoint = request->endpoint,
+          .fingerprint = request->fingerprint,
+          .has_permit = request->endpoint->limit_milli >= 0,
+          .timeout_ms = MAX (remaining_ms (request), 1),
+          .fetch = options,
+          .handle_done = handle_relay_done };
+  int64_t now_ms = clock_now_ms ();
+
+  if (!request->pipeline->options.relays
+      || !pool_lacks_path (request->endpoint, now_ms))
+    return NULL;
+  return relay_client_start (request->pipeline->options.relays, &relay,
+                             now_ms);
+}
+
+static void
+start_transfer (struct request *request, const struct fetch_options *options)
+{
+  request->relay = start_relay (request, options);
+  request->is_relayed = request->relay != NULL;
+  if (request->is_relayed)
+    return;
+  pool_begin_direct (request->endpoint, request->sent_ms);
+  if (request->endpoint->limit_milli >= 0)
+    counter_add (COUNTER_LIMITED_SENDS, 1);
+  request->fetch = fetch_start (request->pipeline->options.fetcher, options);
+}
+
 static void
 send_to_endpoint (struct request *request, struct pool_endpoint *endpoint)
 {
@@ -913,7 +957,7 @@
           .handle_done = handle_fetch_done,
           .data = request };
 
-  head_release (&request->head);
+  response_head_release (&request->head);
   if (request->step != STEP_STREAM)
     request->step = STEP_SENT;
   event_splitter_release (&request->events);
@@ -932,9 +976,7 @@
   request->cached_tokens
       = pool_cached_tokens (endpoint, &query, request->sent_ms);
   pool_acquire (endpoint, &query, request->sent_ms);
-  if (endpoint->limit_milli >= 0)
-    counter_add (COUNTER_LIMITED_SENDS, 1);
-  request->fetch = fetch_start (dependencies->fetcher, &options);
+  start_transfer (request, &options);
   g_ptr_array_free (lines, TRUE);
   free (url);
 }
@@ -1021,6 +1063,45 @@
   return CLAMP (third_ms, 0, longest_ms);
 }
 
+/* Whether another host offers to send to ENDPOINT.  */
+static bool
+has_helper (const struct request *request,
+            const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  const struct relay_client *relays = request->pipeline->options.relays;
+
+  return relays && endpoint->relay_avoid_until_ms <= now_ms
+         && relay_client_has_helper (relays, endpoint->service, now_ms);
+}
+
+/* Returns the best endpoint that this host reaches; else one that another host
+   reaches; else one that may become reachable; or NULL.  */
+static struct pool_endpoint *
+pick_reachable (const struct request *request, const struct pool_query *query,
+                int64_t now_ms)
+{
+  const struct pipeline_options *options = &request->pipeline->options;
+  struct pool_query relayed = *query;
+  struct pool_endpoint *endpoint = pool_pick (options->pool, query, now_ms);
+
+  relayed.is_relayed = true;
+  if (!endpoint && options->relays
+      && relay_client_has_helper (options->relays, query->service, now_ms))
+    endpoint = pool_pick (options->pool, &relayed, now_ms);
+  return endpoint ? endpoint
+                  : pool_pick_least_avoided (options->pool, query, now_ms);
+}
+
+/* Whether a stream may go on at ENDPOINT, which ran it before.  */
+static bool
+may_return_to (const struct request *request,
+               const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  return !request->is_last_denied
+         && (!endpoint->path.is_broken
+             || has_helper (request, endpoint, now_ms));
+}
+
 /* Returns the endpoint to send to, or NULL if there is none.  *MAX_WAIT_MS is
    how long the request may wait for a permit: while others may take it, only
    as long as it saves by the prompt that the endpoint has cached.  A stream is
@@ -1038,13 +1119,13 @@
   *max_wait_ms = max_permit_wait_ms (request);
   if (last_endpoint && request->route->retry_mode == ROUTE_STREAM)
     {
-      if (!request->is_last_denied)
+      if (may_return_to (request, last_endpoint, now_ms))
         return last_endpoint;
       if (!may_run_elsewhere (request))
         return NULL;
     }
   query.is_unlimited = request->denials >= MAX_DENIALS;
-  endpoint = pool_pick (pool, &query, now_ms);
+  endpoint = pick_reachable (request, &query, now_ms);
   if (endpoint && endpoint->limit_milli < 0)
     return endpoint;
   if (endpoint)
@@ -1136,7 +1217,9 @@
                             : NULL;
 
   request->has_permit = false;
-  if (!endpoint || endpoint->leaving || endpoint->unreachable
+  if (!endpoint || endpoint->leaving
+      || (endpoint->unreachable
+          && !has_helper (request, endpoint, clock_now_ms ()))
       || strcmp (endpoint->service, request->service->name) != 0
       || (request->build && endpoint->build != request->build))
     return NULL;
@@ -1475,6 +1558,27 @@
     }
 }
 
+/* Sends requests again that have waited for SILENT_MS for ENDPOINT, to which
+   this host has no path any more, as far as they may run again.  */
+void
+pipeline_fail_path (struct pipeline *pipeline,
+                    const struct pool_endpoint *endpoint, int64_t silent_ms)
+{
+  int64_t now_ms = clock_now_ms ();
+  GList *next;
+
+  for (GList *at = pipeline->requests.head; at; at = next)
+    {
+      struct request *request = at->data;
+
+      next = at->next;
+      if (request->endpoint == endpoint && !request->is_relayed
+          && now_ms - request->sent_ms >= silent_ms && may_run_again (request))
+        handle_endpoint_failure (request,
+                                 "this host has no path to the endpoint");
+    }
+}
+
 /* Records a crash of an endpoint that another host reported.  */
 void
 pipeline_record_remote_crash (struct pipeline *pipeline, uint64_t fingerprint,
@@ -1527,9 +1631,7 @@
   request->sink = sink;
   request->started_ms = clock_now_ms ();
   request->last_event_id = input->resume_after >= 0 ? input->resume_after : -1;
-  request->head = (struct response_head){ .running = -1,
-                                          .waiting = -1,
-                                          .limit_milli = -1 };
+  response_head_init (&request->head);
   if (input->program)
     request->program = id_hash_text (input->program);
   ev_timer_init (&request->deadline, handle_deadline, 0, 0);
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -190,6 +190,17 @@
   .send = send_frame, .ping = ping, .last_received_ms = last_received_ms
 };
 
+static void
+handle_frame (struct local_pipeline *local, const char *from,
+              const Peer__Frame *frame, int64_t now_ms)
+{
+  endpoint_limiter_handle_frame (local->limiter, from, frame, now_ms);
+  if (local->is_old)
+    return;
+  relay_client_handle_frame (local->relays, from, frame, now_ms);
+  relay_server_handle_frame (local->relay_server, from, frame, now_ms);
+}
+
 static void
 handle_delivery (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -201,8 +212,7 @@
       Peer__Frame *frame = packed_frame_unpack (&copy->bytes);
 
       CU_ASSERT_PTR_NOT_NULL_FATAL (frame);
-      endpoint_limiter_handle_frame (transport->local->limiter, copy->from,
-                                     frame, clock_now_ms ());
+      handle_frame (transport->local, copy->from, frame, clock_now_ms ());
       peer__frame__free_unpacked (frame, NULL);
       buf_release (&copy->bytes);
       free (copy);
@@ -214,7 +224,24 @@
 {
   struct local_transport *transport = timer->data;
 
-  endpoint_limiter_tick (transport->local->limiter, clock_now_ms ());
+  struct local_pipeline *local = transport->local;
+  int64_t now_ms = clock_now_ms ();
+
+  endpoint_limiter_tick (local->limiter, now_ms);
+  path_monitor_tick (local->monitor, now_ms);
+  relay_client_tick (local->relays, path_monitor_lacks_paths (local->monitor),
+                     now_ms);
+  relay_server_tick (local->relay_server, now_ms);
+}
+
+static void
+handle_broken_path (void *data, struct pool_endpoint *endpoint,
+                    int64_t silent_ms)
+{
+  struct local_pipeline *local = data;
+
+  pipeline_fail_path (local->pipeline, endpoint, silent_ms);
+  relay_server_fail_path (local->relay_server, endpoint, silent_ms);
 }
 
 /* Tells all hosts of the fleet that LOCAL has joined it.  */
@@ -229,8 +256,12 @@
     locations[i] = (struct host_location){ .name = fleet->hosts[i]->host,
                                            .data_centre = "a" };
   for (uint32_t i = 0; i < fleet->host_count; i++)
-    endpoint_limiter_set_hosts (fleet->hosts[i]->limiter, locations,
-                                fleet->host_count, clock_now_ms ());
+    {
+      endpoint_limiter_set_hosts (fleet->hosts[i]->limiter, locations,
+                                  fleet->host_count, clock_now_ms ());
+      relay_client_set_hosts (fleet->hosts[i]->relays, locations,
+                              fleet->host_count);
+    }
 }
 
 static void
@@ -241,6 +272,16 @@
                                               .data_centre = "a",
                                               .pool = local->pool,
                                               .transport = &transport->base };
+  struct path_monitor_options monitor = { .loop = local->loop,
+                                          .pool = local->pool,
+                                          .handle_broken = handle_broken_path,
+                                          .data = local };
+  struct relay_client_options relays
+      = { .host = local->host, .transport = &transport->base };
+  struct relay_server_options relay_server = { .transport = &transport->base,
+                                               .fetcher = local->fetcher,
+                                               .pool = local->pool,
+                                               .wire = &platform_wire };
 
   transport->base.vtable = &transport_vtable;
   transport->local = local;
@@ -251,6 +292,11 @@
   transport->tick.data = transport;
   ev_timer_start (local->loop, &transport->tick);
   local->limiter = endpoint_limiter_create (&limiter);
+  local->monitor = path_monitor_create (&monitor);
+  local->relays = relay_client_create (&relays);
+  relay_server.limiter = local->limiter;
+  relay_server.monitor = local->monitor;
+  local->relay_server = relay_server_create (&relay_server);
   join_fleet (local);
 }
 
@@ -266,6 +312,9 @@
       buf_release (&copy->bytes);
       free (copy);
     }
+  relay_client_destroy (local->relays);
+  relay_server_destroy (local->relay_server);
+  path_monitor_destroy (local->monitor);
   endpoint_limiter_destroy (local->limiter);
 }
 
@@ -316,6 +365,8 @@
   pipeline.limits = local->limits = limits_create (&limits);
   open_transport (local);
   pipeline.limiter = local->limiter;
+  pipeline.monitor = local->monitor;
+  pipeline.relays = local->relays;
   local->pipeline = pipeline_create (&pipeline);
   if (options->shared)
     share_endpoints (local, options->shared);
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -4,6 +4,7 @@
 #define GALENA_TEST_LOCAL_PIPELINE_H
 
 #include "raw_endpoint.h"
+#include "request/relay_server.h"
 #include "request/request.h"
 
 /* How a request ended. */
@@ -82,6 +83,10 @@
   uint32_t host_count;
   struct local_transport transport;
   struct endpoint_limiter *limiter;
+  struct path_monitor *monitor;
+  struct relay_client *relays;
+  struct relay_server *relay_server;
+  bool is_old; /* its build does not know relays */
   struct ev_loop *loop;
   struct fetcher *fetcher;
   struct pool *pool;
