request, pool: a host that is cut off does not count crashes of endpoints

Endpoints of the same data centre were counted at once.

A crash is now counted after POOL_CRASH_CONFIRM_MS for all endpoints, and not if by then this host has no path to half of the service's endpoints and has heard none of them for half a second. The new test failed before. The test of a crash at a local endpoint wanted it counted at once, which a host cannot know; it now wants no crash before the delay and one after it.

--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -40,9 +40,10 @@
 enum
 {
   POOL_MAX_SUSPECTS = 8, /* interrupted requests tracked per endpoint */
-  /* An endpoint in another data centre that refuses connections counts as
-     crashed only after this time.  A network partition is detected before,
-     with a margin of 150 ms (policy/failure_detector.h). */
+  /* An endpoint that refuses connections counts as crashed only after this
+     time.  A partition between data centres is detected before, with a margin
+     of 150 ms (policy/failure_detector.h), and so is one of this host
+     (request/path_monitor.h). */
   POOL_CRASH_CONFIRM_MS = 800,
 };
 
--- a/request/path_monitor.c
+++ b/request/path_monitor.c
@@ -24,6 +24,9 @@
      is unlikely. */
   BROKEN_SILENT_MS = 2000,
   CUT_OFF_SILENT_MS = 600,
+  /* Several times what a busy endpoint is silent, and less than the time after
+     which a crash is counted. */
+  REACHED_MS = 500,
   /* For so long after a question, paths are kept verified. */
   VERIFY_MS = 1500,
   VERIFY_INTERVAL_MS = 300, /* between probes of a service */
@@ -139,18 +142,32 @@
          && 2 * service->paths.broken >= service->paths.listed;
 }
 
-/* A host that is cut off cannot tell which requests crashed an endpoint.  */
+/* Whether ENDPOINT was reached so lately that this host is not cut off.  */
+static bool
+is_reached (const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  return endpoint->path.failures == 0
+         && now_ms - MAX (endpoint->last_heard_ms, endpoint->path.opened_ms)
+                <= REACHED_MS;
+}
+
+/* Forgets which requests were running at the endpoints of a service from which
+   this host is cut off: it cannot tell whether they crashed.  */
 static void
-clear_suspects (struct path_monitor *monitor, const char *service)
+clear_suspects (struct path_monitor *monitor, const char *name, int64_t now_ms)
 {
   struct pool *pool = monitor->options.pool;
-  const struct monitored_service *monitored
-      = g_hash_table_lookup (monitor->services, service);
+  const struct monitored_service *service
+      = g_hash_table_lookup (monitor->services, name);
 
-  if (!monitored || !is_cut_off (monitored))
+  if (!service || !is_cut_off (service))
     return;
   for (size_t i = 0; i < pool_count (pool); i++)
-    if (strcmp (pool_at (pool, i)->service, service) == 0)
+    if (strcmp (pool_at (pool, i)->service, name) == 0
+        && is_reached (pool_at (pool, i), now_ms))
+      return;
+  for (size_t i = 0; i < pool_count (pool); i++)
+    if (strcmp (pool_at (pool, i)->service, name) == 0)
       pool_clear_suspects (pool_at (pool, i));
 }
 
@@ -177,7 +194,7 @@
       find_or_add_service (monitor, endpoint->service)->paths.broken++;
       log_path (monitor, endpoint, true);
     }
-  clear_suspects (monitor, endpoint->service);
+  clear_suspects (monitor, endpoint->service, now_ms);
 }
 
 /* Ends a probe with the state of its socket.  */
--- a/request/pool.c
+++ b/request/pool.c
@@ -691,8 +691,8 @@
 }
 
 /* Returns a crashed endpoint whose suspects have not been taken yet, or NULL.
-   A network partition looks like a crash at first, so endpoints in other data
-   centres are returned only after the time in which it would be detected.  */
+   A network partition looks like a crash at first, so endpoints are returned
+   only after the time in which it would be detected.  */
 struct pool_endpoint *
 pool_find_crashed (const struct pool *pool, int64_t now_ms)
 {
@@ -701,8 +701,7 @@
       struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
 
       if (endpoint->refused_ms
-          && (!endpoint->remote
-              || now_ms - endpoint->refused_ms >= POOL_CRASH_CONFIRM_MS))
+          && now_ms - endpoint->refused_ms >= POOL_CRASH_CONFIRM_MS)
         return endpoint;
     }
   return NULL;
--- a/test/unit/test_cut_off_hosts.c
+++ b/test/unit/test_cut_off_hosts.c
@@ -45,6 +45,7 @@
   struct local_pipeline *hosts[HOSTS];
   struct gate *gates[HOSTS][ENDPOINTS];
   struct cut_tally tallies[HOSTS];
+  bool is_silent;    /* the endpoints do not answer */
   uint32_t arrivals; /* at all endpoints */
   uint32_t sent;     /* requests of all callers */
   ev_timer sender;
@@ -57,6 +58,8 @@
   const char *bytes = fleet->retry_mode == ROUTE_STREAM ? STREAM : PLAIN;
 
   fleet->arrivals++;
+  if (fleet->is_silent)
+    return (struct raw_answer){ .end = RAW_KEEP };
   return (struct raw_answer){ .bytes = bytes, .len = strlen (bytes) };
 }
 
@@ -271,11 +274,33 @@
   release_fleet (&fleet);
 }
 
+/* Guards against a host that takes its own cut for crashes of the endpoints,
+   caused by the requests that were running there: all hosts would refuse the
+   same requests.  */
+static void
+test_cut_is_not_a_crash (void)
+{
+  struct cut_fleet fleet
+      = { .retry_mode = ROUTE_IDEMPOTENT, .mode = GATE_RESET, .cut_count = 2 };
+
+  create_fleet (&fleet);
+  run_for (&fleet, WARM_UP_MS);
+  fleet.is_silent = true;
+  run_for (&fleet, WARM_UP_MS);
+  set_mode (&fleet, fleet.mode);
+  fleet.is_silent = false;
+  learn (&fleet);
+  for (int i = 0; i < HOSTS; i++)
+    CU_ASSERT_EQUAL (fleet.hosts[i]->crashes, 0);
+  release_fleet (&fleet);
+}
+
 CU_TestInfo cut_off_hosts_tests[] = {
   { "connections that hang", test_hanging_connections },
   { "connections that are reset", test_reset_connections },
   { "new connections that are refused", test_refused_connections },
   { "one way only", test_one_way },
   { "what no host reaches is refused", test_what_no_host_reaches_is_refused },
+  { "a cut is not a crash of the endpoints", test_cut_is_not_a_crash },
   CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_request.c
+++ b/test/unit/test_request.c
@@ -285,6 +285,14 @@
   CU_ASSERT_EQUAL (fixture->active, 0);
 }
 
+static void
+pass_crash_settle_time (struct fixture *fixture)
+{
+  pipeline_tick (fixture->pipeline, clock_now_ms () + POOL_CRASH_CONFIRM_MS);
+}
+
+/* A cut of this host looks the same at first, so that a crash must be counted
+   only after a delay.  */
 static void
 test_lost_then_refused_connection_is_crash (void)
 {
@@ -293,16 +301,12 @@
   fixture_run (fixture, "/x");
   fixture_close_listener (fixture);
   fixture_run (fixture, "/y");
+  CU_ASSERT_EQUAL (fixture->crashes, 0);
+  pass_crash_settle_time (fixture);
   CU_ASSERT_EQUAL (fixture->crashes, 1);
   fixture_destroy (fixture);
 }
 
-static void
-pass_crash_settle_time (struct fixture *fixture)
-{
-  pipeline_tick (fixture->pipeline, clock_now_ms () + POOL_CRASH_CONFIRM_MS);
-}
-
 /* A network partition is detected only after a delay, so a crash in another
    data centre must be counted only after it.  */
 static void
