request, policy: a host that is cut off doubts the paths that it has not tried

When several endpoints of a service are without a path and none is reached, the others are now doubted: probed at once, and until then sent to by other hosts. Where no host helps, they are still tried.

The new test, 60 endpoints of which 2 have requests, failed before.

--- a/include/policy/path_detector.h
+++ b/include/policy/path_detector.h
@@ -32,6 +32,9 @@
   uint32_t failures;        /* consecutive */
   uint32_t opened;          /* consecutive, while the path is broken */
   bool is_broken;
+  /* Others are broken and no connection was tried lately.  Set by the caller,
+     cleared by an opened connection. */
+  bool is_doubted;
 };
 
 bool path_detector_record_opened (struct path_detector *path, int64_t now_ms);
--- a/policy/path_detector.c
+++ b/policy/path_detector.c
@@ -7,6 +7,7 @@
   path->opened_ms = now_ms;
   path->failing_since_ms = 0;
   path->failures = 0;
+  path->is_doubted = false;
   if (!path->is_broken || ++path->opened < PATH_MIN_OPENED)
     return false;
   path->is_broken = false;
--- a/request/path_monitor.c
+++ b/request/path_monitor.c
@@ -16,8 +16,8 @@
 enum
 {
   PROBE_TIMEOUT_MS = 250, /* as long as requests wait for a connection */
-  MAX_PROBES = 48,        /* at the same time */
-  MAX_STARTED = 8,        /* probes per tick */
+  MAX_PROBES = 64,        /* at the same time */
+  MAX_STARTED = 16,       /* probes per tick */
   MIN_CUT_OFF = 2, /* endpoints without a path, until this host is cut off */
   /* Silence after which requests are sent again elsewhere.  An endpoint may
      pause for a second; that all endpoints of a service do so at the same time
@@ -47,6 +47,7 @@
 struct monitored_service
 {
   struct pool_paths paths; /* at the latest tick */
+  bool is_reached;         /* at least one of the endpoints */
   int64_t verified_ms;     /* when one of them was last probed for others */
 };
 
@@ -133,16 +134,7 @@
   return service;
 }
 
-/* Whether so many endpoints of a service are without a path that the cause is
-   more likely this host's network than the endpoints.  */
-static bool
-is_cut_off (const struct monitored_service *service)
-{
-  return service->paths.broken >= MIN_CUT_OFF
-         && 2 * service->paths.broken >= service->paths.listed;
-}
-
-/* Whether ENDPOINT was reached so lately that this host is not cut off.  */
+/* Whether ENDPOINT was reached lately.  */
 static bool
 is_reached (const struct pool_endpoint *endpoint, int64_t now_ms)
 {
@@ -151,10 +143,19 @@
                 <= REACHED_MS;
 }
 
+/* Whether several endpoints of a service are without a path while none is
+   reached, so that the cause is more likely this host's network than the
+   endpoints.  */
+static bool
+is_cut_off (const struct monitored_service *service)
+{
+  return service->paths.broken >= MIN_CUT_OFF && !service->is_reached;
+}
+
 /* Forgets which requests were running at the endpoints of a service from which
    this host is cut off: it cannot tell whether they crashed.  */
 static void
-clear_suspects (struct path_monitor *monitor, const char *name, int64_t now_ms)
+clear_suspects (struct path_monitor *monitor, const char *name)
 {
   struct pool *pool = monitor->options.pool;
   const struct monitored_service *service
@@ -162,10 +163,6 @@
 
   if (!service || !is_cut_off (service))
     return;
-  for (size_t i = 0; i < pool_count (pool); i++)
-    if (strcmp (pool_at (pool, i)->service, name) == 0
-        && is_reached (pool_at (pool, i), now_ms))
-      return;
   for (size_t i = 0; i < pool_count (pool); i++)
     if (strcmp (pool_at (pool, i)->service, name) == 0)
       pool_clear_suspects (pool_at (pool, i));
@@ -194,7 +191,7 @@
       find_or_add_service (monitor, endpoint->service)->paths.broken++;
       log_path (monitor, endpoint, true);
     }
-  clear_suspects (monitor, endpoint->service, now_ms);
+  clear_suspects (monitor, endpoint->service);
 }
 
 /* Ends a probe with the state of its socket.  */
@@ -283,15 +280,20 @@
   return true;
 }
 
-/* Whether a path may be broken that was not tried lately, as those to other
-   endpoints of the service are.  */
+/* Doubts a path that was not tried lately, as those to other endpoints of the
+   service are broken.  Returns whether it should be probed.  */
 static bool
-is_suspect (const struct pool_endpoint *endpoint,
-            const struct monitored_service *service, int64_t now_ms)
+update_doubt (struct pool_endpoint *endpoint,
+              const struct monitored_service *service, int64_t now_ms)
 {
-  return is_cut_off (service)
-         && now_ms - endpoint->path.probed_ms >= PATH_SILENT_INTERVAL_MS
-         && now_ms - endpoint->path.opened_ms >= PATH_SILENT_INTERVAL_MS;
+  struct path_detector *path = &endpoint->path;
+
+  path->is_doubted = is_cut_off (service) && !path->is_broken
+                     && (path->is_doubted || !is_reached (endpoint, now_ms));
+  return service->paths.broken >= MIN_CUT_OFF && !is_reached (endpoint, now_ms)
+         && now_ms - path->probed_ms >= (path->is_doubted
+                                             ? PATH_PROBE_INTERVAL_MS
+                                             : PATH_SILENT_INTERVAL_MS);
 }
 
 static gboolean
@@ -301,7 +303,7 @@
 }
 
 static void
-count_services (struct path_monitor *monitor)
+count_services (struct path_monitor *monitor, int64_t now_ms)
 {
   struct pool *pool = monitor->options.pool;
   GHashTableIter iter;
@@ -309,7 +311,12 @@
 
   g_hash_table_iter_init (&iter, monitor->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct monitored_service *)value)->paths = (struct pool_paths){ 0 };
+    {
+      struct monitored_service *service = value;
+
+      service->paths = (struct pool_paths){ 0 };
+      service->is_reached = false;
+    }
   monitor->broken = 0;
   monitor->failing = 0;
   for (size_t i = 0; i < pool_count (pool); i++)
@@ -320,6 +327,8 @@
 
       service->paths.listed++;
       service->paths.broken += endpoint->path.is_broken;
+      service->is_reached
+          = service->is_reached || is_reached (endpoint, now_ms);
       monitor->broken += endpoint->path.is_broken;
       monitor->failing += endpoint->path.failures > 0 || endpoint->unreachable;
     }
@@ -336,6 +345,7 @@
   int64_t silent_ms = silence_ms (endpoint, now_ms);
   int64_t max_silent_ms
       = is_cut_off (service) ? CUT_OFF_SILENT_MS : BROKEN_SILENT_MS;
+  bool is_doubt_due = update_doubt (endpoint, service, now_ms);
 
   if (endpoint->path.is_broken && silent_ms >= max_silent_ms)
     options->handle_broken (options->data, endpoint, max_silent_ms);
@@ -343,7 +353,7 @@
     return;
   if (!path_detector_is_probe_due (&endpoint->path, silent_ms, now_ms)
       && !is_verification_due (monitor, endpoint, service, now_ms)
-      && !is_suspect (endpoint, service, now_ms))
+      && !is_doubt_due)
     return;
   start_probe (monitor, endpoint, now_ms);
   ++*started;
@@ -367,7 +377,7 @@
   uint32_t started = 0;
 
   end_late_probes (monitor, now_ms);
-  count_services (monitor);
+  count_services (monitor, now_ms);
   for (size_t i = 0; i < count; i++)
     tick_endpoint (monitor, pool_at (pool, (monitor->next + i) % count),
                    &started, now_ms);
--- a/request/pool.c
+++ b/request/pool.c
@@ -342,6 +342,7 @@
 pool_lacks_path (const struct pool_endpoint *endpoint, int64_t now_ms)
 {
   return endpoint->unreachable || endpoint->path.is_broken
+         || endpoint->path.is_doubted
          || (endpoint->path.failures > 0 && endpoint->avoid_until_ms > now_ms);
 }
 
@@ -352,11 +353,10 @@
 {
   bool is_fresh = now_ms - endpoint->reported_ms <= MAX_LOAD_AGE_MS;
 
-  bool is_usable = query->is_relayed
-                       ? pool_lacks_path (endpoint, now_ms)
-                             && endpoint->relay_avoid_until_ms <= now_ms
-                       : !endpoint->unreachable && !endpoint->path.is_broken
-                             && endpoint->avoid_until_ms <= now_ms;
+  int64_t avoid_until_ms = query->is_relayed ? endpoint->relay_avoid_until_ms
+                                             : endpoint->avoid_until_ms;
+  bool is_usable = pool_lacks_path (endpoint, now_ms) == query->is_relayed
+                   && avoid_until_ms <= now_ms;
 
   *out = (struct place_endpoint){ .remote = endpoint->remote,
                                   .hash = endpoint->hash,
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -28,6 +28,7 @@
   { "node traffic", NULL, NULL, NULL, NULL, node_traffic_tests },
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
   { "owner", NULL, NULL, NULL, NULL, owner_tests },
+  { "path monitor", NULL, NULL, NULL, NULL, path_monitor_tests },
   { "place", NULL, NULL, NULL, NULL, place_tests },
   { "pool", NULL, NULL, NULL, NULL, pool_tests },
   { "reachability", NULL, NULL, NULL, NULL, reachability_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -29,6 +29,7 @@
 extern CU_TestInfo node_traffic_tests[];
 extern CU_TestInfo objects_tests[];
 extern CU_TestInfo owner_tests[];
+extern CU_TestInfo path_monitor_tests[];
 extern CU_TestInfo place_tests[];
 extern CU_TestInfo pool_tests[];
 extern CU_TestInfo reachability_tests[];
