request, test: a host with few requests samples other paths when one fails

A host with one request at a time learnt of a cut from one endpoint after the other, 2 s each, since a single endpoint without a path may be down. It now probes the service's other endpoints, one in 100 ms, while connections to one fail and none is reached, and so knows within about a second.

Tests of the longer way: the helping host is lost, stops or is of an older build; cancelling, limits, one service only, a pause of an endpoint.

--- a/request/path_monitor.c
+++ b/request/path_monitor.c
@@ -30,6 +30,7 @@
   /* For so long after a question, paths are kept verified. */
   VERIFY_MS = 1500,
   VERIFY_INTERVAL_MS = 300, /* between probes of a service */
+  SAMPLE_INTERVAL_MS = 100, /* the same while others of the service fail */
   VERIFIED_MS = 600,        /* age of a connection that verifies its path */
 };
 
@@ -48,7 +49,9 @@
 {
   struct pool_paths paths; /* at the latest tick */
   bool is_reached;         /* at least one of the endpoints */
-  int64_t verified_ms;     /* when one of them was last probed for others */
+  bool is_failing;         /* connections to one of them fail */
+  int64_t verified_ms; /* when one of them was last probed for other hosts */
+  int64_t sampled_ms;  /* or because connections to another one fail */
 };
 
 struct path_monitor
@@ -280,20 +283,22 @@
   return true;
 }
 
-/* Doubts a path that was not tried lately, as those to other endpoints of the
-   service are broken.  Returns whether it should be probed.  */
+/* Whether a path that was not tried lately should be probed, because others of
+   the service fail: a few until this host knows whether it is cut off, and
+   then all.  */
 static bool
-update_doubt (struct pool_endpoint *endpoint,
-              const struct monitored_service *service, int64_t now_ms)
+is_doubt_due (const struct pool_endpoint *endpoint,
+              struct monitored_service *service, int64_t now_ms)
 {
-  struct path_detector *path = &endpoint->path;
+  const struct path_detector *path = &endpoint->path;
 
-  path->is_doubted = is_cut_off (service) && !path->is_broken
-                     && (path->is_doubted || !is_reached (endpoint, now_ms));
-  return service->paths.broken >= MIN_CUT_OFF && !is_reached (endpoint, now_ms)
-         && now_ms - path->probed_ms >= (path->is_doubted
-                                             ? PATH_PROBE_INTERVAL_MS
-                                             : PATH_SILENT_INTERVAL_MS);
+  if (path->is_doubted)
+    return now_ms - path->probed_ms >= PATH_PROBE_INTERVAL_MS;
+  if (!service->is_failing || service->is_reached
+      || now_ms - service->sampled_ms < SAMPLE_INTERVAL_MS)
+    return false;
+  service->sampled_ms = now_ms;
+  return true;
 }
 
 static gboolean
@@ -316,6 +321,7 @@
 
       service->paths = (struct pool_paths){ 0 };
       service->is_reached = false;
+      service->is_failing = false;
     }
   monitor->broken = 0;
   monitor->failing = 0;
@@ -330,6 +336,7 @@
       service->is_reached
           = service->is_reached || is_reached (endpoint, now_ms);
       monitor->broken += endpoint->path.is_broken;
+      service->is_failing = service->is_failing || endpoint->path.failures > 0;
       monitor->failing += endpoint->path.failures > 0 || endpoint->unreachable;
     }
   g_hash_table_foreach_remove (monitor->services, is_unlisted, NULL);
@@ -345,15 +352,17 @@
   int64_t silent_ms = silence_ms (endpoint, now_ms);
   int64_t max_silent_ms
       = is_cut_off (service) ? CUT_OFF_SILENT_MS : BROKEN_SILENT_MS;
-  bool is_doubt_due = update_doubt (endpoint, service, now_ms);
+  struct path_detector *path = &endpoint->path;
 
+  path->is_doubted = is_cut_off (service) && !path->is_broken
+                     && (path->is_doubted || !is_reached (endpoint, now_ms));
   if (endpoint->path.is_broken && silent_ms >= max_silent_ms)
     options->handle_broken (options->data, endpoint, max_silent_ms);
   if (*started >= MAX_STARTED || monitor->probe_count >= MAX_PROBES)
     return;
   if (!path_detector_is_probe_due (&endpoint->path, silent_ms, now_ms)
       && !is_verification_due (monitor, endpoint, service, now_ms)
-      && !is_doubt_due)
+      && !is_doubt_due (endpoint, service, now_ms))
     return;
   start_probe (monitor, endpoint, now_ms);
   ++*started;
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -25,6 +25,7 @@
 {
   CU_ASSERT_EQUAL (local->response.outcome, LOCAL_PENDING);
   local->response.outcome = outcome;
+  local->active = NULL;
   ev_break (local->loop, EVBREAK_ALL);
 }
 
@@ -432,7 +433,7 @@
   input->resume_after = resume_after;
   if (resume_after >= 0)
     input->resumed_id = xstrdup ("0");
-  request_start (local->pipeline, input, &local->sink);
+  local->active = request_start (local->pipeline, input, &local->sink);
 }
 
 /* Runs a request to its end.  */
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -97,7 +97,8 @@
   uint32_t endpoint_count;
   struct request_sink sink;
   struct local_response response;
-  bool is_started;  /* has had a request */
+  bool is_started;        /* has had a request */
+  struct request *active; /* NULL once it has ended */
   uint32_t crashes; /* of endpoints, that requests are taken to have caused */
 };
 
--- a/test/unit/test_cut_off_hosts.c
+++ b/test/unit/test_cut_off_hosts.c
@@ -16,10 +16,17 @@
   SEND_INTERVAL_MS = 10,
   MAX_FAILURE_SHARE = 50, /* the users' bound: one request in 50 */
   REFUSAL_MS = 250,       /* until a request that no host can serve ends */
+  CANCEL_MS = 300,        /* until the endpoint is left in peace */
+  LIMIT_PER_S = 20,       /* of LIMITED */
+  WINDOW_MS = 4000,
+  /* The users' bound: one and a half times the limit, and 5 requests. */
+  WINDOW_BOUND = LIMIT_PER_S * 3 / 2 * WINDOW_MS / 1000 + 5,
 };
 
 #define HEAD "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Stamp: s\r\n"
 #define PLAIN HEAD "Content-Length: 2\r\n\r\nok"
+#define LIMITED HEAD "Server-Limit: 20.0\r\nContent-Length: 2\r\n\r\nok"
+#define EVENTS "id: 0\ndata: a\n\nid: 1\ndata: b\n\n"
 #define STREAM                                                                \
   HEAD "Content-Type: text/event-stream\r\n"                                  \
        "Transfer-Encoding: chunked\r\n\r\n"                                   \
@@ -46,6 +53,7 @@
   struct gate *gates[HOSTS][ENDPOINTS];
   struct cut_tally tallies[HOSTS];
   bool is_silent;    /* the endpoints do not answer */
+  bool is_limited;   /* the endpoints name a limit */
   uint32_t arrivals; /* at all endpoints */
   uint32_t sent;     /* requests of all callers */
   ev_timer sender;
@@ -57,6 +65,8 @@
   struct cut_fleet *fleet = data;
   const char *bytes = fleet->retry_mode == ROUTE_STREAM ? STREAM : PLAIN;
 
+  if (fleet->is_limited)
+    bytes = LIMITED;
   fleet->arrivals++;
   if (fleet->is_silent)
     return (struct raw_answer){ .end = RAW_KEEP };
@@ -70,6 +80,12 @@
 
   tally->requests++;
   tally->successes += local_response_is_success (response);
+  if (response->outcome == LOCAL_ENDED)
+    {
+      CU_ASSERT_EQUAL (response->body.len, strlen (EVENTS));
+      CU_ASSERT_EQUAL (
+          memcmp (response->body.data, EVENTS, response->body.len), 0);
+    }
   tally->refusals += response->outcome == LOCAL_REFUSED
                      && response->error.run == RUN_NOT_RUN;
   tally->slowest_ms = MAX (tally->slowest_ms, took_ms);
@@ -295,6 +311,116 @@
   release_fleet (&fleet);
 }
 
+/* Has hosts cut off and waits until others send for them.  */
+static void
+begin_cut (struct cut_fleet *fleet)
+{
+  create_fleet (fleet);
+  run_for (fleet, WARM_UP_MS);
+  set_mode (fleet, fleet->mode);
+  learn (fleet);
+}
+
+/* Checks that cut-off hosts serve their callers some time after a change.  */
+static void
+check_after_change (struct cut_fleet *fleet)
+{
+  learn (fleet);
+  run_for (fleet, RUN_MS);
+  for (uint32_t i = 0; i < fleet->cut_count; i++)
+    CU_ASSERT (is_served (&fleet->tallies[i]));
+  if (fleet->retry_mode == ROUTE_ONCE)
+    CU_ASSERT (fleet->arrivals <= fleet->sent);
+  release_fleet (fleet);
+}
+
+/* Guards against requests that end with the host that sends them for another
+   one, and against streams that miss events then.  */
+static void
+test_helping_host_is_lost (void)
+{
+  struct cut_fleet streams
+      = { .retry_mode = ROUTE_STREAM, .mode = GATE_HANG, .cut_count = 2 };
+  struct cut_fleet calls
+      = { .retry_mode = ROUTE_ONCE, .mode = GATE_RESET, .cut_count = 2 };
+
+  begin_cut (&streams);
+  streams.hosts[2]->transport.is_cut = true;
+  check_after_change (&streams);
+  begin_cut (&calls);
+  calls.hosts[2]->transport.is_cut = true;
+  check_after_change (&calls);
+}
+
+/* Guards against requests that fail at a host that stops or does not know how
+   to send them.  */
+static void
+test_hosts_that_do_not_help (void)
+{
+  struct cut_fleet fleet
+      = { .retry_mode = ROUTE_ONCE, .mode = GATE_HANG, .cut_count = 1 };
+  uint32_t failures;
+
+  create_fleet (&fleet);
+  fleet.hosts[1]->is_old = true;
+  run_for (&fleet, WARM_UP_MS);
+  set_mode (&fleet, fleet.mode);
+  learn (&fleet);
+  relay_server_close (fleet.hosts[2]->relay_server);
+  run_for (&fleet, RUN_MS);
+  failures = fleet.tallies[0].requests - fleet.tallies[0].successes;
+  CU_ASSERT_EQUAL (failures, 0);
+  CU_ASSERT_EQUAL (relay_server_active (fleet.hosts[1]->relay_server), 0);
+  check_after_change (&fleet);
+}
+
+/* Guards against endpoints that work on for a caller that has left a host
+   which is cut off.  */
+static void
+test_cancelled_request_ends_at_the_endpoint (void)
+{
+  struct cut_fleet fleet
+      = { .retry_mode = ROUTE_IDEMPOTENT, .mode = GATE_HANG, .cut_count = 1 };
+  uint32_t active = 0;
+
+  begin_cut (&fleet);
+  fleet.is_silent = true;
+  run_for (&fleet, WARM_UP_MS);
+  ev_timer_stop (fleet.hosts[0]->loop, &fleet.sender);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fleet.hosts[0]->active);
+  for (int i = 1; i < HOSTS; i++)
+    active += relay_server_active (fleet.hosts[i]->relay_server);
+  CU_ASSERT_EQUAL (active, 1);
+  request_cancel (fleet.hosts[0]->active);
+  fleet.hosts[0]->response.outcome = LOCAL_REFUSED;
+  run_for (&fleet, CANCEL_MS);
+  for (int i = 1; i < HOSTS; i++)
+    CU_ASSERT_EQUAL (relay_server_active (fleet.hosts[i]->relay_server), 0);
+  release_fleet (&fleet);
+}
+
+/* Guards against requests beyond the limits of endpoints that come by way of
+   other hosts.  */
+static void
+test_limits_hold (void)
+{
+  struct cut_fleet fleet = { .retry_mode = ROUTE_ONCE,
+                             .mode = GATE_HANG,
+                             .cut_count = 2,
+                             .is_limited = true };
+  uint32_t arrivals;
+
+  begin_cut (&fleet);
+  arrivals = fleet.arrivals;
+  run_for (&fleet, WINDOW_MS);
+  arrivals = fleet.arrivals - arrivals;
+  CU_ASSERT (arrivals <= ENDPOINTS * WINDOW_BOUND);
+  CU_ASSERT (arrivals >= ENDPOINTS * LIMIT_PER_S);
+  for (int i = 0; i < HOSTS; i++)
+    CU_ASSERT (fleet.tallies[i].successes > 0);
+  release_fleet (&fleet);
+}
+
 CU_TestInfo cut_off_hosts_tests[] = {
   { "connections that hang", test_hanging_connections },
   { "connections that are reset", test_reset_connections },
@@ -302,5 +428,10 @@
   { "one way only", test_one_way },
   { "what no host reaches is refused", test_what_no_host_reaches_is_refused },
   { "a cut is not a crash of the endpoints", test_cut_is_not_a_crash },
+  { "a helping host is lost", test_helping_host_is_lost },
+  { "hosts that do not help", test_hosts_that_do_not_help },
+  { "a cancelled request ends at the endpoint",
+    test_cancelled_request_ends_at_the_endpoint },
+  { "limits hold", test_limits_hold },
   CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_path_monitor.c
+++ b/test/unit/test_path_monitor.c
@@ -10,7 +10,7 @@
 enum
 {
   ENDPOINTS = 60,
-  BUSY = 2, /* endpoints for which requests wait */
+  BUSY = 4, /* endpoints for which requests wait */
   TICK_MS = 50,
   /* Half of the users' bound after a cut begins, so that callers that come
      later are served. */
@@ -25,7 +25,8 @@
   struct ev_loop *loop;
   struct pool *pool;
   struct path_monitor *monitor;
-  struct gate *gate;
+  struct gate *gate;       /* of every second endpoint, one service's */
+  struct gate *other_gate; /* of the others */
   ev_timer tick;
   uint32_t broken; /* calls of the handler */
 };
@@ -56,8 +57,10 @@
   for (int i = 0; i < ENDPOINTS; i++)
     list->entries[i] = (struct endpoint_entry){
       .id = xasprintf ("e%d", i),
-      .service = xstrdup ("app"),
-      .address = xasprintf ("127.0.0.1:%u", gate_port (paths->gate)),
+      .service = xstrdup (i % 2 == 0 ? "app" : "other"),
+      .address
+      = xasprintf ("127.0.0.1:%u",
+                   gate_port (i % 2 == 0 ? paths->gate : paths->other_gate)),
       .data_centre = xstrdup ("a"),
       .slots = 8,
     };
@@ -76,6 +79,7 @@
   options.loop = paths->loop;
   options.pool = paths->pool = pool_create ("a");
   paths->gate = gate_create (paths->loop, 1);
+  paths->other_gate = gate_create (paths->loop, 1);
   list_endpoints (paths);
   paths->monitor = path_monitor_create (&options);
   ev_timer_init (&paths->tick, handle_tick, 0, TICK_MS / 1000.0);
@@ -88,6 +92,7 @@
 {
   path_monitor_destroy (paths->monitor);
   gate_destroy (paths->gate);
+  gate_destroy (paths->other_gate);
   pool_destroy (paths->pool);
   ev_timer_stop (paths->loop, &paths->tick);
   ev_loop_destroy (paths->loop);
@@ -129,16 +134,33 @@
 
   watch_paths (&paths);
   gate_set_mode (paths.gate, GATE_HANG);
+  gate_set_mode (paths.other_gate, GATE_HANG);
   begin_requests (&paths);
   run_for (&paths, DETECT_MS);
   CU_ASSERT_EQUAL (count_without_path (&paths), ENDPOINTS);
   CU_ASSERT (paths.broken > 0);
   gate_set_mode (paths.gate, GATE_OPEN);
+  gate_set_mode (paths.other_gate, GATE_OPEN);
   run_for (&paths, RETURN_MS);
   CU_ASSERT_EQUAL (count_without_path (&paths), 0);
   release_paths (&paths);
 }
 
+/* Guards against a host that gives up endpoints of one service because it is
+   cut off from another one's.  */
+static void
+test_cut_of_one_service (void)
+{
+  struct watched_paths paths;
+
+  watch_paths (&paths);
+  gate_set_mode (paths.gate, GATE_RESET);
+  begin_requests (&paths);
+  run_for (&paths, DETECT_MS);
+  CU_ASSERT_EQUAL (count_without_path (&paths), ENDPOINTS / 2);
+  release_paths (&paths);
+}
+
 /* Guards against an endpoint that pauses for a second and counts as out of
    reach.  */
 static void
@@ -156,6 +178,7 @@
 
 CU_TestInfo path_monitor_tests[] = {
   { "a cut is learnt at once", test_cut_is_learnt_at_once },
+  { "a cut of one service", test_cut_of_one_service },
   { "a pause is not a cut", test_pause_is_not_a_cut },
   CU_TEST_INFO_NULL,
 };
