request, pool: limits of other endpoints do not overload one without a limit

Callers waited in vain where the limits of a service's endpoints are below what is wanted: with 11 of 12 limited, what the limits did not allow went to the twelfth, which answered nothing in time, or was sent 12 times to full endpoints and refused after 1.2 s.

An endpoint without a limit now gets no request that others' limits denied while it reports a queue, or while a stream has waited there for its first event for half a second, or a third of its time where a program is under way. The new test failed before (slowest refusal 1.2 s, and the full endpoint asked without end).

--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -147,6 +147,9 @@
 int64_t pool_cache_gain_ms (struct pool *pool, const struct pool_query *query,
                             const struct pool_endpoint *endpoint,
                             int64_t now_ms);
+bool pool_has_used_up_limit (const struct pool *pool,
+                             const struct pool_query *query, int64_t now_ms);
+bool pool_is_full (const struct pool_endpoint *endpoint, int64_t now_ms);
 struct pool_endpoint *pool_find_start (const struct pool *pool,
                                        uint64_t start);
 uint64_t pool_sole_build (const struct pool *pool, const char *service,
--- a/request/pool.c
+++ b/request/pool.c
@@ -434,6 +434,33 @@
   return best;
 }
 
+/* Whether some endpoint for QUERY takes no request now because of its limit.
+ */
+bool
+pool_has_used_up_limit (const struct pool *pool,
+                        const struct pool_query *query, int64_t now_ms)
+{
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      const struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      if (may_serve (endpoint, query) && endpoint->limit_milli >= 0
+          && endpoint->permit_after_ms > now_ms)
+        return true;
+    }
+  return false;
+}
+
+/* Whether ENDPOINT reported lately that all of its slots are used and that
+   requests wait.  */
+bool
+pool_is_full (const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  return now_ms - endpoint->reported_ms <= MAX_LOAD_AGE_MS
+         && endpoint->reported_running >= endpoint->slots
+         && endpoint->reported_waiting > 0;
+}
+
 /* Returns the time that a request saves at ENDPOINT, because more of its
    prompt is in the cache there than at the best endpoint without a limit, or
    0.  */
--- a/request/request.c
+++ b/request/request.c
@@ -31,6 +31,9 @@
      since no work is lost with them. */
   MAX_PERMIT_WAIT_MS = ENDPOINT_LIMIT_MAX_TURN_MS,
   MAX_NEW_PERMIT_WAIT_MS = 100,
+  /* Several times the usual wait, and well below what callers wait.  Programs
+     under way have a third of their time, since their work would be lost. */
+  MAX_FIRST_EVENT_MS = 500,
   MAX_CACHE_WAIT_MS = 300, /* for an endpoint that has the prompt cached */
   MAX_DENIALS = 4,         /* then only endpoints without a limit are tried */
   MIN_PERMIT_RETRY_MS = 100,  /* an earlier retry would find the limits used */
@@ -1102,6 +1105,42 @@
              || has_helper (request, endpoint, now_ms));
 }
 
+/* Whether a stream that was sent to ENDPOINT has been without its first event
+   for MAX_WAIT_MS, so that a further one would probably wait longer.  */
+static bool
+is_slow (const struct pipeline *pipeline, const struct pool_endpoint *endpoint,
+         int64_t max_wait_ms, int64_t now_ms)
+{
+  for (const GList *at = pipeline->requests.head; at; at = at->next)
+    {
+      const struct request *request = at->data;
+
+      if (request->endpoint == endpoint && !request->first_event_ms
+          && request->route->retry_mode == ROUTE_STREAM
+          && now_ms - request->sent_ms >= max_wait_ms)
+        return true;
+    }
+  return false;
+}
+
+/* Whether ENDPOINT, which has no limit, is overloaded by what the limits of
+   others do not allow.  */
+static bool
+is_overflowing (const struct request *request, const struct pool_query *query,
+                const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  const struct pipeline *pipeline = request->pipeline;
+  int64_t max_wait_ms
+      = request->begins_program
+            ? MAX_FIRST_EVENT_MS
+            : MAX (MAX_FIRST_EVENT_MS, remaining_ms (request) / 3);
+
+  return (request->denials > 0
+          || pool_has_used_up_limit (pipeline->options.pool, query, now_ms))
+         && (pool_is_full (endpoint, now_ms)
+             || is_slow (pipeline, endpoint, max_wait_ms, now_ms));
+}
+
 /* Returns the endpoint to send to, or NULL if there is none.  *MAX_WAIT_MS is
    how long the request may wait for a permit: while others may take it, only
    as long as it saves by the prompt that the endpoint has cached.  A stream is
@@ -1127,7 +1166,11 @@
   query.is_unlimited = request->denials >= MAX_DENIALS;
   endpoint = pick_reachable (request, &query, now_ms);
   if (endpoint && endpoint->limit_milli < 0)
-    return endpoint;
+    {
+      if (!is_overflowing (request, &query, endpoint, now_ms))
+        return endpoint;
+      endpoint = NULL;
+    }
   if (endpoint)
     {
       int64_t gain_ms = pool_cache_gain_ms (pool, &query, endpoint, now_ms);
--- a/test/unit/test_endpoint_limits.c
+++ b/test/unit/test_endpoint_limits.c
@@ -18,6 +18,10 @@
   /* The users' bound: one and a half times the limit, and 5 requests. */
   WINDOW_BOUND = LIMIT_PER_S * 3 / 2 * WINDOW_MS / 1000 + 5,
   MAX_ARRIVALS = 8192,
+  REFUSAL_MS = 250, /* beyond a third of a request's time, for its turn */
+  /* Each host may learn once per report's lifetime of 500 ms that an endpoint
+     is full, and a request that is on its way then learns it, too. */
+  MAX_FULL_ARRIVALS = 2 * HOSTS * RUN_MS / 500,
 };
 
 #define HEAD                                                                  \
@@ -45,6 +49,8 @@
   uint32_t other_arrivals;
   uint32_t successes;
   uint32_t refusals;
+  int64_t slowest_refusal_ms;
+  int64_t request_ms[HOSTS]; /* start of each host's active request */
   ev_timer sender;
   int64_t started_ms; /* when limits are named first */
 };
@@ -80,10 +86,16 @@
 }
 
 static void
-count_response (struct limited_fleet *fleet, struct local_pipeline *host)
+count_response (struct limited_fleet *fleet, int index)
 {
-  fleet->successes += local_response_is_success (&host->response);
-  fleet->refusals += host->response.outcome == LOCAL_REFUSED;
+  const struct local_response *response = &fleet->hosts[index]->response;
+
+  fleet->successes += local_response_is_success (response);
+  if (response->outcome != LOCAL_REFUSED)
+    return;
+  fleet->refusals++;
+  fleet->slowest_refusal_ms = MAX (fleet->slowest_refusal_ms,
+                                   clock_now_ms () - fleet->request_ms[index]);
 }
 
 /* Starts the next request of each host that has no active one.  */
@@ -99,7 +111,8 @@
       if (host->response.outcome == LOCAL_PENDING && host->is_started)
         continue;
       if (host->is_started)
-        count_response (fleet, host);
+        count_response (fleet, i);
+      fleet->request_ms[i] = clock_now_ms ();
       local_pipeline_start (host, -1);
     }
 }
@@ -234,6 +247,26 @@
   release_fleet (&fleet);
 }
 
+/* Guards against requests that go round at the only endpoint without a limit,
+   which is full, instead of being refused when the limits are used up.  */
+static void
+test_full_endpoint_without_limit (void)
+{
+  struct limited_fleet fleet
+      = { .retry_mode = ROUTE_ONCE,
+          .timeout_ms = TIMEOUT_MS,
+          .other_answer = "HTTP/1.1 503 Full\r\nServer-Load: 8,4,8\r\n"
+                          "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+
+  run_fleet (&fleet, 2);
+  CU_ASSERT (count_busiest_window (&fleet) <= WINDOW_BOUND);
+  CU_ASSERT (fleet.successes >= LIMIT_PER_S * RUN_MS / 1000 / 2);
+  CU_ASSERT (fleet.refusals > 0);
+  CU_ASSERT (fleet.slowest_refusal_ms <= TIMEOUT_MS / 3 + REFUSAL_MS);
+  CU_ASSERT (fleet.other_arrivals <= MAX_FULL_ARRIVALS);
+  release_fleet (&fleet);
+}
+
 /* Guards against requests that are sent again, after a refusal of the endpoint
    or a response without an end, beside those that its limit allows.  */
 static void
@@ -304,6 +337,7 @@
   { "hosts together keep an endpoint's limit",
     test_hosts_together_keep_the_limit },
   { "what no limit allows is refused", test_what_no_limit_allows_is_refused },
+  { "a full endpoint without a limit", test_full_endpoint_without_limit },
   { "retries count", test_retries_count },
   { "the HTTP library does not resend", test_library_does_not_resend },
   { "resumed streams count", test_resumed_streams_count },
