request: a host that was paused does not take unread permits for silence

The tick that follows a pause of the process found questions older than 60 ms and took them for unanswered, though the answers lay unread: it asked the spare holder, and in the end refused requests that a holder had permitted. A tick that comes late now ends no questions; the next one does.

--- a/request/endpoint_limiter.c
+++ b/request/endpoint_limiter.c
@@ -12,6 +12,9 @@
 
 enum
 {
+  /* A tick that comes later follows a pause of this host, in which answers may
+     have arrived that it has not read. */
+  LATE_TICK_MS = 100,
   ASK_TIMEOUT_MS = 60, /* a holder answers within a few milliseconds */
   /* Of a permit, from the question to the send: one that arrives later, as to
      a host that was suspended, belongs to a time that has passed. */
@@ -78,6 +81,7 @@
   GHashTable *asks;         /* nonce -> struct permit_ask */
   GQueue asks_by_age;       /* struct permit_ask, by asked_ms */
   int64_t hosts_changed_ms; /* or this process started */
+  int64_t ticked_ms;
   int64_t swept_ms;
   int64_t announced_ms;
 };
@@ -747,9 +751,12 @@
 void
 endpoint_limiter_tick (struct endpoint_limiter *limiter, int64_t now_ms)
 {
+  bool is_late
+      = limiter->ticked_ms && now_ms - limiter->ticked_ms >= LATE_TICK_MS;
   struct permit_ask *oldest;
 
-  while ((oldest = g_queue_peek_head (&limiter->asks_by_age))
+  limiter->ticked_ms = now_ms;
+  while (!is_late && (oldest = g_queue_peek_head (&limiter->asks_by_age))
          && now_ms - oldest->asked_ms >= ASK_TIMEOUT_MS)
     handle_ask_timeout (oldest, now_ms);
   announce_shared (limiter, now_ms);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -19,6 +19,7 @@
   { "holders", NULL, NULL, NULL, NULL, holders_tests },
   { "httpd", NULL, NULL, NULL, NULL, httpd_tests },
   { "journal", NULL, NULL, NULL, NULL, journal_tests },
+  { "late tick", NULL, NULL, NULL, NULL, late_tick_tests },
   { "leader", NULL, NULL, NULL, NULL, leader_tests },
   { "ledger", NULL, NULL, NULL, NULL, ledger_tests },
   { "leaving endpoints", NULL, NULL, NULL, NULL, leaving_endpoints_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -20,6 +20,7 @@
 extern CU_TestInfo holders_tests[];
 extern CU_TestInfo httpd_tests[];
 extern CU_TestInfo journal_tests[];
+extern CU_TestInfo late_tick_tests[];
 extern CU_TestInfo leader_tests[];
 extern CU_TestInfo leaving_endpoints_tests[];
 extern CU_TestInfo ledger_tests[];
