--- a/request/endpoint_limiter.c
+++ b/request/endpoint_limiter.c
@@ -12,10 +12,10 @@
 
 enum
 {
-  /* A tick that comes later follows a pause of this host, in which answers may
-     have arrived that it has not read. */
-  LATE_TICK_MS = 100,
-  ASK_TIMEOUT_MS = 60, /* a holder answers within a few milliseconds */
+  /* A holder answers within a few milliseconds.  A tick that comes later than
+     this follows a pause of this host, in which answers may have arrived that
+     it has not read. */
+  ASK_TIMEOUT_MS = 60,
   /* Of a permit, from the question to the send: one that arrives later, as to
      a host that was suspended, belongs to a time that has passed. */
   PERMIT_LIFETIME_MS = 250,
@@ -752,7 +752,7 @@
 endpoint_limiter_tick (struct endpoint_limiter *limiter, int64_t now_ms)
 {
   bool is_late
-      = limiter->ticked_ms && now_ms - limiter->ticked_ms >= LATE_TICK_MS;
+      = limiter->ticked_ms && now_ms - limiter->ticked_ms >= ASK_TIMEOUT_MS;
   struct permit_ask *oldest;
 
   limiter->ticked_ms = now_ms;
--- a/test/unit/test_late_tick.c
+++ b/test/unit/test_late_tick.c
@@ -10,7 +10,7 @@
 {
   LIMIT_MILLI = 8000,
   TICK_MS = 50,
-  PAUSE_MS = 400, /* of the host, between two ticks */
+  PAUSE_MS = 160, /* of the host, between two ticks */
   START_MS = 100000,
 };
 
