request, soak: only another host's view tells a cut from a crash of all endpoints

Suspects are now forgotten only if another host has just opened a connection to the service. The new test of a crash of all endpoints covers it.

soak: a link that loses a part of a response passes nothing that follows on that connection.

--- a/include/request/path_monitor.h
+++ b/include/request/path_monitor.h
@@ -18,11 +18,15 @@
                                           struct pool_endpoint *endpoint,
                                           int64_t silent_ms);
 
+/* Whether another host reaches endpoints of SERVICE.  */
+typedef bool path_monitor_reached_query (void *data, const char *service);
+
 struct path_monitor_options
 {
   struct ev_loop *loop;
   struct pool *pool;
   path_monitor_broken_handler *handle_broken;
+  path_monitor_reached_query *is_reached_elsewhere;
   void *data;
 };
 
--- a/request/path_monitor.c
+++ b/request/path_monitor.c
@@ -156,15 +156,18 @@
 }
 
 /* Forgets which requests were running at the endpoints of a service from which
-   this host is cut off: it cannot tell whether they crashed.  */
+   this host is cut off: it cannot tell whether they crashed.  Where no other
+   host reaches the service either, its endpoints may have crashed.  */
 static void
 clear_suspects (struct path_monitor *monitor, const char *name)
 {
-  struct pool *pool = monitor->options.pool;
+  const struct path_monitor_options *options = &monitor->options;
+  struct pool *pool = options->pool;
   const struct monitored_service *service
       = g_hash_table_lookup (monitor->services, name);
 
-  if (!service || !is_cut_off (service))
+  if (!service || !is_cut_off (service)
+      || !options->is_reached_elsewhere (options->data, name))
     return;
   for (size_t i = 0; i < pool_count (pool); i++)
     if (strcmp (pool_at (pool, i)->service, name) == 0)
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -27,6 +27,7 @@
   struct buf pending;
   int64_t oldest_ms; /* when the oldest pending byte was received */
   bool is_request;
+  bool has_discarded; /* nothing that follows lost bytes may arrive */
   bool at_eof;
 };
 
@@ -110,7 +111,9 @@
     {
       if (direction->pending.len == 0)
         direction->oldest_ms = clock_now_ms ();
-      if (!discards_data (direction))
+      direction->has_discarded
+          = direction->has_discarded || discards_data (direction);
+      if (!direction->has_discarded)
         buf_append (&direction->pending, bytes, (size_t)len);
       return;
     }
--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -270,6 +270,7 @@
 for _ in 1 2 3 4; do
   send_request 1 /note/crash key-1 >/dev/null
   send_request 1 /note/y key-1 >/dev/null # finds the endpoint down
+  sleep 0.9 # a host cannot tell a crash from a cut of its own before
   restart_endpoints
 done
 expect "a request that crashed endpoints is refused" '^503$' "$(send_request 1 /note/crash key-1)"
--- a/test/unit/test_cut_off_hosts.c
+++ b/test/unit/test_cut_off_hosts.c
@@ -311,6 +311,28 @@
   release_fleet (&fleet);
 }
 
+/* Guards against a request that crashes all endpoints of a service and is
+   taken for a cut: it would be sent to them again and again.  */
+static void
+test_crash_of_all_endpoints_counts (void)
+{
+  struct cut_fleet fleet = { .retry_mode = ROUTE_IDEMPOTENT,
+                             .mode = GATE_RESET,
+                             .cut_count = HOSTS };
+  uint32_t crashes = 0;
+
+  create_fleet (&fleet);
+  run_for (&fleet, WARM_UP_MS);
+  fleet.is_silent = true;
+  run_for (&fleet, WARM_UP_MS);
+  set_mode (&fleet, fleet.mode);
+  learn (&fleet);
+  for (int i = 0; i < HOSTS; i++)
+    crashes += fleet.hosts[i]->crashes;
+  CU_ASSERT (crashes > 0);
+  release_fleet (&fleet);
+}
+
 /* Has hosts cut off and waits until others send for them.  */
 static void
 begin_cut (struct cut_fleet *fleet)
@@ -428,6 +450,7 @@
   { "one way only", test_one_way },
   { "what no host reaches is refused", test_what_no_host_reaches_is_refused },
   { "a cut is not a crash of the endpoints", test_cut_is_not_a_crash },
+  { "a crash of all endpoints counts", test_crash_of_all_endpoints_counts },
   { "a helping host is lost", test_helping_host_is_lost },
   { "hosts that do not help", test_hosts_that_do_not_help },
   { "a cancelled request ends at the endpoint",
