--- a/request/relay_server.c
+++ b/request/relay_server.c
@@ -13,9 +13,10 @@
 {
   /* Some 10 MB for transfers; callers of this host are not bounded by it. */
   MAX_RELAYS = 256,
-  /* A loop that comes round this late has too much to do for its own callers,
-     and takes no more work of others for a while. */
+  /* A loop that comes round this late several times in a row has too much to
+     do for its own callers, and takes no more work of others for a while. */
   LATE_TICK_MS = 150,
+  MAX_LATE_TICKS = 3,
   BUSY_MS = 300,
   MAX_SERVICES = 64,        /* per offer */
   ORIGIN_TIMEOUT_MS = 1000, /* silence of a host for which requests run */
@@ -56,6 +57,7 @@
   GQueue relays;       /* struct served_relay */
   GHashTable *origins; /* name -> struct relay_origin */
   int64_t ticked_ms;
+  uint32_t late_ticks; /* in a row */
   int64_t busy_until_ms;
   bool is_closed;
 };
@@ -553,6 +555,10 @@
   const struct relay_origin *silent;
 
   if (server->ticked_ms && now_ms - server->ticked_ms >= LATE_TICK_MS)
+    server->late_ticks++;
+  else
+    server->late_ticks = 0;
+  if (server->late_ticks >= MAX_LATE_TICKS)
     server->busy_until_ms = now_ms + BUSY_MS;
   server->ticked_ms = now_ms;
   while ((silent = find_silent_origin (server, now_ms)))
