--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -61,6 +61,18 @@
 typedef struct Peer__RelayData Peer__RelayData;
 typedef struct Peer__RelayDone Peer__RelayDone;
 typedef struct Peer__RelayCancel Peer__RelayCancel;
+typedef struct Peer__TurnWrite Peer__TurnWrite;
+typedef struct Peer__TurnWritten Peer__TurnWritten;
+typedef struct Peer__TurnRead Peer__TurnRead;
+typedef struct Peer__TurnText Peer__TurnText;
+typedef struct Peer__TurnListAsk Peer__TurnListAsk;
+typedef struct Peer__TurnGroupState Peer__TurnGroupState;
+typedef struct Peer__TurnList Peer__TurnList;
+typedef struct Peer__TurnGroupAsk Peer__TurnGroupAsk;
+typedef struct Peer__TurnGroup Peer__TurnGroup;
+typedef struct Peer__TurnGroupKept Peer__TurnGroupKept;
+typedef struct Peer__SpeedFact Peer__SpeedFact;
+typedef struct Peer__SpeedNotice Peer__SpeedNotice;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -608,10 +620,18 @@
    * 0 if it is not known
    */
   uint64_t build;
+  /*
+   * hash of the id of the attempt that began it
+   */
+  uint64_t attempt;
+  /*
+   * an answer that takes the attempt into account
+   */
+  protobuf_c_boolean is_by_attempt;
 };
 #define PEER__STREAM_ORIGIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__stream_origin__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Peer__StreamAsk
@@ -619,10 +639,14 @@
   ProtobufCMessage base;
   uint64_t id;
   uint64_t stream;
+  /*
+   * 0 if the caller does not name it
+   */
+  uint64_t attempt;
 };
 #define PEER__STREAM_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__stream_ask__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -877,6 +901,230 @@
     , 0 }
 
 
+/*
+ * A turn of a conversation, sent to a keeper once its response is complete.
+ */
+struct  Peer__TurnWrite
+{
+  ProtobufCMessage base;
+  /*
+   * of this write
+   */
+  uint64_t id;
+  /*
+   * of the turns that belong together
+   */
+  uint64_t group;
+  /*
+   * hash of the name
+   */
+  uint64_t customer;
+  /*
+   * id of its attempt
+   */
+  char *turn;
+  /*
+   * turn that it continues; empty if it begins a chain
+   */
+  char *previous;
+  protobuf_c_boolean has_prefix;
+  /*
+   * text of the chain before the input, for a keeper that lacks the previous turn
+   */
+  ProtobufCBinaryData prefix;
+  ProtobufCBinaryData input;
+  /*
+   * the data of each event, followed by a line feed
+   */
+  ProtobufCBinaryData output;
+  uint32_t retention_s;
+};
+#define PEER__TURN_WRITE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_write__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0 }
+
+
+struct  Peer__TurnWritten
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * enum turn_write_result
+   */
+  uint32_t result;
+};
+#define PEER__TURN_WRITTEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_written__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Asks for the text of a chain up to and including a turn.
+ */
+struct  Peer__TurnRead
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * hash of the name
+   */
+  uint64_t customer;
+  char *turn;
+};
+#define PEER__TURN_READ__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_read__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Peer__TurnText
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * enum turn_read_result
+   */
+  uint32_t result;
+  uint64_t group;
+  ProtobufCBinaryData text;
+  /*
+   * of the chain, as far as this keeper knows them apart
+   */
+  uint32_t turns;
+  /*
+   * since the keeper got the turn
+   */
+  uint32_t age_ms;
+};
+#define PEER__TURN_TEXT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_text__descriptor) \
+    , 0, 0, 0, {0,NULL}, 0, 0 }
+
+
+/*
+ * A keeper asks another one for the groups that it should hold itself.
+ */
+struct  Peer__TurnListAsk
+{
+  ProtobufCMessage base;
+  uint64_t after;
+};
+#define PEER__TURN_LIST_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_list_ask__descriptor) \
+    , 0 }
+
+
+struct  Peer__TurnGroupState
+{
+  ProtobufCMessage base;
+  uint64_t group;
+  uint32_t turns;
+  /*
+   * of the turns, in any order
+   */
+  uint64_t digest;
+};
+#define PEER__TURN_GROUP_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_group_state__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Peer__TurnList
+{
+  ProtobufCMessage base;
+  size_t n_groups;
+  Peer__TurnGroupState **groups;
+  uint64_t next;
+  protobuf_c_boolean is_last;
+  /*
+   * the sender has lost nothing that it acknowledged
+   */
+  protobuf_c_boolean is_complete;
+};
+#define PEER__TURN_LIST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_list__descriptor) \
+    , 0,NULL, 0, 0, 0 }
+
+
+struct  Peer__TurnGroupAsk
+{
+  ProtobufCMessage base;
+  size_t n_groups;
+  uint64_t *groups;
+};
+#define PEER__TURN_GROUP_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_group_ask__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * All turns of a group, in an order in which each follows the one that it
+ * continues.
+ */
+struct  Peer__TurnGroup
+{
+  ProtobufCMessage base;
+  /*
+   * of a hand-over, which is acknowledged; else 0
+   */
+  uint64_t id;
+  uint64_t group;
+  size_t n_turns;
+  Peer__TurnWrite **turns;
+};
+#define PEER__TURN_GROUP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_group__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  Peer__TurnGroupKept
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint64_t group;
+  protobuf_c_boolean is_kept;
+};
+#define PEER__TURN_GROUP_KEPT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__turn_group_kept__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * What the sender has learnt of the speed of some endpoints.
+ */
+struct  Peer__SpeedFact
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id and start
+   */
+  uint64_t endpoint;
+  uint32_t samples;
+  /*
+   * meaning by index: policy/speed.h
+   */
+  size_t n_figures;
+  uint32_t *figures;
+};
+#define PEER__SPEED_FACT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__speed_fact__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  Peer__SpeedNotice
+{
+  ProtobufCMessage base;
+  size_t n_facts;
+  Peer__SpeedFact **facts;
+  /*
+   * to the hosts of the receiver's data centre
+   */
+  protobuf_c_boolean pass_on;
+};
+#define PEER__SPEED_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__speed_notice__descriptor) \
+    , 0,NULL, 0 }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_PING = 1,
@@ -918,7 +1166,17 @@
   PEER__FRAME__BODY_RELAY_SEND = 37,
   PEER__FRAME__BODY_RELAY_DATA = 38,
   PEER__FRAME__BODY_RELAY_DONE = 39,
-  PEER__FRAME__BODY_RELAY_CANCEL = 40
+  PEER__FRAME__BODY_RELAY_CANCEL = 40,
+  PEER__FRAME__BODY_TURN_WRITE = 41,
+  PEER__FRAME__BODY_TURN_WRITTEN = 42,
+  PEER__FRAME__BODY_TURN_READ = 43,
+  PEER__FRAME__BODY_TURN_TEXT = 44,
+  PEER__FRAME__BODY_TURN_LIST_ASK = 45,
+  PEER__FRAME__BODY_TURN_LIST = 46,
+  PEER__FRAME__BODY_TURN_GROUP_ASK = 47,
+  PEER__FRAME__BODY_TURN_GROUP = 48,
+  PEER__FRAME__BODY_TURN_GROUP_KEPT = 49,
+  PEER__FRAME__BODY_SPEED_NOTICE = 50
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -967,6 +1225,16 @@
     Peer__RelayData *relay_data;
     Peer__RelayDone *relay_done;
     Peer__RelayCancel *relay_cancel;
+    Peer__TurnWrite *turn_write;
+    Peer__TurnWritten *turn_written;
+    Peer__TurnRead *turn_read;
+    Peer__TurnText *turn_text;
+    Peer__TurnListAsk *turn_list_ask;
+    Peer__TurnList *turn_list;
+    Peer__TurnGroupAsk *turn_group_ask;
+    Peer__TurnGroup *turn_group;
+    Peer__TurnGroupKept *turn_group_kept;
+    Peer__SpeedNotice *speed_notice;
   };
 };
 #define PEER__FRAME__INIT \
@@ -1848,6 +2116,234 @@
 void   peer__relay_cancel__free_unpacked
                      (Peer__RelayCancel *message,
                       ProtobufCAllocator *allocator);
+/* Peer__TurnWrite methods */
+void   peer__turn_write__init
+                     (Peer__TurnWrite         *message);
+size_t peer__turn_write__get_packed_size
+                     (const Peer__TurnWrite   *message);
+size_t peer__turn_write__pack
+                     (const Peer__TurnWrite   *message,
+                      uint8_t             *out);
+size_t peer__turn_write__pack_to_buffer
+                     (const Peer__TurnWrite   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnWrite *
+       peer__turn_write__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_write__free_unpacked
+                     (Peer__TurnWrite *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__TurnWritten methods */
+void   peer__turn_written__init
+                     (Peer__TurnWritten         *message);
+size_t peer__turn_written__get_packed_size
+                     (const Peer__TurnWritten   *message);
+size_t peer__turn_written__pack
+                     (const Peer__TurnWritten   *message,
+                      uint8_t             *out);
+size_t peer__turn_written__pack_to_buffer
+                     (const Peer__TurnWritten   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnWritten *
+       peer__turn_written__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_written__free_unpacked
+                     (Peer__TurnWritten *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__TurnRead methods */
+void   peer__turn_read__init
+                     (Peer__TurnRead         *message);
+size_t peer__turn_read__get_packed_size
+                     (const Peer__TurnRead   *message);
+size_t peer__turn_read__pack
+                     (const Peer__TurnRead   *message,
+                      uint8_t             *out);
+size_t peer__turn_read__pack_to_buffer
+                     (const Peer__TurnRead   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnRead *
+       peer__turn_read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_read__free_unpacked
+                     (Peer__TurnRead *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__TurnText methods */
+void   peer__turn_text__init
+                     (Peer__TurnText         *message);
+size_t peer__turn_text__get_packed_size
+                     (const Peer__TurnText   *message);
+size_t peer__turn_text__pack
+                     (const Peer__TurnText   *message,
+                      uint8_t             *out);
+size_t peer__turn_text__pack_to_buffer
+                     (const Peer__TurnText   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnText *
+       peer__turn_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_text__free_unpacked
+                     (Peer__TurnText *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__TurnListAsk methods */
+void   peer__turn_list_ask__init
+                     (Peer__TurnListAsk         *message);
+size_t peer__turn_list_ask__get_packed_size
+                     (const Peer__TurnListAsk   *message);
+size_t peer__turn_list_ask__pack
+                     (const Peer__TurnListAsk   *message,
+                      uint8_t             *out);
+size_t peer__turn_list_ask__pack_to_buffer
+                     (const Peer__TurnListAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnListAsk *
+       peer__turn_list_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_list_ask__free_unpacked
+                     (Peer__TurnListAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__TurnGroupState methods */
+void   peer__turn_group_state__init
+                     (Peer__TurnGroupState         *message);
+size_t peer__turn_group_state__get_packed_size
+                     (const Peer__TurnGroupState   *message);
+size_t peer__turn_group_state__pack
+                     (const Peer__TurnGroupState   *message,
+                      uint8_t             *out);
+size_t peer__turn_group_state__pack_to_buffer
+                     (const Peer__TurnGroupState   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnGroupState *
+       peer__turn_group_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_group_state__free_unpacked
+                     (Peer__TurnGroupState *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__TurnList methods */
+void   peer__turn_list__init
+                     (Peer__TurnList         *message);
+size_t peer__turn_list__get_packed_size
+                     (const Peer__TurnList   *message);
+size_t peer__turn_list__pack
+                     (const Peer__TurnList   *message,
+                      uint8_t             *out);
+size_t peer__turn_list__pack_to_buffer
+                     (const Peer__TurnList   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnList *
+       peer__turn_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_list__free_unpacked
+                     (Peer__TurnList *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__TurnGroupAsk methods */
+void   peer__turn_group_ask__init
+                     (Peer__TurnGroupAsk         *message);
+size_t peer__turn_group_ask__get_packed_size
+                     (const Peer__TurnGroupAsk   *message);
+size_t peer__turn_group_ask__pack
+                     (const Peer__TurnGroupAsk   *message,
+                      uint8_t             *out);
+size_t peer__turn_group_ask__pack_to_buffer
+                     (const Peer__TurnGroupAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnGroupAsk *
+       peer__turn_group_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_group_ask__free_unpacked
+                     (Peer__TurnGroupAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__TurnGroup methods */
+void   peer__turn_group__init
+                     (Peer__TurnGroup         *message);
+size_t peer__turn_group__get_packed_size
+                     (const Peer__TurnGroup   *message);
+size_t peer__turn_group__pack
+                     (const Peer__TurnGroup   *message,
+                      uint8_t             *out);
+size_t peer__turn_group__pack_to_buffer
+                     (const Peer__TurnGroup   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnGroup *
+       peer__turn_group__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_group__free_unpacked
+                     (Peer__TurnGroup *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__TurnGroupKept methods */
+void   peer__turn_group_kept__init
+                     (Peer__TurnGroupKept         *message);
+size_t peer__turn_group_kept__get_packed_size
+                     (const Peer__TurnGroupKept   *message);
+size_t peer__turn_group_kept__pack
+                     (const Peer__TurnGroupKept   *message,
+                      uint8_t             *out);
+size_t peer__turn_group_kept__pack_to_buffer
+                     (const Peer__TurnGroupKept   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__TurnGroupKept *
+       peer__turn_group_kept__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__turn_group_kept__free_unpacked
+                     (Peer__TurnGroupKept *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__SpeedFact methods */
+void   peer__speed_fact__init
+                     (Peer__SpeedFact         *message);
+size_t peer__speed_fact__get_packed_size
+                     (const Peer__SpeedFact   *message);
+size_t peer__speed_fact__pack
+                     (const Peer__SpeedFact   *message,
+                      uint8_t             *out);
+size_t peer__speed_fact__pack_to_buffer
+                     (const Peer__SpeedFact   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__SpeedFact *
+       peer__speed_fact__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__speed_fact__free_unpacked
+                     (Peer__SpeedFact *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__SpeedNotice methods */
+void   peer__speed_notice__init
+                     (Peer__SpeedNotice         *message);
+size_t peer__speed_notice__get_packed_size
+                     (const Peer__SpeedNotice   *message);
+size_t peer__speed_notice__pack
+                     (const Peer__SpeedNotice   *message,
+                      uint8_t             *out);
+size_t peer__speed_notice__pack_to_buffer
+                     (const Peer__SpeedNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__SpeedNotice *
+       peer__speed_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__speed_notice__free_unpacked
+                     (Peer__SpeedNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -2007,6 +2503,42 @@
 typedef void (*Peer__RelayCancel_Closure)
                  (const Peer__RelayCancel *message,
                   void *closure_data);
+typedef void (*Peer__TurnWrite_Closure)
+                 (const Peer__TurnWrite *message,
+                  void *closure_data);
+typedef void (*Peer__TurnWritten_Closure)
+                 (const Peer__TurnWritten *message,
+                  void *closure_data);
+typedef void (*Peer__TurnRead_Closure)
+                 (const Peer__TurnRead *message,
+                  void *closure_data);
+typedef void (*Peer__TurnText_Closure)
+                 (const Peer__TurnText *message,
+                  void *closure_data);
+typedef void (*Peer__TurnListAsk_Closure)
+                 (const Peer__TurnListAsk *message,
+                  void *closure_data);
+typedef void (*Peer__TurnGroupState_Closure)
+                 (const Peer__TurnGroupState *message,
+                  void *closure_data);
+typedef void (*Peer__TurnList_Closure)
+                 (const Peer__TurnList *message,
+                  void *closure_data);
+typedef void (*Peer__TurnGroupAsk_Closure)
+                 (const Peer__TurnGroupAsk *message,
+                  void *closure_data);
+typedef void (*Peer__TurnGroup_Closure)
+                 (const Peer__TurnGroup *message,
+                  void *closure_data);
+typedef void (*Peer__TurnGroupKept_Closure)
+                 (const Peer__TurnGroupKept *message,
+                  void *closure_data);
+typedef void (*Peer__SpeedFact_Closure)
+                 (const Peer__SpeedFact *message,
+                  void *closure_data);
+typedef void (*Peer__SpeedNotice_Closure)
+                 (const Peer__SpeedNotice *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -2062,6 +2594,18 @@
 extern const ProtobufCMessageDescriptor peer__relay_data__descriptor;
 extern const ProtobufCMessageDescriptor peer__relay_done__descriptor;
 extern const ProtobufCMessageDescriptor peer__relay_cancel__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_write__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_written__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_read__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_text__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_list_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_group_state__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_list__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_group_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_group__descriptor;
+extern const ProtobufCMessageDescriptor peer__turn_group_kept__descriptor;
+extern const ProtobufCMessageDescriptor peer__speed_fact__descriptor;
+extern const ProtobufCMessageDescriptor peer__speed_notice__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -2077,6 +2077,546 @@
   assert(message->base.descriptor == &peer__relay_cancel__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__turn_write__init
+                     (Peer__TurnWrite         *message)
+{
+  static const Peer__TurnWrite init_value = PEER__TURN_WRITE__INIT;
+  *message = init_value;
+}
+size_t peer__turn_write__get_packed_size
+                     (const Peer__TurnWrite *message)
+{
+  assert(message->base.descriptor == &peer__turn_write__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_write__pack
+                     (const Peer__TurnWrite *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_write__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_write__pack_to_buffer
+                     (const Peer__TurnWrite *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_write__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnWrite *
+       peer__turn_write__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnWrite *)
+     protobuf_c_message_unpack (&peer__turn_write__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_write__free_unpacked
+                     (Peer__TurnWrite *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_write__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__turn_written__init
+                     (Peer__TurnWritten         *message)
+{
+  static const Peer__TurnWritten init_value = PEER__TURN_WRITTEN__INIT;
+  *message = init_value;
+}
+size_t peer__turn_written__get_packed_size
+                     (const Peer__TurnWritten *message)
+{
+  assert(message->base.descriptor == &peer__turn_written__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_written__pack
+                     (const Peer__TurnWritten *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_written__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_written__pack_to_buffer
+                     (const Peer__TurnWritten *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_written__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnWritten *
+       peer__turn_written__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnWritten *)
+     protobuf_c_message_unpack (&peer__turn_written__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_written__free_unpacked
+                     (Peer__TurnWritten *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_written__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__turn_read__init
+                     (Peer__TurnRead         *message)
+{
+  static const Peer__TurnRead init_value = PEER__TURN_READ__INIT;
+  *message = init_value;
+}
+size_t peer__turn_read__get_packed_size
+                     (const Peer__TurnRead *message)
+{
+  assert(message->base.descriptor == &peer__turn_read__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_read__pack
+                     (const Peer__TurnRead *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_read__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_read__pack_to_buffer
+                     (const Peer__TurnRead *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_read__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnRead *
+       peer__turn_read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnRead *)
+     protobuf_c_message_unpack (&peer__turn_read__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_read__free_unpacked
+                     (Peer__TurnRead *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_read__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__turn_text__init
+                     (Peer__TurnText         *message)
+{
+  static const Peer__TurnText init_value = PEER__TURN_TEXT__INIT;
+  *message = init_value;
+}
+size_t peer__turn_text__get_packed_size
+                     (const Peer__TurnText *message)
+{
+  assert(message->base.descriptor == &peer__turn_text__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_text__pack
+                     (const Peer__TurnText *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_text__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_text__pack_to_buffer
+                     (const Peer__TurnText *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_text__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnText *
+       peer__turn_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnText *)
+     protobuf_c_message_unpack (&peer__turn_text__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_text__free_unpacked
+                     (Peer__TurnText *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_text__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__turn_list_ask__init
+                     (Peer__TurnListAsk         *message)
+{
+  static const Peer__TurnListAsk init_value = PEER__TURN_LIST_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__turn_list_ask__get_packed_size
+                     (const Peer__TurnListAsk *message)
+{
+  assert(message->base.descriptor == &peer__turn_list_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_list_ask__pack
+                     (const Peer__TurnListAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_list_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_list_ask__pack_to_buffer
+                     (const Peer__TurnListAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_list_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnListAsk *
+       peer__turn_list_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnListAsk *)
+     protobuf_c_message_unpack (&peer__turn_list_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_list_ask__free_unpacked
+                     (Peer__TurnListAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_list_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__turn_group_state__init
+                     (Peer__TurnGroupState         *message)
+{
+  static const Peer__TurnGroupState init_value = PEER__TURN_GROUP_STATE__INIT;
+  *message = init_value;
+}
+size_t peer__turn_group_state__get_packed_size
+                     (const Peer__TurnGroupState *message)
+{
+  assert(message->base.descriptor == &peer__turn_group_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_group_state__pack
+                     (const Peer__TurnGroupState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_group_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_group_state__pack_to_buffer
+                     (const Peer__TurnGroupState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_group_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnGroupState *
+       peer__turn_group_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnGroupState *)
+     protobuf_c_message_unpack (&peer__turn_group_state__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_group_state__free_unpacked
+                     (Peer__TurnGroupState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_group_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__turn_list__init
+                     (Peer__TurnList         *message)
+{
+  static const Peer__TurnList init_value = PEER__TURN_LIST__INIT;
+  *message = init_value;
+}
+size_t peer__turn_list__get_packed_size
+                     (const Peer__TurnList *message)
+{
+  assert(message->base.descriptor == &peer__turn_list__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_list__pack
+                     (const Peer__TurnList *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_list__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_list__pack_to_buffer
+                     (const Peer__TurnList *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_list__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnList *
+       peer__turn_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnList *)
+     protobuf_c_message_unpack (&peer__turn_list__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_list__free_unpacked
+                     (Peer__TurnList *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_list__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__turn_group_ask__init
+                     (Peer__TurnGroupAsk         *message)
+{
+  static const Peer__TurnGroupAsk init_value = PEER__TURN_GROUP_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__turn_group_ask__get_packed_size
+                     (const Peer__TurnGroupAsk *message)
+{
+  assert(message->base.descriptor == &peer__turn_group_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_group_ask__pack
+                     (const Peer__TurnGroupAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_group_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_group_ask__pack_to_buffer
+                     (const Peer__TurnGroupAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_group_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnGroupAsk *
+       peer__turn_group_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnGroupAsk *)
+     protobuf_c_message_unpack (&peer__turn_group_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_group_ask__free_unpacked
+                     (Peer__TurnGroupAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_group_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__turn_group__init
+                     (Peer__TurnGroup         *message)
+{
+  static const Peer__TurnGroup init_value = PEER__TURN_GROUP__INIT;
+  *message = init_value;
+}
+size_t peer__turn_group__get_packed_size
+                     (const Peer__TurnGroup *message)
+{
+  assert(message->base.descriptor == &peer__turn_group__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_group__pack
+                     (const Peer__TurnGroup *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_group__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_group__pack_to_buffer
+                     (const Peer__TurnGroup *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_group__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnGroup *
+       peer__turn_group__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnGroup *)
+     protobuf_c_message_unpack (&peer__turn_group__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_group__free_unpacked
+                     (Peer__TurnGroup *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_group__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__turn_group_kept__init
+                     (Peer__TurnGroupKept         *message)
+{
+  static const Peer__TurnGroupKept init_value = PEER__TURN_GROUP_KEPT__INIT;
+  *message = init_value;
+}
+size_t peer__turn_group_kept__get_packed_size
+                     (const Peer__TurnGroupKept *message)
+{
+  assert(message->base.descriptor == &peer__turn_group_kept__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__turn_group_kept__pack
+                     (const Peer__TurnGroupKept *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__turn_group_kept__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__turn_group_kept__pack_to_buffer
+                     (const Peer__TurnGroupKept *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__turn_group_kept__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__TurnGroupKept *
+       peer__turn_group_kept__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__TurnGroupKept *)
+     protobuf_c_message_unpack (&peer__turn_group_kept__descriptor,
+                                allocator, len, data);
+}
+void   peer__turn_group_kept__free_unpacked
+                     (Peer__TurnGroupKept *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__turn_group_kept__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__speed_fact__init
+                     (Peer__SpeedFact         *message)
+{
+  static const Peer__SpeedFact init_value = PEER__SPEED_FACT__INIT;
+  *message = init_value;
+}
+size_t peer__speed_fact__get_packed_size
+                     (const Peer__SpeedFact *message)
+{
+  assert(message->base.descriptor == &peer__speed_fact__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__speed_fact__pack
+                     (const Peer__SpeedFact *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__speed_fact__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__speed_fact__pack_to_buffer
+                     (const Peer__SpeedFact *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__speed_fact__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__SpeedFact *
+       peer__speed_fact__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__SpeedFact *)
+     protobuf_c_message_unpack (&peer__speed_fact__descriptor,
+                                allocator, len, data);
+}
+void   peer__speed_fact__free_unpacked
+                     (Peer__SpeedFact *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__speed_fact__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__speed_notice__init
+                     (Peer__SpeedNotice         *message)
+{
+  static const Peer__SpeedNotice init_value = PEER__SPEED_NOTICE__INIT;
+  *message = init_value;
+}
+size_t peer__speed_notice__get_packed_size
+                     (const Peer__SpeedNotice *message)
+{
+  assert(message->base.descriptor == &peer__speed_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__speed_notice__pack
+                     (const Peer__SpeedNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__speed_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__speed_notice__pack_to_buffer
+                     (const Peer__SpeedNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__speed_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__SpeedNotice *
+       peer__speed_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__SpeedNotice *)
+     protobuf_c_message_unpack (&peer__speed_notice__descriptor,
+                                allocator, len, data);
+}
+void   peer__speed_notice__free_unpacked
+                     (Peer__SpeedNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__speed_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -2109,246 +2649,683 @@
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Peer__Frame *)
-     protobuf_c_message_unpack (&peer__frame__descriptor,
-                                allocator, len, data);
-}
-void   peer__frame__free_unpacked
-                     (Peer__Frame *message,
-                      ProtobufCAllocator *allocator)
+  return (Peer__Frame *)
+     protobuf_c_message_unpack (&peer__frame__descriptor,
+                                allocator, len, data);
+}
+void   peer__frame__free_unpacked
+                     (Peer__Frame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor peer__hello__field_descriptors[5] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Hello, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Hello, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "process",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Hello, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Hello, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Hello, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__hello__field_indices_by_name[] = {
+  1,   /* field[1] = data_centre */
+  0,   /* field[0] = host */
+  3,   /* field[3] = nonce */
+  4,   /* field[4] = peer_address */
+  2,   /* field[2] = process */
+};
+static const ProtobufCIntRange peer__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Hello",
+  "Hello",
+  "Peer__Hello",
+  "peer",
+  sizeof(Peer__Hello),
+  5,
+  peer__hello__field_descriptors,
+  peer__hello__field_indices_by_name,
+  1,  peer__hello__number_ranges,
+  (ProtobufCMessageInit) peer__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ping__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ping, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ping, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ping, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__ping__field_indices_by_name[] = {
+  1,   /* field[1] = config_revision */
+  2,   /* field[2] = leaving */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange peer__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Ping",
+  "Ping",
+  "Peer__Ping",
+  "peer",
+  sizeof(Peer__Ping),
+  3,
+  peer__ping__field_descriptors,
+  peer__ping__field_indices_by_name,
+  1,  peer__ping__number_ranges,
+  (ProtobufCMessageInit) peer__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__pong__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Pong, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Pong, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Pong, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__pong__field_indices_by_name[] = {
+  1,   /* field[1] = config_revision */
+  2,   /* field[2] = leaving */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange peer__pong__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__pong__descriptor =
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &peer__frame__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor peer__hello__field_descriptors[5] =
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Pong",
+  "Pong",
+  "Peer__Pong",
+  "peer",
+  sizeof(Peer__Pong),
+  3,
+  peer__pong__field_descriptors,
+  peer__pong__field_indices_by_name,
+  1,  peer__pong__number_ranges,
+  (ProtobufCMessageInit) peer__pong__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__call_request__field_descriptors[12] =
 {
   {
-    "host",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Hello, host),
+    offsetof(Peer__CallRequest, id),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
+    "customer",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Hello, data_centre),
+    offsetof(Peer__CallRequest, customer),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "process",
+    "key_id",
     3,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, key_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cursor",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, cursor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "program",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, program),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotency_key",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, idempotency_key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "resume_from",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, resume_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hops",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallRequest, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__call_request__field_indices_by_name[] = {
+  10,   /* field[10] = body */
+  8,   /* field[8] = content_type */
+  5,   /* field[5] = cursor */
+  1,   /* field[1] = customer */
+  11,   /* field[11] = hops */
+  0,   /* field[0] = id */
+  7,   /* field[7] = idempotency_key */
+  2,   /* field[2] = key_id */
+  3,   /* field[3] = method */
+  4,   /* field[4] = path */
+  6,   /* field[6] = program */
+  9,   /* field[9] = resume_from */
+};
+static const ProtobufCIntRange peer__call_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor peer__call_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.CallRequest",
+  "CallRequest",
+  "Peer__CallRequest",
+  "peer",
+  sizeof(Peer__CallRequest),
+  12,
+  peer__call_request__field_descriptors,
+  peer__call_request__field_indices_by_name,
+  1,  peer__call_request__number_ranges,
+  (ProtobufCMessageInit) peer__call_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__call_head__field_descriptors[7] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Hello, process),
+    offsetof(Peer__CallHead, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "nonce",
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallHead, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallHead, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streaming",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallHead, streaming),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CallHead, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cursor",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Hello, nonce),
-    NULL,
+    offsetof(Peer__CallHead, cursor),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "peer_address",
-    5,
+    "program",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__Hello, peer_address),
+    offsetof(Peer__CallHead, program),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__hello__field_indices_by_name[] = {
-  1,   /* field[1] = data_centre */
-  0,   /* field[0] = host */
-  3,   /* field[3] = nonce */
-  4,   /* field[4] = peer_address */
-  2,   /* field[2] = process */
+static const unsigned peer__call_head__field_indices_by_name[] = {
+  2,   /* field[2] = content_type */
+  5,   /* field[5] = cursor */
+  0,   /* field[0] = id */
+  6,   /* field[6] = program */
+  4,   /* field[4] = retry_after_ms */
+  1,   /* field[1] = status */
+  3,   /* field[3] = streaming */
 };
-static const ProtobufCIntRange peer__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__call_head__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor peer__hello__descriptor =
+const ProtobufCMessageDescriptor peer__call_head__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.Hello",
-  "Hello",
-  "Peer__Hello",
+  "peer.CallHead",
+  "CallHead",
+  "Peer__CallHead",
   "peer",
-  sizeof(Peer__Hello),
-  5,
-  peer__hello__field_descriptors,
-  peer__hello__field_indices_by_name,
-  1,  peer__hello__number_ranges,
-  (ProtobufCMessageInit) peer__hello__init,
+  sizeof(Peer__CallHead),
+  7,
+  peer__call_head__field_descriptors,
+  peer__call_head__field_indices_by_name,
+  1,  peer__call_head__number_ranges,
+  (ProtobufCMessageInit) peer__call_head__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ping__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__call_data__field_descriptors[2] =
 {
   {
-    "sequence",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Ping, sequence),
+    offsetof(Peer__CallData, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_revision",
+    "data",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Ping, config_revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaving",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__Ping, leaving),
+    offsetof(Peer__CallData, data),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__ping__field_indices_by_name[] = {
-  1,   /* field[1] = config_revision */
-  2,   /* field[2] = leaving */
-  0,   /* field[0] = sequence */
+static const unsigned peer__call_data__field_indices_by_name[] = {
+  1,   /* field[1] = data */
+  0,   /* field[0] = id */
 };
-static const ProtobufCIntRange peer__ping__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__call_data__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor peer__ping__descriptor =
+const ProtobufCMessageDescriptor peer__call_data__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.Ping",
-  "Ping",
-  "Peer__Ping",
+  "peer.CallData",
+  "CallData",
+  "Peer__CallData",
   "peer",
-  sizeof(Peer__Ping),
-  3,
-  peer__ping__field_descriptors,
-  peer__ping__field_indices_by_name,
-  1,  peer__ping__number_ranges,
-  (ProtobufCMessageInit) peer__ping__init,
+  sizeof(Peer__CallData),
+  2,
+  peer__call_data__field_descriptors,
+  peer__call_data__field_indices_by_name,
+  1,  peer__call_data__number_ranges,
+  (ProtobufCMessageInit) peer__call_data__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__pong__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__call_end__field_descriptors[2] =
 {
   {
-    "sequence",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Pong, sequence),
+    offsetof(Peer__CallEnd, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_revision",
+    "aborted",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__Pong, config_revision),
+    offsetof(Peer__CallEnd, aborted),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__call_end__field_indices_by_name[] = {
+  1,   /* field[1] = aborted */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer__call_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__call_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.CallEnd",
+  "CallEnd",
+  "Peer__CallEnd",
+  "peer",
+  sizeof(Peer__CallEnd),
+  2,
+  peer__call_end__field_descriptors,
+  peer__call_end__field_indices_by_name,
+  1,  peer__call_end__number_ranges,
+  (ProtobufCMessageInit) peer__call_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__call_cancel__field_descriptors[1] =
+{
   {
-    "leaving",
-    3,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Pong, leaving),
+    offsetof(Peer__CallCancel, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__pong__field_indices_by_name[] = {
-  1,   /* field[1] = config_revision */
-  2,   /* field[2] = leaving */
-  0,   /* field[0] = sequence */
+static const unsigned peer__call_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = id */
 };
-static const ProtobufCIntRange peer__pong__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__call_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor peer__pong__descriptor =
+const ProtobufCMessageDescriptor peer__call_cancel__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.Pong",
-  "Pong",
-  "Peer__Pong",
+  "peer.CallCancel",
+  "CallCancel",
+  "Peer__CallCancel",
   "peer",
-  sizeof(Peer__Pong),
-  3,
-  peer__pong__field_descriptors,
-  peer__pong__field_indices_by_name,
-  1,  peer__pong__number_ranges,
-  (ProtobufCMessageInit) peer__pong__init,
+  sizeof(Peer__CallCancel),
+  1,
+  peer__call_cancel__field_descriptors,
+  peer__call_cancel__field_indices_by_name,
+  1,  peer__call_cancel__number_ranges,
+  (ProtobufCMessageInit) peer__call_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__call_request__field_descriptors[12] =
+static const ProtobufCFieldDescriptor peer__limit_ask__field_descriptors[5] =
 {
   {
-    "id",
+    "nonce",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, id),
+    offsetof(Peer__LimitAsk, nonce),
     NULL,
     NULL,
     0,             /* flags */
@@ -2360,168 +3337,231 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, customer),
+    offsetof(Peer__LimitAsk, customer),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key_id",
+    "slot",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, key_id),
+    offsetof(Peer__LimitAsk, slot),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "method",
+    "tokens",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, method),
+    offsetof(Peer__LimitAsk, tokens),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "path",
+    "begin_tokens",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitAsk, begin_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__limit_ask__field_indices_by_name[] = {
+  4,   /* field[4] = begin_tokens */
+  1,   /* field[1] = customer */
+  0,   /* field[0] = nonce */
+  2,   /* field[2] = slot */
+  3,   /* field[3] = tokens */
+};
+static const ProtobufCIntRange peer__limit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__limit_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LimitAsk",
+  "LimitAsk",
+  "Peer__LimitAsk",
+  "peer",
+  sizeof(Peer__LimitAsk),
+  5,
+  peer__limit_ask__field_descriptors,
+  peer__limit_ask__field_indices_by_name,
+  1,  peer__limit_ask__number_ranges,
+  (ProtobufCMessageInit) peer__limit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__limit_loan__field_descriptors[4] =
+{
+  {
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, path),
+    offsetof(Peer__LimitLoan, nonce),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cursor",
-    6,
+    "tokens",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, cursor),
+    offsetof(Peer__LimitLoan, tokens),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "program",
-    7,
+    "wait_ms",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, program),
+    offsetof(Peer__LimitLoan, wait_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idempotency_key",
-    8,
+    "begin_tokens",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, idempotency_key),
+    offsetof(Peer__LimitLoan, begin_tokens),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__limit_loan__field_indices_by_name[] = {
+  3,   /* field[3] = begin_tokens */
+  0,   /* field[0] = nonce */
+  1,   /* field[1] = tokens */
+  2,   /* field[2] = wait_ms */
+};
+static const ProtobufCIntRange peer__limit_loan__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__limit_loan__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LimitLoan",
+  "LimitLoan",
+  "Peer__LimitLoan",
+  "peer",
+  sizeof(Peer__LimitLoan),
+  4,
+  peer__limit_loan__field_descriptors,
+  peer__limit_loan__field_indices_by_name,
+  1,  peer__limit_loan__number_ranges,
+  (ProtobufCMessageInit) peer__limit_loan__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__limit_confirm__field_descriptors[4] =
+{
   {
-    "content_type",
-    9,
+    "nonce",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, content_type),
+    offsetof(Peer__LimitConfirm, nonce),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "resume_from",
-    10,
+    "customer",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, resume_from),
-    NULL,
+    offsetof(Peer__LimitConfirm, customer),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    11,
+    "slot",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, body),
+    offsetof(Peer__LimitConfirm, slot),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hops",
-    12,
+    "unused_tokens",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallRequest, hops),
+    offsetof(Peer__LimitConfirm, unused_tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__call_request__field_indices_by_name[] = {
-  10,   /* field[10] = body */
-  8,   /* field[8] = content_type */
-  5,   /* field[5] = cursor */
+static const unsigned peer__limit_confirm__field_indices_by_name[] = {
   1,   /* field[1] = customer */
-  11,   /* field[11] = hops */
-  0,   /* field[0] = id */
-  7,   /* field[7] = idempotency_key */
-  2,   /* field[2] = key_id */
-  3,   /* field[3] = method */
-  4,   /* field[4] = path */
-  6,   /* field[6] = program */
-  9,   /* field[9] = resume_from */
+  0,   /* field[0] = nonce */
+  2,   /* field[2] = slot */
+  3,   /* field[3] = unused_tokens */
 };
-static const ProtobufCIntRange peer__call_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__limit_confirm__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor peer__call_request__descriptor =
+const ProtobufCMessageDescriptor peer__limit_confirm__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.CallRequest",
-  "CallRequest",
-  "Peer__CallRequest",
+  "peer.LimitConfirm",
+  "LimitConfirm",
+  "Peer__LimitConfirm",
   "peer",
-  sizeof(Peer__CallRequest),
-  12,
-  peer__call_request__field_descriptors,
-  peer__call_request__field_indices_by_name,
-  1,  peer__call_request__number_ranges,
-  (ProtobufCMessageInit) peer__call_request__init,
+  sizeof(Peer__LimitConfirm),
+  4,
+  peer__limit_confirm__field_descriptors,
+  peer__limit_confirm__field_indices_by_name,
+  1,  peer__limit_confirm__number_ranges,
+  (ProtobufCMessageInit) peer__limit_confirm__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__call_head__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__store_append__field_descriptors[3] =
 {
   {
     "id",
@@ -2529,115 +3569,165 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallHead, id),
+    offsetof(Peer__StoreAppend, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "program",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallHead, status),
-    NULL,
+    offsetof(Peer__StoreAppend, program),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
+    "record",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallHead, content_type),
+    offsetof(Peer__StoreAppend, record),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__store_append__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = program */
+  2,   /* field[2] = record */
+};
+static const ProtobufCIntRange peer__store_append__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__store_append__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StoreAppend",
+  "StoreAppend",
+  "Peer__StoreAppend",
+  "peer",
+  sizeof(Peer__StoreAppend),
+  3,
+  peer__store_append__field_descriptors,
+  peer__store_append__field_indices_by_name,
+  1,  peer__store_append__number_ranges,
+  (ProtobufCMessageInit) peer__store_append__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__store_ack__field_descriptors[2] =
+{
   {
-    "streaming",
-    4,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallHead, streaming),
+    offsetof(Peer__StoreAck, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_ms",
-    5,
+    "kept",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallHead, retry_after_ms),
+    offsetof(Peer__StoreAck, kept),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__store_ack__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = kept */
+};
+static const ProtobufCIntRange peer__store_ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__store_ack__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StoreAck",
+  "StoreAck",
+  "Peer__StoreAck",
+  "peer",
+  sizeof(Peer__StoreAck),
+  2,
+  peer__store_ack__field_descriptors,
+  peer__store_ack__field_indices_by_name,
+  1,  peer__store_ack__number_ranges,
+  (ProtobufCMessageInit) peer__store_ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__store_fetch__field_descriptors[2] =
+{
   {
-    "cursor",
-    6,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallHead, cursor),
+    offsetof(Peer__StoreFetch, id),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "program",
-    7,
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallHead, program),
+    offsetof(Peer__StoreFetch, program),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__call_head__field_indices_by_name[] = {
-  2,   /* field[2] = content_type */
-  5,   /* field[5] = cursor */
+static const unsigned peer__store_fetch__field_indices_by_name[] = {
   0,   /* field[0] = id */
-  6,   /* field[6] = program */
-  4,   /* field[4] = retry_after_ms */
-  1,   /* field[1] = status */
-  3,   /* field[3] = streaming */
+  1,   /* field[1] = program */
 };
-static const ProtobufCIntRange peer__call_head__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__store_fetch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor peer__call_head__descriptor =
+const ProtobufCMessageDescriptor peer__store_fetch__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.CallHead",
-  "CallHead",
-  "Peer__CallHead",
+  "peer.StoreFetch",
+  "StoreFetch",
+  "Peer__StoreFetch",
   "peer",
-  sizeof(Peer__CallHead),
-  7,
-  peer__call_head__field_descriptors,
-  peer__call_head__field_indices_by_name,
-  1,  peer__call_head__number_ranges,
-  (ProtobufCMessageInit) peer__call_head__init,
+  sizeof(Peer__StoreFetch),
+  2,
+  peer__store_fetch__field_descriptors,
+  peer__store_fetch__field_indices_by_name,
+  1,  peer__store_fetch__number_ranges,
+  (ProtobufCMessageInit) peer__store_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__call_data__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__store_records__field_descriptors[2] =
 {
   {
     "id",
@@ -2645,316 +3735,420 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallData, id),
+    offsetof(Peer__StoreRecords, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
+    "records",
     2,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Peer__CallData, data),
+    offsetof(Peer__StoreRecords, n_records),
+    offsetof(Peer__StoreRecords, records),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__call_data__field_indices_by_name[] = {
-  1,   /* field[1] = data */
+static const unsigned peer__store_records__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  1,   /* field[1] = records */
 };
-static const ProtobufCIntRange peer__call_data__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__store_records__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor peer__call_data__descriptor =
+const ProtobufCMessageDescriptor peer__store_records__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.CallData",
-  "CallData",
-  "Peer__CallData",
+  "peer.StoreRecords",
+  "StoreRecords",
+  "Peer__StoreRecords",
   "peer",
-  sizeof(Peer__CallData),
+  sizeof(Peer__StoreRecords),
   2,
-  peer__call_data__field_descriptors,
-  peer__call_data__field_indices_by_name,
-  1,  peer__call_data__number_ranges,
-  (ProtobufCMessageInit) peer__call_data__init,
+  peer__store_records__field_descriptors,
+  peer__store_records__field_indices_by_name,
+  1,  peer__store_records__number_ranges,
+  (ProtobufCMessageInit) peer__store_records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__call_end__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__config_ask__field_descriptors[1] =
 {
   {
-    "id",
+    "have_revision",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallEnd, id),
+    offsetof(Peer__ConfigAsk, have_revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__config_ask__field_indices_by_name[] = {
+  0,   /* field[0] = have_revision */
+};
+static const ProtobufCIntRange peer__config_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__config_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ConfigAsk",
+  "ConfigAsk",
+  "Peer__ConfigAsk",
+  "peer",
+  sizeof(Peer__ConfigAsk),
+  1,
+  peer__config_ask__field_descriptors,
+  peer__config_ask__field_indices_by_name,
+  1,  peer__config_ask__number_ranges,
+  (ProtobufCMessageInit) peer__config_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__config_push__field_descriptors[2] =
+{
   {
-    "aborted",
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ConfigPush, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallEnd, aborted),
+    offsetof(Peer__ConfigPush, document),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__call_end__field_indices_by_name[] = {
-  1,   /* field[1] = aborted */
-  0,   /* field[0] = id */
+static const unsigned peer__config_push__field_indices_by_name[] = {
+  1,   /* field[1] = document */
+  0,   /* field[0] = revision */
 };
-static const ProtobufCIntRange peer__call_end__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__config_push__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor peer__call_end__descriptor =
+const ProtobufCMessageDescriptor peer__config_push__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.CallEnd",
-  "CallEnd",
-  "Peer__CallEnd",
+  "peer.ConfigPush",
+  "ConfigPush",
+  "Peer__ConfigPush",
   "peer",
-  sizeof(Peer__CallEnd),
+  sizeof(Peer__ConfigPush),
   2,
-  peer__call_end__field_descriptors,
-  peer__call_end__field_indices_by_name,
-  1,  peer__call_end__number_ranges,
-  (ProtobufCMessageInit) peer__call_end__init,
+  peer__config_push__field_descriptors,
+  peer__config_push__field_indices_by_name,
+  1,  peer__config_push__number_ranges,
+  (ProtobufCMessageInit) peer__config_push__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__call_cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__key_withdraw__field_descriptors[1] =
 {
   {
-    "id",
+    "key_id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__CallCancel, id),
-    NULL,
+    offsetof(Peer__KeyWithdraw, key_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__call_cancel__field_indices_by_name[] = {
-  0,   /* field[0] = id */
+static const unsigned peer__key_withdraw__field_indices_by_name[] = {
+  0,   /* field[0] = key_id */
 };
-static const ProtobufCIntRange peer__call_cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__key_withdraw__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor peer__call_cancel__descriptor =
+const ProtobufCMessageDescriptor peer__key_withdraw__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.CallCancel",
-  "CallCancel",
-  "Peer__CallCancel",
+  "peer.KeyWithdraw",
+  "KeyWithdraw",
+  "Peer__KeyWithdraw",
   "peer",
-  sizeof(Peer__CallCancel),
+  sizeof(Peer__KeyWithdraw),
   1,
-  peer__call_cancel__field_descriptors,
-  peer__call_cancel__field_indices_by_name,
-  1,  peer__call_cancel__number_ranges,
-  (ProtobufCMessageInit) peer__call_cancel__init,
+  peer__key_withdraw__field_descriptors,
+  peer__key_withdraw__field_indices_by_name,
+  1,  peer__key_withdraw__number_ranges,
+  (ProtobufCMessageInit) peer__key_withdraw__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__limit_ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__branch_state__field_descriptors[16] =
 {
   {
-    "nonce",
+    "branch",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitAsk, nonce),
+    offsetof(Peer__BranchState, branch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "customer",
+    "next_turn",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitAsk, customer),
+    offsetof(Peer__BranchState, next_turn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "history_hash",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, history_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parent_hash",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, parent_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "messages",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, messages),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_last",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, has_last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_doubtful",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_doubtful),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_request",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__BranchState, last_request),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slot",
-    3,
+    "last_history_hash",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitAsk, slot),
+    offsetof(Peer__BranchState, last_history_hash),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tokens",
-    4,
+    "last_answer",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitAsk, tokens),
+    offsetof(Peer__BranchState, last_answer),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "begin_tokens",
-    5,
+    "last_status",
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitAsk, begin_tokens),
+    offsetof(Peer__BranchState, last_status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__limit_ask__field_indices_by_name[] = {
-  4,   /* field[4] = begin_tokens */
-  1,   /* field[1] = customer */
-  0,   /* field[0] = nonce */
-  2,   /* field[2] = slot */
-  3,   /* field[3] = tokens */
-};
-static const ProtobufCIntRange peer__limit_ask__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor peer__limit_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LimitAsk",
-  "LimitAsk",
-  "Peer__LimitAsk",
-  "peer",
-  sizeof(Peer__LimitAsk),
-  5,
-  peer__limit_ask__field_descriptors,
-  peer__limit_ask__field_indices_by_name,
-  1,  peer__limit_ask__number_ranges,
-  (ProtobufCMessageInit) peer__limit_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__limit_loan__field_descriptors[4] =
-{
   {
-    "nonce",
-    1,
+    "last_content_type",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitLoan, nonce),
-    NULL,
+    offsetof(Peer__BranchState, last_content_type),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tokens",
-    2,
+    "last_token_ends",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__BranchState, n_last_token_ends),
+    offsetof(Peer__BranchState, last_token_ends),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_error_kind",
+    14,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitLoan, tokens),
+    offsetof(Peer__BranchState, last_error_kind),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_ms",
-    3,
+    "last_error_run",
+    15,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitLoan, wait_ms),
+    offsetof(Peer__BranchState, last_error_run),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "begin_tokens",
-    4,
+    "last_error_message",
+    16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitLoan, begin_tokens),
-    NULL,
+    offsetof(Peer__BranchState, last_error_message),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__limit_loan__field_indices_by_name[] = {
-  3,   /* field[3] = begin_tokens */
-  0,   /* field[0] = nonce */
-  1,   /* field[1] = tokens */
-  2,   /* field[2] = wait_ms */
+static const unsigned peer__branch_state__field_indices_by_name[] = {
+  0,   /* field[0] = branch */
+  5,   /* field[5] = has_last */
+  2,   /* field[2] = history_hash */
+  9,   /* field[9] = last_answer */
+  11,   /* field[11] = last_content_type */
+  6,   /* field[6] = last_doubtful */
+  13,   /* field[13] = last_error_kind */
+  15,   /* field[15] = last_error_message */
+  14,   /* field[14] = last_error_run */
+  8,   /* field[8] = last_history_hash */
+  7,   /* field[7] = last_request */
+  10,   /* field[10] = last_status */
+  12,   /* field[12] = last_token_ends */
+  4,   /* field[4] = messages */
+  1,   /* field[1] = next_turn */
+  3,   /* field[3] = parent_hash */
 };
-static const ProtobufCIntRange peer__limit_loan__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__branch_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 16 }
 };
-const ProtobufCMessageDescriptor peer__limit_loan__descriptor =
+const ProtobufCMessageDescriptor peer__branch_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LimitLoan",
-  "LimitLoan",
-  "Peer__LimitLoan",
+  "peer.BranchState",
+  "BranchState",
+  "Peer__BranchState",
   "peer",
-  sizeof(Peer__LimitLoan),
-  4,
-  peer__limit_loan__field_descriptors,
-  peer__limit_loan__field_indices_by_name,
-  1,  peer__limit_loan__number_ranges,
-  (ProtobufCMessageInit) peer__limit_loan__init,
+  sizeof(Peer__BranchState),
+  16,
+  peer__branch_state__field_descriptors,
+  peer__branch_state__field_indices_by_name,
+  1,  peer__branch_state__number_ranges,
+  (ProtobufCMessageInit) peer__branch_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__limit_confirm__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__program_handover__field_descriptors[11] =
 {
   {
-    "nonce",
+    "program",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitConfirm, nonce),
-    NULL,
+    offsetof(Peer__ProgramHandover, program),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -2964,230 +4158,219 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitConfirm, customer),
+    offsetof(Peer__ProgramHandover, customer),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slot",
+    "incarnation",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitConfirm, slot),
+    offsetof(Peer__ProgramHandover, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "unused_tokens",
+    "granted_tokens",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitConfirm, unused_tokens),
+    offsetof(Peer__ProgramHandover, granted_tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__limit_confirm__field_indices_by_name[] = {
-  1,   /* field[1] = customer */
-  0,   /* field[0] = nonce */
-  2,   /* field[2] = slot */
-  3,   /* field[3] = unused_tokens */
-};
-static const ProtobufCIntRange peer__limit_confirm__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor peer__limit_confirm__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LimitConfirm",
-  "LimitConfirm",
-  "Peer__LimitConfirm",
-  "peer",
-  sizeof(Peer__LimitConfirm),
-  4,
-  peer__limit_confirm__field_descriptors,
-  peer__limit_confirm__field_indices_by_name,
-  1,  peer__limit_confirm__number_ranges,
-  (ProtobufCMessageInit) peer__limit_confirm__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__store_append__field_descriptors[3] =
-{
   {
-    "id",
-    1,
+    "granted_calls",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__StoreAppend, id),
+    offsetof(Peer__ProgramHandover, granted_calls),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "program",
-    2,
+    "granted_cost_micros",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__StoreAppend, program),
+    offsetof(Peer__ProgramHandover, granted_cost_micros),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "record",
-    3,
+    "spent_tokens",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Peer__StoreAppend, record),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned peer__store_append__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = program */
-  2,   /* field[2] = record */
-};
-static const ProtobufCIntRange peer__store_append__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor peer__store_append__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.StoreAppend",
-  "StoreAppend",
-  "Peer__StoreAppend",
-  "peer",
-  sizeof(Peer__StoreAppend),
-  3,
-  peer__store_append__field_descriptors,
-  peer__store_append__field_indices_by_name,
-  1,  peer__store_append__number_ranges,
-  (ProtobufCMessageInit) peer__store_append__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__store_ack__field_descriptors[2] =
-{
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, spent_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
-    "id",
-    1,
+    "spent_calls",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__StoreAck, id),
+    offsetof(Peer__ProgramHandover, spent_calls),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kept",
-    2,
+    "spent_cost_micros",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__StoreAck, kept),
+    offsetof(Peer__ProgramHandover, spent_cost_micros),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attained_tokens",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ProgramHandover, attained_tokens),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "branches",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__ProgramHandover, n_branches),
+    offsetof(Peer__ProgramHandover, branches),
+    &peer__branch_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__store_ack__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = kept */
+static const unsigned peer__program_handover__field_indices_by_name[] = {
+  9,   /* field[9] = attained_tokens */
+  10,   /* field[10] = branches */
+  1,   /* field[1] = customer */
+  4,   /* field[4] = granted_calls */
+  5,   /* field[5] = granted_cost_micros */
+  3,   /* field[3] = granted_tokens */
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = program */
+  7,   /* field[7] = spent_calls */
+  8,   /* field[8] = spent_cost_micros */
+  6,   /* field[6] = spent_tokens */
 };
-static const ProtobufCIntRange peer__store_ack__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__program_handover__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor peer__store_ack__descriptor =
+const ProtobufCMessageDescriptor peer__program_handover__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.StoreAck",
-  "StoreAck",
-  "Peer__StoreAck",
+  "peer.ProgramHandover",
+  "ProgramHandover",
+  "Peer__ProgramHandover",
   "peer",
-  sizeof(Peer__StoreAck),
-  2,
-  peer__store_ack__field_descriptors,
-  peer__store_ack__field_indices_by_name,
-  1,  peer__store_ack__number_ranges,
-  (ProtobufCMessageInit) peer__store_ack__init,
+  sizeof(Peer__ProgramHandover),
+  11,
+  peer__program_handover__field_descriptors,
+  peer__program_handover__field_indices_by_name,
+  1,  peer__program_handover__number_ranges,
+  (ProtobufCMessageInit) peer__program_handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__store_fetch__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__crash_notice__field_descriptors[3] =
 {
   {
-    "id",
+    "fingerprint",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__StoreFetch, id),
+    offsetof(Peer__CrashNotice, fingerprint),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "program",
+    "crashes",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CrashNotice, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__StoreFetch, program),
+    offsetof(Peer__CrashNotice, endpoint),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__store_fetch__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = program */
+static const unsigned peer__crash_notice__field_indices_by_name[] = {
+  1,   /* field[1] = crashes */
+  2,   /* field[2] = endpoint */
+  0,   /* field[0] = fingerprint */
 };
-static const ProtobufCIntRange peer__store_fetch__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__crash_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor peer__store_fetch__descriptor =
+const ProtobufCMessageDescriptor peer__crash_notice__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.StoreFetch",
-  "StoreFetch",
-  "Peer__StoreFetch",
+  "peer.CrashNotice",
+  "CrashNotice",
+  "Peer__CrashNotice",
   "peer",
-  sizeof(Peer__StoreFetch),
-  2,
-  peer__store_fetch__field_descriptors,
-  peer__store_fetch__field_indices_by_name,
-  1,  peer__store_fetch__number_ranges,
-  (ProtobufCMessageInit) peer__store_fetch__init,
+  sizeof(Peer__CrashNotice),
+  3,
+  peer__crash_notice__field_descriptors,
+  peer__crash_notice__field_indices_by_name,
+  1,  peer__crash_notice__number_ranges,
+  (ProtobufCMessageInit) peer__crash_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__store_records__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__ledger_item__field_descriptors[5] =
 {
   {
     "id",
@@ -3195,642 +4378,818 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__StoreRecords, id),
+    offsetof(Peer__LedgerItem, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "records",
+    "program",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_BYTES,
-    offsetof(Peer__StoreRecords, n_records),
-    offsetof(Peer__StoreRecords, records),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerItem, program),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__store_records__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = records */
-};
-static const ProtobufCIntRange peer__store_records__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor peer__store_records__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.StoreRecords",
-  "StoreRecords",
-  "Peer__StoreRecords",
-  "peer",
-  sizeof(Peer__StoreRecords),
-  2,
-  peer__store_records__field_descriptors,
-  peer__store_records__field_indices_by_name,
-  1,  peer__store_records__number_ranges,
-  (ProtobufCMessageInit) peer__store_records__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__config_ask__field_descriptors[1] =
-{
   {
-    "have_revision",
-    1,
+    "source",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__ConfigAsk, have_revision),
+    offsetof(Peer__LedgerItem, source),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__config_ask__field_indices_by_name[] = {
-  0,   /* field[0] = have_revision */
-};
-static const ProtobufCIntRange peer__config_ask__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor peer__config_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.ConfigAsk",
-  "ConfigAsk",
-  "Peer__ConfigAsk",
-  "peer",
-  sizeof(Peer__ConfigAsk),
-  1,
-  peer__config_ask__field_descriptors,
-  peer__config_ask__field_indices_by_name,
-  1,  peer__config_ask__number_ranges,
-  (ProtobufCMessageInit) peer__config_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__config_push__field_descriptors[2] =
-{
   {
-    "revision",
-    1,
+    "version",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__ConfigPush, revision),
+    offsetof(Peer__LedgerItem, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "document",
-    2,
+    "charged",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__ConfigPush, document),
+    offsetof(Peer__LedgerItem, charged),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__config_push__field_indices_by_name[] = {
-  1,   /* field[1] = document */
-  0,   /* field[0] = revision */
+static const unsigned peer__ledger_item__field_indices_by_name[] = {
+  4,   /* field[4] = charged */
+  0,   /* field[0] = id */
+  1,   /* field[1] = program */
+  2,   /* field[2] = source */
+  3,   /* field[3] = version */
 };
-static const ProtobufCIntRange peer__config_push__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__ledger_item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor peer__config_push__descriptor =
+const ProtobufCMessageDescriptor peer__ledger_item__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.ConfigPush",
-  "ConfigPush",
-  "Peer__ConfigPush",
+  "peer.LedgerItem",
+  "LedgerItem",
+  "Peer__LedgerItem",
   "peer",
-  sizeof(Peer__ConfigPush),
-  2,
-  peer__config_push__field_descriptors,
-  peer__config_push__field_indices_by_name,
-  1,  peer__config_push__number_ranges,
-  (ProtobufCMessageInit) peer__config_push__init,
+  sizeof(Peer__LedgerItem),
+  5,
+  peer__ledger_item__field_descriptors,
+  peer__ledger_item__field_indices_by_name,
+  1,  peer__ledger_item__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__key_withdraw__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__ledger_write__field_descriptors[2] =
 {
   {
-    "key_id",
+    "items",
     1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerWrite, n_items),
+    offsetof(Peer__LedgerWrite, items),
+    &peer__ledger_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hand_over",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__KeyWithdraw, key_id),
+    offsetof(Peer__LedgerWrite, hand_over),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__key_withdraw__field_indices_by_name[] = {
-  0,   /* field[0] = key_id */
+static const unsigned peer__ledger_write__field_indices_by_name[] = {
+  1,   /* field[1] = hand_over */
+  0,   /* field[0] = items */
 };
-static const ProtobufCIntRange peer__key_withdraw__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__ledger_write__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor peer__key_withdraw__descriptor =
+const ProtobufCMessageDescriptor peer__ledger_write__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.KeyWithdraw",
-  "KeyWithdraw",
-  "Peer__KeyWithdraw",
+  "peer.LedgerWrite",
+  "LedgerWrite",
+  "Peer__LedgerWrite",
   "peer",
-  sizeof(Peer__KeyWithdraw),
-  1,
-  peer__key_withdraw__field_descriptors,
-  peer__key_withdraw__field_indices_by_name,
-  1,  peer__key_withdraw__number_ranges,
-  (ProtobufCMessageInit) peer__key_withdraw__init,
+  sizeof(Peer__LedgerWrite),
+  2,
+  peer__ledger_write__field_descriptors,
+  peer__ledger_write__field_indices_by_name,
+  1,  peer__ledger_write__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_write__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__branch_state__field_descriptors[16] =
+static const ProtobufCFieldDescriptor peer__ledger_answer__field_descriptors[4] =
 {
   {
-    "branch",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, branch),
+    offsetof(Peer__LedgerAnswer, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "next_turn",
+    "entries",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, next_turn),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerAnswer, n_entries),
+    offsetof(Peer__LedgerAnswer, entries),
+    &peer__ledger_item__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "history_hash",
+    "keeper",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, history_hash),
-    NULL,
+    offsetof(Peer__LedgerAnswer, keeper),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "parent_hash",
+    "behind",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, parent_hash),
+    offsetof(Peer__LedgerAnswer, behind),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__ledger_answer__field_indices_by_name[] = {
+  3,   /* field[3] = behind */
+  1,   /* field[1] = entries */
+  0,   /* field[0] = id */
+  2,   /* field[2] = keeper */
+};
+static const ProtobufCIntRange peer__ledger_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__ledger_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerAnswer",
+  "LedgerAnswer",
+  "Peer__LedgerAnswer",
+  "peer",
+  sizeof(Peer__LedgerAnswer),
+  4,
+  peer__ledger_answer__field_descriptors,
+  peer__ledger_answer__field_indices_by_name,
+  1,  peer__ledger_answer__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ledger_answers__field_descriptors[1] =
+{
   {
-    "messages",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, messages),
-    NULL,
+    "answers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerAnswers, n_answers),
+    offsetof(Peer__LedgerAnswers, answers),
+    &peer__ledger_answer__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__ledger_answers__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+};
+static const ProtobufCIntRange peer__ledger_answers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__ledger_answers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerAnswers",
+  "LedgerAnswers",
+  "Peer__LedgerAnswers",
+  "peer",
+  sizeof(Peer__LedgerAnswers),
+  1,
+  peer__ledger_answers__field_descriptors,
+  peer__ledger_answers__field_indices_by_name,
+  1,  peer__ledger_answers__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_answers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ledger_relay__field_descriptors[1] =
+{
   {
-    "has_last",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, has_last),
-    NULL,
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerRelay, n_items),
+    offsetof(Peer__LedgerRelay, items),
+    &peer__ledger_item__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__ledger_relay__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange peer__ledger_relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__ledger_relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerRelay",
+  "LedgerRelay",
+  "Peer__LedgerRelay",
+  "peer",
+  sizeof(Peer__LedgerRelay),
+  1,
+  peer__ledger_relay__field_descriptors,
+  peer__ledger_relay__field_indices_by_name,
+  1,  peer__ledger_relay__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ledger_ask__field_descriptors[1] =
+{
   {
-    "last_doubtful",
-    7,
+    "after",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, last_doubtful),
+    offsetof(Peer__LedgerAsk, after),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__ledger_ask__field_indices_by_name[] = {
+  0,   /* field[0] = after */
+};
+static const ProtobufCIntRange peer__ledger_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__ledger_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerAsk",
+  "LedgerAsk",
+  "Peer__LedgerAsk",
+  "peer",
+  sizeof(Peer__LedgerAsk),
+  1,
+  peer__ledger_ask__field_descriptors,
+  peer__ledger_ask__field_indices_by_name,
+  1,  peer__ledger_ask__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__ledger_page__field_descriptors[4] =
+{
   {
-    "last_request",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, last_request),
-    NULL,
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LedgerPage, n_items),
+    offsetof(Peer__LedgerPage, items),
+    &peer__ledger_item__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_history_hash",
-    9,
+    "next",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, last_history_hash),
+    offsetof(Peer__LedgerPage, next),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_answer",
-    10,
+    "last",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, last_answer),
+    offsetof(Peer__LedgerPage, last),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_status",
-    11,
+    "whole",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, last_status),
+    offsetof(Peer__LedgerPage, whole),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__ledger_page__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+  2,   /* field[2] = last */
+  1,   /* field[1] = next */
+  3,   /* field[3] = whole */
+};
+static const ProtobufCIntRange peer__ledger_page__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__ledger_page__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LedgerPage",
+  "LedgerPage",
+  "Peer__LedgerPage",
+  "peer",
+  sizeof(Peer__LedgerPage),
+  4,
+  peer__ledger_page__field_descriptors,
+  peer__ledger_page__field_indices_by_name,
+  1,  peer__ledger_page__number_ranges,
+  (ProtobufCMessageInit) peer__ledger_page__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__feed_state__field_descriptors[4] =
+{
   {
-    "last_content_type",
-    12,
+    "kind",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, last_content_type),
+    offsetof(Peer__FeedState, kind),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_token_ends",
-    13,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Peer__BranchState, n_last_token_ends),
-    offsetof(Peer__BranchState, last_token_ends),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "last_error_kind",
-    14,
+    "revision",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, last_error_kind),
+    offsetof(Peer__FeedState, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_error_run",
-    15,
+    "count",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, last_error_run),
+    offsetof(Peer__FeedState, count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_error_message",
-    16,
+    "age_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__BranchState, last_error_message),
+    offsetof(Peer__FeedState, age_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__branch_state__field_indices_by_name[] = {
-  0,   /* field[0] = branch */
-  5,   /* field[5] = has_last */
-  2,   /* field[2] = history_hash */
-  9,   /* field[9] = last_answer */
-  11,   /* field[11] = last_content_type */
-  6,   /* field[6] = last_doubtful */
-  13,   /* field[13] = last_error_kind */
-  15,   /* field[15] = last_error_message */
-  14,   /* field[14] = last_error_run */
-  8,   /* field[8] = last_history_hash */
-  7,   /* field[7] = last_request */
-  10,   /* field[10] = last_status */
-  12,   /* field[12] = last_token_ends */
-  4,   /* field[4] = messages */
-  1,   /* field[1] = next_turn */
-  3,   /* field[3] = parent_hash */
+static const unsigned peer__feed_state__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = count */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = revision */
 };
-static const ProtobufCIntRange peer__branch_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__feed_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor peer__branch_state__descriptor =
+const ProtobufCMessageDescriptor peer__feed_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.BranchState",
-  "BranchState",
-  "Peer__BranchState",
+  "peer.FeedState",
+  "FeedState",
+  "Peer__FeedState",
   "peer",
-  sizeof(Peer__BranchState),
-  16,
-  peer__branch_state__field_descriptors,
-  peer__branch_state__field_indices_by_name,
-  1,  peer__branch_state__number_ranges,
-  (ProtobufCMessageInit) peer__branch_state__init,
+  sizeof(Peer__FeedState),
+  4,
+  peer__feed_state__field_descriptors,
+  peer__feed_state__field_indices_by_name,
+  1,  peer__feed_state__number_ranges,
+  (ProtobufCMessageInit) peer__feed_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__program_handover__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer__feed_beacon__field_descriptors[1] =
 {
   {
-    "program",
+    "states",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, program),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__FeedBeacon, n_states),
+    offsetof(Peer__FeedBeacon, states),
+    &peer__feed_state__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__feed_beacon__field_indices_by_name[] = {
+  0,   /* field[0] = states */
+};
+static const ProtobufCIntRange peer__feed_beacon__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__feed_beacon__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.FeedBeacon",
+  "FeedBeacon",
+  "Peer__FeedBeacon",
+  "peer",
+  sizeof(Peer__FeedBeacon),
+  1,
+  peer__feed_beacon__field_descriptors,
+  peer__feed_beacon__field_indices_by_name,
+  1,  peer__feed_beacon__number_ranges,
+  (ProtobufCMessageInit) peer__feed_beacon__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__feed_ask__field_descriptors[2] =
+{
   {
-    "customer",
-    2,
+    "kind",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, customer),
+    offsetof(Peer__FeedAsk, kind),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    3,
+    "revision",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, incarnation),
+    offsetof(Peer__FeedAsk, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__feed_ask__field_indices_by_name[] = {
+  0,   /* field[0] = kind */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange peer__feed_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__feed_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.FeedAsk",
+  "FeedAsk",
+  "Peer__FeedAsk",
+  "peer",
+  sizeof(Peer__FeedAsk),
+  2,
+  peer__feed_ask__field_descriptors,
+  peer__feed_ask__field_indices_by_name,
+  1,  peer__feed_ask__number_ranges,
+  (ProtobufCMessageInit) peer__feed_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__feed_object__field_descriptors[3] =
+{
   {
-    "granted_tokens",
-    4,
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, granted_tokens),
-    NULL,
+    offsetof(Peer__FeedObject, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "granted_calls",
-    5,
+    "revision",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, granted_calls),
+    offsetof(Peer__FeedObject, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "granted_cost_micros",
-    6,
+    "text",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, granted_cost_micros),
+    offsetof(Peer__FeedObject, text),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__feed_object__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = revision */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange peer__feed_object__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__feed_object__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.FeedObject",
+  "FeedObject",
+  "Peer__FeedObject",
+  "peer",
+  sizeof(Peer__FeedObject),
+  3,
+  peer__feed_object__field_descriptors,
+  peer__feed_object__field_indices_by_name,
+  1,  peer__feed_object__number_ranges,
+  (ProtobufCMessageInit) peer__feed_object__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__feed_update__field_descriptors[5] =
+{
   {
-    "spent_tokens",
-    7,
+    "state",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, spent_tokens),
-    NULL,
+    offsetof(Peer__FeedUpdate, state),
+    &peer__feed_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "spent_calls",
-    8,
+    "since",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, spent_calls),
+    offsetof(Peer__FeedUpdate, since),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "spent_cost_micros",
-    9,
+    "is_complete",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, spent_cost_micros),
+    offsetof(Peer__FeedUpdate, is_complete),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attained_tokens",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__ProgramHandover, attained_tokens),
-    NULL,
+    "objects",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__FeedUpdate, n_objects),
+    offsetof(Peer__FeedUpdate, objects),
+    &peer__feed_object__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "branches",
-    11,
+    "names",
+    5,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__ProgramHandover, n_branches),
-    offsetof(Peer__ProgramHandover, branches),
-    &peer__branch_state__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__FeedUpdate, n_names),
+    offsetof(Peer__FeedUpdate, names),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__program_handover__field_indices_by_name[] = {
-  9,   /* field[9] = attained_tokens */
-  10,   /* field[10] = branches */
-  1,   /* field[1] = customer */
-  4,   /* field[4] = granted_calls */
-  5,   /* field[5] = granted_cost_micros */
-  3,   /* field[3] = granted_tokens */
-  2,   /* field[2] = incarnation */
-  0,   /* field[0] = program */
-  7,   /* field[7] = spent_calls */
-  8,   /* field[8] = spent_cost_micros */
-  6,   /* field[6] = spent_tokens */
+static const unsigned peer__feed_update__field_indices_by_name[] = {
+  2,   /* field[2] = is_complete */
+  4,   /* field[4] = names */
+  3,   /* field[3] = objects */
+  1,   /* field[1] = since */
+  0,   /* field[0] = state */
 };
-static const ProtobufCIntRange peer__program_handover__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__feed_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor peer__program_handover__descriptor =
+const ProtobufCMessageDescriptor peer__feed_update__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.ProgramHandover",
-  "ProgramHandover",
-  "Peer__ProgramHandover",
+  "peer.FeedUpdate",
+  "FeedUpdate",
+  "Peer__FeedUpdate",
   "peer",
-  sizeof(Peer__ProgramHandover),
-  11,
-  peer__program_handover__field_descriptors,
-  peer__program_handover__field_indices_by_name,
-  1,  peer__program_handover__number_ranges,
-  (ProtobufCMessageInit) peer__program_handover__init,
+  sizeof(Peer__FeedUpdate),
+  5,
+  peer__feed_update__field_descriptors,
+  peer__feed_update__field_indices_by_name,
+  1,  peer__feed_update__number_ranges,
+  (ProtobufCMessageInit) peer__feed_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__crash_notice__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__stream_origin__field_descriptors[5] =
 {
   {
-    "fingerprint",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CrashNotice, fingerprint),
+    offsetof(Peer__StreamOrigin, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crashes",
+    "stream",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CrashNotice, crashes),
+    offsetof(Peer__StreamOrigin, stream),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint",
+    "build",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__CrashNotice, endpoint),
+    offsetof(Peer__StreamOrigin, build),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_by_attempt",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, is_by_attempt),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__crash_notice__field_indices_by_name[] = {
-  1,   /* field[1] = crashes */
-  2,   /* field[2] = endpoint */
-  0,   /* field[0] = fingerprint */
+static const unsigned peer__stream_origin__field_indices_by_name[] = {
+  3,   /* field[3] = attempt */
+  2,   /* field[2] = build */
+  0,   /* field[0] = id */
+  4,   /* field[4] = is_by_attempt */
+  1,   /* field[1] = stream */
 };
-static const ProtobufCIntRange peer__crash_notice__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__stream_origin__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor peer__crash_notice__descriptor =
+const ProtobufCMessageDescriptor peer__stream_origin__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.CrashNotice",
-  "CrashNotice",
-  "Peer__CrashNotice",
+  "peer.StreamOrigin",
+  "StreamOrigin",
+  "Peer__StreamOrigin",
   "peer",
-  sizeof(Peer__CrashNotice),
-  3,
-  peer__crash_notice__field_descriptors,
-  peer__crash_notice__field_indices_by_name,
-  1,  peer__crash_notice__number_ranges,
-  (ProtobufCMessageInit) peer__crash_notice__init,
+  sizeof(Peer__StreamOrigin),
+  5,
+  peer__stream_origin__field_descriptors,
+  peer__stream_origin__field_indices_by_name,
+  1,  peer__stream_origin__number_ranges,
+  (ProtobufCMessageInit) peer__stream_origin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ledger_item__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__stream_ask__field_descriptors[3] =
 {
   {
     "id",
@@ -3838,728 +5197,731 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerItem, id),
+    offsetof(Peer__StreamAsk, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "program",
+    "stream",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerItem, program),
+    offsetof(Peer__StreamAsk, stream),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "source",
+    "attempt",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerItem, source),
+    offsetof(Peer__StreamAsk, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__stream_ask__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  0,   /* field[0] = id */
+  1,   /* field[1] = stream */
+};
+static const ProtobufCIntRange peer__stream_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__stream_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StreamAsk",
+  "StreamAsk",
+  "Peer__StreamAsk",
+  "peer",
+  sizeof(Peer__StreamAsk),
+  3,
+  peer__stream_ask__field_descriptors,
+  peer__stream_ask__field_indices_by_name,
+  1,  peer__stream_ask__number_ranges,
+  (ProtobufCMessageInit) peer__stream_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__endpoint_ask__field_descriptors[5] =
+{
   {
-    "version",
-    4,
+    "nonce",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerItem, version),
+    offsetof(Peer__EndpointAsk, nonce),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "charged",
-    5,
+    "endpoint",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerItem, charged),
+    offsetof(Peer__EndpointAsk, endpoint),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__ledger_item__field_indices_by_name[] = {
-  4,   /* field[4] = charged */
-  0,   /* field[0] = id */
-  1,   /* field[1] = program */
-  2,   /* field[2] = source */
-  3,   /* field[3] = version */
-};
-static const ProtobufCIntRange peer__ledger_item__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor peer__ledger_item__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LedgerItem",
-  "LedgerItem",
-  "Peer__LedgerItem",
-  "peer",
-  sizeof(Peer__LedgerItem),
-  5,
-  peer__ledger_item__field_descriptors,
-  peer__ledger_item__field_indices_by_name,
-  1,  peer__ledger_item__number_ranges,
-  (ProtobufCMessageInit) peer__ledger_item__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__ledger_write__field_descriptors[2] =
-{
   {
-    "items",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__LedgerWrite, n_items),
-    offsetof(Peer__LedgerWrite, items),
-    &peer__ledger_item__descriptor,
+    "data_centre",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointAsk, data_centre),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hand_over",
-    2,
+    "limit_milli",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_SINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerWrite, hand_over),
+    offsetof(Peer__EndpointAsk, limit_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_wait_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointAsk, max_wait_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__ledger_write__field_indices_by_name[] = {
-  1,   /* field[1] = hand_over */
-  0,   /* field[0] = items */
+static const unsigned peer__endpoint_ask__field_indices_by_name[] = {
+  2,   /* field[2] = data_centre */
+  1,   /* field[1] = endpoint */
+  3,   /* field[3] = limit_milli */
+  4,   /* field[4] = max_wait_ms */
+  0,   /* field[0] = nonce */
 };
-static const ProtobufCIntRange peer__ledger_write__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__endpoint_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor peer__ledger_write__descriptor =
+const ProtobufCMessageDescriptor peer__endpoint_ask__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LedgerWrite",
-  "LedgerWrite",
-  "Peer__LedgerWrite",
+  "peer.EndpointAsk",
+  "EndpointAsk",
+  "Peer__EndpointAsk",
   "peer",
-  sizeof(Peer__LedgerWrite),
-  2,
-  peer__ledger_write__field_descriptors,
-  peer__ledger_write__field_indices_by_name,
-  1,  peer__ledger_write__number_ranges,
-  (ProtobufCMessageInit) peer__ledger_write__init,
+  sizeof(Peer__EndpointAsk),
+  5,
+  peer__endpoint_ask__field_descriptors,
+  peer__endpoint_ask__field_indices_by_name,
+  1,  peer__endpoint_ask__number_ranges,
+  (ProtobufCMessageInit) peer__endpoint_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ledger_answer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__endpoint_permit__field_descriptors[5] =
 {
   {
-    "id",
+    "nonce",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerAnswer, id),
+    offsetof(Peer__EndpointPermit, nonce),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entries",
+    "is_granted",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__LedgerAnswer, n_entries),
-    offsetof(Peer__LedgerAnswer, entries),
-    &peer__ledger_item__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointPermit, is_granted),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "keeper",
+    "wait_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerAnswer, keeper),
+    offsetof(Peer__EndpointPermit, wait_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "behind",
+    "limit_milli",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_SINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerAnswer, behind),
+    offsetof(Peer__EndpointPermit, limit_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__ledger_answer__field_indices_by_name[] = {
-  3,   /* field[3] = behind */
-  1,   /* field[1] = entries */
-  0,   /* field[0] = id */
-  2,   /* field[2] = keeper */
-};
-static const ProtobufCIntRange peer__ledger_answer__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor peer__ledger_answer__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LedgerAnswer",
-  "LedgerAnswer",
-  "Peer__LedgerAnswer",
-  "peer",
-  sizeof(Peer__LedgerAnswer),
-  4,
-  peer__ledger_answer__field_descriptors,
-  peer__ledger_answer__field_indices_by_name,
-  1,  peer__ledger_answer__number_ranges,
-  (ProtobufCMessageInit) peer__ledger_answer__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__ledger_answers__field_descriptors[1] =
-{
   {
-    "answers",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__LedgerAnswers, n_answers),
-    offsetof(Peer__LedgerAnswers, answers),
-    &peer__ledger_answer__descriptor,
+    "is_primary_alive",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointPermit, is_primary_alive),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__ledger_answers__field_indices_by_name[] = {
-  0,   /* field[0] = answers */
+static const unsigned peer__endpoint_permit__field_indices_by_name[] = {
+  1,   /* field[1] = is_granted */
+  4,   /* field[4] = is_primary_alive */
+  3,   /* field[3] = limit_milli */
+  0,   /* field[0] = nonce */
+  2,   /* field[2] = wait_ms */
 };
-static const ProtobufCIntRange peer__ledger_answers__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__endpoint_permit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor peer__ledger_answers__descriptor =
+const ProtobufCMessageDescriptor peer__endpoint_permit__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LedgerAnswers",
-  "LedgerAnswers",
-  "Peer__LedgerAnswers",
+  "peer.EndpointPermit",
+  "EndpointPermit",
+  "Peer__EndpointPermit",
   "peer",
-  sizeof(Peer__LedgerAnswers),
-  1,
-  peer__ledger_answers__field_descriptors,
-  peer__ledger_answers__field_indices_by_name,
-  1,  peer__ledger_answers__number_ranges,
-  (ProtobufCMessageInit) peer__ledger_answers__init,
+  sizeof(Peer__EndpointPermit),
+  5,
+  peer__endpoint_permit__field_descriptors,
+  peer__endpoint_permit__field_indices_by_name,
+  1,  peer__endpoint_permit__number_ranges,
+  (ProtobufCMessageInit) peer__endpoint_permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ledger_relay__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__endpoint_report__field_descriptors[6] =
 {
   {
-    "items",
+    "endpoint",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__LedgerRelay, n_items),
-    offsetof(Peer__LedgerRelay, items),
-    &peer__ledger_item__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointReport, endpoint),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__ledger_relay__field_indices_by_name[] = {
-  0,   /* field[0] = items */
-};
-static const ProtobufCIntRange peer__ledger_relay__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor peer__ledger_relay__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LedgerRelay",
-  "LedgerRelay",
-  "Peer__LedgerRelay",
-  "peer",
-  sizeof(Peer__LedgerRelay),
-  1,
-  peer__ledger_relay__field_descriptors,
-  peer__ledger_relay__field_indices_by_name,
-  1,  peer__ledger_relay__number_ranges,
-  (ProtobufCMessageInit) peer__ledger_relay__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__ledger_ask__field_descriptors[1] =
-{
   {
-    "after",
-    1,
+    "data_centre",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerAsk, after),
+    offsetof(Peer__EndpointReport, data_centre),
     NULL,
     NULL,
     0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned peer__ledger_ask__field_indices_by_name[] = {
-  0,   /* field[0] = after */
-};
-static const ProtobufCIntRange peer__ledger_ask__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor peer__ledger_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LedgerAsk",
-  "LedgerAsk",
-  "Peer__LedgerAsk",
-  "peer",
-  sizeof(Peer__LedgerAsk),
-  1,
-  peer__ledger_ask__field_descriptors,
-  peer__ledger_ask__field_indices_by_name,
-  1,  peer__ledger_ask__number_ranges,
-  (ProtobufCMessageInit) peer__ledger_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__ledger_page__field_descriptors[4] =
-{
-  {
-    "items",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__LedgerPage, n_items),
-    offsetof(Peer__LedgerPage, items),
-    &peer__ledger_item__descriptor,
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointReport, has_limit),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "next",
-    2,
+    "limit_milli",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_SINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerPage, next),
+    offsetof(Peer__EndpointReport, limit_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last",
-    3,
+    "age_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerPage, last),
+    offsetof(Peer__EndpointReport, age_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "whole",
-    4,
+    "is_leaving",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__LedgerPage, whole),
+    offsetof(Peer__EndpointReport, is_leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__ledger_page__field_indices_by_name[] = {
-  0,   /* field[0] = items */
-  2,   /* field[2] = last */
-  1,   /* field[1] = next */
-  3,   /* field[3] = whole */
+static const unsigned peer__endpoint_report__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  1,   /* field[1] = data_centre */
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = has_limit */
+  5,   /* field[5] = is_leaving */
+  3,   /* field[3] = limit_milli */
 };
-static const ProtobufCIntRange peer__ledger_page__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__endpoint_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor peer__ledger_page__descriptor =
+const ProtobufCMessageDescriptor peer__endpoint_report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.LedgerPage",
-  "LedgerPage",
-  "Peer__LedgerPage",
+  "peer.EndpointReport",
+  "EndpointReport",
+  "Peer__EndpointReport",
   "peer",
-  sizeof(Peer__LedgerPage),
-  4,
-  peer__ledger_page__field_descriptors,
-  peer__ledger_page__field_indices_by_name,
-  1,  peer__ledger_page__number_ranges,
-  (ProtobufCMessageInit) peer__ledger_page__init,
+  sizeof(Peer__EndpointReport),
+  6,
+  peer__endpoint_report__field_descriptors,
+  peer__endpoint_report__field_indices_by_name,
+  1,  peer__endpoint_report__number_ranges,
+  (ProtobufCMessageInit) peer__endpoint_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__feed_state__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__endpoint_fact__field_descriptors[3] =
 {
   {
-    "kind",
+    "endpoint",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedState, kind),
+    offsetof(Peer__EndpointFact, endpoint),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
+    "limit_milli",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_SINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedState, revision),
+    offsetof(Peer__EndpointFact, limit_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "count",
+    "is_leaving",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedState, count),
+    offsetof(Peer__EndpointFact, is_leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__endpoint_fact__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = is_leaving */
+  1,   /* field[1] = limit_milli */
+};
+static const ProtobufCIntRange peer__endpoint_fact__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__endpoint_fact__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.EndpointFact",
+  "EndpointFact",
+  "Peer__EndpointFact",
+  "peer",
+  sizeof(Peer__EndpointFact),
+  3,
+  peer__endpoint_fact__field_descriptors,
+  peer__endpoint_fact__field_indices_by_name,
+  1,  peer__endpoint_fact__number_ranges,
+  (ProtobufCMessageInit) peer__endpoint_fact__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__endpoint_notice__field_descriptors[2] =
+{
   {
-    "age_ms",
-    4,
+    "facts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__EndpointNotice, n_facts),
+    offsetof(Peer__EndpointNotice, facts),
+    &peer__endpoint_fact__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass_on",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedState, age_ms),
+    offsetof(Peer__EndpointNotice, pass_on),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__feed_state__field_indices_by_name[] = {
-  3,   /* field[3] = age_ms */
-  2,   /* field[2] = count */
-  0,   /* field[0] = kind */
-  1,   /* field[1] = revision */
+static const unsigned peer__endpoint_notice__field_indices_by_name[] = {
+  0,   /* field[0] = facts */
+  1,   /* field[1] = pass_on */
 };
-static const ProtobufCIntRange peer__feed_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__endpoint_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor peer__feed_state__descriptor =
+const ProtobufCMessageDescriptor peer__endpoint_notice__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.FeedState",
-  "FeedState",
-  "Peer__FeedState",
+  "peer.EndpointNotice",
+  "EndpointNotice",
+  "Peer__EndpointNotice",
   "peer",
-  sizeof(Peer__FeedState),
-  4,
-  peer__feed_state__field_descriptors,
-  peer__feed_state__field_indices_by_name,
-  1,  peer__feed_state__number_ranges,
-  (ProtobufCMessageInit) peer__feed_state__init,
+  sizeof(Peer__EndpointNotice),
+  2,
+  peer__endpoint_notice__field_descriptors,
+  peer__endpoint_notice__field_indices_by_name,
+  1,  peer__endpoint_notice__number_ranges,
+  (ProtobufCMessageInit) peer__endpoint_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__feed_beacon__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__relay_ask__field_descriptors[1] =
 {
   {
-    "states",
+    "silent",
     1,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__FeedBeacon, n_states),
-    offsetof(Peer__FeedBeacon, states),
-    &peer__feed_state__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__RelayAsk, n_silent),
+    offsetof(Peer__RelayAsk, silent),
     NULL,
-    0,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__feed_beacon__field_indices_by_name[] = {
-  0,   /* field[0] = states */
+static const unsigned peer__relay_ask__field_indices_by_name[] = {
+  0,   /* field[0] = silent */
 };
-static const ProtobufCIntRange peer__feed_beacon__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__relay_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor peer__feed_beacon__descriptor =
+const ProtobufCMessageDescriptor peer__relay_ask__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.FeedBeacon",
-  "FeedBeacon",
-  "Peer__FeedBeacon",
+  "peer.RelayAsk",
+  "RelayAsk",
+  "Peer__RelayAsk",
   "peer",
-  sizeof(Peer__FeedBeacon),
+  sizeof(Peer__RelayAsk),
   1,
-  peer__feed_beacon__field_descriptors,
-  peer__feed_beacon__field_indices_by_name,
-  1,  peer__feed_beacon__number_ranges,
-  (ProtobufCMessageInit) peer__feed_beacon__init,
+  peer__relay_ask__field_descriptors,
+  peer__relay_ask__field_indices_by_name,
+  1,  peer__relay_ask__number_ranges,
+  (ProtobufCMessageInit) peer__relay_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__relay_offer__field_descriptors[2] =
+{
+  {
+    "room",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayOffer, room),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__RelayOffer, n_services),
+    offsetof(Peer__RelayOffer, services),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__relay_offer__field_indices_by_name[] = {
+  0,   /* field[0] = room */
+  1,   /* field[1] = services */
+};
+static const ProtobufCIntRange peer__relay_offer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__relay_offer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RelayOffer",
+  "RelayOffer",
+  "Peer__RelayOffer",
+  "peer",
+  sizeof(Peer__RelayOffer),
+  2,
+  peer__relay_offer__field_descriptors,
+  peer__relay_offer__field_indices_by_name,
+  1,  peer__relay_offer__number_ranges,
+  (ProtobufCMessageInit) peer__relay_offer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__feed_ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__relay_send__field_descriptors[12] =
 {
   {
-    "kind",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedAsk, kind),
+    offsetof(Peer__RelaySend, id),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
+    "endpoint",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedAsk, revision),
+    offsetof(Peer__RelaySend, endpoint),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__feed_ask__field_indices_by_name[] = {
-  0,   /* field[0] = kind */
-  1,   /* field[1] = revision */
-};
-static const ProtobufCIntRange peer__feed_ask__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor peer__feed_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.FeedAsk",
-  "FeedAsk",
-  "Peer__FeedAsk",
-  "peer",
-  sizeof(Peer__FeedAsk),
-  2,
-  peer__feed_ask__field_descriptors,
-  peer__feed_ask__field_indices_by_name,
-  1,  peer__feed_ask__number_ranges,
-  (ProtobufCMessageInit) peer__feed_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__feed_object__field_descriptors[3] =
-{
   {
-    "name",
-    1,
+    "fingerprint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedObject, name),
+    offsetof(Peer__RelaySend, method),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
-    2,
+    "target",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedObject, revision),
+    offsetof(Peer__RelaySend, target),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelaySend, n_headers),
+    offsetof(Peer__RelaySend, headers),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "text",
-    3,
+    "body",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedObject, text),
+    offsetof(Peer__RelaySend, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__feed_object__field_indices_by_name[] = {
-  0,   /* field[0] = name */
-  1,   /* field[1] = revision */
-  2,   /* field[2] = text */
-};
-static const ProtobufCIntRange peer__feed_object__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor peer__feed_object__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.FeedObject",
-  "FeedObject",
-  "Peer__FeedObject",
-  "peer",
-  sizeof(Peer__FeedObject),
-  3,
-  peer__feed_object__field_descriptors,
-  peer__feed_object__field_indices_by_name,
-  1,  peer__feed_object__number_ranges,
-  (ProtobufCMessageInit) peer__feed_object__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__feed_update__field_descriptors[5] =
-{
   {
-    "state",
-    1,
+    "timeout_ms",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedUpdate, state),
-    &peer__feed_state__descriptor,
+    offsetof(Peer__RelaySend, timeout_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "since",
-    2,
+    "max_idle_ms",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedUpdate, since),
+    offsetof(Peer__RelaySend, max_idle_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_complete",
-    3,
+    "is_streamed",
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__FeedUpdate, is_complete),
+    offsetof(Peer__RelaySend, is_streamed),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "objects",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__FeedUpdate, n_objects),
-    offsetof(Peer__FeedUpdate, objects),
-    &peer__feed_object__descriptor,
+    "is_single_attempt",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, is_single_attempt),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "names",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Peer__FeedUpdate, n_names),
-    offsetof(Peer__FeedUpdate, names),
+    "has_permit",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, has_permit),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__feed_update__field_indices_by_name[] = {
-  2,   /* field[2] = is_complete */
-  4,   /* field[4] = names */
-  3,   /* field[3] = objects */
-  1,   /* field[1] = since */
-  0,   /* field[0] = state */
+static const unsigned peer__relay_send__field_indices_by_name[] = {
+  6,   /* field[6] = body */
+  1,   /* field[1] = endpoint */
+  2,   /* field[2] = fingerprint */
+  11,   /* field[11] = has_permit */
+  5,   /* field[5] = headers */
+  0,   /* field[0] = id */
+  10,   /* field[10] = is_single_attempt */
+  9,   /* field[9] = is_streamed */
+  8,   /* field[8] = max_idle_ms */
+  3,   /* field[3] = method */
+  4,   /* field[4] = target */
+  7,   /* field[7] = timeout_ms */
 };
-static const ProtobufCIntRange peer__feed_update__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__relay_send__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 12 }
 };
-const ProtobufCMessageDescriptor peer__feed_update__descriptor =
+const ProtobufCMessageDescriptor peer__relay_send__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.FeedUpdate",
-  "FeedUpdate",
-  "Peer__FeedUpdate",
+  "peer.RelaySend",
+  "RelaySend",
+  "Peer__RelaySend",
   "peer",
-  sizeof(Peer__FeedUpdate),
-  5,
-  peer__feed_update__field_descriptors,
-  peer__feed_update__field_indices_by_name,
-  1,  peer__feed_update__number_ranges,
-  (ProtobufCMessageInit) peer__feed_update__init,
+  sizeof(Peer__RelaySend),
+  12,
+  peer__relay_send__field_descriptors,
+  peer__relay_send__field_indices_by_name,
+  1,  peer__relay_send__number_ranges,
+  (ProtobufCMessageInit) peer__relay_send__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__stream_origin__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__relay_data__field_descriptors[6] =
 {
   {
     "id",
@@ -4567,63 +5929,102 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__StreamOrigin, id),
+    offsetof(Peer__RelayData, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stream",
+    "sequence",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__StreamOrigin, stream),
+    offsetof(Peer__RelayData, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayData, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "names",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelayData, n_names),
+    offsetof(Peer__RelayData, names),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelayData, n_values),
+    offsetof(Peer__RelayData, values),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "build",
-    3,
+    "bytes",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__StreamOrigin, build),
+    offsetof(Peer__RelayData, bytes),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__stream_origin__field_indices_by_name[] = {
-  2,   /* field[2] = build */
+static const unsigned peer__relay_data__field_indices_by_name[] = {
+  5,   /* field[5] = bytes */
   0,   /* field[0] = id */
-  1,   /* field[1] = stream */
+  3,   /* field[3] = names */
+  1,   /* field[1] = sequence */
+  2,   /* field[2] = status */
+  4,   /* field[4] = values */
 };
-static const ProtobufCIntRange peer__stream_origin__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__relay_data__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor peer__stream_origin__descriptor =
+const ProtobufCMessageDescriptor peer__relay_data__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.StreamOrigin",
-  "StreamOrigin",
-  "Peer__StreamOrigin",
+  "peer.RelayData",
+  "RelayData",
+  "Peer__RelayData",
   "peer",
-  sizeof(Peer__StreamOrigin),
-  3,
-  peer__stream_origin__field_descriptors,
-  peer__stream_origin__field_indices_by_name,
-  1,  peer__stream_origin__number_ranges,
-  (ProtobufCMessageInit) peer__stream_origin__init,
+  sizeof(Peer__RelayData),
+  6,
+  peer__relay_data__field_descriptors,
+  peer__relay_data__field_indices_by_name,
+  1,  peer__relay_data__number_ranges,
+  (ProtobufCMessageInit) peer__relay_data__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__stream_ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__relay_done__field_descriptors[13] =
 {
   {
     "id",
@@ -4631,537 +6032,386 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__StreamAsk, id),
+    offsetof(Peer__RelayDone, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stream",
+    "sequence",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__StreamAsk, stream),
+    offsetof(Peer__RelayDone, sequence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__stream_ask__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = stream */
-};
-static const ProtobufCIntRange peer__stream_ask__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor peer__stream_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.StreamAsk",
-  "StreamAsk",
-  "Peer__StreamAsk",
-  "peer",
-  sizeof(Peer__StreamAsk),
-  2,
-  peer__stream_ask__field_descriptors,
-  peer__stream_ask__field_indices_by_name,
-  1,  peer__stream_ask__number_ranges,
-  (ProtobufCMessageInit) peer__stream_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__endpoint_ask__field_descriptors[5] =
-{
   {
-    "nonce",
-    1,
+    "status",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointAsk, nonce),
+    offsetof(Peer__RelayDone, status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EndpointAsk, endpoint),
+    "names",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelayDone, n_names),
+    offsetof(Peer__RelayDone, names),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Peer__RelayDone, n_values),
+    offsetof(Peer__RelayDone, values),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
-    3,
+    "body",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointAsk, data_centre),
+    offsetof(Peer__RelayDone, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit_milli",
-    4,
+    "refusal",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointAsk, limit_milli),
+    offsetof(Peer__RelayDone, refusal),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "max_wait_ms",
-    5,
+    "framing",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointAsk, max_wait_ms),
+    offsetof(Peer__RelayDone, framing),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__endpoint_ask__field_indices_by_name[] = {
-  2,   /* field[2] = data_centre */
-  1,   /* field[1] = endpoint */
-  3,   /* field[3] = limit_milli */
-  4,   /* field[4] = max_wait_ms */
-  0,   /* field[0] = nonce */
-};
-static const ProtobufCIntRange peer__endpoint_ask__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor peer__endpoint_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.EndpointAsk",
-  "EndpointAsk",
-  "Peer__EndpointAsk",
-  "peer",
-  sizeof(Peer__EndpointAsk),
-  5,
-  peer__endpoint_ask__field_descriptors,
-  peer__endpoint_ask__field_indices_by_name,
-  1,  peer__endpoint_ask__number_ranges,
-  (ProtobufCMessageInit) peer__endpoint_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__endpoint_permit__field_descriptors[5] =
-{
   {
-    "nonce",
-    1,
+    "is_complete",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointPermit, nonce),
+    offsetof(Peer__RelayDone, is_complete),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_granted",
-    2,
+    "is_sent",
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointPermit, is_granted),
+    offsetof(Peer__RelayDone, is_sent),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_ms",
-    3,
+    "is_aborted",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointPermit, wait_ms),
+    offsetof(Peer__RelayDone, is_aborted),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit_milli",
-    4,
+    "is_resend_refused",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointPermit, limit_milli),
+    offsetof(Peer__RelayDone, is_resend_refused),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_primary_alive",
-    5,
+    "reason",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointPermit, is_primary_alive),
-    NULL,
+    offsetof(Peer__RelayDone, reason),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__endpoint_permit__field_indices_by_name[] = {
-  1,   /* field[1] = is_granted */
-  4,   /* field[4] = is_primary_alive */
-  3,   /* field[3] = limit_milli */
-  0,   /* field[0] = nonce */
-  2,   /* field[2] = wait_ms */
+static const unsigned peer__relay_done__field_indices_by_name[] = {
+  5,   /* field[5] = body */
+  7,   /* field[7] = framing */
+  0,   /* field[0] = id */
+  10,   /* field[10] = is_aborted */
+  8,   /* field[8] = is_complete */
+  11,   /* field[11] = is_resend_refused */
+  9,   /* field[9] = is_sent */
+  3,   /* field[3] = names */
+  12,   /* field[12] = reason */
+  6,   /* field[6] = refusal */
+  1,   /* field[1] = sequence */
+  2,   /* field[2] = status */
+  4,   /* field[4] = values */
+};
+static const ProtobufCIntRange peer__relay_done__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor peer__relay_done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RelayDone",
+  "RelayDone",
+  "Peer__RelayDone",
+  "peer",
+  sizeof(Peer__RelayDone),
+  13,
+  peer__relay_done__field_descriptors,
+  peer__relay_done__field_indices_by_name,
+  1,  peer__relay_done__number_ranges,
+  (ProtobufCMessageInit) peer__relay_done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__relay_cancel__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayCancel, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCIntRange peer__endpoint_permit__number_ranges[1 + 1] =
+static const unsigned peer__relay_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer__relay_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor peer__endpoint_permit__descriptor =
+const ProtobufCMessageDescriptor peer__relay_cancel__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.EndpointPermit",
-  "EndpointPermit",
-  "Peer__EndpointPermit",
+  "peer.RelayCancel",
+  "RelayCancel",
+  "Peer__RelayCancel",
   "peer",
-  sizeof(Peer__EndpointPermit),
-  5,
-  peer__endpoint_permit__field_descriptors,
-  peer__endpoint_permit__field_indices_by_name,
-  1,  peer__endpoint_permit__number_ranges,
-  (ProtobufCMessageInit) peer__endpoint_permit__init,
+  sizeof(Peer__RelayCancel),
+  1,
+  peer__relay_cancel__field_descriptors,
+  peer__relay_cancel__field_indices_by_name,
+  1,  peer__relay_cancel__number_ranges,
+  (ProtobufCMessageInit) peer__relay_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__endpoint_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__turn_write__field_descriptors[10] =
 {
   {
-    "endpoint",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointReport, endpoint),
+    offsetof(Peer__TurnWrite, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
+    "group",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointReport, data_centre),
+    offsetof(Peer__TurnWrite, group),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "has_limit",
+    "customer",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointReport, has_limit),
+    offsetof(Peer__TurnWrite, customer),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit_milli",
+    "turn",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointReport, limit_milli),
-    NULL,
+    offsetof(Peer__TurnWrite, turn),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "age_ms",
+    "previous",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointReport, age_ms),
-    NULL,
+    offsetof(Peer__TurnWrite, previous),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_leaving",
+    "has_prefix",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointReport, is_leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned peer__endpoint_report__field_indices_by_name[] = {
-  4,   /* field[4] = age_ms */
-  1,   /* field[1] = data_centre */
-  0,   /* field[0] = endpoint */
-  2,   /* field[2] = has_limit */
-  5,   /* field[5] = is_leaving */
-  3,   /* field[3] = limit_milli */
-};
-static const ProtobufCIntRange peer__endpoint_report__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor peer__endpoint_report__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.EndpointReport",
-  "EndpointReport",
-  "Peer__EndpointReport",
-  "peer",
-  sizeof(Peer__EndpointReport),
-  6,
-  peer__endpoint_report__field_descriptors,
-  peer__endpoint_report__field_indices_by_name,
-  1,  peer__endpoint_report__number_ranges,
-  (ProtobufCMessageInit) peer__endpoint_report__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__endpoint_fact__field_descriptors[3] =
-{
-  {
-    "endpoint",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__EndpointFact, endpoint),
+    offsetof(Peer__TurnWrite, has_prefix),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit_milli",
-    2,
+    "prefix",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointFact, limit_milli),
+    offsetof(Peer__TurnWrite, prefix),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_leaving",
-    3,
+    "input",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointFact, is_leaving),
-    NULL,
+    offsetof(Peer__TurnWrite, input),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned peer__endpoint_fact__field_indices_by_name[] = {
-  0,   /* field[0] = endpoint */
-  2,   /* field[2] = is_leaving */
-  1,   /* field[1] = limit_milli */
-};
-static const ProtobufCIntRange peer__endpoint_fact__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor peer__endpoint_fact__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.EndpointFact",
-  "EndpointFact",
-  "Peer__EndpointFact",
-  "peer",
-  sizeof(Peer__EndpointFact),
-  3,
-  peer__endpoint_fact__field_descriptors,
-  peer__endpoint_fact__field_indices_by_name,
-  1,  peer__endpoint_fact__number_ranges,
-  (ProtobufCMessageInit) peer__endpoint_fact__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__endpoint_notice__field_descriptors[2] =
-{
-  {
-    "facts",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__EndpointNotice, n_facts),
-    offsetof(Peer__EndpointNotice, facts),
-    &peer__endpoint_fact__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pass_on",
-    2,
+    "output",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__EndpointNotice, pass_on),
+    offsetof(Peer__TurnWrite, output),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned peer__endpoint_notice__field_indices_by_name[] = {
-  0,   /* field[0] = facts */
-  1,   /* field[1] = pass_on */
-};
-static const ProtobufCIntRange peer__endpoint_notice__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor peer__endpoint_notice__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.EndpointNotice",
-  "EndpointNotice",
-  "Peer__EndpointNotice",
-  "peer",
-  sizeof(Peer__EndpointNotice),
-  2,
-  peer__endpoint_notice__field_descriptors,
-  peer__endpoint_notice__field_indices_by_name,
-  1,  peer__endpoint_notice__number_ranges,
-  (ProtobufCMessageInit) peer__endpoint_notice__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__relay_ask__field_descriptors[1] =
-{
-  {
-    "silent",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Peer__RelayAsk, n_silent),
-    offsetof(Peer__RelayAsk, silent),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned peer__relay_ask__field_indices_by_name[] = {
-  0,   /* field[0] = silent */
-};
-static const ProtobufCIntRange peer__relay_ask__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor peer__relay_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.RelayAsk",
-  "RelayAsk",
-  "Peer__RelayAsk",
-  "peer",
-  sizeof(Peer__RelayAsk),
-  1,
-  peer__relay_ask__field_descriptors,
-  peer__relay_ask__field_indices_by_name,
-  1,  peer__relay_ask__number_ranges,
-  (ProtobufCMessageInit) peer__relay_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor peer__relay_offer__field_descriptors[2] =
-{
   {
-    "room",
-    1,
+    "retention_s",
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayOffer, room),
+    offsetof(Peer__TurnWrite, retention_s),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "services",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Peer__RelayOffer, n_services),
-    offsetof(Peer__RelayOffer, services),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
-static const unsigned peer__relay_offer__field_indices_by_name[] = {
-  0,   /* field[0] = room */
-  1,   /* field[1] = services */
+static const unsigned peer__turn_write__field_indices_by_name[] = {
+  2,   /* field[2] = customer */
+  1,   /* field[1] = group */
+  5,   /* field[5] = has_prefix */
+  0,   /* field[0] = id */
+  7,   /* field[7] = input */
+  8,   /* field[8] = output */
+  6,   /* field[6] = prefix */
+  4,   /* field[4] = previous */
+  9,   /* field[9] = retention_s */
+  3,   /* field[3] = turn */
 };
-static const ProtobufCIntRange peer__relay_offer__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__turn_write__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor peer__relay_offer__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.RelayOffer",
-  "RelayOffer",
-  "Peer__RelayOffer",
-  "peer",
-  sizeof(Peer__RelayOffer),
-  2,
-  peer__relay_offer__field_descriptors,
-  peer__relay_offer__field_indices_by_name,
-  1,  peer__relay_offer__number_ranges,
-  (ProtobufCMessageInit) peer__relay_offer__init,
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor peer__turn_write__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.TurnWrite",
+  "TurnWrite",
+  "Peer__TurnWrite",
+  "peer",
+  sizeof(Peer__TurnWrite),
+  10,
+  peer__turn_write__field_descriptors,
+  peer__turn_write__field_indices_by_name,
+  1,  peer__turn_write__number_ranges,
+  (ProtobufCMessageInit) peer__turn_write__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__relay_send__field_descriptors[12] =
+static const ProtobufCFieldDescriptor peer__turn_written__field_descriptors[2] =
 {
   {
     "id",
