@@ -5169,515 +6419,677 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, id),
+    offsetof(Peer__TurnWritten, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "endpoint",
+    "result",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, endpoint),
+    offsetof(Peer__TurnWritten, result),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__turn_written__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = result */
+};
+static const ProtobufCIntRange peer__turn_written__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__turn_written__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.TurnWritten",
+  "TurnWritten",
+  "Peer__TurnWritten",
+  "peer",
+  sizeof(Peer__TurnWritten),
+  2,
+  peer__turn_written__field_descriptors,
+  peer__turn_written__field_indices_by_name,
+  1,  peer__turn_written__number_ranges,
+  (ProtobufCMessageInit) peer__turn_written__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__turn_read__field_descriptors[3] =
+{
   {
-    "fingerprint",
-    3,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, fingerprint),
+    offsetof(Peer__TurnRead, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "method",
-    4,
+    "customer",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, method),
+    offsetof(Peer__TurnRead, customer),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "target",
-    5,
+    "turn",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, target),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "headers",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Peer__RelaySend, n_headers),
-    offsetof(Peer__RelaySend, headers),
+    offsetof(Peer__TurnRead, turn),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__turn_read__field_indices_by_name[] = {
+  1,   /* field[1] = customer */
+  0,   /* field[0] = id */
+  2,   /* field[2] = turn */
+};
+static const ProtobufCIntRange peer__turn_read__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__turn_read__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.TurnRead",
+  "TurnRead",
+  "Peer__TurnRead",
+  "peer",
+  sizeof(Peer__TurnRead),
+  3,
+  peer__turn_read__field_descriptors,
+  peer__turn_read__field_indices_by_name,
+  1,  peer__turn_read__number_ranges,
+  (ProtobufCMessageInit) peer__turn_read__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__turn_text__field_descriptors[6] =
+{
   {
-    "body",
-    7,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, body),
+    offsetof(Peer__TurnText, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "timeout_ms",
-    8,
+    "result",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, timeout_ms),
+    offsetof(Peer__TurnText, result),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "max_idle_ms",
-    9,
+    "group",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, max_idle_ms),
+    offsetof(Peer__TurnText, group),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_streamed",
-    10,
+    "text",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, is_streamed),
+    offsetof(Peer__TurnText, text),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_single_attempt",
-    11,
+    "turns",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, is_single_attempt),
+    offsetof(Peer__TurnText, turns),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "has_permit",
-    12,
+    "age_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelaySend, has_permit),
+    offsetof(Peer__TurnText, age_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__relay_send__field_indices_by_name[] = {
-  6,   /* field[6] = body */
-  1,   /* field[1] = endpoint */
-  2,   /* field[2] = fingerprint */
-  11,   /* field[11] = has_permit */
-  5,   /* field[5] = headers */
+static const unsigned peer__turn_text__field_indices_by_name[] = {
+  5,   /* field[5] = age_ms */
+  2,   /* field[2] = group */
   0,   /* field[0] = id */
-  10,   /* field[10] = is_single_attempt */
-  9,   /* field[9] = is_streamed */
-  8,   /* field[8] = max_idle_ms */
-  3,   /* field[3] = method */
-  4,   /* field[4] = target */
-  7,   /* field[7] = timeout_ms */
+  1,   /* field[1] = result */
+  3,   /* field[3] = text */
+  4,   /* field[4] = turns */
 };
-static const ProtobufCIntRange peer__relay_send__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__turn_text__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor peer__relay_send__descriptor =
+const ProtobufCMessageDescriptor peer__turn_text__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.RelaySend",
-  "RelaySend",
-  "Peer__RelaySend",
+  "peer.TurnText",
+  "TurnText",
+  "Peer__TurnText",
   "peer",
-  sizeof(Peer__RelaySend),
-  12,
-  peer__relay_send__field_descriptors,
-  peer__relay_send__field_indices_by_name,
-  1,  peer__relay_send__number_ranges,
-  (ProtobufCMessageInit) peer__relay_send__init,
+  sizeof(Peer__TurnText),
+  6,
+  peer__turn_text__field_descriptors,
+  peer__turn_text__field_indices_by_name,
+  1,  peer__turn_text__number_ranges,
+  (ProtobufCMessageInit) peer__turn_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__relay_data__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__turn_list_ask__field_descriptors[1] =
 {
   {
-    "id",
+    "after",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayData, id),
+    offsetof(Peer__TurnListAsk, after),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__turn_list_ask__field_indices_by_name[] = {
+  0,   /* field[0] = after */
+};
+static const ProtobufCIntRange peer__turn_list_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__turn_list_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.TurnListAsk",
+  "TurnListAsk",
+  "Peer__TurnListAsk",
+  "peer",
+  sizeof(Peer__TurnListAsk),
+  1,
+  peer__turn_list_ask__field_descriptors,
+  peer__turn_list_ask__field_indices_by_name,
+  1,  peer__turn_list_ask__number_ranges,
+  (ProtobufCMessageInit) peer__turn_list_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__turn_group_state__field_descriptors[3] =
+{
   {
-    "sequence",
-    2,
+    "group",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayData, sequence),
+    offsetof(Peer__TurnGroupState, group),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    3,
+    "turns",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayData, status),
+    offsetof(Peer__TurnGroupState, turns),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "names",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Peer__RelayData, n_names),
-    offsetof(Peer__RelayData, names),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "values",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Peer__RelayData, n_values),
-    offsetof(Peer__RelayData, values),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "bytes",
-    6,
+    "digest",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayData, bytes),
+    offsetof(Peer__TurnGroupState, digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__relay_data__field_indices_by_name[] = {
-  5,   /* field[5] = bytes */
-  0,   /* field[0] = id */
-  3,   /* field[3] = names */
-  1,   /* field[1] = sequence */
-  2,   /* field[2] = status */
-  4,   /* field[4] = values */
+static const unsigned peer__turn_group_state__field_indices_by_name[] = {
+  2,   /* field[2] = digest */
+  0,   /* field[0] = group */
+  1,   /* field[1] = turns */
 };
-static const ProtobufCIntRange peer__relay_data__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__turn_group_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor peer__relay_data__descriptor =
+const ProtobufCMessageDescriptor peer__turn_group_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.RelayData",
-  "RelayData",
-  "Peer__RelayData",
+  "peer.TurnGroupState",
+  "TurnGroupState",
+  "Peer__TurnGroupState",
   "peer",
-  sizeof(Peer__RelayData),
-  6,
-  peer__relay_data__field_descriptors,
-  peer__relay_data__field_indices_by_name,
-  1,  peer__relay_data__number_ranges,
-  (ProtobufCMessageInit) peer__relay_data__init,
+  sizeof(Peer__TurnGroupState),
+  3,
+  peer__turn_group_state__field_descriptors,
+  peer__turn_group_state__field_indices_by_name,
+  1,  peer__turn_group_state__number_ranges,
+  (ProtobufCMessageInit) peer__turn_group_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__relay_done__field_descriptors[13] =
+static const ProtobufCFieldDescriptor peer__turn_list__field_descriptors[4] =
 {
   {
-    "id",
+    "groups",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, id),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__TurnList, n_groups),
+    offsetof(Peer__TurnList, groups),
+    &peer__turn_group_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequence",
+    "next",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, sequence),
+    offsetof(Peer__TurnList, next),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "is_last",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, status),
+    offsetof(Peer__TurnList, is_last),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "names",
+    "is_complete",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Peer__RelayDone, n_names),
-    offsetof(Peer__RelayDone, names),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__TurnList, is_complete),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__turn_list__field_indices_by_name[] = {
+  0,   /* field[0] = groups */
+  3,   /* field[3] = is_complete */
+  2,   /* field[2] = is_last */
+  1,   /* field[1] = next */
+};
+static const ProtobufCIntRange peer__turn_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__turn_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.TurnList",
+  "TurnList",
+  "Peer__TurnList",
+  "peer",
+  sizeof(Peer__TurnList),
+  4,
+  peer__turn_list__field_descriptors,
+  peer__turn_list__field_indices_by_name,
+  1,  peer__turn_list__number_ranges,
+  (ProtobufCMessageInit) peer__turn_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__turn_group_ask__field_descriptors[1] =
+{
   {
-    "values",
-    5,
+    "groups",
+    1,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Peer__RelayDone, n_values),
-    offsetof(Peer__RelayDone, values),
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__TurnGroupAsk, n_groups),
+    offsetof(Peer__TurnGroupAsk, groups),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__turn_group_ask__field_indices_by_name[] = {
+  0,   /* field[0] = groups */
+};
+static const ProtobufCIntRange peer__turn_group_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__turn_group_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.TurnGroupAsk",
+  "TurnGroupAsk",
+  "Peer__TurnGroupAsk",
+  "peer",
+  sizeof(Peer__TurnGroupAsk),
+  1,
+  peer__turn_group_ask__field_descriptors,
+  peer__turn_group_ask__field_indices_by_name,
+  1,  peer__turn_group_ask__number_ranges,
+  (ProtobufCMessageInit) peer__turn_group_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__turn_group__field_descriptors[3] =
+{
   {
-    "body",
-    6,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, body),
+    offsetof(Peer__TurnGroup, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "refusal",
-    7,
+    "group",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, refusal),
+    offsetof(Peer__TurnGroup, group),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "framing",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, framing),
-    NULL,
+    "turns",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__TurnGroup, n_turns),
+    offsetof(Peer__TurnGroup, turns),
+    &peer__turn_write__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__turn_group__field_indices_by_name[] = {
+  1,   /* field[1] = group */
+  0,   /* field[0] = id */
+  2,   /* field[2] = turns */
+};
+static const ProtobufCIntRange peer__turn_group__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__turn_group__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.TurnGroup",
+  "TurnGroup",
+  "Peer__TurnGroup",
+  "peer",
+  sizeof(Peer__TurnGroup),
+  3,
+  peer__turn_group__field_descriptors,
+  peer__turn_group__field_indices_by_name,
+  1,  peer__turn_group__number_ranges,
+  (ProtobufCMessageInit) peer__turn_group__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__turn_group_kept__field_descriptors[3] =
+{
   {
-    "is_complete",
-    9,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, is_complete),
+    offsetof(Peer__TurnGroupKept, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_sent",
-    10,
+    "group",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, is_sent),
+    offsetof(Peer__TurnGroupKept, group),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_aborted",
-    11,
+    "is_kept",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, is_aborted),
+    offsetof(Peer__TurnGroupKept, is_kept),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned peer__turn_group_kept__field_indices_by_name[] = {
+  1,   /* field[1] = group */
+  0,   /* field[0] = id */
+  2,   /* field[2] = is_kept */
+};
+static const ProtobufCIntRange peer__turn_group_kept__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__turn_group_kept__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.TurnGroupKept",
+  "TurnGroupKept",
+  "Peer__TurnGroupKept",
+  "peer",
+  sizeof(Peer__TurnGroupKept),
+  3,
+  peer__turn_group_kept__field_descriptors,
+  peer__turn_group_kept__field_indices_by_name,
+  1,  peer__turn_group_kept__number_ranges,
+  (ProtobufCMessageInit) peer__turn_group_kept__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__speed_fact__field_descriptors[3] =
+{
   {
-    "is_resend_refused",
-    12,
+    "endpoint",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, is_resend_refused),
+    offsetof(Peer__SpeedFact, endpoint),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
-    13,
+    "samples",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayDone, reason),
+    offsetof(Peer__SpeedFact, samples),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "figures",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__SpeedFact, n_figures),
+    offsetof(Peer__SpeedFact, figures),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned peer__relay_done__field_indices_by_name[] = {
-  5,   /* field[5] = body */
-  7,   /* field[7] = framing */
-  0,   /* field[0] = id */
-  10,   /* field[10] = is_aborted */
-  8,   /* field[8] = is_complete */
-  11,   /* field[11] = is_resend_refused */
-  9,   /* field[9] = is_sent */
-  3,   /* field[3] = names */
-  12,   /* field[12] = reason */
-  6,   /* field[6] = refusal */
-  1,   /* field[1] = sequence */
-  2,   /* field[2] = status */
-  4,   /* field[4] = values */
+static const unsigned peer__speed_fact__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = figures */
+  1,   /* field[1] = samples */
 };
-static const ProtobufCIntRange peer__relay_done__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__speed_fact__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor peer__relay_done__descriptor =
+const ProtobufCMessageDescriptor peer__speed_fact__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.RelayDone",
-  "RelayDone",
-  "Peer__RelayDone",
+  "peer.SpeedFact",
+  "SpeedFact",
+  "Peer__SpeedFact",
   "peer",
-  sizeof(Peer__RelayDone),
-  13,
-  peer__relay_done__field_descriptors,
-  peer__relay_done__field_indices_by_name,
-  1,  peer__relay_done__number_ranges,
-  (ProtobufCMessageInit) peer__relay_done__init,
+  sizeof(Peer__SpeedFact),
+  3,
+  peer__speed_fact__field_descriptors,
+  peer__speed_fact__field_indices_by_name,
+  1,  peer__speed_fact__number_ranges,
+  (ProtobufCMessageInit) peer__speed_fact__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__relay_cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__speed_notice__field_descriptors[2] =
 {
   {
-    "id",
+    "facts",
     1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__SpeedNotice, n_facts),
+    offsetof(Peer__SpeedNotice, facts),
+    &peer__speed_fact__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass_on",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__RelayCancel, id),
+    offsetof(Peer__SpeedNotice, pass_on),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__relay_cancel__field_indices_by_name[] = {
-  0,   /* field[0] = id */
+static const unsigned peer__speed_notice__field_indices_by_name[] = {
+  0,   /* field[0] = facts */
+  1,   /* field[1] = pass_on */
 };
-static const ProtobufCIntRange peer__relay_cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__speed_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor peer__relay_cancel__descriptor =
+const ProtobufCMessageDescriptor peer__speed_notice__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.RelayCancel",
-  "RelayCancel",
-  "Peer__RelayCancel",
+  "peer.SpeedNotice",
+  "SpeedNotice",
+  "Peer__SpeedNotice",
   "peer",
-  sizeof(Peer__RelayCancel),
-  1,
-  peer__relay_cancel__field_descriptors,
-  peer__relay_cancel__field_indices_by_name,
-  1,  peer__relay_cancel__number_ranges,
-  (ProtobufCMessageInit) peer__relay_cancel__init,
+  sizeof(Peer__SpeedNotice),
+  2,
+  peer__speed_notice__field_descriptors,
+  peer__speed_notice__field_indices_by_name,
+  1,  peer__speed_notice__number_ranges,
+  (ProtobufCMessageInit) peer__speed_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[40] =
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[50] =
 {
   {
     "ping",
@@ -6159,6 +7571,126 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "turn_write",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, turn_write),
+    &peer__turn_write__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn_written",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, turn_written),
+    &peer__turn_written__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn_read",
+    43,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, turn_read),
+    &peer__turn_read__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn_text",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, turn_text),
+    &peer__turn_text__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn_list_ask",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, turn_list_ask),
+    &peer__turn_list_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn_list",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, turn_list),
+    &peer__turn_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn_group_ask",
+    47,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, turn_group_ask),
+    &peer__turn_group_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn_group",
+    48,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, turn_group),
+    &peer__turn_group__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn_group_kept",
+    49,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, turn_group_kept),
+    &peer__turn_group_kept__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_notice",
+    50,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, speed_notice),
+    &peer__speed_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -6194,6 +7726,7 @@
   38,   /* field[38] = relay_done */
   35,   /* field[35] = relay_offer */
   36,   /* field[36] = relay_send */
+  49,   /* field[49] = speed_notice */
   11,   /* field[11] = store_ack */
   10,   /* field[10] = store_append */
   12,   /* field[12] = store_fetch */
@@ -6201,11 +7734,20 @@
   29,   /* field[29] = stream_answer */
   28,   /* field[28] = stream_ask */
   27,   /* field[27] = stream_record */
+  47,   /* field[47] = turn_group */
+  46,   /* field[46] = turn_group_ask */
+  48,   /* field[48] = turn_group_kept */
+  45,   /* field[45] = turn_list */
+  44,   /* field[44] = turn_list_ask */
+  42,   /* field[42] = turn_read */
+  43,   /* field[43] = turn_text */
+  40,   /* field[40] = turn_write */
+  41,   /* field[41] = turn_written */
 };
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 40 }
+  { 0, 50 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -6215,7 +7757,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  40,
+  50,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
