request: streams are resumed only with a record of the build that began them

Cause: a stream without a record went on if one build was registered. A host that has just started does not see the builds that left before, so a stream whose record was lost, late or never found (callers seldom name the attempt that began it) was joined of two versions.

Change: records are found by the content that all attempts at a request have in common, or by the attempt if the caller names it. Equal requests at different builds are ambiguous. Without a record the resumption is refused as not run, within 40 ms instead of 200 ms. The pool no longer tells the sole build of a service, which proved nothing.

--- a/common/recent_table.c
+++ b/common/recent_table.c
@@ -88,6 +88,20 @@
   expire (table, now_ms);
 }
 
+/* Records VALUE, which is not 0, under KEY in place of the value that it may
+   have.  */
+void
+recent_table_replace (struct recent_table *table, uint64_t key, uint64_t value,
+                      int64_t now_ms)
+{
+  struct recent_entry *entry;
+
+  recent_table_record (table, key, value, now_ms);
+  entry = g_hash_table_lookup (table->entries, &key);
+  if (entry)
+    entry->value = value;
+}
+
 /* Returns the value under KEY, or 0 if it is not known.  */
 uint64_t
 recent_table_find (struct recent_table *table, uint64_t key, int64_t now_ms)
--- a/include/common/recent_table.h
+++ b/include/common/recent_table.h
@@ -17,6 +17,8 @@
 void recent_table_destroy (struct recent_table *table);
 void recent_table_record (struct recent_table *table, uint64_t key,
                           uint64_t value, int64_t now_ms);
+void recent_table_replace (struct recent_table *table, uint64_t key,
+                           uint64_t value, int64_t now_ms);
 uint64_t recent_table_find (struct recent_table *table, uint64_t key,
                             int64_t now_ms);
 uint32_t recent_table_count (const struct recent_table *table);
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -152,8 +152,6 @@
 bool pool_is_full (const struct pool_endpoint *endpoint, int64_t now_ms);
 struct pool_endpoint *pool_find_start (const struct pool *pool,
                                        uint64_t start);
-uint64_t pool_sole_build (const struct pool *pool, const char *service,
-                          int64_t now_ms);
 bool pool_has_build (const struct pool *pool, const char *service,
                      uint64_t build);
 const char *pool_endpoint_version (const struct pool_endpoint *endpoint);
--- a/include/request/stream_index.h
+++ b/include/request/stream_index.h
@@ -2,8 +2,12 @@
    also if it began at another host.
 
    A host records each stream, with its first event, in its own table and at
-   the keepers that the stream's hash selects.  Keepers hold the records in
-   memory. */
+   the keepers that the hash of its request's content selects.  Keepers hold
+   the records in memory.
+
+   A caller that resumes a stream may name the attempt that began it.  If it
+   does not, the equal content of its requests tells which stream it resumes,
+   unless equal requests began at different builds.  */
 #ifndef GALENA_REQUEST_STREAM_INDEX_H
 #define GALENA_REQUEST_STREAM_INDEX_H
 
@@ -23,11 +27,21 @@
 struct stream_index;
 struct stream_lookup;
 
+/* Identifies a stream on all hosts. */
+struct stream_key
+{
+  uint64_t content; /* hash of what all attempts at the request have in common
+                     */
+  uint64_t attempt; /* hash of the id of the attempt that began the stream; 0
+                       if it is not known */
+};
+
 enum stream_origin
 {
   STREAM_ORIGIN_FOUND,
   STREAM_ORIGIN_NOT_RECORDED, /* the keepers that answered do not know it */
-  STREAM_ORIGIN_UNREACHABLE,  /* no keeper answered */
+  STREAM_ORIGIN_AMBIGUOUS,    /* equal requests began at different builds */
+  STREAM_ORIGIN_UNREACHABLE,  /* too few keepers answered */
 };
 
 /* BUILD is valid for STREAM_ORIGIN_FOUND. */
@@ -41,23 +55,29 @@
   uint32_t losses; /* of keepers at once, which the records survive */
 };
 
+const char *stream_origin_name (enum stream_origin origin);
+
 struct stream_index *
 stream_index_create (const struct stream_index_options *options);
 void stream_index_destroy (struct stream_index *index);
 void stream_index_set_keepers (struct stream_index *index,
                                const struct host_location *locations,
                                size_t count);
-void stream_index_record (struct stream_index *index, uint64_t stream,
-                          uint64_t build);
-uint64_t stream_index_find_local (struct stream_index *index, uint64_t stream);
+void stream_index_record (struct stream_index *index,
+                          const struct stream_key *key, uint64_t build);
+uint64_t stream_index_find_local (struct stream_index *index,
+                                  const struct stream_key *key);
 struct stream_lookup *stream_index_find (struct stream_index *index,
-                                         uint64_t stream,
+                                         const struct stream_key *key,
                                          stream_origin_handler *handle,
                                          void *data);
 void stream_lookup_cancel (struct stream_lookup *lookup);
 void stream_index_handle_frame (struct stream_index *index, const char *host,
                                 const Peer__Frame *frame);
 
+void stream_table_record (struct recent_table *table,
+                          const struct stream_key *key, uint64_t build,
+                          int64_t now_ms);
 void stream_keeper_handle_frame (struct recent_table *table, struct mesh *mesh,
                                  const char *host, const Peer__Frame *frame);
 
--- a/request/pool.c
+++ b/request/pool.c
@@ -3,7 +3,6 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "common/recent_table.h"
-#include "request/stream_index.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -28,20 +27,11 @@
   char *data_centre;
   GHashTable *unreachable_centres; /* names of unreachable data centres */
   struct recent_table *announced;  /* starts of endpoints that leave */
-  GHashTable *service_builds;      /* name -> struct service_builds */
   GPtrArray *endpoints;      /* struct pool_endpoint, those currently listed */
   GPtrArray *removed_in_use; /* removed, but still in use by requests */
   uint64_t seed;             /* of the random choice between endpoints */
 };
 
-/* Which builds of a service have been listed. */
-struct service_builds
-{
-  uint64_t latest;
-  int64_t changed_ms; /* when two of them were last known; 0 for never */
-  int64_t listed_ms;  /* when the service last had an endpoint */
-};
-
 /* Frees a list.  */
 void
 endpoint_list_destroy (struct endpoint_list *list)
@@ -88,8 +78,6 @@
   pool->removed_in_use = g_ptr_array_new_with_free_func (endpoint_destroy);
   pool->unreachable_centres
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
-  pool->service_builds
-      = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
   pool->seed = id_random64 ();
   return pool;
 }
@@ -103,7 +91,6 @@
   g_ptr_array_free (pool->endpoints, TRUE);
   g_ptr_array_free (pool->removed_in_use, TRUE);
   g_hash_table_destroy (pool->unreachable_centres);
-  g_hash_table_destroy (pool->service_builds);
   recent_table_destroy (pool->announced);
   free (pool->data_centre);
   free (pool);
@@ -209,42 +196,6 @@
     }
 }
 
-static void
-record_build (struct pool *pool, const struct pool_endpoint *endpoint,
-              int64_t now_ms)
-{
-  struct service_builds *builds
-      = g_hash_table_lookup (pool->service_builds, endpoint->service);
-
-  if (!builds)
-    {
-      builds = xcalloc (1, sizeof *builds);
-      g_hash_table_insert (pool->service_builds, xstrdup (endpoint->service),
-                           builds);
-    }
-  if (builds->latest && builds->latest != endpoint->build)
-    builds->changed_ms = now_ms;
-  builds->latest = endpoint->build;
-  builds->listed_ms = now_ms;
-}
-
-static gboolean
-is_forgotten (gpointer name, gpointer value, gpointer data)
-{
-  const struct service_builds *builds = value;
-
-  return *(const int64_t *)data - builds->listed_ms > STREAM_TTL_MS;
-}
-
-/* Must be called with the endpoints before and after each change.  */
-static void
-record_builds (struct pool *pool, int64_t now_ms)
-{
-  for (guint i = 0; i < pool->endpoints->len; i++)
-    record_build (pool, pool->endpoints->pdata[i], now_ms);
-  g_hash_table_foreach_remove (pool->service_builds, is_forgotten, &now_ms);
-}
-
 /* Whether ENDPOINT has announced that it leaves.  It stays marked while the
    registry lists it.  */
 static bool
@@ -267,7 +218,6 @@
   GPtrArray *endpoints = g_ptr_array_new_with_free_func (endpoint_destroy);
   GHashTable *by_id = g_hash_table_new (g_str_hash, g_str_equal);
 
-  record_builds (pool, now_ms);
   for (guint i = 0; i < pool->endpoints->len; i++)
     g_hash_table_insert (
         by_id, ((struct pool_endpoint *)pool->endpoints->pdata[i])->id,
@@ -297,7 +247,6 @@
   g_ptr_array_set_free_func (pool->endpoints, NULL);
   g_ptr_array_free (pool->endpoints, TRUE);
   pool->endpoints = endpoints;
-  record_builds (pool, now_ms);
 }
 
 /* Estimates how many tokens of the prompt ENDPOINT has in its cache, from the
@@ -502,28 +451,6 @@
   return NULL;
 }
 
-/* Returns the build of SERVICE if this host has known of no other one while
-   streams that can still be resumed may have begun, or 0.  */
-uint64_t
-pool_sole_build (const struct pool *pool, const char *service, int64_t now_ms)
-{
-  const struct service_builds *builds
-      = g_hash_table_lookup (pool->service_builds, service);
-
-  if (!builds
-      || (builds->changed_ms && now_ms - builds->changed_ms <= STREAM_TTL_MS))
-    return 0;
-  for (guint i = 0; i < pool->endpoints->len; i++)
-    {
-      const struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
-
-      if (strcmp (endpoint->service, service) == 0
-          && endpoint->build != builds->latest)
-        return 0;
-    }
-  return builds->latest;
-}
-
 /* Whether SERVICE has an endpoint of BUILD that is not leaving.  */
 bool
 pool_has_build (const struct pool *pool, const char *service, uint64_t build)
--- a/request/request.c
+++ b/request/request.c
@@ -75,7 +75,7 @@
   const struct service *service;   /* of the current send */
   enum request_step step;
   uint64_t program;
-  uint64_t stream;      /* hash of the id of the stream's first attempt */
+  struct stream_key stream; /* content is 0 if it cannot be resumed */
   uint64_t fingerprint; /* hash of the content, equal for repeated attempts */
   int64_t started_ms;
   int64_t deadline_at_ms;
@@ -578,8 +578,8 @@
 
   request->step = STEP_STREAM;
   request->build = request->endpoint->build;
-  if (options->streams && request->stream)
-    stream_index_record (options->streams, request->stream, request->build);
+  if (options->streams && request->stream.content)
+    stream_index_record (options->streams, &request->stream, request->build);
   request->sink->begin (request->sink, &request->head);
 }
 
@@ -1413,43 +1413,35 @@
     dispatch (request);
 }
 
-/* Lets a stream of unknown origin go on only if a single build can have begun
-   it.  */
+/* Refuses to resume a stream of which it is not known which build began it.
+   The endpoints that are registered now do not tell: those of another build
+   may have left since.  */
 static void
-resolve_unrecorded (struct request *request)
+refuse_unknown_origin (struct request *request)
 {
-  request->service = pick_service (request);
-  if (request->service)
-    request->build = pool_sole_build (request->pipeline->options.pool,
-                                      request->service->name, clock_now_ms ());
-  request->has_origin = true;
-  if (request->build)
-    continue_admission (request);
-  else
-    refuse_with_message (request, ERROR_OVERLOADED, RESUME_RETRY_MS,
-                         "it is not known which software version began the "
-                         "stream; start it again");
+  refuse_with_message (request, ERROR_OVERLOADED, RESUME_RETRY_MS,
+                       "it is not known which software version began the "
+                       "stream; start it again");
 }
 
 static void
 handle_origin (void *data, enum stream_origin origin, uint64_t build)
 {
   struct request *request = data;
+  struct log_ids ids = log_ids (request);
 
   request->origin_lookup = NULL;
-  if (origin == STREAM_ORIGIN_NOT_RECORDED)
+  if (origin == STREAM_ORIGIN_FOUND)
     {
-      resolve_unrecorded (request);
+      request->build = build;
+      request->has_origin = true;
+      continue_admission (request);
       return;
     }
-  request->build = build;
-  request->has_origin = true;
-  if (origin == STREAM_ORIGIN_FOUND)
-    continue_admission (request);
-  else
-    refuse_with_message (request, ERROR_OVERLOADED, RESUME_RETRY_MS,
-                         "no keeper told which software version began the "
-                         "stream");
+  log_write (LOG_INFO, "request", &ids,
+             "the build that began the stream is unknown: %s",
+             stream_origin_name (origin));
+  refuse_unknown_origin (request);
 }
 
 /* Finds the build that began the stream which the caller resumes.  */
@@ -1459,12 +1451,12 @@
   struct stream_index *streams = request->pipeline->options.streams;
 
   request->step = STEP_ORIGIN;
-  if (!streams || !request->input->resumed_id)
+  if (!streams)
     {
-      resolve_unrecorded (request);
+      refuse_unknown_origin (request);
       return;
     }
-  request->build = stream_index_find_local (streams, request->stream);
+  request->build = stream_index_find_local (streams, &request->stream);
   if (request->build)
     {
       request->has_origin = true;
@@ -1472,7 +1464,7 @@
       return;
     }
   request->origin_lookup
-      = stream_index_find (streams, request->stream, handle_origin, request);
+      = stream_index_find (streams, &request->stream, handle_origin, request);
 }
 
 static void
@@ -1724,6 +1716,21 @@
   return request->customer != NULL;
 }
 
+/* Returns a hash of what all attempts at a request have in common, also those
+   that resume its stream.  */
+static uint64_t
+compute_stream_content (const struct request *request)
+{
+  const struct request_input *input = request->input;
+  uint64_t hash = request->fingerprint;
+
+  hash = id_hash64 (input->method, strlen (input->method), hash);
+  hash = id_hash64 (&request->program, sizeof request->program, hash);
+  for (size_t i = 0; i < input->part_count; i++)
+    hash = id_hash64 (&input->parts[i].id, sizeof input->parts[i].id, hash);
+  return hash ? hash : 1;
+}
+
 /* Sets what identifies the stream on all hosts, or leaves it 0 if it cannot be
    resumed.  */
 static void
@@ -1731,15 +1738,15 @@
 {
   const struct request_input *input = request->input;
   bool is_resumed = input->resume_after >= 0;
-  const char *id
-      = is_resumed && input->resumed_id ? input->resumed_id : input->id;
+  const char *id = is_resumed ? input->resumed_id : input->id;
 
   request->has_origin = true;
   if (request->route->retry_mode != ROUTE_STREAM || !request->route->resumable)
     return;
   request->has_origin = !is_resumed;
+  request->stream.content = compute_stream_content (request);
   if (id)
-    request->stream = id_hash64 (
+    request->stream.attempt = id_hash64 (
         id, strlen (id),
         request->customer ? id_hash_text (request->customer->name) : 0);
 }
@@ -1793,8 +1800,8 @@
     }
   if (input->resume_after >= 0)
     log_resumption (request);
-  set_stream (request);
   request->fingerprint = compute_fingerprint (request);
+  set_stream (request);
   set_deadline (request);
   continue_admission (request);
   /* If the request is still active, it is the last one in the queue.  */
--- a/request/stream_index.c
+++ b/request/stream_index.c
@@ -8,13 +8,17 @@
 
 enum
 {
-  LOCAL_CAPACITY = 4096,
+  LOCAL_CAPACITY = 8192, /* two entries per stream */
   /* A keeper answers within a few milliseconds.  The second round finds
-     records that were still on their way in the first. */
-  ROUND_MS = 100,
+     records that were still on their way in the first.  Callers are refused
+     within 50 ms. */
+  ROUND_MS = 20,
   ROUNDS = 2,
 };
 
+/* Recorded for equal requests that began at different builds. */
+static const uint64_t AMBIGUOUS_BUILD = UINT64_MAX;
+
 struct stream_index
 {
   struct stream_index_options options;
@@ -30,7 +34,8 @@
 {
   struct stream_index *index;
   uint64_t id; /* random, the same in each round */
-  uint64_t stream;
+  struct stream_key key;
+  uint64_t build; /* that some keeper knows; 0 for none */
   struct keeper_replicas replicas;
   bool has_answered[REPLICAS_MAX]; /* in this round */
   bool is_answered;                /* by any keeper in any round */
@@ -40,6 +45,24 @@
   void *data;
 };
 
+/* Returns a description of ORIGIN, for logs.  */
+const char *
+stream_origin_name (enum stream_origin origin)
+{
+  switch (origin)
+    {
+    case STREAM_ORIGIN_FOUND:
+      return "found";
+    case STREAM_ORIGIN_NOT_RECORDED:
+      return "no keeper has a record";
+    case STREAM_ORIGIN_AMBIGUOUS:
+      return "equal requests began at different builds";
+    case STREAM_ORIGIN_UNREACHABLE:
+      return "too few keepers answered";
+    }
+  return "unknown";
+}
+
 /* Creates an index that does not know the keepers yet.  */
 struct stream_index *
 stream_index_create (const struct stream_index_options *options)
@@ -85,30 +108,51 @@
                frame);
 }
 
-/* Records that STREAM began at BUILD.  Must be called before its first event
-   is forwarded.  */
+/* Records the build of a stream by its attempt and by its content.  Content
+   that began at different builds does not tell which stream is resumed.  */
 void
-stream_index_record (struct stream_index *index, uint64_t stream,
+stream_table_record (struct recent_table *table, const struct stream_key *key,
+                     uint64_t build, int64_t now_ms)
+{
+  uint64_t known = recent_table_find (table, key->content, now_ms);
+
+  recent_table_replace (table, key->content,
+                        known && known != build ? AMBIGUOUS_BUILD : build,
+                        now_ms);
+  if (key->attempt)
+    recent_table_record (table, key->attempt, build, now_ms);
+}
+
+/* Records that the stream KEY began at BUILD.  Must be called before its first
+   event is forwarded.  */
+void
+stream_index_record (struct stream_index *index, const struct stream_key *key,
                      uint64_t build)
 {
-  struct keeper_replicas replicas = keeper_set_replicas (&index->set, stream);
+  struct keeper_replicas replicas
+      = keeper_set_replicas (&index->set, key->content);
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__StreamOrigin origin = PEER__STREAM_ORIGIN__INIT;
 
-  recent_table_record (index->table, stream, build, clock_now_ms ());
-  origin.stream = stream;
+  stream_table_record (index->table, key, build, clock_now_ms ());
+  origin.stream = key->content;
+  origin.attempt = key->attempt;
   origin.build = build;
   frame.body_case = PEER__FRAME__BODY_STREAM_RECORD;
   frame.stream_record = &origin;
   send_to_replicas (index, &replicas, &frame);
 }
 
-/* Returns the build that began STREAM if it had events through this host, or
-   0.  */
+/* Returns the build that began the stream if its attempt is named and had
+   events through this host, or 0.  Equal requests may have begun elsewhere, so
+   the content alone decides only together with the keepers.  */
 uint64_t
-stream_index_find_local (struct stream_index *index, uint64_t stream)
+stream_index_find_local (struct stream_index *index,
+                         const struct stream_key *key)
 {
-  return recent_table_find (index->table, stream, clock_now_ms ());
+  return key->attempt
+             ? recent_table_find (index->table, key->attempt, clock_now_ms ())
+             : 0;
 }
 
 static void
@@ -119,7 +163,7 @@
   void *data = lookup->data;
 
   if (origin == STREAM_ORIGIN_FOUND)
-    recent_table_record (lookup->index->table, lookup->stream, build,
+    stream_table_record (lookup->index->table, &lookup->key, build,
                          clock_now_ms ());
   else
     counter_add (COUNTER_STREAM_ORIGINS_UNKNOWN, 1);
@@ -135,11 +179,12 @@
   Peer__StreamAsk ask = PEER__STREAM_ASK__INIT;
 
   lookup->round++;
-  lookup->replicas = keeper_set_replicas (&index->set, lookup->stream);
+  lookup->replicas = keeper_set_replicas (&index->set, lookup->key.content);
   for (uint32_t i = 0; i < REPLICAS_MAX; i++)
     lookup->has_answered[i] = false;
   ask.id = lookup->id;
-  ask.stream = lookup->stream;
+  ask.stream = lookup->key.content;
+  ask.attempt = lookup->key.attempt;
   frame.body_case = PEER__FRAME__BODY_STREAM_ASK;
   frame.stream_ask = &ask;
   send_to_replicas (index, &lookup->replicas, &frame);
@@ -148,16 +193,35 @@
   ev_timer_start (index->options.loop, &lookup->timer);
 }
 
+static uint32_t
+count_answers (const struct stream_lookup *lookup)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < lookup->replicas.count; i++)
+    count += lookup->has_answered[i];
+  return count;
+}
+
+/* Ends a lookup for which no keeper has decided.  Keepers that know the
+   content decide together with a majority: a keeper that does not answer may
+   know that an equal request began at another build.  */
 static void
-finish_unknown (struct stream_lookup *lookup)
+finish_undecided (struct stream_lookup *lookup)
 {
   bool has_keepers = lookup->replicas.count > 0;
   bool is_certain
       = lookup->is_answered || (lookup->index->knows_keepers && !has_keepers);
 
-  finish_lookup (
-      lookup,
-      is_certain ? STREAM_ORIGIN_NOT_RECORDED : STREAM_ORIGIN_UNREACHABLE, 0);
+  if (lookup->build == AMBIGUOUS_BUILD)
+    finish_lookup (lookup, STREAM_ORIGIN_AMBIGUOUS, 0);
+  else if (lookup->build
+           && count_answers (lookup) > lookup->replicas.count / 2)
+    finish_lookup (lookup, STREAM_ORIGIN_FOUND, lookup->build);
+  else if (lookup->build || !is_certain)
+    finish_lookup (lookup, STREAM_ORIGIN_UNREACHABLE, 0);
+  else
+    finish_lookup (lookup, STREAM_ORIGIN_NOT_RECORDED, 0);
 }
 
 static void
@@ -168,20 +232,23 @@
   if (lookup->round < ROUNDS && lookup->replicas.count > 0)
     start_round (lookup);
   else
-    finish_unknown (lookup);
+    finish_undecided (lookup);
 }
 
-/* Asks the keepers which build began STREAM.  HANDLE is called once, never
-   from within this call, unless the lookup is cancelled before.  */
+/* Asks the keepers which build began the stream KEY.  HANDLE is called once,
+   never from within this call, unless the lookup is cancelled before.  */
 struct stream_lookup *
-stream_index_find (struct stream_index *index, uint64_t stream,
+stream_index_find (struct stream_index *index, const struct stream_key *key,
                    stream_origin_handler *handle, void *data)
 {
   struct stream_lookup *lookup = xcalloc (1, sizeof *lookup);
 
   lookup->index = index;
   lookup->id = id_random64 ();
-  lookup->stream = stream;
+  lookup->key = *key;
+  if (!key->attempt)
+    lookup->build
+        = recent_table_find (index->table, key->content, clock_now_ms ());
   lookup->handle = handle;
   lookup->data = data;
   ev_timer_init (&lookup->timer, handle_round_end, 0, 0);
@@ -203,33 +270,35 @@
   free (lookup);
 }
 
-static bool
-have_all_answered (const struct stream_lookup *lookup)
-{
-  for (uint32_t i = 0; i < lookup->replicas.count; i++)
-    if (!lookup->has_answered[i])
-      return false;
-  return true;
-}
-
-/* Any keeper that knows the stream decides.  Those that do not may have missed
-   its record.  */
+/* A keeper that knows the attempt decides.  One that knows only the content
+   decides unless another one knows of a different build.  Those that know
+   nothing may have missed the record.  */
 static void
 handle_answer (struct stream_lookup *lookup, const char *host, uint64_t build)
 {
   int32_t keeper = keeper_set_find (&lookup->index->set, host);
 
-  if (build)
+  if (build && lookup->key.attempt)
     {
       finish_lookup (lookup, STREAM_ORIGIN_FOUND, build);
       return;
     }
+  if (build && lookup->build && build != lookup->build)
+    build = AMBIGUOUS_BUILD;
+  if (build == AMBIGUOUS_BUILD)
+    {
+      finish_lookup (lookup, STREAM_ORIGIN_AMBIGUOUS, 0);
+      return;
+    }
+  if (build)
+    lookup->build = build;
   lookup->is_answered = true;
   for (uint32_t i = 0; i < lookup->replicas.count; i++)
     if ((int32_t)lookup->replicas.keepers[i] == keeper)
       lookup->has_answered[i] = true;
-  if (lookup->round == ROUNDS && have_all_answered (lookup))
-    finish_unknown (lookup);
+  if (count_answers (lookup) == lookup->replicas.count
+      && (lookup->build || lookup->round == ROUNDS))
+    finish_undecided (lookup);
 }
 
 /* Handles answers of keepers and ignores all other frames.  */
@@ -242,7 +311,8 @@
   if (frame->body_case != PEER__FRAME__BODY_STREAM_ANSWER)
     return;
   lookup = g_hash_table_lookup (index->lookups, &frame->stream_answer->id);
-  if (lookup)
+  /* Keepers of earlier versions know only one build of equal requests. */
+  if (lookup && frame->stream_answer->is_by_attempt)
     handle_answer (lookup, host, frame->stream_answer->build);
 }
 
@@ -258,13 +328,20 @@
 
   if (frame->body_case == PEER__FRAME__BODY_STREAM_RECORD
       && frame->stream_record->build)
-    recent_table_record (table, frame->stream_record->stream,
-                         frame->stream_record->build, now_ms);
+    {
+      struct stream_key key = { .content = frame->stream_record->stream,
+                                .attempt = frame->stream_record->attempt };
+
+      stream_table_record (table, &key, frame->stream_record->build, now_ms);
+    }
   if (frame->body_case != PEER__FRAME__BODY_STREAM_ASK)
     return;
   origin.id = frame->stream_ask->id;
   origin.stream = frame->stream_ask->stream;
-  origin.build = recent_table_find (table, origin.stream, now_ms);
+  origin.attempt = frame->stream_ask->attempt;
+  origin.is_by_attempt = true;
+  origin.build = recent_table_find (
+      table, origin.attempt ? origin.attempt : origin.stream, now_ms);
   reply.body_case = PEER__FRAME__BODY_STREAM_ANSWER;
   reply.stream_answer = &origin;
   mesh_send (mesh, host, &reply);
