store: remove dead segments after deletions, and tell the size on disk

A full disk begins no new segment, and dead segments were removed only then, so that expiry freed nothing. They are now removed after each batch with a deletion as well. store_disk_bytes lets users of a store bound its size.

--- a/include/store/store.h
+++ b/include/store/store.h
@@ -43,6 +43,7 @@
 void store_delete (struct store *store, const char *program);
 void store_foreach_program (struct store *store, store_foreach_handler *handle,
                             void *data_arg);
+uint64_t store_disk_bytes (const struct store *store);
 json_t *store_to_json (const struct store *store);
 
 #endif
--- a/store/store.c
+++ b/store/store.c
@@ -4,6 +4,7 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "common/mailbox.h"
+#include <ck_pr.h>
 #include <ck_ring.h>
 #include <dirent.h>
 #include <errno.h>
@@ -96,6 +97,7 @@
   GHashTable *programs; /* set of ids; caller's thread only */
   GPtrArray *segments; /* the last one is open for writes; store thread only */
   uint64_t damaged_records; /* found since the log was opened */
+  uint64_t disk_bytes;      /* of all segments; any thread may read it */
 };
 
 static void
@@ -193,6 +195,16 @@
   return false;
 }
 
+static void
+update_disk_bytes (struct store *store)
+{
+  uint64_t bytes = 0;
+
+  for (guint i = 0; i < store->segments->len; i++)
+    bytes += ((struct segment *)g_ptr_array_index (store->segments, i))->size;
+  ck_pr_store_64 (&store->disk_bytes, bytes);
+}
+
 /* Removes closed segments that contain no live records.  */
 static void
 remove_dead_segments (struct store *store)
@@ -395,6 +407,7 @@
   GPtrArray *finished = g_ptr_array_new ();
   bool running = true;
   bool needs_sync = false;
+  bool has_deletes = false;
   bool synced = true;
   void *next;
 
@@ -417,9 +430,18 @@
       else if (job->kind == JOB_FETCH)
         run_fetch (store, job);
       else
-        run_delete (store, job);
+        {
+          run_delete (store, job);
+          has_deletes = true;
+        }
       g_ptr_array_add (finished, job);
     }
+  /* On a full disk no segment is begun any more, so that dead ones are removed
+     here as well.  */
+  if (has_deletes)
+    remove_dead_segments (store);
+  if (needs_sync || has_deletes)
+    update_disk_bytes (store);
   if (needs_sync && !store->options.skip_sync)
     {
       synced = fdatasync (last_segment (store)->fd) == 0;
@@ -742,6 +764,7 @@
       return NULL;
     }
   load_program_ids (store);
+  update_disk_bytes (store);
   store->completions
       = mailbox_create (options->loop, handle_completion, store);
   if (pthread_create (&store->thread, NULL, run_thread, store) != 0)
@@ -841,6 +864,13 @@
   g_list_free (names);
 }
 
+/* Returns the size of all segment files, which includes deleted records.  */
+uint64_t
+store_disk_bytes (const struct store *store)
+{
+  return ck_pr_load_64 (&store->disk_bytes);
+}
+
 /* Returns the log's state as a new reference.  */
 json_t *
 store_to_json (const struct store *store)
