conversation: keepers store turns and exchange groups of them

A keeper stores turns on its disk, acknowledges them when the whole chain is durable, gives hosts the text of a chain, and brings groups to the keepers that should have them: it reads the others' lists after a start, a silence or a change of the list, offers what changed a short time ago, and hands all groups over when it retires. GET /state shows it.

--- a/common/counters.c
+++ b/common/counters.c
@@ -46,6 +46,15 @@
   [COUNTER_STREAM_ORIGINS_UNKNOWN] = "stream_origins_unknown",
   [COUNTER_HOLDS_PLACED] = "holds_placed",
   [COUNTER_HOLDS_SWEPT] = "holds_swept",
+  [COUNTER_TURNS_KEPT] = "turns_kept",
+  [COUNTER_TURNS_NO_ROOM] = "turns_no_room",
+  [COUNTER_TURN_CONFLICTS] = "turn_conflicts",
+  [COUNTER_TURN_READS] = "turn_reads",
+  [COUNTER_TURN_READS_FROM_DISK] = "turn_reads_from_disk",
+  [COUNTER_TURN_READS_UNKNOWN] = "turn_reads_unknown",
+  [COUNTER_TURN_GROUPS_RESTORED] = "turn_groups_restored",
+  [COUNTER_TURN_GROUPS_SENT] = "turn_groups_sent",
+  [COUNTER_TURN_GROUPS_EXPIRED] = "turn_groups_expired",
 };
 
 static uint64_t counter_values[COUNTER_COUNT];
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -54,6 +54,16 @@
   COUNTER_STREAM_ORIGINS_UNKNOWN, /* of them, without an answer */
   COUNTER_HOLDS_PLACED,
   COUNTER_HOLDS_SWEPT, /* deleted from endpoints as orphans */
+  /* Of keepers, see conversation/keeper.h. */
+  COUNTER_TURNS_KEPT,           /* turns written to this keeper's disk */
+  COUNTER_TURNS_NO_ROOM,        /* refused: memory or disk is full */
+  COUNTER_TURN_CONFLICTS,       /* other content under the same id */
+  COUNTER_TURN_READS,           /* answered with a text */
+  COUNTER_TURN_READS_FROM_DISK, /* of them, not from memory */
+  COUNTER_TURN_READS_UNKNOWN,   /* the turn is not here */
+  COUNTER_TURN_GROUPS_RESTORED, /* read from other keepers */
+  COUNTER_TURN_GROUPS_SENT,     /* to other keepers */
+  COUNTER_TURN_GROUPS_EXPIRED,
   COUNTER_COUNT,
 };
 
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -7,6 +7,7 @@
 extern CU_TestInfo broken_answers_tests[];
 extern CU_TestInfo charges_tests[];
 extern CU_TestInfo config_tests[];
+extern CU_TestInfo conversation_keeper_tests[];
 extern CU_TestInfo cursor_tests[];
 extern CU_TestInfo cut_off_hosts_tests[];
 extern CU_TestInfo decode_tests[];
