conversation: bound a group, and ignore pages of an earlier reading

A program that never ends was one group without bound, which is read and copied as a whole. Hosts' turns are now refused above 2 MB a group. A page that was under way when a list was to be read again counted for the new reading; it is ignored. Offers of a state that was read once are not followed again. A retiring keeper waits 3 s at most for the others' lists.

--- a/conversation/keeper.c
+++ b/conversation/keeper.c
@@ -26,6 +26,9 @@
   /* New chains are refused above this part of the limits, so that those begun
      before can go on. */
   NEW_CHAIN_PERCENT = 80,
+  /* A program's turns are read and copied as a whole.  The longest programs
+     have about 40 turns, 31 KB and then 5 KB each. */
+  GROUP_BYTES_MAX = 2 * 1024 * 1024,
   MAX_PENDING_BYTES = 12 * 1024 * 1024, /* of records that wait for the disk */
   MAX_WAITERS = 512,                    /* for reads of the disk */
   MAX_ID_BYTES = 512,
@@ -242,11 +245,21 @@
   format_group (turn->group->id, group);
   keeper->pending_appends++;
   keeper->pending_bytes += pending->bytes;
+  turn->group->disk_bytes += pending->bytes;
   store_append (keeper->options.store, group, packed, pending->bytes,
                 handle_record_written, pending);
   free (packed);
 }
 
+/* Whether a turn of a host can be added to GROUP, which may be NULL.  */
+static bool
+has_room_in_group (const struct turn_group *group, bool is_new_chain)
+{
+  uint64_t percent = is_new_chain ? NEW_CHAIN_PERCENT : 100;
+
+  return !group || group->disk_bytes * 100 < GROUP_BYTES_MAX * percent;
+}
+
 /* Whether a turn can be added that begins a chain, or continues one.  */
 static bool
 has_room (const struct conversation_keeper *keeper, bool is_new_chain)
@@ -331,7 +344,11 @@
       return;
     }
   if (!has_room (keeper, is_new_chain && !receipt)
-      || (!receipt && is_closing (keeper)))
+      || (!receipt
+          && (is_closing (keeper)
+              || !has_room_in_group (
+                  turn_index_find_group (&keeper->index, write->group),
+                  is_new_chain))))
     {
       answer_write (keeper, host, write->id, receipt, TURN_NO_ROOM);
       return;
@@ -779,6 +796,7 @@
       = turn_index_put (&keeper->index, write, previous, keeper->now_ms,
                         keeper->now_ms + (int64_t)write->retention_s * MS_PER_S
                             + EXPIRY_MARGIN_MS);
+  turn->group->disk_bytes += peer__turn_write__get_packed_size (write);
   turn_index_finish (&keeper->index, turn, true);
   return true;
 }
--- a/conversation/keeper_repair.c
+++ b/conversation/keeper_repair.c
@@ -31,6 +31,9 @@
      does no harm. */
   OFFER_FROM_MS = 1000,
   OFFER_UNTIL_MS = 7000,
+  /* A retiring keeper waits for the lists of the others so long, and then
+     sends groups that they may have. */
+  LISTS_WAIT_MS = 3000,
   HAND_OVER_STEP = 400,       /* groups looked at in a tick */
   HAND_OVER_ANSWER_STEP = 32, /* likewise, after an acknowledgement */
   HAND_OVER_MAX = 16,         /* groups sent and not acknowledged */
@@ -105,10 +108,12 @@
     remove_want (keeper, remote, remote->wants.head);
 }
 
-/* Has the list of REMOTE read again from the start.  */
+/* Has the list of REMOTE read again from the start.  A page under way belongs
+   to the reading before.  */
 static void
 restart_list (struct turn_remote *remote)
 {
+  remote->ignores_page = remote->is_awaiting_page;
   remote->is_listed = false;
   remote->page_after = 0;
   remote->last_request_ms = 0;
@@ -121,6 +126,7 @@
   Peer__TurnListAsk ask = PEER__TURN_LIST_ASK__INIT;
 
   remote->last_request_ms = keeper->now_ms;
+  remote->is_awaiting_page = true;
   ask.after = remote->page_after;
   frame.body_case = PEER__FRAME__BODY_TURN_LIST_ASK;
   frame.turn_list_ask = &ask;
@@ -207,7 +213,8 @@
   send_states (keeper, host, &list, next, group == NULL);
 }
 
-/* Whether this keeper has the turns that STATE stands for.  */
+/* Whether this keeper has the turns of GROUP that DIGEST stands for at another
+   keeper, and maybe more.  */
 static bool
 has_state (const struct conversation_keeper *keeper, uint64_t group,
            uint64_t digest)
@@ -215,7 +222,8 @@
   const struct turn_group *found
       = turn_index_find_group (&keeper->index, group);
 
-  return found && found->digest == digest && found->durable_turns > 0;
+  return found && found->durable_turns > 0
+         && (found->digest == digest || found->covered_digest == digest);
 }
 
 static void
@@ -247,7 +255,8 @@
 
   if (has_state (keeper, state->group, state->digest))
     {
-      group->holders |= bit;
+      if (group->digest == state->digest)
+        group->holders |= bit;
       return;
     }
   if (group)
@@ -350,8 +359,11 @@
     return;
   for (size_t i = 0; i < list->n_groups; i++)
     compare_state (keeper, remote, list->groups[i]);
-  if (!is_offer && !remote->is_listed)
+  if (!is_offer && remote->ignores_page)
+    remote->ignores_page = false;
+  else if (!is_offer && remote->is_awaiting_page)
     {
+      remote->is_awaiting_page = false;
       remote->page_after = list->next;
       remote->is_listed = list->is_last;
       if (!remote->is_listed)
@@ -390,8 +402,10 @@
    written is asked for again later.  */
 static void
 finish_wants (struct conversation_keeper *keeper, struct turn_remote *remote,
-              uint64_t group, bool is_kept)
+              uint64_t group, bool is_kept, bool has_turns)
 {
+  struct turn_group *found = turn_index_find_group (&keeper->index, group);
+
   for (GList *link = remote->wants.head, *next; link; link = next)
     {
       struct turn_want *want = link->data;
@@ -399,10 +413,14 @@
       next = link->next;
       if (want->asked_ms == 0 || want->group != group)
         continue;
-      if (is_kept)
-        remove_want (keeper, remote, link);
-      else
-        want->asked_ms = keeper->now_ms;
+      if (!is_kept)
+        {
+          want->asked_ms = keeper->now_ms;
+          continue;
+        }
+      if (found && has_turns)
+        found->covered_digest = want->digest;
+      remove_want (keeper, remote, link);
     }
 }
 
@@ -419,7 +437,8 @@
                receipt->is_kept);
   else if (remote)
     {
-      finish_wants (keeper, remote, receipt->group, receipt->is_kept);
+      finish_wants (keeper, remote, receipt->group, receipt->is_kept,
+                    receipt->has_turns);
       counter_add (COUNTER_TURN_GROUPS_RESTORED, receipt->is_kept);
     }
   if (!keeper->is_stopped)
@@ -452,6 +471,7 @@
   receipt->group = group->group;
   receipt->remaining = 1;
   receipt->is_kept = true;
+  receipt->has_turns = group->n_turns > 0;
   for (size_t i = 0; i < group->n_turns; i++)
     {
       keeper->restore_credit
@@ -618,6 +638,8 @@
         continue;
       remotes[i].is_silent = known->is_silent;
       remotes[i].has_retired = known->has_retired;
+      remotes[i].is_awaiting_page = remotes[i].ignores_page
+          = known->is_awaiting_page;
     }
   for (size_t i = 0; i < keeper->remote_count; i++)
     if (keeper_set_find (&keeper->set, keeper->remotes[i].name) < 0
@@ -920,6 +942,7 @@
              "handing %d groups over to the other keepers",
              g_tree_nnodes (keeper->index.groups));
   keeper->hand_over.is_active = true;
+  keeper->hand_over.begun_ms = keeper->now_ms;
   /* Their lists tell what they have already.  */
   for (size_t i = 0; i < keeper->remote_count; i++)
     {
@@ -943,7 +966,8 @@
   if (!hand_over->is_active)
     begin_hand_over (keeper);
   for (uint32_t i = 0; i < keeper->remote_count; i++)
-    if (is_present (keeper, i) && !keeper->remotes[i].is_listed)
+    if (is_present (keeper, i) && !keeper->remotes[i].is_listed
+        && now_ms - hand_over->begun_ms < LISTS_WAIT_MS)
       return false;
   if (!has_present_receivers (keeper))
     set_receivers (keeper);
--- a/include/conversation/keeper_state.h
+++ b/include/conversation/keeper_state.h
@@ -23,6 +23,8 @@
   char *name;
   uint64_t page_after;     /* the next page of its list starts after this */
   int64_t last_request_ms; /* for a page; 0: none */
+  bool is_awaiting_page;   /* a request for a page is unanswered */
+  bool ignores_page;       /* the next page answers an earlier request */
   bool is_listed;          /* its list was read since it was last silent */
   bool is_silent;
   bool has_retired;      /* it has handed over all of its groups */
@@ -36,6 +38,7 @@
 struct turn_hand_over
 {
   bool is_active;
+  int64_t begun_ms;
   /* The present keepers, indexes of remotes and what they are selected by. */
   uint32_t *receivers;
   struct replica_host *hosts;
@@ -100,6 +103,7 @@
   uint64_t group;
   uint32_t remaining;
   bool is_kept;
+  bool has_turns; /* else the sender has the group no more */
 };
 
 void keeper_store_copy (struct conversation_keeper *keeper,
--- a/include/conversation/turn_index.h
+++ b/include/conversation/turn_index.h
@@ -54,6 +54,8 @@
   GList by_change; /* link of the index's queue */
   GList by_use;    /* likewise, while it has contents in memory */
   size_t content_bytes;
+  uint64_t disk_bytes;     /* of its records */
+  uint64_t covered_digest; /* another keeper's state, all of which is here */
   struct keeper_replicas replicas;
   uint64_t replicas_generation; /* of the list that they are selected from */
   uint64_t holders; /* bits of the other keepers known to have the digest */
--- a/test/unit/test_conversation_keeper.c
+++ b/test/unit/test_conversation_keeper.c
@@ -900,6 +900,27 @@
   destroy_sim (sim);
 }
 
+/* Guards against a program that goes on and on, and whose turns, which are
+   read and copied as a whole, take all memory.  */
+static void
+test_long_program (void)
+{
+  struct sim *sim = create_sim (1, 2);
+  struct sim_turn turn = { .program = 1, .len = 31 * 1024 };
+
+  while (write_turn (sim, 0, &turn) == TURN_STORED && turn.number < 100)
+    turn.number++;
+  CU_ASSERT_EQUAL (sim->result, TURN_NO_ROOM);
+  /* 22 turns are the most of the longest programs, of 31 KB and then 5 KB;
+     with sub-agents twice that.  */
+  CU_ASSERT (turn.number >= 44);
+  turn.number--;
+  CU_ASSERT_EQUAL (read_turn (sim, 0, &turn), TURN_FOUND);
+  CU_ASSERT_EQUAL (write_turn (sim, 0, &(struct sim_turn){ .program = 2 }),
+                   TURN_STORED);
+  destroy_sim (sim);
+}
+
 /* Guards against contents in memory beyond the bound, and against wrong texts
    of those that are read from the disk.  */
 static void
@@ -935,6 +956,7 @@
   { "other keeper", test_other_keeper },
   { "expiry", test_expiry },
   { "no room", test_no_room },
+  { "long program", test_long_program },
   { "memory", test_memory },
   CU_TEST_INFO_NULL,
 };
