--- a/common/histogram.c
+++ b/common/histogram.c
@@ -11,6 +11,8 @@
   [HISTOGRAM_FIRST_EVENT_MS] = "first_event_ms",
   [HISTOGRAM_BUDGET_MS] = "budget_ms",
   [HISTOGRAM_STORE_MS] = "store_call_ms",
+  [HISTOGRAM_TURN_READ_MS] = "turn_read_ms",
+  [HISTOGRAM_TURN_WRITE_MS] = "turn_write_ms",
 };
 
 struct histogram_data
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -52,6 +52,14 @@
   COUNTER_UNFINISHED_EVENTS,      /* responses that ended inside an event */
   COUNTER_STREAM_LOOKUPS,         /* questions where a resumed stream began */
   COUNTER_STREAM_ORIGINS_UNKNOWN, /* of them, without an answer */
+  COUNTER_TURNS_READ,             /* of conversations, from keepers */
+  COUNTER_TURNS_UNKNOWN,          /* refused with 404 */
+  COUNTER_TURNS_UNCERTAIN,        /* refused, as keepers were silent */
+  COUNTER_TURNS_WRITTEN,          /* durable */
+  COUNTER_TURNS_LOST,             /* not durable in time */
+  COUNTER_TURN_SUPPLEMENTS,       /* writes to others than preferred keepers */
+  COUNTER_TURN_PREFIXES,          /* writes repeated with the whole chain */
+  COUNTER_CHAINS_REFUSED,         /* first turns, for lack of keepers */
   COUNTER_HOLDS_PLACED,
   COUNTER_HOLDS_SWEPT, /* deleted from endpoints as orphans */
   COUNTER_COUNT,
--- a/include/common/histogram.h
+++ b/include/common/histogram.h
@@ -10,7 +10,10 @@
   HISTOGRAM_REQUEST_MS,     /* from request arrival to end of response */
   HISTOGRAM_FIRST_EVENT_MS, /* from sending to the first stream event */
   HISTOGRAM_BUDGET_MS,      /* for a budget reservation in the ledger */
-  HISTOGRAM_STORE_MS, /* for a store call that does not wait for changes */
+  HISTOGRAM_STORE_MS,     /* for a store call that does not wait for changes */
+  HISTOGRAM_TURN_READ_MS, /* of a chain, from keepers */
+  HISTOGRAM_TURN_WRITE_MS, /* from a response's last event until the turn is
+                              durable */
   HISTOGRAM_COUNT,
 };
 
