request, conversation: turns are read before and written after a request on retained routes

Callers on routes with retained: true send only the new input of a turn. The host reads the chain that Previous-Turn names, sends the endpoint the whole, collects the data of the forwarded events, and ends the response once the turn is on tolerated_losses + 1 keepers in two data centres; a turn that cannot be made durable by its deadline is aborted. 404 needs certainty of all listed keepers, else 503; first turns are refused at once while too few keepers answer or have room. Fake keepers and endpoints that read bodies serve the tests; a suite can be selected by name.

--- a/include/request/request.h
+++ b/include/request/request.h
@@ -7,6 +7,7 @@
 #include "common/buf.h"
 #include "common/error.h"
 #include "common/fetch.h"
+#include "conversation/client.h"
 #include "ledger/ledger.h"
 #include "request/endpoint_limiter.h"
 #include "request/limits.h"
@@ -42,6 +43,7 @@
   int64_t prompt_tokens;
   int64_t max_output_tokens;
   int64_t resume_after; /* id of the last event that the caller received */
+  char *previous;   /* id of the turn that this one continues; may be NULL */
   char *resumed_id; /* of the attempt that brought the stream's first event;
                        may be NULL */
   struct prompt_part *parts;
@@ -130,6 +132,8 @@
   struct relay_client *relays; /* NULL to send all requests from this host */
   struct ledger *ledger;
   struct stream_index *streams; /* may be NULL */
+  /* NULL to refuse requests on routes that keep turns. */
+  struct conversations *conversations;
   const struct request_wire *wire;
   pipeline_crash_handler *handle_crash;
   pipeline_heard_handler *handle_heard; /* may be NULL */
--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -30,7 +30,9 @@
   char *path_prefix;
   enum route_retry_mode retry_mode;
   bool resumable; /* streams can be resumed after the last event received */
-  bool is_open;   /* no API key required */
+  bool retained;  /* the system keeps the turns of conversations */
+  uint32_t retention_s;  /* after a turn's end, if retained */
+  bool is_open;          /* no API key required */
   int64_t timeout_ms;    /* of a request, including retries */
   int32_t priority;      /* 0 is the most urgent */
   uint32_t max_attempts; /* that may have run; 0 for the default */
--- a/request/request.c
+++ b/request/request.c
@@ -5,6 +5,7 @@
 #include "common/log.h"
 #include "policy/endpoint_limit.h"
 #include "policy/retry.h"
+#include "request/conversation_step.h"
 #include "request/event_splitter.h"
 #include "request/observation.h"
 #include <stdlib.h>
@@ -55,6 +56,7 @@
 enum request_step
 {
   STEP_ORIGIN,  /* waiting to know where the stream began */
+  STEP_CHAIN,   /* waiting for the turns before */
   STEP_LIMIT,   /* waiting for a rate limit token */
   STEP_BUDGET,  /* waiting for the ledger */
   STEP_PERMIT,  /* waiting for a permit of an endpoint with a limit */
@@ -87,6 +89,7 @@
   bool begins_program; /* no turn of the program has run before */
   bool has_origin;     /* build is known, or the stream begins */
   bool has_token;      /* holds a token of the customer's rate limit */
+  struct conversation_step conversation;
   struct stream_lookup *origin_lookup;
   struct limits_waiter *token_wait;
   struct ledger_reservation *reservation;
@@ -164,6 +167,7 @@
   free (input->host);
   free (input->key);
   free (input->program);
+  free (input->previous);
   free (input->resumed_id);
   free (input->parts);
   headers_destroy (input->headers, input->header_count);
@@ -231,6 +235,7 @@
   struct pipeline *pipeline = request->pipeline;
 
   release_endpoint (request);
+  conversation_step_release (&request->conversation);
   stream_lookup_cancel (request->origin_lookup);
   limits_cancel (request->token_wait);
   endpoint_limiter_cancel (request->permit_ask);
@@ -603,6 +608,7 @@
   request->events_forwarded++;
   if (request->step != STEP_STREAM)
     begin_stream (request);
+  conversation_step_add_event (&request->conversation, bytes, len);
   return request->sink->write (request->sink, bytes, len);
 }
 
@@ -652,15 +658,6 @@
                                 request);
 }
 
-static void
-end_stream (struct request *request)
-{
-  struct request_sink *sink = request->sink;
-
-  request_destroy (request);
-  sink->end (sink);
-}
-
 static void
 log_response (struct request *request, enum fetch_framing framing)
 {
@@ -687,19 +684,61 @@
 
 /* Forwards a complete response.  The caller keeps ownership of BODY.  */
 static void
-forward_response (struct request *request, enum fetch_framing framing,
-                  const struct buf *body)
+forward_response (struct request *request, const struct buf *body)
 {
   struct request_sink *sink = request->sink;
   struct response_head head = request->head;
 
-  log_response (request, framing);
   request->head = (struct response_head){ 0 };
   request_destroy (request);
   sink->respond (sink, &head, body);
   response_head_release (&head);
 }
 
+/* Ends the response on a streaming route.  */
+static void
+end_stream (struct request *request)
+{
+  struct request_sink *sink = request->sink;
+  struct buf pending = request->events.pending;
+
+  if (request->step == STEP_STREAM)
+    {
+      request_destroy (request);
+      sink->end (sink);
+      return;
+    }
+  request->events.pending = (struct buf){ 0 };
+  forward_response (request, &pending);
+  buf_release (&pending);
+}
+
+static void
+handle_turn_written (void *data, bool is_durable)
+{
+  if (is_durable)
+    end_stream (data);
+  else
+    fail_request (data, "the turn cannot be made durable");
+}
+
+/* Ends a successful response on a streaming route, once its turn is durable if
+   the route keeps turns.  The endpoint is released before, so that it does not
+   wait for keepers.  */
+static void
+end_turn (struct request *request)
+{
+  enum conversation_end end;
+
+  release_endpoint (request);
+  end = conversation_step_end (&request->conversation, handle_turn_written,
+                               request);
+  if (end == CONVERSATION_END_AT_ONCE)
+    end_stream (request);
+  else if (end == CONVERSATION_END_LOST)
+    fail_request (request, "the turn's output cannot be held");
+}
+
 /* Whether the endpoint states that it has not run the request.  */
 static bool
 reports_not_run (const struct request *request)
@@ -779,7 +818,6 @@
 {
   const struct buf *body = result->body;
   struct observation observation = make_observation (request, result->status);
-  struct buf pending;
   bool is_complete;
 
   if (result->status > 0)
@@ -820,19 +858,14 @@
           fail_request (request, "the endpoint failed to resume the stream");
           return;
         }
-      log_response (request, result->framing);
-      end_stream (request);
-      return;
     }
+  log_response (request, result->framing);
   if (request->route->retry_mode != ROUTE_STREAM)
-    {
-      forward_response (request, result->framing, body);
-      return;
-    }
-  pending = request->events.pending;
-  request->events.pending = (struct buf){ 0 };
-  forward_response (request, result->framing, &pending);
-  buf_release (&pending);
+    forward_response (request, body);
+  else if (is_success (request->head.status))
+    end_turn (request);
+  else
+    end_stream (request);
 }
 
 static void
@@ -1381,13 +1414,14 @@
                        "the customer's rate limit is exceeded");
 }
 
+static void find_chain (struct request *request);
 static void find_origin (struct request *request);
 static void reserve_budget (struct request *request);
 static void acquire_token (struct request *request);
 
 /* Runs the next step of admission, or dispatches the request if none is left.
-   The steps are the origin of a stream that is resumed, the rate limit and the
-   token budget.  If this host has not
+   The steps are the turns before this one, the origin of a stream that is
+   resumed, the rate limit and the token budget.  If this host has not
    seen the program before, the budget comes first: the ledger's reply tells
    whether this is the program's first request, which the rate limit treats
    differently.  */
@@ -1402,7 +1436,9 @@
         && ledger_has_turns (request->pipeline->options.ledger,
                              request->program);
 
-  if (!request->has_origin)
+  if (!conversation_step_is_ready (&request->conversation))
+    find_chain (request);
+  else if (!request->has_origin)
     find_origin (request);
   else if (!request->has_token && request->customer
            && (!has_budget || is_program_known || request->reservation))
@@ -1413,6 +1449,33 @@
     dispatch (request);
 }
 
+static void
+handle_chain (void *data, enum conversation_verdict verdict)
+{
+  struct request *request = data;
+  struct error error;
+
+  if (verdict == CONVERSATION_PENDING)
+    return;
+  if (verdict == CONVERSATION_READY)
+    {
+      continue_admission (request);
+      return;
+    }
+  conversation_verdict_error (verdict, &error);
+  refuse (request, &error);
+}
+
+/* Reads the turns that this one continues.  */
+static void
+find_chain (struct request *request)
+{
+  request->step = STEP_CHAIN;
+  handle_chain (request, conversation_step_begin (&request->conversation,
+                                                  request->deadline_at_ms,
+                                                  handle_chain, request));
+}
+
 /* Lets a stream of unknown origin go on only if a single build can have begun
    it.  */
 static void
@@ -1696,6 +1759,8 @@
   if (request->customer)
     hash = id_hash64 (request->customer->name,
                       strlen (request->customer->name), hash);
+  if (input->previous)
+    hash = id_hash64 (input->previous, strlen (input->previous), hash);
   return id_hash64 (input->body.data ? input->body.data : "", input->body.len,
                     hash);
 }
@@ -1796,6 +1861,9 @@
   set_stream (request);
   request->fingerprint = compute_fingerprint (request);
   set_deadline (request);
+  conversation_step_init (
+      &request->conversation, pipeline->options.conversations, request->route,
+      request->customer ? request->customer->name : NULL, input);
   continue_admission (request);
   /* If the request is still active, it is the last one in the queue.  */
   return g_queue_peek_tail (&pipeline->requests) == request ? request : NULL;
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -108,6 +108,8 @@
                         .is_open = true,
                         .timeout_ms = route->timeout_ms,
                         .max_attempts = route->max_attempts,
+                        .retained = route->retained,
+                        .retention_s = 60,
                         .targets = xcalloc (1, sizeof (struct route_target)),
                         .target_count = 1 };
   routing->routes[0].targets[0].weight = 1;
@@ -377,6 +379,7 @@
   struct pipeline_options pipeline
       = { .wire = &platform_wire, .handle_crash = count_crash, .data = local };
 
+  pipeline.conversations = options->conversations;
   local->host = limits.host;
   local->fleet = options->shared ? options->shared->fleet : local;
   local->loop
@@ -422,28 +425,37 @@
   free (local);
 }
 
-/* Starts a request with the id "1" and forgets the response before it.  Unless
-   RESUME_AFTER is negative, it resumes the stream of an attempt "0" after this
-   event.  */
+/* Starts a request, whose target and numbers are set here, and forgets the
+   response before it.  */
 void
-local_pipeline_start (struct local_pipeline *local, int64_t resume_after)
+local_pipeline_submit (struct local_pipeline *local,
+                       struct request_input *input)
 {
-  struct request_input *input = xcalloc (1, sizeof *input);
-
   buf_release (&local->response.body);
   local->response = (struct local_response){ 0 };
   local->is_started = true;
-  input->id = xstrdup ("1");
   input->method = xstrdup ("GET");
   input->target = xstrdup ("/x");
   input->path = xstrdup ("/x");
   input->host = xstrdup ("h");
   input->deadline_ms = input->token_budget = input->prompt_tokens = -1;
   input->max_output_tokens = -1;
+  local->active = request_start (local->pipeline, input, &local->sink);
+}
+
+/* Starts a request with the id "1" and forgets the response before it.  Unless
+   RESUME_AFTER is negative, it resumes the stream of an attempt "0" after this
+   event.  */
+void
+local_pipeline_start (struct local_pipeline *local, int64_t resume_after)
+{
+  struct request_input *input = xcalloc (1, sizeof *input);
+
+  input->id = xstrdup ("1");
   input->resume_after = resume_after;
   if (resume_after >= 0)
     input->resumed_id = xstrdup ("0");
-  local->active = request_start (local->pipeline, input, &local->sink);
+  local_pipeline_submit (local, input);
 }
 
 /* Runs a request to its end.  */
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -49,6 +49,7 @@
   bool resumable;
   int64_t timeout_ms;
   uint32_t max_attempts;
+  bool retained;
 };
 
 struct local_pipeline_options
@@ -56,9 +57,10 @@
   struct local_route route;
   raw_answer_handler *answer;
   void *data;
-  uint32_t endpoint_count;     /* 0 for one */
-  const char *const *versions; /* of the endpoints; NULL for none */
-  const char *host;            /* name of this host; NULL for "x" */
+  uint32_t endpoint_count;             /* 0 for one */
+  const char *const *versions;         /* of the endpoints; NULL for none */
+  struct conversations *conversations; /* may be NULL */
+  const char *host;                    /* name of this host; NULL for "x" */
   /* Is a host of the same fleet as this pipeline, with its loop and endpoints,
      and destroyed before it; NULL for a fleet of its own. */
   struct local_pipeline *shared;
@@ -107,6 +109,8 @@
 local_pipeline_create (const struct local_pipeline_options *options);
 void local_pipeline_destroy (struct local_pipeline *local);
 void local_pipeline_list_endpoints (struct local_pipeline *local);
+void local_pipeline_submit (struct local_pipeline *local,
+                            struct request_input *input);
 void local_pipeline_start (struct local_pipeline *local, int64_t resume_after);
 const struct local_response *local_pipeline_run (struct local_pipeline *local);
 const struct local_response *
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -9,6 +9,9 @@
 static CU_SuiteInfo suites[] = {
   { "charges", NULL, NULL, NULL, NULL, charges_tests },
   { "config", NULL, NULL, NULL, NULL, config_tests },
+  { "conversation client", NULL, NULL, NULL, NULL, conversation_client_tests },
+  { "conversation requests", NULL, NULL, NULL, NULL,
+    conversation_requests_tests },
   { "cursor", NULL, NULL, NULL, NULL, cursor_tests },
   { "decode", NULL, NULL, NULL, NULL, decode_tests },
   { "events", NULL, NULL, NULL, NULL, events_tests },
@@ -44,6 +47,7 @@
   { "stream index", NULL, NULL, NULL, NULL, stream_index_tests },
   { "token bucket", NULL, NULL, NULL, NULL, token_bucket_tests },
   { "turn", NULL, NULL, NULL, NULL, turn_tests },
+  { "turn copies", NULL, NULL, NULL, NULL, turn_copies_tests },
   { "watch", NULL, NULL, NULL, NULL, watch_tests },
   { "window", NULL, NULL, NULL, NULL, window_tests },
   { "wire", NULL, NULL, NULL, NULL, wire_tests },
@@ -60,13 +64,13 @@
   CU_SUITE_INFO_NULL,
 };
 
-/* Returns the separate suite NAME, followed by the end of a list, or NULL.  */
+/* Returns the suite NAME of LIST, followed by the end of a list, or NULL.  */
 static CU_SuiteInfo *
-find_separate_suite (const char *name)
+find_suite (CU_SuiteInfo *list, const char *name)
 {
   static CU_SuiteInfo found[] = { CU_SUITE_INFO_NULL, CU_SUITE_INFO_NULL };
 
-  for (CU_SuiteInfo *suite = separate_suites; suite->pName; suite++)
+  for (CU_SuiteInfo *suite = list; suite->pName; suite++)
     if (strcmp (suite->pName, name) == 0)
       {
         found[0] = *suite;
@@ -78,9 +82,14 @@
 int
 main (int argc, char **argv)
 {
-  CU_SuiteInfo *selected = argc > 1 ? find_separate_suite (argv[1]) : suites;
+  CU_SuiteInfo *selected = suites;
   unsigned failures;
 
+  if (argc > 1)
+    selected = find_suite (separate_suites, argv[1]);
+  if (argc > 1 && !selected)
+    selected = find_suite (suites, argv[1]);
+
   if (!selected || sodium_init () < 0
       || curl_global_init (CURL_GLOBAL_DEFAULT) != 0
       || CU_initialize_registry () != CUE_SUCCESS
--- a/test/unit/raw_endpoint.c
+++ b/test/unit/raw_endpoint.c
@@ -110,7 +110,24 @@
     }
 }
 
-/* The tests send requests without a body.  */
+/* Whether REQUEST has arrived with its body.  Requests without a length have
+   none.  */
+static bool
+is_whole (const struct buf *request)
+{
+  static const char field[] = "Content-Length:";
+  const char *end = strstr (request->data, HEAD_END);
+  const char *length = strcasestr (request->data, field);
+  size_t body_len = 0;
+
+  if (!end)
+    return false;
+  if (length && length < end)
+    body_len = strtoul (length + strlen (field), NULL, 10);
+  return request->len
+         >= (size_t)(end - request->data) + strlen (HEAD_END) + body_len;
+}
+
 static void
 handle_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -127,7 +144,7 @@
   buf_append (&connection->request, bytes, (size_t)got);
   buf_append (&connection->request, "", 1);
   connection->request.len--;
-  if (strstr (connection->request.data, HEAD_END))
+  if (is_whole (&connection->request))
     send_answer (connection);
 }
 
--- a/test/unit/raw_endpoint.h
+++ b/test/unit/raw_endpoint.h
@@ -28,7 +28,7 @@
 
 struct raw_endpoint;
 
-/* Chooses the answer of ENDPOINT to REQUEST, the bytes of its head. */
+/* Chooses the answer of ENDPOINT to REQUEST, its head and body. */
 typedef struct raw_answer raw_answer_handler (void *data,
                                               struct raw_endpoint *endpoint,
                                               const char *request);
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -7,6 +7,8 @@
 extern CU_TestInfo broken_answers_tests[];
 extern CU_TestInfo charges_tests[];
 extern CU_TestInfo config_tests[];
+extern CU_TestInfo conversation_client_tests[];
+extern CU_TestInfo conversation_requests_tests[];
 extern CU_TestInfo cursor_tests[];
 extern CU_TestInfo cut_off_hosts_tests[];
 extern CU_TestInfo decode_tests[];
@@ -45,6 +47,7 @@
 extern CU_TestInfo stream_index_tests[];
 extern CU_TestInfo stream_versions_tests[];
 extern CU_TestInfo token_bucket_tests[];
+extern CU_TestInfo turn_copies_tests[];
 extern CU_TestInfo turn_tests[];
 extern CU_TestInfo watch_tests[];
 extern CU_TestInfo window_tests[];
--- a/test/unit/test_decode.c
+++ b/test/unit/test_decode.c
@@ -60,7 +60,7 @@
       "\"type\":\"streaming\",\"timeout_ms\":5000,\"slo_ms\":200,"
       "\"priority\":1,\"traffic_split\":[{\"backend\":\"m\",\"weight\":90},"
       "{\"backend\":\"p\",\"weight\":10}],\"max_attempts\":1,"
-      "\"resumable\":true},"
+      "\"resumable\":true,\"retained\":true,\"retention_s\":59.5},"
       "{\"name\":\"r2\",\"hostname\":\"h.example\",\"path_prefix\":\"/a/b/\","
       "\"type\":\"idempotent\",\"timeout_ms\":2000,\"backend\":\"p\"},"
       "{\"name\":\"r3\",\"hostname\":\"h.example\",\"path_prefix\":\"/\","
@@ -86,12 +86,15 @@
   CU_ASSERT_PTR_NOT_NULL_FATAL (route);
   CU_ASSERT_STRING_EQUAL (route->name, "r1");
   CU_ASSERT_EQUAL (route->retry_mode, ROUTE_STREAM);
+  CU_ASSERT_TRUE (route->retained);
+  CU_ASSERT_EQUAL (route->retention_s, 60);
   CU_ASSERT_EQUAL (route->target_count, 2);
   CU_ASSERT_EQUAL (route->targets[0].weight, 90);
   CU_ASSERT_STRING_EQUAL (
       routing_find_route (routing, "h.example", "/a/b/c")->name, "r2");
   route = routing_find_route (routing, "h.example", "/z");
   CU_ASSERT_EQUAL (route->retry_mode, ROUTE_ONCE);
+  CU_ASSERT_FALSE (route->retained);
   CU_ASSERT_TRUE (route->is_open);
   CU_ASSERT_PTR_NULL (routing_find_route (routing, "other.example", "/a/x"));
   CU_ASSERT_STRING_EQUAL (routing_find_customer (routing, "k2")->name, "t1");
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -53,6 +53,7 @@
   for (size_t i = 0; i < sizeof reserved / sizeof *reserved; i++)
     CU_ASSERT_TRUE (wire_is_reserved_header (reserved[i]));
   CU_ASSERT_FALSE (wire_is_reserved_header ("Attempt-Id"));
+  CU_ASSERT_FALSE (wire_is_reserved_header (WIRE_PREVIOUS_TURN));
   CU_ASSERT_TRUE (wire_is_hop_by_hop_header ("transfer-encoding"));
   CU_ASSERT_FALSE (wire_is_hop_by_hop_header ("Content-Type"));
 }
