conversation: a turn given up before it is durable is counted and logged

At the request's deadline the write is cancelled, so neither the counter of lost turns nor the keepers' answers were recorded.

--- a/conversation/client.c
+++ b/conversation/client.c
@@ -342,12 +342,9 @@
   return task;
 }
 
-/* Ends a task without calling its handler.  No effect if it is NULL.  */
-void
-conversation_task_cancel (struct conversation_task *task)
+static void
+task_destroy (struct conversation_task *task)
 {
-  if (!task)
-    return;
   g_queue_unlink (&task->client->queue, &task->link);
   g_hash_table_remove (task->client->tasks, &task->id);
   free (task->turn_id);
@@ -378,6 +375,26 @@
   return text;
 }
 
+/* Ends a task without calling its handler.  No effect if it is NULL.  */
+void
+conversation_task_cancel (struct conversation_task *task)
+{
+  struct buf answers;
+
+  if (!task)
+    return;
+  if (!task->handle_read)
+    {
+      answers = describe_answers (task);
+      counter_add (COUNTER_TURNS_LOST, 1);
+      log_write (LOG_WARN, "conversation", NULL,
+                 "turn %s given up before it was durable (%s)",
+                 task->turn.turn, answers.data);
+      buf_release (&answers);
+    }
+  task_destroy (task);
+}
+
 static void
 log_read (const struct conversation_task *task, enum turn_read_verdict verdict,
           const Peer__TurnText *found, int64_t now_ms)
@@ -415,7 +432,7 @@
                                                    : COUNTER_TURNS_UNCERTAIN,
                1);
   log_read (task, verdict, found, now_ms);
-  conversation_task_cancel (task);
+  task_destroy (task);
   handle (data, verdict, found ? found->group : 0,
           found ? (const char *)found->text.data : NULL,
           found ? found->text.len : 0);
@@ -435,7 +452,7 @@
              is_durable ? "durable" : "cannot be made durable",
              now_ms - task->started_ms, answers.data);
   buf_release (&answers);
-  conversation_task_cancel (task);
+  task_destroy (task);
   handle (data, is_durable);
 }
 
