peer, conversation: keepers tell which list of keepers they know

A host with an old list asks only the keepers on it; if all of them are certain, it would answer 404 for a turn that later keepers hold. TurnText has a digest of the sender's list; a miss is certain only if it is the host's own, or not told. Generated code by protoc-c.

Measured: suite conversation client, with the new test, passes.

--- a/conversation/client.c
+++ b/conversation/client.c
@@ -38,6 +38,7 @@
   struct keeper_view *keepers;
   struct replica_host *hosts; /* of the same index */
   uint32_t count;
+  uint64_t digest;   /* of the list of keepers */
   GHashTable *tasks; /* id -> struct conversation_task */
   GQueue queue;      /* of the same tasks */
   size_t held_bytes;
@@ -134,6 +135,9 @@
       hosts[i].data_centre_hash = id_hash_text (locations[i].data_centre);
     }
   release_keepers (client);
+  client->digest = 0;
+  for (size_t i = 0; i < count; i++)
+    client->digest = turn_keepers_digest (client->digest, locations[i].name);
   client->keepers = keepers;
   client->hosts = hosts;
   client->count = (uint32_t)count;
@@ -605,6 +609,15 @@
     continue_task (task, now_ms);
 }
 
+/* Whether the sender of ANSWER knows the same keepers as this host.  With an
+   old list, this host would not ask keepers that were added since.  */
+static bool
+knows_same_keepers (const struct conversations *client,
+                    const Peer__TurnText *answer)
+{
+  return answer->keepers == 0 || answer->keepers == client->digest;
+}
+
 static void
 handle_text (struct conversations *client, const char *host,
              const Peer__TurnText *answer, int64_t now_ms)
@@ -625,7 +638,9 @@
       keeper->copy = TURN_COPY_OTHER_CUSTOMER;
       break;
     case TURN_UNKNOWN_FOR_CERTAIN:
-      keeper->copy = TURN_COPY_MISSING_FOR_CERTAIN;
+      keeper->copy = knows_same_keepers (client, answer)
+                         ? TURN_COPY_MISSING_FOR_CERTAIN
+                         : TURN_COPY_MISSING;
       break;
     default:
       keeper->copy = TURN_COPY_MISSING;
--- a/conversation/turn.c
+++ b/conversation/turn.c
@@ -21,6 +21,14 @@
   return group ? group : 1;
 }
 
+/* Adds the keeper NAME to DIGEST, initially 0, of a list of keepers in any
+   order.  */
+uint64_t
+turn_keepers_digest (uint64_t digest, const char *name)
+{
+  return digest + id_hash_text (name);
+}
+
 /* Returns the number of keepers that must have a turn on disk before its
    response may end, so that it survives the loss of LOSSES keepers.  */
 uint32_t
--- a/include/conversation/turn.h
+++ b/include/conversation/turn.h
@@ -25,6 +25,7 @@
 
 uint64_t turn_hash (uint64_t customer, const char *turn);
 uint64_t turn_group (uint64_t customer, const char *program, const char *turn);
+uint64_t turn_keepers_digest (uint64_t digest, const char *name);
 uint32_t turn_copies_wanted (uint32_t losses);
 
 #endif
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -994,10 +994,14 @@
    * since the keeper got the turn
    */
   uint32_t age_ms;
+  /*
+   * turn_keepers_digest of the keepers that the sender knows; 0 if not told
+   */
+  uint64_t keepers;
 };
 #define PEER__TURN_TEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__turn_text__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0, 0 }
+    , 0, 0, 0, {0,NULL}, 0, 0, 0 }
 
 
 /*
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -6526,7 +6526,7 @@
   (ProtobufCMessageInit) peer__turn_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__turn_text__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__turn_text__field_descriptors[7] =
 {
   {
     "id",
@@ -6600,11 +6600,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keepers",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__TurnText, keepers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__turn_text__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
   2,   /* field[2] = group */
   0,   /* field[0] = id */
+  6,   /* field[6] = keepers */
   1,   /* field[1] = result */
   3,   /* field[3] = text */
   4,   /* field[4] = turns */
@@ -6612,7 +6625,7 @@
 static const ProtobufCIntRange peer__turn_text__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__turn_text__descriptor =
 {
@@ -6622,7 +6635,7 @@
   "Peer__TurnText",
   "peer",
   sizeof(Peer__TurnText),
-  6,
+  7,
   peer__turn_text__field_descriptors,
   peer__turn_text__field_indices_by_name,
   1,  peer__turn_text__number_ranges,
--- a/test/unit/fake_keepers.c
+++ b/test/unit/fake_keepers.c
@@ -202,6 +202,8 @@
 
   keeper->reads++;
   text.id = question->id;
+  for (uint32_t i = 0; i < fleet->count; i++)
+    text.keepers = turn_keepers_digest (text.keepers, fleet->keepers[i].name);
   text.result = keeper->is_fresh ? TURN_UNKNOWN : TURN_UNKNOWN_FOR_CERTAIN;
   if (turn && turn->customer != question->customer)
     text.result = TURN_OTHER_CUSTOMER;
--- a/test/unit/test_conversation_client.c
+++ b/test/unit/test_conversation_client.c
@@ -314,6 +314,23 @@
   fixture_release (&fixture);
 }
 
+/* Guards against 404 from a host whose list lacks the keepers that have the
+   turn, while all that it knows are certain.  */
+static void
+test_miss_needs_the_same_list (void)
+{
+  struct fixture fixture;
+
+  fixture_init (&fixture, KEEPERS);
+  fake_keepers_list (&fixture.fleet, KEEPERS - 1);
+  read_turn (&fixture, "none");
+  CU_ASSERT_EQUAL (fixture.verdict, TURN_READ_NOT_CERTAIN);
+  fake_keepers_list (&fixture.fleet, KEEPERS);
+  read_turn (&fixture, "none");
+  CU_ASSERT_EQUAL (fixture.verdict, TURN_READ_NO_SUCH_TURN);
+  fixture_release (&fixture);
+}
+
 /* Guards against handing a turn to another customer.  */
 static void
 test_turn_of_another_customer_is_not_read (void)
@@ -467,6 +484,7 @@
           test_lost_answers_are_asked_for_again },
         { "repeated answers count once", test_repeated_answers_count_once },
         { "a miss needs all keepers", test_miss_needs_all_keepers },
+        { "a miss needs the same list", test_miss_needs_the_same_list },
         { "a turn of another customer is not read",
           test_turn_of_another_customer_is_not_read },
         { "any keeper with the turn suffices",
