--- a/common/fields.c
+++ b/common/fields.c
@@ -3,9 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+static const double MILLI_PER_UNIT = 1000;
+static const double MAX_MILLI = 1e15;
+
 static const char *const type_names[] = {
   [FIELD_STRING] = "a string",
   [FIELD_INT64] = "an integer",
+  [FIELD_MILLI] = "a number",
   [FIELD_BOOL] = "true or false",
   [FIELD_STRINGS] = "an array of strings",
   [FIELD_JSON] = "an object or an array",
@@ -32,6 +36,8 @@
       return json_is_string (value);
     case FIELD_INT64:
       return json_is_integer (value);
+    case FIELD_MILLI:
+      return json_is_number (value);
     case FIELD_BOOL:
       return json_is_boolean (value);
     case FIELD_JSON:
@@ -46,15 +52,27 @@
   return false;
 }
 
+/* Returns thousandths of a number; very large ones are cut off.  */
+static int64_t
+to_milli (const json_t *value)
+{
+  double milli = json_number_value (value) * MILLI_PER_UNIT;
+
+  if (milli > MAX_MILLI)
+    return (int64_t)MAX_MILLI;
+  return milli < -MAX_MILLI ? -(int64_t)MAX_MILLI : (int64_t)milli;
+}
+
 static bool
 check_range (const struct field *field, const json_t *value, const char *where,
              struct error *error)
 {
   json_int_t number;
 
-  if (field->type != FIELD_INT64)
+  if (field->type != FIELD_INT64 && field->type != FIELD_MILLI)
     return true;
-  number = json_integer_value (value);
+  number = field->type == FIELD_MILLI ? to_milli (value)
+                                      : json_integer_value (value);
   if (number >= field->min && number <= field->max)
     return true;
   error_set (error, ERROR_SETTINGS, RUN_NOT_RUN,
@@ -109,6 +127,9 @@
     case FIELD_INT64:
       *(int64_t *)(void *)member = json_integer_value (value);
       break;
+    case FIELD_MILLI:
+      *(int64_t *)(void *)member = to_milli (value);
+      break;
     case FIELD_BOOL:
       *(bool *)member = json_is_true (value);
       break;
@@ -209,6 +230,7 @@
           strings_release ((struct strings *)(void *)member);
           break;
         case FIELD_INT64:
+        case FIELD_MILLI:
         case FIELD_BOOL:
           break;
         }
--- a/galenactl/main.c
+++ b/galenactl/main.c
@@ -20,6 +20,7 @@
   { "dump", "[--programs]", ctl_dump },
   { "endpoint", "list | show NAME | set NAME FIELD=VALUE... | delete NAME",
     ctl_endpoint },
+  { "evacuate", "list | set DATA-CENTRE | end DATA-CENTRE", ctl_evacuate },
   { "fleet-key", "[--add FILE]", ctl_fleet_key },
   { "host", "list | remove NAME", ctl_host },
   { "key", "create CUSTOMER | list | withdraw ID [--here]", ctl_key },
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -45,8 +45,12 @@
   COUNTER_ENDPOINT_LIMIT_CHANGES, /* named, changed or ended in responses */
   COUNTER_MALFORMED_LIMITS,       /* in responses of endpoints */
   COUNTER_LIMITED_SENDS,          /* requests sent to endpoints with a limit */
-  COUNTER_PERMIT_ASKS,            /* for requests to endpoints with a limit */
-  COUNTER_PERMITS_GRANTED,        /* by this host */
+  COUNTER_COLD_ENDPOINTS,         /* times that this host learnt of one */
+  COUNTER_COLD_SENDS,             /* requests sent to cold endpoints */
+  COUNTER_EVACUATIONS,            /* of data centres, since the start */
+  COUNTER_EVACUATIONS_IN_FORCE,
+  COUNTER_PERMIT_ASKS,     /* for requests to endpoints with a limit */
+  COUNTER_PERMITS_GRANTED, /* by this host */
   COUNTER_PERMITS_DENIED,
   COUNTER_RESENDS,                /* by libcurl, on its own */
   COUNTER_UNFINISHED_EVENTS,      /* responses that ended inside an event */
--- a/include/common/fields.h
+++ b/include/common/fields.h
@@ -10,6 +10,7 @@
 {
   FIELD_STRING,  /* char *, owned by the struct */
   FIELD_INT64,   /* int64_t within [min, max] */
+  FIELD_MILLI,   /* int64_t, thousandths of a number; min and max as well */
   FIELD_BOOL,    /* bool */
   FIELD_STRINGS, /* struct strings, owned by the struct */
   FIELD_JSON,    /* json_t *, a reference owned by the struct */
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -50,6 +50,7 @@
 typedef struct Peer__FeedUpdate Peer__FeedUpdate;
 typedef struct Peer__StreamOrigin Peer__StreamOrigin;
 typedef struct Peer__StreamAsk Peer__StreamAsk;
+typedef struct Peer__EndpointCold Peer__EndpointCold;
 typedef struct Peer__EndpointAsk Peer__EndpointAsk;
 typedef struct Peer__EndpointPermit Peer__EndpointPermit;
 typedef struct Peer__EndpointReport Peer__EndpointReport;
@@ -651,7 +652,29 @@
 
 /*
  * Asks the host that shares out an endpoint's limit to permit a request.
+ * Of an endpoint that is cold, or was until lately.
  */
+struct  Peer__EndpointCold
+{
+  ProtobufCMessage base;
+  /*
+   * of the registry entry that tells it
+   */
+  int64_t revision;
+  /*
+   * 0 if it is no longer cold
+   */
+  uint32_t remaining_ms;
+  /*
+   * requests per 1000 s that it tolerates
+   */
+  int64_t rate_milli;
+};
+#define PEER__ENDPOINT_COLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__endpoint_cold__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Peer__EndpointAsk
 {
   ProtobufCMessage base;
@@ -672,10 +695,14 @@
    * how long the request may wait
    */
   uint32_t max_wait_ms;
+  /*
+   * as far as the sender knows
+   */
+  Peer__EndpointCold *cold;
 };
 #define PEER__ENDPOINT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__endpoint_ask__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, NULL }
 
 
 struct  Peer__EndpointPermit
@@ -695,10 +722,14 @@
    * told by the spare holder, which does not decide then
    */
   protobuf_c_boolean is_primary_alive;
+  /*
+   * as far as the sender knows
+   */
+  Peer__EndpointCold *cold;
 };
 #define PEER__ENDPOINT_PERMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__endpoint_permit__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, NULL }
 
 
 /*
@@ -723,10 +754,14 @@
    */
   uint32_t age_ms;
   protobuf_c_boolean is_leaving;
+  /*
+   * learnt from the registry instead
+   */
+  Peer__EndpointCold *cold;
 };
 #define PEER__ENDPOINT_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__endpoint_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, NULL }
 
 
 struct  Peer__EndpointFact
@@ -735,10 +770,14 @@
   uint64_t endpoint;
   int64_t limit_milli;
   protobuf_c_boolean is_leaving;
+  /*
+   * as far as the sender knows
+   */
+  Peer__EndpointCold *cold;
 };
 #define PEER__ENDPOINT_FACT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__endpoint_fact__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, NULL }
 
 
 /*
@@ -1907,6 +1946,25 @@
 void   peer__stream_ask__free_unpacked
                      (Peer__StreamAsk *message,
                       ProtobufCAllocator *allocator);
+/* Peer__EndpointCold methods */
+void   peer__endpoint_cold__init
+                     (Peer__EndpointCold         *message);
+size_t peer__endpoint_cold__get_packed_size
+                     (const Peer__EndpointCold   *message);
+size_t peer__endpoint_cold__pack
+                     (const Peer__EndpointCold   *message,
+                      uint8_t             *out);
+size_t peer__endpoint_cold__pack_to_buffer
+                     (const Peer__EndpointCold   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__EndpointCold *
+       peer__endpoint_cold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__endpoint_cold__free_unpacked
+                     (Peer__EndpointCold *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__EndpointAsk methods */
 void   peer__endpoint_ask__init
                      (Peer__EndpointAsk         *message);
@@ -2470,6 +2528,9 @@
 typedef void (*Peer__StreamAsk_Closure)
                  (const Peer__StreamAsk *message,
                   void *closure_data);
+typedef void (*Peer__EndpointCold_Closure)
+                 (const Peer__EndpointCold *message,
+                  void *closure_data);
 typedef void (*Peer__EndpointAsk_Closure)
                  (const Peer__EndpointAsk *message,
                   void *closure_data);
@@ -2583,6 +2644,7 @@
 extern const ProtobufCMessageDescriptor peer__feed_update__descriptor;
 extern const ProtobufCMessageDescriptor peer__stream_origin__descriptor;
 extern const ProtobufCMessageDescriptor peer__stream_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__endpoint_cold__descriptor;
 extern const ProtobufCMessageDescriptor peer__endpoint_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__endpoint_permit__descriptor;
 extern const ProtobufCMessageDescriptor peer__endpoint_report__descriptor;
--- a/include/platform/messages.h
+++ b/include/platform/messages.h
@@ -4,6 +4,7 @@
 #define GALENA_PLATFORM_MESSAGES_H
 
 #include "common/buf.h"
+#include "common/fields.h"
 #include "request/pool.h"
 #include "request/routing.h"
 #include <stdbool.h>
@@ -26,13 +27,14 @@
 
 enum node_message_kind
 {
-  NODE_ROUTING,   /* apply this configuration */
-  NODE_ENDPOINTS, /* apply this endpoint list */
-  NODE_HOSTS,     /* apply this host list */
-  NODE_STOP,      /* start a graceful shutdown */
-  NODE_HAND_OVER, /* transfer the ledger to the other keepers */
-  NODE_SEND,      /* send a frame to another host */
-  NODE_QUIT,      /* exit the event loop */
+  NODE_ROUTING,     /* apply this configuration */
+  NODE_ENDPOINTS,   /* apply this endpoint list */
+  NODE_HOSTS,       /* apply this host list */
+  NODE_EVACUATIONS, /* apply this list of evacuated data centres */
+  NODE_STOP,        /* start a graceful shutdown */
+  NODE_HAND_OVER,   /* transfer the ledger to the other keepers */
+  NODE_SEND,        /* send a frame to another host */
+  NODE_QUIT,        /* exit the event loop */
 };
 
 /* From control to traffic.  Created by control, freed by traffic.  Pointers
@@ -43,6 +45,7 @@
   struct routing *routing;         /* owned */
   struct endpoint_list *endpoints; /* owned */
   struct host_list *hosts;         /* owned */
+  struct strings data_centres;     /* owned */
   char *host;                      /* recipient of the frame; owned */
   struct buf frame;                /* packed Peer__Frame; owned */
 };
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -39,6 +39,14 @@
      endpoint, must be in force. */
   int64_t config_within_ms;
   int64_t drain_within_ms;
+  /* Time within which the evacuation of a data centre must be in force; 0 if
+     evacuations are not followed. */
+  int64_t evacuate_within_ms;
+  /* In each second, cold endpoints may get the requests that they tolerate
+     times the first, and the second more.  Thousandths.  0: cold endpoints are
+     treated as others. */
+  int64_t cold_overrun;
+  int64_t cold_slack;
   int64_t contact_ms;   /* after a fault, the platform's limits apply again */
   int64_t stale_ms;     /* age at which state of the store is stale; derived */
   int64_t watch_ms;     /* how long the store may hold a watch call; derived */
--- a/include/policy/endpoint_limit.h
+++ b/include/policy/endpoint_limit.h
@@ -38,8 +38,11 @@
   /* Another holder may have permitted requests just before the limit became
      known here. */
   bool has_predecessor;
-  int64_t limit_milli;   /* requests per 1,000 s, or ENDPOINT_LIMIT_NONE */
-  int64_t named_ms;      /* when an answer that names it was last reported */
+  int64_t limit_milli; /* requests per 1,000 s, or ENDPOINT_LIMIT_NONE */
+  int64_t named_ms;    /* when an answer that names it was last reported */
+  /* While the endpoint is cold, what this holder permits then; 0 else. */
+  int64_t cold_milli;
+  int64_t cold_burst_utokens;
   int64_t level_utokens; /* negative if requests are permitted in advance */
   int64_t refilled_ms;
 };
@@ -52,6 +55,8 @@
                                   int64_t limit_milli, int64_t now_ms);
 void endpoint_limit_record_absent (struct endpoint_limit *limit,
                                    int64_t sent_ms, int64_t now_ms);
+void endpoint_limit_set_cold (struct endpoint_limit *limit, int64_t cold_milli,
+                              int64_t burst_utokens, int64_t now_ms);
 bool endpoint_limit_take (struct endpoint_limit *limit, int64_t max_wait_ms,
                           int64_t now_ms, int64_t *wait_ms);
 
--- a/include/request/endpoint_limiter.h
+++ b/include/request/endpoint_limiter.h
@@ -26,6 +26,7 @@
   const char *host; /* name of this host; outlives the limiter */
   const char *data_centre;
   struct pool *pool;
+  struct cold_bound cold_bound; /* of cold endpoints */
   struct transport *transport;
 };
 
--- a/include/request/endpoint_notices.h
+++ b/include/request/endpoint_notices.h
@@ -8,6 +8,7 @@
 #define GALENA_REQUEST_ENDPOINT_NOTICES_H
 
 #include "peer/transport.h"
+#include "policy/cold.h"
 #include "request/host_set.h"
 #include <stdbool.h>
 #include <stdint.h>
@@ -19,6 +20,7 @@
   uint64_t endpoint;   /* hash of its id and start */
   int64_t limit_milli; /* requests per 1,000 s; negative if it has no limit */
   bool is_leaving;
+  struct cold_state cold; /* times of this host */
 };
 
 /* Called for each fact that another host has sent. */
@@ -44,6 +46,13 @@
 void endpoint_notices_handle (struct endpoint_notices *notices,
                               const Peer__EndpointNotice *notice,
                               int64_t now_ms);
+Peer__EndpointCold *endpoint_notices_pack_cold (Peer__EndpointCold *message,
+                                                const struct cold_state *cold,
+                                                int64_t now_ms);
+struct cold_state
+endpoint_notices_unpack_cold (const Peer__EndpointCold *message,
+                              int64_t now_ms);
+void endpoint_notices_hurry (struct endpoint_notices *notices);
 void endpoint_notices_tick (struct endpoint_notices *notices, int64_t now_ms);
 
 #endif
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -3,6 +3,8 @@
 #ifndef GALENA_REQUEST_POOL_H
 #define GALENA_REQUEST_POOL_H
 
+#include "common/fields.h"
+#include "policy/cold.h"
 #include "policy/path_detector.h"
 #include "policy/place.h"
 #include <glib.h>
@@ -28,6 +30,8 @@
   int64_t slots;
   int64_t started_ms; /* of the endpoint's process, Unix time */
   bool leaving;       /* is shutting down and gets no new requests */
+  int64_t cold_ms;    /* for how long it is still cold */
+  int64_t revision;   /* of the entry; 0 if unknown */
 };
 
 /* Created by the control thread, freed by the traffic thread. */
@@ -83,8 +87,18 @@
      it has no limit.  While it has one, each request needs a permit
      (request/endpoint_limiter.h). */
   int64_t limit_milli;
-  int64_t limit_heard_ms;         /* when this host last heard of the limit */
-  int64_t permit_after_ms;        /* before, no permit can be had */
+  /* While it is cold, the limit that it names itself; limit_milli is then the
+     lower one of this and of what it tolerates
+     (request/cold_endpoint.h). */
+  int64_t named_limit_milli;
+  struct cold_state cold;
+  bool is_cold;
+  bool has_cold_news;      /* from the registry, for the endpoint's holder */
+  int64_t cold_since_ms;   /* permits of before are void */
+  bool is_evacuated;       /* its data centre is; it gets no requests */
+  int64_t returned_ms;     /* when the last evacuation ended; 0 for none */
+  int64_t limit_heard_ms;  /* when this host last heard of the limit */
+  int64_t permit_after_ms; /* before, no permit can be had */
   int64_t holder_silent_until_ms; /* before, the spare holder is asked */
   int64_t heard_ms;          /* when its latest bytes were reported as heard */
   int64_t last_heard_ms;     /* when its latest bytes arrived; 0 for never */
@@ -127,6 +141,13 @@
   uint32_t broken; /* no connection can be opened */
 };
 
+/* What the endpoints of a service tolerate while they are cold. */
+struct pool_cold_rate
+{
+  const char *service;
+  int64_t rate_milli; /* requests per 1,000 s; 0 for any number */
+};
+
 void endpoint_list_destroy (struct endpoint_list *list);
 
 struct pool *pool_create (const char *data_centre);
@@ -189,6 +210,13 @@
 uint32_t pool_take_suspects (struct pool_endpoint *endpoint,
                              uint64_t fingerprints[POOL_MAX_SUSPECTS]);
 void pool_expire_prompt_parts (struct pool *pool, int64_t now_ms);
+void pool_set_cold_rates (struct pool *pool,
+                          const struct pool_cold_rate *rates, size_t count,
+                          int64_t now_ms);
+void pool_set_evacuated (struct pool *pool, const struct strings *data_centres,
+                         int64_t now_ms);
+bool pool_has_evacuated (const struct pool *pool,
+                         const struct pool_query *query);
 json_t *pool_to_json (const struct pool *pool);
 
 #endif
--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -42,6 +42,8 @@
 {
   char *name;
   int64_t tokens_per_event; /* output tokens per event of a stream */
+  /* Requests per 1,000 s that a cold endpoint tolerates; 0 for any number. */
+  int64_t cold_rate_milli;
 };
 
 struct customer
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1582,6 +1582,51 @@
   assert(message->base.descriptor == &peer__stream_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__endpoint_cold__init
+                     (Peer__EndpointCold         *message)
+{
+  static const Peer__EndpointCold init_value = PEER__ENDPOINT_COLD__INIT;
+  *message = init_value;
+}
+size_t peer__endpoint_cold__get_packed_size
+                     (const Peer__EndpointCold *message)
+{
+  assert(message->base.descriptor == &peer__endpoint_cold__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__endpoint_cold__pack
+                     (const Peer__EndpointCold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__endpoint_cold__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__endpoint_cold__pack_to_buffer
+                     (const Peer__EndpointCold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__endpoint_cold__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__EndpointCold *
+       peer__endpoint_cold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__EndpointCold *)
+     protobuf_c_message_unpack (&peer__endpoint_cold__descriptor,
+                                allocator, len, data);
+}
+void   peer__endpoint_cold__free_unpacked
+                     (Peer__EndpointCold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__endpoint_cold__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__endpoint_ask__init
                      (Peer__EndpointAsk         *message)
 {
@@ -5253,7 +5298,71 @@
   (ProtobufCMessageInit) peer__stream_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__endpoint_ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__endpoint_cold__field_descriptors[3] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointCold, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointCold, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointCold, rate_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__endpoint_cold__field_indices_by_name[] = {
+  2,   /* field[2] = rate_milli */
+  1,   /* field[1] = remaining_ms */
+  0,   /* field[0] = revision */
+};
+static const ProtobufCIntRange peer__endpoint_cold__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__endpoint_cold__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.EndpointCold",
+  "EndpointCold",
+  "Peer__EndpointCold",
+  "peer",
+  sizeof(Peer__EndpointCold),
+  3,
+  peer__endpoint_cold__field_descriptors,
+  peer__endpoint_cold__field_indices_by_name,
+  1,  peer__endpoint_cold__number_ranges,
+  (ProtobufCMessageInit) peer__endpoint_cold__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__endpoint_ask__field_descriptors[6] =
 {
   {
     "nonce",
@@ -5315,8 +5424,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointAsk, cold),
+    &peer__endpoint_cold__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__endpoint_ask__field_indices_by_name[] = {
+  5,   /* field[5] = cold */
   2,   /* field[2] = data_centre */
   1,   /* field[1] = endpoint */
   3,   /* field[3] = limit_milli */
@@ -5326,7 +5448,7 @@
 static const ProtobufCIntRange peer__endpoint_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__endpoint_ask__descriptor =
 {
@@ -5336,14 +5458,14 @@
   "Peer__EndpointAsk",
   "peer",
   sizeof(Peer__EndpointAsk),
-  5,
+  6,
   peer__endpoint_ask__field_descriptors,
   peer__endpoint_ask__field_indices_by_name,
   1,  peer__endpoint_ask__number_ranges,
   (ProtobufCMessageInit) peer__endpoint_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__endpoint_permit__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__endpoint_permit__field_descriptors[6] =
 {
   {
     "nonce",
@@ -5405,8 +5527,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointPermit, cold),
+    &peer__endpoint_cold__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__endpoint_permit__field_indices_by_name[] = {
+  5,   /* field[5] = cold */
   1,   /* field[1] = is_granted */
   4,   /* field[4] = is_primary_alive */
   3,   /* field[3] = limit_milli */
@@ -5416,7 +5551,7 @@
 static const ProtobufCIntRange peer__endpoint_permit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__endpoint_permit__descriptor =
 {
@@ -5426,14 +5561,14 @@
   "Peer__EndpointPermit",
   "peer",
   sizeof(Peer__EndpointPermit),
-  5,
+  6,
   peer__endpoint_permit__field_descriptors,
   peer__endpoint_permit__field_indices_by_name,
   1,  peer__endpoint_permit__number_ranges,
   (ProtobufCMessageInit) peer__endpoint_permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__endpoint_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__endpoint_report__field_descriptors[7] =
 {
   {
     "endpoint",
@@ -5507,9 +5642,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointReport, cold),
+    &peer__endpoint_cold__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__endpoint_report__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
+  6,   /* field[6] = cold */
   1,   /* field[1] = data_centre */
   0,   /* field[0] = endpoint */
   2,   /* field[2] = has_limit */
@@ -5519,7 +5667,7 @@
 static const ProtobufCIntRange peer__endpoint_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__endpoint_report__descriptor =
 {
@@ -5529,14 +5677,14 @@
   "Peer__EndpointReport",
   "peer",
   sizeof(Peer__EndpointReport),
-  6,
+  7,
   peer__endpoint_report__field_descriptors,
   peer__endpoint_report__field_indices_by_name,
   1,  peer__endpoint_report__number_ranges,
   (ProtobufCMessageInit) peer__endpoint_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__endpoint_fact__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__endpoint_fact__field_descriptors[4] =
 {
   {
     "endpoint",
@@ -5574,8 +5722,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointFact, cold),
+    &peer__endpoint_cold__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__endpoint_fact__field_indices_by_name[] = {
+  3,   /* field[3] = cold */
   0,   /* field[0] = endpoint */
   2,   /* field[2] = is_leaving */
   1,   /* field[1] = limit_milli */
@@ -5583,7 +5744,7 @@
 static const ProtobufCIntRange peer__endpoint_fact__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer__endpoint_fact__descriptor =
 {
@@ -5593,7 +5754,7 @@
   "Peer__EndpointFact",
   "peer",
   sizeof(Peer__EndpointFact),
-  3,
+  4,
   peer__endpoint_fact__field_descriptors,
   peer__endpoint_fact__field_indices_by_name,
   1,  peer__endpoint_fact__number_ranges,
--- a/policy/endpoint_limit.c
+++ b/policy/endpoint_limit.c
@@ -31,7 +31,7 @@
 /* Returns the permitted requests per 1,000 s, which are also the utokens per
    millisecond.  */
 static int64_t
-rate_milli (const struct endpoint_limit *limit)
+named_rate_milli (const struct endpoint_limit *limit)
 {
   int64_t rate = limit->limit_milli < ENDPOINT_LIMIT_MIN_MILLI
                      ? ENDPOINT_LIMIT_MIN_MILLI
@@ -48,8 +48,25 @@
   return a < b ? a : b;
 }
 
+static bool
+is_limited (const struct endpoint_limit *limit)
+{
+  return limit->limit_milli >= 0 || limit->cold_milli > 0;
+}
+
+/* Returns the lower of the named rate and that of a cold endpoint.  */
 static int64_t
-capacity_utokens (const struct endpoint_limit *limit)
+rate_milli (const struct endpoint_limit *limit)
+{
+  if (limit->cold_milli == 0)
+    return named_rate_milli (limit);
+  return limit->limit_milli < 0
+             ? limit->cold_milli
+             : min64 (limit->cold_milli, named_rate_milli (limit));
+}
+
+static int64_t
+named_capacity_utokens (const struct endpoint_limit *limit)
 {
   int64_t second_utokens
       = (limit->limit_milli < 0 ? 0 : limit->limit_milli) * MS_PER_S;
@@ -60,6 +77,16 @@
          + second_utokens / PERCENT * PRIMARY_BURST_PERCENT;
 }
 
+static int64_t
+capacity_utokens (const struct endpoint_limit *limit)
+{
+  if (limit->cold_milli == 0)
+    return named_capacity_utokens (limit);
+  return limit->limit_milli < 0 ? limit->cold_burst_utokens
+                                : min64 (limit->cold_burst_utokens,
+                                         named_capacity_utokens (limit));
+}
+
 static void
 refill (struct endpoint_limit *limit, int64_t now_ms)
 {
@@ -75,10 +102,24 @@
     limit->level_utokens += elapsed_ms * rate;
 }
 
+/* Sets the level of a limit that begins or has changed.  */
+static void
+set_level (struct endpoint_limit *limit, bool begins, int64_t now_ms)
+{
+  limit->refilled_ms = now_ms;
+  if (begins)
+    limit->level_utokens = limit->has_predecessor ? -ENDPOINT_LIMIT_MAX_TURN_MS
+                                                        * rate_milli (limit)
+                                                  : 0;
+  else
+    limit->level_utokens
+        = min64 (limit->level_utokens, capacity_utokens (limit));
+}
+
 static void
 set_limit (struct endpoint_limit *limit, int64_t limit_milli, int64_t now_ms)
 {
-  bool begins = limit->limit_milli < 0;
+  bool begins = !is_limited (limit);
 
   limit->is_known = true;
   limit_milli = min64 (limit_milli, ENDPOINT_LIMIT_MAX_MILLI);
@@ -87,14 +128,32 @@
   if (!begins)
     refill (limit, now_ms);
   limit->limit_milli = limit_milli;
-  limit->refilled_ms = now_ms;
-  if (begins)
-    limit->level_utokens = limit->has_predecessor ? -ENDPOINT_LIMIT_MAX_TURN_MS
-                                                        * rate_milli (limit)
-                                                  : 0;
-  else
-    limit->level_utokens
-        = min64 (limit->level_utokens, capacity_utokens (limit));
+  set_level (limit, begins, now_ms);
+}
+
+/* Sets what this holder permits while the endpoint is cold, beside the named
+   limit; a RATE_MILLI of 0 ends it.  What was permitted in advance at a higher
+   rate is not used, so that no more than a second's debt is kept.  */
+void
+endpoint_limit_set_cold (struct endpoint_limit *limit, int64_t cold_milli,
+                         int64_t burst_utokens, int64_t now_ms)
+{
+  bool begins = !is_limited (limit);
+  int64_t most_debt;
+
+  if (limit->cold_milli == cold_milli
+      && limit->cold_burst_utokens == burst_utokens)
+    return;
+  if (!begins)
+    refill (limit, now_ms);
+  limit->cold_milli = cold_milli;
+  limit->cold_burst_utokens = burst_utokens;
+  if (!is_limited (limit))
+    return;
+  set_level (limit, begins, now_ms);
+  most_debt = -ENDPOINT_LIMIT_MAX_TURN_MS * rate_milli (limit);
+  if (limit->level_utokens < most_debt)
+    limit->level_utokens = most_debt;
 }
 
 /* Sets the limit that another host assumes, unless an answer of the endpoint
@@ -126,6 +185,8 @@
   if (limit->limit_milli >= 0 && sent_ms < limit->named_ms)
     return;
   limit->is_known = true;
+  if (limit->cold_milli > 0)
+    refill (limit, now_ms);
   limit->limit_milli = ENDPOINT_LIMIT_NONE;
 }
 
@@ -141,7 +202,7 @@
   int64_t rate;
 
   *wait_ms = 0;
-  if (limit->limit_milli < 0)
+  if (!is_limited (limit))
     return true;
   refill (limit, now_ms);
   rate = rate_milli (limit);
--- a/request/endpoint_limiter.c
+++ b/request/endpoint_limiter.c
@@ -4,6 +4,7 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "policy/endpoint_limit.h"
+#include "request/cold_endpoint.h"
 #include "request/endpoint_notices.h"
 #include "request/host_set.h"
 #include <glib.h>
@@ -37,6 +38,9 @@
   REPEAT_INTERVAL_MS = 5000, /* of what this host announces */
   ANNOUNCE_TTL_MS = 30000,   /* an unused endpoint is no longer announced */
   SWEEP_INTERVAL_MS = 1000,
+  /* If the registry is late on half of the hosts, all of these are among them
+     once in 4,096 times. */
+  COLD_REPORTERS = 12,
   HOLDERS = 2, /* of an endpoint: the primary and the spare */
 };
 
@@ -47,6 +51,7 @@
   uint64_t data_centre; /* hash of the name */
   struct endpoint_limit primary;
   struct endpoint_limit spare;
+  struct cold_state cold;
   bool is_primary; /* this host is the primary holder */
   bool is_leaving;
   bool is_announced; /* the present limit, or that it leaves */
@@ -253,7 +258,8 @@
 {
   struct endpoint_fact fact = { .endpoint = shared->endpoint,
                                 .limit_milli = shared->primary.limit_milli,
-                                .is_leaving = shared->is_leaving };
+                                .is_leaving = shared->is_leaving,
+                                .cold = shared->cold };
 
   shared->is_announced = true;
   endpoint_notices_announce (limiter->notices, &fact);
@@ -313,6 +319,44 @@
              endpoint_name (limiter, shared->endpoint));
 }
 
+/* Adds to what this host knows, as a holder, of a cold endpoint.  */
+static void
+record_cold (struct endpoint_limiter *limiter, struct shared_endpoint *shared,
+             const struct cold_state *heard, int64_t now_ms)
+{
+  if (!cold_merge (&shared->cold, heard))
+    return;
+  if (!cold_is_active (&shared->cold, now_ms) || !shared->is_primary)
+    return;
+  shared->is_announced = false;
+  endpoint_notices_hurry (limiter->notices);
+}
+
+/* Makes LIMIT permit what the endpoint tolerates now.  */
+static void
+apply_cold (const struct endpoint_limiter *limiter,
+            const struct shared_endpoint *shared, struct endpoint_limit *limit,
+            int64_t now_ms)
+{
+  struct cold_rates rates;
+
+  if (!cold_is_active (&shared->cold, now_ms))
+    {
+      endpoint_limit_set_cold (limit, 0, 0, now_ms);
+      return;
+    }
+  if (limit->limit_milli < 0 && limit->cold_milli == 0)
+    limit->has_predecessor
+        = now_ms - limiter->hosts_changed_ms < PREDECESSOR_MS;
+  rates = cold_divide (shared->cold.rate_milli, &limiter->options.cold_bound);
+  if (limit->role == ENDPOINT_LIMIT_PRIMARY)
+    endpoint_limit_set_cold (limit, rates.primary_milli,
+                             rates.primary_burst_utokens, now_ms);
+  else
+    endpoint_limit_set_cold (limit, rates.spare_milli,
+                             rates.spare_burst_utokens, now_ms);
+}
+
 /* Permits a request to an endpoint whose limit this host holds in ROLE.  The
    asking host goes by ASSUMED_MILLI.  Sets PERMIT to the answer.  */
 static void
@@ -340,6 +384,7 @@
       if (assumed_milli >= 0)
         endpoint_limit_record_named (limit, assumed_milli, now_ms);
     }
+  apply_cold (limiter, shared, limit, now_ms);
   endpoint_limit_assume (limit, assumed_milli, now_ms);
   permit->is_granted
       = endpoint_limit_take (limit, max_wait_ms, now_ms, &wait_ms);
@@ -355,7 +400,10 @@
 apply_permit (struct pool_endpoint *endpoint,
               const Peer__EndpointPermit *permit, int64_t now_ms)
 {
-  endpoint->limit_milli = permit->limit_milli;
+  struct cold_state cold = endpoint_notices_unpack_cold (permit->cold, now_ms);
+
+  cold_endpoint_record (endpoint, &cold, now_ms);
+  cold_endpoint_set_named_limit (endpoint, permit->limit_milli, now_ms);
   endpoint->limit_heard_ms = now_ms;
   if (!permit->is_granted)
     endpoint->permit_after_ms = now_ms + MAX (permit->wait_ms, 1);
@@ -374,6 +422,8 @@
   struct shared_endpoint *shared;
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__EndpointAsk question = PEER__ENDPOINT_ASK__INIT;
+  Peer__EndpointCold cold;
+  int64_t named_milli = cold_endpoint_named_limit (endpoint);
 
   ask->asked_ms = now_ms;
   if (holder && is_self (limiter, holder))
@@ -381,14 +431,20 @@
       shared = find_shared (limiter, ask->endpoint, endpoint->data_centre_hash,
                             now_ms);
       if (shared)
-        decide (limiter, shared, ask->role, endpoint->limit_milli,
-                ask->max_wait_ms, now_ms, permit);
+        {
+          record_cold (limiter, shared, &endpoint->cold, now_ms);
+          decide (limiter, shared, ask->role, named_milli, ask->max_wait_ms,
+                  now_ms, permit);
+        }
       return permit->is_granted ? PERMIT_GRANTED : PERMIT_DENIED;
     }
   question.nonce = ask->nonce;
   question.endpoint = ask->endpoint;
   question.data_centre = endpoint->data_centre_hash;
-  question.limit_milli = endpoint->limit_milli;
+  question.limit_milli = named_milli;
+  if (endpoint->cold.revision > 0)
+    question.cold
+        = endpoint_notices_pack_cold (&cold, &endpoint->cold, now_ms);
   question.max_wait_ms = (uint32_t)ask->max_wait_ms;
   frame.body_case = PEER__FRAME__BODY_ENDPOINT_ASK;
   frame.endpoint_ask = &question;
@@ -422,10 +478,12 @@
                           int64_t *wait_ms, struct permit_ask **ask)
 {
   struct pool_endpoint *endpoint = query->endpoint;
-  Peer__EndpointPermit permit = no_permit (endpoint->limit_milli);
+  Peer__EndpointPermit permit
+      = no_permit (cold_endpoint_named_limit (endpoint));
   struct permit_ask *new_ask;
   enum permit_verdict verdict;
 
+  cold_endpoint_refresh (endpoint, now_ms);
   *ask = NULL;
   *wait_ms = 0;
   if (endpoint->limit_milli < 0)
@@ -502,8 +560,8 @@
 {
   struct pool_endpoint *endpoint
       = pool_find_start (ask->limiter->options.pool, ask->endpoint);
-  Peer__EndpointPermit permit
-      = no_permit (endpoint ? endpoint->limit_milli : ENDPOINT_LIMIT_NONE);
+  Peer__EndpointPermit permit = no_permit (
+      endpoint ? cold_endpoint_named_limit (endpoint) : ENDPOINT_LIMIT_NONE);
 
   if (endpoint && ask->role == ENDPOINT_LIMIT_PRIMARY)
     {
@@ -546,6 +604,21 @@
     finish_ask (ask, &next, now_ms);
 }
 
+/* Records what the asking host and this one's registry tell of a cold
+   endpoint.  */
+static void
+learn_cold (struct endpoint_limiter *limiter, struct shared_endpoint *shared,
+            const Peer__EndpointCold *message, int64_t now_ms)
+{
+  const struct pool_endpoint *endpoint
+      = pool_find_start (limiter->options.pool, shared->endpoint);
+  struct cold_state heard = endpoint_notices_unpack_cold (message, now_ms);
+
+  record_cold (limiter, shared, &heard, now_ms);
+  if (endpoint)
+    record_cold (limiter, shared, &endpoint->cold, now_ms);
+}
+
 static void
 handle_question (struct endpoint_limiter *limiter, const char *host,
                  const Peer__EndpointAsk *question, int64_t now_ms)
@@ -555,8 +628,11 @@
                                                 question->data_centre, now_ms);
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__EndpointPermit permit = no_permit (question->limit_milli);
+  Peer__EndpointCold cold;
 
   permit.nonce = question->nonce;
+  if (shared)
+    learn_cold (limiter, shared, question->cold, now_ms);
   /* Without a role here, the hosts know different lists of hosts for now.  */
   if (shared && shared->is_primary)
     decide (limiter, shared, ENDPOINT_LIMIT_PRIMARY, question->limit_milli,
@@ -564,6 +640,8 @@
   else if (shared && holds (limiter, shared, ENDPOINT_LIMIT_SPARE))
     decide (limiter, shared, ENDPOINT_LIMIT_SPARE, question->limit_milli,
             question->max_wait_ms, now_ms, &permit);
+  if (shared && shared->cold.revision > 0)
+    permit.cold = endpoint_notices_pack_cold (&cold, &shared->cold, now_ms);
   frame.body_case = PEER__FRAME__BODY_ENDPOINT_PERMIT;
   frame.endpoint_permit = &permit;
   transport->vtable->send (transport, host, &frame);
@@ -596,6 +674,8 @@
 
   if (!shared)
     return;
+  if (report->cold)
+    learn_cold (limiter, shared, report->cold, now_ms);
   before_milli = shared->primary.limit_milli;
   shared->primary.has_predecessor
       = now_ms - limiter->hosts_changed_ms < PREDECESSOR_MS;
@@ -650,7 +730,7 @@
     endpoint->limit_heard_ms = now_ms;
   else
     limit_milli = ENDPOINT_LIMIT_NONE;
-  if (limit_milli == endpoint->limit_milli)
+  if (limit_milli == cold_endpoint_named_limit (endpoint))
     return false;
   report.endpoint = endpoint->start;
   report.data_centre = endpoint->data_centre_hash;
@@ -662,7 +742,7 @@
      may be the older one.  */
   if (limit_milli < 0 && sent_ms < endpoint->limit_heard_ms)
     return false;
-  endpoint->limit_milli = limit_milli;
+  cold_endpoint_set_named_limit (endpoint, limit_milli, now_ms);
   return true;
 }
 
@@ -691,9 +771,10 @@
 
   if (!endpoint)
     return;
-  if (fact->limit_milli >= 0 && endpoint->limit_milli < 0)
+  cold_endpoint_record (endpoint, &fact->cold, now_ms);
+  if (fact->limit_milli >= 0 && cold_endpoint_named_limit (endpoint) < 0)
     {
-      endpoint->limit_milli = fact->limit_milli;
+      cold_endpoint_set_named_limit (endpoint, fact->limit_milli, now_ms);
       endpoint->limit_heard_ms = now_ms;
     }
   if (fact->is_leaving && !endpoint->leaving)
@@ -738,7 +819,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct shared_endpoint *shared = value;
-      bool is_notable = shared->primary.limit_milli >= 0 || shared->is_leaving;
+      bool is_notable = shared->primary.limit_milli >= 0 || shared->is_leaving
+                        || cold_is_active (&shared->cold, now_ms);
 
       if (is_notable && (!shared->is_announced || is_repeat)
           && now_ms - shared->used_ms <= ANNOUNCE_TTL_MS && shared->is_primary)
@@ -746,6 +828,46 @@
     }
 }
 
+/* Tells the holder what the registry has told this host, if this is the holder
+   or one of about COLD_REPORTERS hosts: the registry may be late there.  */
+static void
+report_cold (struct endpoint_limiter *limiter,
+             const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  Peer__EndpointReport report = PEER__ENDPOINT_REPORT__INIT;
+  Peer__EndpointCold cold;
+  const struct host_member *holder
+      = find_holder (limiter, endpoint->start, endpoint->data_centre_hash,
+                     ENDPOINT_LIMIT_PRIMARY);
+
+  if (!holder
+      || (!is_self (limiter, holder)
+          && id_random64 () % limiter->hosts.count >= COLD_REPORTERS))
+    return;
+  report.endpoint = endpoint->start;
+  report.data_centre = endpoint->data_centre_hash;
+  report.cold = endpoint_notices_pack_cold (&cold, &endpoint->cold, now_ms);
+  send_report (limiter, &report, now_ms);
+}
+
+/* Ends cold times that are over.  Passes on what the registry has told this
+   host of cold endpoints.  */
+static void
+update_cold (struct endpoint_limiter *limiter, int64_t now_ms)
+{
+  struct pool *pool = limiter->options.pool;
+
+  for (size_t i = 0; i < pool_count (pool); i++)
+    {
+      struct pool_endpoint *endpoint = pool_at (pool, i);
+
+      cold_endpoint_refresh (endpoint, now_ms);
+      if (endpoint->has_cold_news)
+        report_cold (limiter, endpoint, now_ms);
+      endpoint->has_cold_news = false;
+    }
+}
+
 /* Ends questions that no holder has answered, and tells other hosts what is
    new.  Must be called at least every 100 ms.  */
 void
@@ -759,6 +881,7 @@
   while (!is_late && (oldest = g_queue_peek_head (&limiter->asks_by_age))
          && now_ms - oldest->asked_ms >= ASK_TIMEOUT_MS)
     handle_ask_timeout (oldest, now_ms);
+  update_cold (limiter, now_ms);
   announce_shared (limiter, now_ms);
   endpoint_notices_tick (limiter->notices, now_ms);
   if (now_ms - limiter->swept_ms < SWEEP_INTERVAL_MS)
--- a/request/endpoint_notices.c
+++ b/request/endpoint_notices.c
@@ -33,6 +33,7 @@
   GHashTable *relayed; /* endpoint -> struct relayed_fact */
   int64_t flushed_ms;
   int64_t repeated_ms;
+  bool is_urgent; /* flushes at the next tick */
 };
 
 /* Creates notices without any facts.  */
@@ -104,20 +105,51 @@
       g_hash_table_insert (notices->relayed, &relayed->fact.endpoint, relayed);
     }
   relayed->is_new |= relayed->fact.is_leaving != fact->is_leaving;
+  if (fact->cold.revision > relayed->fact.cold.revision)
+    relayed->is_new = notices->is_urgent = true;
   relayed->fact = *fact;
   relayed->until_ms = now_ms + FACT_TTL_MS;
 }
 
+/* Fills MESSAGE, and returns it, with what is known of a cold endpoint.  */
+Peer__EndpointCold *
+endpoint_notices_pack_cold (Peer__EndpointCold *message,
+                            const struct cold_state *cold, int64_t now_ms)
+{
+  peer__endpoint_cold__init (message);
+  message->revision = cold->revision;
+  message->remaining_ms
+      = (uint32_t)CLAMP (cold->until_ms - now_ms, 0, COLD_MAX_MS);
+  message->rate_milli = cold->rate_milli;
+  return message;
+}
+
+/* Returns what another host tells of a cold endpoint; nothing for NULL.  */
+struct cold_state
+endpoint_notices_unpack_cold (const Peer__EndpointCold *message,
+                              int64_t now_ms)
+{
+  if (!message)
+    return (struct cold_state){ 0 };
+  return (struct cold_state){
+    .revision = message->revision,
+    .until_ms = now_ms + MIN (message->remaining_ms, (uint32_t)COLD_MAX_MS),
+    .rate_milli = MAX (message->rate_milli, 0),
+  };
+}
+
 /* Sends a frame with COUNT facts to HOST.  */
 static void
 send_facts (const struct endpoint_notices *notices, const char *host,
-            const struct endpoint_fact *facts, uint32_t count, bool pass_on)
+            const struct endpoint_fact *facts, uint32_t count, bool pass_on,
+            int64_t now_ms)
 {
   struct transport *transport = notices->options.transport;
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__EndpointNotice notice = PEER__ENDPOINT_NOTICE__INIT;
   Peer__EndpointFact *items = xcalloc (count, sizeof *items);
   Peer__EndpointFact **pointers = xcalloc (count, sizeof *pointers);
+  Peer__EndpointCold *colds = xcalloc (count, sizeof *colds);
 
   for (uint32_t i = 0; i < count; i++)
     {
@@ -125,6 +157,9 @@
       items[i].endpoint = facts[i].endpoint;
       items[i].limit_milli = facts[i].limit_milli;
       items[i].is_leaving = facts[i].is_leaving;
+      if (facts[i].cold.revision > 0)
+        items[i].cold
+            = endpoint_notices_pack_cold (&colds[i], &facts[i].cold, now_ms);
       pointers[i] = &items[i];
     }
   notice.facts = pointers;
@@ -133,17 +168,18 @@
   frame.body_case = PEER__FRAME__BODY_ENDPOINT_NOTICE;
   frame.endpoint_notice = &notice;
   transport->vtable->send (transport, host, &frame);
+  free (colds);
   free (pointers);
   free (items);
 }
 
 static void
 send_all (const struct endpoint_notices *notices, const char *host,
-          const GArray *facts, bool pass_on)
+          const GArray *facts, bool pass_on, int64_t now_ms)
 {
   for (guint i = 0; i < facts->len; i += MAX_FRAME_FACTS)
     send_facts (notices, host, &g_array_index (facts, struct endpoint_fact, i),
-                MIN (facts->len - i, (guint)MAX_FRAME_FACTS), pass_on);
+                MIN (facts->len - i, (guint)MAX_FRAME_FACTS), pass_on, now_ms);
 }
 
 static bool
@@ -167,7 +203,7 @@
     {
       if (!is_self (notices, relays[i]))
         {
-          send_all (notices, relays[i]->name, notices->outbox, true);
+          send_all (notices, relays[i]->name, notices->outbox, true, now_ms);
           continue;
         }
       for (guint k = 0; k < notices->outbox->len; k++)
@@ -220,7 +256,7 @@
   for (size_t i = 0; i < hosts->count && facts->len > 0; i++)
     if (hosts->members[i].data_centre_hash == notices->data_centre_hash
         && !is_self (notices, &hosts->members[i]))
-      send_all (notices, hosts->members[i].name, facts, false);
+      send_all (notices, hosts->members[i].name, facts, false, now_ms);
   g_array_free (facts, TRUE);
 }
 
@@ -234,7 +270,9 @@
       struct endpoint_fact fact
           = { .endpoint = notice->facts[i]->endpoint,
               .limit_milli = notice->facts[i]->limit_milli,
-              .is_leaving = notice->facts[i]->is_leaving };
+              .is_leaving = notice->facts[i]->is_leaving,
+              .cold = endpoint_notices_unpack_cold (notice->facts[i]->cold,
+                                                    now_ms) };
 
       if (notice->pass_on)
         keep_fact (notices, &fact, now_ms);
@@ -242,15 +280,23 @@
     }
 }
 
+/* Sends what is new with the next tick instead of the next flush.  */
+void
+endpoint_notices_hurry (struct endpoint_notices *notices)
+{
+  notices->is_urgent = true;
+}
+
 /* Sends what is due.  Must be called at least every 100 ms.  */
 void
 endpoint_notices_tick (struct endpoint_notices *notices, int64_t now_ms)
 {
   bool is_repeat = now_ms - notices->repeated_ms >= REPEAT_INTERVAL_MS;
 
-  if (now_ms - notices->flushed_ms < FLUSH_INTERVAL_MS)
+  if (now_ms - notices->flushed_ms < FLUSH_INTERVAL_MS && !notices->is_urgent)
     return;
   notices->flushed_ms = now_ms;
+  notices->is_urgent = false;
   flush_outbox (notices, now_ms);
   if (g_hash_table_size (notices->relayed) == 0)
     return;
--- a/request/pool.c
+++ b/request/pool.c
@@ -3,6 +3,8 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "common/recent_table.h"
+#include "request/cold_endpoint.h"
+#include "request/evacuations.h"
 #include "request/stream_index.h"
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +23,9 @@
   LEAVING_CAPACITY = 4096,
   LEAVING_TTL_MS = 10 * 60 * 1000,
   PART_TTL_MS = 60 * 1000, /* a part unused for longer is assumed evicted */
+  /* A cold endpoint is slow: it counts as one with so many requests in its
+     queue, so that warm ones come first while they have room. */
+  COLD_WAITING = 2,
 };
 
 struct pool
@@ -29,6 +34,8 @@
   GHashTable *unreachable_centres; /* names of unreachable data centres */
   struct recent_table *announced;  /* starts of endpoints that leave */
   GHashTable *service_builds;      /* name -> struct service_builds */
+  GHashTable *cold_rates; /* service -> int64_t, requests per 1,000 s */
+  struct evacuations *evacuations;
   GPtrArray *endpoints;      /* struct pool_endpoint, those currently listed */
   GPtrArray *removed_in_use; /* removed, but still in use by requests */
   uint64_t seed;             /* of the random choice between endpoints */
@@ -90,6 +97,9 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   pool->service_builds
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
+  pool->cold_rates
+      = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
+  pool->evacuations = evacuations_create ();
   pool->seed = id_random64 ();
   return pool;
 }
@@ -104,6 +114,8 @@
   g_ptr_array_free (pool->removed_in_use, TRUE);
   g_hash_table_destroy (pool->unreachable_centres);
   g_hash_table_destroy (pool->service_builds);
+  g_hash_table_destroy (pool->cold_rates);
+  evacuations_destroy (pool->evacuations);
   recent_table_destroy (pool->announced);
   free (pool->data_centre);
   free (pool);
@@ -257,6 +269,41 @@
   return true;
 }
 
+static int64_t
+find_cold_rate (const struct pool *pool, const char *service)
+{
+  const int64_t *rate_milli = g_hash_table_lookup (pool->cold_rates, service);
+
+  return rate_milli ? *rate_milli : 0;
+}
+
+/* Records for how long an endpoint is cold, if ENTRY is a new one: its time
+   counts from then.  */
+static void
+apply_cold (struct pool *pool, struct pool_endpoint *endpoint,
+            const struct endpoint_entry *entry, int64_t now_ms)
+{
+  struct cold_state cold
+      = { .revision = entry->revision,
+          .until_ms = now_ms + CLAMP (entry->cold_ms, 0, COLD_MAX_MS),
+          .rate_milli = find_cold_rate (pool, entry->service) };
+
+  if (entry->revision > endpoint->cold.revision
+      && cold_endpoint_record (endpoint, &cold, now_ms))
+    endpoint->has_cold_news = endpoint->is_cold;
+}
+
+static void
+apply_evacuations (const struct pool *pool, struct pool_endpoint *endpoint)
+{
+  endpoint->is_evacuated
+      = evacuations_contain (pool->evacuations, endpoint->data_centre);
+  endpoint->returned_ms
+      = evacuations_ended_ms (pool->evacuations, endpoint->data_centre);
+  if (endpoint->is_evacuated)
+    g_hash_table_remove_all (endpoint->parts);
+}
+
 /* Applies a list of endpoints: adds new ones and removes missing ones.  The
    state of endpoints that stay is kept, and one that has announced that it
    leaves is leaving, whatever the list says.  */
@@ -290,6 +337,8 @@
       endpoint->remote = strcmp (entry->data_centre, pool->data_centre) != 0;
       endpoint->unreachable = g_hash_table_contains (pool->unreachable_centres,
                                                      entry->data_centre);
+      apply_cold (pool, endpoint, entry, now_ms);
+      apply_evacuations (pool, endpoint);
       g_ptr_array_add (endpoints, endpoint);
     }
   g_hash_table_destroy (by_id);
@@ -324,7 +373,8 @@
 may_serve (const struct pool_endpoint *endpoint,
            const struct pool_query *query)
 {
-  return !endpoint->leaving && strcmp (endpoint->service, query->service) == 0
+  return !endpoint->leaving && !endpoint->is_evacuated
+         && strcmp (endpoint->service, query->service) == 0
          && (!query->build || endpoint->build == query->build);
 }
 
@@ -346,6 +396,17 @@
          || (endpoint->path.failures > 0 && endpoint->avoid_until_ms > now_ms);
 }
 
+/* Draws whether ENDPOINT is left out because its data centre was evacuated
+   until lately, so that its load returns step by step.  */
+static bool
+awaits_return (const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  int64_t since_ms = now_ms - endpoint->returned_ms;
+
+  return endpoint->returned_ms && since_ms < COLD_RETURN_MS
+         && (int64_t)(id_random64 () % 100) >= cold_return_percent (since_ms);
+}
+
 static void
 fill_candidate (const struct pool_endpoint *endpoint,
                 const struct pool_query *query, int64_t now_ms,
@@ -363,13 +424,16 @@
                                   .slots = endpoint->slots,
                                   .running = endpoint->in_flight };
   out->eligible = may_serve (endpoint, query) && is_usable
-                  && may_be_permitted (endpoint, query, now_ms);
+                  && may_be_permitted (endpoint, query, now_ms)
+                  && !awaits_return (endpoint, now_ms);
   if (!out->eligible)
     return;
   if (is_fresh && endpoint->reported_running > out->running)
     out->running = endpoint->reported_running;
   if (is_fresh)
     out->waiting = endpoint->reported_waiting;
+  if (endpoint->is_cold)
+    out->waiting += COLD_WAITING;
   out->cached_tokens = pool_cached_tokens (endpoint, query, now_ms);
 }
 
@@ -822,6 +886,55 @@
     }
 }
 
+/* Sets what the endpoints of each service tolerate while they are cold.  */
+void
+pool_set_cold_rates (struct pool *pool, const struct pool_cold_rate *rates,
+                     size_t count, int64_t now_ms)
+{
+  g_hash_table_remove_all (pool->cold_rates);
+  for (size_t i = 0; i < count; i++)
+    {
+      int64_t *rate_milli = xcalloc (1, sizeof *rate_milli);
+
+      *rate_milli = rates[i].rate_milli;
+      g_hash_table_replace (pool->cold_rates, xstrdup (rates[i].service),
+                            rate_milli);
+    }
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      cold_endpoint_set_rate (
+          endpoint, find_cold_rate (pool, endpoint->service), now_ms);
+    }
+}
+
+/* Sets which data centres are evacuated: their endpoints get no requests.  */
+void
+pool_set_evacuated (struct pool *pool, const struct strings *data_centres,
+                    int64_t now_ms)
+{
+  evacuations_apply (pool->evacuations, data_centres, now_ms);
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    apply_evacuations (pool, pool->endpoints->pdata[i]);
+}
+
+/* Whether an endpoint for QUERY gets no requests because its data centre is
+   evacuated.  */
+bool
+pool_has_evacuated (const struct pool *pool, const struct pool_query *query)
+{
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      const struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      if (endpoint->is_evacuated
+          && strcmp (endpoint->service, query->service) == 0)
+        return true;
+    }
+  return false;
+}
+
 /* Returns the state of all endpoints as a new reference.  */
 json_t *
 pool_to_json (const struct pool *pool)
@@ -836,7 +949,7 @@
           list,
           json_pack (
               "{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:I, s:I, s:I, "
-              "s:I}",
+              "s:I, s:b, s:b}",
               "id", endpoint->id, "service", endpoint->service, "version",
               pool_endpoint_version (endpoint), "address", endpoint->address,
               "slots", (json_int_t)endpoint->slots, "in_flight",
@@ -846,7 +959,8 @@
               endpoint->leaving, "failures", (json_int_t)endpoint->failures,
               "limit_per_1000_s", (json_int_t)endpoint->limit_milli,
               "connect_failures", (json_int_t)endpoint->path.failures,
-              "last_heard_ms", (json_int_t)endpoint->last_heard_ms));
+              "last_heard_ms", (json_int_t)endpoint->last_heard_ms, "cold",
+              endpoint->is_cold, "evacuated", endpoint->is_evacuated));
     }
   return list;
 }
--- a/request/relay_server.c
+++ b/request/relay_server.c
@@ -376,7 +376,7 @@
     return RELAY_BUSY;
   if (!endpoint)
     return RELAY_UNKNOWN_ENDPOINT;
-  if (endpoint->leaving)
+  if (endpoint->leaving || endpoint->is_evacuated)
     return RELAY_LEAVING;
   if (pool_lacks_path (endpoint, now_ms))
     return RELAY_NO_PATH;
@@ -432,6 +432,8 @@
   pool_begin_direct (endpoint, now_ms);
   if (endpoint->limit_milli >= 0)
     counter_add (COUNTER_LIMITED_SENDS, 1);
+  if (endpoint->is_cold)
+    counter_add (COUNTER_COLD_SENDS, 1);
   counter_add (COUNTER_RELAYS_SERVED, 1);
   relay->fetch = fetch_start (server->options.fetcher, &options);
   free (headers);
--- a/request/request.c
+++ b/request/request.c
@@ -93,9 +93,10 @@
   struct permit_ask *permit_ask;
   uint64_t permit_endpoint; /* start of that for which a permit is acquired */
   bool has_permit;          /* for that endpoint, not used yet */
-  uint32_t denials;         /* of permits, for the next send */
-  bool has_awaited_permit;  /* has asked for a permit in advance */
-  bool is_last_denied;      /* by the endpoint that may have run the request */
+  int64_t permitted_ms;
+  uint32_t denials;        /* of permits, for the next send */
+  bool has_awaited_permit; /* has asked for a permit in advance */
+  bool is_last_denied;     /* by the endpoint that may have run the request */
   struct pool_endpoint *endpoint; /* of the current send; NULL if none */
   bool is_relayed;                /* the current send, by another host */
   /* Of the endpoint that may have run the request; 0 for none. */
@@ -920,6 +921,8 @@
   pool_begin_direct (request->endpoint, request->sent_ms);
   if (request->endpoint->limit_milli >= 0)
     counter_add (COUNTER_LIMITED_SENDS, 1);
+  if (request->endpoint->is_cold)
+    counter_add (COUNTER_COLD_SENDS, 1);
   request->fetch = fetch_start (request->pipeline->options.fetcher, options);
 }
 
@@ -1136,7 +1139,8 @@
             : MAX (MAX_FIRST_EVENT_MS, remaining_ms (request) / 3);
 
   return (request->denials > 0
-          || pool_has_used_up_limit (pipeline->options.pool, query, now_ms))
+          || pool_has_used_up_limit (pipeline->options.pool, query, now_ms)
+          || pool_has_evacuated (pipeline->options.pool, query))
          && (pool_is_full (endpoint, now_ms)
              || is_slow (pipeline, endpoint, max_wait_ms, now_ms));
 }
@@ -1156,7 +1160,8 @@
   int64_t now_ms = clock_now_ms ();
 
   *max_wait_ms = max_permit_wait_ms (request);
-  if (last_endpoint && request->route->retry_mode == ROUTE_STREAM)
+  if (last_endpoint && !last_endpoint->is_evacuated
+      && request->route->retry_mode == ROUTE_STREAM)
     {
       if (may_return_to (request, last_endpoint, now_ms))
         return last_endpoint;
@@ -1198,6 +1203,7 @@
 use_permit (struct request *request, int64_t wait_ms)
 {
   request->has_permit = true;
+  request->permitted_ms = clock_now_ms ();
   if (wait_ms <= 0)
     {
       dispatch (request);
@@ -1260,7 +1266,8 @@
                             : NULL;
 
   request->has_permit = false;
-  if (!endpoint || endpoint->leaving
+  if (!endpoint || endpoint->leaving || endpoint->is_evacuated
+      || endpoint->cold_since_ms > request->permitted_ms
       || (endpoint->unreachable
           && !has_helper (request, endpoint, clock_now_ms ()))
       || strcmp (endpoint->service, request->service->name) != 0
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -53,6 +53,7 @@
 /* Suites that run only if their name is the program's argument. */
 static CU_SuiteInfo separate_suites[] = {
   { "broken answers", NULL, NULL, NULL, NULL, broken_answers_tests },
+  { "cold endpoints", NULL, NULL, NULL, NULL, cold_fleet_tests },
   { "cut-off hosts", NULL, NULL, NULL, NULL, cut_off_hosts_tests },
   { "endpoint limits", NULL, NULL, NULL, NULL, endpoint_limits_tests },
   { "endpoint turns", NULL, NULL, NULL, NULL, endpoint_turns_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -6,6 +6,7 @@
 
 extern CU_TestInfo broken_answers_tests[];
 extern CU_TestInfo charges_tests[];
+extern CU_TestInfo cold_fleet_tests[];
 extern CU_TestInfo config_tests[];
 extern CU_TestInfo cursor_tests[];
 extern CU_TestInfo cut_off_hosts_tests[];
