--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -11,6 +11,7 @@
   { "config", NULL, NULL, NULL, NULL, config_tests },
   { "cursor", NULL, NULL, NULL, NULL, cursor_tests },
   { "decode", NULL, NULL, NULL, NULL, decode_tests },
+  { "evacuations", NULL, NULL, NULL, NULL, evacuations_tests },
   { "events", NULL, NULL, NULL, NULL, events_tests },
   { "failure detector", NULL, NULL, NULL, NULL, failure_detector_tests },
   { "feed", NULL, NULL, NULL, NULL, feed_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -13,6 +13,7 @@
 extern CU_TestInfo decode_tests[];
 extern CU_TestInfo endpoint_limits_tests[];
 extern CU_TestInfo endpoint_turns_tests[];
+extern CU_TestInfo evacuations_tests[];
 extern CU_TestInfo events_tests[];
 extern CU_TestInfo failure_detector_tests[];
 extern CU_TestInfo feed_tests[];
