request: silent holders of cold endpoints, processes that started anew

Cause: where the holders of many cold endpoints are lost at once, a request asked one after the other; a host whose registry is late sends to the address of a process that has started anew. Change: after one silent holder a request goes on with warm endpoints; a notice of a later process under the same id ends requests to the listed one.

--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -669,10 +669,18 @@
    * requests per 1000 s that it tolerates
    */
   int64_t rate_milli;
+  /*
+   * of the endpoint, and when its process started, for
+   */
+  uint64_t id_hash;
+  /*
+   * hosts that list only an earlier one
+   */
+  int64_t started_ms;
 };
 #define PEER__ENDPOINT_COLD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__endpoint_cold__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Peer__EndpointAsk
--- a/include/policy/cold.h
+++ b/include/policy/cold.h
@@ -24,6 +24,8 @@
 struct cold_state
 {
   int64_t revision;   /* of the registry entry that tells it */
+  uint64_t id_hash;   /* of the endpoint */
+  int64_t started_ms; /* when its process started, Unix time */
   int64_t until_ms;   /* is cold before this time */
   int64_t rate_milli; /* requests per 1,000 s tolerated while cold; 0: any */
 };
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -191,6 +191,10 @@
                        int64_t waiting, int64_t now_ms);
 bool pool_record_leaving (struct pool *pool, struct pool_endpoint *endpoint,
                           int64_t now_ms);
+const struct pool_endpoint *pool_record_replaced (struct pool *pool,
+                                                  uint64_t id,
+                                                  int64_t started_ms,
+                                                  int64_t now_ms);
 void pool_record_success (struct pool_endpoint *endpoint);
 void pool_record_failure (struct pool_endpoint *endpoint, int64_t now_ms);
 void pool_record_relay_success (struct pool_endpoint *endpoint);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -5298,7 +5298,7 @@
   (ProtobufCMessageInit) peer__stream_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__endpoint_cold__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__endpoint_cold__field_descriptors[5] =
 {
   {
     "revision",
@@ -5336,16 +5336,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "id_hash",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointCold, id_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__EndpointCold, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__endpoint_cold__field_indices_by_name[] = {
+  3,   /* field[3] = id_hash */
   2,   /* field[2] = rate_milli */
   1,   /* field[1] = remaining_ms */
   0,   /* field[0] = revision */
+  4,   /* field[4] = started_ms */
 };
 static const ProtobufCIntRange peer__endpoint_cold__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__endpoint_cold__descriptor =
 {
@@ -5355,7 +5381,7 @@
   "Peer__EndpointCold",
   "peer",
   sizeof(Peer__EndpointCold),
-  3,
+  5,
   peer__endpoint_cold__field_descriptors,
   peer__endpoint_cold__field_indices_by_name,
   1,  peer__endpoint_cold__number_ranges,
--- a/request/endpoint_limiter.c
+++ b/request/endpoint_limiter.c
@@ -760,6 +760,24 @@
   send_report (limiter, &report, now_ms);
 }
 
+/* Handles a fact about a process of an endpoint that is not listed here.  */
+static void
+apply_unlisted (struct endpoint_limiter *limiter,
+                const struct endpoint_fact *fact, int64_t now_ms)
+{
+  const struct pool_endpoint *replaced
+      = fact->cold.revision > 0
+            ? pool_record_replaced (limiter->options.pool, fact->cold.id_hash,
+                                    fact->cold.started_ms, now_ms)
+            : NULL;
+
+  if (replaced)
+    log_write (LOG_INFO, "limiter", NULL,
+               "endpoint %s has started anew and is cold; it gets no requests "
+               "until the registry lists its new process",
+               replaced->id);
+}
+
 /* Applies a fact that another host has sent.  A limit that has ended meanwhile
    ends here with the holder's next answer.  */
 static void
@@ -770,7 +788,10 @@
       = pool_find_start (limiter->options.pool, fact->endpoint);
 
   if (!endpoint)
-    return;
+    {
+      apply_unlisted (limiter, fact, now_ms);
+      return;
+    }
   cold_endpoint_record (endpoint, &fact->cold, now_ms);
   if (fact->limit_milli >= 0 && cold_endpoint_named_limit (endpoint) < 0)
     {
--- a/request/endpoint_notices.c
+++ b/request/endpoint_notices.c
@@ -121,6 +121,8 @@
   message->remaining_ms
       = (uint32_t)CLAMP (cold->until_ms - now_ms, 0, COLD_MAX_MS);
   message->rate_milli = cold->rate_milli;
+  message->id_hash = cold->id_hash;
+  message->started_ms = cold->started_ms;
   return message;
 }
 
@@ -133,6 +135,8 @@
     return (struct cold_state){ 0 };
   return (struct cold_state){
     .revision = message->revision,
+    .id_hash = message->id_hash,
+    .started_ms = message->started_ms,
     .until_ms = now_ms + MIN (message->remaining_ms, (uint32_t)COLD_MAX_MS),
     .rate_milli = MAX (message->rate_milli, 0),
   };
--- a/request/pool.c
+++ b/request/pool.c
@@ -285,6 +285,8 @@
 {
   struct cold_state cold
       = { .revision = entry->revision,
+          .id_hash = endpoint->hash,
+          .started_ms = entry->started_ms,
           .until_ms = now_ms + CLAMP (entry->cold_ms, 0, COLD_MAX_MS),
           .rate_milli = find_cold_rate (pool, entry->service) };
 
@@ -566,6 +568,26 @@
   return NULL;
 }
 
+/* Marks a listed process of the endpoint whose id has the hash ID as leaving
+   if another one has started after it, at STARTED_MS: the registry is late
+   here. Returns it, or NULL.  */
+const struct pool_endpoint *
+pool_record_replaced (struct pool *pool, uint64_t id, int64_t started_ms,
+                      int64_t now_ms)
+{
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      if (endpoint->hash != id || endpoint->started_ms >= started_ms
+          || endpoint->leaving)
+        continue;
+      pool_record_leaving (pool, endpoint, now_ms);
+      return endpoint;
+    }
+  return NULL;
+}
+
 /* Returns the build of SERVICE if this host has known of no other one while
    streams that can still be resumed may have begun, or 0.  */
 uint64_t
--- a/request/request.c
+++ b/request/request.c
@@ -35,6 +35,7 @@
      under way have a third of their time, since their work would be lost. */
   MAX_FIRST_EVENT_MS = 500,
   MAX_CACHE_WAIT_MS = 300, /* for an endpoint that has the prompt cached */
+  SILENT_HOLDER_MS = 100,  /* an answer takes some milliseconds */
   MAX_DENIALS = 4,         /* then only endpoints without a limit are tried */
   MIN_PERMIT_RETRY_MS = 100,  /* an earlier retry would find the limits used */
   MAX_PERMIT_RETRY_MS = 1500, /* callers wait a few seconds in total */
@@ -94,6 +95,7 @@
   uint64_t permit_endpoint; /* start of that for which a permit is acquired */
   bool has_permit;          /* for that endpoint, not used yet */
   int64_t permitted_ms;
+  int64_t permit_asked_ms;
   uint32_t denials;        /* of permits, for the next send */
   bool has_awaited_permit; /* has asked for a permit in advance */
   bool is_last_denied;     /* by the endpoint that may have run the request */
@@ -1213,10 +1215,25 @@
   ev_timer_start (request->pipeline->options.loop, &request->backoff);
 }
 
+/* After a question to the silent holder of a cold endpoint, goes on with warm
+   endpoints only: where many are cold, further silent holders would cost the
+   request its time.  */
+static void
+record_silent_holder (struct request *request,
+                      const struct pool_endpoint *endpoint)
+{
+  if (!endpoint || !endpoint->is_cold
+      || clock_now_ms () - request->permit_asked_ms < SILENT_HOLDER_MS)
+    return;
+  request->denials = MAX (request->denials, MAX_DENIALS);
+  request->has_awaited_permit = true;
+}
+
 static void
 handle_permit (void *data, bool is_granted, int64_t wait_ms)
 {
   struct request *request = data;
+  const struct pool_endpoint *endpoint;
 
   request->permit_ask = NULL;
   if (is_granted)
@@ -1224,8 +1241,10 @@
       use_permit (request, wait_ms);
       return;
     }
-  record_denial (request, pool_find_start (request->pipeline->options.pool,
-                                           request->permit_endpoint));
+  endpoint = pool_find_start (request->pipeline->options.pool,
+                              request->permit_endpoint);
+  record_denial (request, endpoint);
+  record_silent_holder (request, endpoint);
   dispatch (request);
 }
 
@@ -1244,6 +1263,7 @@
   if (!request->pipeline->options.limiter)
     return PERMIT_GRANTED;
   request->permit_endpoint = endpoint->start;
+  request->permit_asked_ms = clock_now_ms ();
   verdict = endpoint_limiter_acquire (request->pipeline->options.limiter,
                                       &query, clock_now_ms (), wait_ms,
                                       &request->permit_ask);
