--- a/policy/cold.c
+++ b/policy/cold.c
@@ -74,11 +74,12 @@
   int64_t rate = min64 (rate_milli, MAX_RATE_MILLI);
   int64_t allowed_milli
       = rate * bound->overrun_milli / MILLI + bound->slack_milli;
-  int64_t left_milli = (allowed_milli - (PRIMARY_BURST + SPARE_BURST) * MILLI)
-                       * MS_PER_S / PERMITTED_IN_MS;
+  int64_t left_milli
+      = (allowed_milli - (int64_t)(PRIMARY_BURST + SPARE_BURST) * MILLI)
+        * MS_PER_S / PERMITTED_IN_MS;
   struct cold_rates rates
-      = { .primary_burst_utokens = PRIMARY_BURST * UTOKENS_PER_TOKEN,
-          .spare_burst_utokens = SPARE_BURST * UTOKENS_PER_TOKEN };
+      = { .primary_burst_utokens = (int64_t)PRIMARY_BURST * UTOKENS_PER_TOKEN,
+          .spare_burst_utokens = (int64_t)SPARE_BURST * UTOKENS_PER_TOKEN };
 
   rates.primary_milli = max64 (
       min64 (rate, left_milli * PRIMARY_PERCENT / PERCENT), MIN_RATE_MILLI);
--- a/test/unit/test_cold_fleet.c
+++ b/test/unit/test_cold_fleet.c
@@ -1,6 +1,7 @@
 #include "common/buf.h"
 #include "common/id.h"
 #include "peer/packed_frame.h"
+#include "policy/endpoint_limit.h"
 #include "request/endpoint_limiter.h"
 #include "suites.h"
 #include <stdlib.h>
@@ -747,7 +748,54 @@
   destroy_fleet (fleet);
 }
 
+/* Guards against rates that leave no room for a spare holder that wrongly
+   takes the primary one for dead, while permits are used late.  */
+static void
+test_both_holders (void)
+{
+  enum
+  {
+    RUN_MS = 10000,
+    LATEST_MS = 250,
+  };
+  const struct cold_bound bound = { OVERRUN_MILLI, SLACK_MILLI };
+  struct cold_rates rates = cold_divide (COLD_MILLI, &bound);
+  struct endpoint_limit primary;
+  struct endpoint_limit spare;
+  uint32_t sends[RUN_MS + LATEST_MS] = { 0 };
+  uint32_t in_second = 0;
+  uint64_t seed = 1;
+  int64_t wait_ms;
+
+  CU_ASSERT_EQUAL (rates.primary_milli, COLD_MILLI);
+  endpoint_limit_init (&primary, ENDPOINT_LIMIT_PRIMARY, 0);
+  endpoint_limit_init (&spare, ENDPOINT_LIMIT_SPARE, 0);
+  endpoint_limit_set_cold (&primary, rates.primary_milli,
+                           rates.primary_burst_utokens, 0);
+  endpoint_limit_set_cold (&spare, rates.spare_milli,
+                           rates.spare_burst_utokens, 0);
+  for (int64_t now_ms = 0; now_ms < RUN_MS; now_ms++)
+    {
+      bool is_busy = now_ms / 1000 % 3 != 0; /* else the buckets fill */
+
+      if (is_busy && endpoint_limit_take (&primary, 1, now_ms, &wait_ms))
+        sends[now_ms
+              + (int64_t)(id_hash64 (&seed, 8, (uint64_t)now_ms)
+                          % LATEST_MS)]++;
+      if (is_busy && endpoint_limit_take (&spare, 1, now_ms, &wait_ms))
+        sends[now_ms
+              + (int64_t)(id_hash64 (&seed, 8, ~(uint64_t)now_ms)
+                          % LATEST_MS)]++;
+    }
+  for (int64_t at_ms = 0; at_ms < RUN_MS; at_ms++)
+    {
+      in_second += sends[at_ms] - (at_ms >= 1000 ? sends[at_ms - 1000] : 0);
+      CU_ASSERT (in_second <= SECOND_BOUND);
+    }
+}
+
 CU_TestInfo cold_fleet_tests[] = {
+  { "both holders permit", test_both_holders },
   { "half of a service turns cold", test_half_turns_cold },
   { "the registry is late on a third of the hosts", test_late_registry },
   { "holders are killed, cut off and paused", test_lost_holders },
