--- a/request/request.c
+++ b/request/request.c
@@ -36,6 +36,7 @@
      under way have a third of their time, since their work would be lost. */
   MAX_FIRST_EVENT_MS = 500,
   MAX_CACHE_WAIT_MS = 300, /* for an endpoint that has the prompt cached */
+  SILENT_HOLDER_MS = 100,  /* an answer takes some milliseconds */
   MAX_DENIALS = 4,         /* then only endpoints without a limit are tried */
   MIN_PERMIT_RETRY_MS = 100,  /* an earlier retry would find the limits used */
   MAX_PERMIT_RETRY_MS = 1500, /* callers wait a few seconds in total */
@@ -96,9 +97,11 @@
   struct permit_ask *permit_ask;
   uint64_t permit_endpoint; /* start of that for which a permit is acquired */
   bool has_permit;          /* for that endpoint, not used yet */
-  uint32_t denials;         /* of permits, for the next send */
-  bool has_awaited_permit;  /* has asked for a permit in advance */
-  bool is_last_denied;      /* by the endpoint that may have run the request */
+  int64_t permitted_ms;
+  int64_t permit_asked_ms;
+  uint32_t denials;        /* of permits, for the next send */
+  bool has_awaited_permit; /* has asked for a permit in advance */
+  bool is_last_denied;     /* by the endpoint that may have run the request */
   struct pool_endpoint *endpoint; /* of the current send; NULL if none */
   bool is_relayed;                /* the current send, by another host */
   /* Of the endpoint that may have run the request; 0 for none. */
@@ -953,6 +956,8 @@
   pool_begin_direct (request->endpoint, request->sent_ms);
   if (request->endpoint->limit_milli >= 0)
     counter_add (COUNTER_LIMITED_SENDS, 1);
+  if (request->endpoint->is_cold)
+    counter_add (COUNTER_COLD_SENDS, 1);
   request->fetch = fetch_start (request->pipeline->options.fetcher, options);
 }
 
@@ -1169,7 +1174,8 @@
             : MAX (MAX_FIRST_EVENT_MS, remaining_ms (request) / 3);
 
   return (request->denials > 0
-          || pool_has_used_up_limit (pipeline->options.pool, query, now_ms))
+          || pool_has_used_up_limit (pipeline->options.pool, query, now_ms)
+          || pool_has_evacuated (pipeline->options.pool, query))
          && (pool_is_full (endpoint, now_ms)
              || is_slow (pipeline, endpoint, max_wait_ms, now_ms));
 }
@@ -1189,7 +1195,8 @@
   int64_t now_ms = clock_now_ms ();
 
   *max_wait_ms = max_permit_wait_ms (request);
-  if (last_endpoint && request->route->retry_mode == ROUTE_STREAM)
+  if (last_endpoint && !last_endpoint->is_evacuated
+      && request->route->retry_mode == ROUTE_STREAM)
     {
       if (may_return_to (request, last_endpoint, now_ms))
         return last_endpoint;
@@ -1231,6 +1238,7 @@
 use_permit (struct request *request, int64_t wait_ms)
 {
   request->has_permit = true;
+  request->permitted_ms = clock_now_ms ();
   if (wait_ms <= 0)
     {
       dispatch (request);
@@ -1240,10 +1248,25 @@
   ev_timer_start (request->pipeline->options.loop, &request->backoff);
 }
 
+/* After a question to the silent holder of a cold endpoint, goes on with warm
+   endpoints only: where many are cold, further silent holders would cost the
+   request its time.  */
+static void
+record_silent_holder (struct request *request,
+                      const struct pool_endpoint *endpoint)
+{
+  if (!endpoint || !endpoint->is_cold
+      || clock_now_ms () - request->permit_asked_ms < SILENT_HOLDER_MS)
+    return;
+  request->denials = MAX (request->denials, MAX_DENIALS);
+  request->has_awaited_permit = true;
+}
+
 static void
 handle_permit (void *data, bool is_granted, int64_t wait_ms)
 {
   struct request *request = data;
+  const struct pool_endpoint *endpoint;
 
   request->permit_ask = NULL;
   if (is_granted)
@@ -1251,8 +1274,10 @@
       use_permit (request, wait_ms);
       return;
     }
-  record_denial (request, pool_find_start (request->pipeline->options.pool,
-                                           request->permit_endpoint));
+  endpoint = pool_find_start (request->pipeline->options.pool,
+                              request->permit_endpoint);
+  record_denial (request, endpoint);
+  record_silent_holder (request, endpoint);
   dispatch (request);
 }
 
@@ -1271,6 +1296,7 @@
   if (!request->pipeline->options.limiter)
     return PERMIT_GRANTED;
   request->permit_endpoint = endpoint->start;
+  request->permit_asked_ms = clock_now_ms ();
   verdict = endpoint_limiter_acquire (request->pipeline->options.limiter,
                                       &query, clock_now_ms (), wait_ms,
                                       &request->permit_ask);
@@ -1293,7 +1319,8 @@
                             : NULL;
 
   request->has_permit = false;
-  if (!endpoint || endpoint->leaving
+  if (!endpoint || endpoint->leaving || endpoint->is_evacuated
+      || endpoint->cold_since_ms > request->permitted_ms
       || (endpoint->unreachable
           && !has_helper (request, endpoint, clock_now_ms ()))
       || strcmp (endpoint->service, request->service->name) != 0
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -14,6 +14,7 @@
     conversation_requests_tests },
   { "cursor", NULL, NULL, NULL, NULL, cursor_tests },
   { "decode", NULL, NULL, NULL, NULL, decode_tests },
+  { "evacuations", NULL, NULL, NULL, NULL, evacuations_tests },
   { "events", NULL, NULL, NULL, NULL, events_tests },
   { "failure detector", NULL, NULL, NULL, NULL, failure_detector_tests },
   { "feed", NULL, NULL, NULL, NULL, feed_tests },
@@ -58,6 +59,7 @@
 static CU_SuiteInfo separate_suites[] = {
   { "broken answers", NULL, NULL, NULL, NULL, broken_answers_tests },
   { "conversation keeper", NULL, NULL, NULL, NULL, conversation_keeper_tests },
+  { "cold endpoints", NULL, NULL, NULL, NULL, cold_fleet_tests },
   { "cut-off hosts", NULL, NULL, NULL, NULL, cut_off_hosts_tests },
   { "endpoint limits", NULL, NULL, NULL, NULL, endpoint_limits_tests },
   { "endpoint turns", NULL, NULL, NULL, NULL, endpoint_turns_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -6,6 +6,7 @@
 
 extern CU_TestInfo broken_answers_tests[];
 extern CU_TestInfo charges_tests[];
+extern CU_TestInfo cold_fleet_tests[];
 extern CU_TestInfo config_tests[];
 extern CU_TestInfo conversation_keeper_tests[];
 extern CU_TestInfo conversation_client_tests[];
@@ -15,6 +16,7 @@
 extern CU_TestInfo decode_tests[];
 extern CU_TestInfo endpoint_limits_tests[];
 extern CU_TestInfo endpoint_turns_tests[];
+extern CU_TestInfo evacuations_tests[];
 extern CU_TestInfo events_tests[];
 extern CU_TestInfo failure_detector_tests[];
 extern CU_TestInfo feed_tests[];
