policy, request: learned speeds of endpoints, and predictions by them

Placement assumed one prefill speed for all engines and a fixed cost for each running request. policy/speed.c estimates an endpoint's speed, slowdown under load and share of errors; policy/place.c chooses by predicted completion. pool_predict_first_event_ms and pool_predict_event_us tell the prediction. Nothing feeds the estimates yet.

--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -41,7 +41,11 @@
   COUNTER_RELAYS_LOST,    /* helping hosts that fell silent */
   /* Requests whose deadline passed while the endpoint was silent. */
   COUNTER_SILENT_DEADLINES,
-  COUNTER_ENDPOINTS_LEAVING,      /* learnt from their responses */
+  COUNTER_ENDPOINTS_LEAVING, /* learnt from their responses */
+  COUNTER_ENDPOINTS_SLOW,    /* that turned slower than their service */
+  COUNTER_ENDPOINTS_FAILING, /* that began to fail a share of requests */
+  COUNTER_SPEED_FACTS_SENT,  /* learned figures, to relays and hosts */
+  COUNTER_SPEED_FACTS_RECEIVED,
   COUNTER_ENDPOINT_LIMIT_CHANGES, /* named, changed or ended in responses */
   COUNTER_MALFORMED_LIMITS,       /* in responses of endpoints */
   COUNTER_LIMITED_SENDS,          /* requests sent to endpoints with a limit */
--- a/include/policy/place.h
+++ b/include/policy/place.h
@@ -4,16 +4,14 @@
 #ifndef GALENA_POLICY_PLACE_H
 #define GALENA_POLICY_PLACE_H
 
+#include "policy/speed.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 enum
 {
-  /* Between the speeds of the slowest and the fastest engine that users
-     described in their deployments. */
-  PLACE_PREFILL_TOKENS_PER_MS = 40,
-  PLACE_RUNNING_COST_US = 10000, /* slowdown of decoding per running request */
+  PLACE_EVENTS = 64, /* of a stream, until responses have been seen */
   /* Slots of a plain service are independent; some services still slow down
      slightly under load. */
   PLACE_SLOT_COST_US = 2000,
@@ -23,6 +21,10 @@
      off while it runs, so calls stay local until the local endpoints are full.
    */
   PLACE_REMOTE_CALL_COST_US = 15000,
+  /* A higher share of errors is no accident among the few requests that a
+     host sees. A call that cannot be repeated then goes there only if all
+     others are full. */
+  PLACE_UNSAFE_PERMILLE = 120,
 };
 
 /* What this host knows about an endpoint. */
@@ -36,6 +38,10 @@
   int64_t waiting;
   int64_t cached_tokens; /* tokens of this prompt that its cache should
                             hold, by earlier placements */
+  int64_t work_percent;  /* how long work takes there now, 100: as usual; 0 if
+                            unknown */
+  const struct speed_figures *speed; /* NULL if nothing is known */
+  int64_t cost_us;                   /* set by place_pick */
 };
 
 struct place_options
@@ -44,11 +50,20 @@
   /* Hash of the program id, which makes all hosts prefer the same endpoint for
      the program; 0 for none. */
   uint64_t program;
+  int64_t events;       /* expected in the response; 0 if unknown */
+  bool is_unrepeatable; /* lost if the endpoint fails */
 };
 
+int64_t place_wait_us (const struct place_endpoint *endpoint,
+                       const struct place_options *options);
+int64_t place_first_event_us (const struct place_endpoint *endpoint,
+                              const struct place_options *options);
+int64_t place_prefill_cost_us (const struct place_endpoint *endpoint,
+                               const struct place_options *options);
+int64_t place_event_us (const struct place_endpoint *endpoint);
 int64_t place_cost_us (const struct place_endpoint *endpoint,
                        const struct place_options *options);
-int32_t place_pick (const struct place_endpoint *endpoints, size_t count,
+int32_t place_pick (struct place_endpoint *endpoints, size_t count,
                     const struct place_options *options, uint64_t *seed);
 
 #endif
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -5,6 +5,7 @@
 
 #include "policy/path_detector.h"
 #include "policy/place.h"
+#include "request/pool_speed.h"
 #include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
@@ -79,6 +80,10 @@
   int64_t reported_running; /* requests, by its latest load report */
   int64_t reported_waiting;
   int64_t reported_ms;
+  uint32_t reported_in_flight; /* in_flight at that time */
+  int64_t work_percent; /* how long work takes there, by that report, 100: as
+                           usual; 0 if it does not tell */
+  struct pool_speed speed;
   /* Requests per 1,000 s that it takes from all hosts together; negative if
      it has no limit.  While it has one, each request needs a permit
      (request/endpoint_limiter.h). */
@@ -114,10 +119,11 @@
   const struct prompt_part *parts;
   size_t part_count;
   int64_t prompt_tokens;
-  uint64_t program;  /* hash of its id; 0 for none */
-  uint64_t build;    /* that the endpoint must have; 0 for any */
-  bool is_unlimited; /* only endpoints without a limit */
-  bool is_relayed;   /* only endpoints to which this host has no path */
+  uint64_t program;     /* hash of its id; 0 for none */
+  uint64_t build;       /* that the endpoint must have; 0 for any */
+  bool is_unlimited;    /* only endpoints without a limit */
+  bool is_relayed;      /* only endpoints to which this host has no path */
+  bool is_unrepeatable; /* lost if the endpoint fails */
 };
 
 /* What this host has of a service's endpoints that are listed. */
@@ -147,6 +153,17 @@
 int64_t pool_cache_gain_ms (struct pool *pool, const struct pool_query *query,
                             const struct pool_endpoint *endpoint,
                             int64_t now_ms);
+int64_t pool_predict_first_event_ms (struct pool *pool,
+                                     const struct pool_endpoint *endpoint,
+                                     const struct pool_query *query,
+                                     int64_t now_ms);
+int64_t pool_predict_event_us (struct pool *pool,
+                               const struct pool_endpoint *endpoint,
+                               const struct pool_query *query, int64_t now_ms);
+int64_t pool_running (const struct pool_endpoint *endpoint, int64_t now_ms);
+int64_t pool_waiting (const struct pool_endpoint *endpoint, int64_t now_ms);
+int64_t pool_work_percent (const struct pool_endpoint *endpoint,
+                           int64_t now_ms);
 bool pool_has_used_up_limit (const struct pool *pool,
                              const struct pool_query *query, int64_t now_ms);
 bool pool_is_full (const struct pool_endpoint *endpoint, int64_t now_ms);
@@ -168,6 +185,8 @@
 void pool_end_direct (struct pool_endpoint *endpoint);
 void pool_record_load (struct pool_endpoint *endpoint, int64_t running,
                        int64_t waiting, int64_t now_ms);
+void pool_record_work_percent (struct pool_endpoint *endpoint,
+                               int64_t work_percent);
 bool pool_record_leaving (struct pool *pool, struct pool_endpoint *endpoint,
                           int64_t now_ms);
 void pool_record_success (struct pool_endpoint *endpoint);
--- a/policy/place.c
+++ b/policy/place.c
@@ -3,12 +3,20 @@
 enum
 {
   US_PER_MS = 1000,
-  TIE_US = 1000, /* random tie-breaker between equal costs */
-  /* Penalty for each further endpoint in a program's order of preference,
-     equal to the prefill of 4,000 tokens, the prompt of a long program. It
-     makes hosts that know nothing about the program mostly agree on the
-     endpoint that has its prompt cached. */
-  PREFERENCE_US = 100000,
+  PERMILLE = 1000,
+  /* Endpoints that cost up to an eighth more than the best one are chosen
+     among at random, so that hosts with the same late reports do not all
+     choose the same one.  The upper bound is below the difference between a
+     local and a remote call. */
+  CLOSE_SHARE = 8,
+  MIN_CLOSE_US = 1000,
+  MAX_CLOSE_US = 4000,
+  REPEAT_COST_US = 50000, /* of a request that fails, besides its own time */
+  /* More than any wait for an endpoint with a free slot. */
+  UNSAFE_COST_US = 5000000,
+  /* An endpoint that fails all requests must not look infinitely bad, or a
+     service in which all fail would be ordered by chance. */
+  MAX_ERROR_PERMILLE = 900,
 };
 
 /* The finalizer of MurmurHash3, which spreads the bits of VALUE.  */
@@ -29,46 +37,176 @@
   return mix (*seed);
 }
 
-/* Returns the cost of the queue at ENDPOINT, including the requests that run
-   beyond its slots.  */
+static const struct speed_figures *
+figures_of (const struct place_endpoint *endpoint)
+{
+  return endpoint->speed ? endpoint->speed : speed_default_prior ();
+}
+
+/* Returns the load of ENDPOINT once a further request runs there.  */
+static struct speed_load
+next_load (const struct place_endpoint *endpoint)
+{
+  int64_t running = endpoint->running + 1;
+
+  return (struct speed_load){ .running = running < endpoint->slots
+                                             ? running
+                                             : endpoint->slots,
+                              .slots = endpoint->slots,
+                              .work_percent = endpoint->work_percent };
+}
+
+static int64_t
+missing_tokens (const struct place_endpoint *endpoint,
+                const struct place_options *options)
+{
+  int64_t missing = options->prompt_tokens - endpoint->cached_tokens;
+
+  return missing > 0 ? missing : 0;
+}
+
+static int64_t
+expected_events (const struct place_options *options)
+{
+  return options->events > 0 ? options->events : PLACE_EVENTS;
+}
+
+/* Returns how long a request runs at ENDPOINT once it has a slot.  */
+static int64_t
+service_us (const struct place_endpoint *endpoint,
+            const struct place_options *options)
+{
+  struct speed_load load = next_load (endpoint);
+  const struct speed_figures *figures = figures_of (endpoint);
+
+  if (options->prompt_tokens == 0)
+    return speed_call_us (figures, &load);
+  return speed_first_event_us (figures, &load,
+                               missing_tokens (endpoint, options))
+         + expected_events (options) * speed_event_us (figures, &load);
+}
+
+/* Returns the wait for a slot behind the queue at ENDPOINT and the requests
+   that run beyond its slots.  SERVICE_US is how long each takes.  */
 static int64_t
-waiting_cost_us (const struct place_endpoint *endpoint)
+wait_us (const struct place_endpoint *endpoint, int64_t service)
 {
-  int64_t cost = endpoint->waiting * PLACE_WAITING_COST_US;
+  int64_t slots = endpoint->slots > 0 ? endpoint->slots : 1;
+  int64_t each_us = service / slots;
+  int64_t ahead = endpoint->waiting;
 
   if (endpoint->running >= endpoint->slots)
-    cost += (endpoint->running - endpoint->slots + 1) * PLACE_WAITING_COST_US;
-  return cost;
+    ahead += endpoint->running - endpoint->slots + 1;
+  if (each_us < PLACE_WAITING_COST_US)
+    each_us = PLACE_WAITING_COST_US;
+  return ahead * each_us;
+}
+
+/* Predicts the wait for a slot at ENDPOINT.  */
+int64_t
+place_wait_us (const struct place_endpoint *endpoint,
+               const struct place_options *options)
+{
+  return wait_us (endpoint, service_us (endpoint, options));
+}
+
+/* Predicts the time to the first event at ENDPOINT, without the way there; of
+   a plain call, the time to its response.  */
+int64_t
+place_first_event_us (const struct place_endpoint *endpoint,
+                      const struct place_options *options)
+{
+  struct speed_load load = next_load (endpoint);
+
+  if (options->prompt_tokens == 0)
+    return place_wait_us (endpoint, options)
+           + speed_call_us (figures_of (endpoint), &load);
+  return place_wait_us (endpoint, options)
+         + speed_first_event_us (figures_of (endpoint), &load,
+                                 missing_tokens (endpoint, options));
+}
+
+/* Predicts the time between two events of a further stream at ENDPOINT.  */
+int64_t
+place_event_us (const struct place_endpoint *endpoint)
+{
+  struct speed_load load = next_load (endpoint);
+
+  return speed_event_us (figures_of (endpoint), &load);
+}
+
+/* Returns the cost of reading the part of the prompt that is not cached: it
+   delays the request and those that run at ENDPOINT, between whose events it
+   is read.  */
+int64_t
+place_prefill_cost_us (const struct place_endpoint *endpoint,
+                       const struct place_options *options)
+{
+  struct speed_load load = next_load (endpoint);
+
+  return (1 + endpoint->running)
+         * speed_prefill_us (figures_of (endpoint), &load,
+                             missing_tokens (endpoint, options));
+}
+
+/* Returns the delay that a stream causes to those that run at ENDPOINT: its
+   prompt is read between their events, and each batch step takes longer.  */
+static int64_t
+delay_to_others_us (const struct place_endpoint *endpoint,
+                    const struct place_options *options)
+{
+  struct speed_load load = next_load (endpoint);
+  const struct speed_figures *figures = figures_of (endpoint);
+  int64_t step_us = speed_event_us (figures, &load) * SPEED_BATCH_PERMILLE
+                    / PERMILLE * expected_events (options);
+
+  return endpoint->running
+         * (speed_prefill_us (figures, &load,
+                              missing_tokens (endpoint, options))
+            + step_us);
 }
 
-/* Returns the cost of a plain service's call at ENDPOINT.  */
+/* Returns what the errors of ENDPOINT cost a request that takes COST_US.  */
 static int64_t
-call_cost_us (const struct place_endpoint *endpoint)
+error_cost_us (const struct place_endpoint *endpoint,
+               const struct place_options *options, int64_t cost_us)
 {
-  return waiting_cost_us (endpoint) + endpoint->running * PLACE_SLOT_COST_US
-         + (endpoint->remote ? PLACE_REMOTE_CALL_COST_US : 0);
+  int64_t errors = figures_of (endpoint)->values[SPEED_ERROR_PERMILLE];
+  int64_t bounded = errors < MAX_ERROR_PERMILLE ? errors : MAX_ERROR_PERMILLE;
+  int64_t unsafe_us
+      = options->is_unrepeatable && errors >= PLACE_UNSAFE_PERMILLE
+            ? UNSAFE_COST_US
+            : 0;
+
+  return (cost_us + REPEAT_COST_US) * bounded / (PERMILLE - bounded)
+         + unsafe_us;
 }
 
-/* Returns the cost of a request at ENDPOINT in microseconds of waiting: its
-   own until its first token, and that of the running requests, which share the
-   endpoint's batch steps.  */
+/* Returns the cost of a request at ENDPOINT in microseconds: the time until
+   its predicted completion, and that by which it delays the requests that run
+   there.  */
 int64_t
 place_cost_us (const struct place_endpoint *endpoint,
                const struct place_options *options)
 {
-  int64_t missing = options->prompt_tokens - endpoint->cached_tokens;
-  int64_t cost = waiting_cost_us (endpoint);
+  int64_t service = service_us (endpoint, options);
+  int64_t cost = wait_us (endpoint, service) + service;
 
   if (options->prompt_tokens == 0)
-    return call_cost_us (endpoint);
+    cost += endpoint->running * PLACE_SLOT_COST_US
+            + (endpoint->remote ? PLACE_REMOTE_CALL_COST_US : 0);
+  else
+    cost += delay_to_others_us (endpoint, options)
+            + (endpoint->remote ? PLACE_REMOTE_COST_US : 0);
+  return cost + error_cost_us (endpoint, options, cost);
+}
 
-  if (missing > 0)
-    cost += missing * US_PER_MS / PLACE_PREFILL_TOKENS_PER_MS
-            * (1 + endpoint->running);
-  cost += endpoint->running * PLACE_RUNNING_COST_US;
-  if (endpoint->remote)
-    cost += PLACE_REMOTE_COST_US;
-  return cost;
+/* Returns the unit of preference_us: the time in which an endpoint of usual
+   speed reads the prompt, which a later turn saves where hosts agree.  */
+static int64_t
+preference_unit_us (const struct place_options *options)
+{
+  return options->prompt_tokens * US_PER_MS / SPEED_PREFILL_TOKENS_PER_MS + 1;
 }
 
 static size_t
@@ -97,32 +235,78 @@
   return rank_us * missing / options->prompt_tokens;
 }
 
-/* Returns the index of the eligible endpoint with the lowest cost, or -1 if
-   there is none.  SEED is the state of the random tie-breaker.  */
-int32_t
-place_pick (const struct place_endpoint *endpoints, size_t count,
-            const struct place_options *options, uint64_t *seed)
+/* Sets the costs and returns the index of the cheapest endpoint, or -1.  */
+static int32_t
+find_cheapest (struct place_endpoint *endpoints, size_t count,
+               const struct place_options *options)
 {
   int32_t best = -1;
-  int64_t best_cost = 0;
-  uint64_t spread
-      = PREFERENCE_US * (uint64_t)count_eligible (endpoints, count);
+  uint64_t spread = (uint64_t)preference_unit_us (options)
+                    * (uint64_t)count_eligible (endpoints, count);
 
   for (size_t i = 0; i < count; i++)
     {
-      int64_t cost;
-
       if (!endpoints[i].eligible)
         continue;
-      cost = place_cost_us (&endpoints[i], options);
+      endpoints[i].cost_us = place_cost_us (&endpoints[i], options);
       if (options->program && options->prompt_tokens > 0)
-        cost += preference_us (&endpoints[i], options, spread);
-      else
-        cost += (int64_t)(next_random (seed) % TIE_US);
-      if (best >= 0 && cost >= best_cost)
-        continue;
-      best = (int32_t)i;
-      best_cost = cost;
+        endpoints[i].cost_us += preference_us (&endpoints[i], options, spread);
+      if (best < 0 || endpoints[i].cost_us < endpoints[best].cost_us)
+        best = (int32_t)i;
+    }
+  return best;
+}
+
+/* Returns the weight of an endpoint in the random choice, 0 if it costs more
+   than CLOSE_US above the cheapest one.  */
+static uint64_t
+closeness (const struct place_endpoint *endpoint,
+           const struct place_endpoint *best, int64_t close_us)
+{
+  int64_t excess_us = endpoint->cost_us - best->cost_us;
+
+  return endpoint->eligible && excess_us < close_us
+             ? (uint64_t)(close_us - excess_us)
+             : 0;
+}
+
+/* Chooses among the endpoints that cost about as much as the cheapest one.  */
+static int32_t
+pick_close (const struct place_endpoint *endpoints, size_t count, int32_t best,
+            uint64_t *seed)
+{
+  int64_t close_us = endpoints[best].cost_us / CLOSE_SHARE;
+  uint64_t sum = 0;
+  uint64_t at;
+
+  if (close_us < MIN_CLOSE_US)
+    close_us = MIN_CLOSE_US;
+  if (close_us > MAX_CLOSE_US)
+    close_us = MAX_CLOSE_US;
+  for (size_t i = 0; i < count; i++)
+    sum += closeness (&endpoints[i], &endpoints[best], close_us);
+  at = next_random (seed) % sum;
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t weight = closeness (&endpoints[i], &endpoints[best], close_us);
+
+      if (at < weight)
+        return (int32_t)i;
+      at -= weight;
     }
   return best;
 }
+
+/* Returns the index of one of the eligible endpoints with the lowest cost, or
+   -1 if there is none.  A program's hash takes the place of chance.  SEED is
+   the state of the random choice.  */
+int32_t
+place_pick (struct place_endpoint *endpoints, size_t count,
+            const struct place_options *options, uint64_t *seed)
+{
+  int32_t best = find_cheapest (endpoints, count, options);
+
+  if (best < 0 || (options->program && options->prompt_tokens > 0))
+    return best;
+  return pick_close (endpoints, count, best, seed);
+}
--- a/request/pool.c
+++ b/request/pool.c
@@ -21,6 +21,9 @@
   LEAVING_CAPACITY = 4096,
   LEAVING_TTL_MS = 10 * 60 * 1000,
   PART_TTL_MS = 60 * 1000, /* a part unused for longer is assumed evicted */
+  PRIOR_INTERVAL_MS = 1000,
+  US_PER_MS = 1000,
+  PERMILLE = 1000,
 };
 
 struct pool
@@ -31,7 +34,10 @@
   GHashTable *service_builds;      /* name -> struct service_builds */
   GPtrArray *endpoints;      /* struct pool_endpoint, those currently listed */
   GPtrArray *removed_in_use; /* removed, but still in use by requests */
-  uint64_t seed;             /* of the random choice between endpoints */
+  GHashTable *service_speeds; /* name -> struct service_speed; kept, since
+                                 endpoints refer to them */
+  int64_t priors_ms;          /* when they were last computed */
+  uint64_t seed;              /* of the random choice between endpoints */
 };
 
 /* Which builds of a service have been listed. */
@@ -90,6 +96,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   pool->service_builds
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
+  pool->service_speeds
+      = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
   pool->seed = id_random64 ();
   return pool;
 }
@@ -104,6 +112,7 @@
   g_ptr_array_free (pool->removed_in_use, TRUE);
   g_hash_table_destroy (pool->unreachable_centres);
   g_hash_table_destroy (pool->service_builds);
+  g_hash_table_destroy (pool->service_speeds);
   recent_table_destroy (pool->announced);
   free (pool->data_centre);
   free (pool);
@@ -158,6 +167,21 @@
   return endpoint;
 }
 
+/* Returns what is usual in SERVICE.  */
+static struct service_speed *
+get_service_speed (struct pool *pool, const char *service)
+{
+  struct service_speed *speed
+      = g_hash_table_lookup (pool->service_speeds, service);
+
+  if (speed)
+    return speed;
+  speed = xcalloc (1, sizeof *speed);
+  service_speed_init (speed);
+  g_hash_table_insert (pool->service_speeds, xstrdup (service), speed);
+  return speed;
+}
+
 /* Returns the endpoint that ENTRY describes and removes it from the list,
    where BY_ID has its index plus 1; NULL if there is none.  */
 static struct pool_endpoint *
@@ -280,6 +304,7 @@
       if (!endpoint)
         {
           endpoint = endpoint_create (entry);
+          endpoint->speed.service = get_service_speed (pool, entry->service);
           log_change (endpoint, "was added");
         }
       if (entry->leaving && !endpoint->leaving)
@@ -346,45 +371,126 @@
          || (endpoint->path.failures > 0 && endpoint->avoid_until_ms > now_ms);
 }
 
-static void
-fill_candidate (const struct pool_endpoint *endpoint,
-                const struct pool_query *query, int64_t now_ms,
-                struct place_endpoint *out)
+static bool
+has_fresh_load (const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  return endpoint->reported_ms
+         && now_ms - endpoint->reported_ms <= MAX_LOAD_AGE_MS;
+}
+
+/* Returns how many requests run at ENDPOINT: those that it reported, and those
+   that this host has sent or seen end since.  */
+int64_t
+pool_running (const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  int64_t running = endpoint->reported_running + endpoint->in_flight
+                    - endpoint->reported_in_flight;
+
+  if (!has_fresh_load (endpoint, now_ms) || running < endpoint->in_flight)
+    return endpoint->in_flight;
+  return running;
+}
+
+/* Returns how many requests wait at ENDPOINT, by a recent report.  */
+int64_t
+pool_waiting (const struct pool_endpoint *endpoint, int64_t now_ms)
 {
-  bool is_fresh = now_ms - endpoint->reported_ms <= MAX_LOAD_AGE_MS;
+  return has_fresh_load (endpoint, now_ms) ? endpoint->reported_waiting : 0;
+}
+
+/* Returns how long work takes on the machine of ENDPOINT, 100: as usual; 0 if
+   it does not tell.  The report loses its meaning with its age.  */
+int64_t
+pool_work_percent (const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  int64_t left_ms = MAX_LOAD_AGE_MS - (now_ms - endpoint->reported_ms);
+
+  if (!endpoint->work_percent || !has_fresh_load (endpoint, now_ms))
+    return 0;
+  return 100 + (endpoint->work_percent - 100) * left_ms / MAX_LOAD_AGE_MS;
+}
+
+/* Stores what is known of ENDPOINT, which may serve QUERY.  */
+static void
+describe (struct pool_endpoint *endpoint, const struct pool_query *query,
+          int64_t now_ms, struct place_endpoint *out)
+{
+  out->remote = endpoint->remote;
+  out->hash = endpoint->hash;
+  out->slots = endpoint->slots;
+  out->running = pool_running (endpoint, now_ms);
+  out->waiting = pool_waiting (endpoint, now_ms);
+  out->work_percent = pool_work_percent (endpoint, now_ms);
+  out->speed = pool_speed_figures (endpoint, now_ms);
+  out->cached_tokens = pool_cached_tokens (endpoint, query, now_ms);
+}
 
+static void
+fill_candidate (struct pool_endpoint *endpoint, const struct pool_query *query,
+                int64_t now_ms, struct place_endpoint *out)
+{
   int64_t avoid_until_ms = query->is_relayed ? endpoint->relay_avoid_until_ms
                                              : endpoint->avoid_until_ms;
   bool is_usable = pool_lacks_path (endpoint, now_ms) == query->is_relayed
                    && avoid_until_ms <= now_ms;
 
-  *out = (struct place_endpoint){ .remote = endpoint->remote,
-                                  .hash = endpoint->hash,
-                                  .slots = endpoint->slots,
-                                  .running = endpoint->in_flight };
-  out->eligible = may_serve (endpoint, query) && is_usable
-                  && may_be_permitted (endpoint, query, now_ms);
-  if (!out->eligible)
+  *out = (struct place_endpoint){
+    .eligible = may_serve (endpoint, query) && is_usable
+                && may_be_permitted (endpoint, query, now_ms)
+  };
+  if (out->eligible)
+    describe (endpoint, query, now_ms, out);
+}
+
+/* Computes from time to time what is usual in each service.  */
+static void
+update_priors (struct pool *pool, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  if (pool->priors_ms && now_ms - pool->priors_ms < PRIOR_INTERVAL_MS)
     return;
-  if (is_fresh && endpoint->reported_running > out->running)
-    out->running = endpoint->reported_running;
-  if (is_fresh)
-    out->waiting = endpoint->reported_waiting;
-  out->cached_tokens = pool_cached_tokens (endpoint, query, now_ms);
+  pool->priors_ms = now_ms;
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    service_speed_collect (pool->endpoints->pdata[i], now_ms);
+  g_hash_table_iter_init (&iter, pool->service_speeds);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    service_speed_apply (service);
+}
+
+static struct place_options
+make_place_options (const struct pool_query *query,
+                    const struct service_speed *service)
+{
+  return (struct place_options){
+    .prompt_tokens = query->prompt_tokens,
+    .program = query->program,
+    .events = service ? service->events_milli / PERMILLE : 0,
+    .is_unrepeatable = query->is_unrepeatable,
+  };
 }
 
 /* Returns the best endpoint for QUERY that is usable now, or NULL.  */
 struct pool_endpoint *
 pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms)
 {
-  struct place_options options
-      = { .prompt_tokens = query->prompt_tokens, .program = query->program };
+  const struct service_speed *service = NULL;
+  struct place_options options;
   struct place_endpoint *candidates
       = xcalloc (pool->endpoints->len + 1, sizeof *candidates);
   int32_t picked;
 
+  update_priors (pool, now_ms);
   for (guint i = 0; i < pool->endpoints->len; i++)
-    fill_candidate (pool->endpoints->pdata[i], query, now_ms, &candidates[i]);
+    {
+      struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      fill_candidate (endpoint, query, now_ms, &candidates[i]);
+      if (candidates[i].eligible)
+        service = endpoint->speed.service;
+    }
+  options = make_place_options (query, service);
   picked
       = place_pick (candidates, pool->endpoints->len, &options, &pool->seed);
   free (candidates);
@@ -461,6 +567,45 @@
          && endpoint->reported_waiting > 0;
 }
 
+/* Stores what placement knows of ENDPOINT.  */
+static struct place_options
+prepare_prediction (struct pool *pool, const struct pool_endpoint *endpoint,
+                    const struct pool_query *query, int64_t now_ms,
+                    struct place_endpoint *out)
+{
+  struct pool_endpoint *listed = (struct pool_endpoint *)endpoint;
+
+  update_priors (pool, now_ms);
+  *out = (struct place_endpoint){ .eligible = true };
+  describe (listed, query, now_ms, out);
+  return make_place_options (query, endpoint->speed.service);
+}
+
+/* Predicts the time from sending a request to ENDPOINT until its first event;
+   of a plain call, until its response.  */
+int64_t
+pool_predict_first_event_ms (struct pool *pool,
+                             const struct pool_endpoint *endpoint,
+                             const struct pool_query *query, int64_t now_ms)
+{
+  struct place_endpoint place;
+  struct place_options options
+      = prepare_prediction (pool, endpoint, query, now_ms, &place);
+
+  return place_first_event_us (&place, &options) / US_PER_MS;
+}
+
+/* Predicts the time between two events of a stream at ENDPOINT.  */
+int64_t
+pool_predict_event_us (struct pool *pool, const struct pool_endpoint *endpoint,
+                       const struct pool_query *query, int64_t now_ms)
+{
+  struct place_endpoint place;
+
+  prepare_prediction (pool, endpoint, query, now_ms, &place);
+  return place_event_us (&place);
+}
+
 /* Returns the time that a request saves at ENDPOINT, because more of its
    prompt is in the cache there than at the best endpoint without a limit, or
    0.  */
@@ -469,8 +614,9 @@
                     const struct pool_endpoint *endpoint, int64_t now_ms)
 {
   struct pool_query unlimited = *query;
-  const struct pool_endpoint *other;
+  struct pool_endpoint *other;
   struct place_endpoint candidate;
+  struct place_options options;
   int64_t saved_tokens;
 
   if (query->prompt_tokens == 0)
@@ -479,12 +625,13 @@
   other = pool_pick (pool, &unlimited, now_ms);
   if (!other)
     return 0;
-  fill_candidate (other, &unlimited, now_ms, &candidate);
+  options = prepare_prediction (pool, other, &unlimited, now_ms, &candidate);
   saved_tokens
       = pool_cached_tokens (endpoint, query, now_ms) - candidate.cached_tokens;
   if (saved_tokens <= 0)
     return 0;
-  return saved_tokens * (1 + candidate.running) / PLACE_PREFILL_TOKENS_PER_MS;
+  options.prompt_tokens = candidate.cached_tokens + saved_tokens;
+  return place_prefill_cost_us (&candidate, &options) / US_PER_MS;
 }
 
 /* Returns the listed endpoint whose id and start have the hash START, or
@@ -616,6 +763,15 @@
   endpoint->reported_running = running;
   endpoint->reported_waiting = waiting;
   endpoint->reported_ms = now_ms;
+  endpoint->reported_in_flight = endpoint->in_flight;
+  endpoint->work_percent = 0;
+}
+
+/* Records the fourth figure of the same report.  */
+void
+pool_record_work_percent (struct pool_endpoint *endpoint, int64_t work_percent)
+{
+  endpoint->work_percent = work_percent;
 }
 
 /* Records that ENDPOINT has announced in a response that it leaves: it gets no
@@ -836,7 +992,7 @@
           list,
           json_pack (
               "{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:I, s:I, s:I, "
-              "s:I}",
+              "s:I, s:o}",
               "id", endpoint->id, "service", endpoint->service, "version",
               pool_endpoint_version (endpoint), "address", endpoint->address,
               "slots", (json_int_t)endpoint->slots, "in_flight",
@@ -846,7 +1002,8 @@
               endpoint->leaving, "failures", (json_int_t)endpoint->failures,
               "limit_per_1000_s", (json_int_t)endpoint->limit_milli,
               "connect_failures", (json_int_t)endpoint->path.failures,
-              "last_heard_ms", (json_int_t)endpoint->last_heard_ms));
+              "last_heard_ms", (json_int_t)endpoint->last_heard_ms, "learned",
+              pool_speed_to_json (endpoint)));
     }
   return list;
 }
