request, platform: feed, share and show the learned speeds of endpoints

Outcomes of requests feed the estimates, and the fourth figure of Server-Load scales them. SpeedNotice carries them between hosts by relays, whose choice endpoint_notices.c now shares (notice_relays.c). A load report is recorded once, at the response's head: it was recorded again as new at a stream's end.

--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -22,7 +22,9 @@
 #define WIRE_ENDPOINT_LEAVING "Server-Leaving" /* 1 */
 #define WIRE_ENDPOINT_LIMIT "Server-Limit" /* requests per second, decimal */
 #define WIRE_NOT_EXECUTED "Not-Executed"
-#define WIRE_ENDPOINT_LOAD "Server-Load" /* RUNNING,WAITING,SLOTS */
+/* RUNNING,WAITING,SLOTS and, of some services, PERCENT of the usual time that
+   work takes now. */
+#define WIRE_ENDPOINT_LOAD "Server-Load"
 
 bool wire_is_hop_by_hop_header (const char *name);
 bool wire_is_reserved_header (const char *name);
--- a/include/policy/place.h
+++ b/include/policy/place.h
@@ -36,6 +36,11 @@
   int64_t slots; /* requests that it runs concurrently; others queue */
   int64_t running;
   int64_t waiting;
+  /* Requests that ran or waited there in the last seconds, as other hosts tell
+     too.  It counts in the prediction of speed and in waits beyond the slots
+     only: hosts that all went by it more strongly would move from one endpoint
+     to another together. */
+  int64_t usual_running;
   int64_t cached_tokens; /* tokens of this prompt that its cache should
                             hold, by earlier placements */
   int64_t work_percent;  /* how long work takes there now, 100: as usual; 0 if
--- a/include/policy/speed.h
+++ b/include/policy/speed.h
@@ -30,6 +30,7 @@
   SPEED_EVENT_US,       /* per event of a stream that runs alone */
   SPEED_CALL_US,        /* of a plain call */
   SPEED_ERROR_PERMILLE, /* share of the requests that fail */
+  SPEED_LOAD_PERMILLE,  /* share of the slots in use */
   /* Time of work against the above, for each range of load. */
   SPEED_SLOWDOWN_PERMILLE,
   SPEED_FIGURES = SPEED_SLOWDOWN_PERMILLE + SPEED_LOADS,
@@ -79,6 +80,8 @@
                         int64_t now_ms);
 void speed_record_outcome (struct speed *speed, bool is_success,
                            int64_t now_ms);
+void speed_record_load (struct speed *speed, int64_t running, int64_t slots,
+                        int64_t now_ms);
 void speed_merge (struct speed *speed, const uint32_t *figures, size_t count,
                   uint32_t samples, int64_t now_ms);
 uint32_t speed_export (const struct speed *speed,
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -136,6 +136,7 @@
 void endpoint_list_destroy (struct endpoint_list *list);
 
 struct pool *pool_create (const char *data_centre);
+void pool_set_seed (struct pool *pool, uint64_t seed);
 void pool_destroy (struct pool *pool);
 void pool_apply (struct pool *pool, const struct endpoint_list *list,
                  int64_t now_ms);
--- a/include/request/pool_speed.h
+++ b/include/request/pool_speed.h
@@ -15,6 +15,8 @@
 struct service_speed
 {
   struct speed_figures prior;
+  uint32_t learned;     /* bits of the figures of which a sample was seen */
+  uint32_t epoch;       /* changes with the prior */
   int64_t events_milli; /* mean number in a response; 0 if unknown */
   double sums[SPEED_FIGURES];
   double weights[SPEED_FIGURES];
@@ -28,6 +30,7 @@
   struct speed shared; /* from other hosts */
   struct speed_figures figures;
   int64_t figures_ms; /* when they were computed; 0 if they must be again */
+  uint32_t epoch;     /* of the prior by which they were */
   int64_t used_ms;    /* when this host last learned something */
   int64_t told_ms;    /* when it last told others */
   bool is_slow;       /* was logged */
@@ -35,18 +38,28 @@
   struct service_speed *service;
 };
 
+/* How long something took, and the load that the response reported. */
+struct pool_outcome
+{
+  int64_t elapsed_ms;
+  int64_t running; /* negative if it reported none */
+  int64_t waiting;
+  int64_t work_percent; /* 0 if it did not tell */
+};
+
 void service_speed_init (struct service_speed *service);
 void service_speed_collect (struct pool_endpoint *endpoint, int64_t now_ms);
 void service_speed_apply (struct service_speed *service);
 const struct speed_figures *pool_speed_figures (struct pool_endpoint *endpoint,
                                                 int64_t now_ms);
 void pool_record_first_event (struct pool_endpoint *endpoint,
-                              int64_t missing_tokens, int64_t elapsed_ms,
+                              int64_t missing_tokens,
+                              const struct pool_outcome *outcome,
                               int64_t now_ms);
 void pool_record_stream (struct pool_endpoint *endpoint, int64_t events,
-                         int64_t elapsed_ms, int64_t now_ms);
-void pool_record_call (struct pool_endpoint *endpoint, int64_t elapsed_ms,
-                       int64_t now_ms);
+                         const struct pool_outcome *outcome, int64_t now_ms);
+void pool_record_call (struct pool_endpoint *endpoint,
+                       const struct pool_outcome *outcome, int64_t now_ms);
 void pool_record_outcome (struct pool_endpoint *endpoint, bool is_success,
                           int64_t now_ms);
 void pool_record_shared_speed (struct pool_endpoint *endpoint,
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -62,6 +62,8 @@
   bool is_encoded;       /* has a content encoding, which was not requested */
   int64_t running;       /* negative if the endpoint reports no load */
   int64_t waiting;
+  int64_t work_percent; /* how long work takes on its machine now, 100: as
+                           usual; 0 if it does not tell */
   /* Requests per 1,000 s that the endpoint takes from all hosts together;
      negative if it names no limit. */
   int64_t limit_milli;
--- a/policy/place.c
+++ b/policy/place.c
@@ -1,4 +1,5 @@
 #include "policy/place.h"
+#include <math.h>
 
 enum
 {
@@ -12,6 +13,12 @@
   MIN_CLOSE_US = 1000,
   MAX_CLOSE_US = 4000,
   REPEAT_COST_US = 50000, /* of a request that fails, besides its own time */
+  /* A failure costs more than the time for a repetition: callers and routes
+     allow one or two. */
+  ERROR_WEIGHT = 4,
+  /* Programs may take about twice their time on idle endpoints, so that an
+     endpoint with more than twice the usual cost makes them late. */
+  LATE_RATIO = 2,
   /* More than any wait for an endpoint with a free slot. */
   UNSAFE_COST_US = 5000000,
   /* An endpoint that fails all requests must not look infinitely bad, or a
@@ -43,11 +50,19 @@
   return endpoint->speed ? endpoint->speed : speed_default_prior ();
 }
 
+/* Returns how many requests run at ENDPOINT, as far as this host knows.  */
+static int64_t
+occupied (const struct place_endpoint *endpoint)
+{
+  return endpoint->running > endpoint->usual_running ? endpoint->running
+                                                     : endpoint->usual_running;
+}
+
 /* Returns the load of ENDPOINT once a further request runs there.  */
 static struct speed_load
 next_load (const struct place_endpoint *endpoint)
 {
-  int64_t running = endpoint->running + 1;
+  int64_t running = occupied (endpoint) + 1;
 
   return (struct speed_load){ .running = running < endpoint->slots
                                              ? running
@@ -97,6 +112,8 @@
 
   if (endpoint->running >= endpoint->slots)
     ahead += endpoint->running - endpoint->slots + 1;
+  if (ahead < endpoint->usual_running - endpoint->slots)
+    ahead = endpoint->usual_running - endpoint->slots;
   if (each_us < PLACE_WAITING_COST_US)
     each_us = PLACE_WAITING_COST_US;
   return ahead * each_us;
@@ -149,23 +166,6 @@
                              missing_tokens (endpoint, options));
 }
 
-/* Returns the delay that a stream causes to those that run at ENDPOINT: its
-   prompt is read between their events, and each batch step takes longer.  */
-static int64_t
-delay_to_others_us (const struct place_endpoint *endpoint,
-                    const struct place_options *options)
-{
-  struct speed_load load = next_load (endpoint);
-  const struct speed_figures *figures = figures_of (endpoint);
-  int64_t step_us = speed_event_us (figures, &load) * SPEED_BATCH_PERMILLE
-                    / PERMILLE * expected_events (options);
-
-  return endpoint->running
-         * (speed_prefill_us (figures, &load,
-                              missing_tokens (endpoint, options))
-            + step_us);
-}
-
 /* Returns what the errors of ENDPOINT cost a request that takes COST_US.  */
 static int64_t
 error_cost_us (const struct place_endpoint *endpoint,
@@ -178,13 +178,13 @@
             ? UNSAFE_COST_US
             : 0;
 
-  return (cost_us + REPEAT_COST_US) * bounded / (PERMILLE - bounded)
+  return (cost_us + REPEAT_COST_US) * bounded * ERROR_WEIGHT
+             / (PERMILLE - bounded)
          + unsafe_us;
 }
 
 /* Returns the cost of a request at ENDPOINT in microseconds: the time until
-   its predicted completion, and that by which it delays the requests that run
-   there.  */
+   its predicted completion, and what errors and another data centre add.  */
 int64_t
 place_cost_us (const struct place_endpoint *endpoint,
                const struct place_options *options)
@@ -193,22 +193,13 @@
   int64_t cost = wait_us (endpoint, service) + service;
 
   if (options->prompt_tokens == 0)
-    cost += endpoint->running * PLACE_SLOT_COST_US
+    cost += occupied (endpoint) * PLACE_SLOT_COST_US
             + (endpoint->remote ? PLACE_REMOTE_CALL_COST_US : 0);
-  else
-    cost += delay_to_others_us (endpoint, options)
-            + (endpoint->remote ? PLACE_REMOTE_COST_US : 0);
+  else if (endpoint->remote)
+    cost += PLACE_REMOTE_COST_US;
   return cost + error_cost_us (endpoint, options, cost);
 }
 
-/* Returns the unit of preference_us: the time in which an endpoint of usual
-   speed reads the prompt, which a later turn saves where hosts agree.  */
-static int64_t
-preference_unit_us (const struct place_options *options)
-{
-  return options->prompt_tokens * US_PER_MS / SPEED_PREFILL_TOKENS_PER_MS + 1;
-}
-
 static size_t
 count_eligible (const struct place_endpoint *endpoints, size_t count)
 {
@@ -219,20 +210,48 @@
   return eligible > 0 ? eligible : 1;
 }
 
-/* Returns a penalty below SPREAD, by which a program's hash orders the
-   endpoints the same way on every host.  It is reduced by the share of the
-   prompt that is known to be cached there.  */
+/* Returns the cost of ENDPOINT times a factor above 1, which is the same on
+   every host.  The factor makes the chance to be the cheapest inversely
+   proportional to the cost: a host with slightly different figures mostly
+   finds the same endpoint, which has the prompts of the program's turns
+   before.  It is 1 where all of the prompt is known to be cached, since a
+   chain then stays there unless that is slower than reading the prompt
+   elsewhere.  Endpoints that would make the program late get an even smaller
+   share.  */
 static int64_t
-preference_us (const struct place_endpoint *endpoint,
-               const struct place_options *options, uint64_t spread)
+preferred_cost_us (const struct place_endpoint *endpoint,
+                   const struct place_options *options, size_t eligible,
+                   int64_t usual_us)
 {
-  int64_t rank_us
-      = (int64_t)(mix (options->program ^ endpoint->hash) % spread);
-  int64_t missing = options->prompt_tokens - endpoint->cached_tokens;
+  double uniform
+      = ((double)(mix (options->program ^ endpoint->hash) >> 11) + 0.5)
+        * 0x1p-53;
+  double missing = (double)missing_tokens (endpoint, options)
+                   / (double)options->prompt_tokens;
+  double late
+      = (double)endpoint->cost_us / (double)usual_us / (double)LATE_RATIO;
+  double factor = pow (1 - log (uniform) * (double)eligible, missing);
+
+  if (late > 1)
+    factor *= late * late;
+  return (int64_t)((double)endpoint->cost_us * factor);
+}
 
-  if (missing <= 0)
-    return 0;
-  return rank_us * missing / options->prompt_tokens;
+/* Sets the costs and returns their mean.  */
+static int64_t
+set_costs (struct place_endpoint *endpoints, size_t count,
+           const struct place_options *options)
+{
+  int64_t sum_us = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!endpoints[i].eligible)
+        continue;
+      endpoints[i].cost_us = place_cost_us (&endpoints[i], options);
+      sum_us += endpoints[i].cost_us;
+    }
+  return sum_us / (int64_t)count_eligible (endpoints, count) + 1;
 }
 
 /* Sets the costs and returns the index of the cheapest endpoint, or -1.  */
@@ -240,17 +259,17 @@
 find_cheapest (struct place_endpoint *endpoints, size_t count,
                const struct place_options *options)
 {
+  int64_t usual_us = set_costs (endpoints, count, options);
+  size_t eligible = count_eligible (endpoints, count);
   int32_t best = -1;
-  uint64_t spread = (uint64_t)preference_unit_us (options)
-                    * (uint64_t)count_eligible (endpoints, count);
 
   for (size_t i = 0; i < count; i++)
     {
       if (!endpoints[i].eligible)
         continue;
-      endpoints[i].cost_us = place_cost_us (&endpoints[i], options);
       if (options->program && options->prompt_tokens > 0)
-        endpoints[i].cost_us += preference_us (&endpoints[i], options, spread);
+        endpoints[i].cost_us
+            = preferred_cost_us (&endpoints[i], options, eligible, usual_us);
       if (best < 0 || endpoints[i].cost_us < endpoints[best].cost_us)
         best = (int32_t)i;
     }
--- a/policy/speed.c
+++ b/policy/speed.c
@@ -4,18 +4,23 @@
 /* A change is followed within 2 s, and an endpoint that no longer gets
    requests because it was slow or failed is tried again within some 6 s, the
    length of the users' disturbances.  */
-static const double HALF_LIFE_MS = 3000.0;
+static const double HALF_LIFE_MS = 2000.0;
 static const double ERROR_HALF_LIFE_MS = 2000.0;
 static const double MAX_WEIGHT = 6.0; /* of a new sample, at least a seventh */
 static const double MAX_SHARED_WEIGHT = 6.0;
+/* Load changes with each request.  Single hosts rarely see it: of 60 hosts and
+   45 engines, one gets a report of one engine every few seconds.  */
+static const double LOAD_HALF_LIFE_MS = 1000.0;
+static const double LOAD_MAX_WEIGHT = 3.0;
 static const double ERROR_MAX_WEIGHT = 20.0;
-static const double PRIOR_WEIGHT = 1.0;
+static const double PRIOR_WEIGHT = 0.6;
+static const double ERROR_PRIOR_WEIGHT = 1.0; /* of no errors */
 static const double MIN_TOLD_WEIGHT = 0.5;
 /* Samples further off are outliers.  The work of other machines that share
    one with the endpoint changes its times by less.  */
 static const double OUTLIER_FACTOR = 1.7;
 static const double MAX_FACTOR = 16.0; /* of a sample against the estimate */
-static const double STREAK_WEIGHT = 1.0;
+static const double STREAK_WEIGHT = 0.5;
 
 enum
 {
@@ -25,7 +30,10 @@
   MIN_PREFILL_TOKENS = 400,
   MAX_SLOWDOWN_PERMILLE = 20000,
   MIN_SLOWDOWN_PERMILLE = 300,
-  KNEE_PERMILLE = 1500, /* more is a slowdown by load */
+  MAX_LOAD_PERMILLE = 10000,
+  MAX_FIGURE = 10 * 1000 * 1000,    /* 10 s, or 10 ms per token */
+  MAX_WORK_US = 1000 * 1000 * 1000, /* bounds what is computed with it */
+  KNEE_PERMILLE = 1500,             /* more is a slowdown by load */
   NS_PER_US = 1000,
   PERMILLE = 1000,
 };
@@ -81,6 +89,8 @@
 static double
 half_life_ms (enum speed_figure figure)
 {
+  if (figure == SPEED_LOAD_PERMILLE)
+    return LOAD_HALF_LIFE_MS;
   return figure == SPEED_ERROR_PERMILLE ? ERROR_HALF_LIFE_MS : HALF_LIFE_MS;
 }
 
@@ -117,6 +127,7 @@
       factor = MAX_FACTOR;
     }
   sample = fmax (fmin (sample, estimate * factor), estimate / factor);
+  sample = fmin (sample, MAX_FIGURE);
   add_sample (track, sample, weight, now_ms);
 }
 
@@ -214,6 +225,22 @@
   add_sample (track, is_success ? 0 : PERMILLE, weight, now_ms);
 }
 
+/* Records the load that the endpoint reported.  */
+void
+speed_record_load (struct speed *speed, int64_t running, int64_t slots,
+                   int64_t now_ms)
+{
+  struct speed_track *track = &speed->tracks[SPEED_LOAD_PERMILLE];
+  double weight = fmin (decayed_weight (track, LOAD_HALF_LIFE_MS, now_ms),
+                        LOAD_MAX_WEIGHT);
+
+  if (slots > 0)
+    add_sample (
+        track,
+        fmin ((double)running * PERMILLE / (double)slots, MAX_LOAD_PERMILLE),
+        weight, now_ms);
+}
+
 /* Returns how many samples the figure is worth now.  */
 double
 speed_weight (const struct speed *speed, enum speed_figure figure,
@@ -223,8 +250,19 @@
                          now_ms);
 }
 
+/* Returns the largest plausible value of a figure.  */
+static double
+max_value (size_t figure)
+{
+  if (figure >= SPEED_SLOWDOWN_PERMILLE)
+    return MAX_SLOWDOWN_PERMILLE;
+  if (figure == SPEED_LOAD_PERMILLE)
+    return MAX_LOAD_PERMILLE;
+  return figure == SPEED_ERROR_PERMILLE ? PERMILLE : MAX_FIGURE;
+}
+
 /* Adds the figures that another host has sent, as speed_export stores them.
-   They count at least as much as what was heard before.  */
+   What was heard before counts for at most MAX_SHARED_WEIGHT samples.  */
 void
 speed_merge (struct speed *speed, const uint32_t *figures, size_t count,
              uint32_t samples, int64_t now_ms)
@@ -234,12 +272,12 @@
   for (size_t i = 0; i < count && i < SPEED_FIGURES && added > 0; i++)
     {
       struct speed_track *track = &speed->tracks[i];
-      double weight
-          = fmin (speed_weight (speed, (enum speed_figure)i, now_ms), added);
+      double weight = speed_weight (speed, (enum speed_figure)i, now_ms);
 
       if (figures[i] == 0)
         continue;
-      track->value = (track->value * weight + (double)(figures[i] - 1) * added)
+      track->value = (track->value * weight
+                      + fmin (figures[i] - 1, max_value (i)) * added)
                      / (weight + added);
       track->weight = fmin (weight + added, MAX_SHARED_WEIGHT);
       track->at_ms = now_ms;
@@ -279,12 +317,14 @@
       double own_weight = speed_weight (own, (enum speed_figure)i, now_ms);
       double shared_weight
           = speed_weight (shared, (enum speed_figure)i, now_ms);
+      double prior_weight
+          = i == SPEED_ERROR_PERMILLE ? ERROR_PRIOR_WEIGHT : PRIOR_WEIGHT;
 
       out->values[i]
           = (int64_t)((own->tracks[i].value * own_weight
                        + shared->tracks[i].value * shared_weight
-                       + (double)prior->values[i] * PRIOR_WEIGHT)
-                      / (own_weight + shared_weight + PRIOR_WEIGHT));
+                       + (double)prior->values[i] * prior_weight)
+                      / (own_weight + shared_weight + prior_weight));
     }
 }
 
@@ -297,7 +337,10 @@
       = figures->values[SPEED_SLOWDOWN_PERMILLE + load_range (load)];
   int64_t percent = load->work_percent > 0 ? load->work_percent : 100;
 
-  return alone_us * slowdown / PERMILLE * percent / 100;
+  if (alone_us > MAX_WORK_US)
+    alone_us = MAX_WORK_US;
+  alone_us = alone_us * slowdown / PERMILLE * percent / 100;
+  return alone_us < MAX_WORK_US ? alone_us : MAX_WORK_US;
 }
 
 static int64_t
--- a/request/endpoint_notices.c
+++ b/request/endpoint_notices.c
@@ -1,9 +1,9 @@
 #include "request/endpoint_notices.h"
 #include "common/buf.h"
 #include "common/id.h"
+#include "request/notice_relays.h"
 #include <glib.h>
 #include <stdlib.h>
-#include <string.h>
 
 enum
 {
@@ -11,10 +11,8 @@
   REPEAT_INTERVAL_MS = 10000, /* for hosts that have missed a notice */
   /* A relay drops a fact that its source has not repeated for so long. */
   FACT_TTL_MS = 15000,
-  RELAYS = 2, /* in each data centre, so that one may be lost */
   MAX_FACTS = 4096,
   MAX_FRAME_FACTS = 512,
-  MAX_DATA_CENTRES = 32,
 };
 
 /* A fact that this host passes on. */
@@ -25,10 +23,19 @@
   bool is_new; /* has not been passed on yet */
 };
 
+/* Facts that are being sent. */
+struct fact_message
+{
+  struct endpoint_notices *notices;
+  const GArray *facts; /* struct endpoint_fact */
+  bool pass_on;
+  int64_t now_ms;
+};
+
 struct endpoint_notices
 {
   struct endpoint_notices_options options;
-  uint64_t data_centre_hash;
+  struct notice_relays relays;
   GArray *outbox;      /* struct endpoint_fact, to be sent to the relays */
   GHashTable *relayed; /* endpoint -> struct relayed_fact */
   int64_t flushed_ms;
@@ -42,7 +49,10 @@
   struct endpoint_notices *notices = xcalloc (1, sizeof *notices);
 
   notices->options = *options;
-  notices->data_centre_hash = id_hash_text (options->data_centre);
+  notices->relays = (struct notice_relays){ .host = options->host,
+                                            .data_centre_hash = id_hash_text (
+                                                options->data_centre),
+                                            .hosts = options->hosts };
   notices->outbox = g_array_new (FALSE, FALSE, sizeof (struct endpoint_fact));
   notices->relayed
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free);
@@ -69,23 +79,6 @@
     g_array_append_vals (notices->outbox, fact, 1);
 }
 
-/* Stores the relays of a data centre and returns their number.  */
-static uint32_t
-choose_relays (const struct endpoint_notices *notices, uint64_t data_centre,
-               const struct host_member *relays[RELAYS])
-{
-  struct host_choice choice = { .item = data_centre, .only = data_centre };
-
-  return host_set_choose (notices->options.hosts, &choice, relays, RELAYS);
-}
-
-static bool
-is_self (const struct endpoint_notices *notices,
-         const struct host_member *member)
-{
-  return strcmp (member->name, notices->options.host) == 0;
-}
-
 /* Keeps a fact in order to pass it on.  */
 static void
 keep_fact (struct endpoint_notices *notices, const struct endpoint_fact *fact,
@@ -137,60 +130,35 @@
   free (items);
 }
 
+/* Sends a message to HOST, or keeps its facts if this host is the relay.  */
 static void
-send_all (const struct endpoint_notices *notices, const char *host,
-          const GArray *facts, bool pass_on)
-{
-  for (guint i = 0; i < facts->len; i += MAX_FRAME_FACTS)
-    send_facts (notices, host, &g_array_index (facts, struct endpoint_fact, i),
-                MIN (facts->len - i, (guint)MAX_FRAME_FACTS), pass_on);
-}
-
-static bool
-contains (const uint64_t *values, uint32_t count, uint64_t value)
-{
-  for (uint32_t i = 0; i < count; i++)
-    if (values[i] == value)
-      return true;
-  return false;
-}
-
-/* Sends the outbox to the relays of one data centre.  */
-static void
-send_to_relays (struct endpoint_notices *notices, uint64_t data_centre,
-                int64_t now_ms)
-{
-  const struct host_member *relays[RELAYS];
-  uint32_t count = choose_relays (notices, data_centre, relays);
-
-  for (uint32_t i = 0; i < count; i++)
-    {
-      if (!is_self (notices, relays[i]))
-        {
-          send_all (notices, relays[i]->name, notices->outbox, true);
-          continue;
-        }
-      for (guint k = 0; k < notices->outbox->len; k++)
-        keep_fact (notices,
-                   &g_array_index (notices->outbox, struct endpoint_fact, k),
-                   now_ms);
-    }
+send_message (void *data, const char *host)
+{
+  const struct fact_message *message = data;
+  const GArray *facts = message->facts;
+
+  for (guint i = 0; i < facts->len && !host; i++)
+    keep_fact (message->notices,
+               &g_array_index (facts, struct endpoint_fact, i),
+               message->now_ms);
+  for (guint i = 0; i < facts->len && host; i += MAX_FRAME_FACTS)
+    send_facts (message->notices, host,
+                &g_array_index (facts, struct endpoint_fact, i),
+                MIN (facts->len - i, (guint)MAX_FRAME_FACTS),
+                message->pass_on);
 }
 
 static void
 flush_outbox (struct endpoint_notices *notices, int64_t now_ms)
 {
-  const struct host_set *hosts = notices->options.hosts;
-  uint64_t data_centres[MAX_DATA_CENTRES];
-  uint32_t count = 0;
+  struct fact_message message = { .notices = notices,
+                                  .facts = notices->outbox,
+                                  .pass_on = true,
+                                  .now_ms = now_ms };
 
-  if (notices->outbox->len == 0 || hosts->count == 0)
+  if (notices->outbox->len == 0 || notices->options.hosts->count == 0)
     return;
-  for (size_t i = 0; i < hosts->count && count < MAX_DATA_CENTRES; i++)
-    if (!contains (data_centres, count, hosts->members[i].data_centre_hash))
-      data_centres[count++] = hosts->members[i].data_centre_hash;
-  for (uint32_t i = 0; i < count; i++)
-    send_to_relays (notices, data_centres[i], now_ms);
+  notice_relays_for_each (&notices->relays, send_message, &message);
   g_array_set_size (notices->outbox, 0);
 }
 
@@ -198,8 +166,9 @@
 static void
 pass_on (struct endpoint_notices *notices, bool all, int64_t now_ms)
 {
-  const struct host_set *hosts = notices->options.hosts;
   GArray *facts = g_array_new (FALSE, FALSE, sizeof (struct endpoint_fact));
+  struct fact_message message
+      = { .notices = notices, .facts = facts, .now_ms = now_ms };
   GHashTableIter iter;
   gpointer value;
 
@@ -217,10 +186,8 @@
         g_array_append_val (facts, relayed->fact);
       relayed->is_new = false;
     }
-  for (size_t i = 0; i < hosts->count && facts->len > 0; i++)
-    if (hosts->members[i].data_centre_hash == notices->data_centre_hash
-        && !is_self (notices, &hosts->members[i]))
-      send_all (notices, hosts->members[i].name, facts, false);
+  if (facts->len > 0)
+    notice_relays_for_neighbours (&notices->relays, send_message, &message);
   g_array_free (facts, TRUE);
 }
 
--- a/request/observation.c
+++ b/request/observation.c
@@ -84,7 +84,9 @@
 {
   const struct response_head *head = observation->head;
 
-  if (head->running >= 0)
-    pool_record_load (observation->endpoint, head->running, head->waiting,
-                      clock_now_ms ());
+  if (head->running < 0)
+    return;
+  pool_record_load (observation->endpoint, head->running, head->waiting,
+                    clock_now_ms ());
+  pool_record_work_percent (observation->endpoint, head->work_percent);
 }
--- a/request/pool.c
+++ b/request/pool.c
@@ -102,6 +102,13 @@
   return pool;
 }
 
+/* Makes the random choices repeatable, for simulations.  */
+void
+pool_set_seed (struct pool *pool, uint64_t seed)
+{
+  pool->seed = seed;
+}
+
 /* Frees the pool.  Its endpoints must not be in use by requests.  */
 void
 pool_destroy (struct pool *pool)
@@ -378,8 +385,8 @@
          && now_ms - endpoint->reported_ms <= MAX_LOAD_AGE_MS;
 }
 
-/* Returns how many requests run at ENDPOINT: those that it reported, and those
-   that this host has sent or seen end since.  */
+/* Returns how many requests run at ENDPOINT: those that it reported lately,
+   and those that this host has sent or seen end since.  */
 int64_t
 pool_running (const struct pool_endpoint *endpoint, int64_t now_ms)
 {
@@ -418,10 +425,12 @@
   out->remote = endpoint->remote;
   out->hash = endpoint->hash;
   out->slots = endpoint->slots;
+  out->speed = pool_speed_figures (endpoint, now_ms);
   out->running = pool_running (endpoint, now_ms);
+  out->usual_running
+      = out->speed->values[SPEED_LOAD_PERMILLE] * endpoint->slots / PERMILLE;
   out->waiting = pool_waiting (endpoint, now_ms);
   out->work_percent = pool_work_percent (endpoint, now_ms);
-  out->speed = pool_speed_figures (endpoint, now_ms);
   out->cached_tokens = pool_cached_tokens (endpoint, query, now_ms);
 }
 
@@ -765,6 +774,8 @@
   endpoint->reported_ms = now_ms;
   endpoint->reported_in_flight = endpoint->in_flight;
   endpoint->work_percent = 0;
+  speed_record_load (&endpoint->speed.own, running + MAX (waiting, 0),
+                     endpoint->slots, now_ms);
 }
 
 /* Records the fourth figure of the same report.  */
--- a/request/pool_speed.c
+++ b/request/pool_speed.c
@@ -9,6 +9,7 @@
   MIN_EVENTS = 8,       /* fewer are too short for a clock of milliseconds */
   US_PER_MS = 1000,
   PERMILLE = 1000,
+  MAX_FIRST_FIGURE = 1000 * 1000, /* of a first sample, which may be far off */
   EVENTS_SHARE = 16, /* of a response in the mean number of events */
   /* Against the prior, in permille; a service's users notice twice the time.
      The other bounds keep the log from repeating itself. */
@@ -138,27 +139,50 @@
 {
   struct pool_speed *speed = &endpoint->speed;
 
-  if (speed->figures_ms && now_ms - speed->figures_ms < FIGURES_TTL_MS)
+  if (speed->figures_ms && speed->epoch == speed->service->epoch
+      && now_ms - speed->figures_ms < FIGURES_TTL_MS)
     return &speed->figures;
   speed_estimate (&speed->own, &speed->shared, &speed->service->prior, now_ms,
                   &speed->figures);
   speed->figures_ms = now_ms;
+  speed->epoch = speed->service->epoch;
   log_slowness (endpoint);
   log_errors (endpoint);
   return &speed->figures;
 }
 
-/* Returns the load at the time of an outcome.  The one that the response has
-   just reported is the load under which the request ran.  */
+/* Returns the load under which a request ran, by its response.  */
 static struct speed_load
-load_of (const struct pool_endpoint *endpoint, int64_t now_ms)
+load_of (const struct pool_endpoint *endpoint,
+         const struct pool_outcome *outcome)
 {
-  int64_t running = MAX (pool_running (endpoint, now_ms), 1);
+  int64_t running = MAX (outcome->running, endpoint->in_flight);
 
-  return (struct speed_load){ .running = MIN (running, endpoint->slots),
+  return (struct speed_load){ .running = CLAMP (running, 1, endpoint->slots),
                               .slots = endpoint->slots,
-                              .work_percent
-                              = pool_work_percent (endpoint, now_ms) };
+                              .work_percent = outcome->work_percent };
+}
+
+/* Takes the first sample of a service as its prior: endpoints that have not
+   been tried must not look slower than those that have.  */
+static void
+learn_first (struct pool_endpoint *endpoint, enum speed_figure figure,
+             int64_t value)
+{
+  struct service_speed *service = endpoint->speed.service;
+
+  if (service->learned & 1U << figure)
+    return;
+  service->learned |= 1U << figure;
+  service->prior.values[figure] = CLAMP (value, 1, MAX_FIRST_FIGURE);
+  service->epoch++;
+}
+
+/* Returns TIME_US without what the load has added.  */
+static int64_t
+without_work (int64_t time_us, const struct speed_load *load)
+{
+  return load->work_percent > 0 ? time_us * 100 / load->work_percent : time_us;
 }
 
 static void
@@ -172,26 +196,26 @@
    were not cached, unless it may have waited for a slot.  */
 void
 pool_record_first_event (struct pool_endpoint *endpoint,
-                         int64_t missing_tokens, int64_t elapsed_ms,
-                         int64_t now_ms)
+                         int64_t missing_tokens,
+                         const struct pool_outcome *outcome, int64_t now_ms)
 {
-  struct speed_load load = load_of (endpoint, now_ms);
+  struct speed_load load = load_of (endpoint, outcome);
 
-  if (pool_waiting (endpoint, now_ms) > 0)
+  if (outcome->waiting > 0)
     return;
   speed_record_first_event (
       &endpoint->speed.own, pool_speed_figures (endpoint, now_ms), &load,
-      MAX (missing_tokens, 0), elapsed_ms * US_PER_MS, now_ms);
+      MAX (missing_tokens, 0), outcome->elapsed_ms * US_PER_MS, now_ms);
   note_use (endpoint, now_ms);
 }
 
-/* Records a stream whose last of EVENTS arrived ELAPSED_MS after the first.
+/* Records a stream whose last of EVENTS arrived so long after the first.
  */
 void
 pool_record_stream (struct pool_endpoint *endpoint, int64_t events,
-                    int64_t elapsed_ms, int64_t now_ms)
+                    const struct pool_outcome *outcome, int64_t now_ms)
 {
-  struct speed_load load = load_of (endpoint, now_ms);
+  struct speed_load load = load_of (endpoint, outcome);
   struct service_speed *service = endpoint->speed.service;
 
   service->events_milli
@@ -201,25 +225,30 @@
             : events * PERMILLE;
   if (events < MIN_EVENTS)
     return;
+  learn_first (
+      endpoint, SPEED_EVENT_US,
+      without_work (outcome->elapsed_ms * US_PER_MS / (events - 1), &load));
   speed_record_events (&endpoint->speed.own,
                        pool_speed_figures (endpoint, now_ms), &load,
-                       elapsed_ms * US_PER_MS / (events - 1), now_ms);
+                       outcome->elapsed_ms * US_PER_MS / (events - 1), now_ms);
   note_use (endpoint, now_ms);
 }
 
 /* Records the duration of a plain call, unless it may have waited for a slot.
  */
 void
-pool_record_call (struct pool_endpoint *endpoint, int64_t elapsed_ms,
-                  int64_t now_ms)
+pool_record_call (struct pool_endpoint *endpoint,
+                  const struct pool_outcome *outcome, int64_t now_ms)
 {
-  struct speed_load load = load_of (endpoint, now_ms);
+  struct speed_load load = load_of (endpoint, outcome);
 
-  if (pool_waiting (endpoint, now_ms) > 0)
+  if (outcome->waiting > 0)
     return;
-  speed_record_call (&endpoint->speed.own,
-                     pool_speed_figures (endpoint, now_ms), &load,
-                     MAX (elapsed_ms * US_PER_MS, US_PER_MS / 2), now_ms);
+  learn_first (endpoint, SPEED_CALL_US,
+               without_work (outcome->elapsed_ms * US_PER_MS, &load));
+  speed_record_call (
+      &endpoint->speed.own, pool_speed_figures (endpoint, now_ms), &load,
+      MAX (outcome->elapsed_ms * US_PER_MS, US_PER_MS / 2), now_ms);
   note_use (endpoint, now_ms);
 }
 
--- a/request/request.c
+++ b/request/request.c
@@ -49,6 +49,7 @@
   STATUS_TIMEOUT = 408,
   STATUS_MISDIRECTED = 421,
   STATUS_TOO_MANY = 429,
+  STATUS_SERVER_ERROR = 500, /* and above */
   STATUS_UNAVAILABLE = 503,
 };
 
@@ -112,6 +113,7 @@
      negative for none. */
   int64_t last_event_id;
   int64_t events_forwarded;
+  int64_t sent_events;    /* events of the current send */
   uint32_t sends;         /* including those that certainly did not run */
   uint32_t possible_runs; /* sends after which the request may have run */
   uint32_t failed_sends;  /* multiplies the backoff */
@@ -467,6 +469,35 @@
   return may_run_elsewhere (request);
 }
 
+static struct pool_outcome
+make_outcome (const struct request *request, int64_t since_ms, int64_t now_ms)
+{
+  return (struct pool_outcome){ .elapsed_ms = now_ms - since_ms,
+                                .running = request->head.running,
+                                .waiting = request->head.waiting,
+                                .work_percent = request->head.work_percent };
+}
+
+/* Records what a send tells of the endpoint's speed and errors.  One that was
+   relayed tells of the way, too.  */
+static void
+record_speed (const struct request *request, bool is_served)
+{
+  bool is_call = request->input->prompt_tokens <= 0;
+  int64_t now_ms = clock_now_ms ();
+  struct pool_outcome outcome = make_outcome (
+      request, is_call ? request->sent_ms : request->first_event_ms, now_ms);
+
+  if (request->is_relayed)
+    return;
+  pool_record_outcome (request->endpoint, is_served, now_ms);
+  if (is_served && is_call)
+    pool_record_call (request->endpoint, &outcome, now_ms);
+  else if (is_served && request->first_event_ms)
+    pool_record_stream (request->endpoint, request->sent_events, &outcome,
+                        now_ms);
+}
+
 /* Retries or ends a request that may have run and whose endpoint will not
    deliver the response.  */
 static void
@@ -485,6 +516,7 @@
     pool_record_relay_failure (request->endpoint, clock_now_ms ());
   else
     pool_record_failure (request->endpoint, clock_now_ms ());
+  record_speed (request, false);
   if (!may_run_again (request))
     {
       fail_request (request, reason);
@@ -562,11 +594,19 @@
 static void
 record_first_event (struct request *request)
 {
+  int64_t now_ms = clock_now_ms ();
+  struct pool_outcome outcome
+      = make_outcome (request, request->sent_ms, now_ms);
+
   if (request->first_event_ms)
     return;
-  request->first_event_ms = clock_now_ms ();
-  histogram_record (HISTOGRAM_FIRST_EVENT_MS,
-                    request->first_event_ms - request->sent_ms);
+  request->first_event_ms = now_ms;
+  histogram_record (HISTOGRAM_FIRST_EVENT_MS, outcome.elapsed_ms);
+  if (!request->is_relayed && request->input->prompt_tokens > 0)
+    pool_record_first_event (request->endpoint,
+                             request->input->prompt_tokens
+                                 - request->cached_tokens,
+                             &outcome, now_ms);
 }
 
 /* Forwards the response's head.  The stream stays at the build that sends its
@@ -593,6 +633,7 @@
   struct request *request = data;
 
   record_first_event (request);
+  request->sent_events++;
   if (id >= 0 && request->last_event_id >= 0 && id <= request->last_event_id)
     return true;
   if (id >= 0 && request->last_event_id >= 0
@@ -773,6 +814,18 @@
     path_monitor_record (monitor, endpoint, result->connection_opened, now_ms);
 }
 
+/* Records a refusal.  One for want of a slot is no error.  */
+static void
+record_refusal (const struct request *request)
+{
+  const struct response_head *head = &request->head;
+
+  if (head->status != STATUS_MISDIRECTED && !head->is_leaving
+      && head->running >= 0 && head->running < request->endpoint->slots
+      && head->waiting <= 0 && request->endpoint->limit_milli < 0)
+    record_speed (request, false);
+}
+
 /* Handles the end of a response, or of a send without one, that was sent.  */
 static void
 handle_sent (struct request *request, const struct fetch_result *result)
@@ -789,10 +842,11 @@
       request->head.status = result->status;
       if (result->complete)
         observation_record_head_end (&observation);
+      observation_record_load (&observation);
     }
-  observation_record_load (&observation);
   if (reports_not_run (request))
     {
+      record_refusal (request);
       retry_not_run (request, "the endpoints are full");
       return;
     }
@@ -812,6 +866,7 @@
     pool_record_relay_success (request->endpoint);
   else
     pool_record_success (request->endpoint);
+  record_speed (request, request->head.status < STATUS_SERVER_ERROR);
   poison_record_success (&request->pipeline->poison, request->fingerprint);
   if (request->step == STEP_STREAM)
     {
@@ -878,15 +933,16 @@
 static struct pool_query
 make_pool_query (const struct request *request)
 {
-  return (struct pool_query){ .service = request->service->name,
-                              .parts = request->input->parts,
-                              .part_count = request->input->part_count,
-                              .prompt_tokens
-                              = request->input->prompt_tokens > 0
-                                    ? request->input->prompt_tokens
-                                    : 0,
-                              .program = request->program,
-                              .build = request->build };
+  return (struct pool_query){
+    .service = request->service->name,
+    .parts = request->input->parts,
+    .part_count = request->input->part_count,
+    .prompt_tokens
+    = request->input->prompt_tokens > 0 ? request->input->prompt_tokens : 0,
+    .program = request->program,
+    .build = request->build,
+    .is_unrepeatable = request->route->retry_mode == ROUTE_ONCE
+  };
 }
 
 /* Has another host send the request, if this one has no path to its endpoint
@@ -976,6 +1032,7 @@
   request->is_last_denied = false;
   request->sent_ms = clock_now_ms ();
   request->first_event_ms = 0;
+  request->sent_events = 0;
   request->cached_tokens
       = pool_cached_tokens (endpoint, &query, request->sent_ms);
   pool_acquire (endpoint, &query, request->sent_ms);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -54,6 +54,9 @@
 static CU_SuiteInfo separate_suites[] = {
   { "broken answers", NULL, NULL, NULL, NULL, broken_answers_tests },
   { "cut-off hosts", NULL, NULL, NULL, NULL, cut_off_hosts_tests },
+  { "speed", NULL, NULL, NULL, NULL, speed_tests },
+  { "speed fleet", NULL, NULL, NULL, NULL, speed_fleet_tests },
+  { "speed on time", NULL, NULL, NULL, NULL, speed_on_time_tests },
   { "endpoint limits", NULL, NULL, NULL, NULL, endpoint_limits_tests },
   { "endpoint turns", NULL, NULL, NULL, NULL, endpoint_turns_tests },
   { "stream versions", NULL, NULL, NULL, NULL, stream_versions_tests },
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -69,6 +69,11 @@
   platform_wire.read_header (&head, "Connection", "close");
   CU_ASSERT_EQUAL (head.running, 3);
   CU_ASSERT_EQUAL (head.waiting, 1);
+  CU_ASSERT_EQUAL (head.work_percent, 0);
+  platform_wire.read_header (&head, "Server-Load", "3,1,8,240");
+  CU_ASSERT_EQUAL (head.work_percent, 240);
+  platform_wire.read_header (&head, "Server-Load", "3,1,8,-5");
+  CU_ASSERT_EQUAL (head.work_percent, 0);
   CU_ASSERT_TRUE (head.is_from_endpoint);
   CU_ASSERT_FALSE (head.not_run);
   CU_ASSERT_FALSE (head.is_encoded);
