admission: refuse programs that would end late, bound what is held for callers

Engines take every request at once, so that in a burst all programs queue and end late. A host now weighs the first turn of each program whose caller states Program-Deadline-Ms: with the load that endpoints reported within the last second, the time a first turn would wait and the time the program has left. Refused are the customers above an equal share first. Turns under way are more urgent than first turns, by the time left, within the levels that the configured priorities divide.

The bodies and backlogs of all callers are charged to one budget (buffer_limit_mb); callers that read nothing for 3 s are cut while a quarter of it is used, and new programs are refused from three quarters on.

--- a/common/httpd.c
+++ b/common/httpd.c
@@ -1,5 +1,8 @@
 #include "common/httpd.h"
+#include "common/counters.h"
 #include "common/deferred.h"
+#include "common/id.h"
+#include "common/log.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
@@ -13,6 +16,11 @@
   STREAM_BLOCK_BYTES = 2048,
   MAX_STREAM_BACKLOG_BYTES = 256 * 1024,
   LISTEN_BACKLOG = 1024,
+  /* A client that has read nothing for so long is cut if much is buffered.
+     Callers wait a few seconds in total, and one that reads slowly takes a
+     block of the stream more often. */
+  STALL_MS = 3000,
+  FULL_RETRY_MS = 300,
   /* Runs of libmicrohttpd in which open requests end before the server is
      destroyed.  A response takes one for its headers and one for its body. */
   FINAL_RUNS = 8,
@@ -109,10 +117,39 @@
   request->header_count = 0;
 }
 
+/* Charges the bytes that REQUEST holds to the budget, if there is one.  The
+   received body stays charged when the handler takes it over, until the
+   request ends.  Returns false if the budget does not have them.  */
+static bool
+charge (struct httpd_request *request, size_t bytes)
+{
+  struct buffer_budget *buffers = request->httpd->options.buffers;
+
+  if (!buffers)
+    return true;
+  if (!buffer_budget_take (buffers, bytes))
+    return false;
+  request->charged_bytes += bytes;
+  return true;
+}
+
+/* Returns up to BYTES of what was charged for REQUEST.  */
+static void
+discharge (struct httpd_request *request, size_t bytes)
+{
+  if (bytes > request->charged_bytes)
+    bytes = request->charged_bytes;
+  if (bytes == 0)
+    return;
+  buffer_budget_return (request->httpd->options.buffers, bytes);
+  request->charged_bytes -= bytes;
+}
+
 static void
 request_destroy (struct httpd_request *request)
 {
   stop_disconnect_watch (request);
+  discharge (request, request->charged_bytes);
   buf_release (&request->body);
   buf_release (&request->response_body);
   free (request->method);
@@ -154,6 +191,8 @@
     {
       memcpy (out, request->response_body.data, len);
       buf_consume (&request->response_body, len);
+      discharge (request, len);
+      request->read_ms = clock_now_ms ();
       if (request->response_body.len == 0)
         buf_release (&request->response_body);
       return (ssize_t)len;
@@ -198,18 +237,34 @@
   return result;
 }
 
-/* Returns false and drops the body if it exceeds the limit.  */
-static bool
+/* Appends to the body, or drops it if it exceeds the limit or the budget.  */
+static void
 append_body (struct httpd_request *request, const char *data, size_t len)
 {
-  if (request->body.len + len <= request->httpd->options.max_body_bytes)
+  bool fits
+      = request->body.len + len <= request->httpd->options.max_body_bytes;
+
+  if (fits && charge (request, len))
     {
       buf_append (&request->body, data, len);
-      return true;
+      return;
     }
-  request->body_too_large = true;
+  request->body_too_large = !fits;
+  request->body_refused = fits;
+  discharge (request, request->charged_bytes);
   buf_release (&request->body);
-  return false;
+}
+
+static void
+respond_full (struct httpd_request *request)
+{
+  struct error error;
+
+  counter_add (COUNTER_BODIES_REFUSED, 1);
+  error_set (&error, ERROR_OVERLOADED, RUN_NOT_RUN,
+             "this host buffers too much; retry on another host");
+  error.retry_after_ms = FULL_RETRY_MS;
+  httpd_respond_error (request, &error);
 }
 
 static void
@@ -258,7 +313,7 @@
     }
   if (*upload_len > 0)
     {
-      if (!request->body_too_large)
+      if (!request->body_too_large && !request->body_refused)
         append_body (request, upload, *upload_len);
       *upload_len = 0;
       return MHD_YES;
@@ -270,6 +325,8 @@
         refuse_while_destroying (request);
       else if (request->body_too_large)
         respond_too_large (request);
+      else if (request->body_refused)
+        respond_full (request);
       else
         httpd->options.handle_request (httpd->options.data, request);
     }
@@ -337,6 +394,29 @@
   deferred_schedule (&((struct httpd *)watcher->data)->deferred_run);
 }
 
+/* Bounds what the kernel holds for a client that does not read.  It counts
+   against the memory limit of the process, as its own buffers do.  */
+static void
+handle_connection (void *data, struct MHD_Connection *connection,
+                   void **connection_slot,
+                   enum MHD_ConnectionNotificationCode code)
+{
+  const struct httpd *httpd = data;
+  const union MHD_ConnectionInfo *info;
+  int bytes = (int)httpd->options.send_buffer_bytes;
+
+  if (code != MHD_CONNECTION_NOTIFY_STARTED || bytes == 0)
+    return;
+  info = MHD_get_connection_info (connection,
+                                  MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (setsockopt (info->connect_fd, SOL_SOCKET, SO_SNDBUF, &bytes,
+                  sizeof bytes)
+      != 0)
+    log_write (LOG_WARN, "httpd", NULL,
+               "the send buffer of a connection is not bounded: %s",
+               strerror (errno));
+}
+
 static struct MHD_Daemon *
 start_daemon (struct httpd *httpd, const struct sockaddr_in *address)
 {
@@ -358,6 +438,7 @@
       MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
       MHD_OPTION_URI_LOG_CALLBACK, handle_target, httpd,
       MHD_OPTION_NOTIFY_COMPLETED, handle_completed, httpd,
+      MHD_OPTION_NOTIFY_CONNECTION, handle_connection, httpd,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, options->connection_memory_bytes,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)options->idle_timeout_s,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned)options->max_connections,
@@ -634,15 +715,72 @@
   resume_request (request);
 }
 
+/* Whether the client has taken nothing of a backlog for a long time.  */
+static bool
+is_stalled (const struct httpd_request *request, int64_t now_ms)
+{
+  return request->streaming && !request->stream_aborted
+         && request->response_body.len > 0
+         && now_ms - request->read_ms >= STALL_MS;
+}
+
+/* Closes the connection of a client that does not read, and has its handler
+   end its work.  */
+static void
+cut_stalled (struct httpd_request *request, int64_t now_ms)
+{
+  void (*handle_disconnect) (struct httpd_request * request)
+      = request->handle_disconnect;
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  counter_add (COUNTER_READERS_CUT, 1);
+  log_write (LOG_WARN, "httpd", NULL,
+             "cut a client of %s that has read nothing for %lld ms: %zu bytes "
+             "wait for it, %zu of %zu are buffered in sum",
+             request->path, (long long)(now_ms - request->read_ms),
+             request->response_body.len,
+             request->httpd->options.buffers->used_bytes,
+             request->httpd->options.buffers->limit_bytes);
+  request->handle_disconnect = NULL;
+  if (handle_disconnect)
+    handle_disconnect (request);
+  httpd_stream_abort (request);
+  /* libmicrohttpd would wait until the socket can be written. */
+  shutdown (info->connect_fd, SHUT_RDWR);
+}
+
+/* Cuts the clients that do not read, if much is buffered.  Must be called
+   about every second.  */
+void
+httpd_cut_stalled (struct httpd *httpd, int64_t now_ms)
+{
+  const struct buffer_budget *buffers = httpd->options.buffers;
+  struct httpd_request *next;
+
+  if (!buffers || !buffer_budget_is_contended (buffers))
+    return;
+  for (struct httpd_request *request = httpd->requests; request;
+       request = next)
+    {
+      next = request->next;
+      if (is_stalled (request, now_ms))
+        cut_stalled (request, now_ms);
+    }
+}
+
 /* Appends to the body of a streamed response.  Returns false if the client
-   reads so slowly that the backlog is full; the stream must then be
-   aborted.  */
+   reads so slowly that the backlog is full, or if the budget for all clients
+   is used up; the stream must then be aborted.  */
 bool
 httpd_stream_write (struct httpd_request *request, const void *data,
                     size_t len)
 {
-  if (request->response_body.len + len > MAX_STREAM_BACKLOG_BYTES)
+  if (request->response_body.len + len > MAX_STREAM_BACKLOG_BYTES
+      || !charge (request, len))
     return false;
+  if (request->response_body.len == 0)
+    request->read_ms = clock_now_ms ();
   buf_append (&request->response_body, data, len);
   if (request->state == HTTPD_QUEUED)
     resume_request (request);
@@ -689,6 +827,7 @@
       return;
     }
   request->stream_aborted = true;
+  discharge (request, request->response_body.len);
   buf_release (&request->response_body);
   if (request->state == HTTPD_QUEUED)
     resume_request (request);
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -52,6 +52,14 @@
   COUNTER_UNFINISHED_EVENTS,      /* responses that ended inside an event */
   COUNTER_STREAM_LOOKUPS,         /* questions where a resumed stream began */
   COUNTER_STREAM_ORIGINS_UNKNOWN, /* of them, without an answer */
+  COUNTER_PROGRAMS_ADMITTED,      /* of those whose deadline is stated */
+  COUNTER_PROGRAMS_REFUSED_LOAD,  /* they would end late */
+  COUNTER_PROGRAMS_REFUSED_SHARE, /* their customer has had its share */
+  COUNTER_PROGRAMS_REFUSED_MEMORY,
+  COUNTER_HOPELESS_REFUSED, /* deadlines shorter than any answer takes */
+  COUNTER_BUFFERED_BYTES,   /* a gauge */
+  COUNTER_READERS_CUT,      /* callers that did not read */
+  COUNTER_BODIES_REFUSED,   /* for which there was no memory */
   COUNTER_HOLDS_PLACED,
   COUNTER_HOLDS_SWEPT, /* deleted from endpoints as orphans */
   COUNTER_COUNT,
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -3,6 +3,7 @@
 #define GALENA_COMMON_HTTPD_H
 
 #include "common/buf.h"
+#include "common/buffer_budget.h"
 #include "common/error.h"
 #include <ev.h>
 #include <jansson.h>
@@ -26,6 +27,10 @@
   uint32_t idle_timeout_s;
   bool detect_disconnect; /* of clients whose request is suspended */
   uint32_t max_connections;
+  size_t send_buffer_bytes; /* of each connection, in the kernel; 0 for the
+                               system's default */
+  /* Bounds the bodies and backlogs of all requests; may be NULL. */
+  struct buffer_budget *buffers;
   const char *cert_pem; /* NULL for plain HTTP */
   const char *key_pem;  /* NULL for plain HTTP */
   const char *ca_pem;   /* requests client certificates; may be NULL */
@@ -60,6 +65,9 @@
   char *path;
   struct buf body;          /* received request body */
   struct buf response_body; /* of a stream: the part not sent yet */
+  size_t charged_bytes;     /* to the budget of the server */
+  int64_t read_ms; /* when the client last took a part of the stream, or its
+                      backlog began */
   char *content_type;
   char *header_names[HTTPD_MAX_HEADERS];
   char *header_values[HTTPD_MAX_HEADERS];
@@ -71,6 +79,7 @@
   bool stream_ended;
   bool stream_aborted;
   bool body_too_large;
+  bool body_refused;      /* the budget does not have its bytes */
   bool lacks_chunks;      /* the client speaks HTTP/1.0 */
   bool buffering;         /* the stream is sent in one piece when it ends */
   ev_io disconnect_watch; /* detects that the client closes while suspended */
@@ -113,5 +122,6 @@
                          size_t len);
 void httpd_stream_end (struct httpd_request *request);
 void httpd_stream_abort (struct httpd_request *request);
+void httpd_cut_stalled (struct httpd *httpd, int64_t now_ms);
 
 #endif
--- a/include/platform/frontend.h
+++ b/include/platform/frontend.h
@@ -15,12 +15,14 @@
   struct pipeline *pipeline;
   const char *listen; /* "IP:port" */
   uint32_t max_connections;
+  struct buffer_budget *buffers; /* for what is held for callers */
 };
 
 struct frontend *frontend_create (const struct frontend_options *options,
                                   struct error *error);
 void frontend_destroy (struct frontend *frontend);
 void frontend_announce_close (struct frontend *frontend);
+void frontend_cut_stalled (struct frontend *frontend, int64_t now_ms);
 void frontend_stop_listening (struct frontend *frontend);
 
 #endif
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -45,6 +45,7 @@
   int64_t absent_ms;    /* a silent host is removed from the list after this */
   int64_t retention_ms; /* the ledger drops programs unused for longer */
   int64_t max_connections;
+  int64_t buffer_limit_mb;  /* for what is held for callers, in sum */
   int64_t tolerated_losses; /* of keepers at once */
 };
 
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -15,6 +15,7 @@
 #define WIRE_RESUMES "Resumes" /* WIRE_ATTEMPT_ID of the first event */
 #define WIRE_PRIORITY "Request-Priority"
 #define WIRE_PROGRAM "Program-Id"
+#define WIRE_PROGRAM_DEADLINE_MS "Program-Deadline-Ms" /* time left */
 #define WIRE_TOKEN_BUDGET "Token-Budget"
 #define WIRE_TOKEN_COUNTS "Token-Usage"   /* PROMPT,MAX_OUTPUT */
 #define WIRE_PROMPT_PARTS "Prompt-Prefix" /* ID:TOKENS,... */
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -5,6 +5,7 @@
 #define GALENA_REQUEST_REQUEST_H
 
 #include "common/buf.h"
+#include "common/buffer_budget.h"
 #include "common/error.h"
 #include "common/fetch.h"
 #include "ledger/ledger.h"
@@ -35,10 +36,12 @@
   char *target; /* from the request line, including the query */
   char *path;
   char *host;
-  char *key;            /* API key; may be NULL */
-  char *program;        /* id; may be NULL */
-  int64_t deadline_ms;  /* how long the caller waits for the response */
-  int64_t token_budget; /* of the whole program */
+  char *key;                   /* API key; may be NULL */
+  char *program;               /* id; may be NULL */
+  int64_t deadline_ms;         /* how long the caller waits for the response */
+  int64_t program_deadline_ms; /* how long the program has left; 0 or less if
+                                  it is not stated */
+  int64_t token_budget;        /* of the whole program */
   int64_t prompt_tokens;
   int64_t max_output_tokens;
   int64_t resume_after; /* id of the last event that the caller received */
@@ -130,6 +133,8 @@
   struct relay_client *relays; /* NULL to send all requests from this host */
   struct ledger *ledger;
   struct stream_index *streams; /* may be NULL */
+  /* Of what is held for callers; may be NULL. */
+  const struct buffer_budget *buffers;
   const struct request_wire *wire;
   pipeline_crash_handler *handle_crash;
   pipeline_heard_handler *handle_heard; /* may be NULL */
--- a/request/request.c
+++ b/request/request.c
@@ -5,6 +5,7 @@
 #include "common/log.h"
 #include "policy/endpoint_limit.h"
 #include "policy/retry.h"
+#include "request/admission_step.h"
 #include "request/event_splitter.h"
 #include "request/observation.h"
 #include <stdlib.h>
@@ -19,6 +20,9 @@
   MAX_IDLE_MS = 4000,     /* the same for idempotent requests */
   SILENT_MS = 1000,       /* silence of an endpoint that is logged */
   HEARD_INTERVAL_MS = 50, /* between reports that an endpoint sends */
+  /* Of a request that begins a program, as long as its caller still gains by
+     coming back: 90 ms in total. */
+  MAX_FIRST_TURN_SENDS = 4,
   MAX_SENDS = 12,  /* per request, including sends that endpoints refuse */
   BACKOFF_MS = 15, /* multiplied by the number of failed sends */
   MIN_REMAINING_MS = 20, /* with less time left, a request is not retried */
@@ -85,6 +89,7 @@
   ev_timer deadline;
   ev_timer backoff;
   bool begins_program; /* no turn of the program has run before */
+  bool is_weighed;     /* admission has decided on it */
   bool has_origin;     /* build is known, or the stream begins */
   bool has_token;      /* holds a token of the customer's rate limit */
   struct stream_lookup *origin_lookup;
@@ -123,6 +128,7 @@
   struct pipeline_options options;
   struct routing *routing; /* NULL until the first configuration */
   bool is_closed;          /* refuses new requests */
+  struct admission_step *admission;
   struct poison_table poison;
   GQueue requests;
 };
@@ -251,6 +257,53 @@
   return request->deadline_at_ms - clock_now_ms ();
 }
 
+/* Returns the time left for the request's program, which may be negative.  */
+static int64_t
+program_left_ms (const struct request *request)
+{
+  return request->started_ms + request->input->program_deadline_ms
+         - clock_now_ms ();
+}
+
+/* Whether admission concerns the request: it is a turn whose caller states the
+   program's deadline.  */
+static bool
+has_program_deadline (const struct request *request)
+{
+  return request->route && request->route->retry_mode == ROUTE_STREAM
+         && request->input->program_deadline_ms > 0;
+}
+
+/* Returns the least time in which a send of the request can succeed.  */
+static int64_t
+least_send_ms (const struct request *request)
+{
+  int64_t least_ms = 0;
+
+  if (has_program_deadline (request) && request->service)
+    least_ms = admission_step_least_ms (
+        request->pipeline->admission, request->service->name, clock_now_ms ());
+  return MAX (least_ms, MIN_REMAINING_MS);
+}
+
+static uint32_t
+max_sends (const struct request *request)
+{
+  return has_program_deadline (request) && request->begins_program
+             ? MAX_FIRST_TURN_SENDS
+             : MAX_SENDS;
+}
+
+/* Returns when the caller of a request for which there is no room should come
+   back.  */
+static uint32_t
+overload_retry_ms (const struct request *request)
+{
+  return has_program_deadline (request) ? (uint32_t)admission_retry_after_ms (
+             RETRY_AFTER_MS, program_left_ms (request), id_random64 ())
+                                        : RETRY_AFTER_MS;
+}
+
 static void
 refuse (struct request *request, const struct error *error)
 {
@@ -304,7 +357,8 @@
                                                      : ERROR_ENDPOINT,
                          0, reason);
   else
-    refuse_with_message (request, ERROR_OVERLOADED, RETRY_AFTER_MS, reason);
+    refuse_with_message (request, ERROR_OVERLOADED,
+                         overload_retry_ms (request), reason);
 }
 
 /* Logs for how long the endpoint has been silent, if that is long enough for
@@ -417,7 +471,8 @@
     endpoint->avoid_until_ms
         = MAX (endpoint->avoid_until_ms, clock_now_ms () + BACKOFF_MS);
   release_endpoint (request);
-  if (request->sends >= MAX_SENDS || remaining_ms (request) < MIN_REMAINING_MS)
+  if (request->sends >= max_sends (request)
+      || remaining_ms (request) < least_send_ms (request))
     {
       fail_request (request, reason);
       return;
@@ -453,7 +508,8 @@
 static bool
 may_run_again (const struct request *request)
 {
-  if (remaining_ms (request) < MIN_REMAINING_MS || request->sends >= MAX_SENDS)
+  if (remaining_ms (request) < least_send_ms (request)
+      || request->sends >= MAX_SENDS)
     return false;
   if (request->route->retry_mode == ROUTE_ONCE)
     return false;
@@ -567,6 +623,9 @@
   request->first_event_ms = clock_now_ms ();
   histogram_record (HISTOGRAM_FIRST_EVENT_MS,
                     request->first_event_ms - request->sent_ms);
+  admission_step_record_first_event (
+      request->pipeline->admission, request->service->name,
+      request->first_event_ms - request->sent_ms, request->first_event_ms);
 }
 
 /* Forwards the response's head.  The stream stays at the build that sends its
@@ -668,6 +727,10 @@
   int64_t now_ms = clock_now_ms ();
 
   histogram_record (HISTOGRAM_REQUEST_MS, now_ms - request->started_ms);
+  if (request->first_event_ms && request->events_forwarded > 0)
+    admission_step_record_end (request->pipeline->admission,
+                               request->service->name,
+                               now_ms - request->first_event_ms);
   log_write (
       LOG_INFO, "request", &ids,
       "status %ld from endpoint %s, version %s, after %" G_GINT64_FORMAT
@@ -923,6 +986,23 @@
   request->fetch = fetch_start (request->pipeline->options.fetcher, options);
 }
 
+/* Returns the priority that the endpoint is told.  */
+static int32_t
+send_priority (const struct request *request)
+{
+  struct admission_turn turn
+      = { .priority = request->customer && request->customer->priority >= 0
+                          ? request->customer->priority
+                          : request->route->priority,
+          .begins_program = request->begins_program,
+          .remaining_ms = program_left_ms (request),
+          .program = request->program };
+
+  return has_program_deadline (request)
+             ? admission_step_priority (request->pipeline->admission, &turn)
+             : turn.priority;
+}
+
 static void
 send_to_endpoint (struct request *request, struct pool_endpoint *endpoint)
 {
@@ -934,9 +1014,7 @@
           .endpoint = endpoint->id,
           .remaining_ms = remaining_ms (request),
           .resume_after = request->last_event_id,
-          .priority = request->customer && request->customer->priority >= 0
-                          ? request->customer->priority
-                          : request->route->priority };
+          .priority = send_priority (request) };
   bool is_stream = request->route->retry_mode == ROUTE_STREAM;
   GPtrArray *lines = g_ptr_array_new_with_free_func (free);
   char *url = xasprintf ("http://%s/", endpoint->address);
@@ -1385,11 +1463,42 @@
 static void reserve_budget (struct request *request);
 static void acquire_token (struct request *request);
 
+static void continue_admission (struct request *request);
+
+/* Has admission decide whether the turn may be sent.  */
+static void
+weigh (struct request *request, bool has_budget)
+{
+  struct admission_step *step = request->pipeline->admission;
+  int64_t now_ms = clock_now_ms ();
+  struct admission_ask ask
+      = { .customer = request->customer ? request->customer->name : NULL,
+          .program = request->program,
+          .request_left_ms = remaining_ms (request),
+          .program_left_ms = program_left_ms (request),
+          .ids = log_ids (request) };
+  struct error error;
+
+  request->is_weighed = true;
+  if (!request->service)
+    request->service = pick_service (request);
+  if (!has_budget)
+    request->begins_program = admission_step_is_first (
+        step, request->input, request->program, now_ms);
+  ask.begins_program = request->begins_program;
+  if (request->service)
+    ask.service = request->service->name;
+  if (!ask.service || admission_step_admit (step, &ask, now_ms, &error))
+    continue_admission (request);
+  else
+    refuse (request, &error);
+}
+
 /* Runs the next step of admission, or dispatches the request if none is left.
-   The steps are the origin of a stream that is resumed, the rate limit and the
-   token budget.  If this host has not
-   seen the program before, the budget comes first: the ledger's reply tells
-   whether this is the program's first request, which the rate limit treats
+   The steps are the origin of a stream that is resumed, whether the program
+   may begin, the rate limit and the token budget.  If this host has not seen
+   the program before, the budget comes first: the ledger's reply tells whether
+   this is the program's first request, which the other steps treat
    differently.  */
 static void
 continue_admission (struct request *request)
@@ -1404,6 +1513,9 @@
 
   if (!request->has_origin)
     find_origin (request);
+  else if (!request->is_weighed && has_program_deadline (request)
+           && (!has_budget || is_program_known || request->reservation))
+    weigh (request, has_budget);
   else if (!request->has_token && request->customer
            && (!has_budget || is_program_known || request->reservation))
     acquire_token (request);
@@ -1554,8 +1666,11 @@
 pipeline_create (const struct pipeline_options *options)
 {
   struct pipeline *pipeline = xcalloc (1, sizeof *pipeline);
+  struct admission_step_options admission
+      = { .pool = options->pool, .buffers = options->buffers };
 
   pipeline->options = *options;
+  pipeline->admission = admission_step_create (&admission);
   g_queue_init (&pipeline->requests);
   return pipeline;
 }
@@ -1568,6 +1683,7 @@
   if (!pipeline)
     return;
   routing_unref (pipeline->routing);
+  admission_step_destroy (pipeline->admission);
   free (pipeline);
 }
 
@@ -1578,6 +1694,7 @@
   routing_unref (pipeline->routing);
   pipeline->routing = routing;
   limits_apply (pipeline->options.limits, routing);
+  admission_step_apply (pipeline->admission, routing);
 }
 
 /* Retries requests elsewhere that were sent to endpoints of DATA_CENTRE, which
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -7,6 +7,7 @@
 
 /* Sorted by name. */
 static CU_SuiteInfo suites[] = {
+  { "admission", NULL, NULL, NULL, NULL, admission_tests },
   { "charges", NULL, NULL, NULL, NULL, charges_tests },
   { "config", NULL, NULL, NULL, NULL, config_tests },
   { "cursor", NULL, NULL, NULL, NULL, cursor_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -4,6 +4,7 @@
 
 #include <CUnit/CUnit.h>
 
+extern CU_TestInfo admission_tests[];
 extern CU_TestInfo broken_answers_tests[];
 extern CU_TestInfo charges_tests[];
 extern CU_TestInfo config_tests[];
