--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -73,6 +73,8 @@
 typedef struct Peer__TurnGroupKept Peer__TurnGroupKept;
 typedef struct Peer__SpeedFact Peer__SpeedFact;
 typedef struct Peer__SpeedNotice Peer__SpeedNotice;
+typedef struct Peer__CustomerDemand Peer__CustomerDemand;
+typedef struct Peer__DemandNotice Peer__DemandNotice;
 typedef struct Peer__Frame Peer__Frame;
 
 
@@ -1125,6 +1127,35 @@
     , 0,NULL, 0 }
 
 
+/*
+ * What a customer's programs that came lately would take, as an average over
+ * the hosts.
+ */
+struct  Peer__CustomerDemand
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t customer;
+  uint32_t work_ms;
+};
+#define PEER__CUSTOMER_DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__customer_demand__descriptor) \
+    , 0, 0 }
+
+
+struct  Peer__DemandNotice
+{
+  ProtobufCMessage base;
+  size_t n_demands;
+  Peer__CustomerDemand **demands;
+};
+#define PEER__DEMAND_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__demand_notice__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   PEER__FRAME__BODY__NOT_SET = 0,
   PEER__FRAME__BODY_PING = 1,
@@ -1176,7 +1207,8 @@
   PEER__FRAME__BODY_TURN_GROUP_ASK = 47,
   PEER__FRAME__BODY_TURN_GROUP = 48,
   PEER__FRAME__BODY_TURN_GROUP_KEPT = 49,
-  PEER__FRAME__BODY_SPEED_NOTICE = 50
+  PEER__FRAME__BODY_SPEED_NOTICE = 50,
+  PEER__FRAME__BODY_DEMAND_NOTICE = 51
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -1235,6 +1267,7 @@
     Peer__TurnGroup *turn_group;
     Peer__TurnGroupKept *turn_group_kept;
     Peer__SpeedNotice *speed_notice;
+    Peer__DemandNotice *demand_notice;
   };
 };
 #define PEER__FRAME__INIT \
@@ -2344,6 +2377,44 @@
 void   peer__speed_notice__free_unpacked
                      (Peer__SpeedNotice *message,
                       ProtobufCAllocator *allocator);
+/* Peer__CustomerDemand methods */
+void   peer__customer_demand__init
+                     (Peer__CustomerDemand         *message);
+size_t peer__customer_demand__get_packed_size
+                     (const Peer__CustomerDemand   *message);
+size_t peer__customer_demand__pack
+                     (const Peer__CustomerDemand   *message,
+                      uint8_t             *out);
+size_t peer__customer_demand__pack_to_buffer
+                     (const Peer__CustomerDemand   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__CustomerDemand *
+       peer__customer_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__customer_demand__free_unpacked
+                     (Peer__CustomerDemand *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__DemandNotice methods */
+void   peer__demand_notice__init
+                     (Peer__DemandNotice         *message);
+size_t peer__demand_notice__get_packed_size
+                     (const Peer__DemandNotice   *message);
+size_t peer__demand_notice__pack
+                     (const Peer__DemandNotice   *message,
+                      uint8_t             *out);
+size_t peer__demand_notice__pack_to_buffer
+                     (const Peer__DemandNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__DemandNotice *
+       peer__demand_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__demand_notice__free_unpacked
+                     (Peer__DemandNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Frame methods */
 void   peer__frame__init
                      (Peer__Frame         *message);
@@ -2539,6 +2610,12 @@
 typedef void (*Peer__SpeedNotice_Closure)
                  (const Peer__SpeedNotice *message,
                   void *closure_data);
+typedef void (*Peer__CustomerDemand_Closure)
+                 (const Peer__CustomerDemand *message,
+                  void *closure_data);
+typedef void (*Peer__DemandNotice_Closure)
+                 (const Peer__DemandNotice *message,
+                  void *closure_data);
 typedef void (*Peer__Frame_Closure)
                  (const Peer__Frame *message,
                   void *closure_data);
@@ -2606,6 +2683,8 @@
 extern const ProtobufCMessageDescriptor peer__turn_group_kept__descriptor;
 extern const ProtobufCMessageDescriptor peer__speed_fact__descriptor;
 extern const ProtobufCMessageDescriptor peer__speed_notice__descriptor;
+extern const ProtobufCMessageDescriptor peer__customer_demand__descriptor;
+extern const ProtobufCMessageDescriptor peer__demand_notice__descriptor;
 extern const ProtobufCMessageDescriptor peer__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/include/policy/admission.h
+++ b/include/policy/admission.h
@@ -14,6 +14,7 @@
      about a second. */
   ADMISSION_MAX_LOAD_AGE_MS = 1000,
   ADMISSION_PRIORITIES = 10, /* 0 is the most urgent */
+  ADMISSION_MAX_CUSTOMERS = 256,
 };
 
 /* Sums over the endpoints of a service that reported their load lately. */
@@ -61,6 +62,13 @@
   uint64_t program;     /* hash of its id */
 };
 
+/* What a customer's programs that came lately would take. */
+struct admission_demand
+{
+  uint64_t customer; /* hash of its name */
+  uint32_t work_ms;
+};
+
 struct admission;
 
 struct admission *admission_create (void);
@@ -77,6 +85,14 @@
                   const struct admission_query *query, int64_t now_ms);
 int64_t admission_least_ms (const struct admission *admission,
                             uint64_t service, int64_t now_ms);
+uint32_t admission_export (struct admission *admission,
+                           struct admission_demand *demands, uint32_t max,
+                           int64_t now_ms);
+void admission_merge (struct admission *admission,
+                      const struct admission_demand *demands, uint32_t count,
+                      int64_t now_ms);
+bool admission_is_contended (const struct admission *admission,
+                             int64_t now_ms);
 int32_t admission_priority (const struct admission_turn *turn);
 int64_t admission_retry_after_ms (int64_t room_in_ms, int64_t remaining_ms,
                                   uint64_t random);
--- a/include/request/admission_step.h
+++ b/include/request/admission_step.h
@@ -42,6 +42,7 @@
 struct admission_step *
 admission_step_create (const struct admission_step_options *options);
 void admission_step_destroy (struct admission_step *step);
+struct admission *admission_step_policy (const struct admission_step *step);
 void admission_step_apply (struct admission_step *step,
                            const struct routing *routing);
 bool admission_step_is_first (struct admission_step *step,
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -9,6 +9,7 @@
 #include "common/error.h"
 #include "common/fetch.h"
 #include "ledger/ledger.h"
+#include "policy/admission.h"
 #include "request/endpoint_limiter.h"
 #include "request/limits.h"
 #include "request/path_monitor.h"
@@ -152,6 +153,7 @@
 void pipeline_record_remote_crash (struct pipeline *pipeline,
                                    uint64_t fingerprint, uint32_t crashes,
                                    const char *endpoint);
+struct admission *pipeline_admission (const struct pipeline *pipeline);
 void pipeline_abort (struct pipeline *pipeline);
 void pipeline_close (struct pipeline *pipeline);
 bool pipeline_is_idle (const struct pipeline *pipeline);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -2617,6 +2617,96 @@
   assert(message->base.descriptor == &peer__speed_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__customer_demand__init
+                     (Peer__CustomerDemand         *message)
+{
+  static const Peer__CustomerDemand init_value = PEER__CUSTOMER_DEMAND__INIT;
+  *message = init_value;
+}
+size_t peer__customer_demand__get_packed_size
+                     (const Peer__CustomerDemand *message)
+{
+  assert(message->base.descriptor == &peer__customer_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__customer_demand__pack
+                     (const Peer__CustomerDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__customer_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__customer_demand__pack_to_buffer
+                     (const Peer__CustomerDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__customer_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__CustomerDemand *
+       peer__customer_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__CustomerDemand *)
+     protobuf_c_message_unpack (&peer__customer_demand__descriptor,
+                                allocator, len, data);
+}
+void   peer__customer_demand__free_unpacked
+                     (Peer__CustomerDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__customer_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__demand_notice__init
+                     (Peer__DemandNotice         *message)
+{
+  static const Peer__DemandNotice init_value = PEER__DEMAND_NOTICE__INIT;
+  *message = init_value;
+}
+size_t peer__demand_notice__get_packed_size
+                     (const Peer__DemandNotice *message)
+{
+  assert(message->base.descriptor == &peer__demand_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__demand_notice__pack
+                     (const Peer__DemandNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__demand_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__demand_notice__pack_to_buffer
+                     (const Peer__DemandNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__demand_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__DemandNotice *
+       peer__demand_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__DemandNotice *)
+     protobuf_c_message_unpack (&peer__demand_notice__descriptor,
+                                allocator, len, data);
+}
+void   peer__demand_notice__free_unpacked
+                     (Peer__DemandNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__demand_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__frame__init
                      (Peer__Frame         *message)
 {
@@ -7089,7 +7179,96 @@
   (ProtobufCMessageInit) peer__speed_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[50] =
+static const ProtobufCFieldDescriptor peer__customer_demand__field_descriptors[2] =
+{
+  {
+    "customer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CustomerDemand, customer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__CustomerDemand, work_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__customer_demand__field_indices_by_name[] = {
+  0,   /* field[0] = customer */
+  1,   /* field[1] = work_ms */
+};
+static const ProtobufCIntRange peer__customer_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__customer_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.CustomerDemand",
+  "CustomerDemand",
+  "Peer__CustomerDemand",
+  "peer",
+  sizeof(Peer__CustomerDemand),
+  2,
+  peer__customer_demand__field_descriptors,
+  peer__customer_demand__field_indices_by_name,
+  1,  peer__customer_demand__number_ranges,
+  (ProtobufCMessageInit) peer__customer_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__demand_notice__field_descriptors[1] =
+{
+  {
+    "demands",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__DemandNotice, n_demands),
+    offsetof(Peer__DemandNotice, demands),
+    &peer__customer_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__demand_notice__field_indices_by_name[] = {
+  0,   /* field[0] = demands */
+};
+static const ProtobufCIntRange peer__demand_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__demand_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.DemandNotice",
+  "DemandNotice",
+  "Peer__DemandNotice",
+  "peer",
+  sizeof(Peer__DemandNotice),
+  1,
+  peer__demand_notice__field_descriptors,
+  peer__demand_notice__field_indices_by_name,
+  1,  peer__demand_notice__number_ranges,
+  (ProtobufCMessageInit) peer__demand_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[51] =
 {
   {
     "ping",
@@ -7691,6 +7870,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand_notice",
+    51,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, demand_notice),
+    &peer__demand_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -7701,6 +7892,7 @@
   14,   /* field[14] = config_ask */
   15,   /* field[15] = config_push */
   18,   /* field[18] = crash_notice */
+  50,   /* field[50] = demand_notice */
   30,   /* field[30] = endpoint_ask */
   33,   /* field[33] = endpoint_notice */
   31,   /* field[31] = endpoint_permit */
@@ -7747,7 +7939,7 @@
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 50 }
+  { 0, 51 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -7757,7 +7949,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  50,
+  51,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/policy/admission.c
+++ b/policy/admission.c
@@ -2,11 +2,11 @@
 #include "common/buf.h"
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 enum
 {
   MAX_SERVICES = 32,
-  MAX_CUSTOMERS = 256,
   /* Fewer reports may come from the few endpoints that happen to be full. */
   MIN_REPORTS = 3,
   MIN_REPORTED_FRACTION = 16, /* at least one in so many endpoints reports */
@@ -17,6 +17,7 @@
   SAMPLE_WEIGHT = 16,   /* a sample counts for 1 / 16 */
   IDLE_DRIFT = 4096, /* lets the idle time follow a service that slows down */
   DEMAND_MS = 4000,  /* demand is averaged over about this time, a burst */
+  CONTENDED_MS = 10000, /* after programs had to be refused; two bursts */
   FLOOR_TTL_MS = 60000,
   FLOOR_MARGIN = 2, /* with half of the shortest known time, it surely fails */
   MIN_RETRY_MS = 100, /* an earlier retry would find the same load */
@@ -52,10 +53,12 @@
   int64_t floor_seen_ms; /* when it was seen */
 };
 
+/* The time of a customer's programs that came, decaying.  It is averaged with
+   that of other hosts, so that all hosts approach the mean over the fleet. */
 struct demand
 {
   uint64_t customer;
-  double work_ms; /* time of programs that came, decaying */
+  double work_ms;
   int64_t updated_ms;
   bool is_used;
 };
@@ -64,7 +67,8 @@
 {
   struct service_state services[MAX_SERVICES];
   uint32_t replaced; /* services, when the table is full */
-  struct demand demands[MAX_CUSTOMERS];
+  struct demand demands[ADMISSION_MAX_CUSTOMERS];
+  int64_t contended_ms; /* when the load last asked for refusals; 0: never */
 };
 
 /* Creates an admission that has seen nothing.  */
@@ -185,7 +189,7 @@
   struct demand *lowest = &admission->demands[0];
   struct demand *found = NULL;
 
-  for (uint32_t i = 0; i < MAX_CUSTOMERS && !found; i++)
+  for (uint32_t i = 0; i < ADMISSION_MAX_CUSTOMERS && !found; i++)
     {
       struct demand *demand = &admission->demands[i];
 
@@ -206,12 +210,74 @@
   return found;
 }
 
+static int
+compare_demands (const void *a, const void *b)
+{
+  uint32_t x = ((const struct admission_demand *)a)->work_ms;
+  uint32_t y = ((const struct admission_demand *)b)->work_ms;
+
+  return (x < y) - (x > y);
+}
+
+/* Stores the MAX highest demands, for another host, and returns their number.
+ */
+uint32_t
+admission_export (struct admission *admission,
+                  struct admission_demand *demands, uint32_t max,
+                  int64_t now_ms)
+{
+  struct admission_demand all[ADMISSION_MAX_CUSTOMERS];
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < ADMISSION_MAX_CUSTOMERS; i++)
+    {
+      struct demand *demand = &admission->demands[i];
+
+      decay (demand, now_ms);
+      if (demand->is_used && demand->work_ms >= 1)
+        all[count++] = (struct admission_demand){
+          .customer = demand->customer,
+          .work_ms = (uint32_t)fmin (demand->work_ms, UINT32_MAX),
+        };
+    }
+  qsort (all, count, sizeof *all, compare_demands);
+  if (count > max)
+    count = max;
+  memcpy (demands, all, count * sizeof *all);
+  return count;
+}
+
+/* Averages the demands with those of another host; a customer that it does not
+   name has none there.  */
+void
+admission_merge (struct admission *admission,
+                 const struct admission_demand *demands, uint32_t count,
+                 int64_t now_ms)
+{
+  for (uint32_t i = 0; i < ADMISSION_MAX_CUSTOMERS; i++)
+    {
+      decay (&admission->demands[i], now_ms);
+      admission->demands[i].work_ms /= 2;
+    }
+  for (uint32_t i = 0; i < count && i < ADMISSION_MAX_CUSTOMERS; i++)
+    add_demand (admission, demands[i].customer, demands[i].work_ms / 2.0,
+                now_ms);
+}
+
+/* Whether programs had to be refused lately.  */
+bool
+admission_is_contended (const struct admission *admission, int64_t now_ms)
+{
+  return admission->contended_ms
+         && now_ms - admission->contended_ms <= CONTENDED_MS;
+}
+
 static double
 total_demand (struct admission *admission, int64_t now_ms)
 {
   double total = 0;
 
-  for (uint32_t i = 0; i < MAX_CUSTOMERS; i++)
+  for (uint32_t i = 0; i < ADMISSION_MAX_CUSTOMERS; i++)
     {
       decay (&admission->demands[i], now_ms);
       total += admission->demands[i].work_ms;
@@ -227,7 +293,7 @@
   double level = 0;
   uint32_t above = 0;
 
-  for (uint32_t i = 0; i < MAX_CUSTOMERS; i++)
+  for (uint32_t i = 0; i < ADMISSION_MAX_CUSTOMERS; i++)
     above += admission->demands[i].work_ms > 0;
   while (above > 0 && capacity > 1)
     {
@@ -235,7 +301,7 @@
       double used = 0;
       uint32_t still_above = 0;
 
-      for (uint32_t i = 0; i < MAX_CUSTOMERS; i++)
+      for (uint32_t i = 0; i < ADMISSION_MAX_CUSTOMERS; i++)
         {
           double work_ms = admission->demands[i].work_ms;
 
@@ -359,6 +425,7 @@
                 usual_share * MIN_SIZE_SHARE);
   if (share >= 1)
     return decision;
+  admission->contended_ms = now_ms;
   share *= total_demand (admission, now_ms);
   share = fmin (fair_level (admission, share) / demand->work_ms, 1);
   if (chance < share)
--- a/request/admission_step.c
+++ b/request/admission_step.c
@@ -52,6 +52,13 @@
   free (step);
 }
 
+/* Returns the decisions of STEP, which owns them.  */
+struct admission *
+admission_step_policy (const struct admission_step *step)
+{
+  return step->admission;
+}
+
 static void
 add_priority (struct admission_step *step, int32_t priority)
 {
--- a/request/request.c
+++ b/request/request.c
@@ -1748,6 +1748,13 @@
                        crashes, clock_now_ms ());
 }
 
+/* Returns the admission of programs, which the pipeline owns.  */
+struct admission *
+pipeline_admission (const struct pipeline *pipeline)
+{
+  return admission_step_policy (pipeline->admission);
+}
+
 /* Refuses new requests and ends the active ones.  */
 void
 pipeline_abort (struct pipeline *pipeline)
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  HOSTS = 10,
+  HOSTS = 58, /* as in the larger of the deployments that burst */
   ENDPOINTS = 12,
   SLOTS = 8,
   QUEUE = 48,
@@ -29,7 +29,8 @@
   /* ENDPOINTS * SLOTS / TURN_MS turns and 5 turns a program: 128 programs a
      second are the most, and usual load takes 60 % of it. */
   USUAL_PER_S = 77,
-  REFUSAL_MS = 50,
+  NOTICE_MS = 200,  /* between notices of a host */
+  MAX_DEMANDS = 64, /* of a notice */
 };
 
 enum program_state
@@ -361,6 +362,25 @@
     add_program (sim, 0);
 }
 
+/* Has each host send its view of the demand to another one; one notice in ten
+   is lost.  */
+static void
+exchange_demands (struct sim *sim)
+{
+  for (int i = 0; i < HOSTS; i++)
+    {
+      struct admission_demand demands[MAX_DEMANDS];
+      uint64_t to = draw (sim) % HOSTS;
+      uint32_t count;
+
+      if ((sim->now_ms + i) % NOTICE_MS != 0 || draw (sim) % 10 == 0)
+        continue;
+      count = admission_export (sim->hosts[i].admission, demands, MAX_DEMANDS,
+                                sim->now_ms);
+      admission_merge (sim->hosts[to].admission, demands, count, sim->now_ms);
+    }
+}
+
 /* Runs the service and returns what became of the programs.  */
 static struct sim_result
 run (const struct sim_options *options)
@@ -376,6 +396,7 @@
     {
       if (sim->now_ms < ARRIVALS_MS)
         add_programs (sim);
+      exchange_demands (sim);
       for (int i = 0; i < sim->result.programs; i++)
         if (sim->programs[i].state == PROGRAM_READY
             && sim->programs[i].next_ms <= sim->now_ms)
