admission: count full endpoints only, see reading from the kernel's buffer

A first turn was refused after 4 sends of any outcome, so that unreachable endpoints would have refused it too; now only 4 endpoints that state to be full do. A client that reads slowly from the kernel's buffer lets the server write only when a third of it is free, which may take longer than the 3 s after which stalled clients are cut; the amount left there now tells that it reads.

Stream versions, cut-off hosts and endpoint turns were not run.

--- a/common/httpd.c
+++ b/common/httpd.c
@@ -5,9 +5,11 @@
 #include "common/log.h"
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -719,9 +721,23 @@
 static bool
 is_stalled (const struct httpd_request *request, int64_t now_ms)
 {
-  return request->streaming && !request->stream_aborted
-         && request->response_body.len > 0
-         && now_ms - request->read_ms >= STALL_MS;
+  return !request->stream_aborted && now_ms - request->read_ms >= STALL_MS;
+}
+
+/* Notices that the client has read from the kernel's buffer, of which a third
+   must be free before the server may write again.  */
+static void
+record_reading (struct httpd_request *request, int64_t now_ms)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  int bytes;
+
+  if (ioctl (info->connect_fd, SIOCOUTQ, &bytes) != 0)
+    return;
+  if (bytes < request->unread_bytes)
+    request->read_ms = now_ms;
+  request->unread_bytes = bytes;
 }
 
 /* Closes the connection of a client that does not read, and has its handler
@@ -758,13 +774,16 @@
   const struct buffer_budget *buffers = httpd->options.buffers;
   struct httpd_request *next;
 
-  if (!buffers || !buffer_budget_is_contended (buffers))
+  if (!buffers)
     return;
   for (struct httpd_request *request = httpd->requests; request;
        request = next)
     {
       next = request->next;
-      if (is_stalled (request, now_ms))
+      if (!request->streaming || request->response_body.len == 0)
+        continue;
+      record_reading (request, now_ms);
+      if (buffer_budget_is_contended (buffers) && is_stalled (request, now_ms))
         cut_stalled (request, now_ms);
     }
 }
--- a/request/request.c
+++ b/request/request.c
@@ -20,9 +20,9 @@
   MAX_IDLE_MS = 4000,     /* the same for idempotent requests */
   SILENT_MS = 1000,       /* silence of an endpoint that is logged */
   HEARD_INTERVAL_MS = 50, /* between reports that an endpoint sends */
-  /* Of a request that begins a program, as long as its caller still gains by
-     coming back: 90 ms in total. */
-  MAX_FIRST_TURN_SENDS = 4,
+  /* Of a request that begins a program, by full endpoints: 90 ms in total,
+     after which its caller gains more by coming back later. */
+  MAX_FIRST_TURN_REFUSALS = 4,
   MAX_SENDS = 12,  /* per request, including sends that endpoints refuse */
   BACKOFF_MS = 15, /* multiplied by the number of failed sends */
   MIN_REMAINING_MS = 20, /* with less time left, a request is not retried */
@@ -119,6 +119,7 @@
   int64_t events_forwarded;
   uint32_t sends;         /* including those that certainly did not run */
   uint32_t possible_runs; /* sends after which the request may have run */
+  uint32_t full_refusals; /* by endpoints that state they have no room */
   uint32_t failed_sends;  /* multiplies the backoff */
   GList link;
 };
@@ -280,18 +281,19 @@
 {
   int64_t least_ms = 0;
 
-  if (has_program_deadline (request) && request->service)
+  if (has_program_deadline (request))
     least_ms = admission_step_least_ms (
         request->pipeline->admission, request->service->name, clock_now_ms ());
   return MAX (least_ms, MIN_REMAINING_MS);
 }
 
-static uint32_t
-max_sends (const struct request *request)
+/* Whether the request has had all of its sends.  */
+static bool
+has_used_sends (const struct request *request)
 {
-  return has_program_deadline (request) && request->begins_program
-             ? MAX_FIRST_TURN_SENDS
-             : MAX_SENDS;
+  return request->sends >= MAX_SENDS
+         || (has_program_deadline (request) && request->begins_program
+             && request->full_refusals >= MAX_FIRST_TURN_REFUSALS);
 }
 
 /* Returns when the caller of a request for which there is no room should come
@@ -471,7 +473,7 @@
     endpoint->avoid_until_ms
         = MAX (endpoint->avoid_until_ms, clock_now_ms () + BACKOFF_MS);
   release_endpoint (request);
-  if (request->sends >= max_sends (request)
+  if (has_used_sends (request)
       || remaining_ms (request) < least_send_ms (request))
     {
       fail_request (request, reason);
@@ -856,6 +858,7 @@
   observation_record_load (&observation);
   if (reports_not_run (request))
     {
+      request->full_refusals += request->head.status == STATUS_UNAVAILABLE;
       retry_not_run (request, "the endpoints are full");
       return;
     }
