--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -53,12 +53,20 @@
   int64_t absent_ms;    /* a silent host is removed from the list after this */
   int64_t retention_ms; /* the ledger drops programs unused for longer */
   int64_t max_connections;
+  int64_t buffer_limit_mb;  /* for what is held for callers, in sum */
   int64_t tolerated_losses; /* of keepers at once */
+  struct strings contracts; /* parts of the platform's rules that are in force
+                             */
 };
 
 bool platform_settings_load (struct platform_settings *settings,
                              const char *path, struct error *error);
 void platform_settings_release (struct platform_settings *settings);
 bool platform_settings_is_keeper (const struct platform_settings *settings);
+bool platform_settings_has_contract (const struct platform_settings *settings,
+                                     const char *name);
+
+/* Callers compete for endpoints that are not always enough for them. */
+#define PLATFORM_CONTRACT_PRESSURE "pressure"
 
 #endif
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -5,10 +5,12 @@
 #define GALENA_REQUEST_REQUEST_H
 
 #include "common/buf.h"
+#include "common/buffer_budget.h"
 #include "common/error.h"
 #include "common/fetch.h"
 #include "conversation/client.h"
 #include "ledger/ledger.h"
+#include "policy/admission.h"
 #include "request/endpoint_limiter.h"
 #include "request/limits.h"
 #include "request/path_monitor.h"
@@ -36,10 +38,12 @@
   char *target; /* from the request line, including the query */
   char *path;
   char *host;
-  char *key;            /* API key; may be NULL */
-  char *program;        /* id; may be NULL */
-  int64_t deadline_ms;  /* how long the caller waits for the response */
-  int64_t token_budget; /* of the whole program */
+  char *key;                   /* API key; may be NULL */
+  char *program;               /* id; may be NULL */
+  int64_t deadline_ms;         /* how long the caller waits for the response */
+  int64_t program_deadline_ms; /* how long the program has left; 0 or less if
+                                  it is not stated */
+  int64_t token_budget;        /* of the whole program */
   int64_t prompt_tokens;
   int64_t max_output_tokens;
   int64_t resume_after; /* id of the last event that the caller received */
@@ -136,6 +140,9 @@
   struct stream_index *streams; /* may be NULL */
   /* NULL to refuse requests on routes that keep turns. */
   struct conversations *conversations;
+  /* Of what is held for callers; may be NULL. */
+  const struct buffer_budget *buffers;
+  bool admits_programs; /* decides by load whether a program may begin */
   const struct request_wire *wire;
   pipeline_crash_handler *handle_crash;
   pipeline_heard_handler *handle_heard; /* may be NULL */
@@ -153,6 +160,7 @@
 void pipeline_record_remote_crash (struct pipeline *pipeline,
                                    uint64_t fingerprint, uint32_t crashes,
                                    const char *endpoint);
+struct admission *pipeline_admission (const struct pipeline *pipeline);
 void pipeline_abort (struct pipeline *pipeline);
 void pipeline_close (struct pipeline *pipeline);
 bool pipeline_is_idle (const struct pipeline *pipeline);
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -380,6 +380,7 @@
       = { .wire = &platform_wire, .handle_crash = count_crash, .data = local };
 
   pipeline.conversations = options->conversations;
+  pipeline.admits_programs = true;
   local->host = limits.host;
   local->fleet = options->shared ? options->shared->fleet : local;
   local->loop
@@ -452,6 +453,8 @@
   struct request_input *input = xcalloc (1, sizeof *input);
 
   input->id = xstrdup ("1");
+  input->program = local->program ? xstrdup (local->program) : NULL;
+  input->program_deadline_ms = local->program_deadline_ms;
   input->resume_after = resume_after;
   if (resume_after >= 0)
     input->resumed_id = xstrdup ("0");
