policy, request: calls are not ranked by small differences of learned times

Cause: calls of one plain service differ more in their work than its endpoints in their speed.

Change: an endpoint counts as slower for calls only if it takes twice the usual time of its service.

--- a/include/policy/place.h
+++ b/include/policy/place.h
@@ -55,8 +55,9 @@
   /* Hash of the program id, which makes all hosts prefer the same endpoint for
      the program; 0 for none. */
   uint64_t program;
-  int64_t events;       /* expected in the response; 0 if unknown */
-  bool is_unrepeatable; /* lost if the endpoint fails */
+  int64_t events;        /* expected in the response; 0 if unknown */
+  int64_t usual_call_us; /* of the service's plain calls; 0 if unknown */
+  bool is_unrepeatable;  /* lost if the endpoint fails */
 };
 
 int64_t place_wait_us (const struct place_endpoint *endpoint,
--- a/policy/place.c
+++ b/policy/place.c
@@ -101,6 +101,19 @@
          + expected_events (options) * speed_event_us (figures, &load);
 }
 
+/* Returns SERVICE_US, the time of a request, as it is compared between
+   endpoints.  Calls of one service differ more in their work than its
+   endpoints in their speed, so that small differences of the learned times
+   are chance.  All hosts would choose the few endpoints that it favours.  */
+static int64_t
+comparable_us (int64_t service, const struct place_options *options)
+{
+  if (options->prompt_tokens > 0 || options->usual_call_us <= 0
+      || service > options->usual_call_us * LATE_RATIO)
+    return service;
+  return options->usual_call_us;
+}
+
 /* Returns the wait for a slot behind the queue at ENDPOINT and the requests
    that run beyond its slots.  SERVICE_US is how long each takes.  */
 static int64_t
@@ -189,7 +202,7 @@
 place_cost_us (const struct place_endpoint *endpoint,
                const struct place_options *options)
 {
-  int64_t service = service_us (endpoint, options);
+  int64_t service = comparable_us (service_us (endpoint, options), options);
   int64_t cost = wait_us (endpoint, service) + service;
 
   if (options->prompt_tokens == 0)
--- a/request/pool.c
+++ b/request/pool.c
@@ -490,6 +490,7 @@
     .prompt_tokens = query->prompt_tokens,
     .program = query->program,
     .events = service ? service->events_milli / PERMILLE : 0,
+    .usual_call_us = service ? service->prior.values[SPEED_CALL_US] : 0,
     .is_unrepeatable = query->is_unrepeatable,
   };
 }
