conversation: keepers tell which list of keepers they know

Cause: keepers sent 0 as TurnText.keepers, which clients took for agreement. A host with an old list of keepers could answer 404 for a turn that only keepers added since have. Change: a keeper sends the sum of turn_keepers_digest over all listed keepers and itself. A client counts a certain miss only if that is its own sum; 0 is no exception any more.

--- a/conversation/client.c
+++ b/conversation/client.c
@@ -615,7 +615,7 @@
 knows_same_keepers (const struct conversations *client,
                     const Peer__TurnText *answer)
 {
-  return answer->keepers == 0 || answer->keepers == client->digest;
+  return answer->keepers == client->digest;
 }
 
 static void
--- a/conversation/keeper.c
+++ b/conversation/keeper.c
@@ -405,6 +405,19 @@
   keeper_send (keeper, host, &frame);
 }
 
+/* Returns the digest of the listed keepers, this one included.  */
+static uint64_t
+keepers_digest (const struct conversation_keeper *keeper)
+{
+  uint64_t digest = turn_keepers_digest (0, keeper->options.host);
+
+  for (size_t i = 0; i < keeper->remote_count; i++)
+    digest = turn_keepers_digest (digest, keeper->remotes[i].name);
+  return digest;
+}
+
+/* Tells HOST that a turn is not found.  A certain miss counts only for a host
+   that knows the same list of keepers.  */
 static void
 send_miss (struct conversation_keeper *keeper, const char *host, uint64_t id,
            enum turn_read_result result)
@@ -413,6 +426,7 @@
 
   text.id = id;
   text.result = result;
+  text.keepers = keepers_digest (keeper);
   send_text (keeper, host, &text);
 }
 
--- a/test/unit/test_conversation_keeper.c
+++ b/test/unit/test_conversation_keeper.c
@@ -1,5 +1,6 @@
 #include "common/counters.h"
 #include "common/id.h"
+#include "conversation/client.h"
 #include "conversation/keeper_state.h"
 #include "peer/packed_frame.h"
 #include "suites.h"
@@ -69,6 +70,7 @@
   int answers;
   int64_t syncs_at_answer;
   struct buf text;
+  GQueue *texts; /* frames with the answers to reads; NULL: not kept */
 };
 
 static struct sim_keeper *
@@ -104,13 +106,19 @@
   struct sim *sim = from->sim;
   struct sim_frame *sent;
 
-  if (strcmp (name, "host") == 0)
+  if (strcmp (name, "host") == 0 && !sim->texts)
     {
       take_answer (sim, frame);
       return true;
     }
   sent = xcalloc (1, sizeof *sent);
   sent->from = from;
+  if (strcmp (name, "host") == 0)
+    {
+      packed_frame_append (&sent->bytes, frame);
+      g_queue_push_tail (sim->texts, sent);
+      return true;
+    }
   sent->to = find_keeper (sim, name)->index;
   sent->due_ms = sim->now_ms + 1;
   packed_frame_append (&sent->bytes, frame);
@@ -958,6 +966,89 @@
   destroy_sim (sim);
 }
 
+/* An entry host that asks the keepers of SIM. */
+struct asking_host
+{
+  struct transport transport; /* first member */
+  struct sim *sim;
+};
+
+static bool
+ask_keeper (struct transport *transport, const char *name,
+            const Peer__Frame *frame)
+{
+  struct sim *sim = ((struct asking_host *)transport)->sim;
+
+  conversation_keeper_handle_frame (find_keeper (sim, name)->keeper, "host",
+                                    frame);
+  return true;
+}
+
+static void
+take_verdict (void *data, enum turn_read_verdict verdict, uint64_t group,
+              const char *text, size_t len)
+{
+  *(enum turn_read_verdict *)data = verdict;
+}
+
+/* Returns what a host that lists COUNT keepers decides for a turn that does
+   not exist.  */
+static enum turn_read_verdict
+ask_for_unknown (struct sim *sim, size_t count)
+{
+  static const struct transport_vtable asking = { .send = ask_keeper };
+  struct asking_host host = { .transport.vtable = &asking, .sim = sim };
+  struct conversations_options options
+      = { .transport = &host.transport, .data_centre = "dc0", .losses = 2 };
+  struct conversations *client = conversations_create (&options);
+  struct conversation_query query = { .customer = CUSTOMER,
+                                      .turn = "none",
+                                      .now_ms = sim->now_ms,
+                                      .deadline_at_ms = sim->now_ms + 4000 };
+  enum turn_read_verdict verdict = TURN_READ_PENDING;
+  struct host_location locations[KEEPERS];
+  GQueue texts = G_QUEUE_INIT;
+
+  for (size_t i = 0; i < count; i++)
+    locations[i] = (struct host_location){
+      .name = sim->keepers[i].name,
+      .data_centre = sim->keepers[i].data_centre,
+    };
+  conversations_set_keepers (client, locations, count);
+  sim->texts = &texts;
+  conversations_read (client, &query, take_verdict, &verdict);
+  for (struct sim_frame *sent; (sent = g_queue_pop_head (&texts));)
+    {
+      Peer__Frame *frame = packed_frame_unpack (&sent->bytes);
+
+      conversations_handle_frame (client, sent->from->name, frame,
+                                  sim->now_ms);
+      peer__frame__free_unpacked (frame, NULL);
+      buf_release (&sent->bytes);
+      free (sent);
+    }
+  sim->texts = NULL;
+  conversations_destroy (client);
+  return verdict;
+}
+
+/* Guards against 404 from a host with an old list of keepers, which does not
+   ask those that were added since, and against 503 from one with the same
+   list.  */
+static void
+test_host_with_old_list (void)
+{
+  struct sim *sim = create_sim (6, 2);
+
+  CU_ASSERT_EQUAL (ask_for_unknown (sim, 6), TURN_READ_NO_SUCH_TURN);
+  start_keeper (sim, 6);
+  apply_list (sim);
+  run (sim, RESTORED_MS);
+  CU_ASSERT_EQUAL (ask_for_unknown (sim, 6), TURN_READ_NOT_CERTAIN);
+  CU_ASSERT_EQUAL (ask_for_unknown (sim, 7), TURN_READ_NO_SUCH_TURN);
+  destroy_sim (sim);
+}
+
 CU_TestInfo conversation_keeper_tests[] = {
   { "reads", test_reads },
   { "writes", test_writes },
@@ -974,5 +1065,6 @@
   { "no room", test_no_room },
   { "long program", test_long_program },
   { "memory", test_memory },
+  { "host with an old list", test_host_with_old_list },
   CU_TEST_INFO_NULL,
 };
