soak: chains of kept conversations

Callers run chains of two to five turns on a retained route, at random hosts, and sometimes continue a turn twice, name another customer's turn or one that never was. The mock endpoint records the bodies that it gets on request, and the soak compares them with the inputs and outputs of the chain. Two endpoints of a third service serve them. There are five keepers instead of three, so that two can be lost.

--- a/include/soak/callers.h
+++ b/include/soak/callers.h
@@ -41,6 +41,7 @@
 void callers_destroy (struct callers *callers);
 void callers_stop (struct callers *callers);
 bool callers_are_done (const struct callers *callers);
+bool callers_implies_not_run (long status);
 void callers_check_runs (struct callers *callers, const json_t *runs);
 void callers_report_violation (struct callers *callers, const char *format,
                                ...) __attribute__ ((format (printf, 2, 3)));
--- a/include/soak/fleet.h
+++ b/include/soak/fleet.h
@@ -9,10 +9,10 @@
 enum
 {
   FLEET_ENTRIES = 4, /* two in each of two data centres */
-  FLEET_KEEPERS = 3, /* one in each of three data centres */
+  FLEET_KEEPERS = 5, /* in three data centres */
   FLEET_NAME_BYTES = 16,
   FLEET_HOSTS = FLEET_ENTRIES + FLEET_KEEPERS,
-  FLEET_ENDPOINTS = 4, /* two model engines, two plain services */
+  FLEET_ENDPOINTS = 6, /* two of each of three services */
   /* Offsets from the base port. */
   FLEET_STORE_PORT = 0,
   FLEET_ENDPOINT_PORT = 1,
--- a/include/standin/standin.h
+++ b/include/standin/standin.h
@@ -22,6 +22,7 @@
   int64_t load_lag_ms;     /* the reported load is this stale at most */
   int64_t drop_events;     /* every n-th cache event is not published */
   int64_t limit_milli;     /* limit that responses name; 0 for none */
+  int64_t record_bodies;   /* if not 0, endpoints list the bodies they get */
 };
 
 struct standin;
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -397,8 +397,10 @@
   return true;
 }
 
-static bool
-implies_not_run (long status)
+/* Returns whether a response with STATUS promises that the request has not
+   run.  */
+bool
+callers_implies_not_run (long status)
 {
   return status == 429 || status == 503 || status == 402 || status == 408
          || status == 421;
@@ -426,7 +428,7 @@
       json_int_t ran
           = json_integer_value (json_object_get (runs, attempt->id));
 
-      if (implies_not_run (attempt->status) && ran > 0)
+      if (callers_implies_not_run (attempt->status) && ran > 0)
         callers_report_violation (
             callers, "%s was refused with status %ld but executed",
             attempt->id, attempt->status);
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -110,7 +110,7 @@
            "\"data_dir\": \"%s/data-%s\", \"stop_grace_s\": 8, "
            "\"first_start\": %s}\n",
            name,
-           fleet_is_keeper (host) ? keeper_centres[host - FLEET_ENTRIES]
+           fleet_is_keeper (host) ? keeper_centres[(host - FLEET_ENTRIES) % 3]
                                   : fleet_data_centre (host),
            fleet_is_keeper (host) ? "keeper" : "entry",
            base + FLEET_CALLER_PORT + host, base + FLEET_PEER_PORT + host,
--- a/soak/main.c
+++ b/soak/main.c
@@ -2,6 +2,7 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "soak/callers.h"
+#include "soak/chains.h"
 #include "soak/fleet.h"
 #include "soak/limit_check.h"
 #include "soak/proxy.h"
@@ -20,6 +21,7 @@
 enum
 {
   CALLER_COUNT = 24,
+  CHAIN_COUNT = 8,
   MAX_FAULTS = 3,          /* at once */
   FAULT_INTERVAL_MS = 400, /* mean */
   FAULT_MIN_MS = 200,      /* shortest duration */
@@ -74,6 +76,7 @@
   struct fetcher *fetcher;
   struct proxy *proxies[1 + FLEET_ENDPOINTS];
   struct callers *callers;
+  struct chains *chains;
   struct fault faults[MAX_FAULTS];
   uint64_t seed;
   int64_t next_fault_ms;
@@ -178,22 +181,29 @@
       " \"type\": \"streaming\", \"timeout_ms\": 4000, \"backend\": "
       "\"models\","
       " \"max_attempts\": 1, \"resumable\": true},"
+      "{\"name\": \"chains\", \"hostname\": \"h\", \"path_prefix\": "
+      "\"/chain/\", \"type\": \"streaming\", \"timeout_ms\": 4000, "
+      "\"backend\": \"chat\", \"max_attempts\": 2, \"retained\": true, "
+      "\"retention_s\": 60.0},"
       "{\"name\": \"notes\", \"hostname\": \"h\", \"path_prefix\": \"/note/\","
       " \"type\": \"idempotent\", \"timeout_ms\": 2000, \"backend\": \"app\"},"
       "{\"name\": \"charges\", \"hostname\": \"h\", \"path_prefix\": "
       "\"/charge/\", \"type\": \"non_idempotent\", \"timeout_ms\": 2000, "
       "\"backend\": \"app\", \"max_attempts\": 1}%s],"
       "\"services\": [{\"name\": \"models\", \"engine\": {\"chunk_tokens\": "
-      "%d}}, {\"name\": \"app\"}],"
+      "%d}}, {\"name\": \"app\"}, {\"name\": \"chat\", \"engine\": "
+      "{\"chunk_tokens\": %d}}],"
       "\"tenants\": [{\"name\": \"c\", \"api_keys\": [\"key\"], "
-      "\"rate_per_s\": 2000, \"burst\": 2000}]}}",
+      "\"rate_per_s\": 2000, \"burst\": 2000}, {\"name\": \"d\", "
+      "\"api_keys\": [\"other-key\"], \"rate_per_s\": 2000, \"burst\": "
+      "2000}]}}",
       (long long)version,
       version % 2
           ? ", {\"name\": \"more\", \"hostname\": \"h\", \"path_prefix\": "
             "\"/more/\", \"type\": \"idempotent\", \"timeout_ms\": 2000, "
             "\"backend\": \"app\"}"
           : "",
-      CALLERS_TOKENS_PER_EVENT);
+      CALLERS_TOKENS_PER_EVENT, CALLERS_TOKENS_PER_EVENT);
 
   send_command (soak, FLEET_STORE_PORT, method,
                 strcmp (method, "PUT") == 0 ? "/objects/config/main"
@@ -205,6 +215,9 @@
 static void
 register_endpoints (struct soak *soak)
 {
+  static const char *const backends[FLEET_ENDPOINTS / 2]
+      = { "models", "app", "chat" };
+
   for (int i = 0; i < FLEET_ENDPOINTS; i++)
     {
       char *body = xasprintf (
@@ -213,8 +226,7 @@
           "\"v%d\", \"max_concurrency\": 8, \"state\": \"ready\", \"born\": "
           "1, "
           "\"seq\": 1}}",
-          i, i < FLEET_ENDPOINTS / 2 ? "models" : "app",
-          soak->fleet.base_port + FLEET_PROXY_PORT + 1 + i,
+          i, backends[i / 2], soak->fleet.base_port + FLEET_PROXY_PORT + 1 + i,
           fleet_data_centre (i), i);
 
       send_command (soak, FLEET_STORE_PORT, "POST", "/objects/servers", body);
@@ -222,36 +234,45 @@
     }
 }
 
+/* Returns whether ENDPOINT serves conversations.  */
+static bool
+is_chat (int endpoint)
+{
+  return endpoint >= FLEET_ENDPOINTS - 2;
+}
+
 static bool
 is_limited (int endpoint)
 {
   return endpoint % 2 == 0;
 }
 
-/* Makes the limited endpoints name their limit, once they are up.  Returns
-   false if one does not come up.  */
+/* Makes the endpoints record bodies or name their limit, once they are up.
+   Returns false if one does not come up.  */
 static bool
-limit_endpoints (struct soak *soak)
+prepare_endpoints (struct soak *soak)
 {
-  char *body = xasprintf ("{\"limit_milli\": %d}", LIMIT_MILLI);
-  bool is_limited_now = true;
+  bool is_ready = true;
 
-  for (int i = 0; i < FLEET_ENDPOINTS && is_limited_now; i++)
+  for (int i = 0; i < FLEET_ENDPOINTS && is_ready; i++)
     {
-      is_limited_now = !is_limited (i);
-      for (int k = 0; k < START_TRIES && !is_limited_now; k++)
+      char *body = xasprintf ("{\"limit_milli\": %d, \"record_bodies\": %d}",
+                              is_limited (i) ? LIMIT_MILLI : 0, is_chat (i));
+
+      is_ready = false;
+      for (int k = 0; k < START_TRIES && !is_ready; k++)
         {
           struct http_call call = send_request (soak, FLEET_ENDPOINT_PORT + i,
                                                 "POST", "/faults", body);
 
           json_decref (call.body);
-          is_limited_now = call.status == 200;
-          if (!is_limited_now)
+          is_ready = call.status == 200;
+          if (!is_ready)
             ev_sleep (START_PAUSE_S);
         }
+      free (body);
     }
-  free (body);
-  return is_limited_now;
+  return is_ready;
 }
 
 static void
@@ -580,7 +601,7 @@
     }
   write_config (soak, "POST");
   register_endpoints (soak);
-  if (!limit_endpoints (soak))
+  if (!prepare_endpoints (soak))
     {
       printf ("not every endpoint started\n");
       return false;
@@ -593,12 +614,14 @@
       return false;
     }
   soak->callers = callers_create (&callers);
+  callers.count = CHAIN_COUNT;
+  soak->chains = chains_create (&callers, soak->callers);
   return true;
 }
 
-/* Ends every fault and waits until all hosts are ready.  */
+/* Ends every fault.  */
 static void
-recover (struct soak *soak)
+end_faults (struct soak *soak)
 {
   soak->injecting = false;
   for (int i = 0; i < MAX_FAULTS; i++)
@@ -608,6 +631,11 @@
           soak->faults[i].ends_ms = 0;
         run_for (soak, 50);
       }
+}
+
+static void
+wait_for_recovery (struct soak *soak)
+{
   if (!wait_until_ready (soak, RECOVERY_TIMEOUT_MS))
     callers_report_violation (
         soak->callers, "not every host is ready %d ms after the last fault",
@@ -628,6 +656,37 @@
                               endpoint, excess);
 }
 
+/* Checks what the endpoints of conversations got.  */
+static void
+check_bodies (struct soak *soak)
+{
+  json_t *bodies = json_object ();
+
+  for (int i = 0; i < FLEET_ENDPOINTS; i++)
+    {
+      struct http_call call = send_request (soak, FLEET_ENDPOINT_PORT + i,
+                                            "GET", "/bodies", NULL);
+      const char *id;
+      json_t *list;
+
+      if (call.status != 200)
+        callers_report_violation (soak->callers,
+                                  "endpoint %d does not list its bodies", i);
+      json_object_foreach (call.body, id, list)
+      {
+        json_t *known = json_object_get (bodies, id);
+
+        if (known)
+          json_array_extend (known, list);
+        else
+          json_object_set (bodies, id, list);
+      }
+      json_decref (call.body);
+    }
+  chains_check_bodies (soak->chains, bodies);
+  json_decref (bodies);
+}
+
 static json_t *
 collect_runs (struct soak *soak)
 {
@@ -645,6 +704,8 @@
                                   "endpoint %d does not respond", i);
       json_object_foreach (json_object_get (call.body, "counts"), id, count)
       {
+        if (is_chat (i))
+          continue; /* checked with their bodies */
         json_int_t sum = json_integer_value (json_object_get (runs, id));
 
         json_object_set_new (runs, id,
@@ -680,8 +741,13 @@
 {
   json_t *runs;
 
-  recover (soak);
+  end_faults (soak);
+  chains_begin_last_check (soak->chains);
+  wait_for_recovery (soak);
   check_service (soak);
+  while (!chains_are_done (soak->chains))
+    run_for (soak, 50);
+  check_bodies (soak);
   callers_stop (soak->callers);
   while (!callers_are_done (soak->callers))
     run_for (soak, 50);
@@ -693,6 +759,7 @@
 static void
 close_soak (struct soak *soak)
 {
+  chains_destroy (soak->chains);
   callers_destroy (soak->callers);
   for (int i = 0; i <= FLEET_ENDPOINTS; i++)
     proxy_destroy (soak->proxies[i]);
@@ -707,6 +774,7 @@
 run_soak (struct soak *soak, uint64_t seed, gint seconds)
 {
   struct callers_totals totals = { .violations = 1 };
+  struct chains_totals chains = { 0 };
 
   /* The default loop would reap the programs before fleet_has_exited.  */
   soak->loop = ev_loop_new (EVFLAG_AUTO);
@@ -721,6 +789,7 @@
       run_for (soak, (int64_t)seconds * 1000);
       finish (soak);
       totals = callers_totals (soak->callers);
+      chains = chains_totals (soak->chains);
     }
   printf ("seed %" G_GUINT64_FORMAT ": %u faults, %u programs, %u attempts: "
           "%u answered, %u refused, %u broken off, %u resumptions; "
@@ -728,6 +797,10 @@
           seed, soak->injected_count, totals.programs, totals.attempts,
           totals.answered, totals.refused, totals.broken_off, totals.resumed,
           totals.violations);
+  printf ("chains: %u turns, %u whole, %u continued, %u forbidden; %u of %u "
+          "went on after the faults\n",
+          chains.turns, chains.whole, chains.continued, chains.forbidden,
+          chains.ends_continued, chains.ends);
   close_soak (soak);
   return totals.violations > 0;
 }
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -28,6 +28,7 @@
 struct endpoint
 {
   json_t *counts;   /* request id to number of executions */
+  json_t *bodies;   /* request id to a list of bodies, if recorded */
   json_t *last;     /* headers of the latest request */
   json_t *arrivals; /* times of requests, ms */
   int64_t cancelled;
@@ -140,6 +141,23 @@
   json_object_set_new (endpoint->counts, id, json_integer (runs + 1));
 }
 
+static void
+record_body (struct endpoint *endpoint, const char *id,
+             const struct httpd_request *request)
+{
+  json_t *list = json_object_get (endpoint->bodies, id);
+  json_t *body = json_stringn (request->body.data ? request->body.data : "",
+                               request->body.len);
+
+  if (!list)
+    {
+      list = json_array ();
+      json_object_set_new (endpoint->bodies, id, list);
+    }
+  /* A body that is not UTF-8 is listed as null.  */
+  json_array_append_new (list, body ? body : json_null ());
+}
+
 static void
 endpoint_handle_request (struct standin *standin,
                          struct httpd_request *request)
@@ -156,6 +174,12 @@
                      "cancelled", (json_int_t)endpoint->cancelled));
       return;
     }
+  if (strcmp (request->path, "/bodies") == 0)
+    {
+      standin_respond_json (standin, request, 200,
+                            json_incref (endpoint->bodies));
+      return;
+    }
   if (json_array_size (endpoint->arrivals) < MAX_ARRIVALS)
     json_array_append_new (endpoint->arrivals, json_integer (clock_now_ms ()));
   if (ends_with (request->path, "/crash"))
@@ -167,6 +191,8 @@
       return;
     }
   count_run (endpoint, id ? id : "none");
+  if (standin->faults.record_bodies)
+    record_body (endpoint, id ? id : "none", request);
   json_object_clear (endpoint->last);
   httpd_foreach_header (request, collect_header, endpoint->last);
   if (standin_use_fault (&standin->faults.lose_answers)
@@ -191,6 +217,7 @@
   struct endpoint *endpoint = xcalloc (1, sizeof *endpoint);
 
   endpoint->counts = json_object ();
+  endpoint->bodies = json_object ();
   endpoint->last = json_object ();
   endpoint->arrivals = json_array ();
   standin->state = endpoint;
@@ -202,6 +229,7 @@
   struct endpoint *endpoint = standin->state;
 
   json_decref (endpoint->counts);
+  json_decref (endpoint->bodies);
   json_decref (endpoint->last);
   json_decref (endpoint->arrivals);
   free (endpoint);
--- a/standin/main.c
+++ b/standin/main.c
@@ -132,6 +132,7 @@
   set_fault (body, "load_lag_ms", &faults->load_lag_ms);
   set_fault (body, "drop_events", &faults->drop_events);
   set_fault (body, "limit_milli", &faults->limit_milli);
+  set_fault (body, "record_bodies", &faults->record_bodies);
   json_decref (body);
   respond (request, 200, "{}");
 }
