soak: wiped and retired keepers, cold endpoints, evacuations

Faults now also wipe two keepers at once, the kept turns included (they are in a directory of their own, which a wipe left alone), and retire a keeper, which an empty one replaces. Endpoints turn cold and data centres are evacuated; the soak checks that a cold endpoint gets at most 35 requests in a second and that nothing arrives in a data centre 5 s after its evacuation.

--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -108,6 +108,8 @@
            "\"store_address\": \"127.0.0.1:%d\", "
            "\"seeds\": [\"127.0.0.1:%d\", \"127.0.0.1:%d\"], "
            "\"data_dir\": \"%s/data-%s\", \"stop_grace_s\": 8, "
+           "\"evacuate_within_ms\": 5000, \"cold_overrun\": 1.5, "
+           "\"cold_slack\": 5, "
            "\"first_start\": %s}\n",
            name,
            fleet_is_keeper (host) ? keeper_centres[(host - FLEET_ENTRIES) % 3]
@@ -181,23 +183,33 @@
   return true;
 }
 
-/* Deletes the data files of a stopped host.  */
+static void
+delete_files (const char *path)
+{
+  DIR *dir = opendir (path);
+  const struct dirent *entry;
+
+  while (dir && (entry = readdir (dir)))
+    unlinkat (dirfd (dir), entry->d_name, 0);
+  if (dir)
+    closedir (dir);
+}
+
+/* Deletes the data files of a stopped host, those of kept turns included.  */
 void
 fleet_delete_data (const struct fleet *fleet, int host)
 {
   char name[FLEET_NAME_BYTES];
   char *directory;
-  DIR *dir;
-  const struct dirent *entry;
+  char *turns;
 
   fleet_host_name (host, name);
   directory = xasprintf ("%s/data-%s", fleet->directory, name);
-  dir = opendir (directory);
-  while (dir && (entry = readdir (dir)))
-    unlinkat (dirfd (dir), entry->d_name, 0);
-  if (dir)
-    closedir (dir);
+  turns = xasprintf ("%s/turns", directory);
+  delete_files (directory);
+  delete_files (turns);
   free (directory);
+  free (turns);
 }
 
 /* Kills every process.  */
--- a/soak/main.c
+++ b/soak/main.c
@@ -22,11 +22,20 @@
 {
   CALLER_COUNT = 24,
   CHAIN_COUNT = 8,
-  MAX_FAULTS = 3,          /* at once */
+  MAX_FAULTS = 4,          /* at once */
   FAULT_INTERVAL_MS = 400, /* mean */
   FAULT_MIN_MS = 200,      /* shortest duration */
   FAULT_MAX_MS = 2500,     /* longest duration */
   KEEPER_SYNC_MS = 4000,   /* a restarted keeper catches up from the others */
+  /* The copies of wiped keepers must be restored within 6 s under load.  */
+  KEEPER_RESTORE_MS = 6000,
+  COLD_MS = 2500,
+  /* Until hosts follow the store again after a fault of its link.  */
+  STORE_SETTLE_MS = 2000,
+  EVACUATION_MS = 8000,
+  EVACUATED_WITHIN_MS = 5000, /* evacuate_within_ms */
+  RETIREMENT_LIMIT_MS = 6000,
+  RETIREMENT_POLL_MS = 200,
   /* For all hosts to be ready after the last fault.  */
   RECOVERY_TIMEOUT_MS = 12000,
   START_TIMEOUT_MS = 10000,
@@ -49,7 +58,8 @@
   FAULT_KILL,
   FAULT_STOP,
   FAULT_PAUSE,
-  FAULT_WIPE, /* kills a keeper and deletes its data */
+  FAULT_RETIRE, /* of a keeper; another with its name replaces it */
+  FAULT_WIPE,   /* kills one or two keepers and deletes their data */
   FAULT_STORE_LINK,
   FAULT_ENDPOINT_LINK,
   FAULT_REJECT_HOST,
@@ -57,6 +67,8 @@
   FAULT_COMPACT,
   FAULT_ENDPOINT_RESPONSES,
   FAULT_CONFIG,
+  FAULT_COLD,     /* of an endpoint */
+  FAULT_EVACUATE, /* of a data centre */
   FAULT_KINDS,
 };
 
@@ -65,6 +77,9 @@
 {
   enum fault_kind kind;
   int target; /* index of a host or a proxy */
+  int second; /* another wiped keeper, or the target */
+  int64_t next_poll_ms;
+  struct limit_span span; /* evacuation: when nothing may arrive */
   int64_t ends_ms;
   bool active;
 };
@@ -80,21 +95,31 @@
   struct fault faults[MAX_FAULTS];
   uint64_t seed;
   int64_t next_fault_ms;
-  int64_t keepers_healthy_since_ms; /* end of the last keeper fault */
+  int64_t next_keeper_fault_ms; /* after the last one */
   int64_t config_version;
+  int64_t store_link_fault_ms; /* the last moment of one */
+  int64_t entry_sequence;
   struct limit_check limits[FLEET_ENDPOINTS];
   ev_timer tick;
   bool injecting;
   uint32_t injected_count;
+  uint32_t retired_count; /* retirements that keepers completed */
 };
 
-static const char *const fault_names[FAULT_KINDS]
-    = { "kill",         "stop",
-        "pause",        "wipe",
-        "store link",   "endpoint link",
-        "reject host",  "lost store responses",
-        "compact",      "endpoint responses",
-        "configuration" };
+static const char *const fault_names[FAULT_KINDS] = { "kill",
+                                                      "stop",
+                                                      "pause",
+                                                      "retire",
+                                                      "wipe",
+                                                      "store link",
+                                                      "endpoint link",
+                                                      "reject host",
+                                                      "lost store responses",
+                                                      "compact",
+                                                      "endpoint responses",
+                                                      "configuration",
+                                                      "cold",
+                                                      "evacuation" };
 
 static uint64_t
 random_below (struct soak *soak, uint64_t below)
@@ -191,8 +216,10 @@
       "\"/charge/\", \"type\": \"non_idempotent\", \"timeout_ms\": 2000, "
       "\"backend\": \"app\", \"max_attempts\": 1}%s],"
       "\"services\": [{\"name\": \"models\", \"engine\": {\"chunk_tokens\": "
-      "%d}}, {\"name\": \"app\"}, {\"name\": \"chat\", \"engine\": "
-      "{\"chunk_tokens\": %d}}],"
+      "%d}, \"cold_start_s\": 2.5, \"cold_per_s\": 20.0}, "
+      "{\"name\": \"app\", \"cold_start_s\": 2.5, \"cold_per_s\": 20.0}, "
+      "{\"name\": \"chat\", \"engine\": {\"chunk_tokens\": %d}, "
+      "\"cold_start_s\": 2.5, \"cold_per_s\": 20.0}],"
       "\"tenants\": [{\"name\": \"c\", \"api_keys\": [\"key\"], "
       "\"rate_per_s\": 2000, \"burst\": 2000}, {\"name\": \"d\", "
       "\"api_keys\": [\"other-key\"], \"rate_per_s\": 2000, \"burst\": "
@@ -212,26 +239,35 @@
   free (body);
 }
 
+/* Writes the registry's entry of an endpoint, which is cold for COLD_MS.  */
 static void
-register_endpoints (struct soak *soak)
+write_entry (struct soak *soak, int endpoint, const char *method, int cold_ms)
 {
   static const char *const backends[FLEET_ENDPOINTS / 2]
       = { "models", "app", "chat" };
+  char *path = strcmp (method, "PUT") == 0
+                   ? xasprintf ("/objects/servers/w%d", endpoint)
+                   : xstrdup ("/objects/servers");
+  char *body = xasprintf (
+      "{\"metadata\": {\"name\": \"w%d\"}, \"spec\": {\"backend\": \"%s\","
+      " \"address\": \"127.0.0.1:%d\", \"zone\": \"%s\", \"version\": "
+      "\"v%d\", \"max_concurrency\": 8, \"state\": \"ready\", \"born\": 1, "
+      "\"cold_remaining_ms\": %d, \"seq\": %lld}}",
+      endpoint, backends[endpoint / 2],
+      soak->fleet.base_port + FLEET_PROXY_PORT + 1 + endpoint,
+      fleet_data_centre (endpoint), endpoint, cold_ms,
+      (long long)++soak->entry_sequence);
+
+  send_command (soak, FLEET_STORE_PORT, method, path, body);
+  free (body);
+  free (path);
+}
 
+static void
+register_endpoints (struct soak *soak)
+{
   for (int i = 0; i < FLEET_ENDPOINTS; i++)
-    {
-      char *body = xasprintf (
-          "{\"metadata\": {\"name\": \"w%d\"}, \"spec\": {\"backend\": \"%s\","
-          " \"address\": \"127.0.0.1:%d\", \"zone\": \"%s\", \"version\": "
-          "\"v%d\", \"max_concurrency\": 8, \"state\": \"ready\", \"born\": "
-          "1, "
-          "\"seq\": 1}}",
-          i, backends[i / 2], soak->fleet.base_port + FLEET_PROXY_PORT + 1 + i,
-          fleet_data_centre (i), i);
-
-      send_command (soak, FLEET_STORE_PORT, "POST", "/objects/servers", body);
-      free (body);
-    }
+    write_entry (soak, i, "POST", 0);
 }
 
 /* Returns whether ENDPOINT serves conversations.  */
@@ -285,12 +321,27 @@
   fleet_start_host (&soak->fleet, host, is_first);
 }
 
+static bool
+is_active (const struct soak *soak, enum fault_kind kind)
+{
+  for (int i = 0; i < MAX_FAULTS; i++)
+    if (soak->faults[i].active && soak->faults[i].kind == kind)
+      return true;
+  return false;
+}
+
 /* Records that the link to an endpoint, or all of them, had a fault.  */
 static void
-record_disturbance (struct soak *soak, const struct fault *fault)
+record_disturbance (struct soak *soak, struct fault *fault)
 {
   int64_t now_ms = clock_now_ms ();
 
+  if (fault->active && fault->kind == FAULT_STORE_LINK)
+    soak->store_link_fault_ms = now_ms;
+  /* Without the link to the store no host is in touch with it.  */
+  if (fault->active && fault->kind == FAULT_EVACUATE
+      && is_active (soak, FAULT_STORE_LINK))
+    fault->span.from_ms = now_ms + EVACUATED_WITHIN_MS;
   if (fault->active && fault->kind == FAULT_ENDPOINT_LINK)
     g_array_append_val (soak->limits[fault->target - 1].disturbed_ms, now_ms);
 }
@@ -304,7 +355,8 @@
       bool hits_host
           = fault->kind <= FAULT_WIPE || fault->kind == FAULT_REJECT_HOST;
 
-      if (fault->active && hits_host == is_host && fault->target == target)
+      if (fault->active && hits_host == is_host
+          && (fault->target == target || (is_host && fault->second == target)))
         return true;
     }
   return false;
@@ -316,7 +368,7 @@
   for (int i = FLEET_ENTRIES; i < FLEET_HOSTS; i++)
     if (is_targeted (soak, true, i))
       return false;
-  return now_ms - soak->keepers_healthy_since_ms > KEEPER_SYNC_MS;
+  return now_ms > soak->next_keeper_fault_ms;
 }
 
 static void
@@ -332,6 +384,101 @@
   free (body);
 }
 
+static void
+request_retirement (struct soak *soak, int host)
+{
+  char name[FLEET_NAME_BYTES];
+  char *body;
+
+  fleet_host_name (host, name);
+  body = xasprintf ("{\"metadata\": {\"name\": \"%s\"}, \"spec\": {}}", name);
+  send_command (soak, FLEET_STORE_PORT, "POST", "/objects/retirements", body);
+  free (body);
+}
+
+/* Ends the fault once the keeper has written that others hold its copies.  */
+static void
+poll_retirement (struct soak *soak, struct fault *fault, int64_t now_ms)
+{
+  char name[FLEET_NAME_BYTES];
+  struct http_call call;
+  const char *state;
+  char *path;
+
+  if (now_ms < fault->next_poll_ms)
+    return;
+  fault->next_poll_ms = now_ms + RETIREMENT_POLL_MS;
+  fleet_host_name (fault->target, name);
+  path = xasprintf ("/objects/retirements/%s", name);
+  call = send_request (soak, FLEET_STORE_PORT, "GET", path, NULL);
+  state = json_string_value (
+      json_object_get (json_object_get (call.body, "status"), "state"));
+  if (state && strcmp (state, "complete") == 0)
+    {
+      printf ("%lld ms: %s is retired\n", (long long)now_ms, name);
+      soak->retired_count++;
+      fault->ends_ms = 0;
+    }
+  json_decref (call.body);
+  free (path);
+}
+
+/* Starts an empty keeper in place of a retired one.  */
+static void
+replace_retired (struct soak *soak, int host)
+{
+  char name[FLEET_NAME_BYTES];
+  char *path;
+
+  fleet_host_name (host, name);
+  path = xasprintf ("/objects/retirements/%s", name);
+  fleet_kill (&soak->fleet.hosts[host]);
+  fleet_delete_data (&soak->fleet, host);
+  send_command (soak, FLEET_STORE_PORT, "DELETE", path, NULL);
+  start_host (soak, host, false);
+  free (path);
+}
+
+/* Makes an endpoint cold.  The store has acknowledged that at the start of the
+   span; the entry tells how long it lasts from when it was sent.  */
+static void
+make_cold (struct soak *soak, struct fault *fault)
+{
+  struct limit_span span = { .to_ms = clock_now_ms () + COLD_MS };
+  int endpoint = fault->target - 1;
+
+  write_entry (soak, endpoint, "PUT", COLD_MS);
+  span.from_ms = clock_now_ms ();
+  g_array_append_val (soak->limits[endpoint].cold, span);
+  fault->ends_ms = span.to_ms;
+}
+
+static void
+evacuate (struct soak *soak, struct fault *fault)
+{
+  char *body = xasprintf ("{\"metadata\": {\"name\": \"%s\"}, \"spec\": {}}",
+                          fleet_data_centre (fault->target));
+
+  send_command (soak, FLEET_STORE_PORT, "POST", "/objects/evacuations", body);
+  fault->span.from_ms = clock_now_ms () + EVACUATED_WITHIN_MS;
+  fault->ends_ms = clock_now_ms () + EVACUATION_MS;
+  free (body);
+}
+
+static void
+end_evacuation (struct soak *soak, struct fault *fault)
+{
+  char *path = xasprintf ("/objects/evacuations/%s",
+                          fleet_data_centre (fault->target));
+
+  fault->span.to_ms = clock_now_ms ();
+  for (int i = 0; i < FLEET_ENDPOINTS; i++)
+    if (i % 2 == fault->target)
+      g_array_append_val (soak->limits[i].evacuated, fault->span);
+  send_command (soak, FLEET_STORE_PORT, "DELETE", path, NULL);
+  free (path);
+}
+
 static void
 inject_endpoint_fault (struct soak *soak, int endpoint)
 {
@@ -367,7 +514,13 @@
       break;
     case FAULT_WIPE:
       fleet_kill (&fleet->hosts[fault->target]);
+      fleet_kill (&fleet->hosts[fault->second]);
       fleet_delete_data (fleet, fault->target);
+      fleet_delete_data (fleet, fault->second);
+      break;
+    case FAULT_RETIRE:
+      request_retirement (soak, fault->target);
+      fault->ends_ms = clock_now_ms () + RETIREMENT_LIMIT_MS;
       break;
     case FAULT_STOP:
       fleet_signal (&fleet->hosts[fault->target], SIGTERM);
@@ -396,6 +549,12 @@
     case FAULT_CONFIG:
       write_config (soak, "PUT");
       break;
+    case FAULT_COLD:
+      make_cold (soak, fault);
+      break;
+    case FAULT_EVACUATE:
+      evacuate (soak, fault);
+      break;
     case FAULT_KINDS:
       break;
     }
@@ -408,12 +567,21 @@
 
   fault->active = false;
   if (fault->kind <= FAULT_WIPE && fleet_is_keeper (fault->target))
-    soak->keepers_healthy_since_ms = clock_now_ms ();
+    soak->next_keeper_fault_ms
+        = clock_now_ms ()
+          + (fault->kind < FAULT_RETIRE ? KEEPER_SYNC_MS : KEEPER_RESTORE_MS);
   switch (fault->kind)
     {
     case FAULT_KILL:
+      start_host (soak, fault->target, false);
+      break;
     case FAULT_WIPE:
       start_host (soak, fault->target, false);
+      if (fault->second != fault->target)
+        start_host (soak, fault->second, false);
+      break;
+    case FAULT_RETIRE:
+      replace_retired (soak, fault->target);
       break;
     case FAULT_STOP:
       if (fleet->hosts[fault->target].pid > 0)
@@ -435,6 +603,12 @@
     case FAULT_REJECT_HOST:
       reject_host (soak, -1);
       break;
+    case FAULT_COLD:
+      write_entry (soak, fault->target - 1, "PUT", 0);
+      break;
+    case FAULT_EVACUATE:
+      end_evacuation (soak, fault);
+      break;
     default:
       break;
     }
@@ -449,18 +623,34 @@
     case FAULT_STOP:
     case FAULT_PAUSE:
       return (int)random_below (soak, FLEET_HOSTS);
+    case FAULT_RETIRE:
     case FAULT_WIPE:
       return FLEET_ENTRIES + (int)random_below (soak, FLEET_KEEPERS);
     case FAULT_REJECT_HOST:
       return (int)random_below (soak, FLEET_ENTRIES);
     case FAULT_ENDPOINT_LINK:
     case FAULT_ENDPOINT_RESPONSES:
+    case FAULT_COLD:
       return 1 + (int)random_below (soak, FLEET_ENDPOINTS);
+    case FAULT_EVACUATE:
+      return (int)random_below (soak, 2);
     default:
       return 0;
     }
 }
 
+/* One evacuation at a time, so that endpoints are left; and an endpoint turns
+   cold only while some host can learn it from the store.  */
+static bool
+may_start (const struct soak *soak, enum fault_kind kind, int64_t now_ms)
+{
+  if (kind == FAULT_EVACUATE)
+    return !is_active (soak, FAULT_EVACUATE);
+  if (kind == FAULT_COLD)
+    return now_ms - soak->store_link_fault_ms > STORE_SETTLE_MS;
+  return kind != FAULT_STORE_LINK || !is_active (soak, FAULT_COLD);
+}
+
 /* Starts a random fault in FAULT, unless its target already has one or it
    would fail a keeper too soon after another.  */
 static void
@@ -470,15 +660,17 @@
   int target = pick_target (soak, kind);
   bool is_host = kind <= FAULT_WIPE || kind == FAULT_REJECT_HOST;
 
-  if (is_targeted (soak, is_host, target)
+  if (is_targeted (soak, is_host, target) || !may_start (soak, kind, now_ms)
       || (kind <= FAULT_WIPE && fleet_is_keeper (target)
           && !may_fail_keeper (soak, now_ms)))
     return;
-  *fault = (struct fault){ .kind = kind,
-                           .target = target,
-                           .ends_ms = now_ms + FAULT_MIN_MS
-                                      + (int64_t)random_below (
-                                          soak, FAULT_MAX_MS - FAULT_MIN_MS) };
+  *fault = (struct fault){
+    .kind = kind,
+    .target = target,
+    .second = kind == FAULT_WIPE ? pick_target (soak, kind) : target,
+    .ends_ms = now_ms + FAULT_MIN_MS
+               + (int64_t)random_below (soak, FAULT_MAX_MS - FAULT_MIN_MS)
+  };
   start_fault (soak, fault);
 }
 
@@ -517,6 +709,8 @@
       struct fault *fault = &soak->faults[i];
 
       record_disturbance (soak, fault);
+      if (fault->active && fault->kind == FAULT_RETIRE)
+        poll_retirement (soak, fault, now_ms);
       if (fault->active && now_ms >= fault->ends_ms)
         end_fault (soak, fault);
       if (fault->active || !soak->injecting || now_ms < soak->next_fault_ms)
@@ -627,7 +821,9 @@
   for (int i = 0; i < MAX_FAULTS; i++)
     while (soak->faults[i].active)
       {
-        if (soak->faults[i].kind != FAULT_STOP)
+        if (soak->faults[i].kind != FAULT_STOP
+            && soak->faults[i].kind != FAULT_RETIRE
+            && soak->faults[i].kind != FAULT_EVACUATE)
           soak->faults[i].ends_ms = 0;
         run_for (soak, 50);
       }
@@ -649,11 +845,24 @@
                         &soak->limits[endpoint], arrivals, LIMIT_MILLI)
                                           : 0;
 
+  uint32_t cold = limit_check_cold_excess (&soak->limits[endpoint], arrivals);
+  uint32_t evacuated
+      = limit_check_evacuated (&soak->limits[endpoint], arrivals);
+
   printf ("endpoint %d: %zu requests\n", endpoint, json_array_size (arrivals));
   if (excess > 0)
     callers_report_violation (soak->callers,
                               "endpoint %d got %u requests too many in 4 s",
                               endpoint, excess);
+  if (cold > 0)
+    callers_report_violation (soak->callers,
+                              "endpoint %d got %u requests too many in 1 s "
+                              "while cold",
+                              endpoint, cold);
+  if (evacuated > 0)
+    callers_report_violation (
+        soak->callers, "endpoint %d got %u requests while it was evacuated",
+        endpoint, evacuated);
 }
 
 /* Checks what the endpoints of conversations got.  */
@@ -798,9 +1007,9 @@
           totals.answered, totals.refused, totals.broken_off, totals.resumed,
           totals.violations);
   printf ("chains: %u turns, %u whole, %u continued, %u forbidden; %u of %u "
-          "went on after the faults\n",
+          "went on after the faults; %u keepers retired\n",
           chains.turns, chains.whole, chains.continued, chains.forbidden,
-          chains.ends_continued, chains.ends);
+          chains.ends_continued, chains.ends, soak->retired_count);
   close_soak (soak);
   return totals.violations > 0;
 }
