request: the pool can tell its choice without making it

Nothing could tell which endpoint a request would get, and why not another, without taking part in the choice: pool_pick moves the random state, renews cached figures and the services' priors, and writes log lines.

The conditions of eligibility now return the reason (enum pool_obstacle), and pool_preview evaluates the same functions with copies of what pool_pick changes.

Test: 3 queries of 200 choices each; the preview names the picked endpoint each time, and the choices equal those of a pool that was not asked.

--- a/include/policy/place.h
+++ b/include/policy/place.h
@@ -64,6 +64,8 @@
                        const struct place_options *options);
 int64_t place_first_event_us (const struct place_endpoint *endpoint,
                               const struct place_options *options);
+int64_t place_completion_us (const struct place_endpoint *endpoint,
+                             const struct place_options *options);
 int64_t place_prefill_cost_us (const struct place_endpoint *endpoint,
                                const struct place_options *options);
 int64_t place_event_us (const struct place_endpoint *endpoint);
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -140,6 +140,45 @@
   bool is_unrepeatable; /* lost if the endpoint fails */
 };
 
+/* Why an endpoint is not eligible for a query, in the order in which it is
+   looked at. */
+enum pool_obstacle
+{
+  POOL_ELIGIBLE,
+  POOL_OTHER_SERVICE,
+  POOL_LEAVING,
+  POOL_EVACUATED,
+  POOL_OTHER_BUILD,
+  POOL_UNREACHABLE, /* its data centre */
+  POOL_NO_PATH,     /* none from this host to the endpoint */
+  POOL_HAS_PATH,    /* the query is for endpoints without one */
+  POOL_AVOIDED,     /* after a failure */
+  POOL_LIMITED,     /* the query is for endpoints without a limit */
+  POOL_NO_PERMIT,
+  POOL_RETURNING, /* left out by chance after an evacuation */
+};
+
+/* An endpoint of a query's service, as pool_pick sees it. */
+struct pool_candidate
+{
+  const struct pool_endpoint *endpoint;
+  enum pool_obstacle obstacle;
+  /* The share of the choices in which it takes part after an evacuation. */
+  int64_t return_percent;
+  struct speed_figures figures;
+  struct place_endpoint place; /* also if it is not eligible */
+};
+
+/* What pool_pick would do.  The choice is by chance among the candidates with
+   a weight. */
+struct pool_preview
+{
+  struct pool_candidate *candidates;
+  size_t count;
+  int32_t picked; /* index; negative for none */
+  struct place_options options;
+};
+
 /* What this host has of a service's endpoints that are listed. */
 struct pool_paths
 {
@@ -155,6 +194,10 @@
 };
 
 void endpoint_list_destroy (struct endpoint_list *list);
+struct pool_preview pool_preview (const struct pool *pool,
+                                  const struct pool_query *query,
+                                  int64_t now_ms);
+void pool_preview_release (struct pool_preview *preview);
 
 struct pool *pool_create (const char *data_centre);
 void pool_set_seed (struct pool *pool, uint64_t seed);
--- a/include/request/pool_speed.h
+++ b/include/request/pool_speed.h
@@ -48,10 +48,14 @@
 };
 
 void service_speed_init (struct service_speed *service);
-void service_speed_collect (struct pool_endpoint *endpoint, int64_t now_ms);
+void service_speed_collect (struct service_speed *service,
+                            const struct pool_speed *speed, int64_t now_ms);
 void service_speed_apply (struct service_speed *service);
 const struct speed_figures *pool_speed_figures (struct pool_endpoint *endpoint,
                                                 int64_t now_ms);
+void pool_speed_preview (const struct pool_speed *speed,
+                         const struct speed_figures *prior, int64_t now_ms,
+                         struct speed_figures *out);
 void pool_record_first_event (struct pool_endpoint *endpoint,
                               int64_t missing_tokens,
                               const struct pool_outcome *outcome,
--- a/policy/place.c
+++ b/policy/place.c
@@ -156,6 +156,14 @@
                                  missing_tokens (endpoint, options));
 }
 
+/* Predicts the time to the end of the response at ENDPOINT.  */
+int64_t
+place_completion_us (const struct place_endpoint *endpoint,
+                     const struct place_options *options)
+{
+  return place_wait_us (endpoint, options) + service_us (endpoint, options);
+}
+
 /* Predicts the time between two events of a further stream at ENDPOINT.  */
 int64_t
 place_event_us (const struct place_endpoint *endpoint)
--- a/request/pool.c
+++ b/request/pool.c
@@ -352,13 +352,26 @@
   return cached;
 }
 
+/* Returns what keeps ENDPOINT from serving QUERY at any time.  */
+static enum pool_obstacle
+find_lasting_obstacle (const struct pool_endpoint *endpoint,
+                       const struct pool_query *query)
+{
+  if (strcmp (endpoint->service, query->service) != 0)
+    return POOL_OTHER_SERVICE;
+  if (endpoint->leaving)
+    return POOL_LEAVING;
+  if (endpoint->is_evacuated)
+    return POOL_EVACUATED;
+  return query->build && endpoint->build != query->build ? POOL_OTHER_BUILD
+                                                         : POOL_ELIGIBLE;
+}
+
 static bool
 may_serve (const struct pool_endpoint *endpoint,
            const struct pool_query *query)
 {
-  return !endpoint->leaving && !endpoint->is_evacuated
-         && strcmp (endpoint->service, query->service) == 0
-         && (!query->build || endpoint->build == query->build);
+  return find_lasting_obstacle (endpoint, query) == POOL_ELIGIBLE;
 }
 
 /* Whether a request may be sent to ENDPOINT, or a permit for it be had.  */
@@ -379,15 +392,26 @@
          || (endpoint->path.failures > 0 && endpoint->avoid_until_ms > now_ms);
 }
 
-/* Draws whether ENDPOINT is left out because its data centre was evacuated
-   until lately, so that its load returns step by step.  */
-static bool
-awaits_return (const struct pool_endpoint *endpoint, int64_t now_ms)
+/* Returns the share of the choices in which ENDPOINT takes part: its data
+   centre may have been evacuated until lately, and its load returns step by
+   step.  */
+static int64_t
+return_percent (const struct pool_endpoint *endpoint, int64_t now_ms)
 {
   int64_t since_ms = now_ms - endpoint->returned_ms;
 
   return endpoint->returned_ms && since_ms < COLD_RETURN_MS
-         && (int64_t)(id_random64 () % 100) >= cold_return_percent (since_ms);
+             ? cold_return_percent (since_ms)
+             : 100;
+}
+
+/* Draws whether ENDPOINT is left out of this choice.  */
+static bool
+awaits_return (const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  int64_t percent = return_percent (endpoint, now_ms);
+
+  return percent < 100 && (int64_t)(id_random64 () % 100) >= percent;
 }
 
 static bool
@@ -429,15 +453,16 @@
   return 100 + (endpoint->work_percent - 100) * left_ms / MAX_LOAD_AGE_MS;
 }
 
-/* Stores what is known of ENDPOINT, which may serve QUERY.  */
+/* Stores what is known of ENDPOINT, whose estimated speed is FIGURES.  */
 static void
-describe (struct pool_endpoint *endpoint, const struct pool_query *query,
+describe (const struct pool_endpoint *endpoint,
+          const struct speed_figures *figures, const struct pool_query *query,
           int64_t now_ms, struct place_endpoint *out)
 {
   out->remote = endpoint->remote;
   out->hash = endpoint->hash;
   out->slots = endpoint->slots;
-  out->speed = pool_speed_figures (endpoint, now_ms);
+  out->speed = figures;
   out->running = pool_running (endpoint, now_ms);
   out->usual_running
       = out->speed->values[SPEED_LOAD_PERMILLE] * endpoint->slots / PERMILLE;
@@ -447,22 +472,45 @@
   out->cached_tokens = pool_cached_tokens (endpoint, query, now_ms);
 }
 
-static void
-fill_candidate (struct pool_endpoint *endpoint, const struct pool_query *query,
-                int64_t now_ms, struct place_endpoint *out)
+/* Returns what keeps ENDPOINT from serving QUERY now, but for chance.  */
+static enum pool_obstacle
+find_obstacle (const struct pool_endpoint *endpoint,
+               const struct pool_query *query, int64_t now_ms)
 {
+  enum pool_obstacle lasting = find_lasting_obstacle (endpoint, query);
   int64_t avoid_until_ms = query->is_relayed ? endpoint->relay_avoid_until_ms
                                              : endpoint->avoid_until_ms;
-  bool is_usable = pool_lacks_path (endpoint, now_ms) == query->is_relayed
-                   && avoid_until_ms <= now_ms;
 
+  if (lasting != POOL_ELIGIBLE)
+    return lasting;
+  if (query->is_relayed && !pool_lacks_path (endpoint, now_ms))
+    return POOL_HAS_PATH;
+  if (!query->is_relayed && pool_lacks_path (endpoint, now_ms))
+    return endpoint->unreachable ? POOL_UNREACHABLE : POOL_NO_PATH;
+  if (avoid_until_ms > now_ms)
+    return POOL_AVOIDED;
+  if (may_be_permitted (endpoint, query, now_ms))
+    return POOL_ELIGIBLE;
+  return query->is_unlimited ? POOL_LIMITED : POOL_NO_PERMIT;
+}
+
+static void
+fill_candidate (struct pool_endpoint *endpoint, const struct pool_query *query,
+                int64_t now_ms, struct place_endpoint *out)
+{
   *out = (struct place_endpoint){
-    .eligible = may_serve (endpoint, query) && is_usable
-                && may_be_permitted (endpoint, query, now_ms)
+    .eligible = find_obstacle (endpoint, query, now_ms) == POOL_ELIGIBLE
                 && !awaits_return (endpoint, now_ms)
   };
   if (out->eligible)
-    describe (endpoint, query, now_ms, out);
+    describe (endpoint, pool_speed_figures (endpoint, now_ms), query, now_ms,
+              out);
+}
+
+static bool
+are_priors_due (const struct pool *pool, int64_t now_ms)
+{
+  return !pool->priors_ms || now_ms - pool->priors_ms >= PRIOR_INTERVAL_MS;
 }
 
 /* Computes from time to time what is usual in each service.  */
@@ -472,11 +520,16 @@
   GHashTableIter iter;
   gpointer service;
 
-  if (pool->priors_ms && now_ms - pool->priors_ms < PRIOR_INTERVAL_MS)
+  if (!are_priors_due (pool, now_ms))
     return;
   pool->priors_ms = now_ms;
   for (guint i = 0; i < pool->endpoints->len; i++)
-    service_speed_collect (pool->endpoints->pdata[i], now_ms);
+    {
+      const struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      service_speed_collect (endpoint->speed.service, &endpoint->speed,
+                             now_ms);
+    }
   g_hash_table_iter_init (&iter, pool->service_speeds);
   while (g_hash_table_iter_next (&iter, NULL, &service))
     service_speed_apply (service);
@@ -521,6 +574,105 @@
   return picked >= 0 ? pool->endpoints->pdata[picked] : NULL;
 }
 
+/* Returns what update_priors would leave of the service named NAME.  */
+static struct service_speed
+preview_service (const struct pool *pool, const char *name, int64_t now_ms)
+{
+  const struct service_speed *service
+      = g_hash_table_lookup (pool->service_speeds, name);
+  struct service_speed preview;
+
+  service_speed_init (&preview);
+  if (!service)
+    return preview;
+  preview = *service;
+  if (!are_priors_due (pool, now_ms))
+    return preview;
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      const struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+      if (endpoint->speed.service == service)
+        service_speed_collect (&preview, &endpoint->speed, now_ms);
+    }
+  service_speed_apply (&preview);
+  return preview;
+}
+
+static void
+preview_candidate (const struct pool_endpoint *endpoint,
+                   const struct service_speed *service,
+                   const struct pool_query *query, int64_t now_ms,
+                   struct pool_candidate *out)
+{
+  *out = (struct pool_candidate){
+    .endpoint = endpoint,
+    .obstacle = find_obstacle (endpoint, query, now_ms),
+    .return_percent = return_percent (endpoint, now_ms),
+  };
+  pool_speed_preview (&endpoint->speed, &service->prior, now_ms,
+                      &out->figures);
+  out->place.eligible = out->obstacle == POOL_ELIGIBLE;
+  describe (endpoint, &out->figures, query, now_ms, &out->place);
+}
+
+/* Has place_pick choose among the candidates, with a copy of the random
+   state.  */
+static int32_t
+preview_pick (const struct pool *pool, struct pool_preview *preview)
+{
+  struct place_endpoint *places = xcalloc (preview->count + 1, sizeof *places);
+  uint64_t seed = pool->seed;
+  int32_t picked;
+
+  for (size_t i = 0; i < preview->count; i++)
+    places[i] = preview->candidates[i].place;
+  picked = place_pick (places, preview->count, &preview->options, &seed);
+  for (size_t i = 0; i < preview->count; i++)
+    preview->candidates[i].place.cost_us
+        = places[i].eligible ? places[i].cost_us
+                             : place_cost_us (&places[i], &preview->options);
+  free (places);
+  return picked;
+}
+
+/* Returns what pool_pick would do now, with the endpoints of the query's
+   service, and changes nothing.  An endpoint whose load returns after an
+   evacuation is taken for eligible: the draw cannot be foreseen.  The caller
+   releases it before the pool changes.  */
+struct pool_preview
+pool_preview (const struct pool *pool, const struct pool_query *query,
+              int64_t now_ms)
+{
+  struct service_speed service
+      = preview_service (pool, query->service, now_ms);
+  struct pool_preview preview
+      = { .candidates
+          = xcalloc (pool->endpoints->len + 1, sizeof *preview.candidates),
+          .options = make_place_options (query, &service) };
+
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    {
+      const struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+      struct pool_candidate *candidate = &preview.candidates[preview.count];
+
+      if (strcmp (endpoint->service, query->service) != 0)
+        continue;
+      preview_candidate (endpoint, &service, query, now_ms, candidate);
+      preview.count++;
+    }
+  preview.picked = preview_pick (pool, &preview);
+  return preview;
+}
+
+/* Frees what PREVIEW holds.  */
+void
+pool_preview_release (struct pool_preview *preview)
+{
+  free (preview->candidates);
+  *preview = (struct pool_preview){ .picked = -1 };
+}
+
 /* Returns the endpoint whose avoidance ends first, even if its data centre is
    unreachable, or NULL if there is none to which a connection may be opened or
    none for which a permit can be had.  */
@@ -601,7 +753,7 @@
 
   update_priors (pool, now_ms);
   *out = (struct place_endpoint){ .eligible = true };
-  describe (listed, query, now_ms, out);
+  describe (listed, pool_speed_figures (listed, now_ms), query, now_ms, out);
   return make_place_options (query, endpoint->speed.service);
 }
 
--- a/request/pool_speed.c
+++ b/request/pool_speed.c
@@ -29,11 +29,12 @@
   *service = (struct service_speed){ .prior = *speed_default_prior () };
 }
 
-/* Adds the figures of ENDPOINT to the sums of its service.  */
+/* Adds the figures of an endpoint to the sums of SERVICE, which is its service
+   or a copy of that.  */
 void
-service_speed_collect (struct pool_endpoint *endpoint, int64_t now_ms)
+service_speed_collect (struct service_speed *service,
+                       const struct pool_speed *speed, int64_t now_ms)
 {
-  const struct pool_speed *speed = &endpoint->speed;
 
   for (int i = 0; i < SPEED_FIGURES; i++)
     {
@@ -44,10 +45,10 @@
 
       if (share <= 0)
         continue;
-      speed->service->sums[i] += (speed->own.tracks[i].value * own
-                                  + speed->shared.tracks[i].value * shared)
-                                 / (own + shared) * share;
-      speed->service->weights[i] += share;
+      service->sums[i] += (speed->own.tracks[i].value * own
+                           + speed->shared.tracks[i].value * shared)
+                          / (own + shared) * share;
+      service->weights[i] += share;
     }
 }
 
@@ -133,14 +134,33 @@
     }
 }
 
+static bool
+has_current_figures (const struct pool_speed *speed, int64_t now_ms)
+{
+  return speed->figures_ms && speed->epoch == speed->service->epoch
+         && now_ms - speed->figures_ms < FIGURES_TTL_MS;
+}
+
+/* Stores what pool_speed_figures would return if the service's prior were
+   PRIOR, without storing it in the endpoint.  */
+void
+pool_speed_preview (const struct pool_speed *speed,
+                    const struct speed_figures *prior, int64_t now_ms,
+                    struct speed_figures *out)
+{
+  if (has_current_figures (speed, now_ms))
+    *out = speed->figures;
+  else
+    speed_estimate (&speed->own, &speed->shared, prior, now_ms, out);
+}
+
 /* Returns the current estimate for ENDPOINT.  */
 const struct speed_figures *
 pool_speed_figures (struct pool_endpoint *endpoint, int64_t now_ms)
 {
   struct pool_speed *speed = &endpoint->speed;
 
-  if (speed->figures_ms && speed->epoch == speed->service->epoch
-      && now_ms - speed->figures_ms < FIGURES_TTL_MS)
+  if (has_current_figures (speed, now_ms))
     return &speed->figures;
   speed_estimate (&speed->own, &speed->shared, &speed->service->prior, now_ms,
                   &speed->figures);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -36,6 +36,7 @@
   { "owner", NULL, NULL, NULL, NULL, owner_tests },
   { "path monitor", NULL, NULL, NULL, NULL, path_monitor_tests },
   { "place", NULL, NULL, NULL, NULL, place_tests },
+  { "explain", NULL, NULL, NULL, NULL, explain_tests },
   { "pool", NULL, NULL, NULL, NULL, pool_tests },
   { "reachability", NULL, NULL, NULL, NULL, reachability_tests },
   { "recent table", NULL, NULL, NULL, NULL, recent_table_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -41,6 +41,7 @@
 extern CU_TestInfo speed_tests[];
 extern CU_TestInfo speed_fleet_tests[];
 extern CU_TestInfo speed_on_time_tests[];
+extern CU_TestInfo explain_tests[];
 extern CU_TestInfo pool_tests[];
 extern CU_TestInfo reachability_tests[];
 extern CU_TestInfo recent_table_tests[];
