policy, request, conversation: decisions of admission and limits without effects

Admission's and the rate limits' decisions could only be had by taking part in them: demand is counted, shares are smoothed, tokens are taken.

admission_preview and limits_preview run the same functions on copies of their state. The choice of a route's service moves to routing.c, where both a request and an explanation can call it, and the keepers of a turn can be listed.

--- a/conversation/client.c
+++ b/conversation/client.c
@@ -329,6 +329,41 @@
   return task;
 }
 
+/* Returns the keepers of a turn of GROUP, the preferred ones first, and which
+   of them a read would ask at once, as a new reference.  Sends nothing.  */
+json_t *
+conversations_keepers_to_json (const struct conversations *client,
+                               uint64_t group, int64_t now_ms)
+{
+  struct turn_copies copies;
+  json_t *list = json_array ();
+
+  turn_copies_init (&copies, group, client->hosts, client->count,
+                    turn_copies_wanted (client->options.losses), now_ms);
+  copies.near_centre = id_hash_text (client->options.data_centre);
+  for (uint32_t i = 0; i < copies.count; i++)
+    copies.keepers[i].is_silent
+        = is_silent (&client->keepers[copies.keepers[i].index], now_ms);
+  for (uint32_t i = 0; i < copies.count; i++)
+    {
+      struct turn_copy_keeper *next = turn_copies_next_read (&copies, now_ms);
+
+      if (next)
+        turn_copies_record_asked (next, now_ms);
+    }
+  for (uint32_t i = 0; i < copies.count; i++)
+    {
+      const struct turn_copy_keeper *keeper = &copies.keepers[i];
+
+      json_array_append_new (
+          list, json_pack ("{s:s, s:b, s:b, s:b}", "name",
+                           client->keepers[keeper->index].name, "preferred",
+                           i < copies.preferred, "silent", keeper->is_silent,
+                           "asked_first", keeper->first_asked_ms != 0));
+    }
+  return list;
+}
+
 /* Writes a turn.  HANDLE is called once, never from within this call, unless
    the task is cancelled before.  The write has no time-out of its own.  */
 struct conversation_task *
--- a/include/conversation/client.h
+++ b/include/conversation/client.h
@@ -8,6 +8,7 @@
 #include "peer/transport.h"
 #include "policy/turn_copies.h"
 #include <ev.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -73,6 +74,8 @@
                               int64_t now_ms);
 bool conversations_hold (struct conversations *client, size_t bytes);
 void conversations_release (struct conversations *client, size_t bytes);
+json_t *conversations_keepers_to_json (const struct conversations *client,
+                                       uint64_t group, int64_t now_ms);
 struct conversation_task *
 conversations_read (struct conversations *client,
                     const struct conversation_query *query,
--- a/include/policy/admission.h
+++ b/include/policy/admission.h
@@ -50,6 +50,7 @@
   enum admission_verdict verdict;
   int64_t wait_ms; /* expected before the program's first turn runs */
   int64_t retry_after_ms;
+  double share; /* of such programs that is admitted, by chance */
 };
 
 /* A turn whose urgency is wanted. */
@@ -83,6 +84,9 @@
 struct admission_decision
 admission_decide (struct admission *admission,
                   const struct admission_query *query, int64_t now_ms);
+struct admission_decision
+admission_preview (const struct admission *admission,
+                   const struct admission_query *query, int64_t now_ms);
 int64_t admission_least_ms (const struct admission *admission,
                             uint64_t service, int64_t now_ms);
 uint32_t admission_export (struct admission *admission,
--- a/include/request/admission_step.h
+++ b/include/request/admission_step.h
@@ -39,6 +39,16 @@
   struct log_ids ids;
 };
 
+/* What admission would decide on a turn, and by what. */
+struct admission_preview
+{
+  bool is_admitted;
+  bool is_hopeless;  /* the deadline is shorter than any answer takes */
+  bool lacks_memory; /* this host holds too much for slow readers */
+  struct admission_load load;
+  struct admission_decision decision;
+};
+
 struct admission_step *
 admission_step_create (const struct admission_step_options *options);
 void admission_step_destroy (struct admission_step *step);
@@ -51,6 +61,9 @@
 bool admission_step_admit (struct admission_step *step,
                            const struct admission_ask *ask, int64_t now_ms,
                            struct error *error);
+struct admission_preview
+admission_step_preview (const struct admission_step *step,
+                        const struct admission_ask *ask, int64_t now_ms);
 int32_t admission_step_priority (const struct admission_step *step,
                                  const struct admission_turn *turn);
 int64_t admission_step_least_ms (const struct admission_step *step,
--- a/include/request/limits.h
+++ b/include/request/limits.h
@@ -35,6 +35,15 @@
   LIMITS_PENDING, /* the handler is called later, with the result */
 };
 
+/* What limits_admit would do. */
+struct limits_preview
+{
+  enum limits_verdict verdict;
+  bool is_limited; /* the customer has a rate */
+  bool is_holder;  /* this host grants the tokens of its data centre's share */
+  int64_t retry_after_ms; /* if it is refused in the end */
+};
+
 struct limits *limits_create (const struct limits_options *options);
 void limits_destroy (struct limits *limits);
 void limits_set_hosts (struct limits *limits,
@@ -49,6 +58,9 @@
 int64_t limits_retry_after_ms (struct limits *limits,
                                const struct customer *customer,
                                bool begins_program);
+struct limits_preview limits_preview (const struct limits *limits,
+                                      const struct customer *customer,
+                                      bool begins_program);
 void limits_handle_frame (struct limits *limits, const char *host,
                           const Peer__Frame *frame);
 
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -161,6 +161,9 @@
                                    uint64_t fingerprint, uint32_t crashes,
                                    const char *endpoint);
 struct admission *pipeline_admission (const struct pipeline *pipeline);
+const struct routing *pipeline_routing (const struct pipeline *pipeline);
+const struct admission_step *
+pipeline_admission_step (const struct pipeline *pipeline);
 void pipeline_abort (struct pipeline *pipeline);
 void pipeline_close (struct pipeline *pipeline);
 bool pipeline_is_idle (const struct pipeline *pipeline);
--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -82,6 +82,11 @@
                                         const char *host, const char *path);
 const struct customer *routing_find_customer (const struct routing *routing,
                                               const char *key);
+const struct customer *
+routing_find_customer_name (const struct routing *routing, const char *name);
+const struct service *routing_pick_service (const struct routing *routing,
+                                            const struct route *route,
+                                            uint64_t random);
 int32_t routing_find_service (const struct routing *routing, const char *name);
 
 #endif
--- a/policy/admission.c
+++ b/policy/admission.c
@@ -443,7 +443,8 @@
                   const struct admission_query *query, int64_t now_ms)
 {
   struct service_state *state = find_service (admission, query->service);
-  struct admission_decision decision = { .verdict = ADMISSION_ADMITTED };
+  struct admission_decision decision
+      = { .verdict = ADMISSION_ADMITTED, .share = 1 };
   double work_ms = fmax ((double)query->remaining_ms * IDLE_SHARE, 1);
   double allowed_ms = bearable_wait_ms (state, query->remaining_ms);
   double chance = (double)(query->random >> 11) / (double)(1ULL << 53);
@@ -479,6 +480,7 @@
   share = customer_share (admission, demand_ms, share,
                           admitted_share (wait_ms, allowed_ms * PROTECTED),
                           now_ms);
+  decision.share = share;
   if (chance < share)
     return decision;
   decision.verdict
@@ -489,6 +491,20 @@
   return decision;
 }
 
+/* Returns what admission_decide would return, and changes nothing.  */
+struct admission_decision
+admission_preview (const struct admission *admission,
+                   const struct admission_query *query, int64_t now_ms)
+{
+  struct admission *copy = admission_create ();
+  struct admission_decision decision;
+
+  *copy = *admission;
+  decision = admission_decide (copy, query, now_ms);
+  admission_destroy (copy);
+  return decision;
+}
+
 /* Returns how many of the levels of urgency each configured priority gets, and
    in *RANK how many configured priorities are more urgent than PRIORITY.  */
 static int32_t
--- a/request/admission_step.c
+++ b/request/admission_step.c
@@ -162,18 +162,26 @@
   return false;
 }
 
+static struct admission_query
+make_query (const struct admission_step *step, const struct admission_ask *ask,
+            uint64_t random, int64_t now_ms)
+{
+  return (struct admission_query){
+    .service = id_hash_text (ask->service),
+    .customer = ask->customer ? id_hash_text (ask->customer) : 0,
+    .load = admission_step_load (step->options.pool, ask->service, now_ms),
+    .remaining_ms = ask->program_left_ms,
+    .first_event_ms = -1,
+    .random = random
+  };
+}
+
 static bool
 decide (struct admission_step *step, const struct admission_ask *ask,
         int64_t now_ms, struct error *error)
 {
   struct admission_query query
-      = { .service = id_hash_text (ask->service),
-          .customer = ask->customer ? id_hash_text (ask->customer) : 0,
-          .load
-          = admission_step_load (step->options.pool, ask->service, now_ms),
-          .remaining_ms = ask->program_left_ms,
-          .first_event_ms = -1,
-          .random = id_random64 () };
+      = make_query (step, ask, id_random64 (), now_ms);
   struct admission_decision decision;
 
   if (step->options.predict)
@@ -195,6 +203,42 @@
   return false;
 }
 
+/* Whether the request's deadline is shorter than any answer takes.  */
+static bool
+is_hopeless (const struct admission_step *step,
+             const struct admission_ask *ask, int64_t now_ms)
+{
+  return ask->request_left_ms
+         < admission_step_least_ms (step, ask->service, now_ms);
+}
+
+/* Returns what admission_step_admit would decide, without the predictor, which
+   may change the pool.  Changes nothing.  Refusals for load are by chance; the
+   middle of the chances is taken.  */
+struct admission_preview
+admission_step_preview (const struct admission_step *step,
+                        const struct admission_ask *ask, int64_t now_ms)
+{
+  struct admission_query query = make_query (step, ask, 1ULL << 63, now_ms);
+  struct admission_preview preview
+      = { .is_hopeless = is_hopeless (step, ask, now_ms),
+          .load = query.load,
+          .decision = { .verdict = ADMISSION_ADMITTED, .share = 1 } };
+
+  preview.lacks_memory = ask->begins_program && step->options.buffers
+                         && buffer_budget_is_near (step->options.buffers);
+  if (ask->begins_program)
+    preview.decision = admission_preview (step->admission, &query, now_ms);
+  if (preview.is_hopeless)
+    preview.decision.retry_after_ms = HOPELESS_RETRY_MS;
+  else if (preview.lacks_memory)
+    preview.decision.retry_after_ms
+        = admission_retry_after_ms (MEMORY_RETRY_MS, ask->program_left_ms, 0);
+  preview.is_admitted = !preview.is_hopeless && !preview.lacks_memory
+                        && preview.decision.verdict == ADMISSION_ADMITTED;
+  return preview;
+}
+
 /* Decides on a turn before its first send.  Returns false and sets ERROR if it
    is refused: a first turn for the service's load, and any turn whose deadline
    cannot be met.  */
@@ -205,8 +249,7 @@
 {
   uint64_t service = id_hash_text (ask->service);
 
-  if (ask->request_left_ms
-      < admission_least_ms (step->admission, service, now_ms))
+  if (is_hopeless (step, ask, now_ms))
     {
       counter_add (COUNTER_HOPELESS_REFUSED, 1);
       error_set (error, ERROR_OVERLOADED, RUN_NOT_RUN,
--- a/request/limits.c
+++ b/request/limits.c
@@ -596,6 +596,16 @@
   free (wait);
 }
 
+/* Whether a program may not even ask for tokens, since one was refused just
+   before.  */
+static bool
+is_backing_off (const struct rate_limit *rate_limit, bool begins_program,
+                int64_t now_ms)
+{
+  return begins_program
+         && now_ms - rate_limit->new_refused_ms < NEW_PROGRAM_BACKOFF_MS;
+}
+
 /* Acquires a token for a request of CUSTOMER.  BEGINS_PROGRAM is set for the
    first request of a program; other requests may wait for up to MAX_WAIT_MS.
    If the result is LIMITS_PENDING, HANDLER is called later unless *WAIT is
@@ -616,8 +626,7 @@
   if (count_waiting_running (rate_limit) == 0
       && consume_token (rate_limit, begins_program, now_ms))
     return LIMITS_ADMITTED;
-  if (begins_program
-      && now_ms - rate_limit->new_refused_ms < NEW_PROGRAM_BACKOFF_MS)
+  if (is_backing_off (rate_limit, begins_program, now_ms))
     return LIMITS_REFUSED;
   *wait = xcalloc (1, sizeof **wait);
   (*wait)->rate_limit = rate_limit;
@@ -689,14 +698,11 @@
   return begin_ms > wait_ms ? begin_ms : wait_ms;
 }
 
-/* Returns when a refused request of CUSTOMER should be retried: the time until
-   a token is expected from any holder, limited to a range.  */
-int64_t
-limits_retry_after_ms (struct limits *limits, const struct customer *customer,
-                       bool begins_program)
+/* Returns the time until a token is expected from any holder, limited to a
+   range.  RATE_LIMIT may be NULL.  */
+static int64_t
+retry_after_ms (struct rate_limit *rate_limit, bool begins_program)
 {
-  struct rate_limit *rate_limit
-      = g_hash_table_lookup (limits->rate_limits, customer->name);
   int64_t wait_ms = rate_limit ? rate_limit->wait_ms : 0;
 
   if (rate_limit && rate_limit->is_holder
@@ -707,6 +713,46 @@
   return wait_ms < MAX_RETRY_MS ? wait_ms : MAX_RETRY_MS;
 }
 
+/* Returns when a refused request of CUSTOMER should be retried.  */
+int64_t
+limits_retry_after_ms (struct limits *limits, const struct customer *customer,
+                       bool begins_program)
+{
+  return retry_after_ms (
+      g_hash_table_lookup (limits->rate_limits, customer->name),
+      begins_program);
+}
+
+/* Returns what limits_admit would do for a request of CUSTOMER.  Decides with
+   copies, so that no token is taken and no demand counted.  LIMITS_PENDING
+   says that tokens would be borrowed, or waited for.  */
+struct limits_preview
+limits_preview (const struct limits *limits, const struct customer *customer,
+                bool begins_program)
+{
+  const struct rate_limit *rate_limit
+      = g_hash_table_lookup (limits->rate_limits, customer->name);
+  struct limits_preview preview = { .verdict = LIMITS_ADMITTED };
+  int64_t now_ms = clock_now_ms ();
+  struct limits counts = *limits;
+  struct rate_limit copy;
+
+  if (customer->rate_milli == 0 || !rate_limit)
+    return preview;
+  copy = *rate_limit;
+  copy.limits = &counts;
+  preview.is_limited = true;
+  preview.is_holder = rate_limit->is_holder;
+  preview.retry_after_ms = retry_after_ms (&copy, begins_program);
+  if (count_waiting_running (rate_limit) == 0
+      && consume_token (&copy, begins_program, now_ms))
+    return preview;
+  preview.verdict = is_backing_off (rate_limit, begins_program, now_ms)
+                        ? LIMITS_REFUSED
+                        : LIMITS_PENDING;
+  return preview;
+}
+
 static void
 handle_loan_request (struct limits *limits, const char *host,
                      const Peer__LimitAsk *request)
--- a/request/request.c
+++ b/request/request.c
@@ -1212,24 +1212,11 @@
 static const struct service *
 pick_service (const struct request *request)
 {
-  const struct route *route = request->route;
-  uint64_t weights = 0;
-  uint64_t at;
-
   if (request->build)
     return find_service_of_build (request);
-  for (uint32_t i = 0; i < route->target_count; i++)
-    weights += route->targets[i].weight;
-  if (weights == 0)
-    return NULL;
-  at = (request->program ? request->program : id_random64 ()) % weights;
-  for (uint32_t i = 0; i < route->target_count; i++)
-    {
-      if (at < route->targets[i].weight)
-        return &request->routing->services[route->targets[i].service];
-      at -= route->targets[i].weight;
-    }
-  return NULL;
+  return routing_pick_service (request->routing, request->route,
+                               request->program ? request->program
+                                                : id_random64 ());
 }
 
 /* Returns how long the request may wait for its turn at an endpoint.  */
@@ -1899,6 +1886,20 @@
   return admission_step_policy (pipeline->admission);
 }
 
+/* Returns the configuration in force, which the pipeline owns, or NULL.  */
+const struct routing *
+pipeline_routing (const struct pipeline *pipeline)
+{
+  return pipeline->routing;
+}
+
+/* Returns the step that admits programs, which the pipeline owns.  */
+const struct admission_step *
+pipeline_admission_step (const struct pipeline *pipeline)
+{
+  return pipeline->admission;
+}
+
 /* Refuses new requests and ends the active ones.  */
 void
 pipeline_abort (struct pipeline *pipeline)
--- a/request/routing.c
+++ b/request/routing.c
@@ -152,6 +152,40 @@
   return found ? &routing->customers[found - 1] : NULL;
 }
 
+/* Selects a target of ROUTE by weight, with a random number, or a program's
+   hash so that its requests go to the same service.  Returns NULL if there is
+   none.  */
+const struct service *
+routing_pick_service (const struct routing *routing, const struct route *route,
+                      uint64_t random)
+{
+  uint64_t weights = 0;
+  uint64_t at;
+
+  for (uint32_t i = 0; i < route->target_count; i++)
+    weights += route->targets[i].weight;
+  if (weights == 0)
+    return NULL;
+  at = random % weights;
+  for (uint32_t i = 0; i < route->target_count; i++)
+    {
+      if (at < route->targets[i].weight)
+        return &routing->services[route->targets[i].service];
+      at -= route->targets[i].weight;
+    }
+  return NULL;
+}
+
+/* Returns the customer named NAME, or NULL.  */
+const struct customer *
+routing_find_customer_name (const struct routing *routing, const char *name)
+{
+  for (uint32_t i = 0; i < routing->customer_count; i++)
+    if (strcmp (routing->customers[i].name, name) == 0)
+      return &routing->customers[i];
+  return NULL;
+}
+
 /* Returns the index of the service named NAME, or -1.  */
 int32_t
 routing_find_service (const struct routing *routing, const char *name)
