request, platform, galenactl: explain-route tells where a request would go

To find out why a request went to an endpoint, operators had to read the state of a host and compute the costs by hand.

GET /explain on the metrics listener of an entry host answers with the route, the service, the customer's limit, admission's decision, each endpoint of the service with its reason and figures, the one that would be picked and the keepers of a chain. It asks the decisions' own functions for previews; nothing is sent or changed. galenactl explain-route prints the answer.

--- a/galenactl/main.c
+++ b/galenactl/main.c
@@ -21,6 +21,8 @@
   { "endpoint", "list | show NAME | set NAME FIELD=VALUE... | delete NAME",
     ctl_endpoint },
   { "evacuate", "list | set DATA-CENTRE | end DATA-CENTRE", ctl_evacuate },
+  { "explain-route", "ADDRESS METHOD HOST-NAME PATH [OPTION...]",
+    ctl_explain_route },
   { "fleet-key", "[--add FILE]", ctl_fleet_key },
   { "host", "list | remove NAME", ctl_host },
   { "key", "create CUSTOMER | list | withdraw ID [--here]", ctl_key },
--- a/include/galenactl/command.h
+++ b/include/galenactl/command.h
@@ -74,6 +74,7 @@
 int ctl_dump (struct ctl *ctl, int argc, char **argv);
 int ctl_endpoint (struct ctl *ctl, int argc, char **argv);
 int ctl_evacuate (struct ctl *ctl, int argc, char **argv);
+int ctl_explain_route (struct ctl *ctl, int argc, char **argv);
 int ctl_fleet_key (struct ctl *ctl, int argc, char **argv);
 int ctl_host (struct ctl *ctl, int argc, char **argv);
 int ctl_key (struct ctl *ctl, int argc, char **argv);
--- a/include/platform/frontend.h
+++ b/include/platform/frontend.h
@@ -24,5 +24,7 @@
 void frontend_announce_close (struct frontend *frontend);
 void frontend_cut_stalled (struct frontend *frontend, int64_t now_ms);
 void frontend_stop_listening (struct frontend *frontend);
+void frontend_parse_prompt_parts (struct request_input *input,
+                                  const char *text);
 
 #endif
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -206,15 +206,15 @@
                  int64_t now_ms);
 struct pool_endpoint *
 pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms);
-struct pool_endpoint *pool_pick_least_avoided (struct pool *pool,
+struct pool_endpoint *pool_pick_least_avoided (const struct pool *pool,
                                                const struct pool_query *query,
                                                int64_t now_ms);
 bool pool_lacks_path (const struct pool_endpoint *endpoint, int64_t now_ms);
 struct pool_paths pool_count_paths (const struct pool *pool,
                                     const char *service);
 struct pool_endpoint *
-pool_pick_awaiting_permit (struct pool *pool, const struct pool_query *query,
-                           int64_t now_ms);
+pool_pick_awaiting_permit (const struct pool *pool,
+                           const struct pool_query *query, int64_t now_ms);
 int64_t pool_cache_gain_ms (struct pool *pool, const struct pool_query *query,
                             const struct pool_endpoint *endpoint,
                             int64_t now_ms);
@@ -231,6 +231,8 @@
                            int64_t now_ms);
 bool pool_has_used_up_limit (const struct pool *pool,
                              const struct pool_query *query, int64_t now_ms);
+bool pool_may_overflow (const struct pool *pool,
+                        const struct pool_query *query, int64_t now_ms);
 bool pool_is_full (const struct pool_endpoint *endpoint, int64_t now_ms);
 struct pool_endpoint *pool_find_start (const struct pool *pool,
                                        uint64_t start);
@@ -270,6 +272,7 @@
 struct pool_endpoint *pool_find_crashed (const struct pool *pool,
                                          int64_t now_ms);
 void pool_clear_suspects (struct pool_endpoint *endpoint);
+uint64_t pool_build_of (const char *service, const char *version);
 size_t pool_count (const struct pool *pool);
 struct pool_endpoint *pool_at (const struct pool *pool, size_t index);
 uint32_t pool_take_suspects (struct pool_endpoint *endpoint,
--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -82,6 +82,9 @@
                                         const char *host, const char *path);
 const struct customer *routing_find_customer (const struct routing *routing,
                                               const char *key);
+int64_t route_limit_ms (const struct route *route, int64_t deadline_ms);
+bool route_admits_programs (const struct route *route,
+                            int64_t program_deadline_ms);
 const struct customer *
 routing_find_customer_name (const struct routing *routing, const char *name);
 const struct service *routing_pick_service (const struct routing *routing,
--- a/request/pool.c
+++ b/request/pool.c
@@ -126,13 +126,22 @@
 
 static uint64_t
 compute_build (const struct endpoint_entry *entry)
+{
+  uint64_t build;
+
+  if (entry->version)
+    return pool_build_of (entry->service, entry->version);
+  build = id_hash64 (&entry->started_ms, sizeof entry->started_ms,
+                     id_hash_text (entry->id));
+  return build ? build : 1;
+}
+
+/* Returns the build of the endpoints of SERVICE that state VERSION.  */
+uint64_t
+pool_build_of (const char *service, const char *version)
 {
   uint64_t build
-      = entry->version
-            ? id_hash64 (entry->version, strlen (entry->version),
-                         id_hash_text (entry->service))
-            : id_hash64 (&entry->started_ms, sizeof entry->started_ms,
-                         id_hash_text (entry->id));
+      = id_hash64 (version, strlen (version), id_hash_text (service));
 
   return build ? build : 1;
 }
@@ -677,8 +686,8 @@
    unreachable, or NULL if there is none to which a connection may be opened or
    none for which a permit can be had.  */
 struct pool_endpoint *
-pool_pick_least_avoided (struct pool *pool, const struct pool_query *query,
-                         int64_t now_ms)
+pool_pick_least_avoided (const struct pool *pool,
+                         const struct pool_query *query, int64_t now_ms)
 {
   struct pool_endpoint *best = NULL;
 
@@ -698,8 +707,8 @@
 /* Returns the endpoint for which a permit can be had first, or NULL if the
    service has none with a limit.  */
 struct pool_endpoint *
-pool_pick_awaiting_permit (struct pool *pool, const struct pool_query *query,
-                           int64_t now_ms)
+pool_pick_awaiting_permit (const struct pool *pool,
+                           const struct pool_query *query, int64_t now_ms)
 {
   struct pool_endpoint *best = NULL;
 
@@ -733,6 +742,16 @@
   return false;
 }
 
+/* Whether endpoints without a limit may be overloaded by what the others for
+   QUERY do not take.  */
+bool
+pool_may_overflow (const struct pool *pool, const struct pool_query *query,
+                   int64_t now_ms)
+{
+  return pool_has_used_up_limit (pool, query, now_ms)
+         || pool_has_evacuated (pool, query);
+}
+
 /* Whether ENDPOINT reported lately that all of its slots are used and that
    requests wait.  */
 bool
--- a/request/request.c
+++ b/request/request.c
@@ -282,8 +282,8 @@
 has_program_deadline (const struct request *request)
 {
   return request->pipeline->options.admits_programs && request->route
-         && request->route->retry_mode == ROUTE_STREAM
-         && request->input->program_deadline_ms > 0;
+         && route_admits_programs (request->route,
+                                   request->input->program_deadline_ms);
 }
 
 /* Returns the least time in which a send of the request can succeed.  */
@@ -1300,8 +1300,7 @@
             : MAX (MAX_FIRST_EVENT_MS, remaining_ms (request) / 3);
 
   return (request->denials > 0
-          || pool_has_used_up_limit (pipeline->options.pool, query, now_ms)
-          || pool_has_evacuated (pipeline->options.pool, query))
+          || pool_may_overflow (pipeline->options.pool, query, now_ms))
          && (pool_is_full (endpoint, now_ms)
              || is_slow (pipeline, endpoint, max_wait_ms, now_ms));
 }
@@ -1974,11 +1973,9 @@
 static void
 set_deadline (struct request *request)
 {
-  int64_t limit_ms = request->route->timeout_ms;
+  int64_t limit_ms
+      = route_limit_ms (request->route, request->input->deadline_ms);
 
-  if (request->input->deadline_ms >= 0
-      && (limit_ms <= 0 || request->input->deadline_ms < limit_ms))
-    limit_ms = request->input->deadline_ms;
   request->deadline_at_ms = request->started_ms + limit_ms;
   ev_timer_set (&request->deadline, (double)limit_ms / 1000.0, 0);
   ev_timer_start (request->pipeline->options.loop, &request->deadline);
--- a/request/routing.c
+++ b/request/routing.c
@@ -152,6 +152,25 @@
   return found ? &routing->customers[found - 1] : NULL;
 }
 
+/* Returns the time of a request on ROUTE whose caller allows it DEADLINE_MS,
+   negative for no deadline.  */
+int64_t
+route_limit_ms (const struct route *route, int64_t deadline_ms)
+{
+  if (deadline_ms >= 0
+      && (route->timeout_ms <= 0 || deadline_ms < route->timeout_ms))
+    return deadline_ms;
+  return route->timeout_ms;
+}
+
+/* Whether admission concerns a request on ROUTE: it is a turn whose caller
+   states the program's deadline.  */
+bool
+route_admits_programs (const struct route *route, int64_t program_deadline_ms)
+{
+  return route->retry_mode == ROUTE_STREAM && program_deadline_ms > 0;
+}
+
 /* Selects a target of ROUTE by weight, with a random number, or a program's
    hash so that its requests go to the same service.  Returns NULL if there is
    none.  */
--- a/test/unit/test_explain.c
+++ b/test/unit/test_explain.c
@@ -1,5 +1,7 @@
 #include "common/buf.h"
 #include "common/id.h"
+#include "policy/admission.h"
+#include "request/explain.h"
 #include "request/pool.h"
 #include "suites.h"
 #include <stdio.h>
@@ -192,8 +194,115 @@
   check_obstacle (use_up_limit, &query, POOL_NO_PERMIT);
 }
 
+/* Guards against previews that count as demand or move the smoothed share: of
+   two admissions with equal histories only one is asked for previews.  */
+static void
+test_admission (void)
+{
+  struct admission *asked = admission_create ();
+  struct admission *other = admission_create ();
+  struct admission_query query
+      = { .service = 1, .remaining_ms = 4000, .first_event_ms = -1 };
+  uint32_t refused = 0;
+  uint32_t wrong = 0;
+
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      int64_t now_ms = NOW_MS + (int64_t)i * STEP_MS;
+      struct admission_decision named;
+      struct admission_decision made;
+      struct admission_decision unasked;
+
+      query.customer = 1 + (uint64_t)i % 3;
+      query.random = id_hash64 (&i, sizeof i, 1);
+      query.load = (struct admission_load){ .endpoints = 4,
+                                            .reporting = 4,
+                                            .slots = 32,
+                                            .running = 32,
+                                            .waiting = i };
+      named = admission_preview (asked, &query, now_ms);
+      made = admission_decide (asked, &query, now_ms);
+      unasked = admission_decide (other, &query, now_ms);
+      wrong += named.verdict != made.verdict
+               || named.retry_after_ms != made.retry_after_ms
+               || made.verdict != unasked.verdict
+               || made.retry_after_ms != unasked.retry_after_ms
+               || made.wait_ms != unasked.wait_ms;
+      refused += made.verdict != ADMISSION_ADMITTED;
+    }
+  CU_ASSERT_EQUAL (wrong, 0);
+  CU_ASSERT_TRUE (refused > 0 && refused < ROUNDS);
+  admission_destroy (asked);
+  admission_destroy (other);
+}
+
+/* Checks that the explanation's sentence contains TEXT, and whether it names
+   an endpoint.  */
+static void
+check_summary (const struct explain_sources *sources,
+               const struct explain_query *query, const char *text,
+               bool is_picked)
+{
+  json_t *answer = explain_request (sources, query, NOW_MS);
+  const char *summary
+      = json_string_value (json_object_get (answer, "summary"));
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (summary);
+  CU_ASSERT_PTR_NOT_NULL (strstr (summary, text));
+  CU_ASSERT_EQUAL (json_object_get (answer, "picked") != NULL, is_picked);
+  json_decref (answer);
+}
+
+/* Guards against a summary that does not tell what decides.  */
+static void
+test_summaries (void)
+{
+  struct route_target target = { .service = 0, .weight = 1 };
+  struct route route = { .name = (char *)"r",
+                         .host = (char *)"h",
+                         .path_prefix = (char *)"/a/",
+                         .targets = &target,
+                         .target_count = 1 };
+  struct service service = { .name = (char *)"app" };
+  struct routing *routing = routing_create ();
+  struct explain_sources sources = { .pool = create_pool (7) };
+  struct explain_query query = { .host = "h", .path = "/a/x" };
+
+  check_summary (&sources, &query, "no configuration", false);
+  routing->routes = &route;
+  routing->services = &service;
+  routing->route_count = routing->service_count = 1;
+  routing_build_index (routing);
+  sources.routing = routing;
+  check_summary (&sources, &query, "Goes to e", true);
+  query.version = "v2";
+  check_summary (&sources, &query, "no endpoint of service app", false);
+  query.version = NULL;
+  query.customer = "nobody";
+  check_summary (&sources, &query, "customer nobody is unknown", false);
+  query.path = "/b";
+  check_summary (&sources, &query, "no route", false);
+  query = (struct explain_query){ .host = "h", .path = "/a/x" };
+  for (size_t i = 0; i < ENDPOINTS; i++)
+    use_up_limit ((struct pool *)sources.pool, pool_at (sources.pool, i));
+  check_summary (&sources, &query, "Waits for a permit", false);
+  for (size_t i = 0; i < ENDPOINTS; i++)
+    {
+      pool_at (sources.pool, i)->limit_milli = -1;
+      fail ((struct pool *)sources.pool, pool_at (sources.pool, i));
+    }
+  check_summary (&sources, &query, "whose avoidance ends first", true);
+  routing->routes = NULL;
+  routing->services = NULL;
+  routing->route_count = routing->service_count = 0;
+  routing_unref (routing);
+  pool_destroy ((struct pool *)sources.pool);
+}
+
 CU_TestInfo explain_tests[] = {
   { "the explained choice is the one made", test_choices },
   { "each reason against an endpoint", test_obstacles },
+  { "admission's preview", test_admission },
+  { "what decides is told first", test_summaries },
   CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_limits.c
+++ b/test/unit/test_limits.c
@@ -164,7 +164,31 @@
   fixture_release (&fixture);
 }
 
+/* Guards against previews that take tokens or count as demand, and against
+   ones that tell something else than what is done.  */
+static void
+test_preview (void)
+{
+  struct fixture fixture;
+  const struct customer *customer;
+
+  fixture_init (&fixture);
+  customer = &fixture.routing->customers[0];
+  for (int i = 0; i < 10 * WINDOW_TOKENS; i++)
+    CU_ASSERT_EQUAL (
+        limits_preview (fixture.limits, customer, i % 2 == 0).verdict,
+        LIMITS_ADMITTED);
+  use_up_limit (&fixture);
+  CU_ASSERT_EQUAL (limits_preview (fixture.limits, customer, false).verdict,
+                   LIMITS_PENDING);
+  CU_ASSERT_FALSE (admit (&fixture, true, 0));
+  CU_ASSERT_EQUAL (limits_preview (fixture.limits, customer, true).verdict,
+                   LIMITS_REFUSED);
+  fixture_release (&fixture);
+}
+
 CU_TestInfo limits_tests[] = {
+  { "a preview takes no token", test_preview },
   { "a running program waits for a token", test_running_program_waits },
   { "a wait that cannot succeed is refused", test_hopeless_wait_is_refused },
   { "new programs leave tokens to running ones",
