--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -140,6 +140,45 @@
   bool is_unrepeatable; /* lost if the endpoint fails */
 };
 
+/* Why an endpoint is not eligible for a query, in the order in which it is
+   looked at. */
+enum pool_obstacle
+{
+  POOL_ELIGIBLE,
+  POOL_OTHER_SERVICE,
+  POOL_LEAVING,
+  POOL_EVACUATED,
+  POOL_OTHER_BUILD,
+  POOL_UNREACHABLE, /* its data centre */
+  POOL_NO_PATH,     /* none from this host to the endpoint */
+  POOL_HAS_PATH,    /* the query is for endpoints without one */
+  POOL_AVOIDED,     /* after a failure */
+  POOL_LIMITED,     /* the query is for endpoints without a limit */
+  POOL_NO_PERMIT,
+  POOL_RETURNING, /* left out by chance after an evacuation */
+};
+
+/* An endpoint of a query's service, as pool_pick sees it. */
+struct pool_candidate
+{
+  const struct pool_endpoint *endpoint;
+  enum pool_obstacle obstacle;
+  /* The share of the choices in which it takes part after an evacuation. */
+  int64_t return_percent;
+  struct speed_figures figures;
+  struct place_endpoint place; /* also if it is not eligible */
+};
+
+/* What pool_pick would do.  The choice is by chance among the candidates with
+   a weight. */
+struct pool_preview
+{
+  struct pool_candidate *candidates;
+  size_t count;
+  int32_t picked; /* index; negative for none */
+  struct place_options options;
+};
+
 /* What this host has of a service's endpoints that are listed. */
 struct pool_paths
 {
@@ -155,6 +194,10 @@
 };
 
 void endpoint_list_destroy (struct endpoint_list *list);
+struct pool_preview pool_preview (const struct pool *pool,
+                                  const struct pool_query *query,
+                                  int64_t now_ms);
+void pool_preview_release (struct pool_preview *preview);
 
 struct pool *pool_create (const char *data_centre);
 void pool_set_seed (struct pool *pool, uint64_t seed);
@@ -163,15 +206,15 @@
                  int64_t now_ms);
 struct pool_endpoint *
 pool_pick (struct pool *pool, const struct pool_query *query, int64_t now_ms);
-struct pool_endpoint *pool_pick_least_avoided (struct pool *pool,
+struct pool_endpoint *pool_pick_least_avoided (const struct pool *pool,
                                                const struct pool_query *query,
                                                int64_t now_ms);
 bool pool_lacks_path (const struct pool_endpoint *endpoint, int64_t now_ms);
 struct pool_paths pool_count_paths (const struct pool *pool,
                                     const char *service);
 struct pool_endpoint *
-pool_pick_awaiting_permit (struct pool *pool, const struct pool_query *query,
-                           int64_t now_ms);
+pool_pick_awaiting_permit (const struct pool *pool,
+                           const struct pool_query *query, int64_t now_ms);
 int64_t pool_cache_gain_ms (struct pool *pool, const struct pool_query *query,
                             const struct pool_endpoint *endpoint,
                             int64_t now_ms);
@@ -188,6 +231,8 @@
                            int64_t now_ms);
 bool pool_has_used_up_limit (const struct pool *pool,
                              const struct pool_query *query, int64_t now_ms);
+bool pool_may_overflow (const struct pool *pool,
+                        const struct pool_query *query, int64_t now_ms);
 bool pool_is_full (const struct pool_endpoint *endpoint, int64_t now_ms);
 struct pool_endpoint *pool_find_start (const struct pool *pool,
                                        uint64_t start);
@@ -227,6 +272,7 @@
 struct pool_endpoint *pool_find_crashed (const struct pool *pool,
                                          int64_t now_ms);
 void pool_clear_suspects (struct pool_endpoint *endpoint);
+uint64_t pool_build_of (const char *service, const char *version);
 size_t pool_count (const struct pool *pool);
 struct pool_endpoint *pool_at (const struct pool *pool, size_t index);
 uint32_t pool_take_suspects (struct pool_endpoint *endpoint,
--- a/request/request.c
+++ b/request/request.c
@@ -282,8 +282,8 @@
 has_program_deadline (const struct request *request)
 {
   return request->pipeline->options.admits_programs && request->route
-         && request->route->retry_mode == ROUTE_STREAM
-         && request->input->program_deadline_ms > 0;
+         && route_admits_programs (request->route,
+                                   request->input->program_deadline_ms);
 }
 
 /* Returns the least time in which a send of the request can succeed.  */
@@ -1212,24 +1212,11 @@
 static const struct service *
 pick_service (const struct request *request)
 {
-  const struct route *route = request->route;
-  uint64_t weights = 0;
-  uint64_t at;
-
   if (request->build)
     return find_service_of_build (request);
-  for (uint32_t i = 0; i < route->target_count; i++)
-    weights += route->targets[i].weight;
-  if (weights == 0)
-    return NULL;
-  at = (request->program ? request->program : id_random64 ()) % weights;
-  for (uint32_t i = 0; i < route->target_count; i++)
-    {
-      if (at < route->targets[i].weight)
-        return &request->routing->services[route->targets[i].service];
-      at -= route->targets[i].weight;
-    }
-  return NULL;
+  return routing_pick_service (request->routing, request->route,
+                               request->program ? request->program
+                                                : id_random64 ());
 }
 
 /* Returns how long the request may wait for its turn at an endpoint.  */
@@ -1313,8 +1300,7 @@
             : MAX (MAX_FIRST_EVENT_MS, remaining_ms (request) / 3);
 
   return (request->denials > 0
-          || pool_has_used_up_limit (pipeline->options.pool, query, now_ms)
-          || pool_has_evacuated (pipeline->options.pool, query))
+          || pool_may_overflow (pipeline->options.pool, query, now_ms))
          && (pool_is_full (endpoint, now_ms)
              || is_slow (pipeline, endpoint, max_wait_ms, now_ms));
 }
@@ -1899,6 +1885,20 @@
   return admission_step_policy (pipeline->admission);
 }
 
+/* Returns the configuration in force, which the pipeline owns, or NULL.  */
+const struct routing *
+pipeline_routing (const struct pipeline *pipeline)
+{
+  return pipeline->routing;
+}
+
+/* Returns the step that admits programs, which the pipeline owns.  */
+const struct admission_step *
+pipeline_admission_step (const struct pipeline *pipeline)
+{
+  return pipeline->admission;
+}
+
 /* Refuses new requests and ends the active ones.  */
 void
 pipeline_abort (struct pipeline *pipeline)
@@ -1973,11 +1973,9 @@
 static void
 set_deadline (struct request *request)
 {
-  int64_t limit_ms = request->route->timeout_ms;
+  int64_t limit_ms
+      = route_limit_ms (request->route, request->input->deadline_ms);
 
-  if (request->input->deadline_ms >= 0
-      && (limit_ms <= 0 || request->input->deadline_ms < limit_ms))
-    limit_ms = request->input->deadline_ms;
   request->deadline_at_ms = request->started_ms + limit_ms;
   ev_timer_set (&request->deadline, (double)limit_ms / 1000.0, 0);
   ev_timer_start (request->pipeline->options.loop, &request->deadline);
