--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -335,4 +335,16 @@
   "$(curl -s "http://127.0.0.1:$((FLEET_BASE_PORT + 302))/metrics")"
 expect "the state is served" '"endpoints"' \
   "$(curl -s "http://127.0.0.1:$((FLEET_BASE_PORT + 302))/state")"
+
+# explain-route, which must not count as a request.
+requests () { curl -s "http://127.0.0.1:$((FLEET_BASE_PORT + 302))/metrics" | awk '$1 == "galenashore_requests" { print $2 }'; }
+explain () { "$BUILD/galenactl/galenactl" "$@"; }
+before=$(requests)
+expect "explain-route says where a call would go" '^Goes to .*Route notes, service app' \
+  "$(explain explain-route "127.0.0.1:$((FLEET_BASE_PORT + 302))" POST h /note/x --customer hanmae | tr '\n' ' ')"
+expect "explain-route names the rate limit and the endpoints as JSON" '"verdict": "admitted".*"endpoints"|"endpoints".*"verdict": "admitted"' \
+  "$(explain --json explain-route "127.0.0.1:$((FLEET_BASE_PORT + 302))" POST h /note/x --customer hanmae | tr '\n' ' ')"
+expect "explain-route says that no route matches" 'no route of host name other' \
+  "$(explain explain-route "127.0.0.1:$((FLEET_BASE_PORT + 302))" GET other /x)"
+[ "$(requests)" = "$before" ] || fail "explain-route was counted as a request"
 finish
