conversation: a repeated write is acknowledged once

Cause: a host sends an unanswered write again every 100 ms. On a slow disk the keeper remembered each repetition and answered all of them. Change: a host waits for a write at most once.

--- a/conversation/keeper.c
+++ b/conversation/keeper.c
@@ -155,12 +155,32 @@
     keeper_repair_finish_receipt (receipt);
 }
 
+/* Whether HOST waits for the write ID of TURN already.  */
+static bool
+has_waiter (const struct kept_turn *turn, const char *host, uint64_t id)
+{
+  for (const GSList *at = turn->waiters; at; at = at->next)
+    {
+      const struct turn_waiter *waiter = at->data;
+
+      if (waiter->host && waiter->id == id && strcmp (waiter->host, host) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Has HOST or RECEIPT told of the result of TURN's write.  A host sends a
+   write again while it is unanswered, which may be long on a slow disk; it is
+   told once.  */
 static void
 add_waiter (struct kept_turn *turn, const char *host, uint64_t id,
             struct group_receipt *receipt)
 {
-  struct turn_waiter *waiter = xcalloc (1, sizeof *waiter);
+  struct turn_waiter *waiter;
 
+  if (host && has_waiter (turn, host, id))
+    return;
+  waiter = xcalloc (1, sizeof *waiter);
   waiter->host = host ? xstrdup (host) : NULL;
   waiter->id = id;
   waiter->receipt = receipt;
--- a/test/unit/test_conversation_keeper.c
+++ b/test/unit/test_conversation_keeper.c
@@ -966,6 +966,25 @@
   destroy_sim (sim);
 }
 
+/* Guards against memory and acknowledgements that grow with each repetition of
+   a write while the disk is slow.  */
+static void
+test_repeated_write (void)
+{
+  struct sim *sim = create_sim (1, 2);
+  struct sim_turn turn = { .program = 1 };
+
+  for (int i = 0; i < 5; i++)
+    {
+      begin_write (sim, 0, &turn);
+      sim->write_id--; /* all have the same id */
+    }
+  settle (sim);
+  CU_ASSERT_EQUAL (sim->answers, 1);
+  CU_ASSERT_EQUAL (sim->result, TURN_STORED);
+  destroy_sim (sim);
+}
+
 /* An entry host that asks the keepers of SIM. */
 struct asking_host
 {
@@ -1065,6 +1084,7 @@
   { "no room", test_no_room },
   { "long program", test_long_program },
   { "memory", test_memory },
+  { "repeated write", test_repeated_write },
   { "host with an old list", test_host_with_old_list },
   CU_TEST_INFO_NULL,
 };
