conversation: repeated reads of a turn share one read of the disk

Cause: each repetition of a read during a read of the disk took a place of its own and was answered with the whole text.

Change: reads of one host for the same turn share a place.

--- a/conversation/keeper.c
+++ b/conversation/keeper.c
@@ -662,13 +662,32 @@
   store_fetch (keeper->options.store, name, handle_group_fetched, fetch);
 }
 
-/* Has GROUP read from the disk for HOST.  Returns false if too many wait.  */
+/* Whether HOST waits for the next read of GROUP with the same question.  */
+static bool
+has_fetch_waiter (const struct turn_group *group, const char *host,
+                  uint64_t id, const struct kept_turn *turn)
+{
+  for (const GSList *at = group->fetch_waiters; at; at = at->next)
+    {
+      const struct fetch_waiter *waiter = at->data;
+
+      if (waiter->id == id && waiter->turn == turn
+          && strcmp (waiter->host, host) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Has GROUP read from the disk for HOST, once for all repetitions of a
+   question that come during another read.  Returns false if too many wait.  */
 static bool
 fetch_for (struct conversation_keeper *keeper, struct turn_group *group,
            const char *host, uint64_t id, struct kept_turn *turn)
 {
   struct fetch_waiter *waiter;
 
+  if (has_fetch_waiter (group, host, id, turn))
+    return true;
   if (keeper->waiters >= MAX_WAITERS)
     return false;
   waiter = xcalloc (1, sizeof *waiter);
--- a/test/unit/test_conversation_keeper.c
+++ b/test/unit/test_conversation_keeper.c
@@ -985,6 +985,36 @@
   destroy_sim (sim);
 }
 
+/* Guards against a text that is sent for each repetition of a question while
+   the disk is slow.  One repetition may come too late for the read that has
+   begun.  */
+static void
+test_repeated_read (void)
+{
+  struct sim *sim = create_sim (1, 2);
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__TurnRead read = PEER__TURN_READ__INIT;
+
+  CU_ASSERT_EQUAL (write_turn (sim, 0, &(struct sim_turn){ .program = 1 }),
+                   TURN_STORED);
+  stop_keeper (sim, 0);
+  start_keeper (sim, 0);
+  apply_list (sim);
+  run (sim, 1000);
+  read.id = 5;
+  read.customer = CUSTOMER;
+  read.turn = (char[]){ "t1-0" };
+  frame.body_case = PEER__FRAME__BODY_TURN_READ;
+  frame.turn_read = &read;
+  sim->answers = 0;
+  for (int i = 0; i < 5; i++)
+    conversation_keeper_handle_frame (sim->keepers[0].keeper, "host", &frame);
+  settle (sim);
+  CU_ASSERT_EQUAL (sim->result, TURN_FOUND);
+  CU_ASSERT (sim->answers <= 2);
+  destroy_sim (sim);
+}
+
 /* An entry host that asks the keepers of SIM. */
 struct asking_host
 {
@@ -1085,6 +1115,7 @@
   { "long program", test_long_program },
   { "memory", test_memory },
   { "repeated write", test_repeated_write },
+  { "repeated read", test_repeated_read },
   { "host with an old list", test_host_with_old_list },
   CU_TEST_INFO_NULL,
 };
