--- a/policy/place.c
+++ b/policy/place.c
@@ -325,6 +325,8 @@
     close_us = MAX_CLOSE_US;
   for (size_t i = 0; i < count; i++)
     sum += closeness (&endpoints[i], &endpoints[best], close_us);
+  if (sum == 0)
+    return best;
   at = next_random (seed) % sum;
   for (size_t i = 0; i < count; i++)
     {
--- a/request/conversation_step.c
+++ b/request/conversation_step.c
@@ -207,18 +207,16 @@
 conversation_verdict_error (enum conversation_verdict verdict,
                             struct error *error)
 {
-  static const char *const messages[]
-      = { [CONVERSATION_NO_SUCH_TURN] = "there is no such previous turn",
-          [CONVERSATION_NOT_CERTAIN]
-          = "too few keepers answered to read the previous turn",
-          [CONVERSATION_NO_KEEPERS]
-          = "too few keepers answer or have room for a new conversation",
-          [CONVERSATION_NO_MEMORY]
-          = "this host has no memory for the conversation",
-          [CONVERSATION_TOO_LONG] = "the conversation is too long",
-          [CONVERSATION_RESUMED]
-          = "a turn of a kept conversation cannot be resumed; start it "
-            "again" };
+  static const char *const messages[] = {
+    [CONVERSATION_NO_SUCH_TURN] = "there is no such previous turn",
+    [CONVERSATION_NOT_CERTAIN]
+    = "too few keepers answered to read the previous turn",
+    [CONVERSATION_NO_KEEPERS]
+    = "too few keepers answer or have room for a new conversation",
+    [CONVERSATION_NO_MEMORY] = "this host has no memory for the conversation",
+    [CONVERSATION_TOO_LONG] = "the conversation is too long",
+    [CONVERSATION_RESUMED] = "a turn of a kept conversation cannot be resumed"
+  };
   enum error_kind kind = verdict == CONVERSATION_NO_SUCH_TURN ? ERROR_NOT_FOUND
                          : verdict == CONVERSATION_TOO_LONG   ? ERROR_TOO_LARGE
                                                             : ERROR_OVERLOADED;
--- a/request/request.c
+++ b/request/request.c
@@ -1479,7 +1479,9 @@
 static void
 fail_undispatched (struct request *request)
 {
-  if (request->denials > 0 && request->step != STEP_STREAM
+  /* A configuration that was applied meanwhile may have left the route without
+     a service. */
+  if (request->service && request->denials > 0 && request->step != STEP_STREAM
       && request->possible_runs == 0)
     refuse_with_message (request, ERROR_OVERLOADED, permit_retry_ms (request),
                          "the limits of the service's endpoints are used up");
