request, test: lookups of streams find records under way; the merged tests' set-up

Cause: a lookup by content ended with the first round of answers, before a record of an equal request elsewhere had arrived: an unnamed stream of two builds was resumed in 2 of 12 runs of "equal streams at two versions". Beside load a keeper took longer than both rounds, and a stream that could go on was refused (1 of 20). The tests' hosts had no memory for callers (buffer_limit_mb), reused ids of attempts, and resumed a stream that no host had recorded.

Change: the content decides only after the second round; while no keeper has answered at all, five rounds are asked. The tests set the memory, use an id once and record the stream's origin; their checks are the same.

--- a/request/stream_index.c
+++ b/request/stream_index.c
@@ -14,6 +14,7 @@
      within 50 ms. */
   ROUND_MS = 20,
   ROUNDS = 2,
+  SILENT_ROUNDS = 5, /* while no keeper has answered: a stream may be lost */
 };
 
 /* Recorded for equal requests that began at different builds. */
@@ -229,7 +230,9 @@
 {
   struct stream_lookup *lookup = timer->data;
 
-  if (lookup->round < ROUNDS && lookup->replicas.count > 0)
+  uint32_t rounds = lookup->is_answered ? ROUNDS : SILENT_ROUNDS;
+
+  if (lookup->round < rounds && lookup->replicas.count > 0)
     start_round (lookup);
   else
     finish_undecided (lookup);
@@ -296,8 +299,8 @@
   for (uint32_t i = 0; i < lookup->replicas.count; i++)
     if ((int32_t)lookup->replicas.keepers[i] == keeper)
       lookup->has_answered[i] = true;
-  if (count_answers (lookup) == lookup->replicas.count
-      && (lookup->build || lookup->round == ROUNDS))
+  if (lookup->round >= ROUNDS
+      && count_answers (lookup) == lookup->replicas.count)
     finish_undecided (lookup);
 }
 
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -369,6 +369,23 @@
   memcpy (local->listed, owner->listed, sizeof local->listed);
 }
 
+static struct stream_index *
+create_streams (struct local_pipeline *local)
+{
+  struct stream_index_options options = { .loop = local->loop };
+
+  return stream_index_create (&options);
+}
+
+/* Records that the first endpoint began the stream of the attempt "0".  */
+static void
+record_origin (struct local_pipeline *local)
+{
+  struct stream_key key = { .content = 1, .attempt = id_hash64 ("0", 1, 0) };
+
+  stream_index_record (local->streams, &key, pool_at (local->pool, 0)->build);
+}
+
 /* Creates a pipeline with one route to one service.  */
 struct local_pipeline *
 local_pipeline_create (const struct local_pipeline_options *options)
@@ -393,6 +410,8 @@
   pipeline.limiter = local->limiter;
   pipeline.monitor = local->monitor;
   pipeline.relays = local->relays;
+  if (options->knows_origin)
+    pipeline.streams = local->streams = create_streams (local);
   local->pipeline = pipeline_create (&pipeline);
   if (options->shared)
     share_endpoints (local, options->shared);
@@ -406,6 +425,8 @@
                                        .respond = sink_respond };
   pipeline_apply (local->pipeline, local_routing_create (&options->route));
   local_pipeline_list_endpoints (local);
+  if (options->knows_origin)
+    record_origin (local);
   return local;
 }
 
@@ -414,6 +435,7 @@
 local_pipeline_destroy (struct local_pipeline *local)
 {
   pipeline_destroy (local->pipeline);
+  stream_index_destroy (local->streams);
   limits_destroy (local->limits);
   close_transport (local);
   pool_destroy (local->pool);
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -60,7 +60,10 @@
   uint32_t endpoint_count;             /* 0 for one */
   const char *const *versions;         /* of the endpoints; NULL for none */
   struct conversations *conversations; /* may be NULL */
-  const char *host;                    /* name of this host; NULL for "x" */
+  /* This host recorded that the first endpoint began the stream that further
+     requests may resume. */
+  bool knows_origin;
+  const char *host; /* name of this host; NULL for "x" */
   /* Is a host of the same fleet as this pipeline, with its loop and endpoints,
      and destroyed before it; NULL for a fleet of its own. */
   struct local_pipeline *shared;
@@ -93,6 +96,7 @@
   struct fetcher *fetcher;
   struct pool *pool;
   struct limits *limits;
+  struct stream_index *streams; /* NULL unless it knows a stream's origin */
   struct pipeline *pipeline;
   struct raw_endpoint *endpoints[LOCAL_MAX_ENDPOINTS];
   struct local_endpoint listed[LOCAL_MAX_ENDPOINTS];
--- a/test/unit/test_broken_answers.c
+++ b/test/unit/test_broken_answers.c
@@ -217,6 +217,7 @@
   struct local_pipeline_options options = { .route.retry_mode = ROUTE_STREAM,
                                             .route.resumable = true,
                                             .route.timeout_ms = TIMEOUT_MS,
+                                            .knows_origin = true,
                                             .answer = answer_cut,
                                             .data = &cut };
   struct local_pipeline *local = local_pipeline_create (&options);
--- a/test/unit/test_stream_versions.c
+++ b/test/unit/test_stream_versions.c
@@ -18,6 +18,8 @@
   STREAMS = 16,
   VERSIONS = 2,
   READY_TIMEOUT_MS = 5000,
+  RETRY_INTERVAL_US = 10 * 1000,
+  MAX_CONNECTIONS = 2 * READY_TIMEOUT_MS * 1000 / RETRY_INTERVAL_US,
   REFUSED_WITHIN_MS = 50, /* callers start the stream again then */
 };
 
@@ -271,7 +273,8 @@
     .limit_window_s = 1,
     .absent_ms = 60 * 1000,
     .retention_ms = 60 * 1000,
-    .max_connections = 64,
+    .max_connections = MAX_CONNECTIONS,
+    .buffer_limit_mb = 8,
   };
   fleet->nodes[node] = node_traffic_create (settings, fleet->control, &error);
   CU_ASSERT_PTR_NOT_NULL_FATAL (fleet->nodes[node]);
@@ -468,23 +471,26 @@
   int64_t started_ms = clock_now_ms ();
 
   for (uint32_t node = 0; !is_keeper (node); node++)
-    {
-      struct attempt begin = { .id = "ready", .stream = "ready" };
-      struct attempt resume = { .id = "ready-2",
-                                .stream = "ready",
-                                .is_resumed = true,
-                                .resumed = "ready" };
-
-      do
-        {
-          run_attempt (fleet, node, &begin);
-          if (fleet->status == 200)
-            run_attempt (fleet, 1 - node, &resume);
-          CU_ASSERT_TRUE_FATAL (clock_now_ms () - started_ms
-                                < READY_TIMEOUT_MS);
-        }
-      while (fleet->status != 200);
-    }
+    do
+      {
+        char *id
+            = xasprintf ("ready-%016" G_GINT64_MODIFIER "x", id_random64 ());
+        struct attempt begin = { .id = id, .stream = id };
+        struct attempt resume = {
+          .id = "again", .stream = id, .is_resumed = true, .resumed = id
+        };
+
+        run_attempt (fleet, node, &begin);
+        if (fleet->status == 200)
+          run_attempt (fleet, 1 - node, &resume);
+        /* Each refused attempt leaves a connection open, of which a host
+           accepts MAX_CONNECTIONS. */
+        if (fleet->status != 200)
+          g_usleep (RETRY_INTERVAL_US);
+        free (id);
+        CU_ASSERT_TRUE_FATAL (clock_now_ms () - started_ms < READY_TIMEOUT_MS);
+      }
+    while (fleet->status != 200);
 }
 
 /* Guards against going on at another software version when the caller resumes
