test: the last request of the admission test is cancelled

Cause: AddressSanitizer stage, unit: the test destroyed its pipeline with an active request, which leaked.

Change: the request is cancelled, as the ones before it.

--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -576,6 +576,7 @@
   request_cancel (local->active);
   /* The program is under way now. */
   CU_ASSERT_FALSE (is_refused (local, 0));
+  request_cancel (local->active);
   local_pipeline_destroy (local);
 }
 
