--- a/policy/place.c
+++ b/policy/place.c
@@ -3,7 +3,6 @@
 
 enum
 {
-  US_PER_MS = 1000,
   PERMILLE = 1000,
   /* Endpoints that cost up to an eighth more than the best one are chosen
      among at random, so that hosts with the same late reports do not all
