common, peer, platform: accounts of the memory that a host holds for others

/metrics has galenashore_memory_bytes by account (callers, responses, links out and in, messages between threads, decoded configurations), the resident memory, the number of configurations in use, and the feed's requests, answers and their bytes. The log tells the accounts whenever the process has grown or shrunk by 4 MB within a second, and how many bytes wait on the link to a host that does not answer; /state has them for each link. No decision depends on them yet.

--- a/common/buffer_budget.c
+++ b/common/buffer_budget.c
@@ -1,5 +1,6 @@
 #include "common/buffer_budget.h"
 #include "common/counters.h"
+#include "common/memory.h"
 
 enum
 {
@@ -16,6 +17,7 @@
     return false;
   budget->used_bytes += bytes;
   counter_add (COUNTER_BUFFERED_BYTES, (int64_t)bytes);
+  memory_add (MEMORY_CALLERS, (int64_t)bytes);
   return true;
 }
 
@@ -25,6 +27,7 @@
 {
   budget->used_bytes -= bytes;
   counter_add (COUNTER_BUFFERED_BYTES, -(int64_t)bytes);
+  memory_add (MEMORY_CALLERS, -(int64_t)bytes);
 }
 
 static bool
--- a/common/counters.c
+++ b/common/counters.c
@@ -79,6 +79,10 @@
   [COUNTER_TURN_GROUPS_RESTORED] = "turn_groups_restored",
   [COUNTER_TURN_GROUPS_SENT] = "turn_groups_sent",
   [COUNTER_TURN_GROUPS_EXPIRED] = "turn_groups_expired",
+  [COUNTER_CONFIG_VERSIONS] = "config_versions",
+  [COUNTER_FEED_REQUESTS] = "feed_requests",
+  [COUNTER_FEED_ANSWERS] = "feed_answers",
+  [COUNTER_FEED_ANSWER_BYTES] = "feed_answer_bytes",
 };
 
 static uint64_t counter_values[COUNTER_COUNT];
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -1,6 +1,7 @@
 #include "common/fetch.h"
 #include "common/counters.h"
 #include "common/deferred.h"
+#include "common/memory.h"
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -103,6 +104,7 @@
 
   unlink_fetch (fetch);
   fetcher->buffered_bytes -= fetch->buffered_bytes;
+  memory_add (MEMORY_RESPONSES, -(int64_t)fetch->buffered_bytes);
   curl_multi_remove_handle (fetcher->multi, fetch->easy);
   if (fetcher->idle_count < MAX_IDLE_HANDLES)
     {
@@ -287,6 +289,7 @@
   buf_append (&fetch->body, bytes, len);
   fetch->buffered_bytes += len;
   fetch->fetcher->buffered_bytes += len;
+  memory_add (MEMORY_RESPONSES, (int64_t)len);
   return len;
 }
 
--- a/feed/feed.c
+++ b/feed/feed.c
@@ -1,5 +1,6 @@
 #include "feed/feed.h"
 #include "common/buf.h"
+#include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
 #include "policy/leader.h"
@@ -694,6 +695,7 @@
   struct pending_update update;
   GPtrArray *entries;
 
+  counter_add (COUNTER_FEED_REQUESTS, 1);
   if (!replicated || !table_is_loaded (replicated->table)
       || (request->revision == 0 && feed->answered_bytes > MAX_ANSWER_BYTES)
       || clock_now_ms () - table_as_of_ms (replicated->table)
@@ -712,6 +714,8 @@
   update_add_names (&update, replicated->table);
   if (request->revision == 0)
     feed->answered_bytes += count_bytes (&update);
+  counter_add (COUNTER_FEED_ANSWERS, 1);
+  counter_add (COUNTER_FEED_ANSWER_BYTES, (int64_t)count_bytes (&update));
   update_send (feed, &update, host);
 }
 
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -88,6 +88,10 @@
   COUNTER_TURN_GROUPS_RESTORED, /* read from other keepers */
   COUNTER_TURN_GROUPS_SENT,     /* to other keepers */
   COUNTER_TURN_GROUPS_EXPIRED,
+  COUNTER_CONFIG_VERSIONS, /* decoded and in use; a gauge */
+  COUNTER_FEED_REQUESTS,   /* for objects, of other hosts */
+  COUNTER_FEED_ANSWERS,    /* sent to other hosts */
+  COUNTER_FEED_ANSWER_BYTES,
   COUNTER_COUNT,
 };
 
--- a/include/peer/link.h
+++ b/include/peer/link.h
@@ -50,6 +50,8 @@
   ev_timer hello_timer;
   struct buf in;
   struct buf out;
+  size_t in_bytes; /* capacities of the buffers, as accounted */
+  size_t out_bytes;
   struct seal seal;
   uint8_t own_nonce[SEAL_NONCE_BYTES];
   const struct keyring *keyring;
--- a/include/platform/messages.h
+++ b/include/platform/messages.h
@@ -5,6 +5,7 @@
 
 #include "common/buf.h"
 #include "common/fields.h"
+#include "peer/peer.pb-c.h"
 #include "request/pool.h"
 #include "request/routing.h"
 #include <stdbool.h>
@@ -66,6 +67,7 @@
   struct buf frame; /* packed Peer__Frame; owned */
 };
 
+void node_message_pack (struct buf *buf, const Peer__Frame *frame);
 void host_list_destroy (struct host_list *list);
 void node_message_destroy (struct node_message *message);
 void node_report_destroy (struct node_report *report);
--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -68,7 +68,8 @@
   int64_t max_body_bytes;
   GHashTable *keys; /* hash of an API key -> customer index + 1 */
   GHashTable
-      *hosts; /* name -> GArray of struct route *, longest prefix first */
+      *hosts;   /* name -> GArray of struct route *, longest prefix first */
+  size_t bytes; /* that it holds, as accounted */
   uint32_t reference_count; /* not atomic: one thread at a time */
 };
 
--- a/peer/link.c
+++ b/peer/link.c
@@ -1,6 +1,7 @@
 #include "peer/link.h"
 #include "common/counters.h"
 #include "common/log.h"
+#include "common/memory.h"
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <sodium.h>
@@ -28,6 +29,18 @@
   link->owner.handle_closed (link->owner.data, link);
 }
 
+/* Accounts for the memory that the link's buffers hold.  */
+static void
+update_accounts (struct link *link)
+{
+  memory_add (MEMORY_LINKS_IN,
+              (int64_t)link->in.capacity - (int64_t)link->in_bytes);
+  memory_add (MEMORY_LINKS_OUT,
+              (int64_t)link->out.capacity - (int64_t)link->out_bytes);
+  link->in_bytes = link->in.capacity;
+  link->out_bytes = link->out.capacity;
+}
+
 static void
 append_length (struct buf *out, size_t len)
 {
@@ -200,6 +213,7 @@
       return;
     }
   buf_append (&link->in, chunk, (size_t)got);
+  update_accounts (link);
   if (!process_input (link))
     close_link (link);
 }
@@ -327,6 +341,7 @@
   sealed_len = seal_encrypt (&link->seal, packed, len, sealed);
   append_length (&link->out, sealed_len);
   buf_append (&link->out, sealed, sealed_len);
+  update_accounts (link);
   free (sealed);
   counter_add (COUNTER_PEER_FRAMES_SENT, 1);
   counter_add (COUNTER_PEER_BYTES_SENT, (int64_t)(LENGTH_BYTES + sealed_len));
@@ -347,6 +362,7 @@
   close (link->fd);
   buf_release (&link->in);
   buf_release (&link->out);
+  update_accounts (link);
   free (link->host);
   free (link->address);
   free (link);
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -3,6 +3,7 @@
 #include "common/buf.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/memory.h"
 #include "peer/link.h"
 #include <errno.h>
 #include <glib.h>
@@ -70,6 +71,13 @@
   struct sent_frames sent[MAX_FRAME_KINDS]; /* by the number of the body */
 };
 
+/* Returns the bytes queued for PEER that it has not read.  */
+static size_t
+backlog_bytes (const struct peer *peer)
+{
+  return peer->pending.len + (peer->link ? peer->link->out.len : 0);
+}
+
 static struct peer *
 find_peer (const struct mesh *mesh, const char *name)
 {
@@ -95,12 +103,23 @@
     link_send (peer->link, packed, len);
   else if (peer->pending.len + len < MAX_PENDING_BYTES)
     {
+      size_t capacity = peer->pending.capacity;
+
       buf_append (&peer->pending, &prefix, sizeof prefix);
       buf_append (&peer->pending, packed, len);
+      memory_add (MEMORY_LINKS_OUT,
+                  (int64_t)(peer->pending.capacity - capacity));
     }
   free (packed);
 }
 
+static void
+release_pending (struct peer *peer)
+{
+  memory_add (MEMORY_LINKS_OUT, -(int64_t)peer->pending.capacity);
+  buf_release (&peer->pending);
+}
+
 /* Marks PEER as not answering and, when it was not yet marked, calls the
    handler of the mesh.  */
 static void
@@ -112,7 +131,14 @@
   peer->reconnect_at_ms = clock_now_ms () + reconnect_delay_ms;
   if (was_suspect)
     return;
-  log_write (LOG_WARN, "mesh", NULL, "host %s does not answer", peer->name);
+  log_write (LOG_WARN, "mesh", NULL,
+             "host %s does not answer: last heard %lld ms ago, %zu bytes wait "
+             "on the link to it",
+             peer->name,
+             (long long)(peer->last_received_ms
+                             ? clock_now_ms () - peer->last_received_ms
+                             : -1),
+             backlog_bytes (peer));
   peer->mesh->options.handle_down (peer->mesh->options.data, peer->name);
 }
 
@@ -134,7 +160,7 @@
   peer->link = NULL;
   peer->ping_sent_ms = 0;
   peer->unheard_since_ms = 0;
-  buf_release (&peer->pending);
+  release_pending (peer);
 }
 
 static void
@@ -152,7 +178,7 @@
       link_send (link, (const uint8_t *)peer->pending.data + offset, len);
       offset += len;
     }
-  buf_release (&peer->pending);
+  release_pending (peer);
 }
 
 /* Never called: frames arrive only on inbound links.  */
@@ -443,7 +469,7 @@
 peer_destroy (struct peer *peer)
 {
   link_destroy (peer->link);
-  buf_release (&peer->pending);
+  release_pending (peer);
   free (peer->name);
   free (peer->address);
   free (peer);
@@ -649,11 +675,12 @@
 
   for (const struct peer *peer = mesh->peers; peer; peer = peer->next)
     json_array_append_new (
-        list,
-        json_pack ("{s:s, s:s?, s:b, s:b, s:b, s:b, s:b}", "host", peer->name,
-                   "address", peer->address, "listed", peer->listed, "linked",
-                   peer->link && peer->link->state == LINK_OPEN, "suspect",
-                   peer->suspect, "leaving", peer->leaving, "blocked",
-                   peer->blocked));
+        list, json_pack ("{s:s, s:s?, s:b, s:b, s:b, s:b, s:b, s:I}", "host",
+                         peer->name, "address", peer->address, "listed",
+                         peer->listed, "linked",
+                         peer->link && peer->link->state == LINK_OPEN,
+                         "suspect", peer->suspect, "leaving", peer->leaving,
+                         "blocked", peer->blocked, "backlog_bytes",
+                         (json_int_t)backlog_bytes (peer)));
   return list;
 }
--- a/request/routing.c
+++ b/request/routing.c
@@ -1,9 +1,18 @@
 #include "request/routing.h"
 #include "common/buf.h"
+#include "common/counters.h"
+#include "common/memory.h"
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  BLOCK_BYTES = 16, /* that an allocation takes beside its content */
+  KEY_BYTES = 2 * BLOCK_BYTES + 32,   /* an entry of the table of keys */
+  HOST_BYTES = 4 * BLOCK_BYTES + 112, /* an entry of the table of hosts */
+};
+
 /* Returns the hash of an API key, keyed with a per-process secret.  Keys are
    stored only in this form.  */
 static uint64_t
@@ -68,9 +77,38 @@
   free (routing->customers);
   g_hash_table_destroy (routing->keys);
   g_hash_table_destroy (routing->hosts);
+  if (routing->bytes > 0)
+    counter_add (COUNTER_CONFIG_VERSIONS, -1);
+  memory_add (MEMORY_CONFIG, -(int64_t)routing->bytes);
   free (routing);
 }
 
+/* Returns about how many bytes the configuration holds.  */
+static size_t
+count_bytes (const struct routing *routing)
+{
+  size_t bytes = sizeof *routing
+                 + routing->route_count * sizeof *routing->routes
+                 + routing->service_count * sizeof *routing->services
+                 + routing->customer_count * sizeof *routing->customers
+                 + g_hash_table_size (routing->keys) * KEY_BYTES
+                 + g_hash_table_size (routing->hosts) * HOST_BYTES;
+
+  for (uint32_t i = 0; i < routing->route_count; i++)
+    {
+      const struct route *route = &routing->routes[i];
+
+      bytes += sizeof route + strlen (route->name) + strlen (route->host)
+               + strlen (route->path_prefix) + 4 * BLOCK_BYTES
+               + route->target_count * sizeof *route->targets;
+    }
+  for (uint32_t i = 0; i < routing->service_count; i++)
+    bytes += strlen (routing->services[i].name) + BLOCK_BYTES;
+  for (uint32_t i = 0; i < routing->customer_count; i++)
+    bytes += strlen (routing->customers[i].name) + BLOCK_BYTES;
+  return bytes;
+}
+
 /* Adds an API key of the customer at CUSTOMER_INDEX.  */
 void
 routing_add_key (struct routing *routing, const char *key,
@@ -117,6 +155,9 @@
   g_hash_table_iter_init (&iter, routing->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_array_sort (value, compare_prefix_lengths);
+  routing->bytes = count_bytes (routing);
+  memory_add (MEMORY_CONFIG, (int64_t)routing->bytes);
+  counter_add (COUNTER_CONFIG_VERSIONS, 1);
 }
 
 /* Returns the route on HOST with the longest matching prefix of PATH, or NULL.
