--- a/feed/feed.c
+++ b/feed/feed.c
@@ -73,6 +73,13 @@
   ev_timer tick;
 };
 
+static int64_t
+current_ms (const struct feed *feed)
+{
+  return feed->options.now_ms ? feed->options.now_ms (feed->options.data)
+                              : clock_now_ms ();
+}
+
 /* Returns the time at which all tables were up to date.  */
 static int64_t
 oldest_as_of_ms (const struct feed *feed)
@@ -209,17 +216,19 @@
   feed->options.handle_follow (feed->options.data, follows_store);
 }
 
-static int64_t
-beacon_interval_ms (const struct feed *feed)
+/* Returns the interval of the beacons.  */
+int64_t
+feed_interval_ms (const struct feed *feed)
 {
   return feed->options.stale_ms / BEACONS_PER_STALE;
 }
 
-static void
-handle_tick (struct ev_loop *loop, ev_timer *timer, int events)
+/* Sends beacons, and requests what the store does not deliver.  Called at
+   intervals of feed_interval_ms, by the feed itself if it has a loop.  */
+void
+feed_tick (struct feed *feed)
 {
-  struct feed *feed = timer->data;
-  int64_t now_ms = clock_now_ms ();
+  int64_t now_ms = current_ms (feed);
 
   feed->answered_bytes = 0;
   set_follows_store (feed, leader_watches_store (&feed->leader, now_ms));
@@ -228,10 +237,16 @@
   /* By then, the store has had time to answer. */
   if (feed->follows_store
       && now_ms - oldest_as_of_ms (feed)
-             > feed->options.stale_ms + beacon_interval_ms (feed))
+             > feed->options.stale_ms + feed_interval_ms (feed))
     request_from_other_hosts (feed);
 }
 
+static void
+handle_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  feed_tick (timer->data);
+}
+
 static void
 feed_member_destroy (gpointer data)
 {
@@ -256,11 +271,12 @@
   feed->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          feed_member_destroy);
   feed->is_store_reachable = true;
-  leader_init (&feed->leader, &leader, clock_now_ms ());
-  interval_s = (double)beacon_interval_ms (feed) / MS_PER_S;
+  leader_init (&feed->leader, &leader, current_ms (feed));
+  interval_s = (double)feed_interval_ms (feed) / MS_PER_S;
   ev_timer_init (&feed->tick, handle_tick, interval_s, interval_s);
   feed->tick.data = feed;
-  ev_timer_start (options->loop, &feed->tick);
+  if (options->loop)
+    ev_timer_start (options->loop, &feed->tick);
   return feed;
 }
 
@@ -272,7 +288,8 @@
     return;
   for (size_t i = 0; i < feed->table_count; i++)
     table_set_listener (feed->tables[i].table, NULL, NULL);
-  ev_timer_stop (feed->options.loop, &feed->tick);
+  if (feed->options.loop)
+    ev_timer_stop (feed->options.loop, &feed->tick);
   strings_release (&feed->local_hosts);
   strings_release (&feed->relays);
   strings_release (&feed->entry_hosts);
@@ -303,10 +320,10 @@
 
 static void
 update_init (struct pending_update *update, const struct table *table,
-             int64_t base)
+             int64_t base, int64_t now_ms)
 {
   peer__feed_update__init (&update->message);
-  fill_state (&update->state, table, clock_now_ms ());
+  fill_state (&update->state, table, now_ms);
   update->message.state = &update->state;
   update->message.since = (uint64_t)base;
   update->objects = g_ptr_array_new_with_free_func (object_free);
@@ -366,7 +383,7 @@
   if (host)
     feed->options.send (feed->options.data, host, &frame);
   else
-    send_to_followers (feed, &frame, clock_now_ms ());
+    send_to_followers (feed, &frame, current_ms (feed));
   g_ptr_array_free (update->objects, TRUE);
   g_ptr_array_free (update->names, TRUE);
 }
@@ -380,7 +397,7 @@
   struct feed *feed = data;
   struct pending_update update;
 
-  int64_t now_ms = clock_now_ms ();
+  int64_t now_ms = current_ms (feed);
 
   if (!is_relaying (feed, now_ms) || change->names->len == 0)
     return;
@@ -389,7 +406,7 @@
       send_beacon (feed, now_ms);
       return;
     }
-  update_init (&update, table, change->base);
+  update_init (&update, table, change->base, now_ms);
   for (guint i = 0; i < change->names->len; i++)
     {
       const char *name = change->names->pdata[i];
@@ -544,7 +561,7 @@
 record_leader (struct feed *feed, const char *host)
 {
   const struct feed_member *member = g_hash_table_lookup (feed->members, host);
-  int64_t now_ms = clock_now_ms ();
+  int64_t now_ms = current_ms (feed);
 
   if (!are_tables_loaded (feed) || !member || !member->is_entry)
     return;
@@ -558,7 +575,8 @@
 /* Updates the time at which the table was last up to date.  Returns false if
    the table lacks something that STATE describes.  */
 static bool
-confirm_state (struct table *table, const Peer__FeedState *state)
+confirm_state (struct table *table, const Peer__FeedState *state,
+               int64_t now_ms)
 {
   int64_t revision = (int64_t)state->revision;
 
@@ -567,7 +585,7 @@
           && table_count (table) != state->count))
     return false;
   if (table_revision (table) == revision)
-    table_commit (table, revision, clock_now_ms () - state->age_ms, false);
+    table_commit (table, revision, now_ms - state->age_ms, false);
   return true;
 }
 
@@ -589,14 +607,15 @@
 handle_beacon (struct feed *feed, const char *host,
                const Peer__FeedBeacon *beacon)
 {
-  int64_t now_ms = clock_now_ms ();
+  int64_t now_ms = current_ms (feed);
 
   for (size_t i = 0; i < beacon->n_states; i++)
     {
       struct replicated_table *replicated
           = find_table (feed, beacon->states[i]->kind);
 
-      if (!replicated || confirm_state (replicated->table, beacon->states[i])
+      if (!replicated
+          || confirm_state (replicated->table, beacon->states[i], now_ms)
           || now_ms - replicated->requested_ms < REQUEST_INTERVAL_MS)
         continue;
       replicated->requested_ms = now_ms;
@@ -628,7 +647,8 @@
 }
 
 static void
-apply_update (struct table *table, const Peer__FeedUpdate *update)
+apply_update (struct table *table, const Peer__FeedUpdate *update,
+              int64_t now_ms)
 {
   GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
 
@@ -639,7 +659,7 @@
   if (update->is_complete)
     table_retain (table, names);
   table_commit (table, (int64_t)update->state->revision,
-                clock_now_ms () - update->state->age_ms, update->is_complete);
+                now_ms - update->state->age_ms, update->is_complete);
   g_hash_table_destroy (names);
 }
 
@@ -658,7 +678,7 @@
   revision = table_revision (replicated->table);
   if ((int64_t)update->state->revision < revision)
     return;
-  if (confirm_state (replicated->table, update->state))
+  if (confirm_state (replicated->table, update->state, current_ms (feed)))
     {
       record_leader (feed, host);
       return;
@@ -670,7 +690,7 @@
       request_update (feed, host, replicated->table);
       return;
     }
-  apply_update (replicated->table, update);
+  apply_update (replicated->table, update, current_ms (feed));
   record_leader (feed, host);
 }
 
@@ -698,10 +718,11 @@
   counter_add (COUNTER_FEED_REQUESTS, 1);
   if (!replicated || !table_is_loaded (replicated->table)
       || (request->revision == 0 && feed->answered_bytes > MAX_ANSWER_BYTES)
-      || clock_now_ms () - table_as_of_ms (replicated->table)
+      || current_ms (feed) - table_as_of_ms (replicated->table)
              > feed->options.stale_ms)
     return;
-  update_init (&update, replicated->table, (int64_t)request->revision);
+  update_init (&update, replicated->table, (int64_t)request->revision,
+               current_ms (feed));
   entries = table_entries (replicated->table);
   for (guint i = 0; i < entries->len; i++)
     {
--- a/include/feed/feed.h
+++ b/include/feed/feed.h
@@ -26,7 +26,7 @@
 
 struct feed_options
 {
-  struct ev_loop *loop;
+  struct ev_loop *loop;    /* NULL if the caller calls feed_tick */
   const char *host;        /* name of this host; outlives the feed */
   const char *data_centre; /* outlives the feed */
   bool may_lead; /* this host may become the leader; set on entry hosts */
@@ -36,6 +36,7 @@
   void (*send) (void *data, const char *host, const Peer__Frame *frame);
   /* Called when this host must start or stop following the store. */
   void (*handle_follow) (void *data, bool follows);
+  int64_t (*now_ms) (void *data); /* NULL for the clock */
   void *data;
 };
 
@@ -45,6 +46,8 @@
 void feed_set_hosts (struct feed *feed, const struct feed_host *hosts,
                      size_t count);
 void feed_set_store_reachable (struct feed *feed, bool is_reachable);
+int64_t feed_interval_ms (const struct feed *feed);
+void feed_tick (struct feed *feed);
 void feed_handle_frame (struct feed *feed, const char *host,
                         const Peer__Frame *frame);
 
