--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -63,6 +63,7 @@
     conversation_requests_tests },
   { "cold endpoints", NULL, NULL, NULL, NULL, cold_fleet_tests },
   { "cut-off hosts", NULL, NULL, NULL, NULL, cut_off_hosts_tests },
+  { "link memory", NULL, NULL, NULL, NULL, link_memory_tests },
   { "lossy paths", NULL, NULL, NULL, NULL, lossy_paths_tests },
   { "speed", NULL, NULL, NULL, NULL, speed_tests },
   { "speed fleet", NULL, NULL, NULL, NULL, speed_fleet_tests },
@@ -70,6 +71,7 @@
   { "endpoint limits", NULL, NULL, NULL, NULL, endpoint_limits_tests },
   { "endpoint turns", NULL, NULL, NULL, NULL, endpoint_turns_tests },
   { "stream versions", NULL, NULL, NULL, NULL, stream_versions_tests },
+  { "wide configuration", NULL, NULL, NULL, NULL, wide_config_tests },
   CU_SUITE_INFO_NULL,
 };
 
--- /dev/null
+++ b/test/unit/test_wide_config.c
@@ -0,0 +1,341 @@
+#include "common/buf.h"
+#include "common/id.h"
+#include "feed/feed.h"
+#include "peer/packed_frame.h"
+#include "suites.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HOSTS = 120,
+  CENTRES = 3,
+  ROUTES = 2850,
+  STEP_MS = 10,
+  STALE_MS = 1950, /* for changes that must be in force within 3 s */
+  WITHIN_MS = 3000,
+  SETTLE_MS = 8000,
+  CHANGES = 4,
+  CHANGE_MS = 1000,
+  LINK_BYTES_PER_MS = 30 * 1000 / 8, /* 30 Mbit/s */
+  PACKET_BYTES = 1500,
+  HOST_MEMORY_BYTES = 88 * 1000 * 1000,
+  LINK_MEMORY_PERCENT = 12, /* of it, for what other hosts have not read */
+};
+
+/* A frame on its way to another host. */
+struct transfer
+{
+  struct host *to;
+  struct buf bytes;
+  size_t sent;
+};
+
+/* A host behind a link whose bandwidth its transfers share. */
+struct host
+{
+  struct fleet *fleet;
+  char name[8];
+  char data_centre[8];
+  struct table *table;
+  struct feed *feed;
+  GQueue transfers[HOSTS]; /* by receiver, each in order */
+  size_t next_receiver;
+  size_t queued_bytes;
+  size_t peak_bytes;
+  int64_t next_tick_ms;
+  int64_t version; /* in force */
+  bool follows;
+};
+
+struct fleet
+{
+  struct host hosts[HOSTS];
+  int64_t now_ms;
+  int64_t version; /* in the store */
+  json_t *object;  /* the store's configuration */
+  int follow_changes;
+};
+
+static int64_t
+fleet_now_ms (void *data)
+{
+  return ((struct host *)data)->fleet->now_ms;
+}
+
+static struct host *
+find_host (struct fleet *fleet, const char *name)
+{
+  for (size_t i = 0; i < HOSTS; i++)
+    if (strcmp (fleet->hosts[i].name, name) == 0)
+      return &fleet->hosts[i];
+  return NULL;
+}
+
+static void
+queue_frame (void *data, const char *name, const Peer__Frame *frame)
+{
+  struct host *from = data;
+  struct transfer *transfer = xcalloc (1, sizeof *transfer);
+
+  transfer->to = find_host (from->fleet, name);
+  packed_frame_append (&transfer->bytes, frame);
+  from->queued_bytes += transfer->bytes.len;
+  if (from->queued_bytes > from->peak_bytes)
+    from->peak_bytes = from->queued_bytes;
+  g_queue_push_tail (&from->transfers[transfer->to - from->fleet->hosts],
+                     transfer);
+}
+
+static void
+transfer_destroy (gpointer data)
+{
+  struct transfer *transfer = data;
+
+  buf_release (&transfer->bytes);
+  free (transfer);
+}
+
+static void
+deliver (struct host *from, struct transfer *transfer)
+{
+  Peer__Frame *frame = packed_frame_unpack (&transfer->bytes);
+
+  feed_handle_frame (transfer->to->feed, from->name, frame);
+  peer__frame__free_unpacked (frame, NULL);
+  transfer_destroy (transfer);
+}
+
+/* Sends a packet of the first frame to the next receiver that has one.
+   Returns the bytes sent, or 0 if there is none.  */
+static size_t
+send_packet (struct host *host)
+{
+  for (size_t i = 0; i < HOSTS; i++)
+    {
+      GQueue *queue = &host->transfers[host->next_receiver++ % HOSTS];
+      struct transfer *transfer = g_queue_peek_head (queue);
+      size_t len;
+
+      if (!transfer)
+        continue;
+      len = MIN (transfer->bytes.len - transfer->sent, PACKET_BYTES);
+      transfer->sent += len;
+      host->queued_bytes -= len;
+      if (transfer->sent == transfer->bytes.len)
+        deliver (host, g_queue_pop_head (queue));
+      return len;
+    }
+  return 0;
+}
+
+static void
+send_for_step (struct host *host)
+{
+  size_t budget = STEP_MS * LINK_BYTES_PER_MS;
+  size_t sent = 0;
+  size_t len;
+
+  while (sent < budget && (len = send_packet (host)) > 0)
+    sent += len;
+}
+
+static void
+handle_follow (void *data, bool follows)
+{
+  struct host *host = data;
+
+  host->follows = follows;
+  host->fleet->follow_changes++;
+}
+
+static void
+handle_object (void *data, const char *name, json_t *object, bool removed)
+{
+  ((struct host *)data)->version
+      = json_integer_value (json_object_get (object, "version"));
+}
+
+static void
+handle_commit (void *data)
+{
+}
+
+/* Returns a configuration with ROUTES routes, whose names differ as much as
+   random ones do.  */
+static json_t *
+build_config (int64_t version)
+{
+  json_t *routes = json_array ();
+
+  for (uint32_t i = 0; i < ROUTES; i++)
+    {
+      uint64_t draw = (uint64_t)(i + 1) * UINT64_C (0x9e3779b97f4a7c15);
+      char name[24];
+      char hostname[32];
+      char path[32];
+
+      snprintf (name, sizeof name, "r-%08x", (unsigned)(draw >> 32));
+      snprintf (hostname, sizeof hostname, "h%04x.example",
+                (unsigned)(draw >> 20) & 0xffff);
+      snprintf (path, sizeof path, "/%06x/%04x/",
+                (unsigned)(draw >> 8) & 0xffffff, (unsigned)draw & 0xffff);
+      json_array_append_new (
+          routes, json_pack ("{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i}",
+                             "name", name, "hostname", hostname, "path_prefix",
+                             path, "backend", i % 2 ? "models" : "records",
+                             "type", "idempotent", "timeout_ms", 2000,
+                             "priority", (int)(i % 10), "max_attempts", 2));
+    }
+  return json_pack ("{s:I, s:o}", "version", (json_int_t)version, "routes",
+                    routes);
+}
+
+static void
+change_config (struct fleet *fleet)
+{
+  json_decref (fleet->object);
+  fleet->object = build_config (++fleet->version);
+}
+
+/* What a host that follows the store reads from it.  */
+static void
+read_store (struct host *host)
+{
+  struct fleet *fleet = host->fleet;
+  bool is_loaded = table_is_loaded (host->table);
+
+  if (is_loaded && !host->follows)
+    return;
+  if (host->version < fleet->version)
+    table_put (host->table, "main", fleet->version, fleet->object);
+  table_commit (host->table, fleet->version, fleet->now_ms, !is_loaded);
+}
+
+static void
+run_for (struct fleet *fleet, int64_t duration_ms)
+{
+  int64_t until_ms = fleet->now_ms + duration_ms;
+
+  for (; fleet->now_ms < until_ms; fleet->now_ms += STEP_MS)
+    for (size_t i = 0; i < HOSTS; i++)
+      {
+        struct host *host = &fleet->hosts[i];
+
+        read_store (host);
+        if (fleet->now_ms >= host->next_tick_ms)
+          {
+            feed_tick (host->feed);
+            host->next_tick_ms += feed_interval_ms (host->feed);
+          }
+        send_for_step (host);
+      }
+}
+
+static void
+host_init (struct fleet *fleet, size_t index)
+{
+  static const struct strings no_seeds;
+  struct host *host = &fleet->hosts[index];
+  struct table_options table = { .kind = "config",
+                                 .handle_object = handle_object,
+                                 .handle_commit = handle_commit,
+                                 .data = host };
+  struct feed_options options = { .host = host->name,
+                                  .data_centre = host->data_centre,
+                                  .may_lead = true,
+                                  .stale_ms = STALE_MS,
+                                  .seeds = &no_seeds,
+                                  .send = queue_frame,
+                                  .handle_follow = handle_follow,
+                                  .now_ms = fleet_now_ms,
+                                  .data = host };
+
+  host->fleet = fleet;
+  snprintf (host->name, sizeof host->name, "h%zu", index);
+  snprintf (host->data_centre, sizeof host->data_centre, "dc%zu",
+            index % CENTRES);
+  host->table = table_create (&table);
+  host->feed = feed_create (&options);
+  host->next_tick_ms
+      = fleet->now_ms + (int64_t)index * feed_interval_ms (host->feed) / HOSTS;
+  feed_add_table (host->feed, host->table);
+}
+
+static struct fleet *
+fleet_create (void)
+{
+  struct fleet *fleet = xcalloc (1, sizeof *fleet);
+  struct feed_host hosts[HOSTS];
+
+  fleet->now_ms = 1000000;
+  change_config (fleet);
+  for (size_t i = 0; i < HOSTS; i++)
+    {
+      host_init (fleet, i);
+      hosts[i]
+          = (struct feed_host){ .name = fleet->hosts[i].name,
+                                .data_centre = fleet->hosts[i].data_centre,
+                                .is_entry = true };
+    }
+  for (size_t i = 0; i < HOSTS; i++)
+    feed_set_hosts (fleet->hosts[i].feed, hosts, HOSTS);
+  run_for (fleet, SETTLE_MS);
+  fleet->follow_changes = 0;
+  for (size_t i = 0; i < HOSTS; i++)
+    fleet->hosts[i].peak_bytes = 0;
+  return fleet;
+}
+
+static void
+fleet_destroy (struct fleet *fleet)
+{
+  for (size_t i = 0; i < HOSTS; i++)
+    {
+      feed_destroy (fleet->hosts[i].feed);
+      table_destroy (fleet->hosts[i].table);
+      for (size_t to = 0; to < HOSTS; to++)
+        g_queue_clear_full (&fleet->hosts[i].transfers[to], transfer_destroy);
+    }
+  json_decref (fleet->object);
+  free (fleet);
+}
+
+/* Guards against hosts that run out of memory, are taken for silent or keep an
+   old version when a wide configuration changes a few times: each must hold no
+   more for the others than its links' share of its memory, the same host must
+   go on following the store, and the last version must be in force in time. */
+static void
+test_wide_config_changes (void)
+{
+  struct fleet *fleet = fleet_create ();
+  size_t peak_bytes = 0;
+  int outdated = 0;
+
+  for (int i = 0; i < CHANGES; i++)
+    {
+      change_config (fleet);
+      run_for (fleet, CHANGE_MS);
+    }
+  run_for (fleet, WITHIN_MS - CHANGE_MS);
+  for (size_t i = 0; i < HOSTS; i++)
+    {
+      peak_bytes = MAX (peak_bytes, fleet->hosts[i].peak_bytes);
+      outdated += fleet->hosts[i].version < fleet->version;
+    }
+  CU_ASSERT_TRUE (peak_bytes <= HOST_MEMORY_BYTES / 100 * LINK_MEMORY_PERCENT);
+  CU_ASSERT_EQUAL (outdated, 0);
+  CU_ASSERT_EQUAL (fleet->follow_changes, 0);
+  if (peak_bytes > HOST_MEMORY_BYTES / 100 * LINK_MEMORY_PERCENT
+      || outdated > 0)
+    printf ("\n%zu bytes queued at most, %d hosts outdated, %d changes of "
+            "following\n",
+            peak_bytes, outdated, fleet->follow_changes);
+  fleet_destroy (fleet);
+}
+
+CU_TestInfo wide_config_tests[] = {
+  { "wide configuration changes a few times", test_wide_config_changes },
+  CU_TEST_INFO_NULL,
+};
