peer: what a host's links hold is bounded in sum, and given back

The links of a host share a budget, for what is unsent and for what has not arrived as a whole. A frame that finds no room is lost, counted and logged, as on a broken link; a quarter of the budget is left to small frames, so that pings pass. A buffer that is empty keeps 16 KB. Hosts that are no longer listed are forgotten; until now, each replaced host stayed for the life of the process.

--- a/common/buf.c
+++ b/common/buf.c
@@ -68,18 +68,29 @@
   return text;
 }
 
-static void
-reserve (struct buf *buf, size_t extra)
+/* Returns by how many bytes the capacity grows if EXTRA bytes are appended. */
+size_t
+buf_growth (const struct buf *buf, size_t extra)
 {
   size_t need = buf->len + extra + 1;
   size_t capacity = buf->capacity ? buf->capacity : BUF_INITIAL_CAPACITY;
 
   if (need <= buf->capacity)
-    return;
+    return 0;
   while (capacity < need)
     capacity *= 2;
-  buf->data = xrealloc (buf->data, capacity);
-  buf->capacity = capacity;
+  return capacity - buf->capacity;
+}
+
+static void
+reserve (struct buf *buf, size_t extra)
+{
+  size_t growth = buf_growth (buf, extra);
+
+  if (growth == 0)
+    return;
+  buf->data = xrealloc (buf->data, buf->capacity + growth);
+  buf->capacity += growth;
 }
 
 /* Appends LEN bytes and keeps the buffer NUL-terminated; the NUL is not
--- a/common/counters.c
+++ b/common/counters.c
@@ -16,6 +16,7 @@
   [COUNTER_PEER_FRAMES_SENT] = "peer_frames_sent",
   [COUNTER_PEER_BYTES_SENT] = "peer_bytes_sent",
   [COUNTER_PEER_FRAMES_REFUSED] = "peer_frames_refused",
+  [COUNTER_PEER_FRAMES_DROPPED] = "peer_frames_dropped",
   [COUNTER_PLATFORM_CALLS] = "platform_calls",
   [COUNTER_PLATFORM_LISTS] = "platform_lists",
   [COUNTER_PLATFORM_WATCHES] = "platform_watches",
--- a/include/common/buf.h
+++ b/include/common/buf.h
@@ -16,6 +16,7 @@
 void buf_append_str (struct buf *buf, const char *text);
 void buf_printf (struct buf *buf, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
+size_t buf_growth (const struct buf *buf, size_t extra);
 void buf_consume (struct buf *buf, size_t len);
 void buf_release (struct buf *buf);
 
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -23,9 +23,10 @@
   COUNTER_PEER_FRAMES_SENT,
   COUNTER_PEER_BYTES_SENT,
   COUNTER_PEER_FRAMES_REFUSED,
-  COUNTER_PLATFORM_CALLS,   /* all of them */
-  COUNTER_PLATFORM_LISTS,   /* of them, reads of whole lists */
-  COUNTER_PLATFORM_WATCHES, /* waits for changes */
+  COUNTER_PEER_FRAMES_DROPPED, /* for lack of memory */
+  COUNTER_PLATFORM_CALLS,      /* all of them */
+  COUNTER_PLATFORM_LISTS,      /* of them, reads of whole lists */
+  COUNTER_PLATFORM_WATCHES,    /* waits for changes */
   COUNTER_PLATFORM_WRITES,
   COUNTER_TOKEN_PULLS, /* rate limit tokens requested from hosts */
   COUNTER_TOKEN_GRANTS,
--- a/include/peer/link.h
+++ b/include/peer/link.h
@@ -18,6 +18,15 @@
 
 struct link;
 
+/* Bounds of what the links of a host hold in sum.  Shared by its links. */
+struct link_budget
+{
+  size_t out_limit_bytes; /* for frames that other hosts have not read */
+  size_t in_limit_bytes;  /* for frames that have not arrived as a whole */
+  size_t out_bytes;
+  size_t in_bytes;
+};
+
 /* What a host states about itself in its hello. */
 struct link_identity
 {
@@ -34,7 +43,10 @@
   void (*handle_open) (void *data, struct link *link, const char *host);
   void (*handle_frame) (void *data, struct link *link,
                         const Peer__Frame *frame);
+  /* Called after bytes were written to the socket. */
+  void (*handle_flushed) (void *data, struct link *link);
   void (*handle_closed) (void *data, struct link *link);
+  struct link_budget *budget;
   void *data;
 };
 
@@ -52,6 +64,8 @@
   struct buf out;
   size_t in_bytes; /* capacities of the buffers, as accounted */
   size_t out_bytes;
+  uint64_t queued_bytes;  /* ever appended to the output */
+  uint64_t flushed_bytes; /* of them, written to the socket */
   struct seal seal;
   uint8_t own_nonce[SEAL_NONCE_BYTES];
   const struct keyring *keyring;
@@ -72,6 +86,9 @@
                           const struct keyring *keyring,
                           const struct link_identity *self,
                           const struct link_owner *owner);
+bool link_budget_admits (const struct link_budget *budget, size_t len,
+                         size_t growth);
+void link_budget_add_out (struct link_budget *budget, int64_t bytes);
 bool link_send (struct link *link, const uint8_t *packed, size_t len);
 void link_destroy (struct link *link);
 
--- a/include/peer/mesh.h
+++ b/include/peer/mesh.h
@@ -29,6 +29,8 @@
                                  const Peer__Frame *frame);
 /* Called when HOST stops answering or the link to it breaks. */
 typedef void mesh_down_handler (void *data, const char *host);
+/* Called once a frame of mesh_send_bulk has left this host or is lost. */
+typedef void mesh_bulk_handler (void *data, const char *host);
 
 struct mesh_options
 {
@@ -45,6 +47,11 @@
   bool has_sparse_pings;
   mesh_frame_handler *handle_frame;
   mesh_down_handler *handle_down;
+  mesh_bulk_handler *handle_bulk_end; /* NULL if mesh_send_bulk is not used */
+  /* Bounds of what all links hold for frames that other hosts have not read,
+     and for frames that have not arrived as a whole; 0 for the default. */
+  size_t max_unsent_bytes;
+  size_t max_unread_bytes;
   void *data;
 };
 
@@ -54,6 +61,10 @@
 void mesh_set_hosts (struct mesh *mesh, const struct mesh_host *hosts,
                      size_t count);
 bool mesh_send (struct mesh *mesh, const char *host, const Peer__Frame *frame);
+bool mesh_send_packed (struct mesh *mesh, const char *host, unsigned kind,
+                       const struct buf *packed);
+bool mesh_send_bulk (struct mesh *mesh, const char *host, unsigned kind,
+                     const struct buf *packed);
 bool mesh_is_suspect (const struct mesh *mesh, const char *host);
 int64_t mesh_last_received_ms (const struct mesh *mesh, const char *host);
 bool mesh_is_leaving (const struct mesh *mesh, const char *host);
--- a/peer/link.c
+++ b/peer/link.c
@@ -15,7 +15,13 @@
   LENGTH_BYTES = 4,
   MAX_HELLO_BYTES = 1024,
   MAX_FRAME_BYTES = 32 * 1024 * 1024,
-  MAX_BACKLOG_BYTES = 64 * 1024 * 1024, /* unsent output */
+  /* What a buffer keeps once it is empty.  Larger buffers are freed, so that a
+     link does not hold the memory of its largest frame. */
+  KEPT_BYTES = 16 * 1024,
+  /* Larger frames leave a part of the budget to smaller ones, such as pings,
+     so that hosts are not taken for silent while large ones wait. */
+  SMALL_FRAME_BYTES = 4 * 1024,
+  LARGE_FRAMES_PERCENT = 75,
   READ_BYTES = 64 * 1024,
   UNACKED_TIMEOUT_MS = 1500, /* close and reconnect instead of waiting for
                                 TCP's growing retransmission delays */
@@ -29,18 +35,53 @@
   link->owner.handle_closed (link->owner.data, link);
 }
 
+/* Adds BYTES, which may be negative, to what is held for other hosts.  */
+void
+link_budget_add_out (struct link_budget *budget, int64_t bytes)
+{
+  budget->out_bytes += (size_t)bytes;
+  memory_add (MEMORY_LINKS_OUT, bytes);
+}
+
+/* Whether a frame of LEN bytes, for which a buffer grows by GROWTH bytes, may
+   be queued.  */
+bool
+link_budget_admits (const struct link_budget *budget, size_t len,
+                    size_t growth)
+{
+  size_t limit_bytes = len <= SMALL_FRAME_BYTES ? budget->out_limit_bytes
+                                                : budget->out_limit_bytes / 100
+                                                      * LARGE_FRAMES_PERCENT;
+
+  return growth == 0 || budget->out_bytes + growth <= limit_bytes;
+}
+
 /* Accounts for the memory that the link's buffers hold.  */
 static void
 update_accounts (struct link *link)
 {
-  memory_add (MEMORY_LINKS_IN,
-              (int64_t)link->in.capacity - (int64_t)link->in_bytes);
-  memory_add (MEMORY_LINKS_OUT,
-              (int64_t)link->out.capacity - (int64_t)link->out_bytes);
+  struct link_budget *budget = link->owner.budget;
+  int64_t in_growth = (int64_t)link->in.capacity - (int64_t)link->in_bytes;
+
+  budget->in_bytes += (size_t)in_growth;
+  memory_add (MEMORY_LINKS_IN, in_growth);
+  link_budget_add_out (budget,
+                       (int64_t)link->out.capacity - (int64_t)link->out_bytes);
   link->in_bytes = link->in.capacity;
   link->out_bytes = link->out.capacity;
 }
 
+/* Frees the buffers that are empty and large.  */
+static void
+trim_buffers (struct link *link)
+{
+  if (link->in.len == 0 && link->in.capacity > KEPT_BYTES)
+    buf_release (&link->in);
+  if (link->out.len == 0 && link->out.capacity > KEPT_BYTES)
+    buf_release (&link->out);
+  update_accounts (link);
+}
+
 static void
 append_length (struct buf *out, size_t len)
 {
@@ -79,6 +120,8 @@
   append_length (&link->out, len + sizeof mac);
   buf_append (&link->out, mac, sizeof mac);
   buf_append (&link->out, packed, len);
+  link->queued_bytes += LENGTH_BYTES + len + sizeof mac;
+  update_accounts (link);
   update_write_watcher (link);
 }
 
@@ -198,6 +241,24 @@
   return true;
 }
 
+/* Whether the frames that are arriving exceed the memory for them.  The one on
+   this link is then lost, as on a broken link.  */
+static bool
+lacks_memory (const struct link *link)
+{
+  const struct link_budget *budget = link->owner.budget;
+
+  if (link->in.len <= KEPT_BYTES || budget->in_bytes <= budget->in_limit_bytes)
+    return false;
+  counter_add (COUNTER_PEER_FRAMES_DROPPED, 1);
+  log_write (LOG_WARN, "link", NULL,
+             "closed the link from host %s: %zu bytes of frames are arriving, "
+             "%zu are allowed",
+             link->host ? link->host : "(unknown)", budget->in_bytes,
+             budget->in_limit_bytes);
+  return true;
+}
+
 static void
 handle_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -214,8 +275,12 @@
     }
   buf_append (&link->in, chunk, (size_t)got);
   update_accounts (link);
-  if (!process_input (link))
-    close_link (link);
+  if (!process_input (link) || lacks_memory (link))
+    {
+      close_link (link);
+      return;
+    }
+  trim_buffers (link);
 }
 
 static bool
@@ -231,7 +296,9 @@
       if (sent <= 0)
         return false;
       buf_consume (&link->out, (size_t)sent);
+      link->flushed_bytes += (uint64_t)sent;
     }
+  trim_buffers (link);
   update_write_watcher (link);
   return true;
 }
@@ -256,6 +323,8 @@
     }
   if (!flush (link))
     close_link (link);
+  else if (link->owner.handle_flushed)
+    link->owner.handle_flushed (link->owner.data, link);
 }
 
 static void
@@ -325,22 +394,25 @@
 }
 
 /* Queues a packed frame on an open link that this host initiated.  Returns
-   false when the link is not open, the frame is too large or the output buffer
-   is full.  */
+   false when the link is not open, the frame is too large or the host's links
+   hold too much.  */
 bool
 link_send (struct link *link, const uint8_t *packed, size_t len)
 {
+  size_t queued_len = LENGTH_BYTES + len + SEAL_TAG_BYTES;
   uint8_t *sealed;
   size_t sealed_len;
 
   if (link->state != LINK_OPEN || !link->initiator
       || len + SEAL_TAG_BYTES > MAX_FRAME_BYTES
-      || link->out.len + len > MAX_BACKLOG_BYTES)
+      || !link_budget_admits (link->owner.budget, len,
+                              buf_growth (&link->out, queued_len)))
     return false;
   sealed = xcalloc (1, len + SEAL_TAG_BYTES);
   sealed_len = seal_encrypt (&link->seal, packed, len, sealed);
   append_length (&link->out, sealed_len);
   buf_append (&link->out, sealed, sealed_len);
+  link->queued_bytes += queued_len;
   update_accounts (link);
   free (sealed);
   counter_add (COUNTER_PEER_FRAMES_SENT, 1);
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -1,9 +1,9 @@
 #include "peer/mesh.h"
 #include "common/address.h"
 #include "common/buf.h"
+#include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
-#include "common/memory.h"
 #include "peer/link.h"
 #include <errno.h>
 #include <glib.h>
@@ -20,7 +20,11 @@
   /* Wait before reconnecting after a failed connection. */
   RECONNECT_DELAY_MS = 3000,
   LINK_IDLE_MS = 30000, /* after which an unused link is closed */
-  MAX_PENDING_BYTES = 8 * 1024 * 1024,
+  /* What all links may hold in sum, unless the options say otherwise. */
+  DEFAULT_LINK_BYTES = 64 * 1024 * 1024,
+  /* A host that announced itself but is not listed is forgotten this long
+     after its last frame. */
+  UNLISTED_MS = 60000,
   ACCEPT_BACKLOG = 256,
   MAX_FRAME_KINDS = 64, /* above the numbers in peer.proto */
 };
@@ -33,6 +37,9 @@
   char *address;
   struct link *link;  /* outbound; owned by this peer */
   struct buf pending; /* length-prefixed frames queued until the link opens */
+  bool has_bulk;      /* a frame of mesh_send_bulk is on its way */
+  uint64_t bulk_end;  /* of it, in the link's output; 0 while it is pending */
+  bool is_dropping;   /* the last frame found no memory */
   uint64_t ping_sequence; /* of the last ping sent */
   int64_t ping_sent_ms;   /* of the oldest unanswered ping; 0 for none */
   /* When the first frame was sent since one was received; 0 for none. */
@@ -69,6 +76,7 @@
   uint64_t config_revision;
   bool leaving;
   struct sent_frames sent[MAX_FRAME_KINDS]; /* by the number of the body */
+  struct link_budget budget;
 };
 
 /* Returns the bytes queued for PEER that it has not read.  */
@@ -84,40 +92,84 @@
   return g_hash_table_lookup (mesh->peers_by_name, name);
 }
 
-/* Sends FRAME, or queues it until the link opens.  Drops it when the queue is
-   full.  */
+/* Queues a packed frame until the link opens.  Returns false if there is no
+   memory for it.  */
+static bool
+append_pending (struct peer *peer, const uint8_t *packed, size_t len)
+{
+  struct link_budget *budget = &peer->mesh->budget;
+  uint32_t prefix = (uint32_t)len;
+  size_t growth = buf_growth (&peer->pending, sizeof prefix + len);
+
+  if (!link_budget_admits (budget, len, growth))
+    return false;
+  buf_append (&peer->pending, &prefix, sizeof prefix);
+  buf_append (&peer->pending, packed, len);
+  link_budget_add_out (budget, (int64_t)growth);
+  return true;
+}
+
+/* Frees the frames that wait for the link.  */
 static void
+release_pending (struct peer *peer)
+{
+  link_budget_add_out (&peer->mesh->budget, -(int64_t)peer->pending.capacity);
+  buf_release (&peer->pending);
+}
+
+/* Sends a packed frame whose body is of KIND, or queues it until the link
+   opens.  Returns false if there is no memory for it: it is then lost, as on a
+   broken link.  */
+static bool
+send_packed (struct peer *peer, unsigned kind, const uint8_t *packed,
+             size_t len)
+{
+  struct mesh *mesh = peer->mesh;
+  bool is_queued = peer->link && peer->link->state == LINK_OPEN
+                       ? link_send (peer->link, packed, len)
+                       : append_pending (peer, packed, len);
+
+  if (is_queued && kind < MAX_FRAME_KINDS)
+    {
+      mesh->sent[kind].frames++;
+      mesh->sent[kind].bytes += len;
+    }
+  if (!is_queued)
+    counter_add (COUNTER_PEER_FRAMES_DROPPED, 1);
+  if (!is_queued && !peer->is_dropping)
+    log_write (
+        LOG_WARN, "mesh", NULL,
+        "dropping frames for host %s: %zu bytes wait on the link to it, "
+        "%zu on all links",
+        peer->name, backlog_bytes (peer), mesh->budget.out_bytes);
+  peer->is_dropping = !is_queued;
+  return is_queued;
+}
+
+static bool
 send_frame (struct peer *peer, const Peer__Frame *frame)
 {
   size_t len = peer__frame__get_packed_size (frame);
   uint8_t *packed = xcalloc (1, len + 1);
-  uint32_t prefix = (uint32_t)len;
+  bool is_queued;
 
   peer__frame__pack (frame, packed);
-  if ((unsigned)frame->body_case < MAX_FRAME_KINDS)
-    {
-      peer->mesh->sent[frame->body_case].frames++;
-      peer->mesh->sent[frame->body_case].bytes += len;
-    }
-  if (peer->link && peer->link->state == LINK_OPEN)
-    link_send (peer->link, packed, len);
-  else if (peer->pending.len + len < MAX_PENDING_BYTES)
-    {
-      size_t capacity = peer->pending.capacity;
-
-      buf_append (&peer->pending, &prefix, sizeof prefix);
-      buf_append (&peer->pending, packed, len);
-      memory_add (MEMORY_LINKS_OUT,
-                  (int64_t)(peer->pending.capacity - capacity));
-    }
+  is_queued = send_packed (peer, (unsigned)frame->body_case, packed, len);
   free (packed);
+  return is_queued;
 }
 
+/* Reports that the frame of mesh_send_bulk is sent or lost.  */
 static void
-release_pending (struct peer *peer)
+end_bulk (struct peer *peer)
 {
-  memory_add (MEMORY_LINKS_OUT, -(int64_t)peer->pending.capacity);
-  buf_release (&peer->pending);
+  struct mesh *mesh = peer->mesh;
+
+  if (!peer->has_bulk)
+    return;
+  peer->has_bulk = false;
+  peer->bulk_end = 0;
+  mesh->options.handle_bulk_end (mesh->options.data, peer->name);
 }
 
 /* Marks PEER as not answering and, when it was not yet marked, calls the
@@ -161,24 +213,31 @@
   peer->ping_sent_ms = 0;
   peer->unheard_since_ms = 0;
   release_pending (peer);
+  end_bulk (peer);
 }
 
 static void
 handle_outbound_open (void *data, struct link *link, const char *host)
 {
   struct peer *peer = data;
+  struct buf pending = peer->pending;
   size_t offset = 0;
 
-  while (offset + sizeof (uint32_t) <= peer->pending.len)
+  /* The frames move from one buffer to the other, so they count once. */
+  link_budget_add_out (&peer->mesh->budget, -(int64_t)pending.capacity);
+  peer->pending = (struct buf){ 0 };
+  while (offset + sizeof (uint32_t) <= pending.len)
     {
       uint32_t len;
 
-      memcpy (&len, peer->pending.data + offset, sizeof len);
+      memcpy (&len, pending.data + offset, sizeof len);
       offset += sizeof len;
-      link_send (link, (const uint8_t *)peer->pending.data + offset, len);
+      link_send (link, (const uint8_t *)pending.data + offset, len);
       offset += len;
     }
-  release_pending (peer);
+  buf_release (&pending);
+  if (peer->has_bulk)
+    peer->bulk_end = link->queued_bytes;
 }
 
 /* Never called: frames arrive only on inbound links.  */
@@ -187,6 +246,16 @@
 {
 }
 
+/* Notices when a bulk frame has left the host.  */
+static void
+handle_outbound_flushed (void *data, struct link *link)
+{
+  struct peer *peer = data;
+
+  if (peer->bulk_end > 0 && link->flushed_bytes >= peer->bulk_end)
+    end_bulk (peer);
+}
+
 static void
 handle_outbound_closed (void *data, struct link *link)
 {
@@ -214,7 +283,9 @@
   struct link_identity self = own_identity (mesh);
   struct link_owner owner = { .handle_open = handle_outbound_open,
                               .handle_frame = handle_outbound_frame,
+                              .handle_flushed = handle_outbound_flushed,
                               .handle_closed = handle_outbound_closed,
+                              .budget = &mesh->budget,
                               .data = peer };
   struct sockaddr_in address;
 
@@ -360,6 +431,7 @@
   struct link_owner owner = { .handle_open = handle_inbound_open,
                               .handle_frame = handle_inbound_frame,
                               .handle_closed = handle_inbound_closed,
+                              .budget = &mesh->budget,
                               .data = mesh };
   struct link *link;
   int fd = accept4 (mesh->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -443,6 +515,12 @@
   struct mesh *mesh = xcalloc (1, sizeof *mesh);
 
   mesh->options = *options;
+  mesh->budget.out_limit_bytes = options->max_unsent_bytes
+                                     ? options->max_unsent_bytes
+                                     : DEFAULT_LINK_BYTES;
+  mesh->budget.in_limit_bytes = options->max_unread_bytes
+                                    ? options->max_unread_bytes
+                                    : DEFAULT_LINK_BYTES;
   mesh->peers_by_name = g_hash_table_new (g_str_hash, g_str_equal);
   mesh->own_address
       = xasprintf ("%s:%u", options->listen_address, options->listen_port);
@@ -503,13 +581,40 @@
   free (mesh);
 }
 
+/* Forgets the hosts that are not listed, so that hosts which were replaced do
+   not add up.  */
+static void
+forget_unlisted_peers (struct mesh *mesh)
+{
+  struct peer **slot = &mesh->peers;
+
+  while (*slot)
+    {
+      struct peer *peer = *slot;
+
+      if (!peer->listed)
+        close_link (peer);
+      if (peer->listed || peer->blocked || peer->link_refs > 0)
+        {
+          slot = &peer->next;
+          continue;
+        }
+      *slot = peer->next;
+      g_hash_table_remove (mesh->peers_by_name, peer->name);
+      peer_destroy (peer);
+    }
+}
+
 /* Replaces the host list.  A host that is no longer listed gets no further
    frames; one with a new address gets a new link.  */
 void
 mesh_set_hosts (struct mesh *mesh, const struct mesh_host *hosts, size_t count)
 {
+  int64_t now_ms = clock_now_ms ();
+
   for (struct peer *peer = mesh->peers; peer; peer = peer->next)
-    peer->listed = peer->self_announced;
+    peer->listed = peer->self_announced
+                   && now_ms - peer->last_received_ms < UNLISTED_MS;
   for (size_t i = 0; i < count; i++)
     {
       struct peer *peer;
@@ -528,30 +633,68 @@
       peer->address = xstrdup (hosts[i].address);
       peer->suspect = false;
     }
-  for (struct peer *peer = mesh->peers; peer; peer = peer->next)
-    if (!peer->listed)
-      close_link (peer);
+  forget_unlisted_peers (mesh);
 }
 
-/* Sends FRAME to HOST.  Returns false when HOST is unknown, blocked or not
-   reachable now.  True does not guarantee delivery.  */
-bool
-mesh_send (struct mesh *mesh, const char *host, const Peer__Frame *frame)
+/* Returns HOST with a link that is open or opening, or NULL if it is unknown,
+   blocked or not reachable now.  */
+static struct peer *
+prepare_send (struct mesh *mesh, const char *host)
 {
   struct peer *peer = find_peer (mesh, host);
 
   if (!peer || !peer->listed || peer->blocked)
-    return false;
+    return NULL;
   if (peer->suspect && !peer->link && clock_now_ms () < peer->reconnect_at_ms)
-    return false;
+    return NULL;
   if (!open_link (peer))
-    return false;
+    return NULL;
   peer->last_used_ms = clock_now_ms ();
   if (!peer->unheard_since_ms)
     peer->unheard_since_ms = peer->last_used_ms;
   if (!mesh->options.has_sparse_pings && !peer->ping_sent_ms)
     send_ping (peer);
-  send_frame (peer, frame);
+  return peer;
+}
+
+/* Sends FRAME to HOST.  Returns false when HOST is unknown, blocked or not
+   reachable now, or too many frames wait.  True does not guarantee delivery.
+   */
+bool
+mesh_send (struct mesh *mesh, const char *host, const Peer__Frame *frame)
+{
+  struct peer *peer = prepare_send (mesh, host);
+
+  return peer && send_frame (peer, frame);
+}
+
+/* Sends a frame of KIND that is packed already.  Returns as mesh_send does. */
+bool
+mesh_send_packed (struct mesh *mesh, const char *host, unsigned kind,
+                  const struct buf *packed)
+{
+  struct peer *peer = prepare_send (mesh, host);
+
+  return peer
+         && send_packed (peer, kind, (const uint8_t *)packed->data,
+                         packed->len);
+}
+
+/* Sends a large packed frame.  handle_bulk_end is called once it has left this
+   host or is lost; until then, HOST takes no other.  Returns false, without
+   that call, if it cannot be sent.  */
+bool
+mesh_send_bulk (struct mesh *mesh, const char *host, unsigned kind,
+                const struct buf *packed)
+{
+  struct peer *peer = prepare_send (mesh, host);
+
+  if (!peer || peer->has_bulk
+      || !send_packed (peer, kind, (const uint8_t *)packed->data, packed->len))
+    return false;
+  peer->has_bulk = true;
+  peer->bulk_end
+      = peer->link->state == LINK_OPEN ? peer->link->queued_bytes : 0;
   return true;
 }
 
@@ -648,10 +791,20 @@
 }
 
 /* Appends, in the Prometheus text format, how many frames and bytes of each
-   kind this host has sent.  */
+   kind this host has sent, how many hosts it knows and what its links hold.
+   */
 void
 mesh_to_text (const struct mesh *mesh, struct buf *text)
 {
+  buf_printf (text, "galenashore_peer_hosts %u\n",
+              g_hash_table_size (mesh->peers_by_name));
+  buf_printf (text, "galenashore_link_out_bytes %zu\n",
+              mesh->budget.out_bytes);
+  buf_printf (text, "galenashore_link_out_limit_bytes %zu\n",
+              mesh->budget.out_limit_bytes);
+  buf_printf (text, "galenashore_link_in_bytes %zu\n", mesh->budget.in_bytes);
+  buf_printf (text, "galenashore_link_in_limit_bytes %zu\n",
+              mesh->budget.in_limit_bytes);
   for (unsigned i = 1; i < MAX_FRAME_KINDS; i++)
     {
       const ProtobufCFieldDescriptor *field
--- a/test/unit/local_mesh.c
+++ b/test/unit/local_mesh.c
@@ -19,6 +19,7 @@
           .listen_port = options->port,
           .keyring = options->keyring,
           .has_sparse_pings = options->has_sparse_pings,
+          .max_unsent_bytes = options->max_unsent_bytes,
           .handle_frame = options->handle_frame,
           .handle_down
           = options->handle_down ? options->handle_down : ignore_down,
--- a/test/unit/local_mesh.h
+++ b/test/unit/local_mesh.h
@@ -12,6 +12,7 @@
   const char *name;              /* of the host; outlives the mesh */
   uint16_t port;
   bool has_sparse_pings;
+  size_t max_unsent_bytes; /* 0 for the default */
   mesh_frame_handler *handle_frame;
   mesh_down_handler *handle_down; /* may be NULL */
   void *data;
--- a/test/unit/test_link_memory.c
+++ b/test/unit/test_link_memory.c
@@ -3,6 +3,7 @@
 #include "local_mesh.h"
 #include "suites.h"
 #include <ev.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,9 +13,12 @@
   SMALL_BYTES = 64 * 1024,
   MAX_FRAMES = 1024,
   MAX_LOOP_ITERATIONS = 20000,
+  LISTED_HOSTS = 20,
+  REPLACEMENTS = 5,
   OPEN_MS = 5000, /* limit for the opening of links */
   HOST_MEMORY_BYTES = 88 * 1000 * 1000,
-  LINK_MEMORY_PERCENT = 12,     /* of it, for what hosts have not read */
+  LINK_MEMORY_PERCENT = 12, /* of it, for what hosts have not read */
+  LINK_BYTES = HOST_MEMORY_BYTES / 100 * LINK_MEMORY_PERCENT,
   IDLE_LINK_BYTES = 128 * 1024, /* of a link on which nothing is under way */
 };
 
@@ -45,6 +49,7 @@
                                         .name = name,
                                         .port = port,
                                         .has_sparse_pings = true,
+                                        .max_unsent_bytes = LINK_BYTES,
                                         .handle_frame = handle_frame,
                                         .data = node };
 
@@ -136,16 +141,49 @@
       send_bytes (&a, "b", SMALL_BYTES);
       ev_run (a.loop, EVRUN_NOWAIT);
     }
-  CU_ASSERT_TRUE (memory_used (MEMORY_LINKS_OUT)
-                  <= HOST_MEMORY_BYTES / 100 * LINK_MEMORY_PERCENT);
+  CU_ASSERT_TRUE (memory_used (MEMORY_LINKS_OUT) <= LINK_BYTES);
   node_close (&a);
   node_close (&b);
   CU_ASSERT_EQUAL (memory_used (MEMORY_LINKS_OUT), 0);
   CU_ASSERT_EQUAL (memory_used (MEMORY_LINKS_IN), 0);
 }
 
+static size_t
+count_hosts (const struct mesh *mesh)
+{
+  json_t *hosts = mesh_to_json (mesh);
+  size_t count = json_array_size (hosts);
+
+  json_decref (hosts);
+  return count;
+}
+
+/* Guards against a list of hosts that grows with each host that was replaced
+   by one of another name.  */
+static void
+test_replaced_hosts (void)
+{
+  struct node a;
+  char names[LISTED_HOSTS][16];
+  struct mesh_host hosts[LISTED_HOSTS];
+
+  node_open (&a, "a", 23905);
+  for (int round = 0; round < REPLACEMENTS; round++)
+    {
+      for (int i = 0; i < LISTED_HOSTS; i++)
+        {
+          snprintf (names[i], sizeof names[i], "h%d-%d", i, round);
+          hosts[i] = (struct mesh_host){ names[i], "127.0.0.1:23906" };
+        }
+      mesh_set_hosts (a.mesh, hosts, LISTED_HOSTS);
+      CU_ASSERT_EQUAL (count_hosts (a.mesh), LISTED_HOSTS);
+    }
+  node_close (&a);
+}
+
 CU_TestInfo link_memory_tests[] = {
   { "buffers of idle links", test_buffers_of_idle_links },
   { "a host that does not read", test_host_that_does_not_read },
+  { "hosts that were replaced", test_replaced_hosts },
   CU_TEST_INFO_NULL,
 };
