feed: large updates are sent in turn, compressed, and once to a host

Cause: each host that asked for the configuration got a whole copy queued at once, again for each time that it asked while the first copy waited for a link of 30 Mbit/s. What a host held grew with the number of hosts, the size of the configuration and the number of changes; pings and beacons waited behind it, so healthy hosts were taken for silent and further hosts followed the store and handed on copies themselves.

Updates of more than 16 KB now wait in an outbox: four are on their way at a time, one to a host, bounded in bytes; a host that asks again moves nothing, and gets the state at the time of its turn. Hosts that relay come first. They are compressed with zlib (475 KB of text become 65 KB), once for all hosts that lack the same, and plain for hosts of earlier versions, which do not say that they accept that. A change of one large object is no longer pushed to all. A host that has a table asks for it once a second.

unit-wide-configuration failed before (79.9 MB queued, 11 hosts outdated, 228 changes of who follows the store) and passes: 0.26 MB, 0 and 0.

--- a/common/memory.c
+++ b/common/memory.c
@@ -11,7 +11,8 @@
 static const char *const account_names[MEMORY_ACCOUNT_COUNT] = {
   [MEMORY_CALLERS] = "callers",     [MEMORY_RESPONSES] = "responses",
   [MEMORY_LINKS_OUT] = "links_out", [MEMORY_LINKS_IN] = "links_in",
-  [MEMORY_MESSAGES] = "messages",   [MEMORY_CONFIG] = "config",
+  [MEMORY_MESSAGES] = "messages",   [MEMORY_OBJECTS] = "objects",
+  [MEMORY_CONFIG] = "config",
 };
 
 static uint64_t used_bytes[MEMORY_ACCOUNT_COUNT];
--- a/feed/feed.c
+++ b/feed/feed.c
@@ -3,6 +3,8 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "feed/outbox.h"
+#include "feed/update.h"
 #include "policy/leader.h"
 #include <stdlib.h>
 #include <string.h>
@@ -11,15 +13,26 @@
 {
   MS_PER_S = 1000,
   MAX_TABLES = 8,
-  BEACONS_PER_STALE = 5,     /* sent before state becomes stale */
-  REQUEST_INTERVAL_MS = 200, /* between requests for one kind to the leader */
-  HOSTS_PER_REQUEST = 2,     /* asked at once while the store is unreachable */
+  BEACONS_PER_STALE = 5, /* sent before state becomes stale */
+  /* Between requests for one kind.  A host that has part of it waits for its
+     turn; while it has nothing, it asks more hosts. */
+  REQUEST_INTERVAL_MS = 1000,
+  FIRST_REQUEST_INTERVAL_MS = 200,
+  HOSTS_PER_REQUEST = 2, /* asked at once while the store is unreachable */
   /* A change of more objects is not sent to all followers: they ask for it, so
      that a host of the data centre need not send it to each of them. */
   MAX_FORWARDED_OBJECTS = 64,
-  /* Sent between two beacons to hosts that lack a whole table; their further
-     requests are not answered and are repeated, to this host or another. */
-  MAX_ANSWER_BYTES = 512 * 1024,
+  /* Larger updates are sent in turn, compressed, to hosts that ask. */
+  MAX_DIRECT_BYTES = 16 * 1024,
+  /* Large updates on their way at a time.  More would not pass sooner, as they
+     share the host's link with all else that it sends. */
+  MAX_ACTIVE_ANSWERS = 4,
+  DEFAULT_BULK_BYTES = 4 * 1024 * 1024,
+  ANSWER_STALL_MS = 300,
+  MAX_WAIT_MS = 3 * REQUEST_INTERVAL_MS,
+  MAX_SEND_MS = 10000,
+  /* A larger update of another host is not inflated. */
+  MAX_INFLATED_BYTES = 8 * 1024 * 1024,
   RELAYS_PER_DATA_CENTRE = 2, /* hosts that the leader sends to elsewhere */
   /* The hosts of a data centre take over one after the other, in the order of
      their ranks.  While the store is down, so few of them call it. */
@@ -35,7 +48,8 @@
 struct replicated_table
 {
   struct table *table;
-  int64_t requested_ms; /* when an update was last requested from the leader */
+  int64_t requested_ms; /* when an update was last requested, or 0 */
+  struct payload payload;
 };
 
 /* Another host. */
@@ -69,10 +83,13 @@
   size_t next_host;   /* index of the host to ask next */
   bool follows_store; /* whether this host was last told to follow the store */
   bool is_store_reachable; /* by this host */
-  size_t answered_bytes;   /* of whole tables, since the last beacon */
+  struct outbox *outbox;   /* answers to the requests of other hosts */
+  bool is_answering;
   ev_timer tick;
 };
 
+static void answer_waiting (struct feed *feed);
+
 static int64_t
 current_ms (const struct feed *feed)
 {
@@ -143,16 +160,6 @@
       feed->options.send (feed->options.data, feed->rivals[i].name, frame);
 }
 
-static void
-fill_state (Peer__FeedState *state, const struct table *table, int64_t now_ms)
-{
-  peer__feed_state__init (state);
-  state->kind = (char *)(uintptr_t)table_kind (table);
-  state->revision = (uint64_t)table_revision (table);
-  state->count = table_count (table);
-  state->age_ms = (uint32_t)(now_ms - table_as_of_ms (table));
-}
-
 static void
 send_beacon (struct feed *feed, int64_t now_ms)
 {
@@ -163,7 +170,7 @@
 
   for (size_t i = 0; i < feed->table_count; i++)
     {
-      fill_state (&states[i], feed->tables[i].table, now_ms);
+      update_fill_state (&states[i], feed->tables[i].table, now_ms);
       list[i] = &states[i];
     }
   beacon.states = list;
@@ -181,6 +188,7 @@
 
   request.kind = (char *)(uintptr_t)table_kind (table);
   request.revision = (uint64_t)table_revision (table);
+  request.accepts_deflate = true;
   frame.body_case = PEER__FRAME__BODY_FEED_ASK;
   frame.feed_ask = &request;
   feed->options.send (feed->options.data, host, &frame);
@@ -230,10 +238,10 @@
 {
   int64_t now_ms = current_ms (feed);
 
-  feed->answered_bytes = 0;
   set_follows_store (feed, leader_watches_store (&feed->leader, now_ms));
   if (is_relaying (feed, now_ms))
     send_beacon (feed, now_ms);
+  answer_waiting (feed);
   /* By then, the store has had time to answer. */
   if (feed->follows_store
       && now_ms - oldest_as_of_ms (feed)
@@ -262,12 +270,20 @@
 {
   struct feed *feed = xcalloc (1, sizeof *feed);
 
+  struct outbox_options outbox
+      = { .max_bytes = options->max_bulk_bytes ? options->max_bulk_bytes
+                                               : DEFAULT_BULK_BYTES,
+          .max_active = MAX_ACTIVE_ANSWERS,
+          .stall_ms = ANSWER_STALL_MS,
+          .max_wait_ms = MAX_WAIT_MS,
+          .max_send_ms = MAX_SEND_MS };
   struct leader_options leader = { .own_rank = id_hash_text (options->host),
                                    .may_lead = options->may_lead,
                                    .stale_ms = options->stale_ms };
   double interval_s;
 
   feed->options = *options;
+  feed->outbox = outbox_create (&outbox);
   feed->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          feed_member_destroy);
   feed->is_store_reachable = true;
@@ -287,7 +303,11 @@
   if (!feed)
     return;
   for (size_t i = 0; i < feed->table_count; i++)
-    table_set_listener (feed->tables[i].table, NULL, NULL);
+    {
+      table_set_listener (feed->tables[i].table, NULL, NULL);
+      payload_release (&feed->tables[i].payload);
+    }
+  outbox_destroy (feed->outbox);
   if (feed->options.loop)
     ev_timer_stop (feed->options.loop, &feed->tick);
   strings_release (&feed->local_hosts);
@@ -299,93 +319,51 @@
   free (feed);
 }
 
-/* An update that is being built. */
-struct pending_update
-{
-  Peer__FeedUpdate message;
-  Peer__FeedState state;
-  GPtrArray *objects; /* Peer__FeedObject */
-  /* Names of all objects, in complete updates; borrowed from the table. */
-  GPtrArray *names;
-};
-
-static void
-object_free (gpointer data)
-{
-  Peer__FeedObject *object = data;
-
-  free (object->text.data);
-  free (object);
-}
-
-static void
-update_init (struct pending_update *update, const struct table *table,
-             int64_t base, int64_t now_ms)
-{
-  peer__feed_update__init (&update->message);
-  fill_state (&update->state, table, now_ms);
-  update->message.state = &update->state;
-  update->message.since = (uint64_t)base;
-  update->objects = g_ptr_array_new_with_free_func (object_free);
-  update->names = g_ptr_array_new ();
-}
-
-static void
-update_add (struct pending_update *update, const struct table_entry *entry)
-{
-  Peer__FeedObject *object = xcalloc (1, sizeof *object);
-  char *text = json_dumps (entry->object, JSON_COMPACT);
-
-  peer__feed_object__init (object);
-  object->name = entry->name;
-  object->revision = (uint64_t)entry->revision;
-  object->text.data = (uint8_t *)text;
-  object->text.len = strlen (text);
-  g_ptr_array_add (update->objects, object);
-}
-
+/* Sends the update to HOST, or to all hosts that rely on this one if it is
+   NULL, and frees what it holds.  */
 static void
-update_add_removed (struct pending_update *update, const char *name)
+send_update (struct feed *feed, struct update *update, const char *host)
 {
-  Peer__FeedObject *object = xcalloc (1, sizeof *object);
+  Peer__Frame frame;
 
-  peer__feed_object__init (object);
-  object->name = (char *)(uintptr_t)name;
-  g_ptr_array_add (update->objects, object);
+  update_to_frame (update, &frame);
+  if (host)
+    feed->options.send (feed->options.data, host, &frame);
+  else
+    send_to_followers (feed, &frame, current_ms (feed));
+  update_release (update);
 }
 
-static void
-update_add_names (struct pending_update *update, const struct table *table)
+/* Counts the bytes of a text up to MAX_DIRECT_BYTES.  */
+static int
+count_text (const char *text, size_t len, void *data)
 {
-  GPtrArray *entries = table_entries (table);
+  size_t *bytes = data;
 
-  update->message.is_complete = true;
-  for (guint i = 0; i < entries->len; i++)
-    g_ptr_array_add (update->names,
-                     ((const struct table_entry *)entries->pdata[i])->name);
-  g_ptr_array_free (entries, TRUE);
+  *bytes += len;
+  return *bytes > MAX_DIRECT_BYTES ? -1 : 0;
 }
 
-/* Sends the update to HOST, or to all hosts that rely on this one if it is
-   NULL, and frees its arrays.  */
-static void
-update_send (struct feed *feed, struct pending_update *update,
-             const char *host)
+/* Whether the change is so large that followers ask for it in turn.  */
+static bool
+is_large (const struct table *table, const struct table_change *change)
 {
-  Peer__Frame frame = PEER__FRAME__INIT;
+  size_t bytes = 0;
 
-  update->message.objects = (Peer__FeedObject **)update->objects->pdata;
-  update->message.n_objects = update->objects->len;
-  update->message.names = (char **)update->names->pdata;
-  update->message.n_names = update->names->len;
-  frame.body_case = PEER__FRAME__BODY_FEED_UPDATE;
-  frame.feed_update = &update->message;
-  if (host)
-    feed->options.send (feed->options.data, host, &frame);
-  else
-    send_to_followers (feed, &frame, current_ms (feed));
-  g_ptr_array_free (update->objects, TRUE);
-  g_ptr_array_free (update->names, TRUE);
+  if (change->names->len > MAX_FORWARDED_OBJECTS)
+    return true;
+  for (guint i = 0; i < change->names->len; i++)
+    {
+      const struct table_entry *entry
+          = table_find (table, change->names->pdata[i]);
+
+      if (entry
+          && json_dump_callback (entry->object, count_text, &bytes,
+                                 JSON_COMPACT)
+                 != 0)
+        return true;
+    }
+  return false;
 }
 
 /* Forwards a change that this host has read from the store, or received from
@@ -395,13 +373,12 @@
                 const struct table_change *change)
 {
   struct feed *feed = data;
-  struct pending_update update;
-
+  struct update update;
   int64_t now_ms = current_ms (feed);
 
   if (!is_relaying (feed, now_ms) || change->names->len == 0)
     return;
-  if (change->names->len > MAX_FORWARDED_OBJECTS)
+  if (is_large (table, change))
     {
       send_beacon (feed, now_ms);
       return;
@@ -419,7 +396,7 @@
     }
   if (change->is_complete)
     update_add_names (&update, table);
-  update_send (feed, &update, NULL);
+  send_update (feed, &update, NULL);
 }
 
 /* Adds a table, which must outlive the feed.  */
@@ -603,6 +580,13 @@
   return feed->local_hosts.items[draw / 2 % feed->local_hosts.count];
 }
 
+static int64_t
+request_interval_ms (const struct table *table)
+{
+  return table_is_loaded (table) ? REQUEST_INTERVAL_MS
+                                 : FIRST_REQUEST_INTERVAL_MS;
+}
+
 static void
 handle_beacon (struct feed *feed, const char *host,
                const Peer__FeedBeacon *beacon)
@@ -616,7 +600,8 @@
 
       if (!replicated
           || confirm_state (replicated->table, beacon->states[i], now_ms)
-          || now_ms - replicated->requested_ms < REQUEST_INTERVAL_MS)
+          || now_ms - replicated->requested_ms
+                 < request_interval_ms (replicated->table))
         continue;
       replicated->requested_ms = now_ms;
       request_update (feed, pick_source (feed, replicated->table, host),
@@ -687,57 +672,180 @@
                           : !table_is_loaded (replicated->table)
                                 || (int64_t)update->since != revision)
     {
+      replicated->requested_ms = current_ms (feed);
       request_update (feed, host, replicated->table);
       return;
     }
   apply_update (replicated->table, update, current_ms (feed));
+  replicated->requested_ms = 0;
   record_leader (feed, host);
 }
 
-static size_t
-count_bytes (const struct pending_update *update)
+/* Handles an update whose objects and names are compressed.  */
+static void
+handle_deflated_update (struct feed *feed, const char *host,
+                        const Peer__FeedUpdate *update)
 {
-  size_t bytes = 0;
+  Peer__FeedUpdate *inner = NULL;
+
+  if (update->inflated_bytes <= MAX_INFLATED_BYTES)
+    inner = payload_inflate (update->deflated.data, update->deflated.len,
+                             update->inflated_bytes);
+  if (!inner)
+    {
+      log_write (LOG_ERROR, "feed", NULL,
+                 "ignored an update from host %s: %u bytes in %zu compressed "
+                 "ones are not valid",
+                 host, update->inflated_bytes, update->deflated.len);
+      return;
+    }
+  inner->state = update->state;
+  inner->since = update->since;
+  inner->is_complete = update->is_complete;
+  handle_update (feed, host, inner);
+  inner->state = NULL; /* owned by UPDATE */
+  peer__feed_update__free_unpacked (inner, NULL);
+}
+
+/* Answers HOST, which knows REVISION of the table, if little changed since.
+   Otherwise prepares the table's payload and returns false.  */
+static bool
+answer_directly (struct feed *feed, struct replicated_table *replicated,
+                 const char *host, int64_t revision)
+{
+  const struct table *table = replicated->table;
+  int64_t base = update_base (table, revision);
+  struct update update;
 
-  for (guint i = 0; i < update->objects->len; i++)
-    bytes += ((const Peer__FeedObject *)update->objects->pdata[i])->text.len;
-  return bytes;
+  if (payload_is_current (&replicated->payload, table, base))
+    return false;
+  update_init (&update, table, base, current_ms (feed));
+  update_add_changed (&update, table);
+  update_add_names (&update, table);
+  if (update_bytes (&update) <= MAX_DIRECT_BYTES)
+    {
+      counter_add (COUNTER_FEED_ANSWERS, 1);
+      counter_add (COUNTER_FEED_ANSWER_BYTES, (int64_t)update_bytes (&update));
+      send_update (feed, &update, host);
+      return true;
+    }
+  payload_set (&replicated->payload, &update, table);
+  update_release (&update);
+  return false;
+}
+
+/* Sends FRAME, which carries BYTES of objects, to HOST.  feed_handle_sent is
+   called once it has left this host or is lost.  */
+static void
+send_bulk (struct feed *feed, const char *host, const Peer__Frame *frame,
+           size_t bytes)
+{
+  counter_add (COUNTER_FEED_ANSWERS, 1);
+  counter_add (COUNTER_FEED_ANSWER_BYTES, (int64_t)bytes);
+  outbox_begin (feed->outbox, host, bytes, current_ms (feed));
+  if (!feed->options.send_bulk (feed->options.data, host, frame))
+    outbox_end (feed->outbox, host);
+}
+
+/* Sends the table's payload, inflated for hosts that do not accept it
+   otherwise.  */
+static void
+send_payload (struct feed *feed, const struct replicated_table *replicated,
+              const struct outbox_request *request)
+{
+  const struct payload *payload = &replicated->payload;
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__FeedUpdate message = PEER__FEED_UPDATE__INIT;
+  Peer__FeedState state;
+  Peer__FeedUpdate *inner = NULL;
+
+  update_fill_state (&state, replicated->table, current_ms (feed));
+  message.state = &state;
+  message.since = (uint64_t)payload->base;
+  message.is_complete = true;
+  if (request->accepts_deflate)
+    {
+      message.deflated.data = (uint8_t *)payload->deflated.data;
+      message.deflated.len = payload->deflated.len;
+      message.inflated_bytes = (uint32_t)payload->inflated_bytes;
+    }
+  else
+    {
+      inner = payload_inflate ((const uint8_t *)payload->deflated.data,
+                               payload->deflated.len, payload->inflated_bytes);
+      message.objects = inner->objects;
+      message.n_objects = inner->n_objects;
+      message.names = inner->names;
+      message.n_names = inner->n_names;
+    }
+  frame.body_case = PEER__FRAME__BODY_FEED_UPDATE;
+  frame.feed_update = &message;
+  send_bulk (feed, request->host, &frame,
+             inner ? payload->inflated_bytes : payload->deflated.len);
+  if (inner)
+    peer__feed_update__free_unpacked (inner, NULL);
+}
+
+/* Whether the table may be sent to others: stale state is not.  */
+static bool
+is_fresh (const struct feed *feed, const struct table *table)
+{
+  return table_is_loaded (table)
+         && current_ms (feed) - table_as_of_ms (table)
+                <= feed->options.stale_ms;
+}
+
+/* Answers the hosts whose turn it is.  */
+static void
+answer_waiting (struct feed *feed)
+{
+  struct outbox_request *request;
+
+  if (feed->is_answering)
+    return;
+  feed->is_answering = true;
+  while ((request = outbox_take (feed->outbox, current_ms (feed))))
+    {
+      struct replicated_table *replicated = &feed->tables[request->table];
+
+      if (is_fresh (feed, replicated->table)
+          && !answer_directly (feed, replicated, request->host,
+                               request->revision))
+        send_payload (feed, replicated, request);
+      outbox_request_destroy (request);
+    }
+  feed->is_answering = false;
 }
 
 /* Answers a request with the objects that changed after its revision and the
-   names of all objects.  Stale state is not sent, and of whole tables no more
-   than MAX_ANSWER_BYTES between two beacons.  */
+   names of all objects, at once or when it is the host's turn.  */
 static void
 handle_request (struct feed *feed, const char *host,
-                const Peer__FeedAsk *request)
+                const Peer__FeedAsk *message)
 {
-  const struct replicated_table *replicated = find_table (feed, request->kind);
-  struct pending_update update;
-  GPtrArray *entries;
+  struct replicated_table *replicated = find_table (feed, message->kind);
+  struct outbox_request request
+      = { .host = (char *)(uintptr_t)host,
+          .revision = (int64_t)message->revision,
+          .accepts_deflate = message->accepts_deflate,
+          .requested_ms = current_ms (feed) };
 
   counter_add (COUNTER_FEED_REQUESTS, 1);
-  if (!replicated || !table_is_loaded (replicated->table)
-      || (request->revision == 0 && feed->answered_bytes > MAX_ANSWER_BYTES)
-      || current_ms (feed) - table_as_of_ms (replicated->table)
-             > feed->options.stale_ms)
+  if (!replicated || !is_fresh (feed, replicated->table)
+      || answer_directly (feed, replicated, host, request.revision))
     return;
-  update_init (&update, replicated->table, (int64_t)request->revision,
-               current_ms (feed));
-  entries = table_entries (replicated->table);
-  for (guint i = 0; i < entries->len; i++)
-    {
-      const struct table_entry *entry = entries->pdata[i];
+  request.table = (size_t)(replicated - feed->tables);
+  outbox_add (feed->outbox, &request,
+              is_leading (feed) && strings_contain (&feed->relays, host));
+  answer_waiting (feed);
+}
 
-      if (entry->revision > (int64_t)request->revision)
-        update_add (&update, entry);
-    }
-  g_ptr_array_free (entries, TRUE);
-  update_add_names (&update, replicated->table);
-  if (request->revision == 0)
-    feed->answered_bytes += count_bytes (&update);
-  counter_add (COUNTER_FEED_ANSWERS, 1);
-  counter_add (COUNTER_FEED_ANSWER_BYTES, (int64_t)count_bytes (&update));
-  update_send (feed, &update, host);
+/* Records that the last large frame to HOST has left this host or is lost.  */
+void
+feed_handle_sent (struct feed *feed, const char *host)
+{
+  outbox_end (feed->outbox, host);
+  answer_waiting (feed);
 }
 
 /* Handles beacons, requests and updates of other hosts; ignores other frames.
@@ -751,5 +859,10 @@
   else if (frame->body_case == PEER__FRAME__BODY_FEED_ASK)
     handle_request (feed, host, frame->feed_ask);
   else if (frame->body_case == PEER__FRAME__BODY_FEED_UPDATE)
-    handle_update (feed, host, frame->feed_update);
+    {
+      if (frame->feed_update->deflated.len > 0)
+        handle_deflated_update (feed, host, frame->feed_update);
+      else
+        handle_update (feed, host, frame->feed_update);
+    }
 }
--- a/feed/table.c
+++ b/feed/table.c
@@ -13,6 +13,7 @@
   struct table_options options;
   GHashTable *entries; /* name -> struct table_entry */
   GPtrArray *changed;  /* names changed since the last commit */
+  uint64_t generation; /* of the content; 0 before the first commit */
   int64_t revision;
   int64_t as_of_ms;     /* when the store last had exactly this content */
   bool is_loaded;       /* a complete read has been committed */
@@ -205,6 +206,7 @@
   if (as_of_ms > table->as_of_ms)
     table->as_of_ms = as_of_ms;
   table->is_loaded = table->is_loaded || is_complete;
+  table->generation += names->len > 0 || is_first_load;
   if (names->len > 0 || is_first_load)
     table->options.handle_commit (table->options.data);
   if (table->listener)
@@ -238,6 +240,13 @@
   return table->revision;
 }
 
+/* Returns a number that changes with each commit of changes.  */
+uint64_t
+table_generation (const struct table *table)
+{
+  return table->generation;
+}
+
 /* Returns the last time at which the store had exactly this content.  */
 int64_t
 table_as_of_ms (const struct table *table)
--- a/include/common/memory.h
+++ b/include/common/memory.h
@@ -14,6 +14,7 @@
   MEMORY_LINKS_OUT, /* frames that other hosts have not read */
   MEMORY_LINKS_IN,  /* frames that have not arrived as a whole */
   MEMORY_MESSAGES,  /* frames passed between the process's threads */
+  MEMORY_OBJECTS,   /* compressed updates of objects, for other hosts */
   MEMORY_CONFIG,    /* decoded versions of the configuration */
   MEMORY_ACCOUNT_COUNT,
 };
--- a/include/feed/feed.h
+++ b/include/feed/feed.h
@@ -34,6 +34,11 @@
   int64_t stale_ms;
   const struct strings *seeds; /* hosts to ask while no other is known */
   void (*send) (void *data, const char *host, const Peer__Frame *frame);
+  /* Sends a large frame, one at a time to a host.  feed_handle_sent must be
+     called once it has left this host or is lost.  Returns false if it cannot
+     be sent. */
+  bool (*send_bulk) (void *data, const char *host, const Peer__Frame *frame);
+  size_t max_bulk_bytes; /* of such frames on their way; 0 for the default */
   /* Called when this host must start or stop following the store. */
   void (*handle_follow) (void *data, bool follows);
   int64_t (*now_ms) (void *data); /* NULL for the clock */
@@ -48,6 +53,7 @@
 void feed_set_store_reachable (struct feed *feed, bool is_reachable);
 int64_t feed_interval_ms (const struct feed *feed);
 void feed_tick (struct feed *feed);
+void feed_handle_sent (struct feed *feed, const char *host);
 void feed_handle_frame (struct feed *feed, const char *host,
                         const Peer__Frame *frame);
 
--- a/include/feed/table.h
+++ b/include/feed/table.h
@@ -67,6 +67,7 @@
 void table_start_grace_period (struct table *table);
 bool table_is_loaded (const struct table *table);
 int64_t table_revision (const struct table *table);
+uint64_t table_generation (const struct table *table);
 int64_t table_as_of_ms (const struct table *table);
 uint32_t table_count (const struct table *table);
 const struct table_entry *table_find (const struct table *table,
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -561,10 +561,11 @@
    * up to which the sender knows the kind
    */
   uint64_t revision;
+  protobuf_c_boolean accepts_deflate;
 };
 #define PEER__FEED_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__feed_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Peer__FeedObject
@@ -601,10 +602,16 @@
   Peer__FeedObject **objects;
   size_t n_names;
   char **names;
+  /*
+   * Instead of objects and names, a FeedUpdate that has them, compressed with
+   * zlib.  Sent only to hosts that accept it.
+   */
+  ProtobufCBinaryData deflated;
+  uint32_t inflated_bytes;
 };
 #define PEER__FEED_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__feed_update__descriptor) \
-    , NULL, 0, 0, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0,NULL, 0,NULL, {0,NULL}, 0 }
 
 
 /*
@@ -1044,7 +1051,7 @@
    */
   uint32_t age_ms;
   /*
-   * turn_keepers_digest of the keepers that the sender knows; 0 if not told
+   * turn_keepers_digest of the keepers that the sender knows
    */
   uint64_t keepers;
 };
--- a/include/platform/messages.h
+++ b/include/platform/messages.h
@@ -49,6 +49,8 @@
   struct strings data_centres;     /* owned */
   char *host;                      /* recipient of the frame; owned */
   struct buf frame;                /* packed Peer__Frame; owned */
+  unsigned frame_kind;             /* number of the frame's body */
+  bool is_bulk;                    /* report NODE_SENT once it is sent */
 };
 
 enum node_event
@@ -57,6 +59,7 @@
   NODE_HANDED_OVER, /* the ledger is transferred */
   NODE_HOST_ABSENT, /* a host is absent; remove it from the host list */
   NODE_FRAME,       /* a frame from a host, for the control thread */
+  NODE_SENT,        /* the last bulk frame to a host is sent or lost */
 };
 
 /* From traffic to control.  Created by traffic, freed by control. */
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -5029,7 +5029,7 @@
   (ProtobufCMessageInit) peer__feed_beacon__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__feed_ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__feed_ask__field_descriptors[3] =
 {
   {
     "kind",
@@ -5055,15 +5055,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accepts_deflate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedAsk, accepts_deflate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__feed_ask__field_indices_by_name[] = {
+  2,   /* field[2] = accepts_deflate */
   0,   /* field[0] = kind */
   1,   /* field[1] = revision */
 };
 static const ProtobufCIntRange peer__feed_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__feed_ask__descriptor =
 {
@@ -5073,7 +5086,7 @@
   "Peer__FeedAsk",
   "peer",
   sizeof(Peer__FeedAsk),
-  2,
+  3,
   peer__feed_ask__field_descriptors,
   peer__feed_ask__field_indices_by_name,
   1,  peer__feed_ask__number_ranges,
@@ -5144,7 +5157,7 @@
   (ProtobufCMessageInit) peer__feed_object__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__feed_update__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__feed_update__field_descriptors[7] =
 {
   {
     "state",
@@ -5206,8 +5219,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "deflated",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedUpdate, deflated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "inflated_bytes",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__FeedUpdate, inflated_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__feed_update__field_indices_by_name[] = {
+  5,   /* field[5] = deflated */
+  6,   /* field[6] = inflated_bytes */
   2,   /* field[2] = is_complete */
   4,   /* field[4] = names */
   3,   /* field[3] = objects */
@@ -5217,7 +5256,7 @@
 static const ProtobufCIntRange peer__feed_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__feed_update__descriptor =
 {
@@ -5227,7 +5266,7 @@
   "Peer__FeedUpdate",
   "peer",
   sizeof(Peer__FeedUpdate),
-  5,
+  7,
   peer__feed_update__field_descriptors,
   peer__feed_update__field_indices_by_name,
   1,  peer__feed_update__number_ranges,
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -8,7 +8,7 @@
 clang-format clang-tidy cppcheck scdoc spin libclang-rt-14-dev
 libck-dev libcunit1-dev libcurl4-openssl-dev libev-dev libglib2.0-dev
 libjansson-dev libmicrohttpd-dev libprotobuf-c-dev librapidcheck-dev
-libsodium-dev libxxhash-dev protobuf-c-compiler"
+libsodium-dev libxxhash-dev protobuf-c-compiler zlib1g-dev"
 
 missing=""
 for package in $PACKAGES; do
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -31,6 +31,7 @@
   { "mesh", NULL, NULL, NULL, NULL, mesh_tests },
   { "node traffic", NULL, NULL, NULL, NULL, node_traffic_tests },
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
+  { "outbox", NULL, NULL, NULL, NULL, outbox_tests },
   { "owner", NULL, NULL, NULL, NULL, owner_tests },
   { "path monitor", NULL, NULL, NULL, NULL, path_monitor_tests },
   { "place", NULL, NULL, NULL, NULL, place_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -15,6 +15,7 @@
 extern CU_TestInfo cursor_tests[];
 extern CU_TestInfo cut_off_hosts_tests[];
 extern CU_TestInfo link_memory_tests[];
+extern CU_TestInfo outbox_tests[];
 extern CU_TestInfo lossy_paths_tests[];
 extern CU_TestInfo wide_config_tests[];
 extern CU_TestInfo decode_tests[];
--- a/test/unit/test_feed.c
+++ b/test/unit/test_feed.c
@@ -80,6 +80,16 @@
   buf_release (&packed);
 }
 
+static bool
+send_bulk (void *data, const char *name, const Peer__Frame *frame)
+{
+  struct host *from = data;
+
+  send_frame (data, name, frame);
+  feed_handle_sent (from->feed, name);
+  return true;
+}
+
 static void
 handle_follow (void *data, bool follows)
 {
@@ -169,6 +179,7 @@
                                   .stale_ms = STALE_MS,
                                   .seeds = &no_seeds,
                                   .send = send_frame,
+                                  .send_bulk = send_bulk,
                                   .handle_follow = handle_follow,
                                   .data = host };
 
--- a/test/unit/test_wide_config.c
+++ b/test/unit/test_wide_config.c
@@ -30,6 +30,7 @@
   struct host *to;
   struct buf bytes;
   size_t sent;
+  bool is_bulk; /* the sender's feed waits for its end */
 };
 
 /* A host behind a link whose bandwidth its transfers share. */
@@ -74,11 +75,12 @@
 }
 
 static void
-queue_frame (void *data, const char *name, const Peer__Frame *frame)
+queue_transfer (struct host *from, const char *name, const Peer__Frame *frame,
+                bool is_bulk)
 {
-  struct host *from = data;
   struct transfer *transfer = xcalloc (1, sizeof *transfer);
 
+  transfer->is_bulk = is_bulk;
   transfer->to = find_host (from->fleet, name);
   packed_frame_append (&transfer->bytes, frame);
   from->queued_bytes += transfer->bytes.len;
@@ -88,6 +90,19 @@
                      transfer);
 }
 
+static void
+queue_frame (void *data, const char *name, const Peer__Frame *frame)
+{
+  queue_transfer (data, name, frame, false);
+}
+
+static bool
+queue_bulk_frame (void *data, const char *name, const Peer__Frame *frame)
+{
+  queue_transfer (data, name, frame, true);
+  return true;
+}
+
 static void
 transfer_destroy (gpointer data)
 {
@@ -104,6 +119,8 @@
 
   feed_handle_frame (transfer->to->feed, from->name, frame);
   peer__frame__free_unpacked (frame, NULL);
+  if (transfer->is_bulk)
+    feed_handle_sent (from->feed, transfer->to->name);
   transfer_destroy (transfer);
 }
 
@@ -248,6 +265,7 @@
                                   .stale_ms = STALE_MS,
                                   .seeds = &no_seeds,
                                   .send = queue_frame,
+                                  .send_bulk = queue_bulk_frame,
                                   .handle_follow = handle_follow,
                                   .now_ms = fleet_now_ms,
                                   .data = host };
@@ -335,7 +353,150 @@
   fleet_destroy (fleet);
 }
 
+/* A feed without a network, whose last large frame is kept. */
+struct lone_host
+{
+  struct table *table;
+  struct feed *feed;
+  Peer__Frame *sent; /* NULL for none */
+};
+
+static void
+ignore_frame (void *data, const char *host, const Peer__Frame *frame)
+{
+}
+
+static bool
+keep_frame (void *data, const char *host, const Peer__Frame *frame)
+{
+  struct lone_host *lone = data;
+  struct buf packed = { 0 };
+
+  packed_frame_append (&packed, frame);
+  lone->sent = packed_frame_unpack (&packed);
+  buf_release (&packed);
+  return true;
+}
+
+static void
+ignore_follow (void *data, bool follows)
+{
+}
+
+static void
+lone_host_init (struct lone_host *lone)
+{
+  static const struct strings no_seeds;
+  struct table_options table
+      = { .kind = "config", .handle_commit = handle_commit };
+  struct feed_options options = { .host = "lone",
+                                  .data_centre = "dc",
+                                  .may_lead = true,
+                                  .stale_ms = STALE_MS,
+                                  .seeds = &no_seeds,
+                                  .send = ignore_frame,
+                                  .send_bulk = keep_frame,
+                                  .handle_follow = ignore_follow,
+                                  .data = lone };
+
+  *lone = (struct lone_host){ .table = table_create (&table) };
+  lone->feed = feed_create (&options);
+  feed_add_table (lone->feed, lone->table);
+}
+
+static void
+lone_host_release (struct lone_host *lone)
+{
+  if (lone->sent)
+    peer__frame__free_unpacked (lone->sent, NULL);
+  feed_destroy (lone->feed);
+  table_destroy (lone->table);
+}
+
+/* Asks the host for its table and returns the answer, which the host owns.  */
+static Peer__FeedUpdate *
+ask (struct lone_host *lone, bool accepts_deflate)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__FeedAsk request = PEER__FEED_ASK__INIT;
+
+  request.kind = (char *)"config";
+  request.accepts_deflate = accepts_deflate;
+  frame.body_case = PEER__FRAME__BODY_FEED_ASK;
+  frame.feed_ask = &request;
+  feed_handle_frame (lone->feed, "other", &frame);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (lone->sent);
+  return lone->sent->feed_update;
+}
+
+static void
+load_config (struct lone_host *lone)
+{
+  json_t *object = build_config (7);
+
+  table_put (lone->table, "main", 7, object);
+  table_commit (lone->table, 7, clock_now_ms (), true);
+  json_decref (object);
+}
+
+/* Guards against updates that hosts of the version before, which do not know
+   compressed ones, take for empty.  */
+static void
+test_host_without_deflate (void)
+{
+  struct lone_host lone;
+  const Peer__FeedUpdate *update;
+
+  lone_host_init (&lone);
+  load_config (&lone);
+  update = ask (&lone, false);
+  CU_ASSERT_EQUAL (update->deflated.len, 0);
+  CU_ASSERT_EQUAL_FATAL (update->n_objects, 1);
+  CU_ASSERT_EQUAL (update->n_names, 1);
+  CU_ASSERT_EQUAL (update->objects[0]->revision, 7);
+  CU_ASSERT_TRUE (update->objects[0]->text.len > 100 * ROUTES);
+  CU_ASSERT_TRUE (update->is_complete);
+  lone_host_release (&lone);
+}
+
+/* Guards against compressed updates that end or fill a host: those with other
+   content than they state are ignored, and a sound one is applied after them.
+   */
+static void
+test_damaged_payload (void)
+{
+  struct lone_host sender;
+  struct lone_host receiver;
+  Peer__FeedUpdate *update;
+  uint32_t inflated_bytes;
+
+  lone_host_init (&sender);
+  lone_host_init (&receiver);
+  load_config (&sender);
+  update = ask (&sender, true);
+  CU_ASSERT_EQUAL (update->n_objects, 0);
+  CU_ASSERT_TRUE (update->deflated.len > 0);
+  inflated_bytes = update->inflated_bytes;
+
+  update->inflated_bytes = UINT32_MAX;
+  feed_handle_frame (receiver.feed, "other", sender.sent);
+  update->inflated_bytes = inflated_bytes - 1;
+  feed_handle_frame (receiver.feed, "other", sender.sent);
+  update->inflated_bytes = inflated_bytes;
+  update->deflated.data[update->deflated.len / 2] ^= 1;
+  feed_handle_frame (receiver.feed, "other", sender.sent);
+  CU_ASSERT_FALSE (table_is_loaded (receiver.table));
+  update->deflated.data[update->deflated.len / 2] ^= 1;
+  feed_handle_frame (receiver.feed, "other", sender.sent);
+  CU_ASSERT_PTR_NOT_NULL (table_find (receiver.table, "main"));
+  lone_host_release (&sender);
+  lone_host_release (&receiver);
+}
+
 CU_TestInfo wide_config_tests[] = {
   { "wide configuration changes a few times", test_wide_config_changes },
+  { "a host that does not know compressed updates",
+    test_host_without_deflate },
+  { "damaged payload", test_damaged_payload },
   CU_TEST_INFO_NULL,
 };
