common, platform, deploy: a host knows its memory and divides it

Cause, as far as it concerns this commit: nothing in the process knew how much memory it may use. The settings said that the platform does not tell, though its settings have limits.memory_mb, and each part had an idea of its own (22 MB, 24 MB, 64 MB a link), which together exceed the 88 MB of an entry host.

What is held for callers is bounded by their share, and by buffer_limit_mb if that is set and lower. /metrics has each share, the refusals of each account and the limit. The accounts of links, messages and configurations are not bounded yet; the new account "tables" is not used yet.

--- a/common/memory.c
+++ b/common/memory.c
@@ -6,17 +6,97 @@
 enum
 {
   BYTES_PER_KB = 1024,
+  /* What a process needs while all accounts are empty: its code, libraries,
+     stacks, loops and idle tables. */
+  PROCESS_BYTES = 12 * 1024 * 1024,
+  /* Of the rest: lost between blocks of the allocator, and held by what has no
+     account. */
+  UNASSIGNED_PERCENT = 10,
+  ALL_PERCENT = 100,
 };
 
-static const char *const account_names[MEMORY_ACCOUNT_COUNT] = {
-  [MEMORY_CALLERS] = "callers",     [MEMORY_RESPONSES] = "responses",
-  [MEMORY_LINKS_OUT] = "links_out", [MEMORY_LINKS_IN] = "links_in",
-  [MEMORY_MESSAGES] = "messages",   [MEMORY_CONFIG] = "config",
+/* What an account is called, and its share in what a process may use beyond
+   its own needs. */
+struct account
+{
+  const char *name;
+  uint8_t percent[MEMORY_PROFILE_COUNT];
+};
+
+/* Shares of a host that serves callers, and of one that stores turns. */
+static const struct account accounts[MEMORY_ACCOUNT_COUNT] = {
+  [MEMORY_CALLERS] = { "callers", { 28, 1 } },
+  [MEMORY_RESPONSES] = { "responses", { 11, 4 } },
+  [MEMORY_LINKS_OUT] = { "links_out", { 14, 20 } },
+  [MEMORY_LINKS_IN] = { "links_in", { 9, 15 } },
+  [MEMORY_MESSAGES] = { "messages", { 5, 5 } },
+  [MEMORY_CONFIG] = { "config", { 17, 5 } },
+  [MEMORY_TABLES] = { "tables", { 6, 40 } },
 };
 
 static uint64_t used_bytes[MEMORY_ACCOUNT_COUNT];
+static uint64_t refusals[MEMORY_ACCOUNT_COUNT]; /* by memory_take */
+static int64_t process_limit_bytes;             /* 0 for none */
+static enum memory_profile process_profile;
+
+/* Sets how many bytes the process may use, 0 for no limit.  To be called while
+   no other thread runs.  Returns false if the shares and what the process
+   needs by itself exceed the limit.  */
+bool
+memory_set_limit (int64_t limit_bytes, enum memory_profile profile)
+{
+  int percent = UNASSIGNED_PERCENT;
+
+  process_limit_bytes = limit_bytes;
+  process_profile = profile;
+  for (int i = 0; i < MEMORY_ACCOUNT_COUNT; i++)
+    percent += accounts[i].percent[profile];
+  return percent <= ALL_PERCENT
+         && (limit_bytes == 0 || limit_bytes >= PROCESS_BYTES);
+}
+
+/* Returns how many bytes the process may use, or 0 for no limit.  */
+int64_t
+memory_limit (void)
+{
+  return process_limit_bytes;
+}
+
+/* Returns how many bytes ACCOUNT may hold; INT64_MAX without a limit.  All
+   shares together with what the process needs by itself fit the limit.  */
+int64_t
+memory_share (enum memory_account account)
+{
+  int64_t divided_bytes = process_limit_bytes - PROCESS_BYTES;
+
+  if (process_limit_bytes == 0)
+    return INT64_MAX;
+  if (divided_bytes < 0)
+    return 0;
+  return divided_bytes / ALL_PERCENT
+         * accounts[account].percent[process_profile];
+}
+
+/* Adds BYTES to ACCOUNT.  Returns false, and adds nothing, if the account
+   would exceed its share.  They are returned with memory_add.  */
+bool
+memory_take (enum memory_account account, int64_t bytes)
+{
+  int64_t share_bytes = memory_share (account);
+  uint64_t used = ck_pr_load_64 (&used_bytes[account]);
 
-/* Adds BYTES, which may be negative, to ACCOUNT.  */
+  do
+    if (bytes > share_bytes || (int64_t)used > share_bytes - bytes)
+      {
+        ck_pr_inc_64 (&refusals[account]);
+        return false;
+      }
+  while (!ck_pr_cas_64_value (&used_bytes[account], used,
+                              used + (uint64_t)bytes, &used));
+  return true;
+}
+
+/* Adds BYTES, which may be negative, to ACCOUNT, whatever its share.  */
 void
 memory_add (enum memory_account account, int64_t bytes)
 {
@@ -54,19 +134,33 @@
               (long long)(memory_resident_bytes () / BYTES_PER_KB));
   for (int i = 0; i < MEMORY_ACCOUNT_COUNT; i++)
     buf_printf (
-        text, ", %s %lld KB", account_names[i],
+        text, ", %s %lld KB", accounts[i].name,
         (long long)(memory_used ((enum memory_account)i) / BYTES_PER_KB));
 }
 
-/* Appends the accounts and the resident memory in the Prometheus text format.
- */
+static void
+account_to_text (enum memory_account account, struct buf *text)
+{
+  const char *name = accounts[account].name;
+
+  buf_printf (text, "galenashore_memory_bytes{account=\"%s\"} %lld\n", name,
+              (long long)memory_used (account));
+  buf_printf (text, "galenashore_memory_refusals{account=\"%s\"} %llu\n", name,
+              (unsigned long long)ck_pr_load_64 (&refusals[account]));
+  if (process_limit_bytes > 0)
+    buf_printf (text, "galenashore_memory_share_bytes{account=\"%s\"} %lld\n",
+                name, (long long)memory_share (account));
+}
+
+/* Appends the accounts, the limit and the resident memory in the Prometheus
+   text format.  */
 void
 memory_to_text (struct buf *text)
 {
   for (int i = 0; i < MEMORY_ACCOUNT_COUNT; i++)
-    buf_printf (text, "galenashore_memory_bytes{account=\"%s\"} %lld\n",
-                account_names[i],
-                (long long)memory_used ((enum memory_account)i));
+    account_to_text ((enum memory_account)i, text);
+  buf_printf (text, "galenashore_memory_limit_bytes %lld\n",
+              (long long)process_limit_bytes);
   buf_printf (text, "galenashore_resident_bytes %lld\n",
               (long long)memory_resident_bytes ());
 }
--- a/include/common/memory.h
+++ b/include/common/memory.h
@@ -1,10 +1,12 @@
 /* Accounts of the memory that the process holds for others: callers, readers,
    other hosts, and the configuration that it hands on to them.  Any thread may
-   change them. */
+   change them.  Each account has a share of the memory that the process may
+   use; memory_take refuses what would exceed it. */
 #ifndef GALENA_COMMON_MEMORY_H
 #define GALENA_COMMON_MEMORY_H
 
 #include "common/buf.h"
+#include <stdbool.h>
 #include <stdint.h>
 
 enum memory_account
@@ -15,9 +17,22 @@
   MEMORY_LINKS_IN,  /* frames that have not arrived as a whole */
   MEMORY_MESSAGES,  /* frames passed between the process's threads */
   MEMORY_CONFIG,    /* decoded versions of the configuration */
+  MEMORY_TABLES,    /* what is remembered of endpoints, streams and turns */
   MEMORY_ACCOUNT_COUNT,
 };
 
+/* What the host does, which decides how its memory is divided. */
+enum memory_profile
+{
+  MEMORY_SERVES_CALLERS,
+  MEMORY_STORES_TURNS,
+  MEMORY_PROFILE_COUNT,
+};
+
+bool memory_set_limit (int64_t limit_bytes, enum memory_profile profile);
+int64_t memory_limit (void);
+int64_t memory_share (enum memory_account account);
+bool memory_take (enum memory_account account, int64_t bytes);
 void memory_add (enum memory_account account, int64_t bytes);
 int64_t memory_used (enum memory_account account);
 int64_t memory_resident_bytes (void);
--- a/include/platform/settings.h
+++ b/include/platform/settings.h
@@ -53,7 +53,9 @@
   int64_t absent_ms;    /* a silent host is removed from the list after this */
   int64_t retention_ms; /* the ledger drops programs unused for longer */
   int64_t max_connections;
-  int64_t buffer_limit_mb;  /* for what is held for callers, in sum */
+  int64_t memory_limit_mb; /* that the process may use */
+  /* For what is held for callers, in sum; 0 for their share of the memory. */
+  int64_t buffer_limit_mb;
   int64_t tolerated_losses; /* of keepers at once */
   struct strings contracts; /* parts of the platform's rules that are in force
                              */
