common, platform: short bodies of responses are bounded in sum, too

What callers would see: a host that ends for lack of memory. Cause: bodies of up to 256 KB were exempt from the bound of all bodies, so many requests whose answers come at the same time could hold any amount; a longer one held up to twice what was counted, as a buffer doubles; and the copy of a request that is sent was not counted at all.

A quarter of the share is left to replies of the platform's store, on which the host depends, and a further quarter to bodies that are not long, so that a few long ones cannot stop all others. Copies of requests that are sent count as held for callers. /metrics has responses_refused.

Test: "many short bodies" (200 bodies of 63 KB at the same time, 88 MB). The test of bodies without end keeps its bound of 88 MB / 3 and checks the account, too.

--- a/common/buf.c
+++ b/common/buf.c
@@ -68,16 +68,27 @@
   return text;
 }
 
-static void
-reserve (struct buf *buf, size_t extra)
+/* Returns the capacity of BUF once EXTRA bytes are appended.  */
+size_t
+buf_capacity_for (const struct buf *buf, size_t extra)
 {
   size_t need = buf->len + extra + 1;
   size_t capacity = buf->capacity ? buf->capacity : BUF_INITIAL_CAPACITY;
 
   if (need <= buf->capacity)
-    return;
+    return buf->capacity;
   while (capacity < need)
     capacity *= 2;
+  return capacity;
+}
+
+static void
+reserve (struct buf *buf, size_t extra)
+{
+  size_t capacity = buf_capacity_for (buf, extra);
+
+  if (capacity == buf->capacity)
+    return;
   buf->data = xrealloc (buf->data, capacity);
   buf->capacity = capacity;
 }
--- a/common/counters.c
+++ b/common/counters.c
@@ -68,6 +68,7 @@
   [COUNTER_BUFFERED_BYTES] = "buffered_bytes",
   [COUNTER_READERS_CUT] = "readers_cut",
   [COUNTER_BODIES_REFUSED] = "bodies_refused",
+  [COUNTER_RESPONSES_REFUSED] = "responses_refused",
   [COUNTER_HOLDS_PLACED] = "holds_placed",
   [COUNTER_HOLDS_SWEPT] = "holds_swept",
   [COUNTER_TURNS_KEPT] = "turns_kept",
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -14,10 +14,14 @@
   MAX_CACHED_CONNECTIONS = 1024,
   DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024,
   MAX_HEAD_BYTES = 64 * 1024, /* of all heads of a transfer, with trailers */
-  /* Of all buffered bodies together.  Those up to MIN_BUFFERED_BYTES are not
-     limited, so that a few long ones cannot stop all others. */
-  MAX_BUFFERED_BYTES = 24 * 1024 * 1024,
-  MIN_BUFFERED_BYTES = 256 * 1024,
+  /* Part of the share of all bodies that is left to those on which the host
+     depends, and to those that are not longer than LONG_BODY_BYTES, so that a
+     few long ones cannot stop all others. */
+  ESSENTIAL_PERCENT = 25,
+  SHORT_PERCENT = 25,
+  LONG_BODY_BYTES = 256 * 1024,
+  /* If the process has no limit: of all bodies while one of them is long. */
+  MAX_LONG_BODIES_BYTES = 24 * 1024 * 1024,
   FIRST_FINAL_STATUS = 200, /* lower ones are of interim responses */
 };
 
@@ -59,7 +63,9 @@
   enum fetch_framing framing;
   struct buf body;
   size_t buffered_bytes; /* received into the body */
+  size_t charged_bytes;  /* that the body occupies */
   size_t max_body_bytes;
+  bool is_essential;
   fetch_data_handler *handle_data;
   fetch_header_handler *handle_header;
   fetch_done_handler *handle_done;
@@ -104,7 +110,8 @@
 
   unlink_fetch (fetch);
   fetcher->buffered_bytes -= fetch->buffered_bytes;
-  memory_add (MEMORY_RESPONSES, -(int64_t)fetch->buffered_bytes);
+  memory_add (MEMORY_RESPONSES, -(int64_t)fetch->charged_bytes);
+  memory_add (MEMORY_CALLERS, -(int64_t)fetch->request_body_len);
   curl_multi_remove_handle (fetcher->multi, fetch->easy);
   if (fetcher->idle_count < MAX_IDLE_HANDLES)
     {
@@ -263,15 +270,40 @@
     }
 }
 
-/* Whether LEN more bytes of the body may be buffered.  */
-static bool
-has_room (const struct fetch *fetch, size_t len)
-{
-  size_t total = fetch->buffered_bytes + len;
+/* Returns how much all bodies may occupy if FETCH's needs CAPACITY.  */
+static int64_t
+bodies_limit (const struct fetch *fetch, size_t capacity)
+{
+  int64_t share_bytes = memory_share (MEMORY_RESPONSES);
+  int64_t percent = 100 - ESSENTIAL_PERCENT;
+
+  if (fetch->is_essential)
+    return share_bytes;
+  if (capacity > LONG_BODY_BYTES)
+    percent -= SHORT_PERCENT;
+  share_bytes = share_bytes / 100 * percent;
+  return capacity > LONG_BODY_BYTES && share_bytes > MAX_LONG_BODIES_BYTES
+             ? MAX_LONG_BODIES_BYTES
+             : share_bytes;
+}
 
-  return total <= fetch->max_body_bytes
-         && (total <= MIN_BUFFERED_BYTES
-             || fetch->fetcher->buffered_bytes + len <= MAX_BUFFERED_BYTES);
+/* Charges what the body occupies with LEN more bytes.  Returns false if they
+   may not be buffered.  */
+static bool
+charge_body (struct fetch *fetch, size_t len)
+{
+  size_t capacity = buf_capacity_for (&fetch->body, len);
+  int64_t growth = (int64_t)(capacity - fetch->body.capacity);
+
+  if (fetch->buffered_bytes + len > fetch->max_body_bytes)
+    return false;
+  if (growth == 0)
+    return true;
+  if (growth > bodies_limit (fetch, capacity) - memory_used (MEMORY_RESPONSES)
+      || !memory_take (MEMORY_RESPONSES, growth))
+    return false;
+  fetch->charged_bytes += (size_t)growth;
+  return true;
 }
 
 static size_t
@@ -284,12 +316,14 @@
     return 0;
   if (fetch->handle_data)
     return fetch->handle_data (fetch->data, bytes, len) ? len : 0;
-  if (!has_room (fetch, len))
-    return 0;
+  if (!charge_body (fetch, len))
+    {
+      counter_add (COUNTER_RESPONSES_REFUSED, 1);
+      return 0;
+    }
   buf_append (&fetch->body, bytes, len);
   fetch->buffered_bytes += len;
   fetch->fetcher->buffered_bytes += len;
-  memory_add (MEMORY_RESPONSES, (int64_t)len);
   return len;
 }
 
@@ -428,6 +462,7 @@
 {
   fetch->request_body = xcalloc (options->body_len + 1, 1);
   fetch->request_body_len = options->body_len;
+  memory_add (MEMORY_CALLERS, (int64_t)options->body_len);
   if (options->body && options->body_len)
     memcpy (fetch->request_body, options->body, options->body_len);
   curl_easy_setopt (fetch->easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -515,6 +550,7 @@
   fetch->release_data = options->release_data;
   fetch->refuses_resend = options->refuses_resend;
   fetch->data = options->data;
+  fetch->is_essential = options->is_essential;
   fetch->max_body_bytes = options->max_body_bytes ? options->max_body_bytes
                                                   : DEFAULT_MAX_BODY_BYTES;
   link_fetch (fetch);
--- a/include/common/buf.h
+++ b/include/common/buf.h
@@ -12,6 +12,7 @@
   size_t capacity;
 };
 
+size_t buf_capacity_for (const struct buf *buf, size_t extra);
 void buf_append (struct buf *buf, const void *data, size_t len);
 void buf_append_str (struct buf *buf, const char *text);
 void buf_printf (struct buf *buf, const char *format, ...)
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -55,7 +55,9 @@
   int64_t timeout_ms;       /* entire transfer; 0 for none */
   int64_t stall_timeout_ms; /* without any byte received; 0 for none */
   size_t max_body_bytes; /* of a buffered body; 0 for the default of 4 MiB */
-  bool single_attempt;   /* libcurl must not send the request again */
+  /* The host depends on the body: it may use all of the memory for bodies. */
+  bool is_essential;
+  bool single_attempt; /* libcurl must not send the request again */
   /* Like single_attempt, for requests that may run again: connections are
      reused, and the result tells whether a resend was refused. */
   bool refuses_resend;
--- a/test/unit/test_broken_answers.c
+++ b/test/unit/test_broken_answers.c
@@ -1,4 +1,5 @@
 #include "common/id.h"
+#include "common/memory.h"
 #include "local_pipeline.h"
 #include "suites.h"
 #include <stdlib.h>
@@ -10,6 +11,9 @@
   ENDLESS_TIMEOUT_MS = 4000,
   PARALLEL_BODIES = 16,
   MAX_BODY_BYTES = 8 * 1024 * 1024,
+  PARALLEL_SHORT_BODIES = 200, /* in sum more than a host has for bodies */
+  SHORT_BODY_BYTES = 63 * 1024,
+  HOST_BYTES = 88 * 1024 * 1024, /* of the smallest entry hosts */
   /* A third of the memory of the smallest hosts, 88 MB. */
   BODIES_MEMORY_BYTES = 88 * 1000 * 1000 / 3,
 };
@@ -317,36 +321,85 @@
   ++*(int *)data;
 }
 
-/* Guards against buffering many bodies without end until the process is out of
-   memory, though each stays below the limit of one.  */
+/* Receives COUNT bodies of up to MAX_BYTES at the same time, which ENDPOINT
+   does not end.  What they hold together must not exceed LIMIT_BYTES.  */
 static void
-test_many_bodies_without_end (void)
+expect_bodies_to_be_bounded (const struct raw_endpoint *endpoint, int count,
+                             size_t max_bytes, int64_t limit_bytes)
 {
-  const char *parts[] = { HEAD "\r\n", filler };
-  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  struct fetcher *fetcher = fetcher_create (loop);
-  struct raw_endpoint *endpoint
-      = raw_endpoint_create (loop, answer_endless, parts);
+  struct fetcher *fetcher = fetcher_create (endpoint->loop);
   char *url = xasprintf ("http://127.0.0.1:%u/", endpoint->port);
   int ended = 0;
   struct fetch_options options = { .method = "GET",
                                    .url = url,
-                                   .max_body_bytes = MAX_BODY_BYTES,
+                                   .timeout_ms = TIMEOUT_MS,
+                                   .max_body_bytes = max_bytes,
                                    .handle_done = count_response,
                                    .data = &ended };
 
-  for (int i = 0; i < PARALLEL_BODIES; i++)
+  for (int i = 0; i < count; i++)
     fetch_start (fetcher, &options);
-  while (ended < PARALLEL_BODIES)
+  while (ended < count)
     {
-      ev_run (loop, EVRUN_ONCE);
-      CU_ASSERT_TRUE_FATAL (fetcher_buffered_bytes (fetcher)
-                            <= BODIES_MEMORY_BYTES);
+      ev_run (endpoint->loop, EVRUN_ONCE);
+      CU_ASSERT_TRUE_FATAL ((int64_t)fetcher_buffered_bytes (fetcher)
+                            <= limit_bytes);
+      CU_ASSERT_TRUE_FATAL (memory_used (MEMORY_RESPONSES) <= limit_bytes);
     }
   CU_ASSERT_EQUAL (fetcher_buffered_bytes (fetcher), 0);
+  CU_ASSERT_EQUAL (memory_used (MEMORY_RESPONSES), 0);
   free (url);
-  raw_endpoint_destroy (endpoint);
   fetcher_destroy (fetcher);
+}
+
+/* Guards against buffering many bodies without end until the process is out of
+   memory, though each stays below the limit of one.  */
+static void
+test_many_bodies_without_end (void)
+{
+  const char *parts[] = { HEAD "\r\n", filler };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct raw_endpoint *endpoint
+      = raw_endpoint_create (loop, answer_endless, parts);
+
+  expect_bodies_to_be_bounded (endpoint, PARALLEL_BODIES, MAX_BODY_BYTES,
+                               BODIES_MEMORY_BYTES);
+  raw_endpoint_destroy (endpoint);
+  ev_loop_destroy (loop);
+}
+
+static struct raw_answer
+answer_without_end (void *data, struct raw_endpoint *endpoint,
+                    const char *request)
+{
+  const struct buf *answer = data;
+
+  return (struct raw_answer){ .bytes = answer->data,
+                              .len = answer->len,
+                              .end = RAW_KEEP };
+}
+
+/* Guards against short bodies that are not bounded in sum: more of them come
+   at the same time than the host has memory for.  */
+static void
+test_many_short_bodies (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct buf answer = { 0 };
+  struct raw_endpoint *endpoint
+      = raw_endpoint_create (loop, answer_without_end, &answer);
+  char *body = xcalloc (SHORT_BODY_BYTES, 1);
+
+  buf_printf (&answer, HEAD "Content-Length: %d\r\n\r\n",
+              SHORT_BODY_BYTES + 1);
+  buf_append (&answer, body, SHORT_BODY_BYTES);
+  memory_set_limit (HOST_BYTES, MEMORY_SERVES_CALLERS);
+  expect_bodies_to_be_bounded (endpoint, PARALLEL_SHORT_BODIES, MAX_BODY_BYTES,
+                               memory_share (MEMORY_RESPONSES));
+  memory_set_limit (0, MEMORY_SERVES_CALLERS);
+  free (body);
+  buf_release (&answer);
+  raw_endpoint_destroy (endpoint);
   ev_loop_destroy (loop);
 }
 
@@ -365,5 +418,6 @@
   { "a head without end", test_head_without_end },
   { "a body without end", test_body_without_end },
   { "many bodies without end", test_many_bodies_without_end },
+  { "many short bodies", test_many_short_bodies },
   CU_TEST_INFO_NULL,
 };
