request: prompt parts are bounded over all endpoints together

What callers would see: a host that ends for lack of memory, once it sends to many endpoints. Cause: 4,096 prompt parts were tracked for each endpoint, of any number of endpoints: at 600 endpoints up to 2.4 million parts.

A pool tracks 32,768 parts at most. A part is one allocation instead of two and charged to the account "tables" with 96 bytes. An endpoint that is removed and still in use keeps none.

Test: "the prompt parts are bounded" (24 endpoints, 4,000 parts sent to each: 32,768 are tracked, for no more than their price, and a full table learns new parts within 16 s).

--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -13,6 +13,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  /* Prompt parts tracked of all endpoints together, and what each takes. */
+  POOL_MAX_PARTS = 32 * 1024,
+  POOL_PART_BYTES = 96,
+};
+
 /* A part of a prompt.  Callers send equal parts with the same id. */
 struct prompt_part
 {
@@ -119,9 +126,10 @@
   int64_t avoid_until_ms;
   struct pool_suspect suspects[POOL_MAX_SUSPECTS];
   uint32_t suspect_count;
-  int64_t refused_ms; /* first refused connection since a request was
-                         interrupted there; 0 for none */
-  GHashTable *parts;  /* prompt part id -> time of last use, ms */
+  int64_t refused_ms;   /* first refused connection since a request was
+                           interrupted there; 0 for none */
+  GHashTable *parts;    /* set of struct tracked_part, by its id */
+  uint32_t *part_count; /* of all endpoints together; owned by the pool */
 };
 
 struct pool;
@@ -278,6 +286,7 @@
 uint32_t pool_take_suspects (struct pool_endpoint *endpoint,
                              uint64_t fingerprints[POOL_MAX_SUSPECTS]);
 void pool_expire_prompt_parts (struct pool *pool, int64_t now_ms);
+uint32_t pool_part_count (const struct pool *pool);
 void pool_set_cold_rates (struct pool *pool,
                           const struct pool_cold_rate *rates, size_t count,
                           int64_t now_ms);
--- a/request/pool.c
+++ b/request/pool.c
@@ -2,6 +2,7 @@
 #include "common/buf.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/memory.h"
 #include "common/recent_table.h"
 #include "request/cold_endpoint.h"
 #include "request/evacuations.h"
@@ -22,6 +23,9 @@
   LEAVING_CAPACITY = 4096,
   LEAVING_TTL_MS = 10 * 60 * 1000,
   PART_TTL_MS = 60 * 1000, /* a part unused for longer is assumed evicted */
+  /* While so much of the room for parts is used, those that were not used for
+     longer go sooner, so that there is room for new ones. */
+  PARTS_FULL_PERCENT = 75,
   /* A cold endpoint is slow: it counts as one with so many requests in its
      queue, so that warm ones come first while they have room. */
   COLD_WAITING = 2,
@@ -30,9 +34,19 @@
   PERMILLE = 1000,
 };
 
+/* A prompt part that an endpoint is expected to have in its cache. */
+struct tracked_part
+{
+  uint64_t id; /* first member, the key */
+  int64_t used_ms;
+  uint32_t *count; /* of all parts of the pool */
+};
+
 struct pool
 {
   char *data_centre;
+  uint32_t part_count; /* of all endpoints together */
+  int64_t part_ttl_ms;
   GHashTable *unreachable_centres; /* names of unreachable data centres */
   struct recent_table *announced;  /* starts of endpoints that leave */
   GHashTable *cold_rates; /* service -> int64_t, requests per 1,000 s */
@@ -97,6 +111,7 @@
   pool->service_speeds
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
   pool->seed = id_random64 ();
+  pool->part_ttl_ms = PART_TTL_MS;
   return pool;
 }
 
@@ -158,8 +173,18 @@
          && endpoint->build == compute_build (entry);
 }
 
+static void
+part_destroy (gpointer data)
+{
+  struct tracked_part *part = data;
+
+  --*part->count;
+  memory_add (MEMORY_TABLES, -POOL_PART_BYTES);
+  free (part);
+}
+
 static struct pool_endpoint *
-endpoint_create (const struct endpoint_entry *entry)
+endpoint_create (struct pool *pool, const struct endpoint_entry *entry)
 {
   struct pool_endpoint *endpoint = xcalloc (1, sizeof *endpoint);
 
@@ -177,8 +202,9 @@
                                endpoint->hash);
   endpoint->data_centre_hash = id_hash_text (entry->data_centre);
   endpoint->limit_milli = -1;
-  endpoint->parts
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, free, free);
+  endpoint->parts = g_hash_table_new_full (g_int64_hash, g_int64_equal,
+                                           part_destroy, NULL);
+  endpoint->part_count = &pool->part_count;
   return endpoint;
 }
 
@@ -241,6 +267,7 @@
       pool->endpoints->pdata[i] = NULL;
       endpoint->removed = true;
       log_change (endpoint, "was removed");
+      g_hash_table_remove_all (endpoint->parts);
       if (endpoint->in_flight > 0)
         g_ptr_array_add (pool->removed_in_use, endpoint);
       else
@@ -318,7 +345,7 @@
 
       if (!endpoint)
         {
-          endpoint = endpoint_create (entry);
+          endpoint = endpoint_create (pool, entry);
           endpoint->speed.service = get_service_speed (pool, entry->service);
           log_change (endpoint, "was added");
         }
@@ -351,10 +378,10 @@
 
   for (size_t i = 0; i < query->part_count; i++)
     {
-      const int64_t *used_ms
+      const struct tracked_part *part
           = g_hash_table_lookup (endpoint->parts, &query->parts[i].id);
 
-      if (!used_ms || now_ms - *used_ms > PART_TTL_MS)
+      if (!part || now_ms - part->used_ms > PART_TTL_MS)
         break;
       cached += query->parts[i].tokens;
     }
@@ -892,25 +919,29 @@
   return NULL;
 }
 
-/* Records that a request with this prompt part is sent to ENDPOINT.  */
+/* Records that a request with this prompt part is sent to ENDPOINT.  A new
+   part is not tracked if there is no room.  */
 static void
 touch_part (struct pool_endpoint *endpoint, uint64_t id, int64_t now_ms)
 {
-  int64_t *used_ms = g_hash_table_lookup (endpoint->parts, &id);
-  uint64_t *key;
+  struct tracked_part *part = g_hash_table_lookup (endpoint->parts, &id);
 
-  if (used_ms)
+  if (part)
     {
-      *used_ms = now_ms;
+      part->used_ms = now_ms;
       return;
     }
   if (g_hash_table_size (endpoint->parts) >= MAX_PARTS)
     g_hash_table_remove_all (endpoint->parts);
-  key = xcalloc (1, sizeof *key);
-  used_ms = xcalloc (1, sizeof *used_ms);
-  *key = id;
-  *used_ms = now_ms;
-  g_hash_table_insert (endpoint->parts, key, used_ms);
+  if (*endpoint->part_count >= POOL_MAX_PARTS
+      || !memory_take (MEMORY_TABLES, POOL_PART_BYTES))
+    return;
+  part = xcalloc (1, sizeof *part);
+  part->id = id;
+  part->used_ms = now_ms;
+  part->count = endpoint->part_count;
+  ++*part->count;
+  g_hash_table_add (endpoint->parts, part);
 }
 
 /* Records that a request is sent to ENDPOINT, which is then expected to have
@@ -1156,15 +1187,31 @@
 static gboolean
 is_expired (gpointer key, gpointer value, gpointer data)
 {
-  return *(const int64_t *)value < *(const int64_t *)data;
+  return ((const struct tracked_part *)key)->used_ms < *(const int64_t *)data;
 }
 
-/* Removes prompt parts that are assumed evicted from the endpoints' caches. */
+/* Halves the time for which unused parts are kept while they have too little
+   room, and restores it step by step.  */
+static void
+adapt_part_ttl (struct pool *pool)
+{
+  uint32_t full = POOL_MAX_PARTS / 100 * PARTS_FULL_PERCENT;
+
+  if (pool->part_count >= full)
+    pool->part_ttl_ms /= 2;
+  else if (pool->part_count < full / 2 && pool->part_ttl_ms < PART_TTL_MS)
+    pool->part_ttl_ms = MIN (2 * pool->part_ttl_ms + 1, PART_TTL_MS);
+}
+
+/* Removes prompt parts that are assumed evicted from the endpoints' caches, or
+   for which there is no room.  */
 void
 pool_expire_prompt_parts (struct pool *pool, int64_t now_ms)
 {
-  int64_t cutoff_ms = now_ms - PART_TTL_MS;
+  int64_t cutoff_ms;
 
+  adapt_part_ttl (pool);
+  cutoff_ms = now_ms - pool->part_ttl_ms;
   for (guint i = 0; i < pool->endpoints->len; i++)
     {
       struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
@@ -1173,6 +1220,13 @@
     }
 }
 
+/* Returns the number of prompt parts that are tracked.  */
+uint32_t
+pool_part_count (const struct pool *pool)
+{
+  return pool->part_count;
+}
+
 /* Sets what the endpoints of each service tolerate while they are cold.  */
 void
 pool_set_cold_rates (struct pool *pool, const struct pool_cold_rate *rates,
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -1,13 +1,18 @@
 #include "common/buf.h"
+#include "common/memory.h"
 #include "request/pool.h"
 #include "request/stream_index.h"
 #include "suites.h"
+#include <malloc.h>
 #include <stdlib.h>
 
 enum
 {
   NOW_MS = 1000,
   LATER_MS = NOW_MS + 2 * STREAM_TTL_MS,
+  ENDPOINTS = 24, /* enough to track more parts than there is room for */
+  PARTS = 4000,   /* sent to each of them */
+  ROUNDS = 16,    /* of expiry, one a second */
 };
 
 /* Lists an endpoint of service "app" for each of VERSIONS, which ends with
@@ -93,9 +98,78 @@
   pool_destroy (pool);
 }
 
+/* Sends a request with the prompt part ID to ENDPOINT.  */
+static void
+send_part (struct pool *pool, struct pool_endpoint *endpoint, uint64_t id,
+           int64_t now_ms)
+{
+  struct prompt_part part = { .id = id, .tokens = 1 };
+  struct pool_query query
+      = { .service = "app", .parts = &part, .part_count = 1 };
+
+  pool_acquire (endpoint, &query, now_ms);
+  pool_release (pool, endpoint);
+}
+
+static bool
+is_tracked (const struct pool_endpoint *endpoint, uint64_t id, int64_t now_ms)
+{
+  struct prompt_part part = { .id = id, .tokens = 1 };
+  struct pool_query query
+      = { .service = "app", .parts = &part, .part_count = 1 };
+
+  return pool_cached_tokens (endpoint, &query, now_ms) > 0;
+}
+
+static size_t
+allocated_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+/* Guards against prompt parts that grow with the number of endpoints until the
+   host is out of memory, against parts that take more than their price, and
+   against a full table that learns nothing new.  */
+static void
+test_parts_are_bounded (void)
+{
+  const char *versions[ENDPOINTS + 1] = { NULL };
+  struct pool *pool = pool_create ("a");
+  int64_t used_bytes = memory_used (MEMORY_TABLES);
+  int64_t now_ms = NOW_MS;
+  size_t before;
+  uint64_t id = 0;
+
+  for (int i = 0; i < ENDPOINTS; i++)
+    versions[i] = "v";
+  list_versions (pool, versions, NOW_MS);
+  before = allocated_bytes ();
+  for (size_t i = 0; i < ENDPOINTS; i++)
+    for (int k = 0; k < PARTS; k++)
+      send_part (pool, pool_at (pool, i), ++id, now_ms);
+  CU_ASSERT_EQUAL (pool_part_count (pool), POOL_MAX_PARTS);
+  CU_ASSERT_EQUAL (memory_used (MEMORY_TABLES) - used_bytes,
+                   (int64_t)POOL_MAX_PARTS * POOL_PART_BYTES);
+  CU_ASSERT_TRUE (allocated_bytes () - before
+                  <= (size_t)POOL_MAX_PARTS * POOL_PART_BYTES);
+  for (int i = 0; i < ROUNDS && !is_tracked (pool_at (pool, 0), id, now_ms);
+       i++)
+    {
+      now_ms += 1000;
+      pool_expire_prompt_parts (pool, now_ms);
+      send_part (pool, pool_at (pool, 0), ++id, now_ms);
+    }
+  CU_ASSERT_TRUE (is_tracked (pool_at (pool, 0), id, now_ms));
+  pool_destroy (pool);
+  CU_ASSERT_EQUAL (memory_used (MEMORY_TABLES), used_bytes);
+}
+
 CU_TestInfo pool_tests[] = {
   { "versions side by side", test_versions_side_by_side },
   { "a removed version", test_removed_version },
   { "a replaced version", test_replaced_version },
+  { "the prompt parts are bounded", test_parts_are_bounded },
   CU_TEST_INFO_NULL,
 };
