--- a/common/buf.c
+++ b/common/buf.c
@@ -68,29 +68,29 @@
   return text;
 }
 
-/* Returns by how many bytes the capacity grows if EXTRA bytes are appended. */
+/* Returns the capacity of BUF once EXTRA bytes are appended.  */
 size_t
-buf_growth (const struct buf *buf, size_t extra)
+buf_capacity_for (const struct buf *buf, size_t extra)
 {
   size_t need = buf->len + extra + 1;
   size_t capacity = buf->capacity ? buf->capacity : BUF_INITIAL_CAPACITY;
 
   if (need <= buf->capacity)
-    return 0;
+    return buf->capacity;
   while (capacity < need)
     capacity *= 2;
-  return capacity - buf->capacity;
+  return capacity;
 }
 
 static void
 reserve (struct buf *buf, size_t extra)
 {
-  size_t growth = buf_growth (buf, extra);
+  size_t capacity = buf_capacity_for (buf, extra);
 
-  if (growth == 0)
+  if (capacity == buf->capacity)
     return;
-  buf->data = xrealloc (buf->data, buf->capacity + growth);
-  buf->capacity += growth;
+  buf->data = xrealloc (buf->data, capacity);
+  buf->capacity = capacity;
 }
 
 /* Appends LEN bytes and keeps the buffer NUL-terminated; the NUL is not
--- a/peer/link.c
+++ b/peer/link.c
@@ -406,7 +406,8 @@
   if (link->state != LINK_OPEN || !link->initiator
       || len + SEAL_TAG_BYTES > MAX_FRAME_BYTES
       || !link_budget_admits (link->owner.budget, len,
-                              buf_growth (&link->out, queued_len)))
+                              buf_capacity_for (&link->out, queued_len)
+                                  - link->out.capacity))
     return false;
   sealed = xcalloc (1, len + SEAL_TAG_BYTES);
   sealed_len = seal_encrypt (&link->seal, packed, len, sealed);
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -99,7 +99,8 @@
 {
   struct link_budget *budget = &peer->mesh->budget;
   uint32_t prefix = (uint32_t)len;
-  size_t growth = buf_growth (&peer->pending, sizeof prefix + len);
+  size_t growth = buf_capacity_for (&peer->pending, sizeof prefix + len)
+                  - peer->pending.capacity;
 
   if (!link_budget_admits (budget, len, growth))
     return false;
