peer, test: the price of one more host is stated and counted

A host that is listed costs at most 512 bytes in the mesh, and the links to it and from it 36 KB while no frame is under way, whatever passed before.

--- a/include/peer/mesh.h
+++ b/include/peer/mesh.h
@@ -19,6 +19,14 @@
 
 struct mesh;
 
+/* What another host costs in memory: in the list, and for the links to it and
+   from it while no frame is under way. */
+enum
+{
+  MESH_HOST_BYTES = 512,
+  MESH_LINK_BYTES = 36 * 1024,
+};
+
 struct mesh_host
 {
   const char *name;
--- a/test/unit/test_link_memory.c
+++ b/test/unit/test_link_memory.c
@@ -3,6 +3,7 @@
 #include "local_mesh.h"
 #include "suites.h"
 #include <ev.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -181,9 +182,57 @@
   node_close (&a);
 }
 
+static int64_t
+allocated_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return (int64_t)(info.uordblks + info.hblkhd);
+}
+
+/* Guards against a host whose price in memory is not known: one that is listed
+   must cost at most MESH_HOST_BYTES, and the links to it and from it, once
+   large frames have passed, MESH_LINK_BYTES more.  */
+static void
+test_price_of_a_host (void)
+{
+  struct node a;
+  struct node b;
+  char names[LISTED_HOSTS][16];
+  struct mesh_host hosts[LISTED_HOSTS];
+  int64_t before_bytes;
+
+  node_open (&a, "a", 23905);
+  before_bytes = allocated_bytes ();
+  for (int i = 0; i < LISTED_HOSTS; i++)
+    {
+      snprintf (names[i], sizeof names[i], "entry-host-%d", i);
+      hosts[i] = (struct mesh_host){ names[i], "127.0.0.1:23907" };
+    }
+  mesh_set_hosts (a.mesh, hosts, LISTED_HOSTS);
+  CU_ASSERT_TRUE (allocated_bytes () - before_bytes
+                  <= LISTED_HOSTS * MESH_HOST_BYTES);
+  node_close (&a);
+
+  node_open (&a, "a", 23905);
+  node_open (&b, "b", 23906);
+  before_bytes = allocated_bytes ();
+  open_link (&a, &b);
+  send_bytes (&a, "b", FRAME_BYTES);
+  for (int i = 0; i < MAX_LOOP_ITERATIONS && b.received_bytes < FRAME_BYTES;
+       i++)
+    run_both (&a, &b);
+  run_both (&a, &b);
+  /* An outgoing link of one host and an incoming one of the other. */
+  CU_ASSERT_TRUE (allocated_bytes () - before_bytes <= MESH_LINK_BYTES);
+  node_close (&a);
+  node_close (&b);
+}
+
 CU_TestInfo link_memory_tests[] = {
   { "buffers of idle links", test_buffers_of_idle_links },
   { "a host that does not read", test_host_that_does_not_read },
   { "hosts that were replaced", test_replaced_hosts },
+  { "price of a host", test_price_of_a_host },
   CU_TEST_INFO_NULL,
 };
