platform, feed, common: one odd entry no longer hides the others of its list

What callers saw: hosts that read the list of endpoints stopped following it, listed the same page again and again or ended, because another writer had left one entry that was nested very deeply or held a number too large.

Cause: a whole page, or a whole reply to a watch, was parsed by one call of jansson, which refuses the text as a whole for a number over 64 bits, a real such as 1e999, more than 2,048 levels, a NUL character or invalid UTF-8; the watch then retried it for ever. The name of the last object went unescaped into a path of 512 bytes, so that an odd or a long name listed the same page again; a page with has_more and no readable name did so without a pause.

common/json_span.c finds the items of a reply by strings and brackets; each object is parsed on its own, and only if the bound on its tree's size (json_span_tree_bytes) is within the limit of its kind: 64 KB, 32 MB for the configuration. A removal needs only the name. A reply that is cut off, is no JSON or lacks its revision stays a failed call, and so does a page behind which the list cannot go on.

Property "json_span" (items are told apart, arbitrary bytes are read as jansson reads them or refused with a reason, parsing takes no more than the bound) held in 20,000 cases each.

--- a/common/counters.c
+++ b/common/counters.c
@@ -83,6 +83,7 @@
   [COUNTER_FEED_REQUESTS] = "feed_requests",
   [COUNTER_FEED_ANSWERS] = "feed_answers",
   [COUNTER_FEED_ANSWER_BYTES] = "feed_answer_bytes",
+  [COUNTER_OBJECTS_UNREADABLE] = "objects_unreadable",
 };
 
 static uint64_t counter_values[COUNTER_COUNT];
--- a/feed/table.c
+++ b/feed/table.c
@@ -1,6 +1,7 @@
 #include "feed/table.h"
 #include "common/buf.h"
 #include "common/log.h"
+#include "feed/object.h"
 #include <stdlib.h>
 
 enum
@@ -119,6 +120,14 @@
   return table->options.kind;
 }
 
+/* Returns the limit for an object's parsed tree.  */
+size_t
+table_max_tree_bytes (const struct table *table)
+{
+  return table->options.max_tree_bytes > 0 ? table->options.max_tree_bytes
+                                           : OBJECT_MAX_TREE_BYTES;
+}
+
 /* Whether the table's content already accounts for an unknown object's
    REVISION: it has been removed since then.  A table that is still being read
    has no such content.  */
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -92,6 +92,7 @@
   COUNTER_FEED_REQUESTS,   /* for objects, of other hosts */
   COUNTER_FEED_ANSWERS,    /* sent to other hosts */
   COUNTER_FEED_ANSWER_BYTES,
+  COUNTER_OBJECTS_UNREADABLE, /* revisions of objects that are not used */
   COUNTER_COUNT,
 };
 
--- a/include/feed/table.h
+++ b/include/feed/table.h
@@ -30,6 +30,9 @@
   /* Grace period after the store has recovered, during which entries that are
      missing there are kept; 0 to remove them immediately. */
   int64_t grace_ms;
+  /* Objects whose parsed tree would be larger are not read; 0 for
+     OBJECT_MAX_TREE_BYTES. */
+  size_t max_tree_bytes;
   /* Called for each change; OBJECT is the last known one if it was removed.
      May be NULL. */
   void (*handle_object) (void *data, const char *name, json_t *object,
@@ -58,6 +61,7 @@
 void table_set_listener (struct table *table, table_listener *listener,
                          void *data);
 const char *table_kind (const struct table *table);
+size_t table_max_tree_bytes (const struct table *table);
 void table_put (struct table *table, const char *name, int64_t revision,
                 json_t *object);
 void table_remove (struct table *table, const char *name, int64_t revision);
--- a/include/platform/store_client.h
+++ b/include/platform/store_client.h
@@ -4,6 +4,7 @@
 #define GALENA_PLATFORM_STORE_CLIENT_H
 
 #include "common/fetch.h"
+#include "common/json_span.h"
 #include <jansson.h>
 
 enum
@@ -32,9 +33,10 @@
 
 struct store_reply
 {
-  long status;  /* HTTP status; 0 without a complete response, when the call
-                   may have been executed */
-  json_t *body; /* NULL if absent or not JSON; valid during the handler only */
+  long status; /* HTTP status; 0 without a complete response, when the call
+                  may have been executed */
+  /* The body, which may be anything; valid during the handler only. */
+  struct json_span text;
 };
 
 typedef void store_reply_handler (void *data, const struct store_reply *reply);
--- a/test/property/main.cpp
+++ b/test/property/main.cpp
@@ -20,6 +20,7 @@
   { "fair", check_fair },
   { "heap", check_heap },
   { "holders", check_holders },
+  { "json_span", check_json_span },
   { "poison", check_poison },
   { "slots", check_slots },
   { "token_bucket", check_token_bucket },
--- a/test/property/properties.h
+++ b/test/property/properties.h
@@ -8,6 +8,7 @@
 bool check_fair ();
 bool check_heap ();
 bool check_holders ();
+bool check_json_span ();
 bool check_poison ();
 bool check_slots ();
 bool check_token_bucket ();
