feed: an object that cannot be read no longer makes followers ask for ever

A host that could not read one object of an update left it out of its table. It then counted fewer objects than the leader, so confirm_state failed at each beacon and it asked for the update again, for as long as the object existed.

Such an object takes its place in the table as an empty one, under the name and the revision that the frame states, by the same rule and the same limit as at the host that follows the store; it is logged and counted once for each revision.

--- a/feed/feed.c
+++ b/feed/feed.c
@@ -3,6 +3,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "feed/object.h"
 #include "policy/leader.h"
 #include <stdlib.h>
 #include <string.h>
@@ -609,21 +610,22 @@
 static void
 apply_object (struct table *table, const Peer__FeedObject *object)
 {
+  struct json_span text
+      = { (const char *)object->text.data, object->text.len };
+  const char *reason;
   json_t *json;
 
-  if (object->text.len == 0)
+  if (text.len == 0)
     {
       table_remove (table, object->name, INT64_MAX);
       return;
     }
-  json = json_loadb ((const char *)object->text.data, object->text.len, 0,
-                     NULL);
-  if (json)
-    table_put (table, object->name, (int64_t)object->revision, json);
-  else
-    log_write (LOG_ERROR, "feed", NULL,
-               "ignored object %s of kind %s from another host: invalid JSON",
-               object->name, table_kind (table));
+  /* What cannot be read is kept as an empty object: the leader counts it.  */
+  json = object_parse (text, table_max_tree_bytes (table), &reason);
+  table_put (table, object->name, (int64_t)object->revision, json);
+  if (reason)
+    object_report_unreadable (table_kind (table), object->name,
+                              (int64_t)object->revision, reason);
   json_decref (json);
 }
 
--- a/test/unit/test_feed.c
+++ b/test/unit/test_feed.c
@@ -473,7 +473,176 @@
   ev_loop_destroy (loop);
 }
 
+/* A host without a store, whose frames are counted. */
+struct lone_host
+{
+  struct ev_loop *loop;
+  struct table *table;
+  struct feed *feed;
+  int requests;         /* sent */
+  int answered_objects; /* in the answers sent, valid ones only */
+};
+
+static void
+record_frame (void *data, const char *name, const Peer__Frame *frame)
+{
+  struct lone_host *host = data;
+
+  host->requests += frame->body_case == PEER__FRAME__BODY_FEED_ASK;
+  if (frame->body_case != PEER__FRAME__BODY_FEED_UPDATE)
+    return;
+  for (size_t i = 0; i < frame->feed_update->n_objects; i++)
+    {
+      const Peer__FeedObject *object = frame->feed_update->objects[i];
+      json_t *json = json_loadb ((const char *)object->text.data,
+                                 object->text.len, 0, NULL);
+
+      host->answered_objects += json_is_object (json);
+      json_decref (json);
+    }
+}
+
+static void
+ignore_follow (void *data, bool follows)
+{
+}
+
+static void
+lone_host_init (struct lone_host *host)
+{
+  static const struct strings no_seeds;
+  struct table_options table
+      = { .kind = kind, .handle_commit = handle_commit };
+  struct feed_options options = { .host = "h0",
+                                  .data_centre = "dc0",
+                                  .may_lead = true,
+                                  .stale_ms = STALE_MS,
+                                  .seeds = &no_seeds,
+                                  .send = record_frame,
+                                  .handle_follow = ignore_follow,
+                                  .data = host };
+
+  *host = (struct lone_host){ .loop = ev_loop_new (EVFLAG_AUTO) };
+  table.loop = options.loop = host->loop;
+  host->table = table_create (&table);
+  host->feed = feed_create (&options);
+  feed_add_table (host->feed, host->table);
+}
+
+static void
+lone_host_release (struct lone_host *host)
+{
+  feed_destroy (host->feed);
+  table_destroy (host->table);
+  ev_loop_destroy (host->loop);
+}
+
+static void
+receive_update (struct lone_host *host, Peer__FeedState *state,
+                Peer__FeedObject **objects, size_t count)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__FeedUpdate update = PEER__FEED_UPDATE__INIT;
+  char *names[MAX_HOSTS];
+
+  for (size_t i = 0; i < count; i++)
+    names[i] = objects[i]->name;
+  update.state = state;
+  update.objects = objects;
+  update.n_objects = update.n_names = count;
+  update.names = names;
+  update.is_complete = true;
+  frame.body_case = PEER__FRAME__BODY_FEED_UPDATE;
+  frame.feed_update = &update;
+  feed_handle_frame (host->feed, "h1", &frame);
+}
+
+static void
+receive_beacon (struct lone_host *host, Peer__FeedState *state)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__FeedBeacon beacon = PEER__FEED_BEACON__INIT;
+
+  beacon.states = &state;
+  beacon.n_states = 1;
+  frame.body_case = PEER__FRAME__BODY_FEED_BEACON;
+  frame.feed_beacon = &beacon;
+  feed_handle_frame (host->feed, "h1", &frame);
+}
+
+/* Appends an object with SPEC to an update.  */
+static void
+add_object (Peer__FeedObject *object, const char *name, const struct buf *text)
+{
+  peer__feed_object__init (object);
+  object->name = (char *)(uintptr_t)name;
+  object->revision = 4;
+  object->text.data = (uint8_t *)text->data;
+  object->text.len = text->len;
+}
+
+/* Guards against a host that asks for the same objects for ever, because it
+   counts fewer than the leader: another host holds some that this one cannot
+   read.  It hands them on as objects that every version can read.  */
+static void
+test_unreadable_objects_are_counted (void)
+{
+  static const char *const specs[]
+      = { "{}", "1e999", "\"\xff\"", "123456789012345678901234567890", "{" };
+  enum
+  {
+    COUNT = sizeof specs / sizeof *specs,
+    LARGE_BYTES = 300 * 1024,
+  };
+  static const char *const names[COUNT + 1]
+      = { "good", "real", "utf8", "integer", "cut", "large" };
+  struct lone_host host;
+  Peer__FeedObject objects[COUNT + 1];
+  Peer__FeedObject *list[COUNT + 1];
+  struct buf texts[COUNT + 1] = { { 0 } };
+  Peer__FeedState state = PEER__FEED_STATE__INIT;
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__FeedAsk request = PEER__FEED_ASK__INIT;
+
+  for (size_t i = 0; i < COUNT; i++)
+    buf_printf (&texts[i], "{\"spec\":%s}", specs[i]);
+  buf_append_str (&texts[COUNT], "{\"spec\":[{}");
+  while (texts[COUNT].len < LARGE_BYTES)
+    buf_append_str (&texts[COUNT], ",{}");
+  buf_append_str (&texts[COUNT], "]}");
+  for (size_t i = 0; i <= COUNT; i++)
+    {
+      add_object (&objects[i], names[i], &texts[i]);
+      list[i] = &objects[i];
+    }
+  state.kind = (char *)(uintptr_t)kind;
+  state.revision = 5;
+  state.count = COUNT + 1;
+  lone_host_init (&host);
+  receive_update (&host, &state, list, COUNT + 1);
+  CU_ASSERT_EQUAL (table_count (host.table), COUNT + 1);
+  receive_beacon (&host, &state);
+  CU_ASSERT_EQUAL (host.requests, 0);
+  CU_ASSERT_PTR_NOT_NULL (
+      json_object_get (table_find (host.table, "good")->object, "spec"));
+  for (size_t i = 1; i <= COUNT; i++)
+    {
+      const struct table_entry *entry = table_find (host.table, names[i]);
+
+      CU_ASSERT_TRUE (entry && !json_object_get (entry->object, "spec"));
+    }
+  request.kind = (char *)(uintptr_t)kind;
+  frame.body_case = PEER__FRAME__BODY_FEED_ASK;
+  frame.feed_ask = &request;
+  feed_handle_frame (host.feed, "h2", &frame);
+  CU_ASSERT_EQUAL (host.answered_objects, COUNT + 1);
+  lone_host_release (&host);
+  for (size_t i = 0; i <= COUNT; i++)
+    buf_release (&texts[i]);
+}
+
 CU_TestInfo feed_tests[] = {
+  { "unreadable objects are counted", test_unreadable_objects_are_counted },
   { "one host follows the store", test_one_follows },
   { "the leader is lost", test_leader_is_lost },
   { "the store refuses hosts", test_store_refuses_hosts },
