platform, common: fields of an entry that are out of range

What callers saw: an entry with the port 0 or 70000, an address that is part of a URL, or a name that ends a header early was an endpoint like any other; requests were sent to it, failed, and were retried. Numbers such as 1e300 in an entry or a configuration became INT64_MIN on x86-64 and INT64_MAX on arm64,  became the priority 1, a quota of 1e300 overflowed in sums, and a negative quota was one.

Cause: (int64_t) of a double without a range check, which C leaves undefined, (int32_t) and (uint32_t) of an int64_t, and addresses that nobody read before they went into URLs.

Addresses in settings files may no longer have a sign or a space in front of the port.

--- a/common/address.c
+++ b/common/address.c
@@ -6,8 +6,26 @@
 enum
 {
   MAX_PORT = 65535,
+  MAX_PORT_DIGITS = 5,
+  MAX_HOST_BYTES = 253, /* of a DNS name */
 };
 
+/* Reads the port behind a colon: digits only.  */
+static bool
+read_port (const char *text, uint16_t *port)
+{
+  size_t len = strspn (text, "0123456789");
+  unsigned long number;
+
+  if (len == 0 || len > MAX_PORT_DIGITS || text[len] != '\0')
+    return false;
+  number = strtoul (text, NULL, 10);
+  if (number > MAX_PORT)
+    return false;
+  *port = (uint16_t)number;
+  return true;
+}
+
 /* Splits "IP:port".  Returns false if TEXT has another form.  IP is not
    validated.  */
 bool
@@ -15,8 +33,6 @@
 {
   const char *colon = strrchr (text, ':');
   size_t len;
-  char *end;
-  long number;
 
   if (!colon)
     return false;
@@ -25,11 +41,26 @@
     return false;
   memcpy (ip, text, len);
   ip[len] = '\0';
-  number = strtol (colon + 1, &end, 10);
-  if (*end || end == colon + 1 || number < 0 || number > MAX_PORT)
+  return read_port (colon + 1, port);
+}
+
+/* Whether TEXT is "HOST:port" with a port that can be connected to, and HOST
+   is a name, an IPv4 address or an IPv6 address in brackets, so that it can
+   stand in a URL.  */
+bool
+address_is_usable (const char *text)
+{
+  static const char name_bytes[] = "abcdefghijklmnopqrstuvwxyz"
+                                   "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-";
+  bool is_bracketed = *text == '[';
+  size_t len = is_bracketed ? strspn (text + 1, "0123456789abcdefABCDEF:.")
+                            : strspn (text, name_bytes);
+  const char *end = text + len + (is_bracketed ? 1 : 0);
+  uint16_t port;
+
+  if (len == 0 || len > MAX_HOST_BYTES || (is_bracketed && *end++ != ']'))
     return false;
-  *port = (uint16_t)number;
-  return true;
+  return *end == ':' && read_port (end + 1, &port) && port > 0;
 }
 
 /* Parses "IP:port" into a socket address.  */
--- a/include/common/address.h
+++ b/include/common/address.h
@@ -1,4 +1,4 @@
-/* IPv4 socket addresses in the form "IP:port". */
+/* Socket addresses in the form "IP:port". */
 #ifndef GALENA_COMMON_ADDRESS_H
 #define GALENA_COMMON_ADDRESS_H
 
@@ -9,6 +9,7 @@
 bool address_parse (const char *text, struct sockaddr_in *address);
 bool address_split (const char *text, char ip[INET_ADDRSTRLEN],
                     uint16_t *port);
+bool address_is_usable (const char *text);
 bool address_validate (const char *name, const char *value, bool is_required,
                        struct error *error);
 
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -17,6 +17,6 @@
 
 struct routing *decode_routing (const json_t *object);
 bool decode_endpoint (const char *name, const json_t *object,
-                      struct endpoint_entry *entry);
+                      struct endpoint_entry *entry, const char **fault);
 
 #endif
--- a/test/unit/test_evacuations.c
+++ b/test/unit/test_evacuations.c
@@ -234,7 +234,7 @@
   struct endpoint_list *list = xcalloc (1, sizeof *list);
 
   list->entries = xcalloc (1, sizeof *list->entries);
-  CU_ASSERT_TRUE (decode_endpoint ("e", object, &list->entries[0]));
+  CU_ASSERT_TRUE (decode_endpoint ("e", object, &list->entries[0], NULL));
   list->count = 1;
   CU_ASSERT_EQUAL (list->entries[0].cold_ms, 2999);
   endpoint_list_destroy (list);
