platform, request, caller: numbers in headers and events that are out of range

What callers saw: nothing yet; found in a review of all readers of numbers from outside.

Well-formed headers are read as before.

The change to Last-Event-ID has no test.

--- a/caller/listener.c
+++ b/caller/listener.c
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include "galenashored/server.h"
 #include "peer/limiter.h"
+#include <glib.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
@@ -233,7 +234,8 @@
   copy_header (local, &request->idempotency_key, "Idempotency-Key");
   copy_header (local, &request->content_type, "Content-Type");
   if (last_event)
-    request->resume_from = (uint32_t)strtoul (last_event, NULL, 10);
+    request->resume_from
+        = (uint32_t)CLAMP (strtoll (last_event, NULL, 10), 0, UINT32_MAX);
 }
 
 static struct local_request *
--- a/include/platform/frontend.h
+++ b/include/platform/frontend.h
@@ -24,6 +24,9 @@
 void frontend_announce_close (struct frontend *frontend);
 void frontend_cut_stalled (struct frontend *frontend, int64_t now_ms);
 void frontend_stop_listening (struct frontend *frontend);
+int64_t frontend_parse_number (const char *value);
+void frontend_parse_token_counts (struct request_input *input,
+                                  const char *text);
 void frontend_parse_prompt_parts (struct request_input *input,
                                   const char *text);
 
--- a/request/event_splitter.c
+++ b/request/event_splitter.c
@@ -2,6 +2,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  MAX_ID_DIGITS = 18, /* fit into 64 bits */
+};
+
 /* Returns the length of the event that starts at OFFSET of the pending bytes,
    including its blank line, or 0 if it is incomplete.  */
 static size_t
@@ -28,6 +33,23 @@
   return 0;
 }
 
+/* Returns the number in the LEN bytes behind "id:", or -1 if it is none or is
+   too large to count on from.  */
+static int64_t
+parse_id (const char *bytes, size_t len)
+{
+  size_t at = 0;
+  size_t start;
+  int64_t id = 0;
+
+  while (at < len && bytes[at] == ' ')
+    at++;
+  for (start = at; at < len && bytes[at] >= '0' && bytes[at] <= '9'; at++)
+    if (at - start < MAX_ID_DIGITS)
+      id = id * 10 + (bytes[at] - '0');
+  return at > start && at - start <= MAX_ID_DIGITS ? id : -1;
+}
+
 /* Returns the id of an event, or -1 if it has none.  */
 static int64_t
 event_id (const char *bytes, size_t len)
@@ -41,7 +63,8 @@
         continue;
       if (i - line_start > strlen (field)
           && memcmp (bytes + line_start, field, strlen (field)) == 0)
-        return strtoll (bytes + line_start + strlen (field), NULL, 10);
+        return parse_id (bytes + line_start + strlen (field),
+                         i - line_start - strlen (field));
       line_start = i + 1;
     }
   return -1;
--- a/test/unit/test_event_splitter.c
+++ b/test/unit/test_event_splitter.c
@@ -48,6 +48,30 @@
     }
 }
 
+/* Guards against an id that is read from the next line, or from behind the
+   buffer, or to which nothing can be added.  */
+static void
+test_odd_ids_are_none (void)
+{
+  static const char odd[] = "id: \n42: x\n\n"
+                            "id:99999999999999999999\n\n"
+                            "id:9223372036854775807\n\n"
+                            "id:-3\n\n"
+                            "id:x\n\n"
+                            "id: \n\n"
+                            "id: 7 \r\n\r\n";
+  struct event_splitter events = { 0 };
+  struct recorded_events recorded = { 0 };
+
+  event_splitter_append (&events, odd, sizeof odd - 1, record_event,
+                         &recorded);
+  CU_ASSERT_EQUAL_FATAL (recorded.count, 7);
+  for (int i = 0; i < 6; i++)
+    CU_ASSERT_EQUAL (recorded.ids[i], -1);
+  CU_ASSERT_EQUAL (recorded.ids[6], 7);
+  event_splitter_release (&events);
+}
+
 static void
 test_handler_stops (void)
 {
@@ -82,6 +106,7 @@
 CU_TestInfo events_tests[] = {
   { "chunk boundaries do not affect events",
     test_chunk_boundaries_do_not_affect_events },
+  { "odd ids are none", test_odd_ids_are_none },
   { "the handler stops", test_handler_stops },
   { "an event without end", test_event_without_end },
   CU_TEST_INFO_NULL,
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -1,3 +1,4 @@
+#include "platform/frontend.h"
 #include "platform/wire.h"
 #include "suites.h"
 #include <stdlib.h>
@@ -92,6 +93,92 @@
   free (head.request_id);
 }
 
+/* Guards against sums and comparisons that overflow: a load that no endpoint
+   can have, or that is cut short, is no report.  */
+static void
+test_odd_loads_are_ignored (void)
+{
+  static const char *const values[] = { "99999999999999999999,1,8",
+                                        "3,9223372036854775807,8",
+                                        "3,-1,8",
+                                        "-3,1,8",
+                                        "-9223372036854775808,1,8",
+                                        "1e300,1,8",
+                                        "x",
+                                        "",
+                                        ",1,8",
+                                        "nan,nan,nan" };
+
+  for (size_t i = 0; i < sizeof values / sizeof *values; i++)
+    {
+      struct response_head head
+          = { .running = -1, .waiting = -1, .limit_milli = -1 };
+
+      platform_wire.read_header (&head, "Server-Load", values[i]);
+      CU_ASSERT_EQUAL (head.running, -1);
+      CU_ASSERT_EQUAL (head.work_percent, 0);
+      for (size_t h = 0; h < head.header_count; h++)
+        {
+          free (head.headers[h].name);
+          free (head.headers[h].value);
+        }
+      free (head.headers);
+    }
+}
+
+static int64_t
+sum_of_tokens (const struct request_input *input)
+{
+  int64_t sum = 0;
+
+  for (size_t i = 0; i < input->part_count; i++)
+    sum += input->parts[i].tokens;
+  return sum;
+}
+
+/* Guards against times, counts and sums that overflow: callers' headers may
+   state any number.  */
+static void
+test_odd_numbers_of_callers (void)
+{
+  static const char *const parts[]
+      = { "a:-5,b:7",
+          "a:9223372036854775807,b:9223372036854775807",
+          "a:99999999999999999999",
+          "a:",
+          "a:x,b:1",
+          ":5",
+          "a" };
+  struct request_input input = { 0 };
+
+  for (size_t i = 0; i < sizeof parts / sizeof *parts; i++)
+    {
+      frontend_parse_prompt_parts (&input, parts[i]);
+      CU_ASSERT_EQUAL (sum_of_tokens (&input), 0);
+      free (input.parts);
+      input = (struct request_input){ 0 };
+    }
+  frontend_parse_token_counts (&input, "99999999999999999999,-7");
+  CU_ASSERT_TRUE (input.prompt_tokens > 0);
+  CU_ASSERT_TRUE (input.prompt_tokens < INT64_MAX / 1000000);
+  CU_ASSERT_EQUAL (input.max_output_tokens, -1);
+  frontend_parse_token_counts (&input, "12, 34");
+  CU_ASSERT_EQUAL (input.prompt_tokens, 12);
+  CU_ASSERT_EQUAL (input.max_output_tokens, 34);
+  frontend_parse_token_counts (&input, "x,34");
+  CU_ASSERT_EQUAL (input.prompt_tokens, -1);
+  CU_ASSERT_EQUAL (input.max_output_tokens, -1);
+  frontend_parse_token_counts (&input, NULL);
+  CU_ASSERT_EQUAL (input.prompt_tokens, -1);
+  CU_ASSERT_EQUAL (frontend_parse_number (NULL), -1);
+  CU_ASSERT_EQUAL (frontend_parse_number ("-1"), -1);
+  CU_ASSERT_EQUAL (frontend_parse_number ("x"), -1);
+  CU_ASSERT_EQUAL (frontend_parse_number ("2500"), 2500);
+  CU_ASSERT_TRUE (frontend_parse_number ("9223372036854775807") > 0);
+  CU_ASSERT_TRUE (frontend_parse_number ("99999999999999999999")
+                  < INT64_MAX / 1000);
+}
+
 /* Returns the limit that a response with the header names.  */
 static int64_t
 read_limit (const char *value, bool *is_malformed)
@@ -143,5 +230,7 @@
     test_reserved_and_hop_by_hop_headers },
   { "response headers of an endpoint", test_response_headers },
   { "limits of an endpoint", test_limits_of_an_endpoint },
+  { "odd loads are ignored", test_odd_loads_are_ignored },
+  { "odd numbers of callers", test_odd_numbers_of_callers },
   CU_TEST_INFO_NULL,
 };
