--- a/test/unit/test_wide_config.c
+++ b/test/unit/test_wide_config.c
@@ -20,6 +20,7 @@
   CHANGE_MS = 1000,
   LINK_BYTES_PER_MS = 30 * 1000 / 8, /* 30 Mbit/s */
   PACKET_BYTES = 1500,
+  CONFIG_TREE_BYTES = 32 * 1024 * 1024,
   HOST_MEMORY_BYTES = 88 * 1000 * 1000,
   LINK_MEMORY_PERCENT = 12, /* of it, for what other hosts have not read */
 };
@@ -256,6 +257,7 @@
   static const struct strings no_seeds;
   struct host *host = &fleet->hosts[index];
   struct table_options table = { .kind = "config",
+                                 .max_tree_bytes = CONFIG_TREE_BYTES,
                                  .handle_object = handle_object,
                                  .handle_commit = handle_commit,
                                  .data = host };
@@ -387,8 +389,9 @@
 lone_host_init (struct lone_host *lone)
 {
   static const struct strings no_seeds;
-  struct table_options table
-      = { .kind = "config", .handle_commit = handle_commit };
+  struct table_options table = { .kind = "config",
+                                 .max_tree_bytes = CONFIG_TREE_BYTES,
+                                 .handle_commit = handle_commit };
   struct feed_options options = { .host = "lone",
                                   .data_centre = "dc",
                                   .may_lead = true,
