common, platform, request, conversation: callers have a price and a bound

What callers would see: requests lost with a host that ends for lack of memory. Cause: 3,000 connections were allowed, each with 36 KB of libmicrohttpd's memory (108 MB if all are used), open requests were not counted at all, nor the copy of a body that is sent, nor incomplete events of streams (256 KB each); the texts of conversations had 24 MB of their own.

- A connection counts with 4 KB, and 36 KB more once a request begins on it; an open request with 24 KB; a body and a conversation's text twice, as they are received and as they are sent.
All of that is on the account "callers" (34 % of what a host divides, 25.8 MB of 88; configurations get 13 %).
Incomplete events are on the account "responses"; an empty buffer for them is freed if it is larger than 8 KB.
- Above 80 % of the callers' share a request that begins work is refused, above 92 % any: 503, "this host is short of memory", Retry-After 0.2 to 0.4 s, connection closed.
That is decided at its headers, before anything is held; its body is read and dropped, as an earlier answer would reach callers as a reset.
Turns that continue others and resumed streams go on to 92 %: with them, work would be lost.
- Meanwhile, connections without a request for a second are closed, and callers that do not read for 3 s are cut.
- There are no more connections than fit the share (661 at 88 MB).

Metrics: requests_refused_memory, idle_connections_dropped.

--- a/common/buffer_budget.c
+++ b/common/buffer_budget.c
@@ -8,16 +8,17 @@
   NEAR_PERCENT = 75,      /* from here on, no new work is taken */
 };
 
-/* Takes BYTES.  Returns false if the budget does not have them.  */
+/* Takes BYTES.  Returns false if the budget, or the callers' share of the
+   memory, does not have them.  */
 bool
 buffer_budget_take (struct buffer_budget *budget, size_t bytes)
 {
   if (bytes > budget->limit_bytes
-      || budget->used_bytes > budget->limit_bytes - bytes)
+      || budget->used_bytes > budget->limit_bytes - bytes
+      || !memory_take (MEMORY_CALLERS, (int64_t)bytes))
     return false;
   budget->used_bytes += bytes;
   counter_add (COUNTER_BUFFERED_BYTES, (int64_t)bytes);
-  memory_add (MEMORY_CALLERS, (int64_t)bytes);
   return true;
 }
 
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -111,7 +111,6 @@
   unlink_fetch (fetch);
   fetcher->buffered_bytes -= fetch->buffered_bytes;
   memory_add (MEMORY_RESPONSES, -(int64_t)fetch->charged_bytes);
-  memory_add (MEMORY_CALLERS, -(int64_t)fetch->request_body_len);
   curl_multi_remove_handle (fetcher->multi, fetch->easy);
   if (fetcher->idle_count < MAX_IDLE_HANDLES)
     {
@@ -462,7 +461,6 @@
 {
   fetch->request_body = xcalloc (options->body_len + 1, 1);
   fetch->request_body_len = options->body_len;
-  memory_add (MEMORY_CALLERS, (int64_t)options->body_len);
   if (options->body && options->body_len)
     memcpy (fetch->request_body, options->body, options->body_len);
   curl_easy_setopt (fetch->easy, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -3,6 +3,7 @@
 #include "common/deferred.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/memory.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <linux/sockios.h>
@@ -28,6 +29,19 @@
   FINAL_RUNS = 8,
 };
 
+/* A client's connection.  Owned by its server. */
+struct httpd_connection
+{
+  struct httpd_connection *previous;
+  struct httpd_connection *next;
+  int fd;
+  bool has_begun; /* its first request */
+  bool is_idle;   /* no request is open */
+  bool is_dropped;
+  int64_t idle_since_ms;
+  int64_t charged_bytes;
+};
+
 struct httpd
 {
   struct MHD_Daemon *daemon;
@@ -40,6 +54,8 @@
   bool destroying; /* requests are refused before they reach the handler */
   uint32_t open_requests;
   struct httpd_request *requests; /* open ones */
+  struct httpd_connection *connections;
+  uint32_t open_connections;
 };
 
 static void
@@ -162,6 +178,40 @@
   free (request);
 }
 
+/* Charges BYTES more to a connection of a caller, negative ones return them.
+ */
+static void
+charge_connection (const struct httpd *httpd,
+                   struct httpd_connection *connection, int64_t bytes)
+{
+  if (!httpd->options.buffers)
+    return;
+  connection->charged_bytes += bytes;
+  memory_add (MEMORY_CALLERS, bytes);
+}
+
+/* Records that a request begins.  libmicrohttpd touches the memory of a
+   connection step by step, and all of it before a second request.  */
+static void
+begin_on_connection (const struct httpd *httpd,
+                     struct httpd_connection *connection)
+{
+  connection->is_idle = false;
+  if (!connection->has_begun)
+    charge_connection (httpd, connection,
+                       (int64_t)httpd->options.connection_memory_bytes);
+  connection->has_begun = true;
+}
+
+static struct httpd_connection *
+find_connection (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info->socket_context;
+}
+
 /* Called with the undecoded target of each request.  libmicrohttpd passes the
    returned pointer to the later callbacks of the request.  */
 static void *
@@ -173,6 +223,8 @@
 
   request->httpd = httpd;
   request->connection = connection;
+  request->on = find_connection (connection);
+  begin_on_connection (httpd, request->on);
   request->target = xstrdup (target);
   request->next = httpd->requests;
   if (request->next)
@@ -243,10 +295,10 @@
 static void
 append_body (struct httpd_request *request, const char *data, size_t len)
 {
-  bool fits
-      = request->body.len + len <= request->httpd->options.max_body_bytes;
+  const struct httpd_options *options = &request->httpd->options;
+  bool fits = request->body.len + len <= options->max_body_bytes;
 
-  if (fits && charge (request, len))
+  if (fits && charge (request, len * (options->is_body_sent_on ? 2 : 1)))
     {
       buf_append (&request->body, data, len);
       return;
@@ -315,7 +367,8 @@
     }
   if (*upload_len > 0)
     {
-      if (!request->body_too_large && !request->body_refused)
+      if (!request->body_too_large && !request->body_refused
+          && !request->discards_body)
         append_body (request, upload, *upload_len);
       *upload_len = 0;
       return MHD_YES;
@@ -356,6 +409,8 @@
   if (request->next)
     request->next->previous = request->previous;
   httpd->open_requests--;
+  request->on->is_idle = true;
+  request->on->idle_since_ms = clock_now_ms ();
   if (request->handle_disconnect)
     request->handle_disconnect (request);
   request_destroy (request);
@@ -399,26 +454,66 @@
 /* Bounds what the kernel holds for a client that does not read.  It counts
    against the memory limit of the process, as its own buffers do.  */
 static void
-handle_connection (void *data, struct MHD_Connection *connection,
-                   void **connection_slot,
-                   enum MHD_ConnectionNotificationCode code)
+bound_send_buffer (const struct httpd *httpd, int fd)
 {
-  const struct httpd *httpd = data;
-  const union MHD_ConnectionInfo *info;
   int bytes = (int)httpd->options.send_buffer_bytes;
 
-  if (code != MHD_CONNECTION_NOTIFY_STARTED || bytes == 0)
-    return;
-  info = MHD_get_connection_info (connection,
-                                  MHD_CONNECTION_INFO_CONNECTION_FD);
-  if (setsockopt (info->connect_fd, SOL_SOCKET, SO_SNDBUF, &bytes,
-                  sizeof bytes)
-      != 0)
+  if (bytes > 0
+      && setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes) != 0)
     log_write (LOG_WARN, "httpd", NULL,
                "the send buffer of a connection is not bounded: %s",
                strerror (errno));
 }
 
+static struct httpd_connection *
+open_connection (struct httpd *httpd, int fd)
+{
+  struct httpd_connection *connection = xcalloc (1, sizeof *connection);
+
+  connection->fd = fd;
+  connection->is_idle = true;
+  connection->idle_since_ms = clock_now_ms ();
+  connection->next = httpd->connections;
+  if (connection->next)
+    connection->next->previous = connection;
+  httpd->connections = connection;
+  httpd->open_connections++;
+  charge_connection (httpd, connection, HTTPD_CONNECTION_BYTES);
+  bound_send_buffer (httpd, fd);
+  return connection;
+}
+
+static void
+close_connection (struct httpd *httpd, struct httpd_connection *connection)
+{
+  charge_connection (httpd, connection, -connection->charged_bytes);
+  if (connection->previous)
+    connection->previous->next = connection->next;
+  else
+    httpd->connections = connection->next;
+  if (connection->next)
+    connection->next->previous = connection->previous;
+  httpd->open_connections--;
+  free (connection);
+}
+
+static void
+handle_connection (void *data, struct MHD_Connection *connection, void **slot,
+                   enum MHD_ConnectionNotificationCode code)
+{
+  struct httpd *httpd = data;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+          connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+      *slot = open_connection (httpd, info->connect_fd);
+    }
+  else
+    close_connection (httpd, *slot);
+}
+
 static struct MHD_Daemon *
 start_daemon (struct httpd *httpd, const struct sockaddr_in *address)
 {
@@ -517,6 +612,53 @@
   return httpd->open_requests;
 }
 
+/* Returns the number of open connections.  */
+uint32_t
+httpd_open_connections (const struct httpd *httpd)
+{
+  return httpd->open_connections;
+}
+
+static bool
+has_unread_bytes (int fd)
+{
+  int bytes = 0;
+
+  return ioctl (fd, FIONREAD, &bytes) != 0 || bytes > 0;
+}
+
+/* Closes the connections that have been without a request for IDLE_MS.
+   Returns how many.  */
+uint32_t
+httpd_drop_idle (struct httpd *httpd, int64_t idle_ms, int64_t now_ms)
+{
+  uint32_t dropped = 0;
+
+  for (struct httpd_connection *connection = httpd->connections; connection;
+       connection = connection->next)
+    {
+      if (!connection->is_idle || connection->is_dropped
+          || now_ms - connection->idle_since_ms < idle_ms
+          || has_unread_bytes (connection->fd))
+        continue;
+      connection->is_dropped = true;
+      dropped++;
+      /* libmicrohttpd notices the end and closes. */
+      shutdown (connection->fd, SHUT_RDWR);
+    }
+  counter_add (COUNTER_IDLE_CONNECTIONS_DROPPED, dropped);
+  return dropped;
+}
+
+/* Drops the body of a request whose headers are being handled.  The request is
+   passed to the handler without one, once it has been read as a whole: a
+   response before would reach clients as a reset.  */
+void
+httpd_discard_body (struct httpd_request *request)
+{
+  request->discards_body = true;
+}
+
 /* Returns the port that the server listens on.  */
 uint16_t
 httpd_port (const struct httpd *httpd)
@@ -766,16 +908,19 @@
   shutdown (info->connect_fd, SHUT_RDWR);
 }
 
-/* Cuts the clients that do not read, if much is buffered.  Must be called
-   about every second.  */
+/* Cuts the clients that do not read, if much is buffered or memory is short.
+   Must be called about every second.  */
 void
 httpd_cut_stalled (struct httpd *httpd, int64_t now_ms)
 {
   const struct buffer_budget *buffers = httpd->options.buffers;
+  bool is_contended;
   struct httpd_request *next;
 
   if (!buffers)
     return;
+  is_contended = buffer_budget_is_contended (buffers)
+                 || memory_state () != MEMORY_ENOUGH;
   for (struct httpd_request *request = httpd->requests; request;
        request = next)
     {
@@ -783,7 +928,7 @@
       if (!request->streaming || request->response_body.len == 0)
         continue;
       record_reading (request, now_ms);
-      if (buffer_budget_is_contended (buffers) && is_stalled (request, now_ms))
+      if (is_contended && is_stalled (request, now_ms))
         cut_stalled (request, now_ms);
     }
 }
--- a/common/memory.c
+++ b/common/memory.c
@@ -11,8 +11,13 @@
   PROCESS_BYTES = 12 * 1024 * 1024,
   /* Of the rest: lost between blocks of the allocator, and held by what has no
      account. */
-  UNASSIGNED_PERCENT = 10,
+  UNASSIGNED_PERCENT = 8,
   ALL_PERCENT = 100,
+  /* Of the callers' share.  The rest is for what requests under way still
+     need: the remainder of their bodies, and what their callers have not read
+     yet. */
+  CALLERS_SHORT_PERCENT = 80,
+  CALLERS_EXHAUSTED_PERCENT = 92,
 };
 
 /* What an account is called, and its share in what a process may use beyond
@@ -25,12 +30,12 @@
 
 /* Shares of a host that serves callers, and of one that stores turns. */
 static const struct account accounts[MEMORY_ACCOUNT_COUNT] = {
-  [MEMORY_CALLERS] = { "callers", { 28, 1 } },
+  [MEMORY_CALLERS] = { "callers", { 34, 1 } },
   [MEMORY_RESPONSES] = { "responses", { 11, 4 } },
   [MEMORY_LINKS_OUT] = { "links_out", { 14, 20 } },
   [MEMORY_LINKS_IN] = { "links_in", { 9, 15 } },
   [MEMORY_MESSAGES] = { "messages", { 5, 5 } },
-  [MEMORY_CONFIG] = { "config", { 17, 5 } },
+  [MEMORY_CONFIG] = { "config", { 13, 5 } },
   [MEMORY_TABLES] = { "tables", { 6, 40 } },
 };
 
@@ -110,6 +115,20 @@
   return (int64_t)ck_pr_load_64 (&used_bytes[account]);
 }
 
+/* Returns whether work for callers may be taken.  */
+enum memory_state
+memory_state (void)
+{
+  int64_t percent_bytes = memory_share (MEMORY_CALLERS) / ALL_PERCENT;
+  int64_t used_bytes_now = memory_used (MEMORY_CALLERS);
+
+  if (used_bytes_now >= percent_bytes * CALLERS_EXHAUSTED_PERCENT)
+    return MEMORY_EXHAUSTED;
+  return used_bytes_now >= percent_bytes * CALLERS_SHORT_PERCENT
+             ? MEMORY_SHORT
+             : MEMORY_ENOUGH;
+}
+
 /* Returns the memory that the process occupies, or 0 if the system does not
    tell.  */
 int64_t
--- a/conversation/client.c
+++ b/conversation/client.c
@@ -3,6 +3,7 @@
 #include "common/histogram.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/memory.h"
 #include "conversation/turn.h"
 #include <glib.h>
 #include <stdlib.h>
@@ -18,6 +19,7 @@
   NO_ROOM_MS = 1000,
   DEADLINE_SHARE = 3, /* part of a request's time that a read may take */
   MIN_READ_MS = 40,   /* else no second keeper would ever be asked */
+  HELD_COPIES = 2,    /* of a text: as read, and as sent to the endpoint */
   DEFAULT_HELD_BYTES = 24 * 1024 * 1024, /* a host has 88 MB or more */
 };
 
@@ -103,6 +105,7 @@
   if (client->options.loop)
     ev_timer_stop (client->options.loop, &client->timer);
   release_keepers (client);
+  conversations_release (client, client->held_bytes);
   g_hash_table_destroy (client->tasks);
   free (client);
 }
@@ -172,11 +175,13 @@
 }
 
 /* Accounts for BYTES of text that a request holds.  Returns false, and does
-   nothing, if the bound would be exceeded.  */
+   nothing, if the bound or the callers' share of the memory would be exceeded.
+   */
 bool
 conversations_hold (struct conversations *client, size_t bytes)
 {
-  if (bytes > client->options.max_held_bytes - client->held_bytes)
+  if (bytes > client->options.max_held_bytes - client->held_bytes
+      || !memory_take (MEMORY_CALLERS, HELD_COPIES * (int64_t)bytes))
     return false;
   client->held_bytes += bytes;
   return true;
@@ -187,6 +192,7 @@
 conversations_release (struct conversations *client, size_t bytes)
 {
   client->held_bytes -= bytes;
+  memory_add (MEMORY_CALLERS, -HELD_COPIES * (int64_t)bytes);
 }
 
 static bool
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -72,11 +72,13 @@
   COUNTER_PROGRAMS_REFUSED_LOAD,  /* they would end late */
   COUNTER_PROGRAMS_REFUSED_SHARE, /* their customer has had its share */
   COUNTER_PROGRAMS_REFUSED_MEMORY,
-  COUNTER_HOPELESS_REFUSED,  /* deadlines shorter than any answer takes */
-  COUNTER_BUFFERED_BYTES,    /* a gauge */
-  COUNTER_READERS_CUT,       /* callers that did not read */
-  COUNTER_BODIES_REFUSED,    /* for which there was no memory */
-  COUNTER_RESPONSES_REFUSED, /* of endpoints: too long, or no memory */
+  COUNTER_HOPELESS_REFUSED, /* deadlines shorter than any answer takes */
+  COUNTER_BUFFERED_BYTES,   /* a gauge */
+  COUNTER_READERS_CUT,      /* callers that did not read */
+  COUNTER_BODIES_REFUSED,   /* for which there was no memory */
+  COUNTER_REFUSED_MEMORY,   /* requests, before anything was held for them */
+  COUNTER_IDLE_CONNECTIONS_DROPPED, /* of callers, for lack of memory */
+  COUNTER_RESPONSES_REFUSED,        /* of endpoints: too long, or no memory */
   COUNTER_HOLDS_PLACED,
   COUNTER_HOLDS_SWEPT, /* deleted from endpoints as orphans */
   /* Of keepers, see conversation/keeper.h. */
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -13,6 +13,7 @@
 
 struct httpd;
 struct httpd_request;
+struct httpd_connection;
 typedef void httpd_handler (void *data, struct httpd_request *request);
 typedef void httpd_header_handler (void *data, const char *name,
                                    const char *value);
@@ -29,12 +30,15 @@
   uint32_t max_connections;
   size_t send_buffer_bytes; /* of each connection, in the kernel; 0 for the
                                system's default */
-  /* Bounds the bodies and backlogs of all requests; may be NULL. */
+  /* Bounds the bodies and backlogs of all requests; may be NULL.  With it,
+     connections and requests count as held for callers, too. */
   struct buffer_budget *buffers;
+  bool is_body_sent_on; /* by a transfer, which holds a copy of it */
   const char *cert_pem; /* NULL for plain HTTP */
   const char *key_pem;  /* NULL for plain HTTP */
   const char *ca_pem;   /* requests client certificates; may be NULL */
-  httpd_handler *handle_headers; /* may respond early; may be NULL */
+  /* May respond early, or call httpd_discard_body; may be NULL. */
+  httpd_handler *handle_headers;
   httpd_handler *handle_request;
   void *data;
 };
@@ -42,6 +46,9 @@
 enum
 {
   HTTPD_MAX_HEADERS = 32,
+  /* What a connection takes beside connection_memory_bytes, which it uses from
+     its first request on. */
+  HTTPD_CONNECTION_BYTES = 4 * 1024,
 };
 
 enum httpd_state
@@ -60,6 +67,7 @@
   struct httpd_request *previous; /* in the list of open requests */
   struct httpd_request *next;
   struct MHD_Connection *connection;
+  struct httpd_connection *on; /* the same */
   char *method;
   char *target; /* undecoded request target, with the query */
   char *path;
@@ -81,6 +89,7 @@
   bool stream_aborted;
   bool body_too_large;
   bool body_refused;      /* the budget does not have its bytes */
+  bool discards_body;     /* the handler does not want it */
   bool lacks_chunks;      /* the client speaks HTTP/1.0 */
   bool buffering;         /* the stream is sent in one piece when it ends */
   ev_io disconnect_watch; /* detects that the client closes while suspended */
@@ -124,5 +133,9 @@
 void httpd_stream_end (struct httpd_request *request);
 void httpd_stream_abort (struct httpd_request *request);
 void httpd_cut_stalled (struct httpd *httpd, int64_t now_ms);
+void httpd_discard_body (struct httpd_request *request);
+uint32_t httpd_drop_idle (struct httpd *httpd, int64_t idle_ms,
+                          int64_t now_ms);
+uint32_t httpd_open_connections (const struct httpd *httpd);
 
 #endif
--- a/include/common/memory.h
+++ b/include/common/memory.h
@@ -29,12 +29,21 @@
   MEMORY_PROFILE_COUNT,
 };
 
+/* How much of its memory the process has left for callers. */
+enum memory_state
+{
+  MEMORY_ENOUGH,
+  MEMORY_SHORT,     /* takes no work that it can refuse without a loss */
+  MEMORY_EXHAUSTED, /* takes no work */
+};
+
 bool memory_set_limit (int64_t limit_bytes, enum memory_profile profile);
 int64_t memory_limit (void);
 int64_t memory_share (enum memory_account account);
 bool memory_take (enum memory_account account, int64_t bytes);
 void memory_add (enum memory_account account, int64_t bytes);
 int64_t memory_used (enum memory_account account);
+enum memory_state memory_state (void);
 int64_t memory_resident_bytes (void);
 void memory_describe (struct buf *text);
 void memory_to_text (struct buf *text);
--- a/include/platform/frontend.h
+++ b/include/platform/frontend.h
@@ -9,6 +9,18 @@
 
 struct frontend;
 
+enum
+{
+  /* What an open request takes beside its body and its connection: itself,
+     its headers, and its transfer from an endpoint. */
+  FRONTEND_REQUEST_BYTES = 24 * 1024,
+  /* Of a connection, for two header blocks of maximum size. */
+  FRONTEND_CONNECTION_BYTES = 36 * 1024,
+  /* What a caller with an open request takes, beside HTTPD_CONNECTION_BYTES
+     and its body. */
+  FRONTEND_CALLER_BYTES = FRONTEND_CONNECTION_BYTES + FRONTEND_REQUEST_BYTES,
+};
+
 struct frontend_options
 {
   struct ev_loop *loop;
@@ -23,6 +35,8 @@
 void frontend_destroy (struct frontend *frontend);
 void frontend_announce_close (struct frontend *frontend);
 void frontend_cut_stalled (struct frontend *frontend, int64_t now_ms);
+void frontend_relieve (struct frontend *frontend, int64_t now_ms);
+uint16_t frontend_port (const struct frontend *frontend);
 void frontend_stop_listening (struct frontend *frontend);
 void frontend_parse_prompt_parts (struct request_input *input,
                                   const char *text);
--- a/include/request/event_splitter.h
+++ b/include/request/event_splitter.h
@@ -22,12 +22,15 @@
 struct event_splitter
 {
   struct buf pending; /* an incomplete event */
-  size_t scanned;     /* bytes of it that have been searched for its end */
-  size_t line_start;  /* offset of the line in which the search stopped */
+  size_t charged_bytes;
+  size_t scanned;    /* bytes of it that have been searched for its end */
+  size_t line_start; /* offset of the line in which the search stopped */
 };
 
 bool event_splitter_append (struct event_splitter *events, const char *bytes,
                             size_t len, event_handler *handler, void *data);
+bool event_splitter_collect (struct event_splitter *events, const char *bytes,
+                             size_t len);
 void event_splitter_release (struct event_splitter *events);
 
 #endif
--- a/request/event_splitter.c
+++ b/request/event_splitter.c
@@ -1,7 +1,15 @@
 #include "request/event_splitter.h"
+#include "common/memory.h"
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  /* An empty buffer is kept for the next event unless it is larger: it would
+     be held for as long as the stream lasts. */
+  KEPT_BYTES = 8 * 1024,
+};
+
 /* Returns the length of the event that starts at OFFSET of the pending bytes,
    including its blank line, or 0 if it is incomplete.  */
 static size_t
@@ -47,8 +55,42 @@
   return -1;
 }
 
+/* Charges what the buffer occupies with LEN more bytes.  */
+static bool
+charge (struct event_splitter *events, size_t len)
+{
+  size_t capacity = buf_capacity_for (&events->pending, len);
+  size_t growth = capacity - events->pending.capacity;
+
+  if (!memory_take (MEMORY_RESPONSES, (int64_t)growth))
+    return false;
+  events->charged_bytes += growth;
+  return true;
+}
+
+static void
+release_buffer (struct event_splitter *events)
+{
+  buf_release (&events->pending);
+  memory_add (MEMORY_RESPONSES, -(int64_t)events->charged_bytes);
+  events->charged_bytes = 0;
+}
+
+/* Appends bytes that are no events.  Returns false if there is no memory for
+   them.  */
+bool
+event_splitter_collect (struct event_splitter *events, const char *bytes,
+                        size_t len)
+{
+  if (!charge (events, len))
+    return false;
+  buf_append (&events->pending, bytes, len);
+  return true;
+}
+
 /* Appends bytes of the stream and calls HANDLER with each event that is
-   complete.  Returns false if HANDLER did, or if an event is too long.  */
+   complete.  Returns false if HANDLER did, if an event is too long, or if
+   there is no memory for it.  */
 bool
 event_splitter_append (struct event_splitter *events, const char *bytes,
                        size_t len, event_handler *handler, void *data)
@@ -57,7 +99,8 @@
   size_t event_length;
   bool should_continue = true;
 
-  buf_append (&events->pending, bytes, len);
+  if (!event_splitter_collect (events, bytes, len))
+    return false;
   while (should_continue
          && (event_length = find_event_end (events, offset)) > 0)
     {
@@ -68,6 +111,8 @@
       offset += event_length;
     }
   buf_consume (&events->pending, offset);
+  if (events->pending.len == 0 && events->pending.capacity > KEPT_BYTES)
+    release_buffer (events);
   return should_continue
          && events->pending.len <= EVENT_SPLITTER_MAX_EVENT_BYTES;
 }
@@ -76,6 +121,6 @@
 void
 event_splitter_release (struct event_splitter *events)
 {
-  buf_release (&events->pending);
+  release_buffer (events);
   events->scanned = events->line_start = 0;
 }
--- a/request/request.c
+++ b/request/request.c
@@ -756,10 +756,8 @@
   if (!is_matching_response (request))
     return false;
   if (!is_success (request->head.status))
-    {
-      buf_append (&request->events.pending, bytes, len);
-      return request->events.pending.len <= EVENT_SPLITTER_MAX_EVENT_BYTES;
-    }
+    return event_splitter_collect (&request->events, bytes, len)
+           && request->events.pending.len <= EVENT_SPLITTER_MAX_EVENT_BYTES;
   return event_splitter_append (&request->events, bytes, len, forward_event,
                                 request);
 }
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -29,6 +29,7 @@
   { "limited fleet", NULL, NULL, NULL, NULL, limited_fleet_tests },
   { "limits", NULL, NULL, NULL, NULL, limits_tests },
   { "memory", NULL, NULL, NULL, NULL, memory_tests },
+  { "memory pressure", NULL, NULL, NULL, NULL, memory_pressure_tests },
   { "mesh", NULL, NULL, NULL, NULL, mesh_tests },
   { "node traffic", NULL, NULL, NULL, NULL, node_traffic_tests },
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -34,6 +34,7 @@
 extern CU_TestInfo limited_fleet_tests[];
 extern CU_TestInfo limits_tests[];
 extern CU_TestInfo memory_tests[];
+extern CU_TestInfo memory_pressure_tests[];
 extern CU_TestInfo mesh_tests[];
 extern CU_TestInfo node_traffic_tests[];
 extern CU_TestInfo objects_tests[];
