common, platform, request: a host short of memory refuses work and gives back

What callers would see: a host that goes on taking work while it occupies nearly all of its memory, whatever holds it, and ends with the requests that it works on. Cause: nothing looked at the memory of the process; freed blocks stayed with it, as the allocator keeps blocks of up to 32 MB in its heap once one of that size was freed.

From 84 % of the limit on (to 78 %), requests that begin work are refused as before, and no relays are taken; from 91 % on (to 87 %), all are. Requests under way, their answers, pings and the feed go on. Blocks of 128 KB and more are always mapped by themselves.

--- a/common/memory.c
+++ b/common/memory.c
@@ -1,5 +1,6 @@
 #include "common/memory.h"
 #include <ck_pr.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <unistd.h>
 
@@ -18,6 +19,18 @@
      yet. */
   CALLERS_SHORT_PERCENT = 80,
   CALLERS_EXHAUSTED_PERCENT = 92,
+  /* Of the limit: resident memory above which the process is short or out of
+     memory, and below which it no longer is.  Between two measurements a link
+     of 100 Mbit/s delivers 3 MB. */
+  SHORT_PERCENT = 84,
+  NOT_SHORT_PERCENT = 78,
+  EXHAUSTED_PERCENT = 91,
+  NOT_EXHAUSTED_PERCENT = 87,
+  /* Larger blocks are mapped by themselves and go back to the system when they
+     are freed, whatever lies behind them.  Fixed, since the allocator would
+     raise the bound to the largest block that was freed. */
+  MAPPED_BLOCK_BYTES = 128 * 1024,
+  TRIM_BYTES = 256 * 1024, /* free at the end of the heap */
 };
 
 /* What an account is called, and its share in what a process may use beyond
@@ -43,6 +56,7 @@
 static uint64_t refusals[MEMORY_ACCOUNT_COUNT]; /* by memory_take */
 static int64_t process_limit_bytes;             /* 0 for none */
 static enum memory_profile process_profile;
+static uint32_t measured_state; /* enum memory_state, by resident memory */
 
 /* Sets how many bytes the process may use, 0 for no limit.  To be called while
    no other thread runs.  Returns false if the shares and what the process
@@ -115,34 +129,112 @@
   return (int64_t)ck_pr_load_64 (&used_bytes[account]);
 }
 
-/* Returns whether work for callers may be taken.  */
-enum memory_state
-memory_state (void)
+/* Returns what the callers' account tells.  */
+static enum memory_state
+callers_state (void)
 {
   int64_t percent_bytes = memory_share (MEMORY_CALLERS) / ALL_PERCENT;
-  int64_t used_bytes_now = memory_used (MEMORY_CALLERS);
+  int64_t callers_bytes = memory_used (MEMORY_CALLERS);
 
-  if (used_bytes_now >= percent_bytes * CALLERS_EXHAUSTED_PERCENT)
+  if (callers_bytes >= percent_bytes * CALLERS_EXHAUSTED_PERCENT)
     return MEMORY_EXHAUSTED;
-  return used_bytes_now >= percent_bytes * CALLERS_SHORT_PERCENT
+  return callers_bytes >= percent_bytes * CALLERS_SHORT_PERCENT
              ? MEMORY_SHORT
              : MEMORY_ENOUGH;
 }
 
-/* Returns the memory that the process occupies, or 0 if the system does not
-   tell.  */
+/* Returns whether work may be taken.  */
+enum memory_state
+memory_state (void)
+{
+  enum memory_state measured
+      = (enum memory_state)ck_pr_load_32 (&measured_state);
+  enum memory_state callers = callers_state ();
+
+  return measured > callers ? measured : callers;
+}
+
+/* Returns what a process with RESIDENT_BYTES is that was BEFORE.  */
+static enum memory_state
+judge (int64_t resident_bytes, enum memory_state before)
+{
+  int64_t percent_bytes = process_limit_bytes / ALL_PERCENT;
+  int64_t exhausted_bytes
+      = percent_bytes
+        * (before == MEMORY_EXHAUSTED ? NOT_EXHAUSTED_PERCENT
+                                      : EXHAUSTED_PERCENT);
+  int64_t short_bytes
+      = percent_bytes
+        * (before == MEMORY_ENOUGH ? SHORT_PERCENT : NOT_SHORT_PERCENT);
+
+  if (process_limit_bytes == 0)
+    return MEMORY_ENOUGH;
+  if (resident_bytes >= exhausted_bytes)
+    return MEMORY_EXHAUSTED;
+  return resident_bytes >= short_bytes ? MEMORY_SHORT : MEMORY_ENOUGH;
+}
+
+/* Records that the process occupies RESIDENT_BYTES.  To be called several
+   times a second by one thread.  Returns the state, see memory_state.  */
+enum memory_state
+memory_measure (int64_t resident_bytes)
+{
+  enum memory_state before
+      = (enum memory_state)ck_pr_load_32 (&measured_state);
+
+  ck_pr_store_32 (&measured_state, (uint32_t)judge (resident_bytes, before));
+  return memory_state ();
+}
+
+/* Returns the name of STATE, for logs.  */
+const char *
+memory_state_name (enum memory_state state)
+{
+  static const char *const names[] = { "enough", "short", "exhausted" };
+
+  return names[state];
+}
+
+/* Has the allocator return large blocks to the system.  To be called before
+   other threads run.  */
+void
+memory_tune_allocator (void)
+{
+  mallopt (M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
+  mallopt (M_TRIM_THRESHOLD, TRIM_BYTES);
+}
+
+/* Returns what the allocator holds and nobody uses to the system.  Takes some
+   milliseconds for each 10 MB.  */
+void
+memory_return_free (void)
+{
+  malloc_trim (0);
+}
+
+/* Returns what the allocator has taken from the system.  */
+static int64_t
+allocator_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return (int64_t)(info.arena + info.hblkhd);
+}
+
+/* Returns the memory that the process occupies; where the system does not
+   tell, an estimate.  */
 int64_t
 memory_resident_bytes (void)
 {
   FILE *file = fopen ("/proc/self/statm", "re");
   long resident_pages = 0;
 
-  if (!file)
-    return 0;
-  if (fscanf (file, "%*d %ld", &resident_pages) != 1)
+  if (file && fscanf (file, "%*d %ld", &resident_pages) != 1)
     resident_pages = 0;
-  fclose (file);
-  return (int64_t)resident_pages * sysconf (_SC_PAGESIZE);
+  if (file)
+    fclose (file);
+  return resident_pages > 0 ? (int64_t)resident_pages * sysconf (_SC_PAGESIZE)
+                            : PROCESS_BYTES + allocator_bytes ();
 }
 
 /* Appends the resident memory and the accounts in kilobytes, for logs.  */
@@ -180,6 +272,7 @@
     account_to_text ((enum memory_account)i, text);
   buf_printf (text, "galenashore_memory_limit_bytes %lld\n",
               (long long)process_limit_bytes);
+  buf_printf (text, "galenashore_memory_state %d\n", (int)memory_state ());
   buf_printf (text, "galenashore_resident_bytes %lld\n",
               (long long)memory_resident_bytes ());
 }
--- a/include/common/memory.h
+++ b/include/common/memory.h
@@ -29,7 +29,7 @@
   MEMORY_PROFILE_COUNT,
 };
 
-/* How much of its memory the process has left for callers. */
+/* How much of its memory the process has left for work. */
 enum memory_state
 {
   MEMORY_ENOUGH,
@@ -44,6 +44,10 @@
 void memory_add (enum memory_account account, int64_t bytes);
 int64_t memory_used (enum memory_account account);
 enum memory_state memory_state (void);
+enum memory_state memory_measure (int64_t resident_bytes);
+void memory_tune_allocator (void);
+void memory_return_free (void);
+const char *memory_state_name (enum memory_state state);
 int64_t memory_resident_bytes (void);
 void memory_describe (struct buf *text);
 void memory_to_text (struct buf *text);
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -286,6 +286,7 @@
 uint32_t pool_take_suspects (struct pool_endpoint *endpoint,
                              uint64_t fingerprints[POOL_MAX_SUSPECTS]);
 void pool_expire_prompt_parts (struct pool *pool, int64_t now_ms);
+void pool_forget_prompt_parts (struct pool *pool);
 uint32_t pool_part_count (const struct pool *pool);
 void pool_set_cold_rates (struct pool *pool,
                           const struct pool_cold_rate *rates, size_t count,
--- a/request/pool.c
+++ b/request/pool.c
@@ -1220,6 +1220,15 @@
     }
 }
 
+/* Forgets all prompt parts, for lack of memory.  */
+void
+pool_forget_prompt_parts (struct pool *pool)
+{
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    g_hash_table_remove_all (
+        ((struct pool_endpoint *)pool->endpoints->pdata[i])->parts);
+}
+
 /* Returns the number of prompt parts that are tracked.  */
 uint32_t
 pool_part_count (const struct pool *pool)
--- a/request/relay_server.c
+++ b/request/relay_server.c
@@ -2,6 +2,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/memory.h"
 #include "policy/failure_detector.h"
 #include "request/observation.h"
 #include "request/relay.h"
@@ -188,7 +189,8 @@
 static bool
 is_busy (const struct relay_server *server, int64_t now_ms)
 {
-  return server->relays.length >= MAX_RELAYS || now_ms < server->busy_until_ms;
+  return server->relays.length >= MAX_RELAYS || now_ms < server->busy_until_ms
+         || memory_state () != MEMORY_ENOUGH;
 }
 
 /* Tells HOST which services this one reaches and how many more requests it
--- a/test/unit/test_memory.c
+++ b/test/unit/test_memory.c
@@ -1,6 +1,7 @@
 #include "common/memory.h"
 #include "platform/settings.h"
 #include "suites.h"
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,9 @@
   SMALLEST_MB = 88, /* entry hosts */
   KEEPER_MB = 130,
   TAKES = 64,
+  LARGE_BLOCKS = 16,
+  LARGE_BYTES = 1024 * 1024,
+  SMALL_BYTES = 20 * 1024, /* no free one lies elsewhere */
 };
 
 static int64_t
@@ -86,6 +90,54 @@
   memory_add (MEMORY_CONFIG, -bytes);
 }
 
+/* Guards against a process that goes on taking work when it occupies nearly
+   all of its memory, and against one that changes its mind with each block
+   that is freed.  */
+static void
+test_resident_memory_is_judged (void)
+{
+  int64_t percent_bytes = (int64_t)SMALLEST_MB * BYTES_PER_MB / 100;
+
+  memory_set_limit (100 * percent_bytes, MEMORY_SERVES_CALLERS);
+  CU_ASSERT_EQUAL (memory_measure (83 * percent_bytes), MEMORY_ENOUGH);
+  CU_ASSERT_EQUAL (memory_measure (85 * percent_bytes), MEMORY_SHORT);
+  CU_ASSERT_EQUAL (memory_state (), MEMORY_SHORT);
+  CU_ASSERT_EQUAL (memory_measure (79 * percent_bytes), MEMORY_SHORT);
+  CU_ASSERT_EQUAL (memory_measure (77 * percent_bytes), MEMORY_ENOUGH);
+  CU_ASSERT_EQUAL (memory_measure (92 * percent_bytes), MEMORY_EXHAUSTED);
+  CU_ASSERT_EQUAL (memory_measure (88 * percent_bytes), MEMORY_EXHAUSTED);
+  CU_ASSERT_EQUAL (memory_measure (86 * percent_bytes), MEMORY_SHORT);
+  CU_ASSERT_EQUAL (memory_measure (0), MEMORY_ENOUGH);
+  memory_set_limit (0, MEMORY_SERVES_CALLERS);
+  CU_ASSERT_EQUAL (memory_measure (INT64_MAX), MEMORY_ENOUGH);
+}
+
+/* Guards against large blocks that stay with the process after they are freed,
+   since small ones that live on lie behind them.  */
+static void
+test_large_blocks_go_back (void)
+{
+  char *large[LARGE_BLOCKS];
+  char *small[LARGE_BLOCKS];
+  size_t arena_bytes;
+
+  memory_tune_allocator ();
+  /* By default, the allocator would keep blocks of this size from now on.  */
+  free (xcalloc (2, LARGE_BYTES));
+  arena_bytes = mallinfo2 ().arena;
+  for (int i = 0; i < LARGE_BLOCKS; i++)
+    {
+      large[i] = xcalloc (LARGE_BYTES, 1);
+      small[i] = xcalloc (SMALL_BYTES, 1);
+    }
+  for (int i = 0; i < LARGE_BLOCKS; i++)
+    free (large[i]);
+  CU_ASSERT_TRUE (mallinfo2 ().arena - arena_bytes
+                  < (size_t)LARGE_BLOCKS * LARGE_BYTES / 2);
+  for (int i = 0; i < LARGE_BLOCKS; i++)
+    free (small[i]);
+}
+
 /* Guards against figures that cannot be seen: each account, its share and its
    refusals.  */
 static void
@@ -157,6 +209,8 @@
   { "without a limit nothing is refused",
     test_without_a_limit_nothing_is_refused },
   { "the limit is read from the settings", test_limit_is_read },
+  { "resident memory is judged", test_resident_memory_is_judged },
+  { "large blocks go back", test_large_blocks_go_back },
   { "the accounts are shown", test_accounts_are_shown },
   CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_memory_pressure.c
+++ b/test/unit/test_memory_pressure.c
@@ -353,6 +353,41 @@
   close_site (&site);
 }
 
+/* Guards against a host that takes work while it occupies nearly all of its
+   memory, for whatever it holds, and against one that breaks off what it has
+   accepted.  */
+static void
+test_process_out_of_memory (void)
+{
+  static struct site site;
+  char text[RESPONSE_BYTES];
+
+  open_site (&site, ROUTE_STREAM);
+  send_text (connect_caller (&site), request_text);
+  accept_at_endpoint (&site, 1);
+  send_text (site.endpoint[0], CLOSING_HEAD EVENT);
+  receive_text (&site, site.callers[0], EVENT_END);
+  CU_ASSERT_EQUAL (memory_measure (HOST_BYTES / 100 * 85), MEMORY_SHORT);
+  send_text (connect_caller (&site), request_text);
+  expect_refusal (&site, site.callers[1]);
+  send_text (connect_caller (&site), turn_text);
+  accept_at_endpoint (&site, 2);
+  CU_ASSERT_EQUAL (memory_measure (HOST_BYTES), MEMORY_EXHAUSTED);
+  send_text (connect_caller (&site), turn_text);
+  expect_refusal (&site, site.callers[3]);
+  send_text (site.endpoint[0], LAST_CHUNK);
+  receive_text (&site, site.callers[0], LAST_CHUNK);
+  send_text (site.endpoint[1], CLOSING_HEAD EVENT LAST_CHUNK);
+  receive_text (&site, site.callers[2], EVENT_END);
+  CU_ASSERT_EQUAL (memory_measure (0), MEMORY_ENOUGH);
+  send_text (connect_caller (&site), request_text);
+  accept_at_endpoint (&site, 3);
+  send_text (site.endpoint[2], CLOSING_HEAD EVENT LAST_CHUNK);
+  receive (&site, site.callers[4], text);
+  CU_ASSERT_PTR_EQUAL (strstr (text, "HTTP/1.1 200 "), text);
+  close_site (&site);
+}
+
 /* Sends as much as possible of what is left to send of a request with a body
    of BODY_BYTES, of which *SENT bytes are sent.  */
 static void
@@ -481,5 +516,6 @@
   { "many callers", test_many_callers },
   { "idle connections are dropped", test_idle_connections_are_dropped },
   { "large bodies", test_large_bodies },
+  { "the process is out of memory", test_process_out_of_memory },
   CU_TEST_INFO_NULL,
 };
