request: a request keeps its route and customer, not the whole version

Cause: each request held a reference to the whole version of the configuration by which it began, so a host kept as many versions as its open requests had seen: a change each 0.3 s and streams of 6 s make twenty of them.

Change: a request copies its route, the services of the route's targets and its customer into one allocation (request/chosen_route.c), accounted as MEMORY_CONFIG. A version is freed as soon as the next one is in force. A request that waits still looks its route up anew before it is sent, by a count of the versions applied instead of the address of the last one.

--- a/include/common/memory.h
+++ b/include/common/memory.h
@@ -14,7 +14,7 @@
   MEMORY_LINKS_OUT, /* frames that other hosts have not read */
   MEMORY_LINKS_IN,  /* frames that have not arrived as a whole */
   MEMORY_MESSAGES,  /* frames passed between the process's threads */
-  MEMORY_CONFIG,    /* decoded versions of the configuration */
+  MEMORY_CONFIG,    /* versions of the configuration, and parts in use */
   MEMORY_ACCOUNT_COUNT,
 };
 
--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -88,9 +88,9 @@
                             int64_t program_deadline_ms);
 const struct customer *
 routing_find_customer_name (const struct routing *routing, const char *name);
-const struct service *routing_pick_service (const struct routing *routing,
-                                            const struct route *route,
-                                            uint64_t random);
+const struct service *route_pick_service (const struct route *route,
+                                          const struct service *services,
+                                          uint64_t random);
 int32_t routing_find_service (const struct routing *routing, const char *name);
 
 #endif
--- a/request/explain.c
+++ b/request/explain.c
@@ -109,8 +109,8 @@
 {
   uint64_t program = program_hash (at->query);
 
-  at->service
-      = routing_pick_service (at->sources->routing, at->route, program);
+  at->service = route_pick_service (at->route, at->sources->routing->services,
+                                    program);
   json_object_set_new (at->json, "service_by_chance",
                        json_boolean (!program && at->route->target_count > 1));
   if (!at->service)
--- a/request/request.c
+++ b/request/request.c
@@ -6,6 +6,7 @@
 #include "policy/endpoint_limit.h"
 #include "policy/retry.h"
 #include "request/admission_step.h"
+#include "request/chosen_route.h"
 #include "request/conversation_step.h"
 #include "request/event_splitter.h"
 #include "request/observation.h"
@@ -77,10 +78,11 @@
   struct pipeline *pipeline;
   struct request_input *input;
   struct request_sink *sink;
-  struct routing *routing;
-  const struct route *route;       /* owned by routing */
-  const struct customer *customer; /* owned by routing; NULL on open routes */
-  const struct service *service;   /* of the current send */
+  struct chosen_route *chosen;
+  const struct route *route; /* owned by chosen; NULL until it is found */
+  const struct customer *customer; /* owned by chosen; NULL on open routes */
+  const struct service *service;   /* of the current send; owned by chosen */
+  uint64_t generation; /* of the configuration that was looked up last */
   enum request_step step;
   uint64_t program;
   struct stream_key stream; /* content is 0 if it cannot be resumed */
@@ -136,6 +138,7 @@
 {
   struct pipeline_options options;
   struct routing *routing; /* NULL until the first configuration */
+  uint64_t generation;     /* counts the configurations applied */
   bool is_closed;          /* refuses new requests */
   struct admission_step *admission;
   struct poison_table poison;
@@ -258,7 +261,7 @@
   response_head_release (&request->head);
   event_splitter_release (&request->events);
   request_input_destroy (request->input);
-  routing_unref (request->routing);
+  chosen_route_destroy (request->chosen);
   free (request);
 }
 
@@ -788,7 +791,7 @@
       request->route->name, request->sends, now_ms - request->sent_ms,
       request->first_event_ms ? request->first_event_ms - request->sent_ms : 0,
       request->events_forwarded, request->cached_tokens,
-      request->input->prompt_tokens, request->routing->version,
+      request->input->prompt_tokens, request->chosen->version,
       fetch_framing_name (framing));
 }
 
@@ -1161,15 +1164,34 @@
   free (url);
 }
 
+/* Makes the request run by ROUTE and CUSTOMER, which may be NULL, of the
+   configuration in force.  It keeps copies: a request may outlive many
+   versions of thousands of routes.  */
+static void
+choose_route (struct request *request, const struct route *route,
+              const struct customer *customer)
+{
+  struct chosen_route *chosen
+      = chosen_route_create (request->pipeline->routing, route, customer);
+
+  chosen_route_destroy (request->chosen);
+  request->chosen = chosen;
+  request->route = &chosen->route;
+  request->customer = customer ? &chosen->customer : NULL;
+  request->service = NULL;
+  request->generation = request->pipeline->generation;
+}
+
 /* Looks the route up again so that a request that waited uses the latest
    configuration.  Returns false if its route or key no longer exists.  */
 static bool
 refresh_route (struct request *request)
 {
-  struct routing *latest = request->pipeline->routing;
+  const struct routing *latest = request->pipeline->routing;
+  const struct customer *customer = NULL;
   const struct route *route;
 
-  if (latest == request->routing)
+  if (request->pipeline->generation == request->generation)
     return true;
   route = routing_find_route (latest, request->input->host,
                               request->input->path);
@@ -1177,14 +1199,11 @@
     return false;
   if (request->customer)
     {
-      request->customer = routing_find_customer (latest, request->input->key);
-      if (!request->customer)
+      customer = routing_find_customer (latest, request->input->key);
+      if (!customer)
         return false;
     }
-  request->service = NULL;
-  request->route = route;
-  routing_unref (request->routing);
-  request->routing = routing_ref (latest);
+  choose_route (request, route, customer);
   return true;
 }
 
@@ -1198,7 +1217,7 @@
   for (uint32_t i = 0; i < route->target_count; i++)
     {
       const struct service *service
-          = &request->routing->services[route->targets[i].service];
+          = &request->chosen->services[route->targets[i].service];
 
       if (pool_has_build (request->pipeline->options.pool, service->name,
                           request->build))
@@ -1214,9 +1233,9 @@
 {
   if (request->build)
     return find_service_of_build (request);
-  return routing_pick_service (request->routing, request->route,
-                               request->program ? request->program
-                                                : id_random64 ());
+  return route_pick_service (request->route, request->chosen->services,
+                             request->program ? request->program
+                                              : id_random64 ());
 }
 
 /* Returns how long the request may wait for its turn at an endpoint.  */
@@ -1825,6 +1844,7 @@
 {
   routing_unref (pipeline->routing);
   pipeline->routing = routing;
+  pipeline->generation++;
   limits_apply (pipeline->options.limits, routing);
   admission_step_apply (pipeline->admission, routing);
 }
@@ -1983,15 +2003,18 @@
   ev_timer_start (request->pipeline->options.loop, &request->deadline);
 }
 
+/* Sets *CUSTOMER to the request's customer, or to NULL on an open ROUTE.
+   Returns false if its key is unknown.  */
 static bool
-find_customer (struct request *request)
+find_customer (const struct request *request, const struct route *route,
+               const struct customer **customer)
 {
-  if (request->route->is_open)
-    return true;
-  if (request->input->key)
-    request->customer
-        = routing_find_customer (request->routing, request->input->key);
-  return request->customer != NULL;
+  const char *key = request->input->key;
+
+  *customer = !route->is_open && key
+                  ? routing_find_customer (request->pipeline->routing, key)
+                  : NULL;
+  return route->is_open || *customer;
 }
 
 /* Returns a hash of what all attempts at a request have in common, also those
@@ -2049,6 +2072,8 @@
                struct request_sink *sink)
 {
   struct request *request = request_create (pipeline, input, sink);
+  const struct customer *customer;
+  const struct route *route;
 
   if (pipeline->is_closed)
     {
@@ -2062,20 +2087,19 @@
                            "this host has no configuration yet");
       return NULL;
     }
-  request->routing = routing_ref (pipeline->routing);
-  request->route
-      = routing_find_route (request->routing, input->host, input->path);
-  if (!request->route)
+  route = routing_find_route (pipeline->routing, input->host, input->path);
+  if (!route)
     {
       refuse_with_message (request, ERROR_NOT_FOUND, 0, "no route matches");
       return NULL;
     }
-  if (!find_customer (request))
+  if (!find_customer (request, route, &customer))
     {
       refuse_with_message (request, ERROR_UNAUTHORIZED, 0,
                            "the API key is unknown");
       return NULL;
     }
+  choose_route (request, route, customer);
   if (input->resume_after >= 0)
     log_resumption (request);
   request->fingerprint = compute_fingerprint (request);
--- a/request/routing.c
+++ b/request/routing.c
@@ -213,11 +213,11 @@
 }
 
 /* Selects a target of ROUTE by weight, with a random number, or a program's
-   hash so that its requests go to the same service.  Returns NULL if there is
-   none.  */
+   hash so that its requests go to the same service.  SERVICES are those into
+   which the targets have indexes.  Returns NULL if there is none.  */
 const struct service *
-routing_pick_service (const struct routing *routing, const struct route *route,
-                      uint64_t random)
+route_pick_service (const struct route *route, const struct service *services,
+                    uint64_t random)
 {
   uint64_t weights = 0;
   uint64_t at;
@@ -230,7 +230,7 @@
   for (uint32_t i = 0; i < route->target_count; i++)
     {
       if (at < route->targets[i].weight)
-        return &routing->services[route->targets[i].service];
+        return &services[route->targets[i].service];
       at -= route->targets[i].weight;
     }
   return NULL;
--- a/test/unit/raw_endpoint.c
+++ b/test/unit/raw_endpoint.c
@@ -84,32 +84,39 @@
 }
 
 static void
-send_answer (struct raw_connection *connection)
+write_answer (struct raw_connection *connection,
+              const struct raw_answer *answer)
 {
-  struct raw_endpoint *endpoint = connection->endpoint;
-  struct raw_answer answer
-      = endpoint->answer (endpoint->data, endpoint, connection->request.data);
-
-  buf_release (&connection->request);
-  endpoint->requests++;
-  if (answer.len > 0)
+  if (answer->len > 0)
     {
       CU_ASSERT_EQUAL (
-          send (connection->fd, answer.bytes, answer.len, MSG_NOSIGNAL),
-          (ssize_t)answer.len);
+          send (connection->fd, answer->bytes, answer->len, MSG_NOSIGNAL),
+          (ssize_t)answer->len);
     }
-  if (answer.end == RAW_CLOSE)
+  if (answer->end == RAW_CLOSE)
     close_connection (connection);
-  else if (answer.end == RAW_RESET)
+  else if (answer->end == RAW_RESET)
     reset_connection (connection);
-  else if (answer.end == RAW_REPEAT)
+  else if (answer->end == RAW_REPEAT)
     {
       connection->block_len
-          = fill_block (connection->block, BLOCK_BYTES, answer.repeat);
-      ev_io_start (endpoint->loop, &connection->writable);
+          = fill_block (connection->block, BLOCK_BYTES, answer->repeat);
+      ev_io_start (connection->endpoint->loop, &connection->writable);
     }
 }
 
+static void
+send_answer (struct raw_connection *connection)
+{
+  struct raw_endpoint *endpoint = connection->endpoint;
+  struct raw_answer answer
+      = endpoint->answer (endpoint->data, endpoint, connection->request.data);
+
+  buf_release (&connection->request);
+  endpoint->requests++;
+  write_answer (connection, &answer);
+}
+
 /* Whether REQUEST has arrived with its body.  Requests without a length have
    none.  */
 static bool
@@ -208,6 +215,24 @@
   return endpoint;
 }
 
+/* Sends BYTES, which may be empty, on all open connections, which then end as
+   END says.  */
+void
+raw_endpoint_end_all (struct raw_endpoint *endpoint, enum raw_end end,
+                      const char *bytes)
+{
+  struct raw_answer answer
+      = { .bytes = bytes, .len = strlen (bytes), .end = end };
+
+  for (guint i = 0; i < endpoint->connections->len; i++)
+    {
+      struct raw_connection *connection = endpoint->connections->pdata[i];
+
+      if (connection->fd >= 0)
+        write_answer (connection, &answer);
+    }
+}
+
 /* Closes all connections and frees the endpoint.  */
 void
 raw_endpoint_destroy (struct raw_endpoint *endpoint)
--- a/test/unit/raw_endpoint.h
+++ b/test/unit/raw_endpoint.h
@@ -49,6 +49,8 @@
 struct raw_endpoint *raw_endpoint_create (struct ev_loop *loop,
                                           raw_answer_handler *answer,
                                           void *data);
+void raw_endpoint_end_all (struct raw_endpoint *endpoint, enum raw_end end,
+                           const char *bytes);
 void raw_endpoint_destroy (struct raw_endpoint *endpoint);
 
 #endif
