request: the account of a version is what it takes; tables without small blocks

What operators saw: galenashore_memory_bytes{account="config"} told 2.26 MB for a version of 5,000 routes and 1,800 customers that takes 1.68 MB, 34 % too much, so the price of one more route was not known.

Cause: the account guessed the price of entries of hash tables, and added the heads of blocks without their rounding. The tables themselves took several small blocks for each host and key.

Change: keys and routes are sorted arrays (16 and 4 bytes an entry) with a binary search, and every block is counted with the allocator's head and rounding. The last of equal keys counts and the longest prefix wins, as before; a lookup of a route copies no name any more.

--- a/include/request/routing.h
+++ b/include/request/routing.h
@@ -4,8 +4,8 @@
 #ifndef GALENA_REQUEST_ROUTING_H
 #define GALENA_REQUEST_ROUTING_H
 
-#include <glib.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* Whether requests may be sent again if an endpoint may have run them, and
@@ -56,6 +56,13 @@
   int64_t burst;
 };
 
+/* An API key.  Only its hash is kept. */
+struct routing_key
+{
+  uint64_t hash;
+  uint32_t customer; /* index into the routing's customers */
+};
+
 struct routing
 {
   int64_t version; /* of the configuration */
@@ -66,10 +73,13 @@
   struct customer *customers;
   uint32_t customer_count;
   int64_t max_body_bytes;
-  GHashTable *keys; /* hash of an API key -> customer index + 1 */
-  GHashTable
-      *hosts;   /* name -> GArray of struct route *, longest prefix first */
-  size_t bytes; /* that it holds, as accounted */
+  struct routing_key *keys; /* sorted by hash once the index is built */
+  uint32_t key_count;
+  uint32_t key_capacity;
+  /* Indexes of the routes, sorted by host; those of a host by the length of
+     their prefix, the longest first. */
+  uint32_t *route_order;
+  size_t bytes;             /* that it holds, as accounted */
   uint32_t reference_count; /* not atomic: one thread at a time */
 };
 
--- a/request/routing.c
+++ b/request/routing.c
@@ -2,15 +2,17 @@
 #include "common/buf.h"
 #include "common/counters.h"
 #include "common/memory.h"
+#include <glib.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* What an allocation takes of the C library's heap on 64-bit systems. */
 enum
 {
-  BLOCK_BYTES = 16, /* that an allocation takes beside its content */
-  KEY_BYTES = 2 * BLOCK_BYTES + 32,   /* an entry of the table of keys */
-  HOST_BYTES = 4 * BLOCK_BYTES + 112, /* an entry of the table of hosts */
+  BLOCK_HEAD_BYTES = 8,
+  BLOCK_ALIGNMENT = 16,
+  BLOCK_BYTES_MIN = 32,
 };
 
 /* Returns the hash of an API key, keyed with a per-process secret.  Keys are
@@ -39,11 +41,6 @@
   struct routing *routing = xcalloc (1, sizeof *routing);
 
   routing->reference_count = 1;
-  routing->keys
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, free, NULL);
-  routing->hosts
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                               (GDestroyNotify)(void (*) (void))g_array_unref);
   return routing;
 }
 
@@ -75,122 +72,219 @@
   free (routing->routes);
   free (routing->services);
   free (routing->customers);
-  g_hash_table_destroy (routing->keys);
-  g_hash_table_destroy (routing->hosts);
+  free (routing->keys);
+  free (routing->route_order);
   if (routing->bytes > 0)
     counter_add (COUNTER_CONFIG_VERSIONS, -1);
   memory_add (MEMORY_CONFIG, -(int64_t)routing->bytes);
   free (routing);
 }
 
-/* Returns about how many bytes the configuration holds.  */
+/* Returns what an allocation of SIZE bytes takes; one of 0 bytes is not
+   made.  */
+static size_t
+block_bytes (size_t size)
+{
+  size_t bytes = size + BLOCK_HEAD_BYTES + BLOCK_ALIGNMENT - 1;
+
+  if (size == 0)
+    return 0;
+  bytes -= bytes % BLOCK_ALIGNMENT;
+  return bytes > BLOCK_BYTES_MIN ? bytes : BLOCK_BYTES_MIN;
+}
+
+static size_t
+text_bytes (const char *text)
+{
+  return block_bytes (strlen (text) + 1);
+}
+
+/* Returns how many bytes the configuration holds.  */
 static size_t
 count_bytes (const struct routing *routing)
 {
-  size_t bytes = sizeof *routing
-                 + routing->route_count * sizeof *routing->routes
-                 + routing->service_count * sizeof *routing->services
-                 + routing->customer_count * sizeof *routing->customers
-                 + g_hash_table_size (routing->keys) * KEY_BYTES
-                 + g_hash_table_size (routing->hosts) * HOST_BYTES;
+  size_t bytes
+      = block_bytes (sizeof *routing)
+        + block_bytes (routing->route_count * sizeof *routing->routes)
+        + block_bytes (routing->route_count * sizeof *routing->route_order)
+        + block_bytes (routing->service_count * sizeof *routing->services)
+        + block_bytes (routing->customer_count * sizeof *routing->customers)
+        + block_bytes (routing->key_count * sizeof *routing->keys);
 
   for (uint32_t i = 0; i < routing->route_count; i++)
     {
       const struct route *route = &routing->routes[i];
 
-      bytes += sizeof route + strlen (route->name) + strlen (route->host)
-               + strlen (route->path_prefix) + 4 * BLOCK_BYTES
-               + route->target_count * sizeof *route->targets;
+      bytes += text_bytes (route->name) + text_bytes (route->host)
+               + text_bytes (route->path_prefix)
+               + block_bytes (route->target_count * sizeof *route->targets);
     }
   for (uint32_t i = 0; i < routing->service_count; i++)
-    bytes += strlen (routing->services[i].name) + BLOCK_BYTES;
+    bytes += text_bytes (routing->services[i].name);
   for (uint32_t i = 0; i < routing->customer_count; i++)
-    bytes += strlen (routing->customers[i].name) + BLOCK_BYTES;
+    bytes += text_bytes (routing->customers[i].name);
   return bytes;
 }
 
-/* Adds an API key of the customer at CUSTOMER_INDEX.  */
+/* Adds an API key of the customer at CUSTOMER_INDEX.  Of equal keys, the last
+   one counts.  */
 void
 routing_add_key (struct routing *routing, const char *key,
                  uint32_t customer_index)
 {
-  uint64_t *hash = xcalloc (1, sizeof *hash);
+  if (routing->key_count == routing->key_capacity)
+    {
+      routing->key_capacity
+          = routing->key_capacity > 0 ? 2 * routing->key_capacity : 1;
+      routing->keys = xrealloc (routing->keys,
+                                routing->key_capacity * sizeof *routing->keys);
+    }
+  routing->keys[routing->key_count++]
+      = (struct routing_key){ .hash = hash_key (key),
+                              .customer = customer_index };
+}
+
+static int
+compare_keys (const void *a, const void *b)
+{
+  const struct routing_key *left = a;
+  const struct routing_key *right = b;
+
+  if (left->hash != right->hash)
+    return left->hash < right->hash ? -1 : 1;
+  return left->customer < right->customer ? -1
+                                          : left->customer > right->customer;
+}
 
-  *hash = hash_key (key);
-  g_hash_table_insert (routing->keys, hash,
-                       GUINT_TO_POINTER (customer_index + 1));
+/* Sorts the keys and keeps one of each hash, that of the last customer.  */
+static void
+sort_keys (struct routing *routing)
+{
+  uint32_t count = 0;
+
+  if (routing->key_count == 0)
+    return;
+  qsort (routing->keys, routing->key_count, sizeof *routing->keys,
+         compare_keys);
+  for (uint32_t i = 0; i < routing->key_count; i++)
+    {
+      if (count > 0 && routing->keys[count - 1].hash == routing->keys[i].hash)
+        count--;
+      routing->keys[count++] = routing->keys[i];
+    }
+  routing->key_count = routing->key_capacity = count;
+  routing->keys = xrealloc (routing->keys, count * sizeof *routing->keys);
 }
 
-static gint
-compare_prefix_lengths (gconstpointer a, gconstpointer b)
+static int
+compare_routes (const void *a, const void *b, void *data)
 {
-  const struct route *left = *(const struct route *const *)a;
-  const struct route *right = *(const struct route *const *)b;
-  size_t left_len = strlen (left->path_prefix);
-  size_t right_len = strlen (right->path_prefix);
+  const struct route *routes = data;
+  uint32_t left = *(const uint32_t *)a;
+  uint32_t right = *(const uint32_t *)b;
+  size_t left_len = strlen (routes[left].path_prefix);
+  size_t right_len = strlen (routes[right].path_prefix);
+  int order = strcmp (routes[left].host, routes[right].host);
 
-  return left_len > right_len ? -1 : left_len < right_len;
+  if (order != 0)
+    return order;
+  if (left_len != right_len)
+    return left_len > right_len ? -1 : 1;
+  return left < right ? -1 : left > right;
 }
 
-/* Builds the lookup table of routes.  Must be called after all routes have
+/* Builds the lookup tables of routes and keys.  Must be called after all have
    been added.  */
 void
 routing_build_index (struct routing *routing)
 {
-  GHashTableIter iter;
-  gpointer value;
-
+  routing->route_order
+      = xcalloc (routing->route_count + 1, sizeof *routing->route_order);
   for (uint32_t i = 0; i < routing->route_count; i++)
-    {
-      const struct route *route = &routing->routes[i];
-      GArray *list = g_hash_table_lookup (routing->hosts, route->host);
-
-      if (!list)
-        {
-          list = g_array_new (FALSE, FALSE, sizeof route);
-          g_hash_table_insert (routing->hosts, route->host, list);
-        }
-      g_array_append_val (list, route);
-    }
-  g_hash_table_iter_init (&iter, routing->hosts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_array_sort (value, compare_prefix_lengths);
+    routing->route_order[i] = i;
+  if (routing->route_count > 0)
+    qsort_r (routing->route_order, routing->route_count,
+             sizeof *routing->route_order, compare_routes, routing->routes);
+  sort_keys (routing);
   routing->bytes = count_bytes (routing);
   memory_add (MEMORY_CONFIG, (int64_t)routing->bytes);
   counter_add (COUNTER_CONFIG_VERSIONS, 1);
 }
 
+/* Compares NAME of LEN bytes, which need not end there, with HOST.  */
+static int
+compare_host (const char *name, size_t len, const char *host)
+{
+  int order = strncmp (name, host, len);
+
+  return order == 0 && host[len] != '\0' ? -1 : order;
+}
+
+/* Returns the place in route_order of the first route that is not on a host
+   before NAME of LEN bytes.  */
+static uint32_t
+find_host (const struct routing *routing, const char *name, size_t len)
+{
+  uint32_t low = 0;
+  uint32_t high = routing->route_count;
+
+  while (low < high)
+    {
+      uint32_t middle = low + (high - low) / 2;
+      const struct route *route
+          = &routing->routes[routing->route_order[middle]];
+
+      if (compare_host (name, len, route->host) > 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
 /* Returns the route on HOST with the longest matching prefix of PATH, or NULL.
    A port in HOST is ignored.  */
 const struct route *
 routing_find_route (const struct routing *routing, const char *host,
                     const char *path)
 {
-  char *name = xstrdup (host ? host : "");
-  GArray *list;
+  const char *name = host ? host : "";
+  size_t len = strcspn (name, ":");
 
-  name[strcspn (name, ":")] = '\0';
-  list = g_hash_table_lookup (routing->hosts, name);
-  free (name);
-  for (guint i = 0; list && i < list->len; i++)
+  for (uint32_t i = find_host (routing, name, len); i < routing->route_count;
+       i++)
     {
-      const struct route *route
-          = g_array_index (list, const struct route *, i);
+      const struct route *route = &routing->routes[routing->route_order[i]];
 
+      if (compare_host (name, len, route->host) != 0)
+        return NULL;
       if (strncmp (path, route->path_prefix, strlen (route->path_prefix)) == 0)
         return route;
     }
   return NULL;
 }
 
+static int
+compare_hashes (const void *hash, const void *key)
+{
+  uint64_t left = *(const uint64_t *)hash;
+  uint64_t right = ((const struct routing_key *)key)->hash;
+
+  return left < right ? -1 : left > right;
+}
+
 /* Returns the customer to whom KEY belongs, or NULL.  */
 const struct customer *
 routing_find_customer (const struct routing *routing, const char *key)
 {
   uint64_t hash = hash_key (key);
-  guint found = GPOINTER_TO_UINT (g_hash_table_lookup (routing->keys, &hash));
+  const struct routing_key *found
+      = routing->key_count > 0
+            ? bsearch (&hash, routing->keys, routing->key_count,
+                       sizeof *routing->keys, compare_hashes)
+            : NULL;
 
-  return found ? &routing->customers[found - 1] : NULL;
+  return found ? &routing->customers[found->customer] : NULL;
 }
 
 /* Returns the time of a request on ROUTE whose caller allows it DEADLINE_MS,
--- a/test/unit/test_config_versions.c
+++ b/test/unit/test_config_versions.c
@@ -2,10 +2,20 @@
 #include "common/id.h"
 #include "common/memory.h"
 #include "local_pipeline.h"
+#include "request/chosen_route.h"
 #include "suites.h"
 #include "wide_routing.h"
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#if defined __SANITIZE_ADDRESS__ || defined __SANITIZE_THREAD__
+#define HAS_OWN_ALLOCATOR 1
+#else
+#define HAS_OWN_ALLOCATOR 0
+#endif
+
 enum
 {
   VERSIONS = 20,
@@ -18,6 +28,7 @@
   /* Of what one more request keeps of its version: a twentieth of what an open
      stream takes, docs/CAPACITY.md. */
   REQUEST_BYTES_MAX = 1024,
+  MAX_ACCOUNT_ERROR_PERCENT = 10,
 };
 
 #define OWN                                                                   \
@@ -197,10 +208,177 @@
   local_pipeline_destroy (callers.local);
 }
 
+/* Returns the bytes that the process has allocated, with what the allocator
+   adds to each block.  */
+static int64_t
+allocated_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return (int64_t)(info.uordblks + info.hblkhd);
+}
+
+/* Asserts that ACCOUNTED bytes, which WHAT is said to take, are those which it
+   took of the allocator.  The sanitizers have allocators of their own, with
+   other prices.  */
+static void
+check_price (const char *what, int64_t accounted, int64_t allocated)
+{
+  int64_t error = llabs (accounted - allocated);
+
+  if (HAS_OWN_ALLOCATOR)
+    return;
+  if (error * 100 > allocated * MAX_ACCOUNT_ERROR_PERCENT)
+    fprintf (stderr, "\n%s: %lld bytes accounted, %lld allocated\n", what,
+             (long long)accounted, (long long)allocated);
+  CU_ASSERT (error * 100 <= allocated * MAX_ACCOUNT_ERROR_PERCENT);
+}
+
+/* Guards against an account that does not tell what a version takes: hosts
+   log it, and its rows in docs/CAPACITY.md say what one more route or customer
+   costs.  */
+static void
+test_account_of_a_version (void)
+{
+  static const struct wide_size sizes[] = {
+    { .routes = 5000, .services = SERVICES, .customers = 1800 },
+    { .routes = 5000, .services = SERVICES },
+    { .routes = 3000, .services = SERVICES },
+    { .services = SERVICES, .customers = 1800 },
+    { .services = SERVICES, .customers = 1000 },
+    { .services = 600 },
+  };
+
+  for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
+    {
+      int64_t accounted = memory_used (MEMORY_CONFIG);
+      int64_t allocated = allocated_bytes ();
+      struct routing *routing = wide_routing_create (&sizes[i]);
+      char *what = xasprintf ("%u routes, %u customers", sizes[i].routes,
+                              sizes[i].customers);
+
+      routing_build_index (routing);
+      check_price (what, memory_used (MEMORY_CONFIG) - accounted,
+                   allocated_bytes () - allocated);
+      free (what);
+      routing_unref (routing);
+      CU_ASSERT_EQUAL (memory_used (MEMORY_CONFIG), accounted);
+    }
+}
+
+/* Guards against the same for what a request keeps.  */
+static void
+test_account_of_a_request (void)
+{
+  struct wide_size size
+      = { .routes = ROUTES, .services = SERVICES, .customers = CUSTOMERS };
+  struct routing *routing = wide_routing_create (&size);
+  struct chosen_route **chosen = xcalloc (ROUTES, sizeof *chosen);
+  int64_t accounted;
+  int64_t allocated;
+
+  routing_build_index (routing);
+  accounted = memory_used (MEMORY_CONFIG);
+  allocated = allocated_bytes ();
+  for (uint32_t i = 0; i < ROUTES; i++)
+    chosen[i] = chosen_route_create (routing, &routing->routes[i],
+                                     &routing->customers[i % CUSTOMERS]);
+  accounted = memory_used (MEMORY_CONFIG) - accounted;
+  check_price ("what requests keep", accounted,
+               allocated_bytes () - allocated);
+  CU_ASSERT (accounted / ROUTES <= REQUEST_BYTES_MAX);
+  for (uint32_t i = 0; i < ROUTES; i++)
+    chosen_route_destroy (chosen[i]);
+  free (chosen);
+  routing_unref (routing);
+}
+
+/* Asserts that the route NAME, NULL for none, serves PATH on HOST.  */
+static void
+check_route (const struct routing *routing, const char *host, const char *path,
+             const char *name)
+{
+  const struct route *route = routing_find_route (routing, host, path);
+
+  if (!name || !route)
+    CU_ASSERT_TRUE (!name && !route);
+  if (name && route)
+    CU_ASSERT_STRING_EQUAL (route->name, name);
+}
+
+/* Adds routes of one host, in an order that is not that of their lengths, and
+   of a host whose name begins with that one.  */
+static void
+add_overlapping_routes (struct routing *routing)
+{
+  static const struct route routes[] = { { .name = (char *)"short",
+                                           .host = (char *)"h",
+                                           .path_prefix = (char *)"/" },
+                                         { .name = (char *)"long",
+                                           .host = (char *)"h",
+                                           .path_prefix = (char *)"/a/b" },
+                                         { .name = (char *)"twin",
+                                           .host = (char *)"h",
+                                           .path_prefix = (char *)"/a/c" },
+                                         { .name = (char *)"other",
+                                           .host = (char *)"hh",
+                                           .path_prefix = (char *)"/z" } };
+
+  for (size_t i = 0; i < sizeof routes / sizeof *routes; i++)
+    wide_routing_add (routing, &routes[i]);
+}
+
+/* Guards against lookups in a wide version that miss a route or a key, or find
+   another's.  */
+static void
+test_lookups (void)
+{
+  struct wide_size size
+      = { .routes = ROUTES, .services = SERVICES, .customers = CUSTOMERS };
+  struct routing *routing = wide_routing_create (&size);
+
+  add_overlapping_routes (routing);
+  routing_add_key (routing, "key-of-customer-0", CUSTOMERS - 1);
+  routing_build_index (routing);
+  for (uint32_t i = 0; i < ROUTES; i++)
+    {
+      char *host = xasprintf ("department-%u.example.org:8443", i);
+      char *path = xasprintf ("/v1/department/%u/x", i);
+
+      CU_ASSERT_PTR_EQUAL (routing_find_route (routing, host, path),
+                           &routing->routes[i]);
+      free (path);
+      free (host);
+    }
+  check_route (routing, "h", "/a/b/c", "long");
+  check_route (routing, "h", "/a/c", "twin");
+  check_route (routing, "h:80", "/a/", "short");
+  check_route (routing, "hh", "/z", "other");
+  check_route (routing, "hh", "/a/b", NULL);
+  check_route (routing, "hhh", "/z", NULL);
+  check_route (routing, "", "/", NULL);
+  check_route (routing, NULL, "/", NULL);
+  for (uint32_t i = 1; i < CUSTOMERS; i++)
+    {
+      char *key = xasprintf ("key-of-customer-%u", i);
+
+      CU_ASSERT_PTR_EQUAL (routing_find_customer (routing, key),
+                           &routing->customers[i]);
+      free (key);
+    }
+  CU_ASSERT_PTR_EQUAL (routing_find_customer (routing, "key-of-customer-0"),
+                       &routing->customers[CUSTOMERS - 1]);
+  CU_ASSERT_PTR_NULL (routing_find_customer (routing, "unknown"));
+  routing_unref (routing);
+}
+
 CU_TestInfo config_versions_tests[] = {
   { "versions are freed while requests of theirs run",
     test_versions_are_freed_under_requests },
   { "answers arrive after the route is gone",
     test_answers_arrive_after_the_route_is_gone },
+  { "a version's account is what it takes", test_account_of_a_version },
+  { "a request's account is what it keeps", test_account_of_a_request },
+  { "lookups in a wide version", test_lookups },
   CU_TEST_INFO_NULL,
 };
