platform, common: what waits between the two threads is bounded

Cause: whole configurations, endpoint lists, host lists and frames of the feed waited for the traffic thread, up to 4,096 of any size, although only the newest list or version matters. And each thread waited for room with the other: with both rings full, both waited for ever.

Change: a configuration, a list of evacuations, endpoints or hosts takes the place of one of its kind that has not been taken (mailbox_replace); those that wait are handled in a fixed order, evacuations before endpoints. Frames that wait are bounded to 4 MB each way, with 256 KB more for small ones, so that beacons pass while updates wait; one frame always passes. A frame beyond is dropped, counted (galenashore_frames_dropped) and logged once a second; the feed asks again for what is lost. The control thread waits 10 ms for room before it drops; the traffic thread never waits, and repeats "drained" and "handed over" with its next tick. The account "messages" now has the lists and the messages themselves, not only the frames. galenashore_messages_replaced counts what was replaced.

Measured (suite "node messages", new). Before, 20 changes of 3,000 routes that the thread did not take left 20 versions (19 of 20 checks failed), 8,192 frames let the control thread wait for ever (the test had to be ended after 60 s), and a host whose control thread took nothing answered no health check any more. The whole unit program (233 tests), "stream versions", functional-platform, -evacuation and -stop pass.

--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -88,9 +88,11 @@
   COUNTER_TURN_GROUPS_RESTORED, /* read from other keepers */
   COUNTER_TURN_GROUPS_SENT,     /* to other keepers */
   COUNTER_TURN_GROUPS_EXPIRED,
-  COUNTER_CONFIG_VERSIONS, /* decoded and in use; a gauge */
-  COUNTER_FEED_REQUESTS,   /* for objects, of other hosts */
-  COUNTER_FEED_ANSWERS,    /* sent to other hosts */
+  COUNTER_CONFIG_VERSIONS,   /* decoded and in use; a gauge */
+  COUNTER_FRAMES_DROPPED,    /* between the process's threads */
+  COUNTER_MESSAGES_REPLACED, /* by newer ones, before they were taken */
+  COUNTER_FEED_REQUESTS,     /* for objects, of other hosts */
+  COUNTER_FEED_ANSWERS,      /* sent to other hosts */
   COUNTER_FEED_ANSWER_BYTES,
   COUNTER_COUNT,
 };
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -30,6 +30,7 @@
   { "limited fleet", NULL, NULL, NULL, NULL, limited_fleet_tests },
   { "limits", NULL, NULL, NULL, NULL, limits_tests },
   { "mesh", NULL, NULL, NULL, NULL, mesh_tests },
+  { "node messages", NULL, NULL, NULL, NULL, node_messages_tests },
   { "node traffic", NULL, NULL, NULL, NULL, node_traffic_tests },
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
   { "owner", NULL, NULL, NULL, NULL, owner_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -35,6 +35,7 @@
 extern CU_TestInfo limited_fleet_tests[];
 extern CU_TestInfo limits_tests[];
 extern CU_TestInfo mesh_tests[];
+extern CU_TestInfo node_messages_tests[];
 extern CU_TestInfo node_traffic_tests[];
 extern CU_TestInfo objects_tests[];
 extern CU_TestInfo owner_tests[];
