request: customers that the configuration no longer has are forgotten

What operators saw: a host grew with each customer that any version ever had.

Cause: limits_apply only added rate limits; each keeps two windows.

Change: a version forgets the customers that it does not have. One for whose tokens a request waits, or for which a question is under way, is kept until the next version. A customer that returns begins with an empty share, as a new one does, so no token is granted twice. The rate limits are accounted as MEMORY_CONFIG.

--- a/request/limits.c
+++ b/request/limits.c
@@ -2,6 +2,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/memory.h"
 #include "policy/window.h"
 #include "request/host_set.h"
 #include <glib.h>
@@ -35,6 +36,8 @@
   MAX_RETRY_MS = 1500, /* callers wait a few seconds in total */
   MAX_DATA_CENTRES = 32,
   DEMAND_INTERVAL_MS = 1000, /* interval over which requests are counted */
+  /* Beside the struct and the name: three blocks and a table's entry. */
+  ENTRY_BYTES = 128,
 };
 
 /* A request that waits for a token.  Owned by its rate limit. */
@@ -74,6 +77,8 @@
   int64_t previous_demand;          /* and in the interval before */
   int64_t round_started_ms;
   int64_t new_refused_ms; /* when a new program was last refused */
+  uint64_t generation;    /* of the configuration that last had the customer */
+  size_t bytes;           /* as accounted */
   ev_timer timer;
   GPtrArray *waiters; /* struct limits_waiter */
 };
@@ -88,6 +93,7 @@
   uint32_t data_centre_count;
   bool is_member_list_known; /* the list of hosts is known, so shares can be
                                 assigned */
+  uint64_t generation;       /* counts the configurations applied */
   /* Counted over all customers: programs of a customer that is often refused
      end before they have sent all of their requests. */
   int64_t granted; /* tokens granted to the programs counted below */
@@ -103,6 +109,7 @@
   for (guint i = 0; i < rate_limit->waiters->len; i++)
     free (rate_limit->waiters->pdata[i]);
   g_ptr_array_free (rate_limit->waiters, TRUE);
+  memory_add (MEMORY_CONFIG, -(int64_t)rate_limit->bytes);
   free (rate_limit->customer);
   free (rate_limit);
 }
@@ -256,14 +263,31 @@
                  (double)LOAN_TIMEOUT_MS / 1000.0, 0);
   rate_limit->timer.data = rate_limit;
   g_hash_table_insert (limits->rate_limits, rate_limit->customer, rate_limit);
+  rate_limit->bytes
+      = sizeof *rate_limit + strlen (rate_limit->customer) + ENTRY_BYTES;
+  memory_add (MEMORY_CONFIG, (int64_t)rate_limit->bytes);
   return rate_limit;
 }
 
+/* Whether the configuration in force no longer has the customer and no request
+   waits for its tokens.  */
+static gboolean
+is_forgotten (gpointer key, gpointer value, gpointer data)
+{
+  const struct rate_limit *rate_limit = value;
+
+  return rate_limit->generation != rate_limit->limits->generation
+         && rate_limit->waiters->len == 0 && !rate_limit->nonce;
+}
+
 /* Applies the customers' rates.  A new rate takes effect immediately, because
-   each share is a fraction of the current rate.  */
+   each share is a fraction of the current rate.  Customers that the
+   configuration no longer has are forgotten, with this version or the next;
+   one that returns begins with an empty share, as a new one does.  */
 void
 limits_apply (struct limits *limits, const struct routing *routing)
 {
+  limits->generation++;
   for (uint32_t i = 0; i < routing->customer_count; i++)
     {
       const struct customer *customer = &routing->customers[i];
@@ -273,13 +297,15 @@
 
       if (is_new)
         rate_limit = rate_limit_create (limits, customer);
-      else if (rate_limit->rate_milli == customer->rate_milli
-               && rate_limit->burst == customer->burst)
+      rate_limit->generation = limits->generation;
+      if (!is_new && rate_limit->rate_milli == customer->rate_milli
+          && rate_limit->burst == customer->burst)
         continue;
       rate_limit->rate_milli = customer->rate_milli;
       rate_limit->burst = customer->burst;
       configure_share (rate_limit, !is_new);
     }
+  g_hash_table_foreach_remove (limits->rate_limits, is_forgotten, NULL);
 }
 
 /* Returns the average number of requests per program.  */
--- a/test/unit/test_config_versions.c
+++ b/test/unit/test_config_versions.c
@@ -1,3 +1,4 @@
+#include "allocated.h"
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/memory.h"
@@ -5,17 +6,10 @@
 #include "request/chosen_route.h"
 #include "suites.h"
 #include "wide_routing.h"
-#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#if defined __SANITIZE_ADDRESS__ || defined __SANITIZE_THREAD__
-#define HAS_OWN_ALLOCATOR 1
-#else
-#define HAS_OWN_ALLOCATOR 0
-#endif
-
 enum
 {
   VERSIONS = 20,
@@ -208,25 +202,14 @@
   local_pipeline_destroy (callers.local);
 }
 
-/* Returns the bytes that the process has allocated, with what the allocator
-   adds to each block.  */
-static int64_t
-allocated_bytes (void)
-{
-  struct mallinfo2 info = mallinfo2 ();
-
-  return (int64_t)(info.uordblks + info.hblkhd);
-}
-
 /* Asserts that ACCOUNTED bytes, which WHAT is said to take, are those which it
-   took of the allocator.  The sanitizers have allocators of their own, with
-   other prices.  */
+   took of the allocator.  */
 static void
 check_price (const char *what, int64_t accounted, int64_t allocated)
 {
   int64_t error = llabs (accounted - allocated);
 
-  if (HAS_OWN_ALLOCATOR)
+  if (HAS_SANITIZER_ALLOCATOR)
     return;
   if (error * 100 > allocated * MAX_ACCOUNT_ERROR_PERCENT)
     fprintf (stderr, "\n%s: %lld bytes accounted, %lld allocated\n", what,
--- a/test/unit/test_limits.c
+++ b/test/unit/test_limits.c
@@ -1,7 +1,10 @@
+#include "allocated.h"
 #include "common/buf.h"
 #include "common/id.h"
+#include "common/memory.h"
 #include "request/limits.h"
 #include "suites.h"
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -12,6 +15,9 @@
   /* 40 tokens. */
   WINDOW_TOKENS = RATE_PER_S * WINDOW_MS / 1000 + BURST,
   LONG_WAIT_MS = 5000, /* many windows */
+  VERSIONS = 20,
+  VERSION_CUSTOMERS = 500,
+  MAX_ACCOUNT_ERROR_PERCENT = 10,
 };
 
 static const char customer_name[] = "c";
@@ -187,6 +193,100 @@
   fixture_release (&fixture);
 }
 
+/* Returns a version with customers that no other version has.  */
+static struct routing *
+create_version (uint32_t version)
+{
+  struct routing *routing = routing_create ();
+
+  routing->customer_count = VERSION_CUSTOMERS;
+  routing->customers = xcalloc (VERSION_CUSTOMERS, sizeof *routing->customers);
+  for (uint32_t i = 0; i < VERSION_CUSTOMERS; i++)
+    routing->customers[i]
+        = (struct customer){ .name = xasprintf ("customer-%u-%u", version, i),
+                             .rate_milli = RATE_PER_S * 1000,
+                             .burst = BURST };
+  return routing;
+}
+
+/* Guards against a host that keeps a window for each customer that any version
+   ever had.  */
+static void
+test_gone_customers_are_forgotten (void)
+{
+  int64_t before = memory_used (MEMORY_CONFIG);
+  int64_t first = 0;
+  struct fixture fixture;
+
+  fixture_init (&fixture);
+  for (uint32_t i = 0; i < VERSIONS; i++)
+    {
+      struct routing *routing = create_version (VERSIONS + i);
+
+      limits_apply (fixture.limits, routing);
+      routing_unref (routing);
+      if (i == 0)
+        first = memory_used (MEMORY_CONFIG) - before;
+      CU_ASSERT_EQUAL (memory_used (MEMORY_CONFIG) - before, first);
+    }
+  CU_ASSERT (first > 0);
+  fixture_release (&fixture);
+  CU_ASSERT_EQUAL (memory_used (MEMORY_CONFIG), before);
+}
+
+/* Guards against forgetting a customer for whose tokens a request waits: the
+   request gets its token, and the customer is forgotten after that.  */
+static void
+test_gone_customer_with_a_waiter (void)
+{
+  struct routing *empty = routing_create ();
+  struct fixture fixture;
+  int64_t before = memory_used (MEMORY_CONFIG);
+
+  fixture_init (&fixture);
+  use_up_limit (&fixture);
+  CU_ASSERT_EQUAL (
+      limits_admit (fixture.limits, &fixture.routing->customers[0], false,
+                    LONG_WAIT_MS, handle_admission, &fixture, &fixture.wait),
+      LIMITS_PENDING);
+  limits_apply (fixture.limits, empty);
+  CU_ASSERT (memory_used (MEMORY_CONFIG) > before);
+  ev_run (fixture.loop, 0);
+  CU_ASSERT_EQUAL (fixture.admitted, 1);
+  ev_run (fixture.loop, EVRUN_NOWAIT);
+  limits_apply (fixture.limits, empty);
+  CU_ASSERT_EQUAL (memory_used (MEMORY_CONFIG), before);
+  /* It returns with an empty share, so that no token is granted twice. */
+  limits_apply (fixture.limits, fixture.routing);
+  CU_ASSERT_FALSE (admit (&fixture, false, 0));
+  CU_ASSERT_TRUE (admit (&fixture, false, LONG_WAIT_MS));
+  routing_unref (empty);
+  fixture_release (&fixture);
+}
+
+/* Guards against an account that does not tell what a customer takes, which
+   docs/CAPACITY.md has a row for.  */
+static void
+test_account_of_customers (void)
+{
+  struct routing *routing = create_version (0);
+  struct fixture fixture;
+  int64_t accounted;
+  int64_t allocated;
+
+  fixture_init (&fixture);
+  accounted = memory_used (MEMORY_CONFIG);
+  allocated = allocated_bytes ();
+  limits_apply (fixture.limits, routing);
+  accounted = memory_used (MEMORY_CONFIG) - accounted;
+  allocated = allocated_bytes () - allocated;
+  if (!HAS_SANITIZER_ALLOCATOR)
+    CU_ASSERT (llabs (accounted - allocated) * 100
+               <= allocated * MAX_ACCOUNT_ERROR_PERCENT);
+  routing_unref (routing);
+  fixture_release (&fixture);
+}
+
 CU_TestInfo limits_tests[] = {
   { "a preview takes no token", test_preview },
   { "a running program waits for a token", test_running_program_waits },
@@ -194,5 +294,8 @@
   { "new programs leave tokens to running ones",
     test_new_programs_leave_tokens },
   { "a wait is cancelled", test_wait_is_cancelled },
+  { "customers' account is what they take", test_account_of_customers },
+  { "gone customers are forgotten", test_gone_customers_are_forgotten },
+  { "a gone customer with a waiter", test_gone_customer_with_a_waiter },
   CU_TEST_INFO_NULL,
 };
