request: services that nothing names any more are forgotten

What operators saw: the pool kept what it learned of each service that any endpoint ever named.

Cause: service_speeds only grew, since endpoints refer to its entries.

Change: when endpoints or the configuration change, entries that neither the configuration nor any endpoint, listed or still in use, refers to are freed. What is known of a configured service is kept while all of its endpoints are replaced.

Measured (suite "pool"): 1,000 services, one after the other, grow the process by less than 16 KB; with the removal taken out, the test fails.

--- a/request/pool.c
+++ b/request/pool.c
@@ -39,10 +39,11 @@
   struct evacuations *evacuations;
   GPtrArray *endpoints;      /* struct pool_endpoint, those currently listed */
   GPtrArray *removed_in_use; /* removed, but still in use by requests */
-  GHashTable *service_speeds; /* name -> struct service_speed; kept, since
-                                 endpoints refer to them */
-  int64_t priors_ms;          /* when they were last computed */
-  uint64_t seed;              /* of the random choice between endpoints */
+  /* Name -> struct service_speed, of the services of endpoints, which refer to
+     them, and of the configuration. */
+  GHashTable *service_speeds;
+  int64_t priors_ms; /* when they were last computed */
+  uint64_t seed;     /* of the random choice between endpoints */
 };
 
 /* Frees a list.  */
@@ -229,6 +230,36 @@
              endpoint->address, what);
 }
 
+/* Whether the configuration does not have the service NAME and no endpoint
+   refers to what is usual in it.  */
+static gboolean
+is_unknown_service (gpointer name, gpointer speed, gpointer data)
+{
+  const struct pool *pool = data;
+
+  if (g_hash_table_contains (pool->cold_rates, name))
+    return FALSE;
+  for (guint i = 0; i < pool->endpoints->len; i++)
+    if (pool_at (pool, i)->speed.service == speed)
+      return FALSE;
+  for (guint i = 0; i < pool->removed_in_use->len; i++)
+    if (((struct pool_endpoint *)pool->removed_in_use->pdata[i])->speed.service
+        == speed)
+      return FALSE;
+  return TRUE;
+}
+
+/* Forgets what is usual in services that are no longer there.  What is known
+   of a configured service is kept while all of its endpoints are replaced.  */
+static void
+forget_services (struct pool *pool)
+{
+  if (g_hash_table_size (pool->service_speeds)
+      > g_hash_table_size (pool->cold_rates))
+    g_hash_table_foreach_remove (pool->service_speeds, is_unknown_service,
+                                 pool);
+}
+
 static void
 remove_unlisted (struct pool *pool)
 {
@@ -339,6 +370,7 @@
   g_ptr_array_set_free_func (pool->endpoints, NULL);
   g_ptr_array_free (pool->endpoints, TRUE);
   pool->endpoints = endpoints;
+  forget_services (pool);
 }
 
 /* Estimates how many tokens of the prompt ENDPOINT has in its cache, from the
@@ -1194,6 +1226,7 @@
       cold_endpoint_set_rate (
           endpoint, find_cold_rate (pool, endpoint->service), now_ms);
     }
+  forget_services (pool);
 }
 
 /* Sets which data centres are evacuated: their endpoints get no requests.  */
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -1,3 +1,4 @@
+#include "allocated.h"
 #include "common/buf.h"
 #include "request/pool.h"
 #include "request/stream_index.h"
@@ -8,6 +9,10 @@
 {
   NOW_MS = 1000,
   LATER_MS = NOW_MS + 2 * STREAM_TTL_MS,
+  FIRST_SERVICE = 1000, /* names of the same length */
+  LAST_SERVICE = 1999,
+  /* Less than a tenth of what is learned of so many services. */
+  MAX_GROWTH_BYTES = 16 * 1024,
 };
 
 /* Lists an endpoint of service "app" for each of VERSIONS, which ends with
@@ -93,9 +98,46 @@
   pool_destroy (pool);
 }
 
+static void
+list_service (struct pool *pool, uint32_t number, const char *configured)
+{
+  struct endpoint_entry entry = { .id = (char *)"e",
+                                  .service = xasprintf ("service-%u", number),
+                                  .address = (char *)"127.0.0.1:1",
+                                  .data_centre = (char *)"a",
+                                  .slots = 1 };
+  struct endpoint_list list = { .entries = &entry, .count = 1 };
+  struct pool_cold_rate rate = { .service = configured };
+
+  pool_apply (pool, &list, NOW_MS);
+  pool_set_cold_rates (pool, &rate, 1, NOW_MS);
+  free (entry.service);
+}
+
+/* Guards against a host that keeps what it learned of each service that any
+   endpoint or version ever named; and against forgetting what endpoints still
+   refer to.  */
+static void
+test_gone_services_are_forgotten (void)
+{
+  struct pool *pool = pool_create ("a");
+  int64_t held = 0;
+
+  for (uint32_t i = FIRST_SERVICE; i <= LAST_SERVICE; i++)
+    {
+      list_service (pool, i, "app");
+      if (i == FIRST_SERVICE + 1)
+        held = allocated_bytes ();
+      CU_ASSERT_PTR_NOT_NULL (pool_at (pool, 0)->speed.service);
+    }
+  CU_ASSERT (allocated_bytes () - held <= MAX_GROWTH_BYTES);
+  pool_destroy (pool);
+}
+
 CU_TestInfo pool_tests[] = {
   { "versions side by side", test_versions_side_by_side },
   { "a removed version", test_removed_version },
   { "a replaced version", test_replaced_version },
+  { "gone services are forgotten", test_gone_services_are_forgotten },
   CU_TEST_INFO_NULL,
 };
