--- a/include/common/memory.h
+++ b/include/common/memory.h
@@ -17,7 +17,7 @@
   MEMORY_LINKS_IN,  /* frames that have not arrived as a whole */
   MEMORY_MESSAGES,  /* frames passed between the process's threads */
   MEMORY_OBJECTS,   /* compressed updates of objects, for other hosts */
-  MEMORY_CONFIG,    /* decoded versions of the configuration */
+  MEMORY_CONFIG,    /* versions of the configuration, and parts in use */
   MEMORY_TABLES,    /* what is remembered of endpoints, streams and turns */
   MEMORY_ACCOUNT_COUNT,
 };
--- a/test/unit/test_link_memory.c
+++ b/test/unit/test_link_memory.c
@@ -1,9 +1,9 @@
+#include "allocated.h"
 #include "common/id.h"
 #include "common/memory.h"
 #include "local_mesh.h"
 #include "suites.h"
 #include <ev.h>
-#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -182,14 +182,6 @@
   node_close (&a);
 }
 
-static int64_t
-allocated_bytes (void)
-{
-  struct mallinfo2 info = mallinfo2 ();
-
-  return (int64_t)(info.uordblks + info.hblkhd);
-}
-
 /* Guards against a host whose price in memory is not known: one that is listed
    must cost at most MESH_HOST_BYTES, and the links to it and from it, once
    large frames have passed, MESH_LINK_BYTES more.  */
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -1,18 +1,22 @@
+#include "allocated.h"
 #include "common/buf.h"
 #include "common/memory.h"
 #include "request/pool.h"
 #include "request/stream_index.h"
 #include "suites.h"
-#include <malloc.h>
 #include <stdlib.h>
 
 enum
 {
   NOW_MS = 1000,
   LATER_MS = NOW_MS + 2 * STREAM_TTL_MS,
-  ENDPOINTS = 24, /* enough to track more parts than there is room for */
-  PARTS = 4000,   /* sent to each of them */
-  ROUNDS = 16,    /* of expiry, one a second */
+  ENDPOINTS = 24,       /* enough to track more parts than there is room for */
+  PARTS = 4000,         /* sent to each of them */
+  ROUNDS = 16,          /* of expiry, one a second */
+  FIRST_SERVICE = 1000, /* names of the same length */
+  LAST_SERVICE = 1999,
+  /* Less than a tenth of what is learned of so many services. */
+  MAX_GROWTH_BYTES = 16 * 1024,
 };
 
 /* Lists an endpoint of service "app" for each of VERSIONS, which ends with
@@ -121,14 +125,6 @@
   return pool_cached_tokens (endpoint, &query, now_ms) > 0;
 }
 
-static size_t
-allocated_bytes (void)
-{
-  struct mallinfo2 info = mallinfo2 ();
-
-  return info.uordblks + info.hblkhd;
-}
-
 /* Guards against prompt parts that grow with the number of endpoints until the
    host is out of memory, against parts that take more than their price, and
    against a full table that learns nothing new.  */
@@ -139,7 +135,7 @@
   struct pool *pool = pool_create ("a");
   int64_t used_bytes = memory_used (MEMORY_TABLES);
   int64_t now_ms = NOW_MS;
-  size_t before;
+  int64_t before;
   uint64_t id = 0;
 
   for (int i = 0; i < ENDPOINTS; i++)
@@ -153,7 +149,7 @@
   CU_ASSERT_EQUAL (memory_used (MEMORY_TABLES) - used_bytes,
                    (int64_t)POOL_MAX_PARTS * POOL_PART_BYTES);
   CU_ASSERT_TRUE (allocated_bytes () - before
-                  <= (size_t)POOL_MAX_PARTS * POOL_PART_BYTES);
+                  <= (int64_t)POOL_MAX_PARTS * POOL_PART_BYTES);
   for (int i = 0; i < ROUNDS && !is_tracked (pool_at (pool, 0), id, now_ms);
        i++)
     {
@@ -166,10 +162,47 @@
   CU_ASSERT_EQUAL (memory_used (MEMORY_TABLES), used_bytes);
 }
 
+static void
+list_service (struct pool *pool, uint32_t number, const char *configured)
+{
+  struct endpoint_entry entry = { .id = (char *)"e",
+                                  .service = xasprintf ("service-%u", number),
+                                  .address = (char *)"127.0.0.1:1",
+                                  .data_centre = (char *)"a",
+                                  .slots = 1 };
+  struct endpoint_list list = { .entries = &entry, .count = 1 };
+  struct pool_cold_rate rate = { .service = configured };
+
+  pool_apply (pool, &list, NOW_MS);
+  pool_set_cold_rates (pool, &rate, 1, NOW_MS);
+  free (entry.service);
+}
+
+/* Guards against a host that keeps what it learned of each service that any
+   endpoint or version ever named; and against forgetting what endpoints still
+   refer to.  */
+static void
+test_gone_services_are_forgotten (void)
+{
+  struct pool *pool = pool_create ("a");
+  int64_t held = 0;
+
+  for (uint32_t i = FIRST_SERVICE; i <= LAST_SERVICE; i++)
+    {
+      list_service (pool, i, "app");
+      if (i == FIRST_SERVICE + 1)
+        held = allocated_bytes ();
+      CU_ASSERT_PTR_NOT_NULL (pool_at (pool, 0)->speed.service);
+    }
+  CU_ASSERT (allocated_bytes () - held <= MAX_GROWTH_BYTES);
+  pool_destroy (pool);
+}
+
 CU_TestInfo pool_tests[] = {
   { "versions side by side", test_versions_side_by_side },
   { "a removed version", test_removed_version },
   { "a replaced version", test_replaced_version },
   { "the prompt parts are bounded", test_parts_are_bounded },
+  { "gone services are forgotten", test_gone_services_are_forgotten },
   CU_TEST_INFO_NULL,
 };
