request: a connection that brought another request's response is not used again

Callers saw 502 for the call that met the refusal and for each later one on the same connection, though the endpoint ran them all.

Cause: a whole response that names another request was noticed and refused, but only after its end, so that its connection went back among the idle ones. The call's own response followed there and was read as that of the next call, whose own as that of the one after.

Evidence: test_repeated_refusals.c (503, 429, 421, 400 and 408, with and without Not-Executed, with an empty id or that of the request before; as the call's answer begins, in one segment with the answer before, on the idle connection).

fetch has a handler for the end of the final head, which may abort the transfer: libcurl closes the connection then. The pipeline aborts what does not belong to its request. Raw endpoints of the tests can send a part of an answer late, or answer before a body is in.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -62,6 +62,7 @@
   size_t max_body_bytes;
   fetch_data_handler *handle_data;
   fetch_header_handler *handle_header;
+  fetch_head_handler *handle_head;
   fetch_done_handler *handle_done;
   void (*release_data) (void *data);
   void *data;
@@ -311,8 +312,18 @@
     fetch->framing = FETCH_FRAMING_LENGTH;
 }
 
-/* Handles a line of a head.  Headers of interim responses are dropped.  */
-static void
+/* Handles the end of a head.  Returns false to abort the transfer.  */
+static bool
+end_head (struct fetch *fetch)
+{
+  fetch->is_head_complete = fetch->head_status >= FIRST_FINAL_STATUS;
+  return !fetch->is_head_complete || !fetch->handle_head
+         || fetch->handle_head (fetch->data);
+}
+
+/* Handles a line of a head.  Headers of interim responses are dropped.
+   Returns false to abort the transfer.  */
+static bool
 read_head_line (struct fetch *fetch, char *line)
 {
   static const char version[] = "HTTP/";
@@ -322,7 +333,7 @@
   if (strncmp (line, version, strlen (version)) == 0)
     read_status_line (fetch, line);
   else if (!*line)
-    fetch->is_head_complete = fetch->head_status >= FIRST_FINAL_STATUS;
+    return end_head (fetch);
   else if (value && fetch->head_status >= FIRST_FINAL_STATUS)
     {
       *value++ = '\0';
@@ -331,6 +342,7 @@
       if (fetch->handle_header)
         fetch->handle_header (fetch->data, line, value);
     }
+  return true;
 }
 
 /* libcurl also calls this for the trailers of a body in chunks, which are
@@ -340,6 +352,7 @@
 {
   struct fetch *fetch = data;
   size_t len = size * count;
+  bool should_continue = true;
   char *line;
 
   fetch->head_bytes += len;
@@ -349,9 +362,9 @@
     return len;
   line = strndup (bytes, len);
   if (line)
-    read_head_line (fetch, line);
+    should_continue = read_head_line (fetch, line);
   free (line);
-  return len;
+  return should_continue ? len : 0;
 }
 
 /* Called whenever libcurl is about to send the request.  */
@@ -511,6 +524,7 @@
                                         : curl_easy_init ();
   fetch->handle_data = options->handle_data;
   fetch->handle_header = options->handle_header;
+  fetch->handle_head = options->handle_head;
   fetch->handle_done = options->handle_done;
   fetch->release_data = options->release_data;
   fetch->refuses_resend = options->refuses_resend;
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -41,6 +41,9 @@
 typedef bool fetch_data_handler (void *data, const char *bytes, size_t len);
 typedef void fetch_header_handler (void *data, const char *name,
                                    const char *value);
+/* Called at the end of the final response's head.  Returns false to abort the
+   transfer, whose connection is closed then. */
+typedef bool fetch_head_handler (void *data);
 typedef void fetch_done_handler (void *data,
                                  const struct fetch_result *result);
 
@@ -65,6 +68,7 @@
   bool exact_headers;      /* suppresses libcurl's Accept and Content-Type */
   fetch_data_handler *handle_data;     /* NULL to buffer the body */
   fetch_header_handler *handle_header; /* may be NULL */
+  fetch_head_handler *handle_head;     /* may be NULL */
   fetch_done_handler *handle_done;
   void (*release_data) (void *data); /* on free; may be NULL */
   void *data;
--- a/request/request.c
+++ b/request/request.c
@@ -737,6 +737,31 @@
                          now_ms);
 }
 
+/* Looks at the head of a response once it is complete.  */
+static void
+observe_head (struct request *request)
+{
+  struct observation observation
+      = make_observation (request, received_status (request));
+
+  if (request->head.status != 0)
+    return;
+  request->head.status = observation.status;
+  observation_record_load (&observation);
+  observation_record_head_end (&observation);
+}
+
+/* Stops a response that does not belong to the request: its connection must
+   not be used again, as the response to this request follows there.  */
+static bool
+handle_head (void *data)
+{
+  struct request *request = data;
+
+  observe_head (request);
+  return is_matching_response (request);
+}
+
 /* Handles data of a streamed response, whose head is complete.  */
 static bool
 handle_stream_data (void *data, const char *bytes, size_t len)
@@ -744,15 +769,7 @@
   struct request *request = data;
 
   report_heard (request);
-  if (request->head.status == 0)
-    {
-      struct observation observation
-          = make_observation (request, received_status (request));
-
-      request->head.status = observation.status;
-      observation_record_load (&observation);
-      observation_record_head_end (&observation);
-    }
+  observe_head (request);
   if (!is_matching_response (request))
     return false;
   if (!is_success (request->head.status))
@@ -1132,6 +1149,7 @@
                              ? MAX_IDLE_MS
                              : MAX_IDLE_NON_IDEMPOTENT_MS,
           .handle_header = handle_header,
+          .handle_head = handle_head,
           .handle_data = is_stream ? handle_stream_data : NULL,
           .handle_done = handle_fetch_done,
           .data = request };
--- a/test/unit/raw_endpoint.c
+++ b/test/unit/raw_endpoint.c
@@ -14,6 +14,8 @@
   LISTEN_BACKLOG = 64,
   RECEIVE_BYTES = 4096,
   BLOCK_BYTES = 16 * 1024,
+  EARLY_PAUSE_MS = 50,        /* before the body of a request is read */
+  EARLY_BUFFER_BYTES = 16384, /* so that a long body cannot be in before */
 };
 
 static const char HEAD_END[] = "\r\n\r\n";
@@ -28,6 +30,11 @@
   char block[BLOCK_BYTES]; /* sent over and over, if it is not empty */
   size_t block_len;
   size_t block_sent;
+  char *late; /* part of an answer that is sent later */
+  enum raw_end late_end;
+  ev_timer late_timer;
+  size_t body_left; /* of a request that was answered early */
+  ev_timer pause;
 };
 
 static void
@@ -37,6 +44,8 @@
     return;
   ev_io_stop (connection->endpoint->loop, &connection->readable);
   ev_io_stop (connection->endpoint->loop, &connection->writable);
+  ev_timer_stop (connection->endpoint->loop, &connection->late_timer);
+  ev_timer_stop (connection->endpoint->loop, &connection->pause);
   close (connection->fd);
   connection->fd = -1;
   connection->endpoint->open--;
@@ -83,22 +92,52 @@
     connection->block_sent = 0;
 }
 
+static void
+send_bytes (struct raw_connection *connection, const char *bytes, size_t len)
+{
+  CU_ASSERT_EQUAL (send (connection->fd, bytes, len, MSG_NOSIGNAL),
+                   (ssize_t)len);
+}
+
+/* The peer may have closed the connection meanwhile.  */
+static void
+handle_late (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct raw_connection *connection = timer->data;
+
+  send (connection->fd, connection->late, strlen (connection->late),
+        MSG_NOSIGNAL);
+  if (connection->late_end == RAW_CLOSE)
+    close_connection (connection);
+}
+
+static void
+schedule_late (struct raw_connection *connection,
+               const struct raw_answer *answer)
+{
+  free (connection->late);
+  connection->late = xstrdup (answer->late);
+  connection->late_end = answer->end;
+  ev_timer_set (&connection->late_timer, (double)answer->late_ms / 1000.0, 0);
+  ev_timer_start (connection->endpoint->loop, &connection->late_timer);
+}
+
 static void
 send_answer (struct raw_connection *connection)
 {
   struct raw_endpoint *endpoint = connection->endpoint;
-  struct raw_answer answer
-      = endpoint->answer (endpoint->data, endpoint, connection->request.data);
+  struct raw_answer answer;
 
+  g_ptr_array_find (endpoint->connections, connection, &endpoint->connection);
+  answer
+      = endpoint->answer (endpoint->data, endpoint, connection->request.data);
   buf_release (&connection->request);
   endpoint->requests++;
   if (answer.len > 0)
-    {
-      CU_ASSERT_EQUAL (
-          send (connection->fd, answer.bytes, answer.len, MSG_NOSIGNAL),
-          (ssize_t)answer.len);
-    }
-  if (answer.end == RAW_CLOSE)
+    send_bytes (connection, answer.bytes, answer.len);
+  if (answer.late)
+    schedule_late (connection, &answer);
+  else if (answer.end == RAW_CLOSE)
     close_connection (connection);
   else if (answer.end == RAW_RESET)
     reset_connection (connection);
@@ -110,10 +149,10 @@
     }
 }
 
-/* Whether REQUEST has arrived with its body.  Requests without a length have
-   none.  */
-static bool
-is_whole (const struct buf *request)
+/* Returns the length of the REQUEST with its body, or 0 if its head has not
+   arrived.  Requests without a length have no body.  */
+static size_t
+whole_len (const struct buf *request)
 {
   static const char field[] = "Content-Length:";
   const char *end = strstr (request->data, HEAD_END);
@@ -121,11 +160,47 @@
   size_t body_len = 0;
 
   if (!end)
-    return false;
+    return 0;
   if (length && length < end)
     body_len = strtoul (length + strlen (field), NULL, 10);
-  return request->len
-         >= (size_t)(end - request->data) + strlen (HEAD_END) + body_len;
+  return (size_t)(end - request->data) + strlen (HEAD_END) + body_len;
+}
+
+/* Takes the rest of a body from the LEN BYTES that have arrived.  Returns
+   their number.  */
+static size_t
+read_body (struct raw_connection *connection, const char *bytes, size_t len)
+{
+  size_t taken = MIN (len, connection->body_left);
+
+  for (size_t i = 0; i < taken; i++)
+    connection->endpoint->stray_bytes += bytes[i] != RAW_BODY_BYTE;
+  connection->body_left -= taken;
+  return taken;
+}
+
+static void
+handle_pause_end (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct raw_connection *connection = timer->data;
+
+  ev_io_start (loop, &connection->readable);
+}
+
+/* Answers a request of WHOLE bytes whose head has arrived.  */
+static void
+answer_early (struct raw_connection *connection, size_t whole)
+{
+  struct buf request = connection->request;
+  size_t head_len = (size_t)(strstr (request.data, HEAD_END) - request.data)
+                    + strlen (HEAD_END);
+
+  connection->body_left = whole - head_len;
+  read_body (connection, request.data + head_len, request.len - head_len);
+  ev_io_stop (connection->endpoint->loop, &connection->readable);
+  ev_timer_set (&connection->pause, EARLY_PAUSE_MS / 1000.0, 0);
+  ev_timer_start (connection->endpoint->loop, &connection->pause);
+  send_answer (connection);
 }
 
 static void
@@ -134,6 +209,8 @@
   struct raw_connection *connection = watcher->data;
   char bytes[RECEIVE_BYTES];
   ssize_t got = recv (connection->fd, bytes, sizeof bytes, 0);
+  size_t taken;
+  size_t whole;
 
   if (got <= 0)
     {
@@ -141,10 +218,16 @@
         close_connection (connection);
       return;
     }
-  buf_append (&connection->request, bytes, (size_t)got);
+  taken = read_body (connection, bytes, (size_t)got);
+  if (taken == (size_t)got)
+    return;
+  buf_append (&connection->request, bytes + taken, (size_t)got - taken);
   buf_append (&connection->request, "", 1);
   connection->request.len--;
-  if (is_whole (&connection->request))
+  whole = whole_len (&connection->request);
+  if (whole > 0 && connection->endpoint->is_early)
+    answer_early (connection, whole);
+  else if (whole > 0 && connection->request.len >= whole)
     send_answer (connection);
 }
 
@@ -155,9 +238,12 @@
   int fd
       = accept4 (endpoint->listener, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
   struct raw_connection *connection;
+  int buffer_bytes = EARLY_BUFFER_BYTES;
 
   if (fd < 0)
     return;
+  if (endpoint->is_early)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
   connection = xcalloc (1, sizeof *connection);
   connection->endpoint = endpoint;
   connection->fd = fd;
@@ -165,6 +251,10 @@
   connection->readable.data = connection;
   ev_io_init (&connection->writable, handle_writable, fd, EV_WRITE);
   connection->writable.data = connection;
+  ev_timer_init (&connection->late_timer, handle_late, 0, 0);
+  connection->late_timer.data = connection;
+  ev_timer_init (&connection->pause, handle_pause_end, 0, 0);
+  connection->pause.data = connection;
   ev_io_start (loop, &connection->readable);
   g_ptr_array_add (endpoint->connections, connection);
   endpoint->open++;
@@ -177,6 +267,7 @@
 
   close_connection (connection);
   buf_release (&connection->request);
+  free (connection->late);
   free (connection);
 }
 
--- a/test/unit/raw_endpoint.h
+++ b/test/unit/raw_endpoint.h
@@ -24,10 +24,17 @@
   size_t len;
   enum raw_end end;
   const char *repeat;
+  const char *late; /* sent after LATE_MS, before END; NULL for nothing */
+  int64_t late_ms;
 };
 
 struct raw_endpoint;
 
+enum
+{
+  RAW_BODY_BYTE = 'b',
+};
+
 /* Chooses the answer of ENDPOINT to REQUEST, its head and body. */
 typedef struct raw_answer raw_answer_handler (void *data,
                                               struct raw_endpoint *endpoint,
@@ -43,7 +50,12 @@
   ev_io acceptor;
   GPtrArray *connections;
   uint32_t requests; /* that have been answered */
-  uint32_t open;     /* connections that neither side has closed */
+  guint connection;  /* index of that of the request that is being answered */
+  /* Answers a request as soon as its head has arrived and reads its body, of
+     the byte RAW_BODY_BYTE, only after a pause. */
+  bool is_early;
+  uint32_t stray_bytes; /* that arrived where the rest of a body was due */
+  uint32_t open;        /* connections that neither side has closed */
 };
 
 struct raw_endpoint *raw_endpoint_create (struct ev_loop *loop,
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -46,6 +46,7 @@
 extern CU_TestInfo pool_tests[];
 extern CU_TestInfo reachability_tests[];
 extern CU_TestInfo recent_table_tests[];
+extern CU_TestInfo repeated_refusals_tests[];
 extern CU_TestInfo replicas_tests[];
 extern CU_TestInfo request_tests[];
 extern CU_TestInfo retry_tests[];
--- /dev/null
+++ b/test/unit/test_repeated_refusals.c
@@ -0,0 +1,235 @@
+#include "common/id.h"
+#include "local_pipeline.h"
+#include "suites.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  TIMEOUT_MS = 2000,
+  LATE_MS = 20,
+  IDLE_MS = 30, /* until what was sent late has arrived */
+  MAX_ANSWER_BYTES = 1024,
+  LONG_BODY_BYTES = 12 * 1024 * 1024, /* more than sockets buffer */
+};
+
+/* When an endpoint repeats the refusal. */
+enum refusal_time
+{
+  BEFORE_ANSWER, /* as the next request has arrived, before its answer */
+  WITH_ANSWER,   /* in the same segment as the answer before */
+  WHILE_IDLE,    /* on the idle connection */
+  REFUSAL_TIMES,
+};
+
+static const char *const statuses[]
+    = { "503 Full", "429 Busy", "421 Misdirected", "400 Bad", "408 Late" };
+
+/* An endpoint that answers the request 1, repeats a refusal of before on its
+   connection, and runs the request 2.  */
+struct repeating_endpoint
+{
+  bool is_stream;
+  char refusal[MAX_ANSWER_BYTES];
+  enum refusal_time time;
+  guint connection; /* of the request 1 */
+  uint32_t runs;    /* of the request 2 */
+  char own[MAX_ANSWER_BYTES];
+  char answer[2 * MAX_ANSWER_BYTES];
+};
+
+static int
+request_id (const char *request)
+{
+  const char *field = strstr (request, "Attempt-Id: ");
+
+  return field ? atoi (strchr (field, ' ')) : 0;
+}
+
+/* Writes the answer to the request ID.  */
+static void
+write_own (struct repeating_endpoint *repeating, int id)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\nAttempt-Id: %d\r\n"
+                             "Server-Stamp: s\r\n%s\r\n\r\n%s%d%s";
+
+  snprintf (repeating->own, sizeof repeating->own, head, id,
+            repeating->is_stream ? "Content-Type: text/event-stream\r\n"
+                                   "Content-Length: 18"
+                                 : "Content-Length: 4",
+            repeating->is_stream ? "id: 1\ndata: own" : "own", id,
+            repeating->is_stream ? "\n\n" : "");
+}
+
+static struct raw_answer
+answer_repeating (void *data, struct raw_endpoint *endpoint,
+                  const char *request)
+{
+  struct repeating_endpoint *repeating = data;
+  int id = request_id (request);
+  struct raw_answer answer = { .bytes = repeating->own };
+  bool is_kept = endpoint->connection == repeating->connection;
+
+  write_own (repeating, id);
+  if (id == 1)
+    repeating->connection = endpoint->connection;
+  if (id == 2)
+    repeating->runs++;
+  if (id == 1 && repeating->time == WITH_ANSWER)
+    {
+      snprintf (repeating->answer, sizeof repeating->answer, "%s%s",
+                repeating->own, repeating->refusal);
+      answer.bytes = repeating->answer;
+    }
+  if (id == 1 && repeating->time == WHILE_IDLE)
+    answer.late = repeating->refusal;
+  if (id == 2 && is_kept && repeating->time == BEFORE_ANSWER)
+    {
+      answer.bytes = repeating->refusal;
+      answer.late = repeating->own;
+    }
+  answer.late_ms = LATE_MS;
+  answer.len = strlen (answer.bytes);
+  return answer;
+}
+
+static struct local_pipeline *
+create (raw_answer_handler *answer, void *data,
+        enum route_retry_mode retry_mode)
+{
+  struct local_pipeline_options options = { .route.retry_mode = retry_mode,
+                                            .route.timeout_ms = TIMEOUT_MS,
+                                            .answer = answer,
+                                            .data = data };
+
+  return local_pipeline_create (&options);
+}
+
+/* Starts the request ID, with a body of LEN bytes.  */
+static void
+start (struct local_pipeline *local, int id, size_t len)
+{
+  struct request_input *input = xcalloc (1, sizeof *input);
+
+  input->id = xasprintf ("%d", id);
+  headers_add (&input->headers, &input->header_count, "Attempt-Id", input->id);
+  input->resume_after = -1;
+  for (size_t i = 0; i < len; i++)
+    buf_append (&input->body, (const char[]){ RAW_BODY_BYTE }, 1);
+  local_pipeline_submit (local, input);
+}
+
+/* Runs the request ID, with a body, so that it is sent on a connection that is
+   kept, to its end.  */
+static const struct local_response *
+run (struct local_pipeline *local, int id)
+{
+  start (local, id, 1);
+  if (local->response.outcome == LOCAL_PENDING)
+    ev_run (local->loop, 0);
+  return &local->response;
+}
+
+static void
+wait_for (struct local_pipeline *local, int64_t duration_ms)
+{
+  int64_t until_ms = clock_now_ms () + duration_ms;
+
+  while (clock_now_ms () < until_ms)
+    {
+      ev_run (local->loop, EVRUN_NOWAIT);
+      usleep (1000);
+    }
+}
+
+static bool
+is_own (const struct local_response *response, int id)
+{
+  char own[16];
+
+  snprintf (own, sizeof own, "own%d", id);
+  return local_response_is_success (response)
+         && memmem (response->body.data, response->body.len, own,
+                    strlen (own));
+}
+
+/* Whether the caller is told the truth about a request that ran RUNS times: it
+   has its own answer, or knows that it may have run.  */
+static bool
+is_true (const struct local_response *response, int id, uint32_t runs)
+{
+  if (runs > 1)
+    return false;
+  if (response->outcome == LOCAL_REFUSED)
+    return runs == 0 || response->error.run == RUN_MAY_HAVE_RUN;
+  return is_own (response, id);
+}
+
+static void
+write_refusal (char *refusal, const char *status, const char *id,
+               bool is_not_run)
+{
+  snprintf (refusal, MAX_ANSWER_BYTES,
+            "HTTP/1.1 %s\r\n%s%sContent-Length: 4\r\n\r\nfull", status, id,
+            is_not_run ? "Not-Executed: 1\r\n" : "");
+}
+
+/* Runs three requests while the endpoint repeats a refusal to the second.  The
+   third must have its own answer.  */
+static void
+check_repeated (struct repeating_endpoint *repeating,
+                enum route_retry_mode retry_mode)
+{
+  struct local_pipeline *local
+      = create (answer_repeating, repeating, retry_mode);
+  const struct local_response *response;
+  bool is_right;
+
+  repeating->is_stream = retry_mode == ROUTE_STREAM;
+  CU_ASSERT_TRUE (is_own (run (local, 1), 1));
+  wait_for (local, IDLE_MS);
+  response = run (local, 2);
+  wait_for (local, IDLE_MS);
+  is_right = retry_mode == ROUTE_IDEMPOTENT
+                 ? is_own (response, 2)
+                 : is_true (response, 2, repeating->runs);
+  if (!is_right)
+    fprintf (stderr, "refusal at time %d, %u runs, status %ld: %s\n",
+             repeating->time, repeating->runs, response->status,
+             repeating->refusal);
+  CU_ASSERT_TRUE (is_right);
+  CU_ASSERT_TRUE (is_own (run (local, 3), 3));
+  local_pipeline_destroy (local);
+}
+
+static void
+check_all_refusals (enum route_retry_mode retry_mode, const char *id)
+{
+  for (int time = 0; time < REFUSAL_TIMES; time++)
+    for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+      for (int is_not_run = 0; is_not_run < 2; is_not_run++)
+        {
+          struct repeating_endpoint repeating
+              = { .time = (enum refusal_time)time };
+
+          write_refusal (repeating.refusal, statuses[i], id, is_not_run);
+          check_repeated (&repeating, retry_mode);
+        }
+}
+
+/* Guards against a call that an endpoint runs and whose caller is told "not
+   run", and against failing the next call on the same connection, when the
+   endpoint repeats the refusal of the request before.  */
+static void
+test_refusal_with_other_id (void)
+{
+  check_all_refusals (ROUTE_ONCE, "Attempt-Id: 1\r\n");
+  check_all_refusals (ROUTE_ONCE, "Attempt-Id: \r\n");
+}
+
+CU_TestInfo repeated_refusals_tests[] = {
+  { "a repeated refusal with another id", test_refusal_with_other_id },
+  CU_TEST_INFO_NULL,
+};
