request, peer: a refusal without an id on a connection that was used before tells nothing

A call that may run once ran up to three times, or its caller was told "not run" for a call that the endpoint ran, or got another request's 400.

Cause: a failure without an endpoint's stamp may lack the id, as endpoints refuse what they have not read, and was taken for the response to whatever had been sent last. An endpoint that writes an earlier refusal once more on a kept connection was believed: the call was sent again while it ran.

A failure that names no request counts only as the first response on its connection; else the call may have run: 502, and no second endpoint gets it. What may run again is sent again. Requests whose caller names no id get a connection of their own. A host that sends for another one tells whether the response was the first (RelayData and RelayDone), and closes a connection that brought another request's response (it gets the id with RelaySend).

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -496,7 +496,8 @@
     }
   /* Without a body, only a new connection prevents the resend that set_body
      describes.  */
-  if (options->single_attempt && options->body_len == 0)
+  if (options->new_connection
+      || (options->single_attempt && options->body_len == 0))
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   if (options->tcp_keepalive_s > 0)
     {
@@ -591,6 +592,17 @@
   return status;
 }
 
+/* Whether the request was sent on a connection that was opened for it, so that
+   what arrives there is its response.  */
+bool
+fetch_has_opened_connection (const struct fetch *fetch)
+{
+  long connections = 0;
+
+  curl_easy_getinfo (fetch->easy, CURLINFO_NUM_CONNECTS, &connections);
+  return connections > 0;
+}
+
 /* Returns what ends the body, for logs.  */
 const char *
 fetch_framing_name (enum fetch_framing framing)
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -62,6 +62,7 @@
   /* Like single_attempt, for requests that may run again: connections are
      reused, and the result tells whether a resend was refused. */
   bool refuses_resend;
+  bool new_connection; /* reuses none */
   int64_t max_idle_ms; /* of a reused connection; 0 for libcurl's default */
   const char *target; /* of the request line; NULL to derive it from the URL */
   int64_t tcp_keepalive_s; /* TCP keepalive interval; 0 for none */
@@ -82,6 +83,7 @@
                            const struct fetch_options *options);
 void fetch_cancel (struct fetch *fetch);
 long fetch_status (const struct fetch *fetch);
+bool fetch_has_opened_connection (const struct fetch *fetch);
 const char *fetch_framing_name (enum fetch_framing framing);
 
 #endif
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -878,10 +878,15 @@
    * for an endpoint with a limit
    */
   protobuf_c_boolean has_permit;
+  protobuf_c_boolean needs_new_connection;
+  /*
+   * that responses name; empty if the caller gave none
+   */
+  char *request_id;
 };
 #define PEER__RELAY_SEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__relay_send__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -904,10 +909,14 @@
   size_t n_values;
   char **values;
   ProtobufCBinaryData bytes;
+  /*
+   * on its connection
+   */
+  protobuf_c_boolean is_first_response;
 };
 #define PEER__RELAY_DATA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__relay_data__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, {0,NULL} }
+    , 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, 0 }
 
 
 struct  Peer__RelayDone
@@ -934,10 +943,14 @@
   protobuf_c_boolean is_aborted;
   protobuf_c_boolean is_resend_refused;
   char *reason;
+  /*
+   * on its connection
+   */
+  protobuf_c_boolean is_first_response;
 };
 #define PEER__RELAY_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__relay_done__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Peer__RelayCancel
@@ -1044,7 +1057,7 @@
    */
   uint32_t age_ms;
   /*
-   * turn_keepers_digest of the keepers that the sender knows; 0 if not told
+   * turn_keepers_digest of the keepers that the sender knows
    */
   uint64_t keepers;
 };
--- a/include/request/relay_client.h
+++ b/include/request/relay_client.h
@@ -28,6 +28,7 @@
   uint64_t fingerprint; /* of the request's content */
   bool has_permit;      /* for the endpoint's limit */
   int64_t timeout_ms;
+  const char *request_id; /* that responses name; may be NULL */
   /* What is sent, and the handlers of the response but for its end.  A
      streamed response has a handle_data. */
   const struct fetch_options *fetch;
@@ -52,5 +53,6 @@
                                   int64_t now_ms);
 void relay_cancel (struct relay *relay);
 long relay_status (const struct relay *relay);
+bool relay_is_first_response (const struct relay *relay);
 
 #endif
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -6017,7 +6017,7 @@
   (ProtobufCMessageInit) peer__relay_offer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__relay_send__field_descriptors[12] =
+static const ProtobufCFieldDescriptor peer__relay_send__field_descriptors[14] =
 {
   {
     "id",
@@ -6163,6 +6163,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "needs_new_connection",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, needs_new_connection),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelaySend, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__relay_send__field_indices_by_name[] = {
   6,   /* field[6] = body */
@@ -6175,13 +6199,15 @@
   9,   /* field[9] = is_streamed */
   8,   /* field[8] = max_idle_ms */
   3,   /* field[3] = method */
+  12,   /* field[12] = needs_new_connection */
+  13,   /* field[13] = request_id */
   4,   /* field[4] = target */
   7,   /* field[7] = timeout_ms */
 };
 static const ProtobufCIntRange peer__relay_send__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer__relay_send__descriptor =
 {
@@ -6191,14 +6217,14 @@
   "Peer__RelaySend",
   "peer",
   sizeof(Peer__RelaySend),
-  12,
+  14,
   peer__relay_send__field_descriptors,
   peer__relay_send__field_indices_by_name,
   1,  peer__relay_send__number_ranges,
   (ProtobufCMessageInit) peer__relay_send__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__relay_data__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__relay_data__field_descriptors[7] =
 {
   {
     "id",
@@ -6272,10 +6298,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_first_response",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayData, is_first_response),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__relay_data__field_indices_by_name[] = {
   5,   /* field[5] = bytes */
   0,   /* field[0] = id */
+  6,   /* field[6] = is_first_response */
   3,   /* field[3] = names */
   1,   /* field[1] = sequence */
   2,   /* field[2] = status */
@@ -6284,7 +6323,7 @@
 static const ProtobufCIntRange peer__relay_data__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__relay_data__descriptor =
 {
@@ -6294,14 +6333,14 @@
   "Peer__RelayData",
   "peer",
   sizeof(Peer__RelayData),
-  6,
+  7,
   peer__relay_data__field_descriptors,
   peer__relay_data__field_indices_by_name,
   1,  peer__relay_data__number_ranges,
   (ProtobufCMessageInit) peer__relay_data__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__relay_done__field_descriptors[13] =
+static const ProtobufCFieldDescriptor peer__relay_done__field_descriptors[14] =
 {
   {
     "id",
@@ -6459,6 +6498,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_first_response",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RelayDone, is_first_response),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__relay_done__field_indices_by_name[] = {
   5,   /* field[5] = body */
@@ -6466,6 +6517,7 @@
   0,   /* field[0] = id */
   10,   /* field[10] = is_aborted */
   8,   /* field[8] = is_complete */
+  13,   /* field[13] = is_first_response */
   11,   /* field[11] = is_resend_refused */
   9,   /* field[9] = is_sent */
   3,   /* field[3] = names */
@@ -6478,7 +6530,7 @@
 static const ProtobufCIntRange peer__relay_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer__relay_done__descriptor =
 {
@@ -6488,7 +6540,7 @@
   "Peer__RelayDone",
   "peer",
   sizeof(Peer__RelayDone),
-  13,
+  14,
   peer__relay_done__field_descriptors,
   peer__relay_done__field_indices_by_name,
   1,  peer__relay_done__number_ranges,
--- a/request/relay_client.c
+++ b/request/relay_client.c
@@ -47,6 +47,7 @@
   uint64_t id;
   uint32_t sequence; /* of the next frame */
   long status;
+  bool is_first_response; /* on its connection */
   int64_t heard_ms;
   bool is_delivering; /* one of its handlers is running */
   bool is_cancelled;
@@ -211,6 +212,14 @@
   return relay->status;
 }
 
+/* Whether the response is certainly the first one on its connection.  Helping
+   hosts of a build before do not tell.  */
+bool
+relay_is_first_response (const struct relay *relay)
+{
+  return relay->is_first_response;
+}
+
 /* Frees the relay and calls its handler.  */
 static void
 finish (struct relay *relay, const struct fetch_result *result,
@@ -431,6 +440,7 @@
   bool is_accepted = true;
 
   relay->status = (long)data->status;
+  relay->is_first_response = data->is_first_response;
   relay->is_delivering = true;
   if (data->n_names == data->n_values)
     deliver_headers (relay, data->n_names, data->names, data->values);
@@ -461,6 +471,7 @@
                                  .complete = done->is_complete,
                                  .aborted = done->is_aborted,
                                  .sent = done->is_sent,
+                                 .connection_opened = done->is_first_response,
                                  .resend_refused = done->is_resend_refused,
                                  .reason = reason,
                                  .body = &body };
@@ -472,6 +483,7 @@
               ? relay->heard_ms + REFUSED_MS
               : relay->helper->avoid_until_ms;
   relay->status = (long)done->status;
+  relay->is_first_response = done->is_first_response;
   relay->is_delivering = true;
   if (done->n_names == done->n_values)
     deliver_headers (relay, done->n_names, done->names, done->values);
@@ -584,6 +596,9 @@
   send.is_streamed = fetch->handle_data != NULL;
   send.is_single_attempt = fetch->single_attempt;
   send.has_permit = request->has_permit;
+  send.needs_new_connection = fetch->new_connection;
+  if (request->request_id)
+    send.request_id = (char *)(uintptr_t)request->request_id;
   frame.body_case = PEER__FRAME__BODY_RELAY_SEND;
   frame.relay_send = &send;
   return send_frame (client, helper, &frame);
--- a/request/relay_server.c
+++ b/request/relay_server.c
@@ -39,6 +39,7 @@
   struct relay_origin *origin;
   uint64_t id; /* given by the origin */
   uint64_t fingerprint;
+  char *request_id; /* that responses name; empty if they name none */
   struct pool_endpoint *endpoint;
   struct fetch *fetch;
   int64_t sent_ms;
@@ -120,6 +121,7 @@
   pool_release (server->options.pool, relay->endpoint);
   release_origin (server, relay->origin);
   response_head_release (&relay->head);
+  free (relay->request_id);
   g_ptr_array_free (relay->names, TRUE);
   g_ptr_array_free (relay->values, TRUE);
   g_queue_unlink (&server->relays, &relay->link);
@@ -283,6 +285,21 @@
   observation_record_head_end (&observation);
 }
 
+/* Stops a response to another request: its connection must not be used again,
+   as the response to this request follows there.  */
+static bool
+handle_head (void *data)
+{
+  struct served_relay *relay = data;
+  const char *id = relay->head.request_id;
+
+  observe_head (relay, fetch_status (relay->fetch));
+  if (!*relay->request_id)
+    return true;
+  return id ? strcmp (id, relay->request_id) == 0
+            : fetch_has_opened_connection (relay->fetch);
+}
+
 static void
 forget_headers (struct served_relay *relay)
 {
@@ -302,6 +319,7 @@
   part.id = relay->id;
   part.sequence = relay->sequence++;
   part.status = (uint32_t)status;
+  part.is_first_response = fetch_has_opened_connection (relay->fetch);
   part.n_names = relay->names->len;
   part.names = (char **)relay->names->pdata;
   part.n_values = relay->values->len;
@@ -355,6 +373,7 @@
   done.is_aborted = result->aborted;
   done.is_resend_refused = result->resend_refused;
   done.reason = (char *)(uintptr_t)result->reason;
+  done.is_first_response = result->connection_opened;
   done.n_names = relay->names->len;
   done.names = (char **)relay->names->pdata;
   done.n_values = relay->values->len;
@@ -408,9 +427,11 @@
           .timeout_ms = send->timeout_ms,
           .max_body_bytes = MAX_BODY_BYTES,
           .single_attempt = send->is_single_attempt,
+          .new_connection = send->needs_new_connection,
           .refuses_resend = endpoint->limit_milli >= 0,
           .max_idle_ms = send->max_idle_ms,
           .handle_header = handle_header,
+          .handle_head = handle_head,
           .handle_data = send->is_streamed ? handle_data : NULL,
           .handle_done = handle_done,
           .data = relay };
@@ -420,6 +441,7 @@
   relay->origin = acquire_origin (server, host, now_ms);
   relay->id = send->id;
   relay->fingerprint = send->fingerprint;
+  relay->request_id = xstrdup (send->request_id);
   relay->endpoint = endpoint;
   relay->sent_ms = now_ms;
   relay->may_run_again = !send->is_single_attempt || send->is_streamed;
--- a/request/request.c
+++ b/request/request.c
@@ -119,6 +119,7 @@
   struct fetch *fetch; /* from this host */
   struct relay *relay; /* from another one */
   struct response_head head;
+  bool is_first_response; /* on its connection */
   struct event_splitter events;
   /* Id of the last event that the caller has, also from earlier attempts;
      negative for none. */
@@ -634,18 +635,20 @@
 }
 
 /* Whether the response names this request.  A failure without an endpoint's
-   stamp may name none, as endpoints refuse requests that they have not read.
-   */
+   stamp may name none, as endpoints refuse requests that they have not read;
+   but on a connection that was used before it may be a late or repeated
+   response to another request.  */
 static bool
 has_matching_id (const struct request *request)
 {
   const char *id = request->head.request_id;
 
-  if (!request->input->id)
-    return true;
-  return id ? strcmp (id, request->input->id) == 0
-            : !is_success (request->head.status)
-                  && !request->head.is_from_endpoint;
+  if (id && request->input->id)
+    return strcmp (id, request->input->id) == 0;
+  return request->is_first_response
+         && (!request->input->id
+             || (!is_success (request->head.status)
+                 && !request->head.is_from_endpoint));
 }
 
 /* Whether the response is valid and belongs to this request.  */
@@ -747,6 +750,9 @@
   if (request->head.status != 0)
     return;
   request->head.status = observation.status;
+  request->is_first_response
+      = request->relay ? relay_is_first_response (request->relay)
+                       : fetch_has_opened_connection (request->fetch);
   observation_record_load (&observation);
   observation_record_head_end (&observation);
 }
@@ -964,6 +970,7 @@
   if (request->head.status == 0 && result->status > 0)
     {
       request->head.status = result->status;
+      request->is_first_response = result->connection_opened;
       if (result->complete)
         observation_record_head_end (&observation);
       observation_record_load (&observation);
@@ -1075,6 +1082,7 @@
           .fingerprint = request->fingerprint,
           .has_permit = request->endpoint->limit_milli >= 0,
           .timeout_ms = MAX (remaining_ms (request), 1),
+          .request_id = request->input->id,
           .fetch = options,
           .handle_done = handle_relay_done };
   int64_t now_ms = clock_now_ms ();
@@ -1144,6 +1152,7 @@
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
           .max_body_bytes = MAX_RESPONSE_BYTES,
           .single_attempt = request->route->retry_mode != ROUTE_IDEMPOTENT,
+          .new_connection = !input->id,
           .refuses_resend = endpoint->limit_milli >= 0,
           .max_idle_ms = request->route->retry_mode == ROUTE_IDEMPOTENT
                              ? MAX_IDLE_MS
@@ -1155,6 +1164,7 @@
           .data = request };
 
   response_head_release (&request->head);
+  request->is_first_response = false;
   if (request->step != STEP_STREAM)
     request->step = STEP_SENT;
   event_splitter_release (&request->events);
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -202,6 +202,22 @@
   .send = send_frame, .ping = ping, .last_received_ms = last_received_ms
 };
 
+/* Removes what a build before does not know.  */
+static void
+omit_response_origin (Peer__Frame *frame)
+{
+  if (frame->body_case == PEER__FRAME__BODY_RELAY_SEND)
+    {
+      frame->relay_send->needs_new_connection = false;
+      if (*frame->relay_send->request_id)
+        *frame->relay_send->request_id = '\0';
+    }
+  else if (frame->body_case == PEER__FRAME__BODY_RELAY_DATA)
+    frame->relay_data->is_first_response = false;
+  else if (frame->body_case == PEER__FRAME__BODY_RELAY_DONE)
+    frame->relay_done->is_first_response = false;
+}
+
 static void
 handle_frame (struct local_pipeline *local, const char *from,
               const Peer__Frame *frame, int64_t now_ms)
@@ -224,6 +240,10 @@
       Peer__Frame *frame = packed_frame_unpack (&copy->bytes);
 
       CU_ASSERT_PTR_NOT_NULL_FATAL (frame);
+      if (transport->omits_response_origin
+          || find_host (transport->local->fleet, copy->from)
+                 ->transport.omits_response_origin)
+        omit_response_origin (frame);
       handle_frame (transport->local, copy->from, frame, clock_now_ms ());
       peer__frame__free_unpacked (frame, NULL);
       buf_release (&copy->bytes);
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -78,6 +78,9 @@
   ev_timer delivery;
   ev_timer tick;
   bool is_cut; /* frames to and from this host are lost */
+  /* Of a build that reads and writes nothing about the connection of a
+     relay's response. */
+  bool omits_response_origin;
 };
 
 struct local_pipeline
--- a/test/unit/test_repeated_refusals.c
+++ b/test/unit/test_repeated_refusals.c
@@ -12,7 +12,6 @@
   LATE_MS = 20,
   IDLE_MS = 30, /* until what was sent late has arrived */
   MAX_ANSWER_BYTES = 1024,
-  LONG_BODY_BYTES = 12 * 1024 * 1024, /* more than sockets buffer */
 };
 
 /* When an endpoint repeats the refusal. */
@@ -116,8 +115,8 @@
   input->id = xasprintf ("%d", id);
   headers_add (&input->headers, &input->header_count, "Attempt-Id", input->id);
   input->resume_after = -1;
-  for (size_t i = 0; i < len; i++)
-    buf_append (&input->body, (const char[]){ RAW_BODY_BYTE }, 1);
+  input->body = (struct buf){ .data = xcalloc (1, len), .len = len };
+  memset (input->body.data, RAW_BODY_BYTE, len);
   local_pipeline_submit (local, input);
 }
 
@@ -219,9 +218,17 @@
         }
 }
 
-/* Guards against a call that an endpoint runs and whose caller is told "not
-   run", and against failing the next call on the same connection, when the
-   endpoint repeats the refusal of the request before.  */
+/* Guards against telling a caller "not run" for a call that an endpoint runs,
+   or sending it twice, when the endpoint repeats an earlier refusal that names
+   no request.  */
+static void
+test_refusal_without_id (void)
+{
+  check_all_refusals (ROUTE_ONCE, "");
+}
+
+/* Guards against the same with an empty id and with that of the request
+   before.  */
 static void
 test_refusal_with_other_id (void)
 {
@@ -229,7 +236,88 @@
   check_all_refusals (ROUTE_ONCE, "Attempt-Id: \r\n");
 }
 
+/* Guards against the same for streams that may run once.  */
+static void
+test_refusal_of_stream (void)
+{
+  check_all_refusals (ROUTE_STREAM, "");
+  check_all_refusals (ROUTE_STREAM, "Attempt-Id: 1\r\n");
+}
+
+/* Guards against losing a call that may run again to a repeated refusal.  */
+static void
+test_refusal_of_repeatable_call (void)
+{
+  check_all_refusals (ROUTE_IDEMPOTENT, "");
+  check_all_refusals (ROUTE_IDEMPOTENT, "Attempt-Id: 1\r\n");
+}
+
+/* Has HELPED, which has no path to the endpoint, send through other hosts.  */
+static void
+use_helper (struct local_pipeline *helped)
+{
+  int64_t until_ms = clock_now_ms () + TIMEOUT_MS;
+
+  pool_at (helped->pool, 0)->unreachable = true;
+  relay_client_tick (helped->relays, true, clock_now_ms ());
+  while (!relay_client_has_helper (helped->relays, "app", clock_now_ms ())
+         && clock_now_ms () < until_ms)
+    ev_run (helped->loop, EVRUN_ONCE);
+}
+
+/* Runs the request 1 at a host and the request 2 at another one, for which the
+   first one sends.  */
+static void
+check_relayed (struct repeating_endpoint *repeating, bool is_old_helper)
+{
+  struct local_pipeline *helper
+      = create (answer_repeating, repeating, ROUTE_ONCE);
+  struct local_pipeline_options options = { .route.retry_mode = ROUTE_ONCE,
+                                            .route.timeout_ms = TIMEOUT_MS,
+                                            .host = "y",
+                                            .shared = helper };
+  struct local_pipeline *helped = local_pipeline_create (&options);
+  const struct local_response *response;
+
+  helper->transport.omits_response_origin = is_old_helper;
+  use_helper (helped);
+  CU_ASSERT_TRUE (is_own (run (helper, 1), 1));
+  wait_for (helper, IDLE_MS);
+  response = run (helped, 2);
+  wait_for (helper, IDLE_MS);
+  CU_ASSERT_EQUAL (relay_server_active (helper->relay_server), 0);
+  CU_ASSERT_TRUE (is_true (response, 2, repeating->runs));
+  if (!is_old_helper)
+    CU_ASSERT_TRUE (is_own (run (helped, 3), 3));
+  local_pipeline_destroy (helped);
+  local_pipeline_destroy (helper);
+}
+
+/* Guards against the same where another host sends the call, also one of the
+   build before, which does not tell whether its connection was used before.
+ */
+static void
+test_refusal_of_relayed_call (void)
+{
+  static const char *const ids[] = { "", "Attempt-Id: 1\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (ids); k++)
+      for (int is_old_helper = 0; is_old_helper < 2; is_old_helper++)
+        {
+          struct repeating_endpoint repeating = { .time = BEFORE_ANSWER };
+
+          write_refusal (repeating.refusal, statuses[i], ids[k], true);
+          check_relayed (&repeating, is_old_helper);
+        }
+}
+
 CU_TestInfo repeated_refusals_tests[] = {
+  { "a repeated refusal without an id", test_refusal_without_id },
   { "a repeated refusal with another id", test_refusal_with_other_id },
+  { "a repeated refusal of a stream", test_refusal_of_stream },
+  { "a repeated refusal of a repeatable call",
+    test_refusal_of_repeatable_call },
+  { "a repeated refusal of a relayed call", test_refusal_of_relayed_call },
   CU_TEST_INFO_NULL,
 };
