request: an endpoint that refused a request gets it again on a new connection

Cause: the attempt's id is the caller's and the same in each send, so that the id alone does not tell a refusal of this send from one of the send before.

A request that may run once goes back to an endpoint that refused it on a new connection only. Where a helping host of the build before does not say that the connection was new, the refusal does not count: may have run. Connections of other requests are used as before.

--- a/request/request.c
+++ b/request/request.c
@@ -130,6 +130,11 @@
   uint32_t possible_runs; /* sends after which the request may have run */
   uint32_t full_refusals; /* by endpoints that state they have no room */
   uint32_t failed_sends;  /* multiplies the backoff */
+  /* Starts of the endpoints that refused it, on connections that they may keep.
+     Their refusals name the request, as those of a further send would. */
+  uint64_t refused_by[MAX_SENDS];
+  uint32_t refusals;
+  bool was_refused_here; /* by the endpoint of the current send, before */
   GList link;
 };
 
@@ -634,7 +639,7 @@
   return status >= 200 && status < 300;
 }
 
-/* Whether the response names this request.  A failure without an endpoint's
+/* Whether the response names this request, and not an earlier send of it.  A failure without an endpoint's
    stamp may name none, as endpoints refuse requests that they have not read;
    but on a connection that was used before it may be a late or repeated
    response to another request.  */
@@ -644,7 +649,8 @@
   const char *id = request->head.request_id;
 
   if (id && request->input->id)
-    return strcmp (id, request->input->id) == 0;
+    return strcmp (id, request->input->id) == 0
+           && (request->is_first_response || !request->was_refused_here);
   return request->is_first_response
          && (!request->input->id
              || (!is_success (request->head.status)
@@ -945,12 +951,25 @@
     path_monitor_record (monitor, endpoint, result->connection_opened, now_ms);
 }
 
+/* Whether the request has been refused by ENDPOINT.  */
+static bool
+was_refused_by (const struct request *request,
+                const struct pool_endpoint *endpoint)
+{
+  for (uint32_t i = 0; i < request->refusals; i++)
+    if (request->refused_by[i] == endpoint->start)
+      return true;
+  return false;
+}
+
 /* Records a refusal.  One for want of a slot is no error.  */
 static void
-record_refusal (const struct request *request)
+record_refusal (struct request *request)
 {
   const struct response_head *head = &request->head;
 
+  if (request->refusals < MAX_SENDS)
+    request->refused_by[request->refusals++] = request->endpoint->start;
   if (head->status != STATUS_MISDIRECTED && !head->is_leaving
       && head->running >= 0 && head->running < request->endpoint->slots
       && head->waiting <= 0 && request->endpoint->limit_milli < 0)
@@ -1139,6 +1158,9 @@
           .resume_after = request->last_event_id,
           .priority = send_priority (request) };
   bool is_stream = request->route->retry_mode == ROUTE_STREAM;
+  /* What may run again may also be refused again.  */
+  bool was_refused_here = request->route->retry_mode != ROUTE_IDEMPOTENT
+                          && was_refused_by (request, endpoint);
   GPtrArray *lines = g_ptr_array_new_with_free_func (free);
   char *url = xasprintf ("http://%s/", endpoint->address);
   struct pool_query query = make_pool_query (request);
@@ -1152,7 +1174,7 @@
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
           .max_body_bytes = MAX_RESPONSE_BYTES,
           .single_attempt = request->route->retry_mode != ROUTE_IDEMPOTENT,
-          .new_connection = !input->id,
+          .new_connection = !input->id || was_refused_here,
           .refuses_resend = endpoint->limit_milli >= 0,
           .max_idle_ms = request->route->retry_mode == ROUTE_IDEMPOTENT
                              ? MAX_IDLE_MS
@@ -1165,6 +1187,7 @@
 
   response_head_release (&request->head);
   request->is_first_response = false;
+  request->was_refused_here = was_refused_here;
   if (request->step != STEP_STREAM)
     request->step = STEP_SENT;
   event_splitter_release (&request->events);
--- a/test/unit/test_repeated_refusals.c
+++ b/test/unit/test_repeated_refusals.c
@@ -34,6 +34,7 @@
   char refusal[MAX_ANSWER_BYTES];
   enum refusal_time time;
   guint connection; /* of the request 1 */
+  uint32_t sends;   /* of the request 2 that have arrived */
   uint32_t runs;    /* of the request 2 */
   char own[MAX_ANSWER_BYTES];
   char answer[2 * MAX_ANSWER_BYTES];
@@ -265,22 +266,34 @@
     ev_run (helped->loop, EVRUN_ONCE);
 }
 
+/* Returns a host that has no path to the only endpoint and has *HELPER send
+   its requests.  It must be destroyed before *HELPER.  */
+static struct local_pipeline *
+create_relayed (raw_answer_handler *answer, void *data, bool is_old_helper,
+                struct local_pipeline **helper)
+{
+  struct local_pipeline_options options = { .route.retry_mode = ROUTE_ONCE,
+                                            .route.timeout_ms = TIMEOUT_MS,
+                                            .host = "y" };
+  struct local_pipeline *helped;
+
+  *helper = options.shared = create (answer, data, ROUTE_ONCE);
+  helped = local_pipeline_create (&options);
+  (*helper)->transport.omits_response_origin = is_old_helper;
+  use_helper (helped);
+  return helped;
+}
+
 /* Runs the request 1 at a host and the request 2 at another one, for which the
    first one sends.  */
 static void
 check_relayed (struct repeating_endpoint *repeating, bool is_old_helper)
 {
-  struct local_pipeline *helper
-      = create (answer_repeating, repeating, ROUTE_ONCE);
-  struct local_pipeline_options options = { .route.retry_mode = ROUTE_ONCE,
-                                            .route.timeout_ms = TIMEOUT_MS,
-                                            .host = "y",
-                                            .shared = helper };
-  struct local_pipeline *helped = local_pipeline_create (&options);
+  struct local_pipeline *helper;
+  struct local_pipeline *helped
+      = create_relayed (answer_repeating, repeating, is_old_helper, &helper);
   const struct local_response *response;
 
-  helper->transport.omits_response_origin = is_old_helper;
-  use_helper (helped);
   CU_ASSERT_TRUE (is_own (run (helper, 1), 1));
   wait_for (helper, IDLE_MS);
   response = run (helped, 2);
@@ -312,6 +325,83 @@
         }
 }
 
+/* An endpoint that refuses the request 2 and repeats the refusal when it gets
+   the request again on the same connection, though it runs it then.  */
+static struct raw_answer
+answer_refusing_twice (void *data, struct raw_endpoint *endpoint,
+                       const char *request)
+{
+  struct repeating_endpoint *repeating = data;
+  int id = request_id (request);
+  struct raw_answer answer = { .bytes = repeating->own, .late_ms = LATE_MS };
+
+  write_own (repeating, id);
+  if (id == 2 && ++repeating->sends > 1)
+    repeating->runs++;
+  if (id == 2 && repeating->sends == 1)
+    {
+      repeating->connection = endpoint->connection;
+      answer.bytes = repeating->refusal;
+    }
+  else if (id == 2 && endpoint->connection == repeating->connection)
+    {
+      answer.bytes = repeating->refusal;
+      answer.late = repeating->own;
+    }
+  answer.len = strlen (answer.bytes);
+  return answer;
+}
+
+/* Guards against running a call twice when an endpoint repeats the refusal of
+   the very same attempt, which was sent to it again.  */
+static void
+test_refusal_with_own_id (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    for (int is_stream = 0; is_stream < 2; is_stream++)
+      {
+        struct repeating_endpoint repeating = { .is_stream = is_stream };
+        struct local_pipeline *local
+            = create (answer_refusing_twice, &repeating,
+                      is_stream ? ROUTE_STREAM : ROUTE_ONCE);
+        const struct local_response *response;
+
+        write_refusal (repeating.refusal, statuses[i], "Attempt-Id: 2\r\n",
+                       true);
+        CU_ASSERT_TRUE (is_own (run (local, 1), 1));
+        response = run (local, 2);
+        wait_for (local, IDLE_MS);
+        CU_ASSERT_TRUE (is_own (response, 2));
+        CU_ASSERT_EQUAL (repeating.runs, 1);
+        local_pipeline_destroy (local);
+      }
+}
+
+/* Guards against the same where another host, also one of the build before,
+   sends the call each time.  */
+static void
+test_refusal_of_relayed_call_with_own_id (void)
+{
+  for (int is_old_helper = 0; is_old_helper < 2; is_old_helper++)
+    {
+      struct repeating_endpoint repeating = { 0 };
+      struct local_pipeline *helper;
+      struct local_pipeline *helped = create_relayed (
+          answer_refusing_twice, &repeating, is_old_helper, &helper);
+      const struct local_response *response;
+
+      write_refusal (repeating.refusal, statuses[0], "Attempt-Id: 2\r\n",
+                     true);
+      CU_ASSERT_TRUE (is_own (run (helper, 1), 1));
+      response = run (helped, 2);
+      wait_for (helper, IDLE_MS);
+      CU_ASSERT_TRUE (is_true (response, 2, repeating.runs));
+      CU_ASSERT_EQUAL (repeating.runs, 1);
+      local_pipeline_destroy (helped);
+      local_pipeline_destroy (helper);
+    }
+}
+
 CU_TestInfo repeated_refusals_tests[] = {
   { "a repeated refusal without an id", test_refusal_without_id },
   { "a repeated refusal with another id", test_refusal_with_other_id },
@@ -319,5 +409,8 @@
   { "a repeated refusal of a repeatable call",
     test_refusal_of_repeatable_call },
   { "a repeated refusal of a relayed call", test_refusal_of_relayed_call },
+  { "a repeated refusal with its own id", test_refusal_with_own_id },
+  { "a repeated refusal of a relayed call with its own id",
+    test_refusal_of_relayed_call_with_own_id },
   CU_TEST_INFO_NULL,
 };
