--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -41,6 +41,9 @@
 typedef bool fetch_data_handler (void *data, const char *bytes, size_t len);
 typedef void fetch_header_handler (void *data, const char *name,
                                    const char *value);
+/* Called at the end of the final response's head.  Returns false to abort the
+   transfer, whose connection is closed then. */
+typedef bool fetch_head_handler (void *data);
 typedef void fetch_done_handler (void *data,
                                  const struct fetch_result *result);
 
@@ -61,12 +64,14 @@
   /* Like single_attempt, for requests that may run again: connections are
      reused, and the result tells whether a resend was refused. */
   bool refuses_resend;
+  bool new_connection; /* reuses none */
   int64_t max_idle_ms; /* of a reused connection; 0 for libcurl's default */
   const char *target; /* of the request line; NULL to derive it from the URL */
   int64_t tcp_keepalive_s; /* TCP keepalive interval; 0 for none */
   bool exact_headers;      /* suppresses libcurl's Accept and Content-Type */
   fetch_data_handler *handle_data;     /* NULL to buffer the body */
   fetch_header_handler *handle_header; /* may be NULL */
+  fetch_head_handler *handle_head;     /* may be NULL */
   fetch_done_handler *handle_done;
   void (*release_data) (void *data); /* on free; may be NULL */
   void *data;
@@ -80,6 +85,7 @@
                            const struct fetch_options *options);
 void fetch_cancel (struct fetch *fetch);
 long fetch_status (const struct fetch *fetch);
+bool fetch_has_opened_connection (const struct fetch *fetch);
 const char *fetch_framing_name (enum fetch_framing framing);
 
 #endif
--- a/request/request.c
+++ b/request/request.c
@@ -121,6 +121,7 @@
   struct fetch *fetch; /* from this host */
   struct relay *relay; /* from another one */
   struct response_head head;
+  bool is_first_response; /* on its connection */
   struct event_splitter events;
   /* Id of the last event that the caller has, also from earlier attempts;
      negative for none. */
@@ -131,6 +132,12 @@
   uint32_t possible_runs; /* sends after which the request may have run */
   uint32_t full_refusals; /* by endpoints that state they have no room */
   uint32_t failed_sends;  /* multiplies the backoff */
+  /* Starts of the endpoints that refused it, on connections that they may
+     keep. Their refusals name the request, as those of a further send would.
+   */
+  uint64_t refused_by[MAX_SENDS];
+  uint32_t refusals;
+  bool was_refused_here; /* by the endpoint of the current send, before */
   GList link;
 };
 
@@ -636,19 +643,22 @@
   return status >= 200 && status < 300;
 }
 
-/* Whether the response names this request.  A failure without an endpoint's
-   stamp may name none, as endpoints refuse requests that they have not read.
-   */
+/* Whether the response names this request, and not an earlier send of it.  A
+   failure without an endpoint's stamp may name none, as endpoints refuse
+   requests that they have not read; but on a connection that was used before
+   it may be a late or repeated response to another request.  */
 static bool
 has_matching_id (const struct request *request)
 {
   const char *id = request->head.request_id;
 
-  if (!request->input->id)
-    return true;
-  return id ? strcmp (id, request->input->id) == 0
-            : !is_success (request->head.status)
-                  && !request->head.is_from_endpoint;
+  if (id && request->input->id)
+    return strcmp (id, request->input->id) == 0
+           && (request->is_first_response || !request->was_refused_here);
+  return request->is_first_response
+         && (!request->input->id
+             || (!is_success (request->head.status)
+                 && !request->head.is_from_endpoint));
 }
 
 /* Whether the response is valid and belongs to this request.  */
@@ -740,6 +750,34 @@
                          now_ms);
 }
 
+/* Looks at the head of a response once it is complete.  */
+static void
+observe_head (struct request *request)
+{
+  struct observation observation
+      = make_observation (request, received_status (request));
+
+  if (request->head.status != 0)
+    return;
+  request->head.status = observation.status;
+  request->is_first_response
+      = request->relay ? relay_is_first_response (request->relay)
+                       : fetch_has_opened_connection (request->fetch);
+  observation_record_load (&observation);
+  observation_record_head_end (&observation);
+}
+
+/* Stops a response that does not belong to the request: its connection must
+   not be used again, as the response to this request follows there.  */
+static bool
+handle_head (void *data)
+{
+  struct request *request = data;
+
+  observe_head (request);
+  return is_matching_response (request);
+}
+
 /* Handles data of a streamed response, whose head is complete.  */
 static bool
 handle_stream_data (void *data, const char *bytes, size_t len)
@@ -747,15 +785,7 @@
   struct request *request = data;
 
   report_heard (request);
-  if (request->head.status == 0)
-    {
-      struct observation observation
-          = make_observation (request, received_status (request));
-
-      request->head.status = observation.status;
-      observation_record_load (&observation);
-      observation_record_head_end (&observation);
-    }
+  observe_head (request);
   if (!is_matching_response (request))
     return false;
   if (!is_success (request->head.status))
@@ -923,12 +953,25 @@
     path_monitor_record (monitor, endpoint, result->connection_opened, now_ms);
 }
 
+/* Whether the request has been refused by ENDPOINT.  */
+static bool
+was_refused_by (const struct request *request,
+                const struct pool_endpoint *endpoint)
+{
+  for (uint32_t i = 0; i < request->refusals; i++)
+    if (request->refused_by[i] == endpoint->start)
+      return true;
+  return false;
+}
+
 /* Records a refusal.  One for want of a slot is no error.  */
 static void
-record_refusal (const struct request *request)
+record_refusal (struct request *request)
 {
   const struct response_head *head = &request->head;
 
+  if (request->refusals < MAX_SENDS)
+    request->refused_by[request->refusals++] = request->endpoint->start;
   if (head->status != STATUS_MISDIRECTED && !head->is_leaving
       && head->running >= 0 && head->running < request->endpoint->slots
       && head->waiting <= 0 && request->endpoint->limit_milli < 0)
@@ -948,6 +991,7 @@
   if (request->head.status == 0 && result->status > 0)
     {
       request->head.status = result->status;
+      request->is_first_response = result->connection_opened;
       if (result->complete)
         observation_record_head_end (&observation);
       observation_record_load (&observation);
@@ -1059,6 +1103,7 @@
           .fingerprint = request->fingerprint,
           .has_permit = request->endpoint->limit_milli >= 0,
           .timeout_ms = MAX (remaining_ms (request), 1),
+          .request_id = request->input->id,
           .fetch = options,
           .handle_done = handle_relay_done };
   int64_t now_ms = clock_now_ms ();
@@ -1115,6 +1160,9 @@
           .resume_after = request->last_event_id,
           .priority = send_priority (request) };
   bool is_stream = request->route->retry_mode == ROUTE_STREAM;
+  /* What may run again may also be refused again.  */
+  bool was_refused_here = request->route->retry_mode != ROUTE_IDEMPOTENT
+                          && was_refused_by (request, endpoint);
   GPtrArray *lines = g_ptr_array_new_with_free_func (free);
   char *url = xasprintf ("http://%s/", endpoint->address);
   struct pool_query query = make_pool_query (request);
@@ -1128,16 +1176,20 @@
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
           .max_body_bytes = MAX_RESPONSE_BYTES,
           .single_attempt = request->route->retry_mode != ROUTE_IDEMPOTENT,
+          .new_connection = !input->id || was_refused_here,
           .refuses_resend = endpoint->limit_milli >= 0,
           .max_idle_ms = request->route->retry_mode == ROUTE_IDEMPOTENT
                              ? MAX_IDLE_MS
                              : MAX_IDLE_NON_IDEMPOTENT_MS,
           .handle_header = handle_header,
+          .handle_head = handle_head,
           .handle_data = is_stream ? handle_stream_data : NULL,
           .handle_done = handle_fetch_done,
           .data = request };
 
   response_head_release (&request->head);
+  request->is_first_response = false;
+  request->was_refused_here = was_refused_here;
   if (request->step != STEP_STREAM)
     request->step = STEP_SENT;
   event_splitter_release (&request->events);
