conversation, policy: a read does not wait for keepers that were silent before it

Cause: turn_copies_decide_read waits for every keeper without an answer until the read's time is up, whether or not it was silent when the read began.

Change: a keeper that was silent when the read began and still is holds the read for 30 ms only, within the 50 ms that callers allow for a refusal that is known. One that falls silent during the read may only be slow: it holds it as before. The 30 ms are for keepers that answer again, and for a host that was paused itself.

Test: "known silence is not waited for" in the suite conversation client (virtual time).

--- a/conversation/client.c
+++ b/conversation/client.c
@@ -325,6 +325,13 @@
   task->until_ms = query->now_ms + MIN (share_ms, TURN_COPIES_READ_MS);
   task->handle_read = handle;
   task->data = data;
+  for (uint32_t i = 0; i < task->copies.count; i++)
+    {
+      struct turn_copy_keeper *keeper = &task->copies.keepers[i];
+
+      keeper->was_silent
+          = is_silent (&client->keepers[keeper->index], query->now_ms);
+    }
   continue_task (task, query->now_ms);
   return task;
 }
--- a/include/policy/turn_copies.h
+++ b/include/policy/turn_copies.h
@@ -18,7 +18,11 @@
      the end of a turn, so a later supplement delays programs. */
   TURN_COPIES_SUPPLEMENT_MS = 40,
   TURN_COPIES_READ_ONE_MS = 30, /* before all keepers are asked */
-  TURN_COPIES_RESEND_MS = 100,  /* a frame or its answer may be lost */
+  /* After this time a read ends without keepers that were silent when it
+     began.  Callers learn of a refusal that is known within 50 ms; one that
+     answers again is heard earlier. */
+  TURN_COPIES_SILENT_MS = 30,
+  TURN_COPIES_RESEND_MS = 100, /* a frame or its answer may be lost */
   /* After this time with answers of one data centre only, that one is cut
      off. */
   TURN_COPIES_CUT_OFF_MS = 300,
@@ -45,6 +49,7 @@
   uint64_t hash;  /* of its name */
   uint64_t centre;
   bool is_silent;   /* has not answered this host lately */
+  bool was_silent;  /* the same when the read began */
   bool has_replied; /* also with an answer that decides nothing */
   bool has_prefix;  /* was sent the text of the chain before */
   enum turn_copy copy;
--- a/policy/turn_copies.c
+++ b/policy/turn_copies.c
@@ -264,6 +264,18 @@
              : TURN_WRITE_PENDING;
 }
 
+/* Whether a read still waits for KEEPER.  One that falls silent meanwhile may
+   only be slow.  */
+static bool
+is_awaited (const struct turn_copies *copies,
+            const struct turn_copy_keeper *keeper, int64_t now_ms)
+{
+  if (keeper->copy != TURN_COPY_NO_ANSWER)
+    return false;
+  return !keeper->was_silent || !keeper->is_silent
+         || now_ms - copies->started_ms < TURN_COPIES_SILENT_MS;
+}
+
 /* Decides what a read has found until UNTIL_MS, when it ends.  */
 enum turn_read_verdict
 turn_copies_decide_read (const struct turn_copies *copies, int64_t until_ms,
@@ -274,14 +286,15 @@
 
   for (uint32_t i = 0; i < copies->count; i++)
     {
-      enum turn_copy copy = copies->keepers[i].copy;
+      const struct turn_copy_keeper *keeper = &copies->keepers[i];
+      enum turn_copy copy = keeper->copy;
 
       if (copy == TURN_COPY_HELD)
         return TURN_READ_FOUND;
       if (copy == TURN_COPY_OTHER_CUSTOMER)
         return TURN_READ_NO_SUCH_TURN;
       is_certain = is_certain && copy == TURN_COPY_MISSING_FOR_CERTAIN;
-      is_pending = is_pending || copy == TURN_COPY_NO_ANSWER;
+      is_pending = is_pending || is_awaited (copies, keeper, now_ms);
     }
   if (is_certain)
     return TURN_READ_NO_SUCH_TURN;
--- a/test/unit/test_conversation_client.c
+++ b/test/unit/test_conversation_client.c
@@ -13,6 +13,7 @@
   START_MS = 1000,
   DEADLINE_MS = 4000, /* of a turn */
   ROUND_TRIP_MS = 2,
+  AT_ONCE_MS = 50, /* the callers' bound for a refusal that is known */
   PENDING = -1,
 };
 
@@ -314,6 +315,32 @@
   fixture_release (&fixture);
 }
 
+/* Guards against a read that waits for keepers that were silent before it, and
+   against one that gives up a keeper that is slow or back again.  */
+static void
+test_known_silence_is_not_waited_for (void)
+{
+  struct fixture fixture;
+
+  fixture_init (&fixture, KEEPERS);
+  fixture.fleet.keepers[4].is_silent = true;
+  read_turn (&fixture, "none");
+  for (int i = 0; i < 3; i++)
+    {
+      CU_ASSERT (read_turn (&fixture, "none") <= AT_ONCE_MS);
+      CU_ASSERT_EQUAL (fixture.verdict, TURN_READ_NOT_CERTAIN);
+    }
+  fake_keepers_silence (&fixture.fleet, NULL, true);
+  read_turn (&fixture, "none");
+  CU_ASSERT (read_turn (&fixture, "none") <= AT_ONCE_MS);
+  CU_ASSERT_EQUAL (fixture.verdict, TURN_READ_NOT_CERTAIN);
+  /* All answer again, but this host has not heard them yet. */
+  fake_keepers_silence (&fixture.fleet, NULL, false);
+  read_turn (&fixture, "none");
+  CU_ASSERT_EQUAL (fixture.verdict, TURN_READ_NO_SUCH_TURN);
+  fixture_release (&fixture);
+}
+
 /* Guards against 404 from a host whose list lacks the keepers that have the
    turn, while all that it knows are certain.  */
 static void
@@ -472,28 +499,29 @@
   conversations_destroy (client);
 }
 
-CU_TestInfo conversation_client_tests[]
-    = { { "a written turn has its copies", test_written_turn_has_its_copies },
-        { "a silent keeper is supplemented",
-          test_silent_keeper_is_supplemented },
-        { "a keeper without the previous turn gets the chain",
-          test_keeper_without_previous_turn_gets_the_chain },
-        { "a cut-off data centre goes on", test_cut_off_data_centre_goes_on },
-        { "two data centres are needed", test_two_data_centres_are_needed },
-        { "lost answers are asked for again",
-          test_lost_answers_are_asked_for_again },
-        { "repeated answers count once", test_repeated_answers_count_once },
-        { "a miss needs all keepers", test_miss_needs_all_keepers },
-        { "a miss needs the same list", test_miss_needs_the_same_list },
-        { "a turn of another customer is not read",
-          test_turn_of_another_customer_is_not_read },
-        { "any keeper with the turn suffices",
-          test_any_keeper_with_the_turn_suffices },
-        { "chains do not begin without keepers",
-          test_chains_do_not_begin_without_keepers },
-        { "full keepers refuse", test_full_keepers_refuse },
-        { "another content is refused", test_other_content_is_refused },
-        { "keepers may change during a write",
-          test_keepers_may_change_during_a_write },
-        { "held memory is bounded", test_held_memory_is_bounded },
-        CU_TEST_INFO_NULL };
+CU_TestInfo conversation_client_tests[] = {
+  { "a written turn has its copies", test_written_turn_has_its_copies },
+  { "a silent keeper is supplemented", test_silent_keeper_is_supplemented },
+  { "a keeper without the previous turn gets the chain",
+    test_keeper_without_previous_turn_gets_the_chain },
+  { "a cut-off data centre goes on", test_cut_off_data_centre_goes_on },
+  { "two data centres are needed", test_two_data_centres_are_needed },
+  { "lost answers are asked for again",
+    test_lost_answers_are_asked_for_again },
+  { "repeated answers count once", test_repeated_answers_count_once },
+  { "a miss needs all keepers", test_miss_needs_all_keepers },
+  { "known silence is not waited for", test_known_silence_is_not_waited_for },
+  { "a miss needs the same list", test_miss_needs_the_same_list },
+  { "a turn of another customer is not read",
+    test_turn_of_another_customer_is_not_read },
+  { "any keeper with the turn suffices",
+    test_any_keeper_with_the_turn_suffices },
+  { "chains do not begin without keepers",
+    test_chains_do_not_begin_without_keepers },
+  { "full keepers refuse", test_full_keepers_refuse },
+  { "another content is refused", test_other_content_is_refused },
+  { "keepers may change during a write",
+    test_keepers_may_change_during_a_write },
+  { "held memory is bounded", test_held_memory_is_bounded },
+  CU_TEST_INFO_NULL
+};
