galenashored, platform, common: hold stop signals back until their handlers are installed

Cause: SIGTERM has its default action from the start of main until libev's watchers are started, after the settings are read and the components are created.

Change: main blocks SIGTERM, SIGINT and SIGHUP in its first statement; both modes unblock them in the thread that handles them, once the watchers are started.

--- a/galenashored/control.c
+++ b/galenashored/control.c
@@ -1,6 +1,7 @@
 #include "galenashored/control.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/stop_signals.h"
 #include "galenashored/control_state.h"
 #include "peer/packed_frame.h"
 #include <signal.h>
@@ -194,6 +195,7 @@
                         handle_stop_signal);
   start_signal_watcher (control, &control->sigint, SIGINT, handle_stop_signal);
   start_signal_watcher (control, &control->sighup, SIGHUP, handle_sighup);
+  stop_signals_unblock ();
   ev_timer_init (&control->tick, handle_tick, 0, TICK_INTERVAL_S);
   control->tick.data = control;
   ev_timer_start (control->loop, &control->tick);
--- a/galenashored/main.c
+++ b/galenashored/main.c
@@ -1,3 +1,4 @@
+#include "common/stop_signals.h"
 #include "galenashored/control.h"
 #include "platform/node.h"
 #include <curl/curl.h>
@@ -95,11 +96,12 @@
       "Print the version and exit", NULL },
     { NULL, 0, 0, 0, NULL, NULL, NULL },
   };
-  GOptionContext *context
-      = g_option_context_new ("- schedules agent programs");
+  GOptionContext *context;
   GError *parse_error = NULL;
   int status = EXIT_USAGE;
 
+  stop_signals_block ();
+  context = g_option_context_new ("- schedules agent programs");
   g_option_context_add_main_entries (context, entries, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &parse_error))
     {
