config, common: one odd object no longer hides the others of the platform's list

What callers saw: nothing yet; the same fault as in platform/watch.c, in the host's own client of an object API. A number such as 1e999 in one object made the list of all objects unreadable, and the host asked for it again for ever. An object with a negative version was taken for the newest there can be, so that every later change of it, and of all others, was ignored.

A list that cannot be parsed as a whole is read object by object; those that cannot be read are left out, logged and counted once for each version, and the host keeps what it knew of them. A negative version counts as none. feed/object.c moves to common/, unchanged but for a comment.

--- a/feed/object.c
+++ b/common/object.c
@@ -1,4 +1,4 @@
-#include "feed/object.h"
+#include "common/object.h"
 #include "common/buf.h"
 #include "common/counters.h"
 #include "common/id.h"
@@ -109,7 +109,7 @@
 
 /* Logs and counts, once for each revision, that the object NAME of KIND is not
    used for REASON.  NAME is NULL if it cannot be told; such objects are told
-   apart by the reason only.  Only for the thread that owns the tables.  */
+   apart by the reason only.  Only for the control thread.  */
 void
 object_report_unreadable (const char *kind, const char *name, int64_t revision,
                           const char *reason)
--- a/config/objects.c
+++ b/config/objects.c
@@ -1,8 +1,14 @@
 #include "config/objects.h"
 #include "common/buf.h"
+#include "common/object.h"
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  MAX_NAME_BYTES = 256, /* of a kind or a name that is logged */
+};
+
 /* Initialises an empty set.  */
 void
 objects_init (struct objects *objects)
@@ -20,11 +26,79 @@
   json_decref (objects->withdrawn);
 }
 
+/* Logs and counts an object that is left out.  */
+static void
+report_unreadable (struct json_span text, const char *reason)
+{
+  struct json_span value;
+  int64_t version = 0;
+  char *kind = NULL;
+  char *name = NULL;
+
+  if (json_span_member (text, "kind", &value))
+    kind = json_span_read_string (value, MAX_NAME_BYTES);
+  if (json_span_member (text, "name", &value))
+    name = json_span_read_string (value, MAX_NAME_BYTES);
+  if (json_span_member (text, "version", &value))
+    json_span_read_int64 (value, &version);
+  object_report_unreadable (kind ? kind : "(unknown)", name, version, reason);
+  free (kind);
+  free (name);
+}
+
+static json_t *
+parse_readable (struct json_span array)
+{
+  json_t *list = json_array ();
+  struct json_items items;
+
+  json_items_init (&items, array);
+  while (json_items_next (&items))
+    {
+      const char *reason;
+      json_t *object = object_parse (items.at, SIZE_MAX, &reason);
+
+      if (reason)
+        {
+          report_unreadable (items.at, reason);
+          json_decref (object);
+        }
+      else
+        json_array_append_new (list, object);
+    }
+  return list;
+}
+
+/* Parses a reply of the platform, as a new reference.  From a list of objects
+   some of which cannot be read, these are left out.  Returns NULL if TEXT as a
+   whole is not JSON.  */
+json_t *
+objects_parse_reply (struct json_span text)
+{
+  json_t *reply = json_loadb (text.text, text.len, 0, NULL);
+  struct json_span array;
+  struct json_span value;
+  int64_t revision;
+
+  if (reply)
+    return reply;
+  if (!json_span_is_whole (text) || !json_span_member (text, "objects", &array)
+      || !json_span_is_array (array)
+      || !json_span_member (text, "revision", &value)
+      || !json_span_read_int64 (value, &revision))
+    return NULL;
+  return json_pack ("{s:o, s:I}", "objects", parse_readable (array),
+                    "revision", (json_int_t)revision);
+}
+
 /* Returns the version of an object, or 0 when it has none.  */
 uint64_t
 objects_version (const json_t *object)
 {
-  return (uint64_t)json_integer_value (json_object_get (object, "version"));
+  json_int_t version
+      = json_integer_value (json_object_get (object, "version"));
+
+  return version > 0 ? (uint64_t)version : 0;
 }
 
 /* Adds OBJECT if it is newer than the one in the set.  Returns whether it
--- a/config/platform_client.c
+++ b/config/platform_client.c
@@ -1,5 +1,6 @@
 #include "config/platform_client.h"
 #include "common/counters.h"
+#include "config/objects.h"
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -60,8 +61,8 @@
 handle_done (void *data, const struct fetch_result *result)
 {
   struct pending_request *request = data;
-  json_t *body = json_loadb (result->body->data ? result->body->data : "",
-                             result->body->len, 0, NULL);
+  json_t *body = objects_parse_reply ((struct json_span){
+      result->body->data ? result->body->data : "", result->body->len });
   struct platform_response response
       = { .status = classify_result (result, body),
           .version
--- a/feed/feed.c
+++ b/feed/feed.c
@@ -3,7 +3,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
-#include "feed/object.h"
+#include "common/object.h"
 #include "policy/leader.h"
 #include <stdlib.h>
 #include <string.h>
--- a/feed/table.c
+++ b/feed/table.c
@@ -1,7 +1,7 @@
 #include "feed/table.h"
 #include "common/buf.h"
 #include "common/log.h"
-#include "feed/object.h"
+#include "common/object.h"
 #include <stdlib.h>
 
 enum
--- a/include/feed/object.h
+++ b/include/common/object.h
@@ -1,8 +1,8 @@
-/* Reads single objects of a table from the texts of the platform's store and
-   of other hosts.  An object that cannot be read takes its place in the table
-   as an empty one, so that all hosts count the same objects. */
-#ifndef GALENA_FEED_OBJECT_H
-#define GALENA_FEED_OBJECT_H
+/* Reads single objects from the texts of the platform and
+   of other hosts.  One that cannot be read becomes an empty object, so that
+   all hosts count the same ones. */
+#ifndef GALENA_COMMON_OBJECT_H
+#define GALENA_COMMON_OBJECT_H
 
 #include "common/json_span.h"
 #include <jansson.h>
--- a/include/config/objects.h
+++ b/include/config/objects.h
@@ -3,6 +3,7 @@
 #ifndef GALENA_CONFIG_OBJECTS_H
 #define GALENA_CONFIG_OBJECTS_H
 
+#include "common/json_span.h"
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -17,6 +18,7 @@
 
 void objects_init (struct objects *objects);
 void objects_release (struct objects *objects);
+json_t *objects_parse_reply (struct json_span text);
 bool objects_merge (struct objects *objects, const json_t *list);
 bool objects_withdraw_key (struct objects *objects, const char *key_id);
 json_t *objects_live (const struct objects *objects);
--- a/test/property/json_span.cpp
+++ b/test/property/json_span.cpp
@@ -10,7 +10,7 @@
 extern "C"
 {
 #include "common/json_span.h"
-#include "feed/object.h"
+#include "common/object.h"
 }
 
 static size_t live_bytes;
--- a/test/unit/test_decode.c
+++ b/test/unit/test_decode.c
@@ -1,5 +1,5 @@
 #include "common/buf.h"
-#include "feed/object.h"
+#include "common/object.h"
 #include "platform/decode.h"
 #include "platform/registry.h"
 #include "suites.h"
--- a/test/unit/test_objects.c
+++ b/test/unit/test_objects.c
@@ -1,5 +1,6 @@
 #include "config/objects.h"
 #include "suites.h"
+#include <string.h>
 
 static bool
 merge (struct objects *objects, const char *name, int version, bool deleted)
@@ -66,8 +67,70 @@
   objects_release (&objects);
 }
 
+static json_t *
+parse_reply (const char *text)
+{
+  return objects_parse_reply ((struct json_span){ text, strlen (text) });
+}
+
+/* Guards against a list that is refused as a whole, again and again, because
+   one object in it cannot be read.  */
+static void
+test_odd_objects_are_left_out (void)
+{
+  static const char text[]
+      = "{\"objects\": [{\"kind\": \"key\", \"name\": \"a\", \"version\": 3},"
+        " {\"kind\": \"key\", \"name\": \"b\", \"version\": 4, \"data\": "
+        "1e999},"
+        " {\"kind\": \"key\", \"name\": \"c\","
+        " \"version\": 99999999999999999999}, nonsense, \"\xff\","
+        " {\"kind\": \"key\", \"name\": \"d\", \"version\": 5}],"
+        " \"revision\": 6}";
+  static const char *const broken[]
+      = { "",
+          "text",
+          "{\"objects\": [1e999]",
+          "{\"objects\": 1e999}",
+          "{\"objects\": [1e999]}",
+          "{\"objects\": [{} 1e999], \"revision\": 6}",
+          "{\"objects\": [], \"revision\": 1e999}" };
+  struct objects objects;
+  json_t *reply = parse_reply (text);
+
+  objects_init (&objects);
+  CU_ASSERT_EQUAL (json_integer_value (json_object_get (reply, "revision")),
+                   6);
+  CU_ASSERT_TRUE (
+      objects_merge (&objects, json_object_get (reply, "objects")));
+  CU_ASSERT_PTR_NOT_NULL (objects_find (&objects, "key", "a"));
+  CU_ASSERT_PTR_NULL (objects_find (&objects, "key", "b"));
+  CU_ASSERT_PTR_NULL (objects_find (&objects, "key", "c"));
+  CU_ASSERT_PTR_NOT_NULL (objects_find (&objects, "key", "d"));
+  json_decref (reply);
+  for (size_t i = 0; i < sizeof broken / sizeof *broken; i++)
+    CU_ASSERT_PTR_NULL (parse_reply (broken[i]));
+  objects_release (&objects);
+}
+
+/* Guards against a version that is read as a very large one, behind which
+   every later change is ignored.  */
+static void
+test_negative_versions_are_ignored (void)
+{
+  struct objects objects;
+
+  objects_init (&objects);
+  CU_ASSERT_FALSE (merge (&objects, "a", -1, false));
+  CU_ASSERT_TRUE (merge (&objects, "a", 5, false));
+  CU_ASSERT_EQUAL (objects.revision, 5);
+  objects_release (&objects);
+}
+
 CU_TestInfo objects_tests[]
-    = { { "older versions are ignored", test_older_versions_are_ignored },
+    = { { "odd objects are left out", test_odd_objects_are_left_out },
+        { "negative versions are ignored",
+          test_negative_versions_are_ignored },
+        { "older versions are ignored", test_older_versions_are_ignored },
         { "changes since a revision include deletions",
           test_since_includes_deletions },
         { "a withdrawal at a host overrides older objects",
