request: relays without headers copy nothing

memcpy from NULL is undefined even for no bytes; UndefinedBehaviorSanitizer reported it in the test "relays are refused" of suite "evacuations". Nothing that callers see changes. Measured: the report is gone in suite "evacuations" built with -Db_sanitize=address,undefined.

--- a/request/relay_server.c
+++ b/request/relay_server.c
@@ -415,7 +415,8 @@
           .handle_done = handle_done,
           .data = relay };
 
-  memcpy (headers, send->headers, send->n_headers * sizeof *headers);
+  if (send->n_headers > 0)
+    memcpy (headers, send->headers, send->n_headers * sizeof *headers);
   relay->server = server;
   relay->origin = acquire_origin (server, host, now_ms);
   relay->id = send->id;
