common: a log line is no longer lost if its message is not UTF-8

What operators saw: no line at all. A message that quotes outside bytes, or that is cut off at 1,024 bytes inside a character, was refused by json_pack, and log_write returned; a process that ended for such an error did not say why.

Invalid bytes are replaced (g_utf8_make_valid).

Measured: suite "log" (new) fails on the code before at its first such message and passes now.

--- a/common/log.c
+++ b/common/log.c
@@ -1,6 +1,7 @@
 #include "common/log.h"
 #include <ck_pr.h>
 #include <fcntl.h>
+#include <glib.h>
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -114,6 +115,7 @@
   struct timespec now;
   va_list args;
   json_t *line;
+  char *valid;
   char *text;
   uint32_t dropped;
 
@@ -125,10 +127,13 @@
   va_start (args, format);
   vsnprintf (message, sizeof message, format, args);
   va_end (args);
+  /* The message may quote any bytes, and may be cut off inside a character. */
+  valid = g_utf8_make_valid (message, -1);
   line = json_pack ("{s:I, s:s, s:s, s:s, s:s}", "time_ms",
                     (json_int_t)now.tv_sec * 1000 + now.tv_nsec / 1000000,
                     "level", level_names[level], "module", module, "host",
-                    log_host, "message", message);
+                    log_host, "message", valid);
+  g_free (valid);
   if (!line)
     return;
   if (ids)
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -28,6 +28,7 @@
   { "leaving endpoints", NULL, NULL, NULL, NULL, leaving_endpoints_tests },
   { "limited fleet", NULL, NULL, NULL, NULL, limited_fleet_tests },
   { "limits", NULL, NULL, NULL, NULL, limits_tests },
+  { "log", NULL, NULL, NULL, NULL, log_tests },
   { "mesh", NULL, NULL, NULL, NULL, mesh_tests },
   { "node traffic", NULL, NULL, NULL, NULL, node_traffic_tests },
   { "objects", NULL, NULL, NULL, NULL, objects_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -33,6 +33,7 @@
 extern CU_TestInfo ledger_tests[];
 extern CU_TestInfo limited_fleet_tests[];
 extern CU_TestInfo limits_tests[];
+extern CU_TestInfo log_tests[];
 extern CU_TestInfo mesh_tests[];
 extern CU_TestInfo node_traffic_tests[];
 extern CU_TestInfo objects_tests[];
