test: odd settings files are rejected with a message

A guard, not a fix: it passes on the code before, too. Measured: suite "fields" passes, with AddressSanitizer and UndefinedBehaviorSanitizer.

--- a/test/unit/test_fields.c
+++ b/test/unit/test_fields.c
@@ -1,6 +1,8 @@
 #include "common/fields.h"
 #include "suites.h"
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 struct sample
 {
@@ -79,7 +81,64 @@
   check_rejected ("[]", "not a JSON object");
 }
 
-CU_TestInfo fields_tests[] = { { "decodes all types", test_decodes_all_types },
-                               { "errors name the field and the remedy",
-                                 test_error_names_field_and_remedy },
-                               CU_TEST_INFO_NULL };
+static void
+check_file_is_rejected (const char *text, size_t len)
+{
+  char path[] = "/tmp/galena-fields-XXXXXX";
+  int fd = mkstemp (path);
+  struct error error = { .message = "" };
+  json_t *root;
+  struct sample out = { 0 };
+  bool is_read = false;
+
+  CU_ASSERT_TRUE_FATAL (fd >= 0);
+  CU_ASSERT_EQUAL (write (fd, text, len), (ssize_t)len);
+  close (fd);
+  root = fields_load_file (path, &error);
+  if (root)
+    is_read = fields_read (root, sample_fields, 4, "sample", &out, &error);
+  CU_ASSERT_FALSE (is_read);
+  CU_ASSERT_TRUE (strlen (error.message) > 0);
+  json_decref (root);
+  fields_release (sample_fields, 4, &out);
+  unlink (path);
+}
+
+/* Guards against a crash, or a value that nobody wrote, at odd contents of a
+   settings file.  */
+static void
+test_odd_files_are_rejected (void)
+{
+  static const char *const texts[]
+      = { "",
+          "[]",
+          "7",
+          "{",
+          "{\"name\":\"x\",\"count\":1e999}",
+          "{\"name\":\"x\",\"count\":99999999999999999999}",
+          "{\"name\":\"x\",\"count\":1e300}",
+          "{\"name\":\"x\",\"count\":9223372036854775807}",
+          "{\"name\":\"x\",\"name\":\"y\"}",
+          "{\"name\":\"a\\u0000b\"}",
+          "{\"name\":\"\xff\"}",
+          "{\"name\":\"x\",\"tags\":[[\"a\"]]}" };
+  enum
+  {
+    LEVELS = 100000,
+  };
+  char *deep = malloc (LEVELS);
+
+  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
+    check_file_is_rejected (texts[i], strlen (texts[i]));
+  check_file_is_rejected ("{\"name\":\"x\"\0}", 13);
+  memset (deep, '[', LEVELS);
+  check_file_is_rejected (deep, LEVELS);
+  free (deep);
+}
+
+CU_TestInfo fields_tests[]
+    = { { "odd files are rejected", test_odd_files_are_rejected },
+        { "decodes all types", test_decodes_all_types },
+        { "errors name the field and the remedy",
+          test_error_names_field_and_remedy },
+        CU_TEST_INFO_NULL };
