endpoint, common: counts in endpoints' reports that are out of range

Found in the review of readers: the running and the waiting calls that an endpoint of the own interface reports were added without a bound (two of overflow), and counts of tokens could be negative. They are cut off to 0 to 1,000,000 calls and 10^9 tokens.

Measured: "numbers are cut off" (suite "fields") shows the conversions, new functions that the code before lacks; the reports themselves have no test.

--- a/common/number.c
+++ b/common/number.c
@@ -26,3 +26,13 @@
   return json_is_real (value) ? number_to_int64 (json_real_value (value))
                               : fallback;
 }
+
+/* Returns the member NAME of OBJECT, cut off to 0 to MAX, or 0 if there is no
+   such number.  */
+int64_t
+number_read_count (const json_t *object, const char *name, int64_t max)
+{
+  int64_t number = number_from_json (json_object_get (object, name), 0);
+
+  return number < 0 ? 0 : number > max ? max : number;
+}
--- a/endpoint/dispatcher.c
+++ b/endpoint/dispatcher.c
@@ -3,6 +3,7 @@
 #include "common/deferred.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/number.h"
 #include "galenashored/server.h"
 #include "policy/route.h"
 #include <glib.h>
@@ -13,6 +14,7 @@
 {
   LOAD_POLL_MS = 500,
   LOAD_TIMEOUT_MS = 400,
+  MAX_REPORTED_CALLS = 1000 * 1000, /* at an endpoint */
   PROBE_TIMEOUT_MS = 250,
   STALL_TIMEOUT_MS = 10000,
   SUSPECT_REQUEUE_MS = 50, /* delay before a job that cannot start yet is
@@ -666,8 +668,8 @@
     {
       endpoint->last_response_ms = clock_now_ms ();
       endpoint->reported_busy
-          = json_integer_value (json_object_get (load, "running"))
-            + json_integer_value (json_object_get (load, "waiting"));
+          = number_read_count (load, "running", MAX_REPORTED_CALLS)
+            + number_read_count (load, "waiting", MAX_REPORTED_CALLS);
       endpoint->reports_leaving
           = json_is_true (json_object_get (load, "leaving"));
     }
--- a/endpoint/engine.c
+++ b/endpoint/engine.c
@@ -1,4 +1,5 @@
 #include "endpoint/engine.h"
+#include "common/number.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -6,6 +7,7 @@
 {
   CONNECT_TIMEOUT_MS = 1000,
   MAX_LINE_BYTES = 1024 * 1024,
+  MAX_TOKENS = 1000 * 1000 * 1000, /* of a prompt, as an engine reports it */
   HTTP_OK = 200,
 };
 
@@ -39,9 +41,9 @@
   if (!json_is_object (usage))
     return;
   attempt->usage.prompt_tokens
-      = json_integer_value (json_object_get (usage, "prompt_tokens"));
+      = number_read_count (usage, "prompt_tokens", MAX_TOKENS);
   attempt->usage.cached_tokens
-      = json_integer_value (json_object_get (usage, "cached_tokens"));
+      = number_read_count (usage, "cached_tokens", MAX_TOKENS);
 }
 
 static bool
--- a/test/unit/test_fields.c
+++ b/test/unit/test_fields.c
@@ -1,5 +1,7 @@
 #include "common/fields.h"
+#include "common/number.h"
 #include "suites.h"
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -136,8 +138,42 @@
   free (deep);
 }
 
+/* Guards against sums that overflow, and conversions that differ between
+   processors.  */
+static void
+test_numbers_are_cut_off (void)
+{
+  json_t *object = json_loads ("{\"a\":9223372036854775807,\"b\":-1,"
+                               "\"c\":1e300,\"d\":-1e300,\"e\":7,\"f\":7.9,"
+                               "\"g\":\"7\",\"h\":-9223372036854775808}",
+                               0, NULL);
+
+  CU_ASSERT_EQUAL (number_read_count (object, "a", 100), 100);
+  CU_ASSERT_EQUAL (number_read_count (object, "b", 100), 0);
+  CU_ASSERT_EQUAL (number_read_count (object, "c", 100), 100);
+  CU_ASSERT_EQUAL (number_read_count (object, "d", 100), 0);
+  CU_ASSERT_EQUAL (number_read_count (object, "e", 100), 7);
+  CU_ASSERT_EQUAL (number_read_count (object, "f", 100), 7);
+  CU_ASSERT_EQUAL (number_read_count (object, "g", 100), 0);
+  CU_ASSERT_EQUAL (number_read_count (object, "x", 100), 0);
+  CU_ASSERT_EQUAL (number_read_count (NULL, "x", 100), 0);
+  CU_ASSERT_EQUAL (number_from_json (json_object_get (object, "h"), 3),
+                   INT64_MIN);
+  CU_ASSERT_EQUAL (number_from_json (json_object_get (object, "g"), 3), 3);
+  json_decref (object);
+  CU_ASSERT_EQUAL (number_to_int64 (9223372036854775808.0), INT64_MAX);
+  CU_ASSERT_EQUAL (number_to_int64 (9223372036854774784.0),
+                   9223372036854774784);
+  CU_ASSERT_EQUAL (number_to_int64 (-9223372036854775808.0), INT64_MIN);
+  CU_ASSERT_EQUAL (number_to_int64 (HUGE_VAL), INT64_MAX);
+  CU_ASSERT_EQUAL (number_to_int64 (-HUGE_VAL), INT64_MIN);
+  CU_ASSERT_EQUAL (number_to_int64 (HUGE_VAL - HUGE_VAL), 0);
+  CU_ASSERT_EQUAL (number_to_int64 (-2.9), -2);
+}
+
 CU_TestInfo fields_tests[]
-    = { { "odd files are rejected", test_odd_files_are_rejected },
+    = { { "numbers are cut off", test_numbers_are_cut_off },
+        { "odd files are rejected", test_odd_files_are_rejected },
         { "decodes all types", test_decodes_all_types },
         { "errors name the field and the remedy",
           test_error_names_field_and_remedy },
