--- a/common/object.c
+++ b/common/object.c
@@ -8,6 +8,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 enum
 {
@@ -97,14 +98,11 @@
 static void
 copy_printable (char out[SHOWN_NAME_BYTES], const char *name)
 {
-  size_t len = 0;
+  size_t len = strnlen (name, SHOWN_NAME_BYTES - 1);
 
-  for (; name[len] && len < SHOWN_NAME_BYTES - 1; len++)
-    out[len] = '?';
+  for (size_t i = 0; i < len; i++)
+    out[i] = g_ascii_isprint (name[i]) ? name[i] : '?';
   out[len] = '\0';
-  while (len-- > 0)
-    if (g_ascii_isprint (name[len]))
-      out[len] = name[len];
 }
 
 /* Logs and counts, once for each revision, that the object NAME of KIND is not
