--- a/feed/feed.c
+++ b/feed/feed.c
@@ -3,7 +3,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
-#include "feed/object.h"
+#include "common/object.h"
 #include "feed/outbox.h"
 #include "feed/update.h"
 #include "policy/leader.h"
--- a/feed/table.c
+++ b/feed/table.c
@@ -3,7 +3,7 @@
 #include "common/deflate.h"
 #include "common/log.h"
 #include "common/memory.h"
-#include "feed/object.h"
+#include "common/object.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -31,6 +31,7 @@
   { "limits", NULL, NULL, NULL, NULL, limits_tests },
   { "memory", NULL, NULL, NULL, NULL, memory_tests },
   { "memory pressure", NULL, NULL, NULL, NULL, memory_pressure_tests },
+  { "log", NULL, NULL, NULL, NULL, log_tests },
   { "mesh", NULL, NULL, NULL, NULL, mesh_tests },
   { "node messages", NULL, NULL, NULL, NULL, node_messages_tests },
   { "node traffic", NULL, NULL, NULL, NULL, node_traffic_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -39,6 +39,7 @@
 extern CU_TestInfo limits_tests[];
 extern CU_TestInfo memory_tests[];
 extern CU_TestInfo memory_pressure_tests[];
+extern CU_TestInfo log_tests[];
 extern CU_TestInfo mesh_tests[];
 extern CU_TestInfo node_messages_tests[];
 extern CU_TestInfo node_traffic_tests[];
