--- a/request/routing.c
+++ b/request/routing.c
@@ -1,4 +1,5 @@
 #include "request/routing.h"
+#include "common/block.h"
 #include "common/buf.h"
 #include "common/counters.h"
 #include "common/memory.h"
@@ -7,14 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* What an allocation takes of the C library's heap on 64-bit systems. */
-enum
-{
-  BLOCK_HEAD_BYTES = 8,
-  BLOCK_ALIGNMENT = 16,
-  BLOCK_BYTES_MIN = 32,
-};
-
 /* Returns the hash of an API key, keyed with a per-process secret.  Keys are
    stored only in this form.  */
 static uint64_t
@@ -80,25 +73,6 @@
   free (routing);
 }
 
-/* Returns what an allocation of SIZE bytes takes; one of 0 bytes is not
-   made.  */
-static size_t
-block_bytes (size_t size)
-{
-  size_t bytes = size + BLOCK_HEAD_BYTES + BLOCK_ALIGNMENT - 1;
-
-  if (size == 0)
-    return 0;
-  bytes -= bytes % BLOCK_ALIGNMENT;
-  return bytes > BLOCK_BYTES_MIN ? bytes : BLOCK_BYTES_MIN;
-}
-
-static size_t
-text_bytes (const char *text)
-{
-  return block_bytes (strlen (text) + 1);
-}
-
 /* Returns how many bytes the configuration holds.  */
 static size_t
 count_bytes (const struct routing *routing)
@@ -115,14 +89,14 @@
     {
       const struct route *route = &routing->routes[i];
 
-      bytes += text_bytes (route->name) + text_bytes (route->host)
-               + text_bytes (route->path_prefix)
+      bytes += block_text_bytes (route->name) + block_text_bytes (route->host)
+               + block_text_bytes (route->path_prefix)
                + block_bytes (route->target_count * sizeof *route->targets);
     }
   for (uint32_t i = 0; i < routing->service_count; i++)
-    bytes += text_bytes (routing->services[i].name);
+    bytes += block_text_bytes (routing->services[i].name);
   for (uint32_t i = 0; i < routing->customer_count; i++)
-    bytes += text_bytes (routing->customers[i].name);
+    bytes += block_text_bytes (routing->customers[i].name);
   return bytes;
 }
 
--- a/test/unit/test_node_messages.c
+++ b/test/unit/test_node_messages.c
@@ -1,3 +1,4 @@
+#include "allocated.h"
 #include "common/buf.h"
 #include "common/counters.h"
 #include "common/id.h"
@@ -20,8 +21,10 @@
   PORT_A = 24061, /* and the next two; of host "a" */
   PORT_B = 24071, /* of host "b" */
   RECEIVE_TIMEOUT_S = 5,
+  MAX_ACCOUNT_ERROR_PERCENT = 10,
   WIDE_ROUTES = 3000,
   WIDE_ENDPOINTS = 3000,
+  WIDE_HOSTS = 380,
   STORM_CHANGES = 20,
   OBJECT_BYTES = 100 * 1024, /* the feed's update of a wide configuration */
   STORM_FRAMES = 200,
@@ -163,6 +166,60 @@
   return list;
 }
 
+/* Asserts that what the message of KIND takes, whose content CREATE fills in,
+   is accounted.  */
+static void
+check_account (enum node_message_kind kind,
+               void (*create) (struct node_message *message))
+{
+  int64_t accounted = memory_used (MEMORY_MESSAGES);
+  int64_t allocated = allocated_bytes ();
+  struct node_message *message = xcalloc (1, sizeof *message);
+
+  message->kind = kind;
+  create (message);
+  node_message_account (message);
+  accounted = memory_used (MEMORY_MESSAGES) - accounted;
+  allocated = allocated_bytes () - allocated;
+  if (!HAS_SANITIZER_ALLOCATOR)
+    CU_ASSERT (llabs (accounted - allocated) * 100
+               <= allocated * MAX_ACCOUNT_ERROR_PERCENT);
+  node_message_destroy (message);
+}
+
+static void
+fill_endpoints (struct node_message *message)
+{
+  message->endpoints = create_endpoints ();
+}
+
+/* The list of a fleet in two years.  */
+static void
+fill_hosts (struct node_message *message)
+{
+  struct host_list *list = xcalloc (1, sizeof *list);
+
+  list->entries = xcalloc (WIDE_HOSTS, sizeof *list->entries);
+  for (uint32_t i = 0; i < WIDE_HOSTS; i++)
+    list->entries[list->count++]
+        = (struct host_entry){ .name = xasprintf ("entry-%u", i),
+                               .address = xasprintf ("10.0.0.1:%u", i),
+                               .data_centre = xstrdup ("ke-central") };
+  message->hosts = list;
+}
+
+/* Guards against accounts that do not tell what one more endpoint or host
+   takes while its list waits.  */
+static void
+test_account_of_lists (void)
+{
+  int64_t before = memory_used (MEMORY_MESSAGES);
+
+  check_account (NODE_ENDPOINTS, fill_endpoints);
+  check_account (NODE_HOSTS, fill_hosts);
+  CU_ASSERT_EQUAL (memory_used (MEMORY_MESSAGES), before);
+}
+
 /* Guards against a process that runs out of memory while its traffic thread is
    busy: whole versions, endpoint lists and host lists of a storm of changes
    wait for it, of which only the newest matter.  */
@@ -311,6 +368,7 @@
 
 CU_TestInfo node_messages_tests[] = {
   { "only the newest change waits", test_only_the_newest_waits },
+  { "lists' account is what they take", test_account_of_lists },
   { "frames that wait are bounded", test_frames_that_wait_are_bounded },
   { "a full control thread does not stop traffic",
     test_full_control_does_not_stop_traffic },
