--- a/include/platform/traffic.h
+++ b/include/platform/traffic.h
@@ -14,7 +14,7 @@
 node_traffic_create (const struct platform_settings *settings,
                      struct mailbox *control, struct error *error);
 bool node_traffic_start (struct node_traffic *traffic, struct error *error);
-void node_traffic_post (struct node_traffic *traffic,
+bool node_traffic_post (struct node_traffic *traffic,
                         struct node_message *message);
 void node_traffic_join (struct node_traffic *traffic);
 void node_traffic_destroy (struct node_traffic *traffic);
--- a/test/unit/test_node_messages.c
+++ b/test/unit/test_node_messages.c
@@ -32,6 +32,7 @@
   FLOOD_FRAMES = 2 * MAILBOX_SLOTS, /* more than fit into a queue */
   FLOOD_BURST = 64,                 /* frames, then a pause */
   FLOOD_PAUSE_US = 1000,
+  STOP_US = 1500 * 1000,
 };
 
 static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -96,8 +97,9 @@
   node_traffic_post (traffic, message);
 }
 
-/* Posts a frame to HOST with an object of BYTES, as the feed does.  */
-static void
+/* Posts a frame to HOST with an object of BYTES, as the feed does.  Returns
+   false if it was dropped.  */
+static bool
 post_frame (struct node_traffic *traffic, const char *host, size_t bytes)
 {
   struct node_message *message = xcalloc (1, sizeof *message);
@@ -105,6 +107,7 @@
   Peer__FeedUpdate update = PEER__FEED_UPDATE__INIT;
   Peer__FeedObject object = PEER__FEED_OBJECT__INIT;
   Peer__FeedObject *objects[] = { &object };
+  bool is_posted;
 
   object.name = (char *)"main";
   object.text.data = xcalloc (1, bytes + 1);
@@ -116,8 +119,9 @@
   message->kind = NODE_SEND;
   message->host = xstrdup (host);
   node_message_pack (&message->frame, &frame);
-  node_traffic_post (traffic, message);
+  is_posted = node_traffic_post (traffic, message);
   free (object.text.data);
+  return is_posted;
 }
 
 static struct routing *
@@ -268,10 +272,13 @@
   struct node_traffic *traffic = create_host (&settings, "a", PORT_A, control);
   int64_t messages = memory_used (MEMORY_MESSAGES);
   int64_t dropped = counter_get (COUNTER_FRAMES_DROPPED);
+  int64_t before = dropped;
 
   for (uint32_t i = 0; i < STORM_FRAMES; i++)
     {
-      post_frame (traffic, "b", OBJECT_BYTES);
+      CU_ASSERT_EQUAL (post_frame (traffic, "b", OBJECT_BYTES),
+                       counter_get (COUNTER_FRAMES_DROPPED) == before);
+      before = counter_get (COUNTER_FRAMES_DROPPED);
       CU_ASSERT (memory_used (MEMORY_MESSAGES) - messages
                  <= NODE_FRAMES_MAX_BYTES);
     }
@@ -366,11 +373,62 @@
   CU_ASSERT_EQUAL (memory_used (MEMORY_MESSAGES), messages);
 }
 
+static void
+note_drained (void *data, void *message)
+{
+  bool *is_drained = data;
+
+  *is_drained
+      = *is_drained || ((struct node_report *)message)->event == NODE_DRAINED;
+  node_report_destroy (message);
+}
+
+/* Guards against a process that never ends, since the control thread had no
+   room for the report that nothing is left to do.  */
+static void
+test_report_waits_for_room (void)
+{
+  struct platform_settings settings;
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct mailbox *control = mailbox_create (loop, drop_report, NULL);
+  struct node_traffic *traffic = create_host (&settings, "a", PORT_A, control);
+  int64_t until_ms = clock_now_ms () + (int64_t)RECEIVE_TIMEOUT_S * 1000;
+  bool is_drained = false;
+  struct node_report *filler;
+  struct error error;
+
+  while ((filler = xcalloc (1, sizeof *filler)))
+    {
+      filler->event = NODE_HOST_ABSENT;
+      if (!mailbox_post (control, filler))
+        break;
+    }
+  node_report_destroy (filler);
+  CU_ASSERT_TRUE (node_traffic_start (traffic, &error));
+  post (traffic, (struct node_message){ .kind = NODE_STOP });
+  /* It is drained after stop_grace_s, 1 s. */
+  usleep (STOP_US);
+  while (!is_drained && clock_now_ms () < until_ms)
+    {
+      mailbox_drain (control, note_drained, &is_drained);
+      usleep (FLOOD_PAUSE_US);
+    }
+  CU_ASSERT_TRUE (is_drained);
+  post (traffic, (struct node_message){ .kind = NODE_QUIT });
+  node_traffic_join (traffic);
+  node_traffic_destroy (traffic);
+  platform_settings_release (&settings);
+  mailbox_drain (control, drop_report, NULL);
+  mailbox_destroy (control);
+  ev_loop_destroy (loop);
+}
+
 CU_TestInfo node_messages_tests[] = {
   { "only the newest change waits", test_only_the_newest_waits },
   { "lists' account is what they take", test_account_of_lists },
   { "frames that wait are bounded", test_frames_that_wait_are_bounded },
   { "a full control thread does not stop traffic",
     test_full_control_does_not_stop_traffic },
+  { "a report waits for room", test_report_waits_for_room },
   CU_TEST_INFO_NULL,
 };
