--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -10,6 +10,7 @@
   { "admission", NULL, NULL, NULL, NULL, admission_tests },
   { "charges", NULL, NULL, NULL, NULL, charges_tests },
   { "config", NULL, NULL, NULL, NULL, config_tests },
+  { "config reader", NULL, NULL, NULL, NULL, config_reader_tests },
   { "config versions", NULL, NULL, NULL, NULL, config_versions_tests },
   { "conversation client", NULL, NULL, NULL, NULL, conversation_client_tests },
   { "cursor", NULL, NULL, NULL, NULL, cursor_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -8,6 +8,7 @@
 extern CU_TestInfo broken_answers_tests[];
 extern CU_TestInfo charges_tests[];
 extern CU_TestInfo cold_fleet_tests[];
+extern CU_TestInfo config_reader_tests[];
 extern CU_TestInfo config_tests[];
 extern CU_TestInfo config_versions_tests[];
 extern CU_TestInfo conversation_keeper_tests[];
