--- a/test/unit/test_node_messages.c
+++ b/test/unit/test_node_messages.c
@@ -1,3 +1,4 @@
+#include "allocated.h"
 #include "common/buf.h"
 #include "common/counters.h"
 #include "common/id.h"
@@ -20,8 +21,10 @@
   PORT_A = 24061, /* and the next two; of host "a" */
   PORT_B = 24071, /* of host "b" */
   RECEIVE_TIMEOUT_S = 5,
+  MAX_ACCOUNT_ERROR_PERCENT = 10,
   WIDE_ROUTES = 3000,
   WIDE_ENDPOINTS = 3000,
+  WIDE_HOSTS = 380,
   STORM_CHANGES = 20,
   OBJECT_BYTES = 100 * 1024, /* the feed's update of a wide configuration */
   STORM_FRAMES = 200,
@@ -29,6 +32,7 @@
   FLOOD_FRAMES = 2 * MAILBOX_SLOTS, /* more than fit into a queue */
   FLOOD_BURST = 64,                 /* frames, then a pause */
   FLOOD_PAUSE_US = 1000,
+  STOP_US = 1500 * 1000,
 };
 
 static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -93,8 +97,9 @@
   node_traffic_post (traffic, message);
 }
 
-/* Posts a frame to HOST with an object of BYTES, as the feed does.  */
-static void
+/* Posts a frame to HOST with an object of BYTES, as the feed does.  Returns
+   false if it was dropped.  */
+static bool
 post_frame (struct node_traffic *traffic, const char *host, size_t bytes)
 {
   struct node_message *message = xcalloc (1, sizeof *message);
@@ -102,6 +107,7 @@
   Peer__FeedUpdate update = PEER__FEED_UPDATE__INIT;
   Peer__FeedObject object = PEER__FEED_OBJECT__INIT;
   Peer__FeedObject *objects[] = { &object };
+  bool is_posted;
 
   object.name = (char *)"main";
   object.text.data = xcalloc (1, bytes + 1);
@@ -113,8 +119,9 @@
   message->kind = NODE_SEND;
   message->host = xstrdup (host);
   node_message_pack (&message->frame, &frame);
-  node_traffic_post (traffic, message);
+  is_posted = node_traffic_post (traffic, message);
   free (object.text.data);
+  return is_posted;
 }
 
 static struct routing *
@@ -163,6 +170,60 @@
   return list;
 }
 
+/* Asserts that what the message of KIND takes, whose content CREATE fills in,
+   is accounted.  */
+static void
+check_account (enum node_message_kind kind,
+               void (*create) (struct node_message *message))
+{
+  int64_t accounted = memory_used (MEMORY_MESSAGES);
+  int64_t allocated = allocated_bytes ();
+  struct node_message *message = xcalloc (1, sizeof *message);
+
+  message->kind = kind;
+  create (message);
+  node_message_account (message);
+  accounted = memory_used (MEMORY_MESSAGES) - accounted;
+  allocated = allocated_bytes () - allocated;
+  if (!HAS_SANITIZER_ALLOCATOR)
+    CU_ASSERT (llabs (accounted - allocated) * 100
+               <= allocated * MAX_ACCOUNT_ERROR_PERCENT);
+  node_message_destroy (message);
+}
+
+static void
+fill_endpoints (struct node_message *message)
+{
+  message->endpoints = create_endpoints ();
+}
+
+/* The list of a fleet in two years.  */
+static void
+fill_hosts (struct node_message *message)
+{
+  struct host_list *list = xcalloc (1, sizeof *list);
+
+  list->entries = xcalloc (WIDE_HOSTS, sizeof *list->entries);
+  for (uint32_t i = 0; i < WIDE_HOSTS; i++)
+    list->entries[list->count++]
+        = (struct host_entry){ .name = xasprintf ("entry-%u", i),
+                               .address = xasprintf ("10.0.0.1:%u", i),
+                               .data_centre = xstrdup ("ke-central") };
+  message->hosts = list;
+}
+
+/* Guards against accounts that do not tell what one more endpoint or host
+   takes while its list waits.  */
+static void
+test_account_of_lists (void)
+{
+  int64_t before = memory_used (MEMORY_MESSAGES);
+
+  check_account (NODE_ENDPOINTS, fill_endpoints);
+  check_account (NODE_HOSTS, fill_hosts);
+  CU_ASSERT_EQUAL (memory_used (MEMORY_MESSAGES), before);
+}
+
 /* Guards against a process that runs out of memory while its traffic thread is
    busy: whole versions, endpoint lists and host lists of a storm of changes
    wait for it, of which only the newest matter.  */
@@ -211,10 +272,13 @@
   struct node_traffic *traffic = create_host (&settings, "a", PORT_A, control);
   int64_t messages = memory_used (MEMORY_MESSAGES);
   int64_t dropped = counter_get (COUNTER_FRAMES_DROPPED);
+  int64_t before = dropped;
 
   for (uint32_t i = 0; i < STORM_FRAMES; i++)
     {
-      post_frame (traffic, "b", OBJECT_BYTES);
+      CU_ASSERT_EQUAL (post_frame (traffic, "b", OBJECT_BYTES),
+                       counter_get (COUNTER_FRAMES_DROPPED) == before);
+      before = counter_get (COUNTER_FRAMES_DROPPED);
       CU_ASSERT (memory_used (MEMORY_MESSAGES) - messages
                  <= NODE_FRAMES_MAX_BYTES);
     }
@@ -309,10 +373,62 @@
   CU_ASSERT_EQUAL (memory_used (MEMORY_MESSAGES), messages);
 }
 
+static void
+note_drained (void *data, void *message)
+{
+  bool *is_drained = data;
+
+  *is_drained
+      = *is_drained || ((struct node_report *)message)->event == NODE_DRAINED;
+  node_report_destroy (message);
+}
+
+/* Guards against a process that never ends, since the control thread had no
+   room for the report that nothing is left to do.  */
+static void
+test_report_waits_for_room (void)
+{
+  struct platform_settings settings;
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct mailbox *control = mailbox_create (loop, drop_report, NULL);
+  struct node_traffic *traffic = create_host (&settings, "a", PORT_A, control);
+  int64_t until_ms = clock_now_ms () + (int64_t)RECEIVE_TIMEOUT_S * 1000;
+  bool is_drained = false;
+  struct node_report *filler;
+  struct error error;
+
+  while ((filler = xcalloc (1, sizeof *filler)))
+    {
+      filler->event = NODE_HOST_ABSENT;
+      if (!mailbox_post (control, filler))
+        break;
+    }
+  node_report_destroy (filler);
+  CU_ASSERT_TRUE (node_traffic_start (traffic, &error));
+  post (traffic, (struct node_message){ .kind = NODE_STOP });
+  /* It is drained after stop_grace_s, 1 s. */
+  usleep (STOP_US);
+  while (!is_drained && clock_now_ms () < until_ms)
+    {
+      mailbox_drain (control, note_drained, &is_drained);
+      usleep (FLOOD_PAUSE_US);
+    }
+  CU_ASSERT_TRUE (is_drained);
+  post (traffic, (struct node_message){ .kind = NODE_QUIT });
+  node_traffic_join (traffic);
+  node_traffic_destroy (traffic);
+  platform_settings_release (&settings);
+  mailbox_drain (control, drop_report, NULL);
+  mailbox_destroy (control);
+  ev_loop_destroy (loop);
+}
+
 CU_TestInfo node_messages_tests[] = {
   { "only the newest change waits", test_only_the_newest_waits },
+  { "lists' account is what they take", test_account_of_lists },
   { "frames that wait are bounded", test_frames_that_wait_are_bounded },
   { "a full control thread does not stop traffic",
     test_full_control_does_not_stop_traffic },
+  { "a report waits for room", test_report_waits_for_room },
   CU_TEST_INFO_NULL,
 };
