--- a/test/unit/test_event_splitter.c
+++ b/test/unit/test_event_splitter.c
@@ -1,5 +1,6 @@
 #include "request/event_splitter.h"
 #include "suites.h"
+#include <glib.h>
 #include <string.h>
 
 struct recorded_events
@@ -51,8 +52,15 @@
 /* Guards against an id that is read from the next line, or from behind the
    buffer, or to which nothing can be added.  */
 static void
-test_odd_ids_are_none (void)
+test_odd_ids (void)
 {
+  static const int64_t ids[] = { EVENT_WITHOUT_ID,
+                                 EVENT_MALFORMED,
+                                 EVENT_MALFORMED,
+                                 EVENT_MALFORMED,
+                                 EVENT_MALFORMED,
+                                 EVENT_WITHOUT_ID,
+                                 7 };
   static const char odd[] = "id: \n42: x\n\n"
                             "id:99999999999999999999\n\n"
                             "id:9223372036854775807\n\n"
@@ -65,10 +73,9 @@
 
   event_splitter_append (&events, odd, sizeof odd - 1, record_event,
                          &recorded);
-  CU_ASSERT_EQUAL_FATAL (recorded.count, 7);
-  for (int i = 0; i < 6; i++)
-    CU_ASSERT_EQUAL (recorded.ids[i], -1);
-  CU_ASSERT_EQUAL (recorded.ids[6], 7);
+  CU_ASSERT_EQUAL_FATAL (recorded.count, (int)G_N_ELEMENTS (ids));
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    CU_ASSERT_EQUAL (recorded.ids[i], ids[i]);
   event_splitter_release (&events);
 }
 
@@ -103,11 +110,55 @@
   event_splitter_release (&events);
 }
 
+/* Guards against forwarding bytes of another response as an event, and against
+   reading an id that is no number as one.  */
+static void
+test_what_is_no_event (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    int64_t id;
+  } cases[] = {
+    { "id: 7\n\n", 7 },
+    { "id:7\r\ndata\r\n\r\n", 7 },
+    { "weight-versions: 2\nid: 0\n\n", 0 },
+    { "id: 999999999999999999\n\n", 999999999999999999 },
+    { "id: 9223372036854775807\n\n", EVENT_MALFORMED },
+    { "data: x\n\n", EVENT_WITHOUT_ID },
+    { "id:\n\n", EVENT_WITHOUT_ID },
+    { "data\n\n", EVENT_WITHOUT_ID },
+    { ": x\n\n", EVENT_COMMENT },
+    { "\n", EVENT_COMMENT },
+    { "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n", EVENT_MALFORMED },
+    { "an error\n\n", EVENT_MALFORMED },
+    { "data: x\n{\"error\": 1}\n\n", EVENT_MALFORMED },
+    { "<html>\n\n", EVENT_MALFORMED },
+    { "id: x\n\n", EVENT_MALFORMED },
+    { "id: 2x\n\n", EVENT_MALFORMED },
+    { "id: -1\n\n", EVENT_MALFORMED },
+    { "id: 9223372036854775808\n\n", EVENT_MALFORMED },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct event_splitter events = { 0 };
+      struct recorded_events recorded = { 0 };
+
+      event_splitter_append (&events, cases[i].bytes, strlen (cases[i].bytes),
+                             record_event, &recorded);
+      CU_ASSERT_EQUAL (recorded.count, 1);
+      CU_ASSERT_EQUAL (recorded.ids[0], cases[i].id);
+      event_splitter_release (&events);
+    }
+}
+
 CU_TestInfo events_tests[] = {
   { "chunk boundaries do not affect events",
     test_chunk_boundaries_do_not_affect_events },
-  { "odd ids are none", test_odd_ids_are_none },
+  { "odd ids", test_odd_ids },
   { "the handler stops", test_handler_stops },
   { "an event without end", test_event_without_end },
+  { "what is no event", test_what_is_no_event },
   CU_TEST_INFO_NULL,
 };
