request, policy, common: an opened connection does not show that an endpoint answers

Cause: a connection that opened, also the bare one of a probe, cleared what the path's detector knew, and made the host offer its help to others, though nothing came back on it. Nothing else told such a path from a whole one.

Change: a path lacks answers once two requests in a row end on connections that were opened for them without a byte of the endpoint (fetch_result.unanswered), or once no endpoint of the service has sent this host anything for 1.5 s while its requests wait; a pause of the process does not count. Only a byte of the endpoint ends that. Requests go by way of other hosts then, as long as one offers that; without one the endpoint is used as before, so endpoints that fail requests while they are reachable are not given up. One request every 10 s tries the path, which alone can show that it is whole. After any failure a host offers its help only once it has heard the endpoint since. Frames are unchanged.

Costs: a host that waits 1.5 s for all endpoints of a service asks other hosts for help, every 150 ms at most, also where the endpoints are only slow.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -121,6 +121,19 @@
   free (fetch);
 }
 
+/* Whether the connection ended before a byte was received.  Bytes that are no
+   response give other codes.  */
+static bool
+is_unanswered (struct fetch *fetch, CURLcode code)
+{
+  long head_bytes = 0;
+
+  curl_easy_getinfo (fetch->easy, CURLINFO_HEADER_SIZE, &head_bytes);
+  return head_bytes == 0
+         && (code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR
+             || code == CURLE_SEND_ERROR);
+}
+
 static void
 complete_fetch (struct fetch *fetch, CURLcode code)
 {
@@ -147,6 +160,7 @@
       = code == CURLE_COULDNT_CONNECT || (result.timed_out && !result.sent);
   result.connection_opened
       = connections > 0 && result.sent && !result.connection_failed;
+  result.unanswered = connections > 0 && is_unanswered (fetch, code);
   result.resend_refused = fetch->resend_refused;
   result.reason = code == CURLE_OK && !result.complete
                       ? "the head of the response is incomplete"
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -28,6 +28,8 @@
   bool connection_refused; /* ECONNREFUSED */
   bool connection_opened;  /* a new one was opened for the transfer */
   bool connection_failed;  /* a new one could not be opened */
+  /* A new one was opened, and reset or closed without a byte. */
+  bool unanswered;
   bool aborted; /* aborted by its handler, or the body was too long */
   bool sent;    /* part of the request may have been sent */
   /* A reused connection was closed before a response, and the request not
--- a/include/request/path_monitor.h
+++ b/include/request/path_monitor.h
@@ -4,6 +4,7 @@
 #ifndef GALENA_REQUEST_PATH_MONITOR_H
 #define GALENA_REQUEST_PATH_MONITOR_H
 
+#include "common/fetch.h"
 #include "request/pool.h"
 #include <ev.h>
 #include <stdbool.h>
@@ -37,6 +38,10 @@
 void path_monitor_record (struct path_monitor *monitor,
                           struct pool_endpoint *endpoint, bool is_opened,
                           int64_t now_ms);
+void path_monitor_record_result (struct path_monitor *monitor,
+                                 struct pool_endpoint *endpoint,
+                                 const struct fetch_result *result,
+                                 int64_t now_ms);
 bool path_monitor_lacks_paths (const struct path_monitor *monitor);
 void path_monitor_verify (struct path_monitor *monitor, int64_t now_ms);
 bool path_monitor_is_verified (const struct path_monitor *monitor,
--- a/request/path_monitor.c
+++ b/request/path_monitor.c
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include <errno.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <stdlib.h>
@@ -24,6 +25,13 @@
      is unlikely. */
   BROKEN_SILENT_MS = 2000,
   CUT_OFF_SILENT_MS = 600,
+  /* Silence of a whole service, though requests wait for it, after which its
+     paths lack answers: longer than a sound endpoint pauses, and shorter than
+     the deadlines of the calls that wait. */
+  SERVICE_SILENT_MS = 1500,
+  /* After a longer time between ticks this process was paused, and what its
+     endpoints sent meanwhile has not been read yet. */
+  MAX_TICK_MS = 300,
   /* Several times what a busy endpoint is silent, and less than the time after
      which a crash is counted. */
   REACHED_MS = 500,
@@ -52,6 +60,8 @@
   bool is_failing;         /* connections to one of them fail */
   int64_t verified_ms; /* when one of them was last probed for other hosts */
   int64_t sampled_ms;  /* or because connections to another one fail */
+  int64_t heard_ms;    /* latest bytes of any of them */
+  int64_t waiting_since_ms; /* start of the longest wait; 0 for none */
 };
 
 struct path_monitor
@@ -63,7 +73,9 @@
   uint32_t broken;  /* endpoints without a path, at the last tick */
   uint32_t failing; /* endpoints to which connections fail, likewise */
   int64_t verify_until_ms;
-  GHashTable *services; /* name -> struct monitored_service */
+  int64_t ticked_ms;
+  int64_t steady_since_ms; /* when this process was last paused */
+  GHashTable *services;    /* name -> struct monitored_service */
 };
 
 /* Creates a monitor of the endpoints of a pool, which outlives it.  */
@@ -137,11 +149,18 @@
   return service;
 }
 
+static bool
+lacks_answers (const struct pool_endpoint *endpoint)
+{
+  return path_detector_lacks_answers (&endpoint->path,
+                                      endpoint->last_heard_ms);
+}
+
 /* Whether ENDPOINT was reached lately.  */
 static bool
 is_reached (const struct pool_endpoint *endpoint, int64_t now_ms)
 {
-  return endpoint->path.failures == 0
+  return endpoint->path.failures == 0 && !lacks_answers (endpoint)
          && now_ms - MAX (endpoint->last_heard_ms, endpoint->path.opened_ms)
                 <= REACHED_MS;
 }
@@ -200,6 +219,32 @@
   clear_suspects (monitor, endpoint->service);
 }
 
+/* Records what a request that this host sent to ENDPOINT itself tells about
+   its path.  */
+void
+path_monitor_record_result (struct path_monitor *monitor,
+                            struct pool_endpoint *endpoint,
+                            const struct fetch_result *result, int64_t now_ms)
+{
+  bool lacked = lacks_answers (endpoint);
+
+  if (!result->unanswered)
+    {
+      if (result->connection_opened || result->connection_failed)
+        path_monitor_record (monitor, endpoint, result->connection_opened,
+                             now_ms);
+      return;
+    }
+  path_detector_record_unanswered (&endpoint->path, endpoint->last_heard_ms,
+                                   now_ms);
+  monitor->failing++;
+  if (!lacked && lacks_answers (endpoint))
+    log_write (LOG_WARN, "path", NULL,
+               "connections to endpoint %s in data centre %s open and end "
+               "without an answer",
+               endpoint->id, endpoint->data_centre);
+}
+
 /* Ends a probe with the state of its socket.  */
 static void
 finish_probe (struct path_monitor *monitor, uint32_t index)
@@ -295,7 +340,7 @@
 {
   const struct path_detector *path = &endpoint->path;
 
-  if (path->is_doubted)
+  if (path->is_doubted && !lacks_answers (endpoint))
     return now_ms - path->probed_ms >= PATH_PROBE_INTERVAL_MS;
   if (!service->is_failing || service->is_reached
       || now_ms - service->sampled_ms < SAMPLE_INTERVAL_MS)
@@ -325,6 +370,8 @@
       service->paths = (struct pool_paths){ 0 };
       service->is_reached = false;
       service->is_failing = false;
+      service->heard_ms = 0;
+      service->waiting_since_ms = 0;
     }
   monitor->broken = 0;
   monitor->failing = 0;
@@ -340,11 +387,58 @@
           = service->is_reached || is_reached (endpoint, now_ms);
       monitor->broken += endpoint->path.is_broken;
       service->is_failing = service->is_failing || endpoint->path.failures > 0;
-      monitor->failing += endpoint->path.failures > 0 || endpoint->unreachable;
+      monitor->failing += endpoint->path.failures > 0 || endpoint->unreachable
+                          || lacks_answers (endpoint);
+      service->heard_ms = MAX (service->heard_ms, endpoint->last_heard_ms);
+      if (endpoint->direct > 0
+          && (!service->waiting_since_ms
+              || endpoint->direct_since_ms < service->waiting_since_ms))
+        service->waiting_since_ms = endpoint->direct_since_ms;
     }
   g_hash_table_foreach_remove (monitor->services, is_unlisted, NULL);
 }
 
+/* Records whether the endpoint's whole service is silent though requests of
+   this host wait for it.  */
+static void
+watch_silence (struct path_monitor *monitor, struct pool_endpoint *endpoint,
+               const struct monitored_service *service, int64_t now_ms)
+{
+  struct path_detector *path = &endpoint->path;
+  int64_t since_ms = MAX (service->heard_ms, service->waiting_since_ms);
+
+  if (path->is_silent && service->heard_ms > path->unanswered_ms)
+    path->unanswered = 0;
+  if (!service->waiting_since_ms || endpoint->unreachable
+      || now_ms - MAX (since_ms, monitor->steady_since_ms) < SERVICE_SILENT_MS)
+    return;
+  if (!lacks_answers (endpoint))
+    log_write (LOG_WARN, "path", NULL,
+               "no endpoint of service %s has sent this host anything for "
+               "%" PRId64 " ms; other hosts send to endpoint %s if they can",
+               endpoint->service, now_ms - since_ms, endpoint->id);
+  path_detector_record_silent (path, now_ms);
+}
+
+/* Whether requests for ENDPOINT should go another way.  One that lacks answers
+   takes requests as long as no other host does.  */
+static bool
+is_doubtful (const struct path_monitor *monitor,
+             const struct pool_endpoint *endpoint,
+             const struct monitored_service *service, int64_t now_ms)
+{
+  const struct path_detector *path = &endpoint->path;
+
+  if (path->is_broken)
+    return false;
+  if (lacks_answers (endpoint) && !path_detector_is_trial_due (path, now_ms)
+      && monitor->options.is_reached_elsewhere (monitor->options.data,
+                                                endpoint->service))
+    return true;
+  return is_cut_off (service)
+         && (path->is_doubted || !is_reached (endpoint, now_ms));
+}
+
 static void
 tick_endpoint (struct path_monitor *monitor, struct pool_endpoint *endpoint,
                uint32_t *started, int64_t now_ms)
@@ -357,8 +451,8 @@
       = is_cut_off (service) ? CUT_OFF_SILENT_MS : BROKEN_SILENT_MS;
   struct path_detector *path = &endpoint->path;
 
-  path->is_doubted = is_cut_off (service) && !path->is_broken
-                     && (path->is_doubted || !is_reached (endpoint, now_ms));
+  watch_silence (monitor, endpoint, service, now_ms);
+  path->is_doubted = is_doubtful (monitor, endpoint, service, now_ms);
   if (endpoint->path.is_broken && silent_ms >= max_silent_ms)
     options->handle_broken (options->data, endpoint, max_silent_ms);
   if (*started >= MAX_STARTED || monitor->probe_count >= MAX_PROBES)
@@ -388,6 +482,9 @@
   size_t count = pool_count (pool);
   uint32_t started = 0;
 
+  if (now_ms - monitor->ticked_ms > MAX_TICK_MS)
+    monitor->steady_since_ms = now_ms;
+  monitor->ticked_ms = now_ms;
   end_late_probes (monitor, now_ms);
   count_services (monitor, now_ms);
   for (size_t i = 0; i < count; i++)
@@ -411,13 +508,17 @@
   monitor->verify_until_ms = now_ms + VERIFY_MS;
 }
 
-/* Whether a connection to ENDPOINT was opened lately and none has failed
-   since.  */
+/* Whether ENDPOINT was heard lately, or a connection to it opened.  After a
+   failure only a byte of the endpoint counts: connections also open where
+   nothing comes back.  */
 bool
 path_monitor_is_verified (const struct path_monitor *monitor,
                           const struct pool_endpoint *endpoint, int64_t now_ms)
 {
   return !endpoint->unreachable && !endpoint->path.is_broken
          && endpoint->path.failures == 0
-         && now_ms - endpoint->path.opened_ms <= VERIFIED_MS;
+         && (!endpoint->path.failed_ms
+             || endpoint->last_heard_ms > endpoint->path.failed_ms)
+         && now_ms - MAX (endpoint->path.opened_ms, endpoint->last_heard_ms)
+                <= VERIFIED_MS;
 }
--- a/request/pool.c
+++ b/request/pool.c
@@ -939,6 +939,7 @@
 {
   if (endpoint->direct++ == 0)
     endpoint->direct_since_ms = now_ms;
+  path_detector_record_sent (&endpoint->path, endpoint->last_heard_ms, now_ms);
 }
 
 /* Records the end of a request that began with pool_begin_direct.  */
--- a/request/relay_server.c
+++ b/request/relay_server.c
@@ -321,9 +321,7 @@
 {
   struct path_monitor *monitor = relay->server->options.monitor;
 
-  if (result->connection_opened || result->connection_failed)
-    path_monitor_record (monitor, relay->endpoint, result->connection_opened,
-                         now_ms);
+  path_monitor_record_result (monitor, relay->endpoint, result, now_ms);
   if (result->status > 0 && result->complete)
     observe_head (relay, result->status);
   if (result->complete)
--- a/request/request.c
+++ b/request/request.c
@@ -918,8 +918,8 @@
     log_write (LOG_WARN, "request", NULL,
                "no connection to endpoint %s in data centre %s: %s",
                endpoint->id, endpoint->data_centre, result->reason);
-  if (monitor && (result->connection_opened || result->connection_failed))
-    path_monitor_record (monitor, endpoint, result->connection_opened, now_ms);
+  if (monitor)
+    path_monitor_record_result (monitor, endpoint, result, now_ms);
 }
 
 /* Records a refusal.  One for want of a slot is no error.  */
