request: a host that is the spare holder asks the primary one again, as others do

Cause: an answer of the primary holder that is read after a pause is too old, so the spare one is asked. It does not decide until it knows that the primary one is silent, and says so; a host that asked it over the mesh then asks the primary one again. A host that is the spare holder itself took the same answer of its own for a denial, and for half a second each further request was denied in the same way.

Change: such a host asks the primary holder again, too, once a question.

--- a/request/endpoint_limiter.c
+++ b/request/endpoint_limiter.c
@@ -409,8 +409,10 @@
     endpoint->permit_after_ms = now_ms + MAX (permit->wait_ms, 1);
 }
 
-/* Asks the holder in ASK's role, or the spare one if that fails.  Sets PERMIT
-   unless the result is PERMIT_PENDING.  */
+/* Asks the holder in ASK's role, or the spare one if that fails.  Where this
+   host is the spare one and does not decide, it asks the primary one again, as
+   other hosts do when they are told so.  Sets PERMIT unless the result is
+   PERMIT_PENDING.  */
 static enum permit_verdict
 ask_holder (struct permit_ask *ask, const struct pool_endpoint *endpoint,
             int64_t now_ms, Peer__EndpointPermit *permit)
@@ -436,6 +438,13 @@
           decide (limiter, shared, ask->role, named_milli, ask->max_wait_ms,
                   now_ms, permit);
         }
+      if (permit->is_primary_alive && !ask->has_asked_again)
+        {
+          permit->is_primary_alive = false;
+          ask->has_asked_again = true;
+          ask->role = ENDPOINT_LIMIT_PRIMARY;
+          return ask_holder (ask, endpoint, now_ms, permit);
+        }
       return permit->is_granted ? PERMIT_GRANTED : PERMIT_DENIED;
     }
   question.nonce = ask->nonce;
--- a/test/unit/test_late_tick.c
+++ b/test/unit/test_late_tick.c
@@ -9,8 +9,18 @@
 enum
 {
   LIMIT_MILLI = 8000,
+  HIGH_LIMIT_MILLI = 200000, /* turns come at once */
   TICK_MS = 50,
   PAUSE_MS = 160, /* of the host, between two ticks */
+  /* Longer than a permit is valid. */
+  LONG_PAUSE_MS = 400,
+  /* The spare takes over 300 ms after it has begun to ask; the question that
+     shows the silence, and the one that finds it over, take 100 ms each.  It
+     permits a second's requests less, as its predecessor may have permitted
+     them. */
+  REPLACE_MS = 1500,
+  /* After a change of the hosts, until holders permit their whole share. */
+  SETTLED_MS = 10000,
   START_MS = 100000,
 };
 
@@ -164,9 +174,87 @@
   release_host (&asking);
 }
 
+/* Makes the host itself the spare holder, and h1 the primary one.  */
+static void
+make_spare (struct asking_host *asking)
+{
+  static const struct host_location hosts[] = { { "h0", "a" }, { "h1", "b" } };
+
+  endpoint_limiter_set_hosts (asking->limiter, hosts, G_N_ELEMENTS (hosts),
+                              START_MS);
+}
+
+static enum permit_verdict
+acquire (struct asking_host *asking, int64_t now_ms)
+{
+  struct permit_query query = { .endpoint = pool_at (asking->pool, 0),
+                                .max_wait_ms = 600,
+                                .handler = handle_result,
+                                .data = asking };
+  struct permit_ask *pending = NULL;
+  int64_t wait_ms;
+
+  return endpoint_limiter_acquire (asking->limiter, &query, now_ms, &wait_ms,
+                                   &pending);
+}
+
+/* Guards against requests that are refused after a pause of a host that is the
+   spare holder: it denied them while it did not know yet whether the primary
+   holder answers, instead of asking that one again.  */
+static void
+test_spare_asks_the_primary_again (void)
+{
+  struct asking_host asking;
+  int64_t now_ms = START_MS + TICK_MS;
+
+  create_host (&asking);
+  make_spare (&asking);
+  ask (&asking, now_ms);
+  now_ms += LONG_PAUSE_MS;
+  answer (&asking, now_ms);
+  CU_ASSERT_EQUAL (asking.results, 0);
+  CU_ASSERT_EQUAL (asking.questions, 2);
+  answer (&asking, now_ms + 1);
+  CU_ASSERT_EQUAL (asking.results, 1);
+  CU_ASSERT (asking.is_granted);
+  CU_ASSERT_EQUAL (acquire (&asking, now_ms + 2), PERMIT_PENDING);
+  CU_ASSERT_EQUAL (asking.questions, 3);
+  answer (&asking, now_ms + 3);
+  CU_ASSERT_EQUAL (asking.results, 2);
+  CU_ASSERT (asking.is_granted);
+  release_host (&asking);
+}
+
+/* Guards against a spare holder that waits for a silent primary one for
+   ever.  */
+static void
+test_silent_primary_is_replaced (void)
+{
+  struct asking_host asking;
+  int64_t start_ms = START_MS + SETTLED_MS;
+  int64_t now_ms = start_ms;
+  enum permit_verdict verdict = PERMIT_PENDING;
+
+  create_host (&asking);
+  make_spare (&asking);
+  pool_at (asking.pool, 0)->limit_milli = HIGH_LIMIT_MILLI;
+  for (; verdict != PERMIT_GRANTED && !asking.is_granted
+         && now_ms <= start_ms + REPLACE_MS;
+       now_ms += TICK_MS)
+    {
+      endpoint_limiter_tick (asking.limiter, now_ms);
+      verdict = acquire (&asking, now_ms);
+    }
+  CU_ASSERT (verdict == PERMIT_GRANTED || asking.is_granted);
+  release_host (&asking);
+}
+
 CU_TestInfo late_tick_tests[] = {
   { "a pause of this host is no silence of a holder",
     test_pause_is_no_silence },
   { "a holder is silent after a pause", test_silence_after_a_pause },
+  { "a spare holder asks the primary one again after a pause",
+    test_spare_asks_the_primary_again },
+  { "a silent primary holder is replaced", test_silent_primary_is_replaced },
   CU_TEST_INFO_NULL,
 };
