request: the time that silent holders take counts as a request's wait

Traced with seeds (the draws of the simulated hosts come from a seed now, which is printed; COLD_SEED sets it). Each question to a silent holder takes 60 to 110 ms until the spare one answers. A request stops asking holders of cold endpoints after one that took 100 ms, which most such questions do not: seed 23, with the second cause mended already, asked four of them in 392 ms. And the last one, with a turn to wait for, was passed to the spare holder with the whole wait of 300 ms after 100 ms had passed: seed 1 arrived at a full endpoint 572 ms after it began.

Change: a question that takes the holders' time-out (60 ms) or longer has met a silent one (ENDPOINT_LIMITER_ASK_TIMEOUT_MS, one constant for both), and the wait that is left after it is what the next holder may use.

The test's model was wrong in one respect. Now only the time in which the host runs counts, and refusals of hosts that were paused are held to the same bound.

--- a/include/request/endpoint_limiter.h
+++ b/include/request/endpoint_limiter.h
@@ -18,6 +18,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  /* A holder answers within a few milliseconds; after this time it counts as
+     silent, and the spare one is asked.  A question that takes longer has met
+     a silent holder. */
+  ENDPOINT_LIMITER_ASK_TIMEOUT_MS = 60,
+};
+
 struct endpoint_limiter;
 struct permit_ask; /* a question to a holder */
 
--- a/request/endpoint_limiter.c
+++ b/request/endpoint_limiter.c
@@ -13,10 +13,9 @@
 
 enum
 {
-  /* A holder answers within a few milliseconds.  A tick that comes later than
-     this follows a pause of this host, in which answers may have arrived that
-     it has not read. */
-  ASK_TIMEOUT_MS = 60,
+  /* A tick that comes later than this follows a pause of this host, in which
+     answers may have arrived that it has not read. */
+  ASK_TIMEOUT_MS = ENDPOINT_LIMITER_ASK_TIMEOUT_MS,
   /* Of a permit, from the question to the send: one that arrives later, as to
      a host that was suspended, belongs to a time that has passed. */
   PERMIT_LIFETIME_MS = 250,
@@ -69,8 +68,9 @@
   uint64_t nonce;
   uint64_t endpoint;
   enum endpoint_limit_role role; /* of the holder that was asked */
-  int64_t asked_ms;              /* this holder */
-  bool has_asked_again;          /* the primary, after the spare */
+  int64_t begun_ms;
+  int64_t asked_ms;     /* this holder */
+  bool has_asked_again; /* the primary, after the spare */
   int64_t max_wait_ms;
   permit_handler *handler;
   void *data;
@@ -409,6 +409,17 @@
     endpoint->permit_after_ms = now_ms + MAX (permit->wait_ms, 1);
 }
 
+/* Returns how long the request may wait for its turn: the time for which a
+   silent holder was asked counts.  0 stands for no wait at all and other
+   shares of the limit, so the rest of a wait is not 0.  */
+static int64_t
+left_wait_ms (const struct permit_ask *ask, int64_t now_ms)
+{
+  if (ask->max_wait_ms == 0)
+    return 0;
+  return MAX (ask->max_wait_ms - (now_ms - ask->begun_ms), 1);
+}
+
 /* Asks the holder in ASK's role, or the spare one if that fails.  Where this
    host is the spare one and does not decide, it asks the primary one again, as
    other hosts do when they are told so.  Sets PERMIT unless the result is
@@ -435,8 +446,8 @@
       if (shared)
         {
           record_cold (limiter, shared, &endpoint->cold, now_ms);
-          decide (limiter, shared, ask->role, named_milli, ask->max_wait_ms,
-                  now_ms, permit);
+          decide (limiter, shared, ask->role, named_milli,
+                  left_wait_ms (ask, now_ms), now_ms, permit);
         }
       if (permit->is_primary_alive && !ask->has_asked_again)
         {
@@ -454,7 +465,7 @@
   if (endpoint->cold.revision > 0)
     question.cold
         = endpoint_notices_pack_cold (&cold, &endpoint->cold, now_ms);
-  question.max_wait_ms = (uint32_t)ask->max_wait_ms;
+  question.max_wait_ms = (uint32_t)left_wait_ms (ask, now_ms);
   frame.body_case = PEER__FRAME__BODY_ENDPOINT_ASK;
   frame.endpoint_ask = &question;
   if (holder && transport->vtable->send (transport, holder->name, &frame))
@@ -505,6 +516,7 @@
     .role = now_ms < endpoint->holder_silent_until_ms ? ENDPOINT_LIMIT_SPARE
                                                       : ENDPOINT_LIMIT_PRIMARY,
     .max_wait_ms = query->max_wait_ms,
+    .begun_ms = now_ms,
     .handler = query->handler,
     .data = query->data,
   };
--- a/request/request.c
+++ b/request/request.c
@@ -40,7 +40,6 @@
      under way have a third of their time, since their work would be lost. */
   MAX_FIRST_EVENT_MS = 500,
   MAX_CACHE_WAIT_MS = 300, /* for an endpoint that has the prompt cached */
-  SILENT_HOLDER_MS = 100,  /* an answer takes some milliseconds */
   MAX_DENIALS = 4,         /* then only endpoints without a limit are tried */
   MIN_PERMIT_RETRY_MS = 100,  /* an earlier retry would find the limits used */
   MAX_PERMIT_RETRY_MS = 1500, /* callers wait a few seconds in total */
@@ -1381,7 +1380,8 @@
                       const struct pool_endpoint *endpoint)
 {
   if (!endpoint || !endpoint->is_cold
-      || clock_now_ms () - request->permit_asked_ms < SILENT_HOLDER_MS)
+      || clock_now_ms () - request->permit_asked_ms
+             < ENDPOINT_LIMITER_ASK_TIMEOUT_MS)
     return;
   request->denials = MAX (request->denials, MAX_DENIALS);
   request->has_awaited_permit = true;
--- a/test/unit/test_cold_fleet.c
+++ b/test/unit/test_cold_fleet.c
@@ -4,6 +4,8 @@
 #include "policy/endpoint_limit.h"
 #include "request/endpoint_limiter.h"
 #include "suites.h"
+#include <inttypes.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -36,10 +38,10 @@
   MIN_USED = 15,
   MAX_TRIES = 4,
   MAX_WAIT_MS = 300,
-  SILENT_HOLDER_MS = 100,
   /* As for endpoints that name limits (test_endpoint_limits.c): the wait for a
      turn, and 250 ms. */
   REFUSE_MS = MAX_WAIT_MS + 250,
+  DEFAULT_SEED = 10, /* with which the bound of refusals was exceeded once */
 };
 
 struct fleet;
@@ -54,7 +56,8 @@
   struct pool *pool;
   struct endpoint_limiter *limiter; /* NULL: killed */
   bool is_paused;
-  bool is_cut; /* from all hosts; endpoints are reached */
+  int64_t paused_ms; /* in all */
+  bool is_cut;       /* from all hosts; endpoints are reached */
   int64_t list_due_ms;
   int64_t received_ms[HOSTS];
 };
@@ -80,6 +83,7 @@
   bool waits;
   int64_t begun_ms;
   int64_t asked_ms;
+  int64_t paused_ms; /* of the host, before it began */
   struct fleet_request *next;
 };
 
@@ -125,6 +129,46 @@
   return fleet->seed;
 }
 
+/* State of what the hosts draw.  */
+static uint64_t host_seed;
+
+static uint32_t
+draw_word (void)
+{
+  host_seed = id_hash64 (&host_seed, sizeof host_seed, 2);
+  return (uint32_t)host_seed;
+}
+
+static void
+draw_bytes (void *const out, const size_t len)
+{
+  uint8_t *bytes = out;
+
+  for (size_t i = 0; i < len; i++)
+    bytes[i] = (uint8_t)(draw_word () >> 8);
+}
+
+static const char *
+drawing_name (void)
+{
+  return "seeded, for simulations";
+}
+
+/* What the hosts draw themselves, as nonces and choices between endpoints, is
+   repeatable, too.  The environment variable COLD_SEED sets another seed.  */
+static void
+seed_hosts (void)
+{
+  static randombytes_implementation drawing = {
+    .implementation_name = drawing_name, .random = draw_word, .buf = draw_bytes
+  };
+  const char *seed = getenv ("COLD_SEED");
+
+  host_seed = seed ? strtoull (seed, NULL, 10) : DEFAULT_SEED;
+  printf ("(seed %" PRIu64 ") ", host_seed);
+  randombytes_set_implementation (&drawing);
+}
+
 static struct event *
 schedule (struct fleet *fleet, enum event_kind kind, int64_t delay_ms)
 {
@@ -261,7 +305,8 @@
 {
   struct fleet *fleet = xcalloc (1, sizeof *fleet);
 
-  fleet->seed = 3;
+  seed_hosts ();
+  fleet->seed = id_hash64 (&host_seed, sizeof host_seed, 3);
   fleet->requests_per_s = REQUESTS_PER_S;
   fleet->now_ms = 100000;
   fleet->counted_from_ms = INT64_MAX;
@@ -303,6 +348,7 @@
       fleet->requests = next;
     }
   free (fleet);
+  randombytes_set_implementation (&randombytes_sysrandom_implementation);
 }
 
 static void dispatch (struct fleet_request *request);
@@ -329,7 +375,7 @@
       send_request (request, wait_ms);
       return;
     }
-  if (fleet->now_ms - request->asked_ms >= SILENT_HOLDER_MS)
+  if (fleet->now_ms - request->asked_ms >= ENDPOINT_LIMITER_ASK_TIMEOUT_MS)
     {
       request->tries = MAX_TRIES;
       request->waits = true;
@@ -341,10 +387,11 @@
 refuse (struct fleet_request *request)
 {
   struct fleet *fleet = request->host->fleet;
-  int64_t taken_ms = fleet->now_ms - request->begun_ms;
+  int64_t paused_ms = request->host->paused_ms - request->paused_ms;
+  int64_t taken_ms = fleet->now_ms - request->begun_ms - paused_ms;
 
   fleet->refused++;
-  if (!request->host->is_paused && taken_ms > fleet->slowest_refusal_ms)
+  if (taken_ms > fleet->slowest_refusal_ms)
     fleet->slowest_refusal_ms = taken_ms;
 }
 
@@ -398,6 +445,7 @@
   request = xcalloc (1, sizeof *request);
   request->host = host;
   request->begun_ms = fleet->now_ms;
+  request->paused_ms = host->paused_ms;
   request->next = fleet->requests;
   fleet->requests = request;
   fleet->begun++;
@@ -541,6 +589,7 @@
         {
           struct fleet_host *host = &fleet->hosts[i];
 
+          host->paused_ms += host->is_paused;
           if (!host->limiter || host->is_paused)
             continue;
           if (host->list_due_ms && host->list_due_ms <= fleet->now_ms)
