caller, program: log refusals of the own interface

Change: each refusal, also one that ends a stream as an event, is a line of module caller with the request, program and customer, the kind of the error, its message, the method and path, and how often the request was passed on. Keys and cursors are not part of it.

--- a/caller/api.c
+++ b/caller/api.c
@@ -1,8 +1,15 @@
 #include "caller/api.h"
 #include "common/counters.h"
+#include "common/log.h"
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  MAX_LOGGED_PATH_BYTES = 60, /* so that a line holds the whole message */
+};
+
 /* Frees the string in SLOT and replaces it with a copy of VALUE.  */
 void
 api_set_string (char **slot, const char *value)
@@ -64,13 +71,39 @@
   api_end (request);
 }
 
-/* Sends ERROR as the response and counts it.  May free the request.  */
+/* Counts ERROR, which REQUEST ends with, and logs which request this host
+   refused and why.  The path and the message may contain any bytes of the
+   caller.  */
+void
+api_record_refusal (const struct api_request *request,
+                    const struct error *error)
+{
+  struct log_ids ids = { .request = request->id,
+                         .program = request->program,
+                         .customer = request->customer && *request->customer
+                                         ? request->customer
+                                         : NULL };
+  const char *full_path = request->path ? request->path : "";
+  char *path = g_utf8_make_valid (
+      full_path, (gssize)strnlen (full_path, MAX_LOGGED_PATH_BYTES));
+  char *message = g_utf8_make_valid (error->message, -1);
+
+  counter_add_refusal (error->kind);
+  log_write (LOG_INFO, "caller", &ids, "refused: %s: %s (%s, %s %s, %u hops)",
+             error_kind_name (error->kind), message,
+             error_run_name (error->run),
+             request->method ? request->method : "", path, request->hops);
+  g_free (message);
+  g_free (path);
+}
+
+/* Sends ERROR as the response.  May free the request.  */
 void
 api_respond_error (struct api_request *request, const struct error *error)
 {
   char *body = error_to_json (error);
 
-  counter_add_refusal (error->kind);
+  api_record_refusal (request, error);
   request->retry_after_ms = error->retry_after_ms;
   api_respond (request, error_http_status (error->kind), "application/json",
                body, strlen (body));
--- a/include/caller/api.h
+++ b/include/caller/api.h
@@ -70,6 +70,8 @@
                   const char *content_type, const void *body, size_t len);
 void api_respond_error (struct api_request *request,
                         const struct error *error);
+void api_record_refusal (const struct api_request *request,
+                         const struct error *error);
 void api_request_release (struct api_request *request);
 void api_set_string (char **slot, const char *value);
 
--- a/program/waiter.c
+++ b/program/waiter.c
@@ -1,5 +1,4 @@
 #include "program/waiter.h"
-#include "common/counters.h"
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -283,7 +282,7 @@
       api_respond_error (request, error);
       return;
     }
-  counter_add_refusal (error->kind);
+  api_record_refusal (request, error);
   text = error_to_json (error);
   buf_printf (&out, "event: error\ndata: %s\n\n", text);
   if (cursor)
--- a/test/functional/bad_input.sh
+++ b/test/functional/bad_input.sh
@@ -94,6 +94,11 @@
 [ "$crashes" -le 2 ] || fail "$crashes engines crashed"
 pass "it crashed $crashes engines"
 
+# Guards against refusals of which no log tells which host refused what, and why.
+expect "a refusal is logged" '"module":"caller","host":"a1","message":"refused: not_found: unknown path .*not_run, GET /v1/nothing, 0 hops' \
+  "$(cat "$FLEET_DIR/a1.log")"
+expect "a refused call is logged with its program" '"message":"refused: request_crashes_endpoints: .*/calls' "$(cat "$FLEET_DIR"/*.log)"
+
 grep -rlE "$HANMAE|$KAJASTE" "$FLEET_DIR"/*.log && fail "a log contains a key"
 pass "no log contains a key"
 for port in 1 2 3; do
