platform: changes that are longer than a reply make a watch list its kind again

After the store was slow or away, one reply to a watch has each version of the configuration that was written meanwhile. Ten versions of 475 KB exceed the 4 MB that a call takes; the host that follows the store then repeated the same call for ever, and the fleet kept the old version until the history was gone.

The watch lists the kind instead, which has the newest objects only.

--- a/include/platform/store_client.h
+++ b/include/platform/store_client.h
@@ -37,6 +37,7 @@
                   may have been executed */
   /* The body, which may be anything; valid during the handler only. */
   struct json_span text;
+  bool is_too_long; /* the body was not taken as a whole */
 };
 
 typedef void store_reply_handler (void *data, const struct store_reply *reply);
--- a/test/unit/test_watch.c
+++ b/test/unit/test_watch.c
@@ -15,9 +15,10 @@
   MAX_LOOP_MS = 10000,
   DEEP_LEVELS = 3000, /* more than jansson parses */
   LONG_NAME_BYTES = 600,
-  LARGE_ENTRY_BYTES = 300 * 1024, /* no entry of an endpoint is as large */
-  GRACE_MS = 60000,               /* longer than the test */
-  WAIT_MS = 200,                  /* of a watch call */
+  LARGE_ENTRY_BYTES = 300 * 1024,     /* no entry of an endpoint is as large */
+  LONG_REPLY_BYTES = 5 * 1024 * 1024, /* more than a call takes */
+  GRACE_MS = 60000,                   /* longer than the test */
+  WAIT_MS = 200,                      /* of a watch call */
 };
 
 /* A store with one object, and a watch of it. */
@@ -35,8 +36,9 @@
   /* Replies in place of those with one object; NULL for none. */
   const char *list;
   const char *next_page; /* of the list, after the first */
-  const char *events;    /* once */
-  char after[1024];      /* what the last request for a page asked for */
+  const char *events;    /* once, unless they are kept */
+  bool keeps_events;
+  char after[1024]; /* what the last request for a page asked for */
 };
 
 static void
@@ -65,7 +67,8 @@
   if (fixture->events && body == nothing)
     {
       body = fixture->events;
-      fixture->events = NULL;
+      if (!fixture->keeps_events)
+        fixture->events = NULL;
     }
   if (fixture->is_down)
     httpd_respond (request, 503, "text/plain", "", 0);
@@ -521,6 +524,38 @@
     }
 }
 
+static bool
+has_new_object (const struct fixture *fixture)
+{
+  return table_find (fixture->table, "new") != NULL;
+}
+
+/* Guards against a watch that asks for ever for changes which exceed the
+   length of a reply, as several versions of a wide configuration do after the
+   store was slow: the list has the newest objects only.  */
+static void
+test_changes_longer_than_a_reply (void)
+{
+  static const char begin[] = "{\"events\": [], \"store_revision\": 2";
+  struct fixture fixture;
+  char *events = xcalloc (1, LONG_REPLY_BYTES + 1);
+
+  memset (events, ' ', LONG_REPLY_BYTES);
+  memcpy (events, begin, sizeof begin - 1);
+  events[LONG_REPLY_BYTES - 1] = '}';
+  fixture_open (&fixture);
+  run_until (&fixture, is_listed);
+  fixture.list = "{\"items\": [{\"metadata\": {\"name\": \"new\","
+                 " \"rev\": 2}}], \"store_revision\": 2}";
+  fixture.events = events;
+  fixture.keeps_events = true;
+  watch_set_active (fixture.watch, true);
+  run_until (&fixture, has_new_object);
+  CU_ASSERT_FALSE (is_failing (&fixture));
+  fixture_close (&fixture);
+  free (events);
+}
+
 CU_TestInfo watch_tests[]
     = { { "no grace period after a rest", test_no_grace_after_a_rest },
         { "a grace period after an outage", test_grace_after_an_outage },
@@ -533,4 +568,5 @@
         { "a list without progress fails", test_list_without_progress_fails },
         { "broken replies fail", test_broken_replies_fail },
         { "large objects are not parsed", test_large_objects_are_not_parsed },
+        { "changes longer than a reply", test_changes_longer_than_a_reply },
         CU_TEST_INFO_NULL };
