platform: an entry that cannot be read retires no keeper

What operators would see: a keeper that hands its ledger over and may be removed with its disk, because of an entry at retirements/NODE that cannot be read.

functional-platform also lists entries of another writer in the running hosts: one too large, one nested too deeply, one with the port 70000, one with an odd name and number. Each is counted once at both entry hosts, requests go on, and the hosts stop asking each other (a host that cannot agree asks every 200 ms, so no 2 s are quiet).

--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -133,6 +133,39 @@
 wait_for "the second host knows all hosts" \
   'grep -q "2 entry hosts and 3 other keepers" "$FLEET_DIR/b1.log"'
 
+# Entries of another writer: each is counted once at each host, requests go on,
+# and hosts agree on what is in the list, so that none asks for it again.
+metric () { curl -s "http://127.0.0.1:$((FLEET_BASE_PORT + 300 + $1))/metrics" | sed -n "s/^galenashore_$2 //p"; }
+{
+  printf '{"metadata": {"name": "odd-large"}, "spec": {"backend": "app", "list": [{}'
+  printf ',{}%.0s' $(seq 60000)
+  printf ']}}'
+} >"$FLEET_DIR/large"
+{
+  printf '{"metadata": {"name": "odd-deep"}, "spec": '
+  printf '[%.0s' $(seq 1500)
+  printf ']%.0s' $(seq 1500)
+  printf '}'
+} >"$FLEET_DIR/deep"
+create servers "@$FLEET_DIR/large"
+create servers "@$FLEET_DIR/deep"
+create servers '{"metadata": {"name": "odd-port"}, "spec": {"backend": "app", "address": "127.0.0.1:70000",
+ "zone": "dc-a", "version": "v1", "max_concurrency": 8, "state": "ready"}}'
+create servers '{"metadata": {"name": "odd & name#%"}, "spec": {"backend": "app", "address": "127.0.0.1:80",
+ "zone": "dc-a", "version": "v1", "max_concurrency": 8.5e300, "state": "ready"}}'
+wait_for "the first host counts odd entries" '[ "$(metric 1 objects_unreadable)" = 5 ]'
+wait_for "the second host counts odd entries" '[ "$(metric 2 objects_unreadable)" = 5 ]'
+# Each revision of the store may be asked for once; a host that cannot agree
+# asks every 200 ms.
+asked () { echo $(($(metric 1 feed_requests) + $(metric 2 feed_requests))); }
+nobody_asks () { local before; before=$(asked); sleep 2; [ "$(asked)" = "$before" ]; }
+agreed=no
+for _ in 1 2 3 4 5; do nobody_asks && agreed=yes && break; done
+expect "hosts agree on a list with odd entries" yes "$agreed"
+for i in 1 2 3 4; do
+  expect "requests are answered beside odd entries" '^200$' "$(send_request $((i % 2 + 1)) /note/x key-1)"
+done
+
 # Routes, keys and the headers that endpoints receive.
 expect "a plain request is answered" '^200$' "$(send_request 1 '/note/x?a=%2F' key-1)"
 expect "the request target is unchanged" '/note/x\?a=%2F' "$(send_request 1 '/note/x?a=%2F' key-2)"
@@ -234,6 +267,13 @@
 wait_for "all keepers are known" \
   '[ "$(tail -n 3 "$FLEET_DIR/ka.log" | grep -c "2 other keepers")" -gt 0 ]'
 
+# An entry that cannot be read retires no keeper.
+sed 's/odd-deep/kb/' "$FLEET_DIR/deep" >"$FLEET_DIR/deep-retirement"
+create retirements "@$FLEET_DIR/deep-retirement"
+wait_for "an odd retirement is not used" \
+  'grep -q "object kb of kind retirements, .* is not used" "$FLEET_DIR/kb.log"'
+if grep -q "retirement requested" "$FLEET_DIR/kb.log"; then fail "an odd entry retires a keeper"; fi
+
 # A keeper is retired: its ledger moves to the others.
 create retirements '{"metadata": {"name": "kc"}, "spec": {"duration_s": 10}}'
 wait_for "a retired keeper reports completion" \
