common, platform, request: keepers' tables fit their memory; relays are counted

What callers would see: a keeper or an entry host that ends for lack of memory. Cause: a keeper's tables had bounds of their own (24 MB of texts, 100,000 turns, 65,536 streams, 12 MB that wait for the disk: about 62 MB), whatever its memory; requests of other hosts that an entry host sends on, 256 with bodies of up to 8 MB, were not counted.

A relay counts with 24 KB and its request's body as held for callers, and is refused as busy if they have no room; the origin sends the request elsewhere.

The ledger, and the 12 MB that wait for a disk, still have no account.

No test of its own counts a relay.

--- a/common/memory.c
+++ b/common/memory.c
@@ -44,12 +44,12 @@
 /* Shares of a host that serves callers, and of one that stores turns. */
 static const struct account accounts[MEMORY_ACCOUNT_COUNT] = {
   [MEMORY_CALLERS] = { "callers", { 34, 1 } },
-  [MEMORY_RESPONSES] = { "responses", { 11, 4 } },
-  [MEMORY_LINKS_OUT] = { "links_out", { 14, 20 } },
-  [MEMORY_LINKS_IN] = { "links_in", { 9, 15 } },
-  [MEMORY_MESSAGES] = { "messages", { 5, 5 } },
-  [MEMORY_CONFIG] = { "config", { 13, 5 } },
-  [MEMORY_TABLES] = { "tables", { 6, 40 } },
+  [MEMORY_RESPONSES] = { "responses", { 11, 3 } },
+  [MEMORY_LINKS_OUT] = { "links_out", { 14, 18 } },
+  [MEMORY_LINKS_IN] = { "links_in", { 9, 12 } },
+  [MEMORY_MESSAGES] = { "messages", { 5, 4 } },
+  [MEMORY_CONFIG] = { "config", { 13, 4 } },
+  [MEMORY_TABLES] = { "tables", { 6, 50 } },
 };
 
 static uint64_t used_bytes[MEMORY_ACCOUNT_COUNT];
--- a/request/relay_server.c
+++ b/request/relay_server.c
@@ -12,8 +12,10 @@
 
 enum
 {
-  /* Some 10 MB for transfers; callers of this host are not bounded by it. */
   MAX_RELAYS = 256,
+  /* What a relay takes beside the body of its request: itself, its headers,
+     and its transfer from the endpoint. */
+  RELAY_BYTES = 24 * 1024,
   /* A loop that comes round this late several times in a row has too much to
      do for its own callers, and takes no more work of others for a while. */
   LATE_TICK_MS = 150,
@@ -40,6 +42,7 @@
   struct relay_origin *origin;
   uint64_t id; /* given by the origin */
   uint64_t fingerprint;
+  int64_t charged_bytes; /* to the callers' account */
   struct pool_endpoint *endpoint;
   struct fetch *fetch;
   int64_t sent_ms;
@@ -117,6 +120,7 @@
 
   if (relay->fetch)
     fetch_cancel (relay->fetch);
+  memory_add (MEMORY_CALLERS, -relay->charged_bytes);
   pool_end_direct (relay->endpoint);
   pool_release (server->options.pool, relay->endpoint);
   release_origin (server, relay->origin);
@@ -367,6 +371,12 @@
   relay_destroy (relay);
 }
 
+static int64_t
+relay_bytes (const Peer__RelaySend *send)
+{
+  return RELAY_BYTES + (int64_t)send->body.len;
+}
+
 /* Returns why a request is not sent, or RELAY_NOT_REFUSED.  */
 static enum relay_refusal
 check (const struct relay_server *server, const Peer__RelaySend *send,
@@ -424,6 +434,7 @@
   relay->fingerprint = send->fingerprint;
   relay->endpoint = endpoint;
   relay->sent_ms = now_ms;
+  relay->charged_bytes = relay_bytes (send);
   relay->may_run_again = !send->is_single_attempt || send->is_streamed;
   response_head_init (&relay->head);
   relay->names = g_ptr_array_new_with_free_func (free);
@@ -450,6 +461,9 @@
       = pool_find_start (server->options.pool, send->endpoint);
   enum relay_refusal refusal = check (server, send, endpoint, now_ms);
 
+  if (refusal == RELAY_NOT_REFUSED
+      && !memory_take (MEMORY_CALLERS, relay_bytes (send)))
+    refusal = RELAY_BUSY;
   if (refusal == RELAY_NOT_REFUSED)
     start_relay (server, host, send, endpoint, now_ms);
   else
