common: a new limit begins with enough memory

A process whose limit was set anew kept the state that had been measured against the one before, until the next measurement. Only tests set it twice.

Run: "memory" 7 of 7, with a check of this (not run without the change), "memory pressure" 5 of 5. A comment's claim of the time of malloc_trim, which was not measured, is gone.

--- a/common/memory.c
+++ b/common/memory.c
@@ -68,6 +68,7 @@
 
   process_limit_bytes = limit_bytes;
   process_profile = profile;
+  ck_pr_store_32 (&measured_state, MEMORY_ENOUGH);
   for (int i = 0; i < MEMORY_ACCOUNT_COUNT; i++)
     percent += accounts[i].percent[profile];
   return percent <= ALL_PERCENT
@@ -204,8 +205,7 @@
   mallopt (M_TRIM_THRESHOLD, TRIM_BYTES);
 }
 
-/* Returns what the allocator holds and nobody uses to the system.  Takes some
-   milliseconds for each 10 MB.  */
+/* Returns what the allocator holds and nobody uses to the system.  */
 void
 memory_return_free (void)
 {
--- a/test/unit/test_memory.c
+++ b/test/unit/test_memory.c
@@ -108,7 +108,9 @@
   CU_ASSERT_EQUAL (memory_measure (88 * percent_bytes), MEMORY_EXHAUSTED);
   CU_ASSERT_EQUAL (memory_measure (86 * percent_bytes), MEMORY_SHORT);
   CU_ASSERT_EQUAL (memory_measure (0), MEMORY_ENOUGH);
+  memory_measure (100 * percent_bytes);
   memory_set_limit (0, MEMORY_SERVES_CALLERS);
+  CU_ASSERT_EQUAL (memory_state (), MEMORY_ENOUGH);
   CU_ASSERT_EQUAL (memory_measure (INT64_MAX), MEMORY_ENOUGH);
 }
 
