--- a/common/memory.c
+++ b/common/memory.c
@@ -44,13 +44,13 @@
 /* Shares of a host that serves callers, and of one that stores turns. */
 static const struct account accounts[MEMORY_ACCOUNT_COUNT] = {
   [MEMORY_CALLERS] = { "callers", { 34, 1 } },
-  [MEMORY_RESPONSES] = { "responses", { 11, 4 } },
-  [MEMORY_LINKS_OUT] = { "links_out", { 12, 20 } },
-  [MEMORY_LINKS_IN] = { "links_in", { 9, 15 } },
-  [MEMORY_MESSAGES] = { "messages", { 5, 5 } },
+  [MEMORY_RESPONSES] = { "responses", { 11, 3 } },
+  [MEMORY_LINKS_OUT] = { "links_out", { 12, 18 } },
+  [MEMORY_LINKS_IN] = { "links_in", { 9, 12 } },
+  [MEMORY_MESSAGES] = { "messages", { 5, 4 } },
   [MEMORY_OBJECTS] = { "objects", { 2, 1 } },
-  [MEMORY_CONFIG] = { "config", { 13, 5 } },
-  [MEMORY_TABLES] = { "tables", { 6, 39 } },
+  [MEMORY_CONFIG] = { "config", { 13, 3 } },
+  [MEMORY_TABLES] = { "tables", { 6, 50 } },
 };
 
 static uint64_t used_bytes[MEMORY_ACCOUNT_COUNT];
@@ -69,6 +69,7 @@
 
   process_limit_bytes = limit_bytes;
   process_profile = profile;
+  ck_pr_store_32 (&measured_state, MEMORY_ENOUGH);
   for (int i = 0; i < MEMORY_ACCOUNT_COUNT; i++)
     percent += accounts[i].percent[profile];
   return percent <= ALL_PERCENT
@@ -205,8 +206,7 @@
   mallopt (M_TRIM_THRESHOLD, TRIM_BYTES);
 }
 
-/* Returns what the allocator holds and nobody uses to the system.  Takes some
-   milliseconds for each 10 MB.  */
+/* Returns what the allocator holds and nobody uses to the system.  */
 void
 memory_return_free (void)
 {
