common: a connection that has brought bytes while it was idle is not used

Callers of calls that may run once saw 502.

Cause: libcurl 7.88 takes a connection with unread bytes for alive. It does not tell which socket it has chosen either, but the addresses of both ends, in the callback before a request is sent; the fetcher keeps a table of its sockets by these.

Nothing has been sent then, so that the transfer starts again on a new connection. The counter dirty_connections counts them.

test_repeated_refusals.c: a refusal on the idle connection with no id, the id before and the call's own: 20 asserts failed before.

--- a/common/counters.c
+++ b/common/counters.c
@@ -49,6 +49,7 @@
   [COUNTER_PERMITS_GRANTED] = "permits_granted",
   [COUNTER_PERMITS_DENIED] = "permits_denied",
   [COUNTER_RESENDS] = "resends",
+  [COUNTER_DIRTY_CONNECTIONS] = "dirty_connections",
   [COUNTER_UNFINISHED_EVENTS] = "unfinished_events",
   [COUNTER_STREAM_LOOKUPS] = "stream_lookups",
   [COUNTER_STREAM_ORIGINS_UNKNOWN] = "stream_origins_unknown",
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -3,9 +3,14 @@
 #include "common/deferred.h"
 #include "common/memory.h"
 #include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
@@ -31,6 +36,8 @@
 {
   struct ev_loop *loop;
   CURLM *multi;
+  GHashTable *sockets; /* addresses of both ends -> fd, of connections */
+  GHashTable *ends;    /* fd -> the same addresses */
   ev_timer timer;
   struct deferred deferred_destroy;
   struct fetch *cancelled;      /* linked by next_cancelled */
@@ -53,6 +60,8 @@
   uint32_t sends; /* of the request, with libcurl's own retries */
   bool refuses_resend;
   bool resend_refused;
+  curl_socket_t opened;  /* last socket opened for it */
+  bool has_found_bytes;  /* unread ones, on the connection chosen for it */
   size_t head_bytes;     /* received */
   long head_status;      /* of the head that is being received */
   bool is_head_complete; /* the head of the final response has arrived */
@@ -158,6 +167,19 @@
     fetch_destroy (fetch);
 }
 
+/* Starts a transfer again, of which nothing has been sent, on a new
+   connection.  */
+static void
+restart_fetch (struct fetch *fetch)
+{
+  CURLM *multi = fetch->fetcher->multi;
+
+  fetch->has_found_bytes = false;
+  curl_multi_remove_handle (multi, fetch->easy);
+  curl_easy_setopt (fetch->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle (multi, fetch->easy);
+}
+
 static void
 complete_finished_fetches (struct fetcher *fetcher)
 {
@@ -171,7 +193,10 @@
       if (message->msg != CURLMSG_DONE)
         continue;
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &fetch);
-      complete_fetch (fetch, message->data.result);
+      if (fetch->has_found_bytes && !fetch->is_cancelled)
+        restart_fetch (fetch);
+      else
+        complete_fetch (fetch, message->data.result);
     }
 }
 
@@ -367,13 +392,85 @@
   return should_continue ? len : 0;
 }
 
-/* Called whenever libcurl is about to send the request.  */
+static curl_socket_t
+handle_socket_open (void *data, curlsocktype purpose,
+                    struct curl_sockaddr *address)
+{
+  struct fetch *fetch = data;
+
+  fetch->opened = socket (address->family, address->socktype | SOCK_CLOEXEC,
+                          address->protocol);
+  return fetch->opened;
+}
+
 static int
-handle_send (void *data, char *local_address, char *peer_address,
-             int local_port, int peer_port)
+handle_socket_close (void *data, curl_socket_t fd)
+{
+  struct fetcher *fetcher = data;
+  const char *ends = g_hash_table_lookup (fetcher->ends, GINT_TO_POINTER (fd));
+
+  if (ends)
+    g_hash_table_remove (fetcher->sockets, ends);
+  g_hash_table_remove (fetcher->ends, GINT_TO_POINTER (fd));
+  return close (fd);
+}
+
+/* Whether the socket FD is bound to PORT.  */
+static bool
+has_local_port (curl_socket_t fd, int port)
+{
+  struct sockaddr_storage address;
+  socklen_t len = sizeof address;
+
+  if (fd == CURL_SOCKET_BAD
+      || getsockname (fd, (struct sockaddr *)&address, &len) < 0)
+    return false;
+  if (address.ss_family == AF_INET6)
+    return ntohs (((struct sockaddr_in6 *)&address)->sin6_port) == port;
+  return ntohs (((struct sockaddr_in *)&address)->sin_port) == port;
+}
+
+/* Whether a connection that was used before has brought bytes since.  libcurl
+   does not tell which socket it has chosen, only the addresses ENDS of its
+   ends.  */
+static bool
+has_unread_bytes (const struct fetch *fetch, const char *ends)
+{
+  struct pollfd poll_fd = { .events = POLLIN };
+  gpointer fd;
+
+  if (!g_hash_table_lookup_extended (fetch->fetcher->sockets, ends, NULL, &fd))
+    return false;
+  poll_fd.fd = GPOINTER_TO_INT (fd);
+  return poll (&poll_fd, 1, 0) > 0;
+}
+
+/* Called whenever libcurl is about to send the request.  What has arrived on
+   an idle connection is no response to it, and not the last of such bytes.  */
+static int
+handle_send (void *data, char *peer_address, char *local_address,
+             int peer_port, int local_port)
 {
   struct fetch *fetch = data;
+  struct fetcher *fetcher = fetch->fetcher;
+  char *ends = xasprintf ("%s:%d %s:%d", local_address, local_port,
+                          peer_address, peer_port);
 
+  if (!fetch_has_opened_connection (fetch))
+    fetch->has_found_bytes = has_unread_bytes (fetch, ends);
+  else if (has_local_port (fetch->opened, local_port))
+    {
+      g_hash_table_insert (fetcher->sockets, xstrdup (ends),
+                           GINT_TO_POINTER (fetch->opened));
+      g_hash_table_insert (fetcher->ends, GINT_TO_POINTER (fetch->opened),
+                           xstrdup (ends));
+    }
+  free (ends);
+  if (fetch->has_found_bytes)
+    {
+      counter_add (COUNTER_DIRTY_CONNECTIONS, 1);
+      return CURL_PREREQFUNC_ABORT;
+    }
   if (fetch->sends++ == 0)
     return CURL_PREREQFUNC_OK;
   fetch->resend_refused = fetch->refuses_resend;
@@ -391,6 +488,9 @@
 
   fetcher->loop = loop;
   fetcher->multi = curl_multi_init ();
+  fetcher->sockets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  fetcher->ends = g_hash_table_new_full (NULL, NULL, NULL, free);
   curl_multi_setopt (fetcher->multi, CURLMOPT_SOCKETFUNCTION,
                      handle_socket_change);
   curl_multi_setopt (fetcher->multi, CURLMOPT_SOCKETDATA, fetcher);
@@ -416,6 +516,8 @@
   for (uint32_t i = 0; i < fetcher->idle_count; i++)
     curl_easy_cleanup (fetcher->idle[i]);
   curl_multi_cleanup (fetcher->multi);
+  g_hash_table_destroy (fetcher->sockets);
+  g_hash_table_destroy (fetcher->ends);
   ev_timer_stop (fetcher->loop, &fetcher->timer);
   deferred_cancel (&fetcher->deferred_destroy);
   free (fetcher);
@@ -529,6 +631,7 @@
   fetch->handle_done = options->handle_done;
   fetch->release_data = options->release_data;
   fetch->refuses_resend = options->refuses_resend;
+  fetch->opened = CURL_SOCKET_BAD;
   fetch->data = options->data;
   fetch->max_body_bytes = options->max_body_bytes ? options->max_body_bytes
                                                   : DEFAULT_MAX_BODY_BYTES;
@@ -550,6 +653,12 @@
   curl_easy_setopt (fetch->easy, CURLOPT_HEADERDATA, fetch);
   curl_easy_setopt (fetch->easy, CURLOPT_PREREQFUNCTION, handle_send);
   curl_easy_setopt (fetch->easy, CURLOPT_PREREQDATA, fetch);
+  curl_easy_setopt (fetch->easy, CURLOPT_OPENSOCKETFUNCTION,
+                    handle_socket_open);
+  curl_easy_setopt (fetch->easy, CURLOPT_OPENSOCKETDATA, fetch);
+  curl_easy_setopt (fetch->easy, CURLOPT_CLOSESOCKETFUNCTION,
+                    handle_socket_close);
+  curl_easy_setopt (fetch->easy, CURLOPT_CLOSESOCKETDATA, fetcher);
   if (options->target)
     curl_easy_setopt (fetch->easy, CURLOPT_REQUEST_TARGET, options->target);
   if (options->body || strcmp (options->method, "POST") == 0)
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -57,6 +57,7 @@
   COUNTER_PERMITS_GRANTED, /* by this host */
   COUNTER_PERMITS_DENIED,
   COUNTER_RESENDS,                /* by libcurl, on its own */
+  COUNTER_DIRTY_CONNECTIONS,      /* idle ones that had brought bytes */
   COUNTER_UNFINISHED_EVENTS,      /* responses that ended inside an event */
   COUNTER_STREAM_LOOKUPS,         /* questions where a resumed stream began */
   COUNTER_STREAM_ORIGINS_UNKNOWN, /* of them, without an answer */
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -11,6 +11,7 @@
 {
   DELIVERY_MS = 2, /* of a frame, to another host */
   TICK_MS = 50,
+  HELPER_MS = 1000, /* for a helper's offer */
 };
 
 static struct local_pipeline *
@@ -468,6 +469,20 @@
   free (local);
 }
 
+/* Waits until another host offers to send requests for LOCAL.  */
+void
+local_pipeline_use_helper (struct local_pipeline *local)
+{
+  int64_t until_ms = clock_now_ms () + HELPER_MS;
+
+  while (!relay_client_has_helper (local->relays, "app", clock_now_ms ()))
+    {
+      relay_client_tick (local->relays, true, clock_now_ms ());
+      CU_ASSERT_TRUE_FATAL (clock_now_ms () < until_ms);
+      ev_run (local->loop, EVRUN_ONCE);
+    }
+}
+
 /* Starts a request, whose target and numbers are set here, and forgets the
    response before it.  */
 void
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -118,6 +118,7 @@
 local_pipeline_create (const struct local_pipeline_options *options);
 void local_pipeline_destroy (struct local_pipeline *local);
 void local_pipeline_list_endpoints (struct local_pipeline *local);
+void local_pipeline_use_helper (struct local_pipeline *local);
 void local_pipeline_submit (struct local_pipeline *local,
                             struct request_input *input);
 void local_pipeline_start (struct local_pipeline *local, int64_t resume_after);
--- a/test/unit/test_repeated_refusals.c
+++ b/test/unit/test_repeated_refusals.c
@@ -253,19 +253,6 @@
   check_all_refusals (ROUTE_IDEMPOTENT, "Attempt-Id: 1\r\n");
 }
 
-/* Has HELPED, which has no path to the endpoint, send through other hosts.  */
-static void
-use_helper (struct local_pipeline *helped)
-{
-  int64_t until_ms = clock_now_ms () + TIMEOUT_MS;
-
-  pool_at (helped->pool, 0)->unreachable = true;
-  relay_client_tick (helped->relays, true, clock_now_ms ());
-  while (!relay_client_has_helper (helped->relays, "app", clock_now_ms ())
-         && clock_now_ms () < until_ms)
-    ev_run (helped->loop, EVRUN_ONCE);
-}
-
 /* Returns a host that has no path to the only endpoint and has *HELPER send
    its requests.  It must be destroyed before *HELPER.  */
 static struct local_pipeline *
@@ -280,7 +267,8 @@
   *helper = options.shared = create (answer, data, ROUTE_ONCE);
   helped = local_pipeline_create (&options);
   (*helper)->transport.omits_response_origin = is_old_helper;
-  use_helper (helped);
+  local_pipeline_use_helper (helped);
+  pool_at (helped->pool, 0)->unreachable = true;
   return helped;
 }
 
@@ -402,6 +390,30 @@
     }
 }
 
+/* Guards against losing a call to what an endpoint has written on an idle
+   connection, which can be seen before the call is sent.  */
+static void
+test_bytes_on_idle_connection (void)
+{
+  static const char *const ids[]
+      = { "", "Attempt-Id: 1\r\n", "Attempt-Id: 2\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (ids); k++)
+      {
+        struct repeating_endpoint repeating = { .time = WHILE_IDLE };
+        struct local_pipeline *local
+            = create (answer_repeating, &repeating, ROUTE_ONCE);
+
+        write_refusal (repeating.refusal, statuses[i], ids[k], true);
+        run (local, 1);
+        wait_for (local, IDLE_MS);
+        CU_ASSERT_TRUE (is_own (run (local, 2), 2));
+        CU_ASSERT_EQUAL (repeating.runs, 1);
+        local_pipeline_destroy (local);
+      }
+}
+
 CU_TestInfo repeated_refusals_tests[] = {
   { "a repeated refusal without an id", test_refusal_without_id },
   { "a repeated refusal with another id", test_refusal_with_other_id },
@@ -412,5 +424,6 @@
   { "a repeated refusal with its own id", test_refusal_with_own_id },
   { "a repeated refusal of a relayed call with its own id",
     test_refusal_of_relayed_call_with_own_id },
+  { "bytes on an idle connection", test_bytes_on_idle_connection },
   CU_TEST_INFO_NULL,
 };
