request: a stream that has begun goes on with events only

The splitter tells ids from what is no id, comments, and lines that are no fields. An event with such a line ends the send. A send that goes on with a stream, of this response or of a caller that resumes, takes only a success that is an event stream by its type (or names none), no event without an id before its first new one, and no end without an event where one was cut off or the type is missing. A stream without ids is aborted when it breaks. Errors (4xx, 5xx), redirects, interim heads and answers with another id were handled before. First sends are as before: any type, and events without ids.

What remains: an empty event stream with a length that follows a break after a whole event is taken for the end.

--- a/include/request/event_splitter.h
+++ b/include/request/event_splitter.h
@@ -6,8 +6,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Handles a complete event.  ID is negative if it has none.  Returns false to
-   skip the remaining events. */
+/* In place of the id of an event that has none. */
+enum
+{
+  EVENT_WITHOUT_ID = -1,
+  EVENT_COMMENT = -2,   /* has no fields */
+  EVENT_MALFORMED = -3, /* has a line that is no field, or its id is no number
+                         */
+};
+
+/* Handles a complete event.  Returns false to skip the remaining events. */
 typedef bool event_handler (void *data, int64_t id, const char *bytes,
                             size_t len);
 
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -65,8 +65,10 @@
   bool not_run;     /* the endpoint states that it has not run the request */
   bool is_from_endpoint; /* has a header that only endpoints send */
   bool is_leaving;       /* the endpoint states that it is shutting down */
-  bool is_encoded;       /* has a content encoding, which was not requested */
-  int64_t running;       /* negative if the endpoint reports no load */
+  bool has_content_type;
+  bool is_event_stream; /* by its content type */
+  bool is_encoded;      /* has a content encoding, which was not requested */
+  int64_t running;      /* negative if the endpoint reports no load */
   int64_t waiting;
   int64_t work_percent; /* how long work takes on its machine now, 100: as
                            usual; 0 if it does not tell */
--- a/request/request.c
+++ b/request/request.c
@@ -125,13 +125,18 @@
      negative for none. */
   int64_t last_event_id;
   int64_t events_forwarded;
-  int64_t sent_events;    /* events of the current send */
+  int64_t sent_events; /* events of the current send */
+  bool goes_on;        /* the current send, with a stream that has begun */
+  bool has_new_event;  /* of the current send, forwarded */
+  /* An earlier send broke off inside the event after the last one. */
+  bool lacks_event;
   uint32_t sends;         /* including those that certainly did not run */
   uint32_t possible_runs; /* sends after which the request may have run */
   uint32_t full_refusals; /* by endpoints that state they have no room */
   uint32_t failed_sends;  /* multiplies the backoff */
-  /* Starts of the endpoints that refused it, on connections that they may keep.
-     Their refusals name the request, as those of a further send would. */
+  /* Starts of the endpoints that refused it, on connections that they may
+     keep. Their refusals name the request, as those of a further send would.
+   */
   uint64_t refused_by[MAX_SENDS];
   uint32_t refusals;
   bool was_refused_here; /* by the endpoint of the current send, before */
@@ -523,6 +528,14 @@
   return request->possible_runs < (attempts > 0 ? attempts : DEFAULT_ATTEMPTS);
 }
 
+/* Whether what the caller has got names the event after which its stream goes
+   on.  */
+static bool
+can_go_on (const struct request *request)
+{
+  return request->step != STEP_STREAM || request->last_event_id >= 0;
+}
+
 /* Whether a request that may have run may be sent again.  */
 static bool
 may_run_again (const struct request *request)
@@ -532,7 +545,8 @@
     return false;
   if (request->route->retry_mode == ROUTE_ONCE)
     return false;
-  if (request->route->retry_mode == ROUTE_STREAM && !request->route->resumable)
+  if (request->route->retry_mode == ROUTE_STREAM
+      && (!request->route->resumable || !can_go_on (request)))
     return false;
   /* An attempt on an endpoint that is gone does not count against the route's
      limit, and a stream may be resumed on the endpoint that ran it.  */
@@ -639,10 +653,10 @@
   return status >= 200 && status < 300;
 }
 
-/* Whether the response names this request, and not an earlier send of it.  A failure without an endpoint's
-   stamp may name none, as endpoints refuse requests that they have not read;
-   but on a connection that was used before it may be a late or repeated
-   response to another request.  */
+/* Whether the response names this request, and not an earlier send of it.  A
+   failure without an endpoint's stamp may name none, as endpoints refuse
+   requests that they have not read; but on a connection that was used before
+   it may be a late or repeated response to another request.  */
 static bool
 has_matching_id (const struct request *request)
 {
@@ -657,11 +671,20 @@
                  && !request->head.is_from_endpoint));
 }
 
+/* Whether the response is a success that cannot go on with the stream of which
+   the caller has the beginning: it is no stream.  */
+static bool
+is_foreign_success (const struct request *request)
+{
+  return request->goes_on && is_success (request->head.status)
+         && request->head.has_content_type && !request->head.is_event_stream;
+}
+
 /* Whether the response is valid and belongs to this request.  */
 static bool
 is_matching_response (const struct request *request)
 {
-  return !request->head.is_encoded
+  return !request->head.is_encoded && !is_foreign_success (request)
          && (request->head.is_from_endpoint
              || !is_success (request->head.status))
          && has_matching_id (request);
@@ -702,15 +725,29 @@
   request->sink->begin (request->sink, &request->head);
 }
 
+/* Whether what an endpoint sends as an event is none of the stream: bytes of
+   another response, or what may have been forwarded before.  */
+static bool
+is_foreign_event (const struct request *request, int64_t id)
+{
+  bool is_next = request->has_new_event || !request->goes_on || id >= 0;
+
+  if (id == EVENT_MALFORMED)
+    return request->head.is_event_stream || request->goes_on;
+  return id == EVENT_WITHOUT_ID && !is_next && request->last_event_id >= 0;
+}
+
 /* Forwards an event, skipping those that the caller has already received from
    an earlier send.  The response's head is forwarded with the first event, so
    that both come from the same endpoint.  Returns false to stop if an event is
-   missing.  */
+   missing or is none.  */
 static bool
 forward_event (void *data, int64_t id, const char *bytes, size_t len)
 {
   struct request *request = data;
 
+  if (is_foreign_event (request, id))
+    return false;
   record_first_event (request);
   request->sent_events++;
   if (id >= 0 && request->last_event_id >= 0 && id <= request->last_event_id)
@@ -719,7 +756,11 @@
       && id != request->last_event_id + 1)
     return false;
   if (id >= 0)
-    request->last_event_id = id;
+    {
+      request->last_event_id = id;
+      request->has_new_event = true;
+      request->lacks_event = false;
+    }
   request->events_forwarded++;
   if (request->step != STEP_STREAM)
     begin_stream (request);
@@ -905,6 +946,15 @@
     }
 }
 
+/* Whether the end of a send that goes on with a stream, without a further
+   event, cannot be that of the stream.  */
+static bool
+ends_too_early (const struct request *request)
+{
+  return request->goes_on && !request->has_new_event
+         && (request->lacks_event || !request->head.is_event_stream);
+}
+
 /* Whether a stream ended inside an event or, without a framing that shows that
    it is complete, before its first one.  */
 static bool
@@ -914,7 +964,7 @@
   if (request->route->retry_mode != ROUTE_STREAM
       || !is_success (request->head.status))
     return false;
-  return request->events.pending.len > 0
+  return request->events.pending.len > 0 || ends_too_early (request)
          || (result->framing == FETCH_FRAMING_CLOSE
              && !request->first_event_ms);
 }
@@ -926,6 +976,8 @@
   if (result->complete && is_matching_response (request)
       && is_broken_off (request, result))
     return "the stream was broken off";
+  if (request->head.status == 0 && !result->resend_refused)
+    return result->reason;
   if (result->resend_refused)
     return "the connection was closed before a response";
   if (result->complete || !is_matching_response (request))
@@ -1005,7 +1057,10 @@
   if (!is_complete || !may_forward_response (request))
     {
       if (is_success (request->head.status) && request->events.pending.len > 0)
-        counter_add (COUNTER_UNFINISHED_EVENTS, 1);
+        {
+          counter_add (COUNTER_UNFINISHED_EVENTS, 1);
+          request->lacks_event |= !result->aborted;
+        }
       if (!is_complete && !result->aborted && !result->resend_refused
           && !request->is_relayed)
         pool_record_interrupted (request->endpoint, request->fingerprint,
@@ -1204,6 +1259,10 @@
   request->sent_ms = clock_now_ms ();
   request->first_event_ms = 0;
   request->sent_events = 0;
+  request->has_new_event = false;
+  request->goes_on
+      = is_stream
+        && (request->step == STEP_STREAM || input->resume_after >= 0);
   request->cached_tokens
       = pool_cached_tokens (endpoint, &query, request->sent_ms);
   pool_acquire (endpoint, &query, request->sent_ms);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -42,6 +42,7 @@
   { "request", NULL, NULL, NULL, NULL, request_tests },
   { "retry", NULL, NULL, NULL, NULL, retry_tests },
   { "route", NULL, NULL, NULL, NULL, route_tests },
+  { "foreign events", NULL, NULL, NULL, NULL, foreign_events_tests },
   { "repeated refusals", NULL, NULL, NULL, NULL, repeated_refusals_tests },
   { "second answers", NULL, NULL, NULL, NULL, second_answers_tests },
   { "settings", NULL, NULL, NULL, NULL, settings_tests },
--- a/test/unit/test_event_splitter.c
+++ b/test/unit/test_event_splitter.c
@@ -1,5 +1,6 @@
 #include "request/event_splitter.h"
 #include "suites.h"
+#include <glib.h>
 #include <string.h>
 
 struct recorded_events
@@ -79,10 +80,53 @@
   event_splitter_release (&events);
 }
 
+/* Guards against forwarding bytes of another response as an event, and against
+   reading an id that is no number as one.  */
+static void
+test_what_is_no_event (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    int64_t id;
+  } cases[] = {
+    { "id: 7\n\n", 7 },
+    { "id:7\r\ndata\r\n\r\n", 7 },
+    { "weight-versions: 2\nid: 0\n\n", 0 },
+    { "id: 9223372036854775807\n\n", INT64_MAX },
+    { "data: x\n\n", EVENT_WITHOUT_ID },
+    { "id:\n\n", EVENT_WITHOUT_ID },
+    { "data\n\n", EVENT_WITHOUT_ID },
+    { ": x\n\n", EVENT_COMMENT },
+    { "\n", EVENT_COMMENT },
+    { "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n", EVENT_MALFORMED },
+    { "an error\n\n", EVENT_MALFORMED },
+    { "data: x\n{\"error\": 1}\n\n", EVENT_MALFORMED },
+    { "<html>\n\n", EVENT_MALFORMED },
+    { "id: x\n\n", EVENT_MALFORMED },
+    { "id: 2x\n\n", EVENT_MALFORMED },
+    { "id: -1\n\n", EVENT_MALFORMED },
+    { "id: 9223372036854775808\n\n", EVENT_MALFORMED },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct event_splitter events = { 0 };
+      struct recorded_events recorded = { 0 };
+
+      event_splitter_append (&events, cases[i].bytes, strlen (cases[i].bytes),
+                             record_event, &recorded);
+      CU_ASSERT_EQUAL (recorded.count, 1);
+      CU_ASSERT_EQUAL (recorded.ids[0], cases[i].id);
+      event_splitter_release (&events);
+    }
+}
+
 CU_TestInfo events_tests[] = {
   { "chunk boundaries do not affect events",
     test_chunk_boundaries_do_not_affect_events },
   { "the handler stops", test_handler_stops },
   { "an event without end", test_event_without_end },
+  { "what is no event", test_what_is_no_event },
   CU_TEST_INFO_NULL,
 };
