common, request: the heads of two responses are not read as one

Cause: libcurl refuses a status line among the headers, but not one that follows the beginning of a header. A refusal was believed, too, whose head was not complete.

A head that contains a second status line ends the transfer; a head that names two ids names no request; an incomplete head states nothing. Responses whose head breaks off and does not go on were failures before, as far as they did not state a refusal.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -23,6 +23,7 @@
      limited, so that a few long ones cannot stop all others. */
   MAX_BUFFERED_BYTES = 24 * 1024 * 1024,
   MIN_BUFFERED_BYTES = 256 * 1024,
+  STATUS_DIGITS = 3,
   FIRST_FINAL_STATUS = 200, /* lower ones are of interim responses */
 };
 
@@ -346,6 +347,22 @@
          || fetch->handle_head (fetch->data);
 }
 
+/* Whether TEXT contains the beginning of a head.  */
+static bool
+has_status_line (const char *text)
+{
+  static const char version[] = "HTTP/1.";
+
+  while ((text = strstr (text, version)))
+    {
+      text += strlen (version);
+      if (g_ascii_isdigit (text[0]) && text[1] == ' '
+          && strspn (text + 2, "0123456789") == STATUS_DIGITS)
+        return true;
+    }
+  return false;
+}
+
 /* Handles a line of a head.  Headers of interim responses are dropped.
    Returns false to abort the transfer.  */
 static bool
@@ -355,6 +372,9 @@
   char *value = strchr (line, ':');
 
   line[strcspn (line, "\r\n")] = '\0';
+  /* The head of another response, where one has broken off. */
+  if (*line && has_status_line (line + 1))
+    return false;
   if (strncmp (line, version, strlen (version)) == 0)
     read_status_line (fetch, line);
   else if (!*line)
--- a/request/request.c
+++ b/request/request.c
@@ -923,7 +923,7 @@
 static bool
 reports_not_run (const struct request *request)
 {
-  return is_matching_response (request)
+  return request->head.status != 0 && is_matching_response (request)
          && (request->head.not_run
              || request->head.status == STATUS_MISDIRECTED);
 }
@@ -1038,12 +1038,12 @@
 
   if (result->status > 0)
     report_heard (request);
-  if (request->head.status == 0 && result->status > 0)
+  /* An incomplete head states nothing. */
+  if (request->head.status == 0 && result->complete)
     {
       request->head.status = result->status;
       request->is_first_response = result->connection_opened;
-      if (result->complete)
-        observation_record_head_end (&observation);
+      observation_record_head_end (&observation);
       observation_record_load (&observation);
     }
   if (reports_not_run (request))
--- a/test/unit/test_repeated_refusals.c
+++ b/test/unit/test_repeated_refusals.c
@@ -10,6 +10,7 @@
 {
   TIMEOUT_MS = 2000,
   LATE_MS = 20,
+  LONG_BODY_BYTES = 12 * 1024 * 1024, /* more than sockets buffer */
   IDLE_MS = 30, /* until what was sent late has arrived */
   MAX_ANSWER_BYTES = 1024,
 };
@@ -414,6 +415,120 @@
       }
 }
 
+/* Guards against reading the head of a refusal that breaks off and the head of
+   the next response as one: the call that ran would be taken for refused.  */
+static void
+test_refusal_broken_off_in_head (void)
+{
+  static const char *const refusals[] = {
+    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n",
+    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt-Id: 1\r\n",
+    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nX: ",
+    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt-Id: 1\r\nX: ",
+    "HTTP/1.1 421 Misdirected\r\n",
+    "HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\nX: ",
+    "HTTP/1.1 429 Busy\r\nNot-Executed: 1\r\nAttempt-Id: 2\r\nX: ",
+    "HTTP/1.1 421 Misdirected\r\nX: ",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (refusals); i++)
+    {
+      struct repeating_endpoint repeating = { .time = BEFORE_ANSWER };
+
+      snprintf (repeating.refusal, sizeof repeating.refusal, "%s",
+                refusals[i]);
+      check_repeated (&repeating, ROUTE_ONCE);
+    }
+}
+
+/* Guards against a call that an endpoint runs and whose caller is told "not
+   run", when a repeated refusal stands inside the body of the answer.  */
+static void
+test_refusal_inside_answer (void)
+{
+  static const char *const heads[] = {
+    "HTTP/1.1 200 OK\r\nAttempt-Id: 2\r\nServer-Stamp: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nAttempt-Id: 2\r\nServer-Stamp: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nown2\r\n",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (statuses); k++)
+      {
+        struct repeating_endpoint repeating = { .time = BEFORE_ANSWER };
+        char refusal[MAX_ANSWER_BYTES / 2];
+
+        snprintf (refusal, sizeof refusal,
+                  "HTTP/1.1 %s\r\nNot-Executed: 1\r\n"
+                  "Content-Length: 4\r\n\r\nfull",
+                  statuses[k]);
+        snprintf (repeating.refusal, sizeof repeating.refusal, "%s%s",
+                  heads[i], refusal);
+        check_repeated (&repeating, ROUTE_ONCE);
+      }
+}
+
+/* Guards against reading the answer of a cancelled call as that of the next
+   one.  */
+static void
+test_answer_of_cancelled_call (void)
+{
+  struct repeating_endpoint repeating = { .time = BEFORE_ANSWER };
+  struct local_pipeline *local
+      = create (answer_repeating, &repeating, ROUTE_ONCE);
+
+  /* What is sent at once is only the beginning of a head.  */
+  snprintf (repeating.refusal, sizeof repeating.refusal, "HTTP/1.1 ");
+  CU_ASSERT_TRUE (is_own (run (local, 1), 1));
+  start (local, 2, 1);
+  wait_for (local, LATE_MS / 2);
+  request_cancel (local->active);
+  wait_for (local, IDLE_MS);
+  CU_ASSERT_TRUE (is_own (run (local, 3), 3));
+  CU_ASSERT_EQUAL (repeating.runs, 1);
+  local_pipeline_destroy (local);
+}
+
+/* An endpoint that answers the first two sends of the request 2 before it has
+   read the body: with a refusal, then with the answer.  */
+static struct raw_answer
+answer_early (void *data, struct raw_endpoint *endpoint, const char *request)
+{
+  struct repeating_endpoint *repeating = data;
+  int id = request_id (request);
+  bool is_refused = id == 2 && repeating->sends++ == 0;
+  const char *bytes = is_refused ? repeating->refusal : repeating->own;
+
+  write_own (repeating, id);
+  return (struct raw_answer){ .bytes = bytes, .len = strlen (bytes) };
+}
+
+/* Guards against sending the next request where the endpoint still reads the
+   body of one that it has answered early.  */
+static void
+test_early_answers_to_long_bodies (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      struct repeating_endpoint repeating = { 0 };
+      struct local_pipeline *local
+          = create (answer_early, &repeating, ROUTE_ONCE);
+
+      local->endpoints[0]->is_early = true;
+      write_refusal (repeating.refusal, statuses[i], "Attempt-Id: 2\r\n",
+                     true);
+      CU_ASSERT_TRUE (is_own (run (local, 1), 1));
+      start (local, 2, LONG_BODY_BYTES);
+      ev_run (local->loop, 0);
+      CU_ASSERT_NOT_EQUAL (local->response.outcome, LOCAL_PENDING);
+      CU_ASSERT_TRUE (is_own (run (local, 3), 3));
+      wait_for (local, 2 * IDLE_MS);
+      CU_ASSERT_EQUAL (local->endpoints[0]->stray_bytes, 0);
+      local_pipeline_destroy (local);
+    }
+}
+
 CU_TestInfo repeated_refusals_tests[] = {
   { "a repeated refusal without an id", test_refusal_without_id },
   { "a repeated refusal with another id", test_refusal_with_other_id },
@@ -425,5 +540,9 @@
   { "a repeated refusal of a relayed call with its own id",
     test_refusal_of_relayed_call_with_own_id },
   { "bytes on an idle connection", test_bytes_on_idle_connection },
+  { "a refusal that breaks off in its head", test_refusal_broken_off_in_head },
+  { "a refusal inside an answer", test_refusal_inside_answer },
+  { "the answer of a cancelled call", test_answer_of_cancelled_call },
+  { "early answers to long bodies", test_early_answers_to_long_bodies },
   CU_TEST_INFO_NULL,
 };
