request: the connection of a refused call is closed

A refused call went to the same endpoint again on a new connection, while the old one, on which the endpoint repeats the refusal, was left for other calls: these met a response with another id and ended with 502.

The connection is closed at the end of the refusal's head, as far as the request may run once only; no other kept connection bears its id then, so that a new one is needed only after a refusal through another host. The price is one connection for each refusal of such a call.

test_repeated_refusals.c: a refusal repeated to the next call.

--- a/request/request.c
+++ b/request/request.c
@@ -134,9 +134,9 @@
   uint32_t possible_runs; /* sends after which the request may have run */
   uint32_t full_refusals; /* by endpoints that state they have no room */
   uint32_t failed_sends;  /* multiplies the backoff */
-  /* Starts of the endpoints that refused it, on connections that they may
-     keep. Their refusals name the request, as those of a further send would.
-   */
+  /* Starts of the endpoints that refused it on a connection of another host,
+     which that one may keep.  Their refusals name the request, as those of a
+     further send would. */
   uint64_t refused_by[MAX_SENDS];
   uint32_t refusals;
   bool was_refused_here; /* by the endpoint of the current send, before */
@@ -804,15 +804,20 @@
   observation_record_head_end (&observation);
 }
 
-/* Stops a response that does not belong to the request: its connection must
-   not be used again, as the response to this request follows there.  */
+static bool reports_not_run (const struct request *request);
+
+/* Stops a response whose connection must not be used again: the response to
+   this request follows one that does not belong to it, and a refusal may be
+   repeated as the request, whose id it bears, is sent again.  */
 static bool
 handle_head (void *data)
 {
   struct request *request = data;
 
   observe_head (request);
-  return is_matching_response (request);
+  return is_matching_response (request)
+         && (request->route->retry_mode == ROUTE_IDEMPOTENT
+             || !reports_not_run (request));
 }
 
 /* Handles data of a streamed response, whose head is complete.  */
@@ -1003,7 +1008,7 @@
     path_monitor_record (monitor, endpoint, result->connection_opened, now_ms);
 }
 
-/* Whether the request has been refused by ENDPOINT.  */
+/* Whether the request has been refused by ENDPOINT through another host.  */
 static bool
 was_refused_by (const struct request *request,
                 const struct pool_endpoint *endpoint)
@@ -1020,7 +1025,7 @@
 {
   const struct response_head *head = &request->head;
 
-  if (request->refusals < MAX_SENDS)
+  if (request->is_relayed && request->refusals < MAX_SENDS)
     request->refused_by[request->refusals++] = request->endpoint->start;
   if (head->status != STATUS_MISDIRECTED && !head->is_leaving
       && head->running >= 0 && head->running < request->endpoint->slots
--- a/test/unit/test_repeated_refusals.c
+++ b/test/unit/test_repeated_refusals.c
@@ -366,6 +366,43 @@
       }
 }
 
+/* An endpoint that refuses the first send of the request 2 and repeats the
+   refusal whenever another request arrives on the same connection.  */
+static struct raw_answer
+answer_repeating_later (void *data, struct raw_endpoint *endpoint,
+                        const char *request)
+{
+  struct repeating_endpoint *repeating = data;
+  int id = request_id (request);
+  struct raw_answer answer = { .bytes = repeating->own, .late_ms = LATE_MS };
+  bool is_refused = id == 2 && ++repeating->sends == 1;
+
+  write_own (repeating, id);
+  if (is_refused)
+    repeating->connection = endpoint->connection;
+  if (id > 1 && endpoint->connection == repeating->connection)
+    answer.bytes = repeating->refusal;
+  if (id > 1 && !is_refused && answer.bytes == repeating->refusal)
+    answer.late = repeating->own;
+  answer.len = strlen (answer.bytes);
+  return answer;
+}
+
+/* Guards against losing the next call to a refusal that is repeated on the
+   connection of a call that may not run twice.  */
+static void
+test_refusal_repeated_to_next_call (void)
+{
+  struct repeating_endpoint repeating = { 0 };
+  struct local_pipeline *local
+      = create (answer_repeating_later, &repeating, ROUTE_ONCE);
+
+  write_refusal (repeating.refusal, statuses[0], "Attempt-Id: 2\r\n", true);
+  for (int id = 1; id < 6; id++)
+    CU_ASSERT_TRUE (is_own (run (local, id), id));
+  local_pipeline_destroy (local);
+}
+
 /* Guards against the same where another host, also one of the build before,
    sends the call each time.  */
 static void
@@ -537,6 +574,8 @@
     test_refusal_of_repeatable_call },
   { "a repeated refusal of a relayed call", test_refusal_of_relayed_call },
   { "a repeated refusal with its own id", test_refusal_with_own_id },
+  { "a refusal repeated to the next call",
+    test_refusal_repeated_to_next_call },
   { "a repeated refusal of a relayed call with its own id",
     test_refusal_of_relayed_call_with_own_id },
   { "bytes on an idle connection", test_bytes_on_idle_connection },
