--- a/common/fetch.c
+++ b/common/fetch.c
@@ -439,15 +439,19 @@
 static bool
 has_local_port (curl_socket_t fd, int port)
 {
-  struct sockaddr_storage address;
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in v4;
+    struct sockaddr_in6 v6;
+  } address = { .v6 = { 0 } };
   socklen_t len = sizeof address;
 
-  if (fd == CURL_SOCKET_BAD
-      || getsockname (fd, (struct sockaddr *)&address, &len) < 0)
+  if (fd == CURL_SOCKET_BAD || getsockname (fd, &address.any, &len) < 0)
     return false;
-  if (address.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)&address)->sin6_port) == port;
-  return ntohs (((struct sockaddr_in *)&address)->sin_port) == port;
+  return ntohs (address.any.sa_family == AF_INET6 ? address.v6.sin6_port
+                                                  : address.v4.sin_port)
+         == port;
 }
 
 /* Whether a connection that was used before has brought bytes since.  libcurl
