standin: an endpoint's refusal names the request, as the platform's do

functional-platform failed since: "a request shed by full endpoints is answered with 503" got 502. The stand-in's refusal had no Attempt-Id, and its connection had been used before. The test's expectation is unchanged.

functional-platform, -stop, -endpoints and -limits pass.

--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -186,6 +186,7 @@
     _exit (EXIT_FAILURE);
   if (ends_with (request->path, "/shed"))
     {
+      httpd_add_header (request, "Attempt-Id", id ? id : "none");
       httpd_add_header (request, "Not-Executed", "1");
       httpd_respond (request, 503, "text/plain", "full", 4);
       return;
