common: connections with TLS are not looked at for unread bytes

Found in reading: over TLS a connection may carry several requests (HTTP/2) or records that are no response, so that bytes on it do not mean that it must not be used. No test: the tests have no TLS server with HTTP/2.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -62,6 +62,7 @@
   bool refuses_resend;
   bool resend_refused;
   curl_socket_t opened;  /* last socket opened for it */
+  bool is_plain;         /* without TLS, so that a connection has one user */
   bool has_found_bytes;  /* unread ones, on the connection chosen for it */
   size_t head_bytes;     /* received */
   long head_status;      /* of the head that is being received */
@@ -481,7 +482,7 @@
                           peer_address, peer_port);
 
   if (!fetch_has_opened_connection (fetch))
-    fetch->has_found_bytes = has_unread_bytes (fetch, ends);
+    fetch->has_found_bytes = fetch->is_plain && has_unread_bytes (fetch, ends);
   else if (has_local_port (fetch->opened, local_port))
     {
       g_hash_table_insert (fetcher->sockets, xstrdup (ends),
@@ -655,6 +656,7 @@
   fetch->handle_done = options->handle_done;
   fetch->release_data = options->release_data;
   fetch->refuses_resend = options->refuses_resend;
+  fetch->is_plain = g_str_has_prefix (options->url, "http://");
   fetch->opened = CURL_SOCKET_BAD;
   fetch->data = options->data;
   fetch->max_body_bytes = options->max_body_bytes ? options->max_body_bytes
