--- a/common/fetch.c
+++ b/common/fetch.c
@@ -66,6 +66,7 @@
   bool refuses_resend;
   bool resend_refused;
   curl_socket_t opened;  /* last socket opened for it */
+  bool is_plain;         /* without TLS, so that a connection has one user */
   bool has_found_bytes;  /* unread ones, on the connection chosen for it */
   size_t head_bytes;     /* received */
   long head_status;      /* of the head that is being received */
@@ -486,15 +487,19 @@
 static bool
 has_local_port (curl_socket_t fd, int port)
 {
-  struct sockaddr_storage address;
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in v4;
+    struct sockaddr_in6 v6;
+  } address = { .v6 = { 0 } };
   socklen_t len = sizeof address;
 
-  if (fd == CURL_SOCKET_BAD
-      || getsockname (fd, (struct sockaddr *)&address, &len) < 0)
+  if (fd == CURL_SOCKET_BAD || getsockname (fd, &address.any, &len) < 0)
     return false;
-  if (address.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)&address)->sin6_port) == port;
-  return ntohs (((struct sockaddr_in *)&address)->sin_port) == port;
+  return ntohs (address.any.sa_family == AF_INET6 ? address.v6.sin6_port
+                                                  : address.v4.sin_port)
+         == port;
 }
 
 /* Whether a connection that was used before has brought bytes since.  libcurl
@@ -524,7 +529,7 @@
                           peer_address, peer_port);
 
   if (!fetch_has_opened_connection (fetch))
-    fetch->has_found_bytes = has_unread_bytes (fetch, ends);
+    fetch->has_found_bytes = fetch->is_plain && has_unread_bytes (fetch, ends);
   else if (has_local_port (fetch->opened, local_port))
     {
       g_hash_table_insert (fetcher->sockets, xstrdup (ends),
@@ -698,6 +703,7 @@
   fetch->handle_done = options->handle_done;
   fetch->release_data = options->release_data;
   fetch->refuses_resend = options->refuses_resend;
+  fetch->is_plain = g_str_has_prefix (options->url, "http://");
   fetch->opened = CURL_SOCKET_BAD;
   fetch->data = options->data;
   fetch->is_essential = options->is_essential;
