--- a/test/unit/test_path_monitor.c
+++ b/test/unit/test_path_monitor.c
@@ -17,6 +17,10 @@
   DETECT_MS = 1500,
   RETURN_MS = 1500,
   PAUSE_MS = 1100, /* of a sound endpoint */
+  /* A call that may wait for 2 s is the only one that waits: the next one must
+     not be lost, too. */
+  SILENCE_LEARNT_MS = 2000,
+  STOPPED_MS = 3000, /* of this process */
 };
 
 /* A host with endpoints behind one gate. */
@@ -29,6 +33,7 @@
   struct gate *other_gate; /* of the others */
   ev_timer tick;
   uint32_t broken; /* calls of the handler */
+  bool is_reached_elsewhere;
 };
 
 static void
@@ -50,7 +55,7 @@
 static bool
 is_reached_elsewhere (void *data, const char *service)
 {
-  return false;
+  return ((const struct watched_paths *)data)->is_reached_elsewhere;
 }
 
 static void
@@ -184,9 +189,94 @@
   release_paths (&paths);
 }
 
+/* Ticks in virtual time until UNTIL_MS.  */
+static void
+tick_until (struct watched_paths *paths, int64_t *now_ms, int64_t until_ms)
+{
+  for (; *now_ms < until_ms; *now_ms += TICK_MS)
+    path_monitor_tick (paths->monitor, *now_ms);
+}
+
+/* Guards against a host that sends one request after the other to endpoints
+   from which nothing comes back though connections open, and against one that
+   gives them up without another way, or after a pause of its own.  */
+static void
+test_silent_service (void)
+{
+  struct watched_paths paths;
+  struct pool_endpoint *endpoint;
+  int64_t now_ms = clock_now_ms ();
+  int64_t start_ms = now_ms;
+
+  watch_paths (&paths);
+  endpoint = pool_at (paths.pool, 0);
+  paths.is_reached_elsewhere = true;
+  tick_until (&paths, &now_ms, start_ms + TICK_MS);
+  pool_begin_direct (endpoint, now_ms);
+  tick_until (&paths, &now_ms, start_ms + PAUSE_MS);
+  CU_ASSERT_EQUAL (count_without_path (&paths), 0);
+  CU_ASSERT_FALSE (path_monitor_lacks_paths (paths.monitor));
+  tick_until (&paths, &now_ms, start_ms + SILENCE_LEARNT_MS);
+  CU_ASSERT_EQUAL (count_without_path (&paths), ENDPOINTS / 2);
+  CU_ASSERT (path_monitor_lacks_paths (paths.monitor));
+  CU_ASSERT_FALSE (path_monitor_is_verified (paths.monitor, endpoint, now_ms));
+  paths.is_reached_elsewhere = false;
+  tick_until (&paths, &now_ms, now_ms + 2 * TICK_MS);
+  CU_ASSERT_EQUAL (count_without_path (&paths), 0);
+  paths.is_reached_elsewhere = true;
+  endpoint->last_heard_ms = now_ms;
+  tick_until (&paths, &now_ms, now_ms + 2 * TICK_MS);
+  CU_ASSERT_EQUAL (count_without_path (&paths), 0);
+  now_ms += STOPPED_MS;
+  tick_until (&paths, &now_ms, now_ms + 2 * TICK_MS);
+  CU_ASSERT_EQUAL (count_without_path (&paths), 0);
+  release_paths (&paths);
+}
+
+/* Guards against a path that stays in use while each request on it is lost,
+   and against one that is never tried again.  */
+static void
+test_lost_requests (void)
+{
+  static const struct fetch_result lost
+      = { .sent = true, .connection_opened = true, .unanswered = true };
+  struct watched_paths paths;
+  struct pool_endpoint *endpoint;
+  int64_t now_ms = clock_now_ms ();
+
+  watch_paths (&paths);
+  endpoint = pool_at (paths.pool, 0);
+  paths.is_reached_elsewhere = true;
+  tick_until (&paths, &now_ms, now_ms + 2 * TICK_MS);
+  path_monitor_record (paths.monitor, endpoint, true, now_ms);
+  CU_ASSERT (path_monitor_is_verified (paths.monitor, endpoint, now_ms));
+  path_monitor_record_result (paths.monitor, endpoint, &lost, now_ms);
+  path_monitor_record (paths.monitor, endpoint, true, now_ms);
+  CU_ASSERT_FALSE (path_monitor_is_verified (paths.monitor, endpoint, now_ms));
+  tick_until (&paths, &now_ms, now_ms + 2 * TICK_MS);
+  CU_ASSERT_EQUAL (count_without_path (&paths), 0);
+  path_monitor_record_result (paths.monitor, endpoint, &lost, now_ms);
+  tick_until (&paths, &now_ms, now_ms + 2 * TICK_MS);
+  path_monitor_record (paths.monitor, endpoint, true, now_ms);
+  CU_ASSERT_EQUAL (count_without_path (&paths), 1);
+  /* One request tries it, and further ones do not wait for that. */
+  tick_until (&paths, &now_ms, now_ms + PATH_TRIAL_INTERVAL_MS + TICK_MS);
+  CU_ASSERT_EQUAL (count_without_path (&paths), 0);
+  pool_begin_direct (endpoint, now_ms);
+  CU_ASSERT_EQUAL (count_without_path (&paths), 1);
+  pool_end_direct (endpoint);
+  endpoint->last_heard_ms = ++now_ms;
+  tick_until (&paths, &now_ms, now_ms + 2 * TICK_MS);
+  CU_ASSERT_EQUAL (count_without_path (&paths), 0);
+  CU_ASSERT (path_monitor_is_verified (paths.monitor, endpoint, now_ms));
+  release_paths (&paths);
+}
+
 CU_TestInfo path_monitor_tests[] = {
   { "a cut is learnt at once", test_cut_is_learnt_at_once },
   { "a cut of one service", test_cut_of_one_service },
   { "a pause is not a cut", test_pause_is_not_a_cut },
+  { "a silent service", test_silent_service },
+  { "lost requests", test_lost_requests },
   CU_TEST_INFO_NULL,
 };
