feed: a large endpoint or host entry is not packed out of the lists

Requests no longer reach an endpoint whose entry is longer than 16 KB, say because of a long note, once any other endpoint changes; its log line says that its backend is missing. The same holds for a host's entry.

Cause: table_pack compresses large objects of every kind and leaves no parsed one, but the lists of endpoints and of hosts are decoded from all entries of their tables at each change (platform/node.c).

Found in a review by reading. The new test fails without the change: decode_endpoint refuses the entry after table_pack.

--- a/feed/table.c
+++ b/feed/table.c
@@ -109,14 +109,14 @@
 }
 
 /* Replaces large objects with their compressed texts, once their handlers have
-   seen them.  */
+   seen them, if the table's options allow it.  */
 void
 table_pack (struct table *table)
 {
   GHashTableIter iter;
   gpointer value;
 
-  if (!table->has_unpacked)
+  if (!table->options.packs_objects || !table->has_unpacked)
     return;
   table->has_unpacked = false;
   g_hash_table_iter_init (&iter, table->entries);
--- a/include/feed/table.h
+++ b/include/feed/table.h
@@ -36,6 +36,9 @@
   /* Objects whose parsed tree would be larger are not read; 0 for
      OBJECT_MAX_TREE_BYTES. */
   size_t max_tree_bytes;
+  /* Large objects are packed by table_pack.  Only for a kind whose handlers do
+     not look at objects again once the set of changes is complete. */
+  bool packs_objects;
   /* Called for each change; OBJECT is the last known one if it was removed, or
      NULL if that was large.  May be NULL. */
   void (*handle_object) (void *data, const char *name, json_t *object,
--- a/test/unit/test_feed.c
+++ b/test/unit/test_feed.c
@@ -2,6 +2,7 @@
 #include "common/id.h"
 #include "feed/feed.h"
 #include "peer/packed_frame.h"
+#include "platform/decode.h"
 #include "suites.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -652,7 +653,47 @@
     buf_release (&texts[i]);
 }
 
+/* Guards against an endpoint that gets no requests any more, because its entry
+   is large: the list of endpoints is decoded from the table at each change of
+   any of them.  */
+static void
+test_large_endpoints_remain (void)
+{
+  enum
+  {
+    NOTE_BYTES = 20 * 1024, /* more than a configuration that is packed */
+  };
+  struct table_options options = { .loop = ev_loop_new (EVFLAG_AUTO),
+                                   .kind = "servers",
+                                   .handle_commit = handle_commit };
+  struct table *table = table_create (&options);
+  char *note = calloc (1, NOTE_BYTES + 1);
+  struct endpoint_entry entry;
+  json_t *object;
+
+  memset (note, 'x', NOTE_BYTES);
+  object = json_pack ("{s:{s:s, s:s, s:s, s:s, s:i, s:i, s:s}}", "spec",
+                      "backend", "chat", "address", "10.0.0.1:80", "zone", "a",
+                      "state", "ready", "max_concurrency", 4, "born", 7,
+                      "note", note);
+  table_put (table, "e", 1, object);
+  json_decref (object);
+  table_commit (table, 1, 1, true);
+  table_pack (table);
+  CU_ASSERT_TRUE_FATAL (
+      decode_endpoint ("e", table_find (table, "e")->object, &entry, NULL));
+  free (entry.id);
+  free (entry.service);
+  free (entry.address);
+  free (entry.data_centre);
+  free (entry.version);
+  table_destroy (table);
+  ev_loop_destroy (options.loop);
+  free (note);
+}
+
 CU_TestInfo feed_tests[] = {
+  { "large endpoints remain", test_large_endpoints_remain },
   { "unreadable objects are counted", test_unreadable_objects_are_counted },
   { "one host follows the store", test_one_follows },
   { "the leader is lost", test_leader_is_lost },
--- a/test/unit/test_wide_config.c
+++ b/test/unit/test_wide_config.c
@@ -260,6 +260,7 @@
   struct host *host = &fleet->hosts[index];
   struct table_options table = { .kind = "config",
                                  .max_tree_bytes = CONFIG_TREE_BYTES,
+                                 .packs_objects = true,
                                  .handle_object = handle_object,
                                  .handle_commit = handle_commit,
                                  .data = host };
@@ -393,6 +394,7 @@
   static const struct strings no_seeds;
   struct table_options table = { .kind = "config",
                                  .max_tree_bytes = CONFIG_TREE_BYTES,
+                                 .packs_objects = true,
                                  .handle_commit = handle_commit };
   struct feed_options options = { .host = "lone",
                                   .data_centre = "dc",
