conversation: what a keeper reads from its disk at a time is bounded

A keeper that has started again has no turn's text in memory. If all hosts then read, it holds up to 512 groups at once, of 50 KB to 230 KB each (up to 2 MB), and ends for lack of memory; so do the reads and groups that it was sending.

Cause: only the number of those who wait is bounded. The store's thread runs all queued jobs before it passes on any result (store/store.c, run_batch), so that all groups are in memory together, and for as long as its sync takes.

Found in a review by reading. The new test asks for 100 groups of 120 KB; before the change all 12 MB are read at once.

Change: groups of 8 MB at most are read at a time. A host that reads another one is told that its turn is not known here, and asks the next keeper; a keeper asks again after a second.

--- a/conversation/keeper.c
+++ b/conversation/keeper.c
@@ -31,6 +31,10 @@
   GROUP_BYTES_MAX = 2 * 1024 * 1024,
   MAX_PENDING_BYTES = 12 * 1024 * 1024, /* of records that wait for the disk */
   MAX_WAITERS = 512,                    /* for reads of the disk */
+  /* Of groups that are read from the disk at a time: they are in memory as a
+     whole until all jobs of the disk before the next sync are done.  A disk
+     that needs longer for them answers too late for hosts that read. */
+  MAX_FETCH_BYTES = 8 * 1024 * 1024,
   MAX_ID_BYTES = 512,
   FULL_RETRY_MS = 1000, /* new chains are refused after a failed write */
   LOAD_WINDOW = 8,      /* groups that are read at a time after a start */
@@ -71,6 +75,7 @@
 {
   struct conversation_keeper *keeper;
   uint64_t group;
+  uint64_t bytes; /* on the disk, when the fetch began */
   GSList *waiters;
 };
 
@@ -626,6 +631,7 @@
   bool is_read = false;
 
   keeper->fetches--;
+  keeper->fetch_bytes -= fetch->bytes;
   group->is_fetching = false;
   for (GSList *at = fetch->waiters; at; at = at->next)
     is_read |= ((struct fetch_waiter *)at->data)->turn != NULL;
@@ -658,6 +664,8 @@
   group->fetch_waiters = NULL;
   group->is_fetching = true;
   keeper->fetches++;
+  fetch->bytes = group->disk_bytes;
+  keeper->fetch_bytes += fetch->bytes;
   format_group (group->id, name);
   store_fetch (keeper->options.store, name, handle_group_fetched, fetch);
 }
@@ -678,8 +686,19 @@
   return false;
 }
 
+/* Whether GROUP may be read from the disk beside those that are being read.
+   It may be if there are none, however large it is.  */
+static bool
+may_fetch (const struct conversation_keeper *keeper,
+           const struct turn_group *group)
+{
+  return group->is_fetching || keeper->fetches == 0
+         || keeper->fetch_bytes + group->disk_bytes <= MAX_FETCH_BYTES;
+}
+
 /* Has GROUP read from the disk for HOST, once for all repetitions of a
-   question that come during another read.  Returns false if too many wait.  */
+   question that come during another read.  Returns false if too many wait, or
+   too much is being read.  */
 static bool
 fetch_for (struct conversation_keeper *keeper, struct turn_group *group,
            const char *host, uint64_t id, struct kept_turn *turn)
@@ -688,7 +707,7 @@
 
   if (has_fetch_waiter (group, host, id, turn))
     return true;
-  if (keeper->waiters >= MAX_WAITERS)
+  if (keeper->waiters >= MAX_WAITERS || !may_fetch (keeper, group))
     return false;
   waiter = xcalloc (1, sizeof *waiter);
   waiter->host = xstrdup (host);
--- a/include/conversation/keeper_state.h
+++ b/include/conversation/keeper_state.h
@@ -77,6 +77,7 @@
   uint64_t pending_bytes;
   uint32_t pending_appends;
   uint32_t fetches;
+  uint64_t fetch_bytes;  /* of the groups that are read */
   uint32_t waiters;      /* for fetches */
   int64_t full_until_ms; /* a write failed a short time ago */
   int64_t last_full_log_ms;
--- a/test/unit/test_conversation_keeper.c
+++ b/test/unit/test_conversation_keeper.c
@@ -26,6 +26,9 @@
   RETENTION_S = 60,
   CUSTOMER = 77,
   MAX_LEN = 120 * 1024,
+  /* What a keeper may hold of groups that are read from the disk: with all
+     else that it holds, it stays below 130 MB. */
+  READ_BYTES_MAX = 8 * 1024 * 1024,
 };
 
 struct sim;
@@ -1015,6 +1018,53 @@
   destroy_sim (sim);
 }
 
+/* Guards against a keeper that ends for lack of memory after a restart: its
+   turns are on the disk only, and all hosts read at once.  Those beyond the
+   bound are answered, and read later.  */
+static void
+test_many_reads_from_disk (void)
+{
+  enum
+  {
+    PROGRAMS = 100, /* with 12 MB */
+  };
+  struct sim *sim = create_sim (1, 2);
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__TurnRead read = PEER__TURN_READ__INIT;
+  char id[32];
+
+  for (int i = 0; i < PROGRAMS; i++)
+    CU_ASSERT_EQUAL (
+        write_turn (sim, 0,
+                    &(struct sim_turn){ .program = i, .len = MAX_LEN }),
+        TURN_STORED);
+  stop_keeper (sim, 0);
+  start_keeper (sim, 0);
+  apply_list (sim);
+  run (sim, 1000);
+  read.customer = CUSTOMER;
+  read.turn = id;
+  frame.body_case = PEER__FRAME__BODY_TURN_READ;
+  frame.turn_read = &read;
+  sim->answers = 0;
+  for (int i = 0; i < PROGRAMS; i++)
+    {
+      read.id = (uint64_t)i + 1;
+      snprintf (id, sizeof id, "t%d-0", i);
+      conversation_keeper_handle_frame (sim->keepers[0].keeper, "host",
+                                        &frame);
+    }
+  CU_ASSERT (sim->keepers[0].keeper->fetches > 0);
+  CU_ASSERT (sim->keepers[0].keeper->fetches * MAX_LEN <= READ_BYTES_MAX);
+  settle (sim);
+  CU_ASSERT_EQUAL (sim->answers, PROGRAMS);
+  for (int i = 0; i < PROGRAMS; i++)
+    CU_ASSERT_EQUAL (
+        read_turn (sim, 0, &(struct sim_turn){ .program = i, .len = MAX_LEN }),
+        TURN_FOUND);
+  destroy_sim (sim);
+}
+
 /* An entry host that asks the keepers of SIM. */
 struct asking_host
 {
@@ -1103,6 +1153,7 @@
   { "writes", test_writes },
   { "failed previous", test_failed_previous },
   { "restart", test_restart },
+  { "many reads from the disk", test_many_reads_from_disk },
   { "wipes", test_wipes },
   { "lost groups", test_lost_groups },
   { "restore under load", test_restore_under_load },
