conversation: a keeper short of memory takes no new turns

A keeper that nears its memory limit goes on taking turns, and copies of other keepers' groups, until the platform kills it; what it was about to answer is lost with it. An entry host refuses callers in the same state.

Cause: the measured state of the memory (common/memory.c) is asked for by what serves callers and relays only. The bounds of a keeper's parts do not keep it below the limit: 12 MB that it needs by itself, 23.6 and 17.7 MB for links at 130 MB, 24 MB of contents, about 20 MB of index, 12 MB that waits for the disk, 5 MB of streams and 5.9 MB of messages are 120 MB without the ledger.

Found in a review by reading; those figures are sums of the bounds, not measured. The new test fails without the change.

Change: a keeper that is short of memory refuses turns that begin a chain, one that is out of memory all turns and copies, as if its disk were full. Hosts go on to other keepers, and offer it turns again after a second.

--- a/conversation/keeper.c
+++ b/conversation/keeper.c
@@ -2,6 +2,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/memory.h"
 #include "conversation/keeper_state.h"
 #include <inttypes.h>
 #include <stdio.h>
@@ -285,6 +286,16 @@
   return !group || group->disk_bytes * 100 < GROUP_BYTES_MAX * percent;
 }
 
+/* Whether the process has memory for a turn that begins a chain, or continues
+   one.  */
+static bool
+has_memory (bool is_new_chain)
+{
+  enum memory_state state = memory_state ();
+
+  return state == MEMORY_ENOUGH || (state == MEMORY_SHORT && !is_new_chain);
+}
+
 /* Whether a turn can be added that begins a chain, or continues one.  */
 static bool
 has_room (const struct conversation_keeper *keeper, bool is_new_chain)
@@ -294,7 +305,7 @@
   uint64_t disk_bytes
       = store_disk_bytes (keeper->options.store) + keeper->pending_bytes;
 
-  if (keeper->pending_bytes > MAX_PENDING_BYTES
+  if (!has_memory (is_new_chain) || keeper->pending_bytes > MAX_PENDING_BYTES
       || (is_new_chain && keeper->now_ms < keeper->full_until_ms))
     return false;
   if (keeper->index.turn_count * 100ULL >= keeper->options.turns_max * percent)
--- a/test/unit/test_conversation_keeper.c
+++ b/test/unit/test_conversation_keeper.c
@@ -1,5 +1,6 @@
 #include "common/counters.h"
 #include "common/id.h"
+#include "common/memory.h"
 #include "conversation/client.h"
 #include "conversation/keeper_state.h"
 #include "peer/packed_frame.h"
@@ -1065,6 +1066,37 @@
   destroy_sim (sim);
 }
 
+/* Guards against a keeper that takes turns until it ends for lack of memory.
+   Chains that it has go on as long as there is some.  */
+static void
+test_short_of_memory (void)
+{
+  enum
+  {
+    LIMIT_BYTES = 130 * 1024 * 1024,
+    SHORT_BYTES = LIMIT_BYTES / 100 * 86,
+    EXHAUSTED_BYTES = LIMIT_BYTES / 100 * 95,
+  };
+  struct sim *sim = create_sim (1, 2);
+  struct sim_turn first = { .program = 1 };
+  struct sim_turn second = { .program = 1, .number = 1 };
+  struct sim_turn third = { .program = 1, .number = 2 };
+
+  CU_ASSERT_EQUAL (write_turn (sim, 0, &first), TURN_STORED);
+  memory_set_limit (LIMIT_BYTES, MEMORY_STORES_TURNS);
+  memory_measure (SHORT_BYTES);
+  CU_ASSERT_EQUAL (write_turn (sim, 0, &(struct sim_turn){ .program = 2 }),
+                   TURN_NO_ROOM);
+  CU_ASSERT_EQUAL (write_turn (sim, 0, &second), TURN_STORED);
+  memory_measure (EXHAUSTED_BYTES);
+  CU_ASSERT_EQUAL (write_turn (sim, 0, &third), TURN_NO_ROOM);
+  CU_ASSERT_EQUAL (read_turn (sim, 0, &second), TURN_FOUND);
+  memory_set_limit (0, MEMORY_STORES_TURNS);
+  memory_measure (0);
+  CU_ASSERT_EQUAL (write_turn (sim, 0, &third), TURN_STORED);
+  destroy_sim (sim);
+}
+
 /* An entry host that asks the keepers of SIM. */
 struct asking_host
 {
@@ -1154,6 +1186,7 @@
   { "failed previous", test_failed_previous },
   { "restart", test_restart },
   { "many reads from the disk", test_many_reads_from_disk },
+  { "short of memory", test_short_of_memory },
   { "wipes", test_wipes },
   { "lost groups", test_lost_groups },
   { "restore under load", test_restore_under_load },
