--- a/test/unit/test_watch.c
+++ b/test/unit/test_watch.c
@@ -38,6 +38,7 @@
   const char *next_page; /* of the list, after the first */
   const char *events;    /* once, unless they are kept */
   bool keeps_events;
+  int objects;      /* that the table's handler was called with */
   char after[1024]; /* what the last request for a page asked for */
 };
 
@@ -76,6 +77,12 @@
     httpd_respond (request, 200, "application/json", body, strlen (body));
 }
 
+static void
+handle_object (void *data, const char *name, json_t *object, bool removed)
+{
+  ((struct fixture *)data)->objects++;
+}
+
 static void
 handle_commit (void *data)
 {
@@ -99,7 +106,9 @@
                                  .data = fixture };
   struct table_options table = { .kind = "servers",
                                  .grace_ms = GRACE_MS,
-                                 .handle_commit = handle_commit };
+                                 .handle_object = handle_object,
+                                 .handle_commit = handle_commit,
+                                 .data = fixture };
   struct watch_options watch
       = { .wait_ms = WAIT_MS, .handle_reachability = handle_reachability };
   struct error error;
@@ -556,6 +565,39 @@
   free (events);
 }
 
+/* Guards against a host that parses each version of a large configuration
+   which comes in one reply, with the one before still in memory: only the last
+   event of each object counts.  */
+static void
+test_last_event_of_an_object_counts (void)
+{
+  static const char events[]
+      = "{\"events\": ["
+        "{\"object\": {\"metadata\": {\"name\": \"e\", \"rev\": 2}}},"
+        "{\"object\": {\"metadata\": {\"name\": \"f\", \"rev\": 3}}},"
+        "{\"object\": {\"metadata\": {\"name\": \"g\", \"rev\": 4}},"
+        " \"removed\": true},"
+        "{\"object\": {\"metadata\": {\"name\": \"e\", \"rev\": 5}}},"
+        "{\"object\": {\"metadata\": {\"name\": \"f\", \"rev\": 6}},"
+        " \"removed\": true},"
+        "{\"object\": {\"metadata\": {\"name\": \"g\", \"rev\": 7}}},"
+        "{\"object\": {\"metadata\": {\"name\": \"e\", \"rev\": 8}}}],"
+        " \"store_revision\": 9}";
+  struct fixture fixture;
+
+  fixture_open (&fixture);
+  run_until (&fixture, is_listed);
+  fixture.objects = 0;
+  fixture.events = events;
+  watch_set_active (fixture.watch, true);
+  run_until (&fixture, has_events);
+  CU_ASSERT_EQUAL (fixture.objects, 2);
+  CU_ASSERT_EQUAL (table_find (fixture.table, "e")->revision, 8);
+  CU_ASSERT_PTR_NULL (table_find (fixture.table, "f"));
+  CU_ASSERT_EQUAL (table_find (fixture.table, "g")->revision, 7);
+  fixture_close (&fixture);
+}
+
 CU_TestInfo watch_tests[]
     = { { "no grace period after a rest", test_no_grace_after_a_rest },
         { "a grace period after an outage", test_grace_after_an_outage },
@@ -569,4 +611,6 @@
         { "broken replies fail", test_broken_replies_fail },
         { "large objects are not parsed", test_large_objects_are_not_parsed },
         { "changes longer than a reply", test_changes_longer_than_a_reply },
+        { "the last event of an object counts",
+          test_last_event_of_an_object_counts },
         CU_TEST_INFO_NULL };
