common: responses in one piece are held on the callers' account

A host ends for lack of memory if callers of routes that do not stream read nothing, or slowly: each holds a response of up to 4 MB, for up to the 20 s of the idle time-out, and the host goes on taking callers.

Cause: such a response is copied to libmicrohttpd, charged to no account, and cutting those who do not read looks at streams only.

Found in a review by reading. The new test (two responses of 4 MB, one client that reads nothing and one that reads slowly) fails without the change: nothing is charged, and nobody is cut.

Change: a response larger than the kernel's buffer for the connection is charged until the client has read it, whatever the budget has, as it is ready. It is passed on in blocks of 16 KB, so that it is known when the client last read. One that reads nothing for 3 s is cut as that of a stream is, if much is held.

--- a/common/buffer_budget.c
+++ b/common/buffer_budget.c
@@ -22,6 +22,15 @@
   return true;
 }
 
+/* Takes BYTES of what is held already, whatever the limits.  */
+void
+buffer_budget_add (struct buffer_budget *budget, size_t bytes)
+{
+  budget->used_bytes += bytes;
+  counter_add (COUNTER_BUFFERED_BYTES, (int64_t)bytes);
+  memory_add (MEMORY_CALLERS, (int64_t)bytes);
+}
+
 /* Returns BYTES that were taken.  */
 void
 buffer_budget_return (struct buffer_budget *budget, size_t bytes)
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -17,6 +17,7 @@
 enum
 {
   STREAM_BLOCK_BYTES = 2048,
+  WHOLE_BLOCK_BYTES = 16 * 1024, /* of a response in one piece */
   MAX_STREAM_BACKLOG_BYTES = 256 * 1024,
   LISTEN_BACKLOG = 1024,
   /* A client that has read nothing for so long is cut if much is buffered.
@@ -151,6 +152,22 @@
   return true;
 }
 
+/* Charges a response in one piece, if it is larger than what the kernel takes
+   at once.  It is ready and so is sent whatever the budget has.  */
+static void
+charge_whole (struct httpd_request *request)
+{
+  const struct httpd_options *options = &request->httpd->options;
+
+  if (!options->buffers
+      || request->response_body.len <= options->send_buffer_bytes)
+    return;
+  request->whole_bytes = request->response_body.len;
+  request->charged_bytes += request->whole_bytes;
+  buffer_budget_add (options->buffers, request->whole_bytes);
+  request->read_ms = clock_now_ms ();
+}
+
 /* Returns up to BYTES of what was charged for REQUEST.  */
 static void
 discharge (struct httpd_request *request, size_t bytes)
@@ -261,22 +278,51 @@
   return 0;
 }
 
+/* Passes on a part of a response that is charged as a whole, until all of it
+   is passed on.  */
+static ssize_t
+read_whole (void *data, uint64_t position, char *out, size_t max)
+{
+  struct httpd_request *request = data;
+  size_t left;
+  size_t len;
+
+  if (request->stream_aborted)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  left = request->response_body.len - (size_t)position;
+  len = left < max ? left : max;
+  memcpy (out, request->response_body.data + position, len);
+  request->read_ms = clock_now_ms ();
+  if (len == left)
+    {
+      discharge (request, request->whole_bytes);
+      request->whole_bytes = 0;
+      buf_release (&request->response_body);
+    }
+  return (ssize_t)len;
+}
+
 static enum MHD_Result
 queue_response (struct httpd_request *request)
 {
   struct MHD_Response *response;
   enum MHD_Result result;
 
+  if (!request->streaming)
+    charge_whole (request);
   if (request->streaming)
     response = MHD_create_response_from_callback (
         MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, request, NULL);
+  else if (request->whole_bytes > 0)
+    response = MHD_create_response_from_callback (
+        request->whole_bytes, WHOLE_BLOCK_BYTES, read_whole, request, NULL);
   else
     response = MHD_create_response_from_buffer (request->response_body.len,
                                                 request->response_body.data,
                                                 MHD_RESPMEM_MUST_COPY);
   if (!response)
     return MHD_NO;
-  if (!request->streaming)
+  if (!request->streaming && request->whole_bytes == 0)
     buf_release (&request->response_body);
   if (request->content_type)
     MHD_add_response_header (response, "Content-Type", request->content_type);
@@ -859,6 +905,14 @@
   resume_request (request);
 }
 
+/* Returns what is held of a response that the client has not read.  */
+static size_t
+unsent_bytes (const struct httpd_request *request)
+{
+  return request->streaming ? request->response_body.len
+                            : request->whole_bytes;
+}
+
 /* Whether the client has taken nothing of a backlog for a long time.  */
 static bool
 is_stalled (const struct httpd_request *request, int64_t now_ms)
@@ -897,7 +951,7 @@
              "cut a client of %s that has read nothing for %lld ms: %zu bytes "
              "wait for it, %zu of %zu are buffered in sum",
              request->path, (long long)(now_ms - request->read_ms),
-             request->response_body.len,
+             unsent_bytes (request),
              request->httpd->options.buffers->used_bytes,
              request->httpd->options.buffers->limit_bytes);
   request->handle_disconnect = NULL;
@@ -925,7 +979,7 @@
        request = next)
     {
       next = request->next;
-      if (!request->streaming || request->response_body.len == 0)
+      if (unsent_bytes (request) == 0)
         continue;
       record_reading (request, now_ms);
       if (is_contended && is_stalled (request, now_ms))
@@ -958,6 +1012,7 @@
   if (request->buffering)
     {
       request->buffering = false;
+      discharge (request, request->response_body.len); /* see charge_whole */
       request->state = HTTPD_RESPONDED;
       resume_request (request);
       return;
--- a/include/common/buffer_budget.h
+++ b/include/common/buffer_budget.h
@@ -14,6 +14,7 @@
 };
 
 bool buffer_budget_take (struct buffer_budget *budget, size_t bytes);
+void buffer_budget_add (struct buffer_budget *budget, size_t bytes);
 void buffer_budget_return (struct buffer_budget *budget, size_t bytes);
 bool buffer_budget_is_contended (const struct buffer_budget *budget);
 bool buffer_budget_is_near (const struct buffer_budget *budget);
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -74,6 +74,7 @@
   struct buf body;          /* received request body */
   struct buf response_body; /* of a stream: the part not sent yet */
   size_t charged_bytes;     /* to the budget of the server */
+  size_t whole_bytes;       /* of them, a large response in one piece */
   int64_t read_ms;  /* when the client last took a part of the stream, or its
                        backlog began */
   int unread_bytes; /* in the kernel's buffer, when last looked */
--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -2,6 +2,7 @@
 #include "common/id.h"
 #include "suites.h"
 #include <arpa/inet.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -14,6 +15,8 @@
   STREAM_BYTES = 200 * 1024,
   SLOW_READS = 34, /* over longer than a client may stall */
   SLOW_READ_MS = 100,
+  RESPONSE_BYTES = 4 * 1024 * 1024,
+  SLOW_READ_BYTES = 16 * 1024,
 };
 
 static const char request_text[] = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
@@ -337,6 +340,54 @@
   teardown (&fixture);
 }
 
+static void
+begin_long_response (struct fixture *fixture, int client, int count)
+{
+  char *body = calloc (1, RESPONSE_BYTES);
+
+  CU_ASSERT_EQUAL (write (client, request_text, sizeof request_text - 1),
+                   (ssize_t)sizeof request_text - 1);
+  run_until_handled (fixture, count);
+  httpd_respond (fixture->last, 200, "text/plain", body, RESPONSE_BYTES);
+  free (body);
+  for (int i = 0; i < 10; i++)
+    ev_run (fixture->loop, EVRUN_NOWAIT);
+}
+
+/* Guards against the same with responses in one piece, which are held outside
+   of the budget until the client has read them.  */
+static void
+cuts_a_stalled_reader_of_a_whole_response (void)
+{
+  struct fixture fixture;
+  char bytes[SLOW_READ_BYTES];
+  int slow_client;
+
+  setup_bounded (&fixture, (size_t)2 * RESPONSE_BYTES);
+  begin_long_response (&fixture, fixture.client, 1);
+  slow_client = connect_client (&fixture);
+  begin_long_response (&fixture, slow_client, 2);
+  CU_ASSERT_TRUE (fixture.buffers.used_bytes >= (size_t)2 * RESPONSE_BYTES);
+  for (int i = 0; i < SLOW_READS; i++)
+    {
+      usleep (SLOW_READ_MS * 1000);
+      for (int k = 0; k < 10; k++)
+        ev_run (fixture.loop, EVRUN_NOWAIT);
+      CU_ASSERT_TRUE (read (slow_client, bytes, sizeof bytes) > 0);
+      httpd_cut_stalled (fixture.httpd, clock_now_ms ());
+    }
+  for (int k = 0; k < 10; k++)
+    ev_run (fixture.loop, EVRUN_NOWAIT);
+  CU_ASSERT_EQUAL (fixture.buffers.used_bytes, RESPONSE_BYTES);
+  CU_ASSERT_EQUAL (httpd_open_requests (fixture.httpd), 1);
+  close (slow_client);
+  for (int k = 0; k < 10; k++)
+    ev_run (fixture.loop, EVRUN_NOWAIT);
+  httpd_destroy (fixture.httpd);
+  CU_ASSERT_EQUAL (fixture.buffers.used_bytes, 0);
+  teardown (&fixture);
+}
+
 /* Guards against bodies that together take more than the host has.  */
 static void
 refuses_a_body_beyond_the_budget (void)
@@ -370,6 +421,8 @@
   { "an aborted stream never looks complete",
     aborted_stream_never_looks_complete },
   { "cuts a stalled reader, not a slow one", cuts_a_stalled_reader_only },
+  { "cuts a stalled reader of a whole response",
+    cuts_a_stalled_reader_of_a_whole_response },
   { "refuses a body beyond the budget", refuses_a_body_beyond_the_budget },
   CU_TEST_INFO_NULL
 };
