--- a/test/unit/test_memory_pressure.c
+++ b/test/unit/test_memory_pressure.c
@@ -511,7 +511,48 @@
   close_site (&site);
 }
 
+/* Guards against a helping host that ends for lack of memory: it holds the
+   bodies of the requests that it sends for others.  */
+static void
+test_bodies_of_other_hosts (void)
+{
+  enum
+  {
+    RELAYS = 200,
+  };
+  struct local_pipeline_options options = { .route.timeout_ms = TIMEOUT_MS };
+  struct local_pipeline *local = local_pipeline_create (&options);
+  int64_t before = memory_used (MEMORY_CALLERS);
+  char *body = calloc (1, BODY_BYTES);
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__RelaySend send = PEER__RELAY_SEND__INIT;
+
+  memory_set_limit (HOST_BYTES, MEMORY_SERVES_CALLERS);
+  send.endpoint = pool_at (local->pool, 0)->start;
+  send.method = (char *)(uintptr_t) "POST";
+  send.target = (char *)(uintptr_t) "/";
+  send.timeout_ms = TIMEOUT_MS;
+  send.body.data = (uint8_t *)body;
+  send.body.len = BODY_BYTES;
+  frame.body_case = PEER__FRAME__BODY_RELAY_SEND;
+  frame.relay_send = &send;
+  while (send.id < RELAYS)
+    {
+      send.id++;
+      relay_server_handle_frame (local->relay_server, "y", &frame,
+                                 clock_now_ms ());
+    }
+  CU_ASSERT_TRUE (relay_server_active (local->relay_server) > 0);
+  CU_ASSERT_TRUE (relay_server_active (local->relay_server)
+                  <= memory_share (MEMORY_CALLERS) / BODY_BYTES);
+  local_pipeline_destroy (local);
+  CU_ASSERT_EQUAL (memory_used (MEMORY_CALLERS), before);
+  memory_set_limit (0, MEMORY_SERVES_CALLERS);
+  free (body);
+}
+
 CU_TestInfo memory_pressure_tests[] = {
+  { "bodies of other hosts", test_bodies_of_other_hosts },
   { "the price of one more caller", test_price_of_a_caller },
   { "many callers", test_many_callers },
   { "idle connections are dropped", test_idle_connections_are_dropped },
