peer: a part of a frame shows that its sender answers

With several groups of turns of 2 MB on a slow link none is whole within the 1.2 to 1.5 s after which a host is taken for silent, and what it was sending is begun again. 'a part of a frame is heard' (link memory) fails without the change.

--- a/include/peer/link.h
+++ b/include/peer/link.h
@@ -43,7 +43,9 @@
   void (*handle_open) (void *data, struct link *link, const char *host);
   void (*handle_frame) (void *data, struct link *link,
                         const Peer__Frame *frame);
-  /* Called after bytes were written to the socket. */
+  /* Called when bytes have arrived on an open link; may be NULL. */
+  void (*handle_received) (void *data, struct link *link);
+  /* Called after bytes were written to the socket; may be NULL. */
   void (*handle_flushed) (void *data, struct link *link);
   void (*handle_closed) (void *data, struct link *link);
   struct link_budget *budget;
--- a/peer/link.c
+++ b/peer/link.c
@@ -275,6 +275,8 @@
     }
   buf_append (&link->in, chunk, (size_t)got);
   update_accounts (link);
+  if (link->state == LINK_OPEN && link->owner.handle_received)
+    link->owner.handle_received (link->owner.data, link);
   if (!process_input (link) || lacks_memory (link))
     {
       close_link (link);
--- a/peer/mesh.c
+++ b/peer/mesh.c
@@ -391,6 +391,18 @@
   mark_answering (peer);
 }
 
+/* A part of a frame shows that its sender answers: a large one may take longer
+   to arrive than a host may be silent.  */
+static void
+handle_inbound_bytes (void *data, struct link *link)
+{
+  struct mesh *mesh = data;
+  struct peer *peer = find_peer (mesh, link->host);
+
+  if (peer && !peer->blocked)
+    record_received (peer);
+}
+
 static void
 handle_inbound_frame (void *data, struct link *link, const Peer__Frame *frame)
 {
@@ -431,6 +443,7 @@
   struct link_identity self = own_identity (mesh);
   struct link_owner owner = { .handle_open = handle_inbound_open,
                               .handle_frame = handle_inbound_frame,
+                              .handle_received = handle_inbound_bytes,
                               .handle_closed = handle_inbound_closed,
                               .budget = &mesh->budget,
                               .data = mesh };
--- a/test/unit/test_link_memory.c
+++ b/test/unit/test_link_memory.c
@@ -149,6 +149,32 @@
   CU_ASSERT_EQUAL (memory_used (MEMORY_LINKS_IN), 0);
 }
 
+/* Guards against a host that is taken for silent while a large frame of it
+   arrives.  */
+static void
+test_part_of_a_frame_is_heard (void)
+{
+  struct node a;
+  struct node b;
+  int64_t sent_ms;
+
+  node_open (&a, "a", 23905);
+  node_open (&b, "b", 23906);
+  open_link (&a, &b);
+  ev_sleep (0.02);
+  sent_ms = clock_now_ms ();
+  CU_ASSERT_TRUE (mesh_last_received_ms (b.mesh, "a") < sent_ms);
+  send_bytes (&a, "b", FRAME_BYTES);
+  for (int i = 0; i < MAX_LOOP_ITERATIONS
+                  && mesh_last_received_ms (b.mesh, "a") < sent_ms;
+       i++)
+    run_both (&a, &b);
+  CU_ASSERT_TRUE (mesh_last_received_ms (b.mesh, "a") >= sent_ms);
+  CU_ASSERT_EQUAL (b.received_bytes, 1);
+  node_close (&a);
+  node_close (&b);
+}
+
 static size_t
 count_hosts (const struct mesh *mesh)
 {
@@ -224,6 +250,7 @@
 CU_TestInfo link_memory_tests[] = {
   { "buffers of idle links", test_buffers_of_idle_links },
   { "a host that does not read", test_host_that_does_not_read },
+  { "a part of a frame is heard", test_part_of_a_frame_is_heard },
   { "hosts that were replaced", test_replaced_hosts },
   { "price of a host", test_price_of_a_host },
   CU_TEST_INFO_NULL,
