peer: empty buffers keep nothing while the links hold much

By the review's arithmetic, 437 inbound links that each keep 16 KB use up the 7.2 MB that a host of 88 MB has for frames that arrive; each larger frame would then close its link. While the buffers of all links hold more than half of their limit, an empty one is freed whole. No test of its own: it needs some 300 links.

--- a/peer/link.c
+++ b/peer/link.c
@@ -71,13 +71,27 @@
   link->out_bytes = link->out.capacity;
 }
 
+/* Returns what an empty buffer may keep: nothing while the buffers of all
+   links hold more than half of their limit.  */
+static size_t
+kept_bytes (size_t used_bytes, size_t limit_bytes)
+{
+  return used_bytes > limit_bytes / 2 ? 0 : KEPT_BYTES;
+}
+
 /* Frees the buffers that are empty and large.  */
 static void
 trim_buffers (struct link *link)
 {
-  if (link->in.len == 0 && link->in.capacity > KEPT_BYTES)
+  const struct link_budget *budget = link->owner.budget;
+
+  if (link->in.len == 0
+      && link->in.capacity
+             > kept_bytes (budget->in_bytes, budget->in_limit_bytes))
     buf_release (&link->in);
-  if (link->out.len == 0 && link->out.capacity > KEPT_BYTES)
+  if (link->out.len == 0
+      && link->out.capacity
+             > kept_bytes (budget->out_bytes, budget->out_limit_bytes))
     buf_release (&link->out);
   update_accounts (link);
 }
