feed: hosts wait on while the links' thread has no room

The loop that answers waiting hosts dropped each of them when the mailbox of the traffic thread was full, and each lost a second until it asked again. It stops at the first one. A large update counts as lost after 3 s instead of 10, so that hosts that do not read block the others no longer than that.

--- a/feed/feed.c
+++ b/feed/feed.c
@@ -31,7 +31,7 @@
   DEFAULT_BULK_BYTES = 4 * 1024 * 1024,
   ANSWER_STALL_MS = 300,
   MAX_WAIT_MS = 3 * REQUEST_INTERVAL_MS,
-  MAX_SEND_MS = 10000,
+  MAX_SEND_MS = 3000,
   /* A larger update of another host is not inflated. */
   MAX_INFLATED_BYTES = 8 * 1024 * 1024,
   RELAYS_PER_DATA_CENTRE = 2, /* hosts that the leader sends to elsewhere */
@@ -731,21 +731,26 @@
 }
 
 /* Sends FRAME, which carries BYTES of objects, to HOST.  feed_handle_sent is
-   called once it has left this host or is lost.  */
-static void
+   called once it has left this host or is lost.  Returns false if it cannot be
+   sent now.  */
+static bool
 send_bulk (struct feed *feed, const char *host, const Peer__Frame *frame,
            size_t bytes)
 {
-  counter_add (COUNTER_FEED_ANSWERS, 1);
-  counter_add (COUNTER_FEED_ANSWER_BYTES, (int64_t)bytes);
   outbox_begin (feed->outbox, host, bytes, current_ms (feed));
   if (!feed->options.send_bulk (feed->options.data, host, frame))
-    outbox_end (feed->outbox, host);
+    {
+      outbox_end (feed->outbox, host);
+      return false;
+    }
+  counter_add (COUNTER_FEED_ANSWERS, 1);
+  counter_add (COUNTER_FEED_ANSWER_BYTES, (int64_t)bytes);
+  return true;
 }
 
 /* Sends the table's payload, inflated for hosts that do not accept it
-   otherwise.  */
-static void
+   otherwise.  Returns false if it cannot be sent now.  */
+static bool
 send_payload (struct feed *feed, const struct replicated_table *replicated,
               const struct outbox_request *request)
 {
@@ -754,6 +759,7 @@
   Peer__FeedUpdate message = PEER__FEED_UPDATE__INIT;
   Peer__FeedState state;
   Peer__FeedUpdate *inner = NULL;
+  bool is_sent;
 
   update_fill_state (&state, replicated->table, current_ms (feed));
   message.state = &state;
@@ -776,10 +782,12 @@
     }
   frame.body_case = PEER__FRAME__BODY_FEED_UPDATE;
   frame.feed_update = &message;
-  send_bulk (feed, request->host, &frame,
-             inner ? payload->inflated_bytes : payload->deflated.len);
+  is_sent
+      = send_bulk (feed, request->host, &frame,
+                   inner ? payload->inflated_bytes : payload->deflated.len);
   if (inner)
     peer__feed_update__free_unpacked (inner, NULL);
+  return is_sent;
 }
 
 /* Whether the table may be sent to others: stale state is not.  */
@@ -791,23 +799,34 @@
                 <= feed->options.stale_ms;
 }
 
-/* Answers the hosts whose turn it is.  */
+/* Returns false if the answer cannot be sent now.  */
+static bool
+answer (struct feed *feed, const struct outbox_request *request)
+{
+  struct replicated_table *replicated = &feed->tables[request->table];
+
+  return !is_fresh (feed, replicated->table)
+         || answer_directly (feed, replicated, request->host,
+                             request->revision)
+         || send_payload (feed, replicated, request);
+}
+
+/* Answers the hosts whose turn it is.  One that cannot be answered now waits
+   on, and the others with it: the links' thread is busy.  */
 static void
 answer_waiting (struct feed *feed)
 {
   struct outbox_request *request;
+  bool is_sent = true;
 
   if (feed->is_answering)
     return;
   feed->is_answering = true;
-  while ((request = outbox_take (feed->outbox, current_ms (feed))))
+  while (is_sent && (request = outbox_take (feed->outbox, current_ms (feed))))
     {
-      struct replicated_table *replicated = &feed->tables[request->table];
-
-      if (is_fresh (feed, replicated->table)
-          && !answer_directly (feed, replicated, request->host,
-                               request->revision))
-        send_payload (feed, replicated, request);
+      is_sent = answer (feed, request);
+      if (!is_sent)
+        outbox_add (feed->outbox, request, false);
       outbox_request_destroy (request);
     }
   feed->is_answering = false;
