platform: frames between the threads fit their share of the memory

4.25 MB each way are 8.5 MB, the account's share of an 88 MB host is 3.8 MB. 1.5 MB each way, and 256 KB for small frames; one frame alone may still be larger.

--- a/include/platform/messages.h
+++ b/include/platform/messages.h
@@ -30,7 +30,7 @@
 /* Bounds of the frames that wait for one of the two threads. */
 enum
 {
-  NODE_FRAMES_MAX_BYTES = 4 * 1024 * 1024,
+  NODE_FRAMES_MAX_BYTES = 1536 * 1024,
   /* Room beyond it for small frames: beacons and questions of the feed are
      passed on while updates wait, or other hosts would count as silent. */
   NODE_SMALL_FRAMES_BYTES = 256 * 1024,
