feed: a host asks again after half a second

From the review: a lost frame, or a host whose state is not fresh at that moment, cost a second a hop; two losses on the way over leader and relay came near the 3 s within which a version must be in force. Hosts that wait for their turn lose nothing by asking again. unit-wide-configuration passes as before.

--- a/feed/feed.c
+++ b/feed/feed.c
@@ -17,7 +17,7 @@
   BEACONS_PER_STALE = 5, /* sent before state becomes stale */
   /* Between requests for one kind.  A host that has part of it waits for its
      turn; while it has nothing, it asks more hosts. */
-  REQUEST_INTERVAL_MS = 1000,
+  REQUEST_INTERVAL_MS = 500,
   FIRST_REQUEST_INTERVAL_MS = 200,
   HOSTS_PER_REQUEST = 2, /* asked at once while the store is unreachable */
   /* A change of more objects is not sent to all followers: they ask for it, so
@@ -30,7 +30,7 @@
   MAX_ACTIVE_ANSWERS = 4,
   DEFAULT_BULK_BYTES = 4 * 1024 * 1024,
   ANSWER_STALL_MS = 300,
-  MAX_WAIT_MS = 3 * REQUEST_INTERVAL_MS,
+  MAX_WAIT_MS = 3000,
   MAX_SEND_MS = 3000,
   /* A larger update of another host is not inflated. */
   MAX_INFLATED_BYTES = 8 * 1024 * 1024,
