--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,5 +1,6 @@
 /* Requests that crash the endpoints which run them, after their streams have
-   begun.  Each must get a final answer by the time-out of its route.  */
+   begun, and that come again.  Each attempt must get a final answer by the
+   time-out of its route.  */
 #include "rig.h"
 #include <errno.h>
 #include <pthread.h>
@@ -13,6 +14,8 @@
 {
   SERVERS = 12,
   REQUESTS = 10,
+  ATTEMPTS = 3,   /* at each request, one after the other */
+  RETRY_MS = 100, /* after the end of an attempt */
   REQUEST_INTERVAL_MS = 1500,
   EVENTS = 40,
   EVENT_INTERVAL_MS = 60,
@@ -26,10 +29,11 @@
   ABANDON_MS = 3200,
 };
 
-/* What a caller has seen. */
+/* What a caller has seen of an attempt. */
 struct call
 {
   int number;
+  int attempt;
   int port;
   bool has_end;      /* complete, refused or cut */
   int64_t end_ms;    /* after its start */
@@ -138,45 +142,59 @@
     call->events++;
 }
 
-static void *
-run_call (void *data)
+static void
+run_attempt (struct call *call)
 {
-  struct call *call = data;
   int64_t begun_ms = rig_now_ms ();
   int fd = rig_connect (call->port, 0, 50);
 
   if (fd < 0
       || !rig_printf (fd,
                       "POST /turn/%d HTTP/1.1\r\nHost: h.example\r\n"
-                      "Attempt-Id: a%d\r\nDeadline-Ms: %d\r\nCredential: "
+                      "Attempt-Id: a%d.%d\r\nDeadline-Ms: %d\r\nCredential: "
                       "key0key0key0\r\nModel: m\r\nToken-Usage: 10,120\r\n"
                       "Prompt-Prefix: 5c1e07a%d:10\r\nContent-Length: "
                       "%d\r\n\r\n%s %02d",
-                      call->number, call->number, DEADLINE_MS, call->number,
-                      rig_has_trouble ? 9 : 8,
+                      call->number, call->number, call->attempt, DEADLINE_MS,
+                      call->number, rig_has_trouble ? 9 : 8,
                       rig_has_trouble ? "poison" : "sound", call->number))
     rig_finish (RIG_COULD_NOT);
-  rig_record ("caller %d: POST /turn/%d, attempt a%d", call->number,
-              call->number, call->number);
+  rig_record ("caller %d: attempt a%d.%d begins", call->number, call->number,
+              call->attempt);
   read_answer (call, fd, begun_ms);
   if (call->has_end)
-    rig_record ("caller %d: %s, %d events, its end after %lld ms",
-                call->number, call->status, call->events,
-                (long long)call->end_ms);
+    rig_record ("caller %d: attempt a%d.%d: %s, %d events, its end after %lld "
+                "ms",
+                call->number, call->number, call->attempt, call->status,
+                call->events, (long long)call->end_ms);
   else
-    rig_record ("caller %d: %s, %d events, no end; leaves after %lld ms, %lld "
-                "of them without a byte",
-                call->number, call->status, call->events,
-                (long long)call->end_ms, (long long)call->silent_ms);
+    rig_record ("caller %d: attempt a%d.%d: %s, %d events, no end; leaves "
+                "after %lld ms, %lld of them without a byte",
+                call->number, call->number, call->attempt, call->status,
+                call->events, (long long)call->end_ms,
+                (long long)call->silent_ms);
   close (fd);
   call->is_done = true;
+}
+
+/* Makes the attempts at a request one after the other.  */
+static void *
+run_request (void *data)
+{
+  struct call *calls = data;
+
+  for (int i = 0; i < ATTEMPTS; i++)
+    {
+      run_attempt (&calls[i]);
+      rig_sleep_ms (RETRY_MS);
+    }
   return NULL;
 }
 
 int
 main (int argc, char **argv)
 {
-  static struct call calls[REQUESTS];
+  static struct call calls[REQUESTS][ATTEMPTS];
   static const char *const zones[] = { "a", "b", "c", "d" };
   struct rig_host *entry;
   struct rig_host *keepers[4];
@@ -191,7 +209,7 @@
            "{\"version\": 3, \"routes\": [{\"name\": \"turns\", \"hostname\": "
            "\"h.example\", \"path_prefix\": \"/turn/\", \"type\": "
            "\"streaming\", \"timeout_ms\": 3000, \"slo_ms\": 200, "
-           "\"priority\": 0, \"backend\": \"models\", \"max_attempts\": 3, "
+           "\"priority\": 0, \"backend\": \"models\", \"max_attempts\": 1, "
            "\"retained\": false, \"anonymous\": false, \"session_affinity\": "
            "true, \"resumable\": true, \"gap_aim_ms\": 400}], \"services\": "
            "[{\"name\": \"models\", \"health_path\": \"/healthz\", "
@@ -229,19 +247,24 @@
 
   for (int i = 0; i < REQUESTS; i++)
     {
-      calls[i] = (struct call){ .number = i, .port = entry->caller_port };
-      rig_thread (run_call, &calls[i]);
+      for (int k = 0; k < ATTEMPTS; k++)
+        calls[i][k] = (struct call){ .number = i,
+                                     .attempt = k + 1,
+                                     .port = entry->caller_port };
+      rig_thread (run_request, calls[i]);
       rig_sleep_ms (REQUEST_INTERVAL_MS);
     }
-  rig_sleep_ms (DEADLINE_MS + ABANDON_MS);
-  for (int i = 0; i < REQUESTS; i++)
+  rig_sleep_ms (ATTEMPTS * TIMEOUT_MS + ABANDON_MS);
+  for (int i = 0; i < REQUESTS * ATTEMPTS; i++)
     {
-      if (!calls[i].is_done || calls[i].events == 0)
+      const struct call *call = &calls[i / ATTEMPTS][i % ATTEMPTS];
+
+      if (!call->is_done)
         rig_finish (RIG_COULD_NOT);
-      late += calls[i].end_ms > TIMEOUT_MS;
-      unanswered += calls[i].end_ms > TIMEOUT_MS + SLACK_MS;
+      late += call->end_ms > TIMEOUT_MS;
+      unanswered += call->end_ms > TIMEOUT_MS + SLACK_MS;
     }
-  rig_record ("%d requests last longer than %d ms, %d of them have no final "
+  rig_record ("%d attempts last longer than %d ms, %d of them have no final "
               "answer %d ms later",
               late, TIMEOUT_MS, unanswered, SLACK_MS);
   rig_finish (unanswered >= 8 && 4 * unanswered > late ? RIG_BROKEN
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -476,6 +477,9 @@
 
   if (pid != 0)
     return pid;
+  /* Nothing stays behind if this program is killed.  To be called by its main
+     thread, with which the child would end otherwise. */
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
   fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2 (fd, STDOUT_FILENO);
   dup2 (fd, STDERR_FILENO);
