Review: small streams lose events beside a burst of large answers

A second script of case 1. Answers of 1 MB for 34 callers at once fill the budget of all callers; meanwhile each write to a stream fails, its event is dropped, and the stream goes on behind it. All 20 sound streams of the host end as complete without events of their middle.

--- a/review/build.sh
+++ b/review/build.sh
@@ -17,10 +17,10 @@
   standin/endpoint.c standin/engine.c standin/main.c standin/objects.c \
   standin/platform.c standin/service.c target/common/libgalena-common.a \
   $(pkg-config --libs $libraries) -lev -lm -lpthread
-for source in review/[1-5]/case.c; do
+for source in review/[1-5]/*.c; do
   [ -f "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   # shellcheck disable=SC2086
-  cc $flags -Ireview/rig -o "$out/case-$number" "$source" review/rig/rig.c \
-    -lpthread
+  cc $flags -Ireview/rig -o "$out/$(basename "$source" .c)-$number" \
+    "$source" review/rig/rig.c -lpthread
 done
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -138,7 +138,7 @@
   signal (SIGTERM, handle_limit);
   signal (SIGINT, handle_limit);
   alarm (LIMIT_S);
-  rig_record ("with %s the disruption", rig_has_trouble ? "" : "out");
+  rig_record ("%s the disruption", rig_has_trouble ? "with" : "without");
 }
 
 /* Returns a socket bound to PORT, or to a free one if that is 0.  */
