--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -21,7 +21,7 @@
 {
   START_TIMEOUT_MS = 10000,
   CALL_TIMEOUT_MS = 3000,
-  LIMIT_S = 115, /* after which the case counts as one that could not run */
+  LIMIT_S = 58, /* after which the case counts as one that could not run */
   READ_BYTES = 16 * 1024,
 };
 
