--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -449,6 +449,14 @@
   remote->page_after = page->next;
   remote->last_request_ms = 0;
   remote->is_complete = page->whole;
+  if (page->last && !remote->is_read)
+    log_write (LOG_INFO, "keeper", NULL,
+               "read the ledger of keeper %s, which is %s: %zu charges on the "
+               "last page, %d programs here, a list of %u keepers for %" PRId64
+               " ms",
+               remote->name, page->whole ? "complete" : "incomplete",
+               page->n_items, g_tree_nnodes (keeper->accounts),
+               keeper->set.count, clock_now_ms () - keeper->list_changed_ms);
   if (page->last)
     remote->is_read = true;
   check_complete (keeper);
@@ -627,6 +635,10 @@
       keeper->remote_count = count;
       keeper->generation++;
       keeper->list_changed_ms = clock_now_ms ();
+      log_write (LOG_INFO, "keeper", NULL,
+                 "list of keepers %" PRIu64 ": %u keepers, %u of them store "
+                 "each program",
+                 keeper->generation, keeper->set.count, keeper->set.wanted);
       check_complete (keeper);
     }
   else
--- a/request/pool.c
+++ b/request/pool.c
@@ -1111,6 +1111,10 @@
 
   *suspect = (struct pool_suspect){ .fingerprint = fingerprint,
                                     .interrupted_ms = now_ms };
+  log_write (LOG_INFO, "pool", NULL,
+             "endpoint %s ended the connection of a running request with "
+             "fingerprint %016" G_GINT64_MODIFIER "x",
+             endpoint->id, fingerprint);
 }
 
 /* Whether the request was interrupted shortly before the connection was
@@ -1127,9 +1131,16 @@
 void
 pool_record_connection_refused (struct pool_endpoint *endpoint, int64_t now_ms)
 {
+  bool was_refused = endpoint->refused_ms != 0;
+
   for (uint32_t i = 0; i < POOL_MAX_SUSPECTS && !endpoint->refused_ms; i++)
     if (is_suspect (&endpoint->suspects[i], now_ms))
       endpoint->refused_ms = now_ms;
+  if (!was_refused)
+    log_write (LOG_INFO, "pool", NULL,
+               "endpoint %s refuses connections; %s request of this host was "
+               "interrupted there lately",
+               endpoint->id, endpoint->refused_ms ? "a" : "no");
 }
 
 /* Returns a crashed endpoint whose suspects have not been taken yet, or NULL.
