--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -517,13 +517,22 @@
   return store_port;
 }
 
+/* Returns the program that the variable NAME names, or else PATH.  */
+static char *
+program_path (const char *name, const char *path)
+{
+  char *named = getenv (name);
+
+  return named ? named : (char *)(uintptr_t)path;
+}
+
 /* Starts the project's stand-in of the platform's store.  */
 void
 rig_start_store (void)
 {
   char port[16];
   char log[256];
-  char *arguments[] = { (char *)"target/review/standin",
+  char *arguments[] = { program_path ("RIG_STANDIN", "target/review/standin"),
                         (char *)"--mode",
                         (char *)"objects",
                         (char *)"--port",
@@ -691,8 +700,9 @@
 void
 rig_start_host (struct rig_host *host)
 {
-  char *arguments[] = { (char *)"target/galenashored/galenashored",
-                        (char *)"--on-platform", NULL };
+  char *arguments[]
+      = { program_path ("RIG_DAEMON", "target/galenashored/galenashored"),
+          (char *)"--on-platform", NULL };
   char data[300];
 
   if (host->was_started)
