request, policy: evidence of crashed endpoints is joined across hosts and kept

Callers' requests that crash every endpoint which runs them were sent on and on: 18 of 18 times after the third crash, on nine hosts.

Cause: a crash counted on a host that lost a running request and was itself refused a connection by that endpoint within 3 s. After the loss it avoids the endpoint, so others are refused, which have no suspect. What was counted was told once, as a number of which the larger one won, and lay in memory.

Now the host that lost a request probes the endpoint at once; an endpoint that leaves the list or starts anew counts as ended, too; up to 64 requests of an endpoint are suspects. Reports meet at two hosts chosen by the request; from the second crash on they go to all entry hosts and, as charges of a reserved program, to the ledger's keepers, so that a restart, a join, a freeze, a cut and a loss of power leave them known. After three crashes a request is sent on trial only, one send at a time in the fleet: a sound one that ran beside crashes of other causes is cleared by it; after two trials that crash as well it is refused.

A stream whose identical requests are refused is aborted, where it hung.

--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -35,6 +35,8 @@
   COUNTER_ENDPOINT_RETRIES,
   COUNTER_ENDPOINT_FAILURES,
   COUNTER_ENDPOINT_CONNECT_FAILURES,
+  COUNTER_CRASH_NOTICES,      /* frames about requests that crash endpoints */
+  COUNTER_CRASH_KEEPER_CALLS, /* the same to keepers of the ledger */
   COUNTER_PATH_PROBES,    /* connections that only tell whether they open */
   COUNTER_RELAYS_SENT,    /* requests that another host was to send */
   COUNTER_RELAYS_SERVED,  /* sent for other hosts */
--- a/include/request/pool.h
+++ b/include/request/pool.h
@@ -51,7 +51,7 @@
 
 enum
 {
-  POOL_MAX_SUSPECTS = 8, /* interrupted requests tracked per endpoint */
+  POOL_MAX_SUSPECTS = 64, /* interrupted requests tracked per endpoint */
   /* An endpoint that refuses connections counts as crashed only after this
      time.  A partition between data centres is detected before, with a margin
      of 150 ms (policy/failure_detector.h), and so is one of this host
@@ -124,12 +124,24 @@
   uint32_t failures; /* consecutive */
   /* Gets no requests before, unless no other endpoint is available. */
   int64_t avoid_until_ms;
+  /* The POOL_MAX_SUSPECTS newest; NULL before the first one. */
+  struct pool_suspect *suspects;
+  uint32_t suspect_count;
+  int64_t interrupted_ms; /* latest interruption of a request */
+  int64_t refused_ms;     /* first refused connection since a request was
+                             interrupted there; 0 for none */
+  GHashTable *parts;      /* set of struct tracked_part, by its id */
+  uint32_t *part_count;   /* of all endpoints together; owned by the pool */
+};
+
+/* An endpoint that crashed, and the requests that were running there. */
+struct pool_crash
+{
+  char *id;
+  uint64_t endpoint; /* hash of the id */
   struct pool_suspect suspects[POOL_MAX_SUSPECTS];
   uint32_t suspect_count;
-  int64_t refused_ms;   /* first refused connection since a request was
-                           interrupted there; 0 for none */
-  GHashTable *parts;    /* set of struct tracked_part, by its id */
-  uint32_t *part_count; /* of all endpoints together; owned by the pool */
+  int64_t refused_ms;
 };
 
 struct pool;
@@ -277,14 +289,13 @@
                               uint64_t fingerprint, int64_t now_ms);
 void pool_record_connection_refused (struct pool_endpoint *endpoint,
                                      int64_t now_ms);
-struct pool_endpoint *pool_find_crashed (const struct pool *pool,
-                                         int64_t now_ms);
+struct pool_crash *pool_take_crash (struct pool *pool, int64_t now_ms);
+void pool_crash_destroy (struct pool_crash *crash);
+bool pool_has_suspects (const struct pool_endpoint *endpoint, int64_t now_ms);
 void pool_clear_suspects (struct pool_endpoint *endpoint);
 uint64_t pool_build_of (const char *service, const char *version);
 size_t pool_count (const struct pool *pool);
 struct pool_endpoint *pool_at (const struct pool *pool, size_t index);
-uint32_t pool_take_suspects (struct pool_endpoint *endpoint,
-                             uint64_t fingerprints[POOL_MAX_SUSPECTS]);
 void pool_expire_prompt_parts (struct pool *pool, int64_t now_ms);
 void pool_forget_prompt_parts (struct pool *pool);
 uint32_t pool_part_count (const struct pool *pool);
--- a/include/request/request.h
+++ b/include/request/request.h
@@ -11,6 +11,7 @@
 #include "conversation/client.h"
 #include "ledger/ledger.h"
 #include "policy/admission.h"
+#include "request/crash_notices.h"
 #include "request/endpoint_limiter.h"
 #include "request/limits.h"
 #include "request/path_monitor.h"
@@ -120,8 +121,8 @@
                    const struct buf *body);
 };
 
-/* Called when a request seems to have crashed an endpoint, to notify the other
-   hosts.  CRASHES is the number of crashes with this fingerprint. */
+/* Called when a request seems to have crashed an endpoint.  CRASHES is the
+   number of crashes with this fingerprint, as far as this host knows. */
 typedef void pipeline_crash_handler (void *data, uint64_t fingerprint,
                                      uint32_t crashes, const char *endpoint);
 
@@ -146,7 +147,9 @@
   const struct buffer_budget *buffers;
   bool admits_programs; /* decides by load whether a program may begin */
   const struct request_wire *wire;
-  pipeline_crash_handler *handle_crash;
+  struct crash_notices *crashes; /* NULL: this host is alone with what it
+                                    knows */
+  pipeline_crash_handler *handle_crash; /* may be NULL */
   pipeline_heard_handler *handle_heard; /* may be NULL */
   void *data;
 };
@@ -159,9 +162,6 @@
 void pipeline_fail_path (struct pipeline *pipeline,
                          const struct pool_endpoint *endpoint,
                          int64_t silent_ms);
-void pipeline_record_remote_crash (struct pipeline *pipeline,
-                                   uint64_t fingerprint, uint32_t crashes,
-                                   const char *endpoint);
 struct admission *pipeline_admission (const struct pipeline *pipeline);
 const struct routing *pipeline_routing (const struct pipeline *pipeline);
 const struct admission_step *
--- a/request/path_monitor.c
+++ b/request/path_monitor.c
@@ -255,14 +255,22 @@
   struct pollfd state = { .fd = probe->fd, .events = POLLOUT };
   int error = 0;
   socklen_t size = sizeof error;
+  int64_t started_ms = probe->started_ms;
   bool is_opened;
 
   getsockopt (probe->fd, SOL_SOCKET, SO_ERROR, &error, &size);
   is_opened = error == 0 && poll (&state, 1, 0) == 1
               && !(state.revents & (POLLERR | POLLHUP));
   remove_probe (monitor, index);
-  if (endpoint)
-    path_monitor_record (monitor, endpoint, is_opened, clock_now_ms ());
+  if (!endpoint)
+    return;
+  if (error == ECONNREFUSED)
+    pool_record_connection_refused (endpoint, clock_now_ms ());
+  /* An endpoint that takes connections after a request was interrupted there
+     has not crashed. */
+  if (is_opened && started_ms > endpoint->interrupted_ms)
+    pool_clear_suspects (endpoint);
+  path_monitor_record (monitor, endpoint, is_opened, clock_now_ms ());
 }
 
 static void
@@ -292,6 +300,8 @@
   if (connect (fd, (const struct sockaddr *)&address, sizeof address) != 0
       && errno != EINPROGRESS)
     {
+      if (errno == ECONNREFUSED)
+        pool_record_connection_refused (endpoint, now_ms);
       close (fd);
       path_monitor_record (monitor, endpoint, false, now_ms);
       return;
@@ -439,6 +449,18 @@
          && (path->is_doubted || !is_reached (endpoint, now_ms));
 }
 
+/* Whether the endpoint should be probed because a request was interrupted
+   there: whoever lost the request has to find out whether it crashed, as
+   requests may go elsewhere for some time.  */
+static bool
+is_crash_probe_due (const struct pool_endpoint *endpoint, int64_t now_ms)
+{
+  return pool_has_suspects (endpoint, now_ms)
+         && now_ms > endpoint->interrupted_ms
+         && (endpoint->path.probed_ms <= endpoint->interrupted_ms
+             || now_ms - endpoint->path.probed_ms >= PATH_PROBE_INTERVAL_MS);
+}
+
 static void
 tick_endpoint (struct path_monitor *monitor, struct pool_endpoint *endpoint,
                uint32_t *started, int64_t now_ms)
@@ -457,7 +479,8 @@
     options->handle_broken (options->data, endpoint, max_silent_ms);
   if (*started >= MAX_STARTED || monitor->probe_count >= MAX_PROBES)
     return;
-  if (!path_detector_is_probe_due (&endpoint->path, silent_ms, now_ms)
+  if (!is_crash_probe_due (endpoint, now_ms)
+      && !path_detector_is_probe_due (&endpoint->path, silent_ms, now_ms)
       && !is_verification_due (monitor, endpoint, service, now_ms)
       && !is_doubt_due (endpoint, service, now_ms))
     return;
--- a/request/pool.c
+++ b/request/pool.c
@@ -53,6 +53,7 @@
   struct evacuations *evacuations;
   GPtrArray *endpoints;      /* struct pool_endpoint, those currently listed */
   GPtrArray *removed_in_use; /* removed, but still in use by requests */
+  GPtrArray *ended; /* struct pool_crash, of endpoints that were removed */
   /* Name -> struct service_speed, of the services of endpoints, which refer to
      them, and of the configuration. */
   GHashTable *service_speeds;
@@ -88,10 +89,27 @@
   free (endpoint->address);
   free (endpoint->data_centre);
   free (endpoint->version);
+  free (endpoint->suspects);
   g_hash_table_destroy (endpoint->parts);
   free (endpoint);
 }
 
+/* Frees CRASH, which may be NULL.  */
+void
+pool_crash_destroy (struct pool_crash *crash)
+{
+  if (!crash)
+    return;
+  free (crash->id);
+  free (crash);
+}
+
+static void
+free_crash (gpointer data)
+{
+  pool_crash_destroy (data);
+}
+
 /* Creates an empty pool for a host in DATA_CENTRE.  */
 struct pool *
 pool_create (const char *data_centre)
@@ -104,6 +122,7 @@
   pool->data_centre = xstrdup (data_centre);
   pool->endpoints = g_ptr_array_new_with_free_func (endpoint_destroy);
   pool->removed_in_use = g_ptr_array_new_with_free_func (endpoint_destroy);
+  pool->ended = g_ptr_array_new_with_free_func (free_crash);
   pool->unreachable_centres
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   pool->cold_rates
@@ -131,6 +150,7 @@
     return;
   g_ptr_array_free (pool->endpoints, TRUE);
   g_ptr_array_free (pool->removed_in_use, TRUE);
+  g_ptr_array_free (pool->ended, TRUE);
   g_hash_table_destroy (pool->unreachable_centres);
   g_hash_table_destroy (pool->cold_rates);
   evacuations_destroy (pool->evacuations);
@@ -286,8 +306,48 @@
                                  pool);
 }
 
+/* Whether the request was interrupted shortly before the connection was
+   refused.  */
+static bool
+is_suspect (const struct pool_suspect *suspect, int64_t refused_ms)
+{
+  return suspect->fingerprint
+         && refused_ms - suspect->interrupted_ms <= MAX_SUSPECT_AGE_MS;
+}
+
+/* Returns the crash of ENDPOINT with the requests that were running there, and
+   clears them.  */
+static struct pool_crash *
+take_suspects (struct pool_endpoint *endpoint)
+{
+  struct pool_crash *crash = xcalloc (1, sizeof *crash);
+
+  crash->id = xstrdup (endpoint->id);
+  crash->endpoint = endpoint->hash;
+  crash->refused_ms = endpoint->refused_ms;
+  for (uint32_t i = 0; endpoint->suspects && i < POOL_MAX_SUSPECTS; i++)
+    if (is_suspect (&endpoint->suspects[i], endpoint->refused_ms))
+      crash->suspects[crash->suspect_count++] = endpoint->suspects[i];
+  pool_clear_suspects (endpoint);
+  return crash;
+}
+
+/* Keeps the suspects of an endpoint that leaves the list: that it left, or
+   started anew, shortly after a request was interrupted there is a sign of its
+   end as a refused connection is.  */
+static void
+keep_suspects (struct pool *pool, struct pool_endpoint *endpoint,
+               int64_t now_ms)
+{
+  if (!endpoint->refused_ms && !pool_has_suspects (endpoint, now_ms))
+    return;
+  if (!endpoint->refused_ms)
+    endpoint->refused_ms = now_ms;
+  g_ptr_array_add (pool->ended, take_suspects (endpoint));
+}
+
 static void
-remove_unlisted (struct pool *pool)
+remove_unlisted (struct pool *pool, int64_t now_ms)
 {
   for (guint i = 0; i < pool->endpoints->len; i++)
     {
@@ -298,6 +358,8 @@
       pool->endpoints->pdata[i] = NULL;
       endpoint->removed = true;
       log_change (endpoint, "was removed");
+      if (!endpoint->leaving)
+        keep_suspects (pool, endpoint, now_ms);
       g_hash_table_remove_all (endpoint->parts);
       if (endpoint->in_flight > 0)
         g_ptr_array_add (pool->removed_in_use, endpoint);
@@ -393,7 +455,7 @@
       g_ptr_array_add (endpoints, endpoint);
     }
   g_hash_table_destroy (by_id);
-  remove_unlisted (pool);
+  remove_unlisted (pool, now_ms);
   g_ptr_array_set_free_func (pool->endpoints, NULL);
   g_ptr_array_free (pool->endpoints, TRUE);
   pool->endpoints = endpoints;
@@ -1096,7 +1158,8 @@
 void
 pool_clear_suspects (struct pool_endpoint *endpoint)
 {
-  memset (endpoint->suspects, 0, sizeof endpoint->suspects);
+  free (endpoint->suspects);
+  endpoint->suspects = NULL;
   endpoint->refused_ms = 0;
 }
 
@@ -1106,24 +1169,29 @@
 pool_record_interrupted (struct pool_endpoint *endpoint, uint64_t fingerprint,
                          int64_t now_ms)
 {
-  struct pool_suspect *suspect
-      = &endpoint->suspects[endpoint->suspect_count++ % POOL_MAX_SUSPECTS];
+  struct pool_suspect suspect
+      = { .fingerprint = fingerprint, .interrupted_ms = now_ms };
 
-  *suspect = (struct pool_suspect){ .fingerprint = fingerprint,
-                                    .interrupted_ms = now_ms };
+  if (!endpoint->suspects)
+    endpoint->suspects
+        = xcalloc (POOL_MAX_SUSPECTS, sizeof *endpoint->suspects);
+  endpoint->suspects[endpoint->suspect_count++ % POOL_MAX_SUSPECTS] = suspect;
+  endpoint->interrupted_ms = now_ms;
   log_write (LOG_INFO, "pool", NULL,
              "endpoint %s ended the connection of a running request with "
              "fingerprint %016" G_GINT64_MODIFIER "x",
              endpoint->id, fingerprint);
 }
 
-/* Whether the request was interrupted shortly before the connection was
-   refused.  */
-static bool
-is_suspect (const struct pool_suspect *suspect, int64_t refused_ms)
+/* Whether a request was interrupted at ENDPOINT lately, and it is not known
+   yet whether the endpoint crashed.  */
+bool
+pool_has_suspects (const struct pool_endpoint *endpoint, int64_t now_ms)
 {
-  return suspect->fingerprint
-         && refused_ms - suspect->interrupted_ms <= MAX_SUSPECT_AGE_MS;
+  for (uint32_t i = 0; endpoint->suspects && i < POOL_MAX_SUSPECTS; i++)
+    if (is_suspect (&endpoint->suspects[i], now_ms))
+      return !endpoint->refused_ms;
+  return false;
 }
 
 /* Records that ENDPOINT refused a connection.  It is considered crashed if the
@@ -1131,50 +1199,45 @@
 void
 pool_record_connection_refused (struct pool_endpoint *endpoint, int64_t now_ms)
 {
-  bool was_refused = endpoint->refused_ms != 0;
+  if (endpoint->refused_ms)
+    return;
+  if (pool_has_suspects (endpoint, now_ms))
+    endpoint->refused_ms = now_ms;
+  log_write (LOG_INFO, "pool", NULL,
+             "endpoint %s refuses connections; %s request of this host was "
+             "interrupted there lately",
+             endpoint->id, endpoint->refused_ms ? "a" : "no");
+}
 
-  for (uint32_t i = 0; i < POOL_MAX_SUSPECTS && !endpoint->refused_ms; i++)
-    if (is_suspect (&endpoint->suspects[i], now_ms))
-      endpoint->refused_ms = now_ms;
-  if (!was_refused)
-    log_write (LOG_INFO, "pool", NULL,
-               "endpoint %s refuses connections; %s request of this host was "
-               "interrupted there lately",
-               endpoint->id, endpoint->refused_ms ? "a" : "no");
+static bool
+is_confirmed (int64_t refused_ms, int64_t now_ms)
+{
+  return refused_ms && now_ms - refused_ms >= POOL_CRASH_CONFIRM_MS;
 }
 
-/* Returns a crashed endpoint whose suspects have not been taken yet, or NULL.
-   A network partition looks like a crash at first, so endpoints are returned
-   only after the time in which it would be detected.  */
-struct pool_endpoint *
-pool_find_crashed (const struct pool *pool, int64_t now_ms)
+/* Returns the crash of an endpoint that has not been returned yet, or NULL.  A
+   network partition looks like a crash at first, so crashes are returned only
+   after the time in which it would be detected.  */
+struct pool_crash *
+pool_take_crash (struct pool *pool, int64_t now_ms)
 {
+  for (guint i = 0; i < pool->ended->len; i++)
+    {
+      const struct pool_crash *crash = pool->ended->pdata[i];
+
+      if (is_confirmed (crash->refused_ms, now_ms))
+        return g_ptr_array_steal_index_fast (pool->ended, i);
+    }
   for (guint i = 0; i < pool->endpoints->len; i++)
     {
       struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
 
-      if (endpoint->refused_ms
-          && now_ms - endpoint->refused_ms >= POOL_CRASH_CONFIRM_MS)
-        return endpoint;
+      if (is_confirmed (endpoint->refused_ms, now_ms))
+        return take_suspects (endpoint);
     }
   return NULL;
 }
 
-/* Stores the fingerprints of the requests that were running when ENDPOINT
-   crashed, clears them and returns their number.  */
-uint32_t
-pool_take_suspects (struct pool_endpoint *endpoint,
-                    uint64_t fingerprints[POOL_MAX_SUSPECTS])
-{
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < POOL_MAX_SUSPECTS; i++)
-    if (is_suspect (&endpoint->suspects[i], endpoint->refused_ms))
-      fingerprints[count++] = endpoint->suspects[i].fingerprint;
-  pool_clear_suspects (endpoint);
-  return count;
-}
-
 /* Records whether the endpoints of a data centre are reachable.  Connections
    lost to an unreachable data centre do not make a request suspect.  */
 void
--- a/request/request.c
+++ b/request/request.c
@@ -4,7 +4,6 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "policy/endpoint_limit.h"
-#include "policy/retry.h"
 #include "request/admission_step.h"
 #include "request/chosen_route.h"
 #include "request/conversation_step.h"
@@ -30,9 +29,9 @@
   MIN_REMAINING_MS = 20, /* with less time left, a request is not retried */
   DEFAULT_ATTEMPTS = 2, /* of idempotent requests if the route sets no limit */
   RETRY_AFTER_MS = 300, /* told to callers if no endpoint is available */
-  STOPPING_RETRY_MS = 50,   /* another host accepts the request immediately */
-  POISON_RETRY_MS = 60000,  /* for requests that crash endpoints */
-  MAX_TOKEN_WAIT_MS = 1000, /* with longer waits, most programs are late */
+  STOPPING_RETRY_MS = 50, /* another host accepts the request immediately */
+  CRASH_RETRY_MAX_MS = 60000, /* for requests that crash endpoints */
+  MAX_TOKEN_WAIT_MS = 1000,   /* with longer waits, most programs are late */
   /* For the same reason.  Requests that begin a program are refused first,
      since no work is lost with them. */
   MAX_PERMIT_WAIT_MS = ENDPOINT_LIMIT_MAX_TURN_MS,
@@ -151,7 +150,7 @@
   uint64_t generation;     /* counts the configurations applied */
   bool is_closed;          /* refuses new requests */
   struct admission_step *admission;
-  struct poison_table poison;
+  struct crash_notices *own_crashes; /* if the options have none */
   GQueue requests;
 };
 
@@ -432,28 +431,28 @@
   ev_timer_start (request->pipeline->options.loop, &request->backoff);
 }
 
-/* Records the crash of ENDPOINT against each request that was running there.
- */
+/* Records CRASH against each request that was running at the endpoint.  */
 static void
-record_crash (struct pipeline *pipeline, struct pool_endpoint *endpoint,
+record_crash (struct pipeline *pipeline, const struct pool_crash *crash,
               int64_t now_ms)
 {
-  uint64_t fingerprints[POOL_MAX_SUSPECTS];
-  uint32_t count = pool_take_suspects (endpoint, fingerprints);
-
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < crash->suspect_count; i++)
     {
-      uint32_t crashes = poison_record_crash (
-          &pipeline->poison, fingerprints[i], endpoint->hash, 0, now_ms);
+      const struct pool_suspect *suspect = &crash->suspects[i];
+      struct crash_record record = { .endpoint = crash->endpoint,
+                                     .at_ms = suspect->interrupted_ms,
+                                     .is_confirmed = true };
+      uint32_t crashes = crash_notices_record (
+          pipeline->options.crashes, suspect->fingerprint, &record, now_ms);
 
       log_write (LOG_WARN, "request", NULL,
                  "endpoint %s crashed while running a request with "
                  "fingerprint %016" G_GINT64_MODIFIER
                  "x: crash %u for this fingerprint",
-                 endpoint->id, fingerprints[i], crashes);
+                 crash->id, suspect->fingerprint, crashes);
       if (pipeline->options.handle_crash)
         pipeline->options.handle_crash (
-            pipeline->options.data, fingerprints[i], crashes, endpoint->id);
+            pipeline->options.data, suspect->fingerprint, crashes, crash->id);
     }
 }
 
@@ -462,10 +461,28 @@
 void
 pipeline_tick (struct pipeline *pipeline, int64_t now_ms)
 {
-  struct pool_endpoint *endpoint;
+  struct pool_crash *crash;
 
-  while ((endpoint = pool_find_crashed (pipeline->options.pool, now_ms)))
-    record_crash (pipeline, endpoint, now_ms);
+  while ((crash = pool_take_crash (pipeline->options.pool, now_ms)))
+    {
+      record_crash (pipeline, crash, now_ms);
+      pool_crash_destroy (crash);
+    }
+  crash_notices_tick (pipeline->options.crashes, now_ms);
+}
+
+/* Records that the request's endpoint closed its connection.  */
+static void
+record_interruption (struct request *request)
+{
+  int64_t now_ms = clock_now_ms ();
+  struct crash_record record
+      = { .endpoint = request->endpoint->hash, .at_ms = now_ms };
+
+  if (!request->is_relayed)
+    pool_record_interrupted (request->endpoint, request->fingerprint, now_ms);
+  crash_notices_record (request->pipeline->options.crashes,
+                        request->fingerprint, &record, now_ms);
 }
 
 /* Records that a connection to ENDPOINT could not be opened.  */
@@ -1066,10 +1083,8 @@
           counter_add (COUNTER_UNFINISHED_EVENTS, 1);
           request->lacks_event |= !result->aborted;
         }
-      if (!is_complete && !result->aborted && !result->resend_refused
-          && !request->is_relayed)
-        pool_record_interrupted (request->endpoint, request->fingerprint,
-                                 clock_now_ms ());
+      if (!is_complete && !result->aborted && !result->resend_refused)
+        record_interruption (request);
       handle_endpoint_failure (request, describe_failure (request, result));
       return;
     }
@@ -1078,7 +1093,8 @@
   else
     pool_record_success (request->endpoint);
   record_speed (request, request->head.status < STATUS_SERVER_ERROR);
-  poison_record_success (&request->pipeline->poison, request->fingerprint);
+  crash_notices_record_success (request->pipeline->options.crashes,
+                                request->fingerprint, clock_now_ms ());
   if (request->step == STEP_STREAM)
     {
       if (!is_success (request->head.status))
@@ -1205,6 +1221,20 @@
              : turn.priority;
 }
 
+/* Tells the other hosts of a send that is a trial.  */
+static void
+begin_trial (const struct request *request)
+{
+  struct crash_notices *crashes = request->pipeline->options.crashes;
+  int64_t wait_ms;
+
+  if (crash_notices_check (crashes, request->fingerprint, request->sent_ms,
+                           &wait_ms)
+      == CRASH_TRY)
+    crash_notices_begin_trial (crashes, request->fingerprint,
+                               request->sent_ms);
+}
+
 static void
 send_to_endpoint (struct request *request, struct pool_endpoint *endpoint)
 {
@@ -1271,6 +1301,7 @@
   request->cached_tokens
       = pool_cached_tokens (endpoint, &query, request->sent_ms);
   pool_acquire (endpoint, &query, request->sent_ms);
+  begin_trial (request);
   start_transfer (request, &options);
   g_ptr_array_free (lines, TRUE);
   free (url);
@@ -1655,6 +1686,31 @@
   fail_undispatched (request);
 }
 
+/* Ends a request that must not be sent because identical ones have crashed
+   endpoints.  Returns whether it did.  */
+static bool
+ends_for_crashes (struct request *request)
+{
+  int64_t wait_ms;
+  enum crash_verdict verdict
+      = crash_notices_check (request->pipeline->options.crashes,
+                             request->fingerprint, clock_now_ms (), &wait_ms);
+
+  if (verdict == CRASH_SEND || verdict == CRASH_TRY)
+    return false;
+  if (request->step == STEP_STREAM)
+    fail_request (request, "identical requests have crashed endpoints");
+  else if (verdict == CRASH_REFUSE)
+    refuse_with_message (request, ERROR_CRASHES_ENDPOINTS,
+                         (uint32_t)MIN (wait_ms, CRASH_RETRY_MAX_MS),
+                         "identical requests have crashed endpoints");
+  else
+    refuse_with_message (request, ERROR_OVERLOADED, (uint32_t)wait_ms,
+                         "identical requests have crashed endpoints, and one "
+                         "is being tried");
+  return true;
+}
+
 /* Sends the request to an endpoint, or ends it if that is not possible.  */
 static void
 dispatch (struct request *request)
@@ -1664,14 +1720,8 @@
       fail_request (request, "the request's route or key has been removed");
       return;
     }
-  if (poison_check (&request->pipeline->poison, request->fingerprint,
-                    clock_now_ms ())
-      == POISON_REFUSE)
-    {
-      refuse_with_message (request, ERROR_CRASHES_ENDPOINTS, POISON_RETRY_MS,
-                           "identical requests have crashed endpoints");
-      return;
-    }
+  if (ends_for_crashes (request))
+    return;
   if (!request->service)
     request->service = pick_service (request);
   if (request->service)
@@ -1933,7 +1983,12 @@
   struct admission_step_options admission
       = { .pool = options->pool, .buffers = options->buffers };
 
+  struct crash_notices_options alone = { .host = "" };
+
   pipeline->options = *options;
+  if (!options->crashes)
+    pipeline->options.crashes = pipeline->own_crashes
+        = crash_notices_create (&alone);
   pipeline->admission = admission_step_create (&admission);
   g_queue_init (&pipeline->requests);
   return pipeline;
@@ -1948,6 +2003,7 @@
     return;
   routing_unref (pipeline->routing);
   admission_step_destroy (pipeline->admission);
+  crash_notices_destroy (pipeline->own_crashes);
   free (pipeline);
 }
 
@@ -2004,15 +2060,6 @@
     }
 }
 
-/* Records a crash of an endpoint that another host reported.  */
-void
-pipeline_record_remote_crash (struct pipeline *pipeline, uint64_t fingerprint,
-                              uint32_t crashes, const char *endpoint)
-{
-  poison_record_crash (&pipeline->poison, fingerprint, id_hash_text (endpoint),
-                       crashes, clock_now_ms ());
-}
-
 /* Returns the admission of programs, which the pipeline owns.  */
 struct admission *
 pipeline_admission (const struct pipeline *pipeline)
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -21,6 +21,10 @@
 {
   START_TIMEOUT_MS = 10000,
   CALL_TIMEOUT_MS = 3000,
+  /* Programs that run side by side mostly begin at different ports. */
+  FIRST_PORT = 10000,
+  PORT_BLOCK = 100,
+  PORT_BLOCKS = 100,
   LIMIT_S = 58, /* after which the case counts as one that could not run */
   READ_BYTES = 16 * 1024,
 };
@@ -160,13 +164,33 @@
   return fd;
 }
 
+/* Whether nobody listens on PORT, as far as this process may.  */
+static bool
+is_free (int port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool is_bound;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  is_bound = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+  close (fd);
+  return is_bound;
+}
+
+/* Returns a port that no outgoing connection gets before a host listens on
+   it: one below the range that the system takes these from.  */
 int
 rig_free_port (void)
 {
-  int port = 0;
+  static int next;
 
-  close (bind_port (&port));
-  return port;
+  if (next == 0)
+    next = FIRST_PORT + getpid () % PORT_BLOCKS * PORT_BLOCK;
+  while (!is_free (++next))
+    continue;
+  return next;
 }
 
 void
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -13,6 +13,7 @@
   { "config reader", NULL, NULL, NULL, NULL, config_reader_tests },
   { "config versions", NULL, NULL, NULL, NULL, config_versions_tests },
   { "conversation client", NULL, NULL, NULL, NULL, conversation_client_tests },
+  { "crash fleet", NULL, NULL, NULL, NULL, crash_fleet_tests },
   { "cursor", NULL, NULL, NULL, NULL, cursor_tests },
   { "decode", NULL, NULL, NULL, NULL, decode_tests },
   { "evacuations", NULL, NULL, NULL, NULL, evacuations_tests },
