--- a/include/ledger/keeper.h
+++ b/include/ledger/keeper.h
@@ -9,7 +9,7 @@
 #define GALENA_LEDGER_KEEPER_H
 
 #include "peer/host.h"
-#include "peer/mesh.h"
+#include "peer/transport.h"
 #include "store/store.h"
 #include <stdbool.h>
 #include <stddef.h>
@@ -24,8 +24,8 @@
 
 struct keeper_options
 {
-  struct mesh *mesh;
-  struct store *store; /* must outlive the keeper */
+  struct transport *transport; /* must outlive the keeper */
+  struct store *store;         /* must outlive the keeper */
   const char *host;
   const char *data_centre;
   uint32_t losses;      /* of keepers, that the ledger survives */
@@ -44,6 +44,7 @@
                           const Peer__Frame *frame);
 void keeper_tick (struct keeper *keeper, int64_t now_ms);
 bool keeper_is_complete (const struct keeper *keeper);
+bool keeper_answers_for (const struct keeper *keeper, uint64_t program);
 bool keeper_watches (const struct keeper *keeper, const char *host);
 bool keeper_may_remove (const struct keeper *keeper, const char *host,
                         int64_t since_ms, int64_t now_ms);
--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -98,6 +98,23 @@
   uint64_t program;
 };
 
+static bool
+send_frame (const struct keeper *keeper, const char *host,
+            const Peer__Frame *frame)
+{
+  struct transport *transport = keeper->options.transport;
+
+  return transport->vtable->send (transport, host, frame);
+}
+
+static int64_t
+last_received_ms (const struct keeper *keeper, const char *host)
+{
+  struct transport *transport = keeper->options.transport;
+
+  return transport->vtable->last_received_ms (transport, host);
+}
+
 static gint
 compare_program_hashes (gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -230,7 +247,7 @@
   answers.n_answers = 1;
   frame.body_case = PEER__FRAME__BODY_LEDGER_ANSWERS;
   frame.ledger_answers = &answers;
-  mesh_send (keeper->options.mesh, host, &frame);
+  send_frame (keeper, host, &frame);
   free (list);
   free (items);
 }
@@ -383,7 +400,7 @@
   answer.whole = keeper->is_complete;
   frame.body_case = PEER__FRAME__BODY_LEDGER_PAGE;
   frame.ledger_page = &answer;
-  mesh_send (keeper->options.mesh, host, &frame);
+  send_frame (keeper, host, &frame);
   free (list);
   free (page.items);
 }
@@ -663,7 +680,7 @@
         continue;
       remote->last_request_ms = now_ms;
       ask.after = remote->page_after;
-      mesh_send (keeper->options.mesh, remote->name, &frame);
+      send_frame (keeper, remote->name, &frame);
     }
 }
 
@@ -716,6 +733,13 @@
   return keeper->is_complete;
 }
 
+/* Whether this keeper's answers on PROGRAM count, as far as it knows.  */
+bool
+keeper_answers_for (const struct keeper *keeper, uint64_t program)
+{
+  return keeper->is_complete;
+}
+
 /* Sends REMOTE all accounts that it stores once this host is not on the list.
  */
 static void
@@ -744,7 +768,7 @@
       write.hand_over = true;
       frame.body_case = PEER__FRAME__BODY_LEDGER_WRITE;
       frame.ledger_write = &write;
-      mesh_send (keeper->options.mesh, remote->name, &frame);
+      send_frame (keeper, remote->name, &frame);
       free (list);
     }
   while (page.has_more);
@@ -878,8 +902,7 @@
   for (size_t i = 0; i < keeper->remote_count; i++)
     {
       struct remote_keeper *remote = &keeper->remotes[i];
-      int64_t heard_ms
-          = mesh_last_received_ms (keeper->options.mesh, remote->name);
+      int64_t heard_ms = last_received_ms (keeper, remote->name);
 
       if (heard_ms < keeper->started_ms)
         heard_ms = keeper->started_ms;
@@ -895,7 +918,8 @@
         remote->absent_since_ms = 0;
       else if (!remote->absent_since_ms)
         remote->absent_since_ms = now_ms;
-      mesh_ping (keeper->options.mesh, remote->name);
+      keeper->options.transport->vtable->ping (keeper->options.transport,
+                                               remote->name);
     }
 }
 
