store: a failed sync is not taken for a durable record

A record that the index held already counted as on disk, also where the sync of its first copy had failed, and the result of the sync of a closed segment was ignored; the names of files that were begun at a start were synced at the next rotation only.

--- a/store/store.c
+++ b/store/store.c
@@ -97,7 +97,11 @@
   GHashTable *programs; /* set of ids; caller's thread only */
   GPtrArray *segments; /* the last one is open for writes; store thread only */
   uint64_t damaged_records; /* found since the log was opened */
-  uint64_t disk_bytes;      /* of all segments; any thread may read it */
+  /* Failed syncs: what they should have covered may never get to the disk, so
+     that from the first one on records are written again although they are
+     indexed.  Store thread only. */
+  uint32_t lost_syncs;
+  uint64_t disk_bytes; /* of all segments; any thread may read it */
 };
 
 static void
@@ -265,6 +269,16 @@
   return true;
 }
 
+/* Records that a sync failed: appends of this batch do not count as on disk.
+ */
+static void
+record_lost_sync (struct store *store)
+{
+  store->lost_syncs++;
+  log_write (LOG_ERROR, "store", NULL, "cannot sync %s: %s", store->directory,
+             strerror (errno));
+}
+
 /* Starts a new segment.  The previous one is synced, because run_batch syncs
    only the last segment.  */
 static bool
@@ -275,8 +289,9 @@
 
   if (!segment)
     return false;
-  fdatasync (last_segment (store)->fd);
-  fsync (store->directory_fd);
+  if (fdatasync (last_segment (store)->fd) != 0
+      || fsync (store->directory_fd) != 0)
+    record_lost_sync (store);
   g_ptr_array_add (store->segments, segment);
   remove_dead_segments (store);
   return true;
@@ -327,9 +342,10 @@
   uint64_t hash = id_hash64 (job->data.data, job->data.len, 0);
 
   counter_add (COUNTER_STORE_APPENDS, 1);
-  job->durable = has_record (store, job->program, hash)
-                 || write_record (store, job->program, job->data.data,
-                                  job->data.len, false);
+  job->durable
+      = (store->lost_syncs == 0 && has_record (store, job->program, hash))
+        || write_record (store, job->program, job->data.data, job->data.len,
+                         false);
   if (!job->durable)
     log_write (LOG_ERROR, "store", NULL, "cannot write a record to %s: %s",
                store->directory, strerror (errno));
@@ -409,6 +425,7 @@
   bool needs_sync = false;
   bool has_deletes = false;
   bool synced = true;
+  uint32_t lost_syncs = store->lost_syncs;
   void *next;
 
   while (ck_ring_dequeue_spsc (&store->ring, store->ring_slots, &next))
@@ -444,7 +461,9 @@
     update_disk_bytes (store);
   if (needs_sync && !store->options.skip_sync)
     {
-      synced = fdatasync (last_segment (store)->fd) == 0;
+      if (fdatasync (last_segment (store)->fd) != 0)
+        record_lost_sync (store);
+      synced = store->lost_syncs == lost_syncs;
       counter_add (COUNTER_STORE_SYNCS, 1);
     }
   for (guint i = 0; i < finished->len; i++)
@@ -676,6 +695,9 @@
       ok = segment != NULL;
       if (ok)
         g_ptr_array_add (store->segments, segment);
+      /* The names of the files outlast a loss of power. */
+      if (fsync (store->directory_fd) != 0)
+        record_lost_sync (store);
     }
   if (ok)
     remove_dead_segments (store);
