platform: a host that stops waits for callers that still read their answers

A request leaves the pipeline when its answer is handed to the HTTP server, and only the pipeline was asked whether the host is idle.

--- a/include/platform/frontend.h
+++ b/include/platform/frontend.h
@@ -37,6 +37,7 @@
 void frontend_cut_stalled (struct frontend *frontend, int64_t now_ms);
 void frontend_relieve (struct frontend *frontend, int64_t now_ms);
 uint16_t frontend_port (const struct frontend *frontend);
+uint32_t frontend_open_requests (const struct frontend *frontend);
 void frontend_stop_listening (struct frontend *frontend);
 int64_t frontend_parse_number (const char *value);
 void frontend_parse_token_counts (struct request_input *input,
