request, common: an event without room is not taken for delivered

An event was recorded as forwarded before it was written, and the stream went on after it although its caller's buffer had refused it. Now it counts once it is written; without room the stream goes on later after the last event that the caller has, or is aborted. 4 KB of each stream are taken whatever the budget has, so that streams of callers that read do not break beside large answers.

--- a/common/httpd.c
+++ b/common/httpd.c
@@ -19,6 +19,9 @@
   STREAM_BLOCK_BYTES = 2048,
   WHOLE_BLOCK_BYTES = 16 * 1024, /* of a response in one piece */
   MAX_STREAM_BACKLOG_BYTES = 256 * 1024,
+  /* Of each stream, whatever the budget has: streams of callers that read are
+     not to break beside the large answers of others. */
+  RESERVED_STREAM_BYTES = 4 * 1024,
   LISTEN_BACKLOG = 1024,
   /* A client that has read nothing for so long is cut if much is buffered.
      Callers wait a few seconds in total, and one that reads slowly takes a
@@ -987,15 +990,31 @@
     }
 }
 
+/* Charges LEN bytes of a stream.  Returns false if there is no room.  */
+static bool
+charge_stream (struct httpd_request *request, size_t len)
+{
+  size_t backlog = request->response_body.len + len;
+
+  if (backlog > MAX_STREAM_BACKLOG_BYTES)
+    return false;
+  if (charge (request, len))
+    return true;
+  if (backlog > RESERVED_STREAM_BYTES)
+    return false;
+  buffer_budget_add (request->httpd->options.buffers, len);
+  request->charged_bytes += len;
+  return true;
+}
+
 /* Appends to the body of a streamed response.  Returns false if the client
    reads so slowly that the backlog is full, or if the budget for all clients
-   is used up; the stream must then be aborted.  */
+   is used up; nothing is then appended.  */
 bool
 httpd_stream_write (struct httpd_request *request, const void *data,
                     size_t len)
 {
-  if (request->response_body.len + len > MAX_STREAM_BACKLOG_BYTES
-      || !charge (request, len))
+  if (!charge_stream (request, len))
     return false;
   if (request->response_body.len == 0)
     request->read_ms = clock_now_ms ();
--- a/request/request.c
+++ b/request/request.c
@@ -129,6 +129,10 @@
   int64_t sent_events;      /* events of the current send */
   bool goes_on;       /* the current send, with a stream that has begun */
   bool has_new_event; /* of the current send, forwarded */
+  /* The caller's buffer had no room for an event of the current send, which
+     the caller thus lacks. */
+  bool lacks_room;
+  bool lacks_unnamed_event; /* after which the stream cannot go on */
   /* An earlier send broke off inside the event after the last one. */
   bool lacks_event;
   uint32_t sends;         /* including those that certainly did not run */
@@ -319,11 +323,14 @@
                                         : RETRY_AFTER_MS;
 }
 
+/* Refuses the request; a stream that has begun is aborted instead, as its
+   caller has the head of a response.  */
 static void
 refuse (struct request *request, const struct error *error)
 {
   struct request_sink *sink = request->sink;
   struct log_ids ids = log_ids (request);
+  bool has_begun = request->step == STEP_STREAM;
 
   counter_add_refusal (error->kind);
   log_write (LOG_INFO, "request", &ids,
@@ -333,7 +340,10 @@
              error_run_name (error->run), request->sends,
              clock_now_ms () - request->started_ms);
   request_destroy (request);
-  sink->refuse (sink, error);
+  if (has_begun)
+    sink->abort (sink);
+  else
+    sink->refuse (sink, error);
 }
 
 static void
@@ -542,7 +552,8 @@
 static bool
 can_go_on (const struct request *request)
 {
-  return request->step != STEP_STREAM || request->last_event_id >= 0;
+  return request->step != STEP_STREAM
+         || (request->last_event_id >= 0 && !request->lacks_unnamed_event);
 }
 
 /* Whether a request that may have run may be sent again.  */
@@ -594,6 +605,27 @@
                         now_ms);
 }
 
+/* Has a stream go on after the last event that its caller has, once there is
+   room for further ones, or aborts it.  */
+static void
+handle_lack_of_room (struct request *request)
+{
+  struct log_ids ids = log_ids (request);
+
+  log_write (LOG_WARN, "request", &ids,
+             "no room for what the caller has not read: the stream goes on "
+             "after event %" G_GINT64_FORMAT " if it may",
+             request->last_event_id);
+  if (!may_run_again (request))
+    {
+      fail_request (request, "the caller reads too slowly");
+      return;
+    }
+  request->failed_sends++;
+  release_endpoint (request);
+  schedule_retry (request);
+}
+
 /* Retries or ends a request that may have run and whose endpoint will not
    deliver the response.  */
 static void
@@ -764,6 +796,14 @@
   if (id >= 0 && request->last_event_id >= 0
       && id != request->last_event_id + 1)
     return false;
+  if (request->step != STEP_STREAM)
+    begin_stream (request);
+  if (!request->sink->write (request->sink, bytes, len))
+    {
+      request->lacks_room = true;
+      request->lacks_unnamed_event = request->lacks_unnamed_event || id < 0;
+      return false;
+    }
   if (id >= 0)
     {
       request->last_event_id = id;
@@ -772,10 +812,8 @@
     }
   request->events_forwarded++;
   request->tokens_forwarded += request->service->tokens_per_event;
-  if (request->step != STEP_STREAM)
-    begin_stream (request);
   conversation_step_add_event (&request->conversation, bytes, len);
-  return request->sink->write (request->sink, bytes, len);
+  return true;
 }
 
 /* Reports that this host hears the request's endpoint: its data centre is
@@ -1066,6 +1104,11 @@
       retry_not_run (request, "the endpoints are full");
       return;
     }
+  if (request->lacks_room)
+    {
+      handle_lack_of_room (request);
+      return;
+    }
   is_complete = result->complete && !is_broken_off (request, result);
   if (!is_complete || !may_forward_response (request))
     {
@@ -1286,6 +1329,7 @@
   request->first_event_ms = 0;
   request->sent_events = 0;
   request->has_new_event = false;
+  request->lacks_room = false;
   request->goes_on
       = is_stream
         && (request->step == STEP_STREAM || input->resume_after >= 0);
