common: a caller that ends its sending side is not told that nothing ran

The end of what a caller sends was taken for its leaving, and answered without asking what had run. The request is cancelled as before, since a caller that has left looks the same, but the status is 502, which promises nothing.

--- a/common/httpd.c
+++ b/common/httpd.c
@@ -84,7 +84,9 @@
 
 /* libmicrohttpd does not poll the sockets of suspended connections, so a
    client that disconnects is detected here.  Bytes of a pipelined request stop
-   the watch.  */
+   the watch.  A client that has only ended its sending side still reads: its
+   request, which may be running, is cancelled all the same, and the response
+   must not say that it has not run.  */
 static void
 handle_client_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -103,7 +105,7 @@
   if (handle_disconnect)
     handle_disconnect (request);
   if (request->state == HTTPD_WAITING)
-    httpd_respond (request, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, "", 0);
+    httpd_respond (request, MHD_HTTP_BAD_GATEWAY, NULL, "", 0);
   else
     httpd_stream_abort (request);
 }
