common: long answers leave room for what slow callers have not read

An answer that is ready is held whatever the callers' share has, and nothing counted what would become ready: the bound on bodies that are being received forgot an answer once it was whole. Now what callers hold beyond their share is taken off the room for long bodies.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -311,7 +311,20 @@
     }
 }
 
-/* Returns how much all bodies may occupy if FETCH's needs CAPACITY.  */
+/* Returns by how much the answers that callers have not read yet exceed their
+   share: an answer that is ready is held whatever the share has.  */
+static int64_t
+callers_excess (void)
+{
+  int64_t share_bytes = memory_share (MEMORY_CALLERS);
+
+  return share_bytes > 0 ? MAX (memory_used (MEMORY_CALLERS) - share_bytes, 0)
+                         : 0;
+}
+
+/* Returns how much all bodies may occupy if FETCH's needs CAPACITY.  Long ones
+   leave room for what slow callers hold beyond their share, into which they
+   would turn.  */
 static int64_t
 bodies_limit (const struct fetch *fetch, size_t capacity)
 {
@@ -323,9 +336,9 @@
   if (capacity > LONG_BODY_BYTES)
     percent -= SHORT_PERCENT;
   share_bytes = share_bytes / 100 * percent;
-  return capacity > LONG_BODY_BYTES && share_bytes > MAX_LONG_BODIES_BYTES
-             ? MAX_LONG_BODIES_BYTES
-             : share_bytes;
+  if (capacity <= LONG_BODY_BYTES)
+    return share_bytes;
+  return MIN (share_bytes, MAX_LONG_BODIES_BYTES) - callers_excess ();
 }
 
 /* Charges what the body occupies with LEN more bytes.  Returns false if they
