--- a/test/unit/test_broken_answers.c
+++ b/test/unit/test_broken_answers.c
@@ -196,6 +196,63 @@
     CU_ASSERT_FALSE (succeeds_if_cut (unframed_answer, len, RAW_CLOSE));
 }
 
+/* An endpoint that answers the first request of a connection, and stops in the
+   head of the next answer. */
+static struct raw_answer
+answer_then_stop (void *data, struct raw_endpoint *endpoint,
+                  const char *request)
+{
+  struct cut_answer *cut = data;
+
+  if (cut->sends++ == 0)
+    return (struct raw_answer){ .bytes = framed_answer,
+                                .len = strlen (framed_answer),
+                                .end = RAW_KEEP };
+  return (struct raw_answer){ .bytes = cut->bytes,
+                              .len = cut->cut,
+                              .end = cut->end,
+                              .late = "",
+                              .late_ms = cut->cut % 3 };
+}
+
+/* Guards against passing on an empty or short body as whole when an endpoint
+   stops in the middle of its head and closes: on all kinds of routes, with
+   each framing, on a new connection and on one that was used before.  */
+static void
+test_endpoint_stops_inside_its_head (void)
+{
+  static const char chunked[]
+      = HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n";
+  static const char *const answers[]
+      = { framed_answer, unframed_answer, unframed_stream, chunked };
+  static const enum route_retry_mode modes[]
+      = { ROUTE_ONCE, ROUTE_IDEMPOTENT, ROUTE_STREAM };
+
+  for (size_t a = 0; a < sizeof answers / sizeof *answers; a++)
+    for (size_t m = 0; m < sizeof modes / sizeof *modes; m++)
+      for (size_t len = 0; len < head_len (answers[a]); len++)
+        {
+          struct cut_answer cut = {
+            .bytes = answers[a], .cut = len, .end = RAW_CLOSE, .sends = len % 2
+          };
+          struct local_pipeline_options options
+              = { .route.retry_mode = modes[m],
+                  .route.timeout_ms = TIMEOUT_MS,
+                  .route.max_attempts = 1,
+                  .answer = answer_then_stop,
+                  .data = &cut };
+          struct local_pipeline *local = local_pipeline_create (&options);
+          const struct local_response *response = local_pipeline_run (local);
+
+          if (len % 2 == 0)
+            response = local_pipeline_run (local);
+          CU_ASSERT_FALSE (local_response_is_success (response));
+          CU_ASSERT_EQUAL (response->body.len, 0);
+          local_pipeline_destroy (local);
+        }
+}
+
 /* Guards against passing on an answer as complete that broke off before its
    declared length, or whose connection was reset.  */
 static void
@@ -414,6 +471,8 @@
     test_caller_resumes_after_its_event },
   { "an answer that is closed inside its head",
     test_answer_closed_inside_its_head },
+  { "an endpoint that stops inside its head",
+    test_endpoint_stops_inside_its_head },
   { "an answer that is cut inside its body", test_answer_cut_inside_its_body },
   { "a head without end", test_head_without_end },
   { "a body without end", test_body_without_end },
--- a/test/unit/test_stream_versions.c
+++ b/test/unit/test_stream_versions.c
@@ -638,6 +638,34 @@
   fleet_stop (&fleet);
 }
 
+/* Guards against going on at another software version at a host that is out of
+   step: endpoints of a new version have joined while it was cut off or stood
+   still, streams began there through another host, and their callers resume
+   them at this one.  */
+static void
+test_host_does_not_know_new_version (void)
+{
+  struct fleet fleet;
+
+  fleet_start (&fleet);
+  wait_until_ready (&fleet);
+  fleet.is_gone[1] = true;
+  configure_node (&fleet, 1);
+  fleet.is_gone[1] = false;
+  for (int i = 0; i < STREAMS; i++)
+    {
+      int version = begin_stream (&fleet, i);
+      int64_t elapsed_ms = resume_stream (&fleet, 1, i);
+
+      if (version == 0)
+        continue;
+      CU_ASSERT_NOT_EQUAL (fleet.status, 200);
+      CU_ASSERT_EQUAL (fleet.last_version, -1);
+      CU_ASSERT_TRUE (elapsed_ms < REFUSED_WITHIN_MS);
+    }
+  fleet_stop (&fleet);
+}
+
 /* Guards against resuming the wrong one of two streams with the same content,
    which began at different versions, if the caller does not name it.  */
 static void
@@ -691,6 +719,8 @@
   { "a caller resumes at another host", test_caller_resumes_at_another_host },
   { "entry hosts restart", test_entry_hosts_restart },
   { "all hosts restart", test_all_hosts_restart },
+  { "a host does not know a new version",
+    test_host_does_not_know_new_version },
   { "equal streams at two versions", test_equal_streams_at_two_versions },
   CU_TEST_INFO_NULL,
 };
