request: interruptions that nothing confirms refuse nobody, and fewer hosts tell

A host whose connections are reset, with identical calls, counted interruptions that no sign confirmed, and refused sound calls; and its probes for crashes counted as open paths.

--- a/policy/crash_evidence.c
+++ b/policy/crash_evidence.c
@@ -268,8 +268,6 @@
   const struct crash_state *state
       = crash_evidence_find (evidence, fingerprint);
   uint32_t count = state ? crash_state_count (state, now_ms) : 0;
-  uint32_t fresh = 0;
-  int64_t fresh_until_ms = 0;
 
   *wait_ms = 0;
   if (count >= CRASH_LIMIT + CRASH_MAX_TRIALS)
@@ -277,19 +275,11 @@
       *wait_ms = latest_ms (state) + CRASH_TTL_MS - now_ms;
       return CRASH_REFUSE;
     }
-  for (uint32_t i = 0; state && i < state->record_count; i++)
-    if (is_fresh (&state->records[i], now_ms)
-        && is_after_earlier (state, &state->records[i]))
-      {
-        fresh++;
-        fresh_until_ms = MAX (fresh_until_ms,
-                              state->records[i].at_ms + CRASH_PROVISIONAL_MS);
-      }
-  if (count + fresh < CRASH_LIMIT)
+  if (count < CRASH_LIMIT)
     return CRASH_SEND;
-  if (fresh > 0 || state->trial_until_ms > now_ms)
+  if (state->trial_until_ms > now_ms)
     {
-      *wait_ms = MAX (fresh_until_ms, state->trial_until_ms) - now_ms;
+      *wait_ms = state->trial_until_ms - now_ms;
       return CRASH_WAIT;
     }
   return CRASH_TRY;
--- a/request/crash_notices.c
+++ b/request/crash_notices.c
@@ -234,11 +234,11 @@
   return last_ms;
 }
 
-/* Has the keepers hold what is known of a request, if that is more than they
-   hold.  */
+/* Has the keepers hold what is known of a request that is shared, if that is
+   more than they hold.  */
 static void
 keep (struct crash_notices *notices, const struct crash_state *state,
-      int64_t now_ms)
+      bool shared, int64_t now_ms)
 {
   uint32_t count = crash_state_count (state, now_ms);
   uint64_t version = (uint64_t)state->clears << VERSION_CLEAR_SHIFT
@@ -247,9 +247,8 @@
       = { .source = state->fingerprint,
           .version = version,
           .tokens = unix_ms (notices) - (now_ms - last_crash_ms (state)) };
-  uint64_t known = kept_version (notices, state->fingerprint);
 
-  if (version <= known || (count < CRASH_SHARED_FROM && known == 0))
+  if (!shared || version <= kept_version (notices, state->fingerprint))
     return;
   set_kept_version (notices, state->fingerprint, version);
   start_call (notices, epoch_program (notices, 0), &charge, now_ms);
@@ -366,21 +365,31 @@
     counter_add (COUNTER_CRASH_NOTICES, 1);
 }
 
-/* Tells the hosts at which reports of the request meet, or all hosts if it is
-   shared.  */
+/* Whether all hosts are to know of the request.  */
+static bool
+is_shared (const struct crash_notices *notices, uint64_t fingerprint,
+           int64_t now_ms)
+{
+  const struct crash_state *state
+      = crash_evidence_find (notices->evidence, fingerprint);
+
+  return kept_version (notices, fingerprint) > 0
+         || (state && crash_state_count (state, now_ms) >= CRASH_SHARED_FROM);
+}
+
+/* Tells the hosts at which reports of the request meet, or all hosts if
+   TO_ALL.  */
 static void
 tell (struct crash_notices *notices, const struct crash_state *state,
-      int64_t now_ms)
+      bool to_all, int64_t now_ms)
 {
   struct notice *notice = xcalloc (1, sizeof *notice);
   struct host_choice choice = { .item = state->fingerprint };
   const struct host_member *joiners[JOINERS];
-  bool is_shared = crash_state_count (state, now_ms) >= CRASH_SHARED_FROM
-                   || kept_version (notices, state->fingerprint) > 0;
 
   notice->now_ms = now_ms;
   notice_add (notice, state);
-  if (is_shared)
+  if (to_all)
     for (size_t i = 0; i < notices->hosts.count; i++)
       notice_send (notices, notice, notices->hosts.members[i].name);
   else
@@ -421,8 +430,8 @@
   if (record->is_confirmed
       || crash_state_count (state, now_ms) >= CRASH_SHARED_FROM)
     {
-      tell (notices, state, now_ms);
-      keep (notices, state, now_ms);
+      tell (notices, state, is_shared (notices, fingerprint, now_ms), now_ms);
+      keep (notices, state, is_shared (notices, fingerprint, now_ms), now_ms);
     }
   return crash_state_count (state, now_ms);
 }
@@ -432,14 +441,15 @@
 crash_notices_record_success (struct crash_notices *notices,
                               uint64_t fingerprint, int64_t now_ms)
 {
+  bool was_shared = is_shared (notices, fingerprint, now_ms);
   const struct crash_state *state;
 
   if (!crash_evidence_clear (notices->evidence, fingerprint, now_ms))
     return;
   state = crash_evidence_find (notices->evidence, fingerprint);
   log_state (state, "cleared", now_ms);
-  tell (notices, state, now_ms);
-  keep (notices, state, now_ms);
+  tell (notices, state, was_shared, now_ms);
+  keep (notices, state, was_shared, now_ms);
 }
 
 /* Returns whether the request may be sent; see crash_evidence_check.  */
@@ -456,7 +466,8 @@
            int64_t until_ms, int64_t now_ms)
 {
   crash_evidence_set_trial (notices->evidence, fingerprint, until_ms);
-  tell (notices, crash_evidence_find (notices->evidence, fingerprint), now_ms);
+  tell (notices, crash_evidence_find (notices->evidence, fingerprint), true,
+        now_ms);
 }
 
 /* Records that this host sends a request for which CRASH_TRY was returned, so
@@ -514,9 +525,11 @@
   count = crash_state_count (state, now_ms);
   if (count > before && count >= CRASH_SHARED_FROM)
     log_state (state, "knows of", now_ms);
-  if (count > told && count > before && count >= CRASH_SHARED_FROM)
-    tell (notices, state, now_ms);
-  keep (notices, state, now_ms);
+  /* Whoever knows more than it was told is the one to tell others. */
+  if (count <= told || count <= before || count < CRASH_SHARED_FROM)
+    return;
+  tell (notices, state, true, now_ms);
+  keep (notices, state, true, now_ms);
 }
 
 static uint32_t
--- a/request/path_monitor.c
+++ b/request/path_monitor.c
@@ -49,6 +49,9 @@
   uint64_t endpoint; /* hash of its id and start */
   int fd;
   int64_t started_ms;
+  /* Tells only whether the endpoint has crashed: that a connection opens is no
+     sign of a path on which answers come back. */
+  bool is_for_crash;
   ev_io writable;
 };
 
@@ -256,6 +259,7 @@
   int error = 0;
   socklen_t size = sizeof error;
   int64_t started_ms = probe->started_ms;
+  bool is_for_crash = probe->is_for_crash;
   bool is_opened;
 
   getsockopt (probe->fd, SOL_SOCKET, SO_ERROR, &error, &size);
@@ -270,7 +274,8 @@
      has not crashed. */
   if (is_opened && started_ms > endpoint->interrupted_ms)
     pool_clear_suspects (endpoint);
-  path_monitor_record (monitor, endpoint, is_opened, clock_now_ms ());
+  if (!is_for_crash)
+    path_monitor_record (monitor, endpoint, is_opened, clock_now_ms ());
 }
 
 static void
@@ -284,7 +289,7 @@
 /* Starts a probe.  A connection that fails at once counts, too.  */
 static void
 start_probe (struct path_monitor *monitor, struct pool_endpoint *endpoint,
-             int64_t now_ms)
+             bool is_for_crash, int64_t now_ms)
 {
   struct path_probe *probe = &monitor->probes[monitor->probe_count];
   struct sockaddr_in address;
@@ -303,13 +308,15 @@
       if (errno == ECONNREFUSED)
         pool_record_connection_refused (endpoint, now_ms);
       close (fd);
-      path_monitor_record (monitor, endpoint, false, now_ms);
+      if (!is_for_crash)
+        path_monitor_record (monitor, endpoint, false, now_ms);
       return;
     }
   *probe = (struct path_probe){ .monitor = monitor,
                                 .endpoint = endpoint->start,
                                 .fd = fd,
-                                .started_ms = now_ms };
+                                .started_ms = now_ms,
+                                .is_for_crash = is_for_crash };
   monitor->probe_count++;
   ev_io_init (&probe->writable, handle_writable, fd, EV_WRITE);
   probe->writable.data = probe;
@@ -472,6 +479,7 @@
   int64_t max_silent_ms
       = is_cut_off (service) ? CUT_OFF_SILENT_MS : BROKEN_SILENT_MS;
   struct path_detector *path = &endpoint->path;
+  bool is_for_path;
 
   watch_silence (monitor, endpoint, service, now_ms);
   path->is_doubted = is_doubtful (monitor, endpoint, service, now_ms);
@@ -479,12 +487,12 @@
     options->handle_broken (options->data, endpoint, max_silent_ms);
   if (*started >= MAX_STARTED || monitor->probe_count >= MAX_PROBES)
     return;
-  if (!is_crash_probe_due (endpoint, now_ms)
-      && !path_detector_is_probe_due (&endpoint->path, silent_ms, now_ms)
-      && !is_verification_due (monitor, endpoint, service, now_ms)
-      && !is_doubt_due (endpoint, service, now_ms))
+  is_for_path = path_detector_is_probe_due (&endpoint->path, silent_ms, now_ms)
+                || is_verification_due (monitor, endpoint, service, now_ms)
+                || is_doubt_due (endpoint, service, now_ms);
+  if (!is_for_path && !is_crash_probe_due (endpoint, now_ms))
     return;
-  start_probe (monitor, endpoint, now_ms);
+  start_probe (monitor, endpoint, !is_for_path, now_ms);
   ++*started;
 }
 
