--- a/request/crash_notices.c
+++ b/request/crash_notices.c
@@ -628,20 +628,13 @@
   notices->ask_until_ms = now_ms + ASK_AFTER_DOWN_MS;
 }
 
-/* States that are repeated. */
-struct gossip
-{
-  struct notice *notice;
-  const struct crash_notices *notices;
-};
-
 static void
-add_to_gossip (void *data, const struct crash_state *state)
+add_if_shared (void *data, const struct crash_state *state)
 {
-  struct gossip *gossip = data;
+  struct notice *notice = data;
 
-  if (crash_state_count (state, gossip->notice->now_ms) >= CRASH_SHARED_FROM)
-    notice_add (gossip->notice, state);
+  if (crash_state_count (state, notice->now_ms) >= CRASH_SHARED_FROM)
+    notice_add (notice, state);
 }
 
 /* Repeats what is shared to one host, so that one that missed it learns of
@@ -649,17 +642,19 @@
 static void
 repeat_to_one (struct crash_notices *notices, int64_t now_ms)
 {
-  struct gossip gossip
-      = { .notice = xcalloc (1, sizeof *gossip.notice), .notices = notices };
+  struct notice *notice;
 
   notices->gossiped_ms = now_ms;
-  gossip.notice->now_ms = now_ms;
-  crash_evidence_foreach (notices->evidence, add_to_gossip, &gossip);
-  if (gossip.notice->count > 0 && notices->hosts.count > 0)
+  if (notices->hosts.count == 0)
+    return;
+  notice = xcalloc (1, sizeof *notice);
+  notice->now_ms = now_ms;
+  crash_evidence_foreach (notices->evidence, add_if_shared, notice);
+  if (notice->count > 0)
     notice_send (
-        notices, gossip.notice,
+        notices, notice,
         notices->hosts.members[id_random64 () % notices->hosts.count].name);
-  free (gossip.notice);
+  free (notice);
 }
 
 /* Repeats and asks what is due.  Must be called at least every 100 ms.  */
