--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -40,7 +40,9 @@
      practice. */
   MARKER_PROGRAM = 1,
   MARKER_SOURCE = 1,
-  REWRITTEN_PROGRAMS = 64, /* a tick, of those that the store refused */
+  /* A full disk refuses charges for a while. */
+  REWRITE_INTERVAL_MS = 250,
+  REWRITTEN_PROGRAMS = 256, /* at a time */
 };
 
 /* The charges of one program.  Owned by the keeper. */
@@ -93,6 +95,7 @@
   uint32_t programs_loading; /* programs not yet read from the store */
   uint32_t reads_storing;    /* charges that were read, not yet on disk */
   GHashTable *refused;       /* programs with charges that the store refused */
+  int64_t rewritten_ms;      /* when these were last written again */
   bool is_marking;           /* the marker is being written */
   bool is_handing_over;
   int64_t started_ms;
@@ -310,8 +313,6 @@
 static void
 record_refused (struct keeper *keeper, uint64_t program)
 {
-  log_write (LOG_WARN, "keeper", NULL,
-             "a charge could not be written to the store; it is tried again");
   g_hash_table_add (keeper->refused, g_memdup2 (&program, sizeof program));
 }
 
@@ -357,11 +358,21 @@
 
 /* Appends charges again that the store refused.  */
 static void
-rewrite_refused (struct keeper *keeper)
+rewrite_refused (struct keeper *keeper, int64_t now_ms)
 {
-  GList *programs = g_hash_table_get_keys (keeper->refused);
+  GList *programs;
   uint32_t count = 0;
 
+  if (g_hash_table_size (keeper->refused) == 0
+      || now_ms - keeper->rewritten_ms < REWRITE_INTERVAL_MS)
+    return;
+  keeper->rewritten_ms = now_ms;
+  log_write (LOG_WARN, "keeper", NULL,
+             "charges of %u programs could not be written to the store; they "
+             "are written again",
+             g_hash_table_size (keeper->refused));
+  programs = g_hash_table_get_keys (keeper->refused);
+
   for (GList *at = programs; at && count < REWRITTEN_PROGRAMS;
        at = at->next, count++)
     {
@@ -1292,7 +1303,7 @@
   if (keeper->programs_loading == 0
       && (keeper->is_complete || now_ms - keeper->started_ms >= READ_AFTER_MS))
     request_pages (keeper, now_ms);
-  rewrite_refused (keeper);
+  rewrite_refused (keeper, now_ms);
   check_synced (keeper);
   if (now_ms - keeper->last_expiry_ms < EXPIRE_INTERVAL_MS)
     return;
