request: versions at the keepers are forgotten with the request; test: time for nine waves

The table of what the keepers hold grew with each request that had crashed endpoints (read while reviewing the change).

--- a/request/crash_notices.c
+++ b/request/crash_notices.c
@@ -657,6 +657,12 @@
   free (notice);
 }
 
+static gboolean
+is_forgotten (gpointer fingerprint, gpointer version, gpointer data)
+{
+  return crash_evidence_find (data, *(const uint64_t *)fingerprint) == NULL;
+}
+
 /* Repeats and asks what is due.  Must be called at least every 100 ms.  */
 void
 crash_notices_tick (struct crash_notices *notices, int64_t now_ms)
@@ -680,4 +686,5 @@
     return;
   notices->expired_ms = now_ms;
   crash_evidence_expire (notices->evidence, now_ms);
+  g_hash_table_foreach_remove (notices->kept, is_forgotten, notices->evidence);
 }
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -125,6 +125,7 @@
 rig_begin (const char *record)
 {
   const char *trouble = getenv ("TROUBLE");
+  const char *limit = getenv ("RIG_LIMIT_S");
 
   begun_ms = rig_now_ms ();
   rig_has_trouble = !trouble || strcmp (trouble, "0") != 0;
@@ -141,7 +142,7 @@
   signal (SIGALRM, handle_limit);
   signal (SIGTERM, handle_limit);
   signal (SIGINT, handle_limit);
-  alarm (LIMIT_S);
+  alarm (limit ? (unsigned)atoi (limit) : LIMIT_S);
   rig_record ("%s the disruption", rig_has_trouble ? "with" : "without");
 }
 
