--- a/test/fleet/keeper_fleet.c
+++ b/test/fleet/keeper_fleet.c
@@ -74,8 +74,8 @@
   struct transport transport; /* first member */
   struct fleet *fleet;
   int index;
-  char name[8];
-  char data_centre[8];
+  char name[16];
+  char data_centre[16];
   struct store store;
   struct keeper *keeper; /* NULL while it does not run */
   GPtrArray *disk;       /* struct disk_write */
@@ -95,7 +95,7 @@
 /* An entry host that charges programs. */
 struct writer
 {
-  char name[8];
+  char name[16];
   uint64_t list;
   int64_t list_due_ms;
   uint64_t source[PROGRAMS];
--- a/test/unit/test_crash_fleet.c
+++ b/test/unit/test_crash_fleet.c
@@ -41,8 +41,8 @@
   struct transport transport; /* first member */
   struct fleet *fleet;
   int index;
-  char name[8];
-  char data_centre[8];
+  char name[16];
+  char data_centre[16];
   struct crash_notices *notices; /* NULL while it does not run */
   bool is_frozen;
   bool is_cut;           /* reaches nobody */
@@ -53,16 +53,16 @@
 /* A keeper's disk. */
 struct fleet_keeper
 {
-  char name[8];
-  char data_centre[8];
+  char name[16];
+  char data_centre[16];
   GHashTable *programs; /* program -> struct charges */
   bool is_down;
 };
 
 struct frame_event
 {
-  char from[8];
-  char to[8];
+  char from[16];
+  char to[16];
   struct buf bytes;
 };
 
