test: the minority of one keeper is asked once it has read the others

functional-platform under ThreadSanitizer: "one keeper of three granted 0 turns". Traced: the keeper had started, and the two others were killed before it had read them. The test now waits until it has read both; what it expects of the minority, two or three turns, is unchanged.

--- a/test/functional/platform.sh
+++ b/test/functional/platform.sh
@@ -228,7 +228,11 @@
 kill_hosts kb
 wait_for "two keepers of three suffice" '[ "$(turn 1 p4 1000 40 | tail -1)" = 200 ]'
 expect "the two keepers know the spent budget" '^(402|503)$' "$(TURN_TRIES=1 turn 1 p3 60 40 | tail -1)"
+reads_before=$(grep -c "read the ledger of keeper" "$FLEET_DIR/kb.log")
 host kb dc-b 12 keeper false
+# A keeper alone decides nothing before it has read the others.
+wait_for "the keeper that is back has read the others" \
+  '[ "$(grep -c "read the ledger of keeper" "$FLEET_DIR/kb.log")" -ge $((reads_before + 2)) ]'
 
 # The minority side of a partition continues to charge; the majority learns of
 # those charges before it charges the rest.
