--- a/include/policy/crash_evidence.h
+++ b/include/policy/crash_evidence.h
@@ -59,7 +59,7 @@
 {
   CRASH_SEND,
   CRASH_TRY,  /* may be sent, as a trial */
-  CRASH_WAIT, /* a trial is running, or a crash is being confirmed */
+  CRASH_WAIT, /* a trial is running */
   CRASH_REFUSE,
 };
 
