--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -80,6 +80,7 @@
   { "speed on time", NULL, NULL, NULL, NULL, speed_on_time_tests },
   { "endpoint limits", NULL, NULL, NULL, NULL, endpoint_limits_tests },
   { "endpoint turns", NULL, NULL, NULL, NULL, endpoint_turns_tests },
+  { "stream ends", NULL, NULL, NULL, NULL, stream_ends_tests },
   { "stream versions", NULL, NULL, NULL, NULL, stream_versions_tests },
   { "wide configuration", NULL, NULL, NULL, NULL, wide_config_tests },
   CU_SUITE_INFO_NULL,
--- a/test/unit/raw_endpoint.c
+++ b/test/unit/raw_endpoint.c
@@ -324,12 +324,24 @@
     }
 }
 
+/* Resets all connections and refuses further ones.  */
+void
+raw_endpoint_crash (struct raw_endpoint *endpoint)
+{
+  ev_io_stop (endpoint->loop, &endpoint->acceptor);
+  if (endpoint->listener >= 0)
+    close (endpoint->listener);
+  endpoint->listener = -1;
+  raw_endpoint_end_all (endpoint, RAW_RESET, "");
+}
+
 /* Closes all connections and frees the endpoint.  */
 void
 raw_endpoint_destroy (struct raw_endpoint *endpoint)
 {
   g_ptr_array_free (endpoint->connections, TRUE);
   ev_io_stop (endpoint->loop, &endpoint->acceptor);
-  close (endpoint->listener);
+  if (endpoint->listener >= 0)
+    close (endpoint->listener);
   free (endpoint);
 }
--- a/test/unit/raw_endpoint.h
+++ b/test/unit/raw_endpoint.h
@@ -63,6 +63,7 @@
                                           void *data);
 void raw_endpoint_end_all (struct raw_endpoint *endpoint, enum raw_end end,
                            const char *bytes);
+void raw_endpoint_crash (struct raw_endpoint *endpoint);
 void raw_endpoint_destroy (struct raw_endpoint *endpoint);
 
 #endif
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -65,6 +65,7 @@
 extern CU_TestInfo second_answers_tests[];
 extern CU_TestInfo settings_tests[];
 extern CU_TestInfo store_tests[];
+extern CU_TestInfo stream_ends_tests[];
 extern CU_TestInfo stream_index_tests[];
 extern CU_TestInfo stream_versions_tests[];
 extern CU_TestInfo token_bucket_tests[];
