common: a response that comes when one has begun is not dropped in silence

Cause in the server: set_status returned, and the stream stayed as it was.

Now each response goes through one small module, common/ending: it begins at most once and ends exactly once. What comes when a stream has begun aborts that, an end of a stream that has not begun tells the caller 502, and what comes after the end changes nothing; each is counted (responses_late) and logged. What the server ends on its own (clients that leave or do not read, its destruction) is recorded there, too.

--- a/common/httpd.c
+++ b/common/httpd.c
@@ -62,6 +62,10 @@
   uint32_t open_connections;
 };
 
+static void cut_response (struct httpd_request *request);
+static void respond (struct httpd_request *request, unsigned status,
+                     const char *content_type, const char *body, size_t len);
+
 static void
 stop_disconnect_watch (struct httpd_request *request)
 {
@@ -104,10 +108,11 @@
   request->handle_disconnect = NULL;
   if (handle_disconnect)
     handle_disconnect (request);
-  if (request->state == HTTPD_WAITING)
-    httpd_respond (request, MHD_HTTP_BAD_GATEWAY, NULL, "", 0);
+  request->ending.has_ended = true;
+  if (request->state == HTTPD_WAITING && !request->buffering)
+    respond (request, MHD_HTTP_BAD_GATEWAY, NULL, "", 0);
   else
-    httpd_stream_abort (request);
+    cut_response (request);
 }
 
 /* Suspends the connection until the handler has a response or more data for
@@ -734,7 +739,10 @@
   for (struct httpd_request *request = httpd->requests; request;
        request = request->next)
     if (request->buffering || (request->streaming && !request->stream_ended))
-      httpd_stream_abort (request);
+      {
+        request->ending.has_ended = true;
+        cut_response (request);
+      }
     else if (request->state == HTTPD_WAITING)
       httpd_respond_error (request, &error);
 }
@@ -827,33 +835,59 @@
   free (seconds);
 }
 
-/* Records the status and the type of the response.  Returns false if the
-   request already has a response.  */
-static bool
+static void
 set_status (struct httpd_request *request, unsigned status,
             const char *content_type)
 {
-  if (request->state == HTTPD_RESPONDED || request->state == HTTPD_QUEUED)
-    return false;
   request->status = status;
   free (request->content_type);
   request->content_type = content_type ? xstrdup (content_type) : NULL;
   request->state = HTTPD_RESPONDED;
-  return true;
 }
 
-/* Sends a complete response.  Ignored if the request already has one.  */
-void
-httpd_respond (struct httpd_request *request, unsigned status,
-               const char *content_type, const char *body, size_t len)
+/* Whether a response in one piece may be sent.  If a stream has begun, it is
+   aborted instead.  */
+static bool
+claim_whole (struct httpd_request *request)
 {
-  if (!set_status (request, status, content_type))
-    return;
+  enum ending_way way
+      = ending_end (&request->ending, ENDING_WHOLE, request->path, NULL);
+
+  if (way == ENDING_ABORT)
+    cut_response (request);
+  return way == ENDING_WHOLE;
+}
+
+static void
+respond (struct httpd_request *request, unsigned status,
+         const char *content_type, const char *body, size_t len)
+{
+  set_status (request, status, content_type);
   request->response_body.len = 0;
   buf_append (&request->response_body, body, len);
   resume_request (request);
 }
 
+static void
+respond_error (struct httpd_request *request, const struct error *error)
+{
+  char *body = error_to_json (error);
+
+  httpd_add_retry_after (request, error->retry_after_ms);
+  respond (request, error_http_status (error->kind), "application/json", body,
+           strlen (body));
+  free (body);
+}
+
+/* Sends a complete response.  See ending_end for one that comes too late.  */
+void
+httpd_respond (struct httpd_request *request, unsigned status,
+               const char *content_type, const char *body, size_t len)
+{
+  if (claim_whole (request))
+    respond (request, status, content_type, body, len);
+}
+
 /* Sends BODY as a JSON response and releases the reference to it.  */
 void
 httpd_respond_json (struct httpd_request *request, unsigned status,
@@ -872,8 +906,9 @@
 httpd_respond_buffered (struct httpd_request *request, unsigned status,
                         const char *content_type)
 {
-  if (!set_status (request, status, content_type))
+  if (!claim_whole (request))
     return;
+  set_status (request, status, content_type);
   resume_request (request);
 }
 
@@ -882,12 +917,8 @@
 void
 httpd_respond_error (struct httpd_request *request, const struct error *error)
 {
-  char *body = error_to_json (error);
-
-  httpd_add_retry_after (request, error->retry_after_ms);
-  httpd_respond (request, error_http_status (error->kind), "application/json",
-                 body, strlen (body));
-  free (body);
+  if (claim_whole (request))
+    respond_error (request, error);
 }
 
 /* Starts a response whose body is written with httpd_stream_write.  A client
@@ -897,6 +928,12 @@
 httpd_stream_begin (struct httpd_request *request, unsigned status,
                     const char *content_type)
 {
+  if (!ending_begin (&request->ending, request->path, NULL))
+    {
+      if (!request->ending.has_ended)
+        httpd_stream_abort (request);
+      return;
+    }
   if (request->lacks_chunks && request->state == HTTPD_WAITING)
     {
       request->buffering = true;
@@ -904,8 +941,7 @@
       request->content_type = content_type ? xstrdup (content_type) : NULL;
       return;
     }
-  if (!set_status (request, status, content_type))
-    return;
+  set_status (request, status, content_type);
   request->streaming = true;
   resume_request (request);
 }
@@ -962,7 +998,8 @@
   request->handle_disconnect = NULL;
   if (handle_disconnect)
     handle_disconnect (request);
-  httpd_stream_abort (request);
+  request->ending.has_ended = true;
+  cut_response (request);
   /* libmicrohttpd would wait until the socket can be written. */
   shutdown (info->connect_fd, SHUT_RDWR);
 }
@@ -1010,13 +1047,13 @@
 }
 
 /* Appends to the body of a streamed response.  Returns false if the client
-   reads so slowly that the backlog is full, or if the budget for all clients
-   is used up; nothing is then appended.  */
+   reads so slowly that the backlog is full, if the budget for all clients is
+   used up, or if the response has ended; nothing is then appended.  */
 bool
 httpd_stream_write (struct httpd_request *request, const void *data,
                     size_t len)
 {
-  if (!charge_stream (request, len))
+  if (request->ending.has_ended || !charge_stream (request, len))
     return false;
   if (request->response_body.len == 0)
     request->read_ms = clock_now_ms ();
@@ -1030,6 +1067,16 @@
 void
 httpd_stream_end (struct httpd_request *request)
 {
+  switch (ending_end (&request->ending, ENDING_COMPLETE, request->path, NULL))
+    {
+    case ENDING_COMPLETE:
+      break;
+    case ENDING_ABORT:
+      cut_response (request);
+      return;
+    default:
+      return;
+    }
   if (request->buffering)
     {
       request->buffering = false;
@@ -1053,15 +1100,15 @@
              "run twice");
   request->buffering = false;
   clear_headers (request);
-  httpd_respond_error (request, &error);
+  respond_error (request, &error);
 }
 
-/* Closes the connection without a proper end of the body, so that the client
-   can tell that the response is incomplete.  */
-void
-httpd_stream_abort (struct httpd_request *request)
+/* Closes the connection without a proper end of the body.  A client without
+   the head of a response is told that it was broken off.  */
+static void
+cut_response (struct httpd_request *request)
 {
-  if (request->buffering)
+  if (request->state == HTTPD_READING || request->state == HTTPD_WAITING)
     {
       respond_broken_off (request);
       return;
@@ -1072,3 +1119,13 @@
   if (request->state == HTTPD_QUEUED)
     resume_request (request);
 }
+
+/* Ends the response without a proper end of the body, so that the client can
+   tell that it is incomplete.  */
+void
+httpd_stream_abort (struct httpd_request *request)
+{
+  if (ending_end (&request->ending, ENDING_ABORT, request->path, NULL)
+      == ENDING_ABORT)
+    cut_response (request);
+}
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -59,10 +59,12 @@
   COUNTER_PERMIT_ASKS,     /* for requests to endpoints with a limit */
   COUNTER_PERMITS_GRANTED, /* by this host */
   COUNTER_PERMITS_DENIED,
-  COUNTER_RESENDS,                /* by libcurl, on its own */
-  COUNTER_DIRTY_CONNECTIONS,      /* idle ones that had brought bytes */
-  COUNTER_UNFINISHED_EVENTS,      /* responses that ended inside an event */
-  COUNTER_STREAM_LOOKUPS,         /* questions where a resumed stream began */
+  COUNTER_RESENDS,           /* by libcurl, on its own */
+  COUNTER_DIRTY_CONNECTIONS, /* idle ones that had brought bytes */
+  COUNTER_UNFINISHED_EVENTS, /* responses that ended inside an event */
+  COUNTER_RESPONSES_LATE, /* to requests whose response had begun or ended */
+  COUNTER_ENDS_MISSING,   /* requests freed without an end */
+  COUNTER_STREAM_LOOKUPS, /* questions where a resumed stream began */
   COUNTER_STREAM_ORIGINS_UNKNOWN, /* of them, without an answer */
   COUNTER_TURNS_READ,             /* of conversations, from keepers */
   COUNTER_TURNS_UNKNOWN,          /* refused with 404 */
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -4,6 +4,7 @@
 
 #include "common/buf.h"
 #include "common/buffer_budget.h"
+#include "common/ending.h"
 #include "common/error.h"
 #include <ev.h>
 #include <jansson.h>
@@ -84,6 +85,7 @@
   uint32_t header_count;
   unsigned status;
   enum httpd_state state;
+  struct ending ending;
   bool suspended;
   bool streaming;
   bool stream_ended;
--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -1,3 +1,4 @@
+#include "common/counters.h"
 #include "common/httpd.h"
 #include "common/id.h"
 #include "suites.h"
@@ -411,6 +412,105 @@
   teardown (&fixture);
 }
 
+enum late_response
+{
+  LATE_WHOLE,
+  LATE_ERROR,
+  LATE_BEGINNING,
+  LATE_RESPONSES,
+};
+
+static void
+respond_late (struct httpd_request *request, enum late_response late)
+{
+  struct error error;
+
+  error_set (&error, ERROR_ENDPOINT, RUN_MAY_HAVE_RUN, "late");
+  if (late == LATE_WHOLE)
+    httpd_respond (request, 502, "text/plain", "late", 4);
+  else if (late == LATE_ERROR)
+    httpd_respond_error (request, &error);
+  else
+    httpd_stream_begin (request, 200, "text/event-stream");
+}
+
+/* Sends REQUEST, begins a stream and then makes a further response.  Returns
+   whether the client sees within moments that the stream is incomplete.  */
+static bool
+late_response_aborts (const char *request, enum late_response late, bool is_up)
+{
+  struct fixture fixture;
+  char text[2048];
+  size_t len = 0;
+  ssize_t got = 1;
+  int64_t count = counter_get (COUNTER_RESPONSES_LATE);
+
+  setup (&fixture);
+  CU_ASSERT_EQUAL (write (fixture.client, request, strlen (request)),
+                   (ssize_t)strlen (request));
+  run_until_handled (&fixture, 1);
+  httpd_stream_begin (fixture.last, 200, "text/event-stream");
+  httpd_stream_write (fixture.last, "data", 4);
+  for (int i = 0; i < 4 && is_up; i++)
+    ev_run (fixture.loop, EVRUN_NOWAIT);
+  respond_late (fixture.last, late);
+  for (int i = 0; i < 4; i++)
+    ev_run (fixture.loop, EVRUN_NOWAIT);
+  while (len + 1 < sizeof text
+         && (got = recv (fixture.client, text + len, sizeof text - 1 - len,
+                         MSG_DONTWAIT))
+                > 0)
+    len += (size_t)got;
+  text[len] = '\0';
+  CU_ASSERT_EQUAL (counter_get (COUNTER_RESPONSES_LATE), count + 1);
+  httpd_destroy (fixture.httpd);
+  teardown (&fixture);
+  return strstr (text, " 502 ")
+         || (got == 0 && !strstr (text, "\r\n0\r\n\r\n"));
+}
+
+/* Guards against a stream without an end, after a response that came when it
+   had begun and was dropped without a trace: by callers of both versions of
+   HTTP, before and after the head is on its way.  */
+static void
+late_response_aborts_a_stream (void)
+{
+  static const char *const requests[]
+      = { request_text, "GET / HTTP/1.0\r\n\r\n" };
+
+  for (int late = 0; late < LATE_RESPONSES; late++)
+    for (int i = 0; i < 4; i++)
+      CU_ASSERT_TRUE (late_response_aborts (requests[i / 2],
+                                            (enum late_response)late, i % 2));
+}
+
+/* Guards against a second response that changes a whole one, or passes
+   unseen.  */
+static void
+late_response_leaves_a_whole_one (void)
+{
+  struct fixture fixture;
+  char text[1024];
+  int64_t count = counter_get (COUNTER_RESPONSES_LATE);
+
+  setup (&fixture);
+  send_request (&fixture);
+  run_until_handled (&fixture, 1);
+  httpd_respond (fixture.last, 200, "text/plain", "first", 5);
+  for (int late = 0; late < LATE_RESPONSES; late++)
+    respond_late (fixture.last, (enum late_response)late);
+  httpd_stream_end (fixture.last);
+  httpd_stream_abort (fixture.last);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_RESPONSES_LATE),
+                   count + LATE_RESPONSES + 2);
+  httpd_destroy (fixture.httpd);
+  read_response (&fixture, text, sizeof text);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, " 200 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "first"));
+  CU_ASSERT_PTR_NULL (strstr (text, "late"));
+  teardown (&fixture);
+}
+
 CU_TestInfo httpd_tests[] = {
   { "answers a waiting request", answers_a_waiting_request },
   { "refuses a request that arrives last",
@@ -420,6 +520,8 @@
   { "a stream without chunks has a length", stream_without_chunks_has_length },
   { "an aborted stream never looks complete",
     aborted_stream_never_looks_complete },
+  { "a late response aborts a stream", late_response_aborts_a_stream },
+  { "a late response leaves a whole one", late_response_leaves_a_whole_one },
   { "cuts a stalled reader, not a slow one", cuts_a_stalled_reader_only },
   { "cuts a stalled reader of a whole response",
     cuts_a_stalled_reader_of_a_whole_response },
