caller: responses of the own interface end through common/ending

The own interface had twins of the pipeline's ends: a refusal that came when a stream had begun was written into it, and the stream ended as complete; a second beginning or end was ignored without a trace; a caller of HTTP/1.0 got its stream with the content type of its own request, counted as open for ever, and one whose response was aborted before it began got the head of a stream that broke off.

--- a/caller/api.c
+++ b/caller/api.c
@@ -18,22 +18,48 @@
   *slot = xstrdup (value);
 }
 
-/* Starts the response.  Does nothing if it has been started already.  */
+static struct log_ids
+log_ids (const struct api_request *request)
+{
+  return (struct log_ids){ .request = request->id,
+                           .program = request->program,
+                           .customer = request->customer && *request->customer
+                                           ? request->customer
+                                           : NULL };
+}
+
+/* Records that the response is to end by WAY and returns how it ends.  All
+   ends of the own interface's requests pass here.  */
+static enum ending_way
+claim_end (struct api_request *request, enum ending_way way)
+{
+  struct log_ids ids = log_ids (request);
+
+  way = ending_end (&request->ending, way, "a request", &ids);
+  if (way != ENDING_NONE)
+    request->handle_disconnect = NULL;
+  return way;
+}
+
+/* Starts the response.  One that has begun is aborted, which may free the
+   request.  */
 void
 api_begin (struct api_request *request, unsigned status,
            const char *content_type, bool streaming)
 {
-  if (request->begun)
-    return;
-  request->begun = true;
-  request->impl->begin (request, status, content_type, streaming);
+  struct log_ids ids = log_ids (request);
+
+  if (ending_begin (&request->ending, "a request", &ids))
+    request->impl->begin (request, status, content_type, streaming);
+  else if (!request->ending.has_ended)
+    api_abort (request);
 }
 
 /* Appends to the response body.  Returns false if the client is too slow.  */
 bool
 api_write (struct api_request *request, const void *data, size_t len)
 {
-  if (request->ended)
+  if (request->ending.has_ended)
     return true;
   return request->impl->write (request, data, len);
 }
@@ -42,11 +68,12 @@
 void
 api_end (struct api_request *request)
 {
-  if (request->ended)
-    return;
-  request->ended = true;
-  request->handle_disconnect = NULL;
-  request->impl->end (request);
+  enum ending_way way = claim_end (request, ENDING_COMPLETE);
+
+  if (way == ENDING_COMPLETE)
+    request->impl->end (request);
+  else if (way == ENDING_ABORT)
+    request->impl->abort (request);
 }
 
 /* Aborts the response in a way that the client can detect as truncated.  May
@@ -54,21 +81,26 @@
 void
 api_abort (struct api_request *request)
 {
-  if (request->ended)
-    return;
-  request->ended = true;
-  request->handle_disconnect = NULL;
-  request->impl->abort (request);
+  if (claim_end (request, ENDING_ABORT) == ENDING_ABORT)
+    request->impl->abort (request);
 }
 
-/* Sends a complete response.  May free the request.  */
+/* Sends a complete response, or aborts one that has begun.  May free the
+   request.  */
 void
 api_respond (struct api_request *request, unsigned status,
              const char *content_type, const void *body, size_t len)
 {
-  api_begin (request, status, content_type, false);
-  api_write (request, body, len);
-  api_end (request);
+  enum ending_way way = claim_end (request, ENDING_WHOLE);
+
+  if (way == ENDING_WHOLE)
+    {
+      request->impl->begin (request, status, content_type, false);
+      request->impl->write (request, body, len);
+      request->impl->end (request);
+    }
+  else if (way == ENDING_ABORT)
+    request->impl->abort (request);
 }
 
 /* Counts ERROR, which REQUEST ends with, and logs which request this host
@@ -78,11 +110,7 @@
 api_record_refusal (const struct api_request *request,
                     const struct error *error)
 {
-  struct log_ids ids = { .request = request->id,
-                         .program = request->program,
-                         .customer = request->customer && *request->customer
-                                         ? request->customer
-                                         : NULL };
+  struct log_ids ids = log_ids (request);
   const char *full_path = request->path ? request->path : "";
   char *path = g_utf8_make_valid (
       full_path, (gssize)strnlen (full_path, MAX_LOGGED_PATH_BYTES));
--- a/caller/listener.c
+++ b/caller/listener.c
@@ -32,6 +32,7 @@
   struct httpd_request *http;
   struct limiter_wait *wait;    /* for the customer's rate limit, or NULL */
   bool dispatched;              /* has been passed to a handler */
+  bool is_stream;               /* the response, which has begun */
   int64_t config_wait_since_ms; /* when it began to wait for a configuration,
                                    or 0 */
   struct local_request *prev;
@@ -79,6 +80,7 @@
   if (streaming)
     {
       counter_add (COUNTER_STREAMS_OPEN, 1);
+      local->is_stream = true;
       httpd_stream_begin (local->http, status, content_type);
       return;
     }
@@ -93,7 +95,7 @@
 {
   struct local_request *local = (struct local_request *)request;
 
-  if (local->http->streaming)
+  if (local->is_stream)
     return httpd_stream_write (local->http, data, len);
   /* Buffers the response in the HTTP request.  */
   buf_append (&local->http->response_body, data, len);
@@ -105,7 +107,7 @@
 static void
 detach_from_connection (struct local_request *local)
 {
-  if (local->http->streaming)
+  if (local->is_stream)
     counter_add (COUNTER_STREAMS_OPEN, -1);
   local->http->user = NULL;
   local->http->handle_disconnect = NULL;
@@ -118,7 +120,7 @@
   struct local_request *local = (struct local_request *)request;
   struct httpd_request *http = local->http;
 
-  if (http->streaming)
+  if (local->is_stream)
     httpd_stream_end (http);
   else
     httpd_respond_buffered (http, http->status, request->content_type);
@@ -129,12 +131,8 @@
 caller_abort (struct api_request *request)
 {
   struct local_request *local = (struct local_request *)request;
-  struct httpd_request *http = local->http;
 
-  if (!http->streaming)
-    httpd_stream_begin (http, http->status ? http->status : 502,
-                        "application/json");
-  httpd_stream_abort (http);
+  httpd_stream_abort (local->http);
   detach_from_connection (local);
 }
 
@@ -148,7 +146,7 @@
 {
   struct local_request *local = http->user;
 
-  if (http->streaming)
+  if (local->is_stream)
     counter_add (COUNTER_STREAMS_OPEN, -1);
   if (local->request.handle_disconnect)
     local->request.handle_disconnect (&local->request);
@@ -488,7 +486,7 @@
       if (local->request.handle_disconnect)
         local->request.handle_disconnect (&local->request);
       local->request.handle_disconnect = NULL;
-      caller_abort (&local->request);
+      api_abort (&local->request);
     }
   httpd_destroy (listener->httpd);
   free (listener->cert_pem);
@@ -516,7 +514,7 @@
     local->request.handle_disconnect (&local->request);
   local->request.handle_disconnect = NULL;
   counter_add (COUNTER_STREAMS_ENDED_BY_KEY, 1);
-  if (local->request.begun)
+  if (local->request.ending.has_begun)
     {
       api_abort (&local->request);
       return;
--- a/common/ending.c
+++ b/common/ending.c
@@ -18,7 +18,7 @@
              const char *subject, const struct log_ids *ids)
 {
   counter_add (COUNTER_RESPONSES_LATE, 1);
-  log_write (LOG_ERROR, "ending", ids, "%s came to %s %s", news, subject,
+  log_write (LOG_WARN, "ending", ids, "%s came to %s %s", news, subject,
              ending->has_ended   ? "after its end"
              : ending->has_begun ? "after its stream had begun: it is aborted"
                                  : "before its stream began: it is aborted");
@@ -66,6 +66,6 @@
 ending_record_missing (const char *subject, const struct log_ids *ids)
 {
   counter_add (COUNTER_ENDS_MISSING, 1);
-  log_write (LOG_ERROR, "ending", ids,
+  log_write (LOG_WARN, "ending", ids,
              "%s was freed without an end: its response is aborted", subject);
 }
--- a/include/caller/api.h
+++ b/include/caller/api.h
@@ -5,6 +5,7 @@
 #define GALENA_CALLER_API_H
 
 #include "common/buf.h"
+#include "common/ending.h"
 #include "common/error.h"
 #include <stdbool.h>
 #include <stdint.h>
@@ -19,7 +20,8 @@
 struct api_request;
 
 /* Where a response is sent: to a caller's connection, or to the host that
-   forwarded the request.  write returns false if the receiver is too slow. */
+   forwarded the request.  write returns false if the receiver is too slow.
+   Either of end and abort is called once; abort also if begin was not. */
 struct api_sink_impl
 {
   void (*begin) (struct api_request *request, unsigned status,
@@ -51,10 +53,9 @@
   char *answer_program; /* sent as X-Galena-Program */
   struct buf body;
   uint32_t retry_after_ms;
-  bool begun; /* the response */
-  bool ended;
-  void *impl_data; /* for impl */
-  void *user;      /* for the handler */
+  struct ending ending; /* of the response */
+  void *impl_data;      /* for impl */
+  void *user;           /* for the handler */
   /* Set by the handler.  Called if the caller disconnects or its API key is
      withdrawn before the response is complete. */
   void (*handle_disconnect) (struct api_request *request);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -409,7 +409,7 @@
       request->user = NULL;
       request->handle_disconnect = NULL;
       outgoing_destroy (outgoing);
-      if (request->begun)
+      if (request->ending.has_begun)
         api_abort (request);
       else
         routes_dispatch (request);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -8,6 +8,7 @@
 /* Sorted by name. */
 static CU_SuiteInfo suites[] = {
   { "admission", NULL, NULL, NULL, NULL, admission_tests },
+  { "api ends", NULL, NULL, NULL, NULL, api_ends_tests },
   { "charges", NULL, NULL, NULL, NULL, charges_tests },
   { "config", NULL, NULL, NULL, NULL, config_tests },
   { "config reader", NULL, NULL, NULL, NULL, config_reader_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -5,6 +5,7 @@
 #include <CUnit/CUnit.h>
 
 extern CU_TestInfo admission_tests[];
+extern CU_TestInfo api_ends_tests[];
 extern CU_TestInfo broken_answers_tests[];
 extern CU_TestInfo charges_tests[];
 extern CU_TestInfo cold_fleet_tests[];
--- /dev/null
+++ b/test/unit/test_api_ends.c
@@ -0,0 +1,178 @@
+#include "caller/api.h"
+#include "common/counters.h"
+#include "common/id.h"
+#include "suites.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* A request of the own interface whose response is only counted. */
+struct counted
+{
+  struct api_request request; /* first member */
+  bool is_full;               /* the caller takes nothing more */
+  uint32_t begins;
+  uint32_t ends; /* complete */
+  uint32_t aborts;
+  uint32_t late_writes; /* after an end */
+};
+
+static void
+count_begin (struct api_request *request, unsigned status,
+             const char *content_type, bool streaming)
+{
+  ((struct counted *)request)->begins++;
+}
+
+static bool
+count_write (struct api_request *request, const void *data, size_t len)
+{
+  struct counted *counted = (struct counted *)request;
+
+  counted->late_writes += counted->ends + counted->aborts > 0;
+  return !counted->is_full;
+}
+
+static void
+count_end (struct api_request *request)
+{
+  ((struct counted *)request)->ends++;
+}
+
+static void
+count_abort (struct api_request *request)
+{
+  ((struct counted *)request)->aborts++;
+}
+
+static const struct api_sink_impl counting = { .begin = count_begin,
+                                               .write = count_write,
+                                               .end = count_end,
+                                               .abort = count_abort };
+
+enum operation
+{
+  BEGIN_STREAM,
+  BEGIN_WHOLE,
+  WRITE,
+  END,
+  ABORT,
+  RESPOND,
+  REFUSE,
+  OPERATIONS,
+};
+
+enum
+{
+  MAX_OPERATIONS = 5,
+};
+
+static void
+apply (struct api_request *request, enum operation operation)
+{
+  struct error error;
+
+  switch (operation)
+    {
+    case BEGIN_STREAM:
+    case BEGIN_WHOLE:
+      api_begin (request, 200, "text/plain", operation == BEGIN_STREAM);
+      break;
+    case WRITE:
+      api_write (request, "x", 1);
+      break;
+    case END:
+      api_end (request);
+      break;
+    case ABORT:
+      api_abort (request);
+      break;
+    case RESPOND:
+      api_respond (request, 200, "text/plain", "x", 1);
+      break;
+    default:
+      error_set (&error, ERROR_ENDPOINT, RUN_MAY_HAVE_RUN, "refused");
+      api_respond_error (request, &error);
+      break;
+    }
+}
+
+/* What a response must be after operations, by the rules of common/ending.h.
+ */
+struct expected
+{
+  bool has_begun;
+  bool is_complete;
+  bool is_aborted;
+  uint32_t late;
+};
+
+static void
+expect (struct expected *expected, enum operation operation)
+{
+  bool has_ended = expected->is_complete || expected->is_aborted;
+  bool is_whole = operation == RESPOND || operation == REFUSE;
+  bool is_begin = operation == BEGIN_STREAM || operation == BEGIN_WHOLE;
+
+  if (operation == WRITE)
+    return;
+  if (has_ended)
+    {
+      expected->late++;
+      return;
+    }
+  if (operation == ABORT)
+    expected->is_aborted = true;
+  else if ((operation == END) == expected->has_begun && !is_begin)
+    expected->is_complete = true;
+  else if (is_begin && !expected->has_begun)
+    expected->has_begun = true;
+  else
+    {
+      expected->is_aborted = true;
+      expected->late++;
+    }
+  expected->has_begun |= is_whole && expected->is_complete;
+}
+
+static void
+check_sequence (uint32_t sequence, int count)
+{
+  struct counted counted = { .request = { .impl = &counting } };
+  struct expected expected = { 0 };
+  int64_t late = counter_get (COUNTER_RESPONSES_LATE);
+
+  for (int i = 0; i < count; i++, sequence /= OPERATIONS)
+    {
+      enum operation operation = (enum operation) (sequence % OPERATIONS);
+
+      apply (&counted.request, operation);
+      expect (&expected, operation);
+    }
+  CU_ASSERT_EQUAL (counted.begins, expected.has_begun);
+  CU_ASSERT_EQUAL (counted.ends, expected.is_complete);
+  CU_ASSERT_EQUAL (counted.aborts, expected.is_aborted);
+  CU_ASSERT_EQUAL (counted.late_writes, 0);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_RESPONSES_LATE), late + expected.late);
+}
+
+/* Guards against requests of the own interface that end twice, or whose
+   refusal is written into a stream that then looks complete: all sequences of
+   up to five operations.  */
+static void
+response_ends_once (void)
+{
+  uint32_t sequences = 1;
+
+  log_init ("test", (enum log_level) - 1);
+  for (int count = 1; count <= MAX_OPERATIONS; count++)
+    {
+      sequences *= OPERATIONS;
+      for (uint32_t i = 0; i < sequences; i++)
+        check_sequence (i, count);
+    }
+}
+
+CU_TestInfo api_ends_tests[] = {
+  { "a response ends once", response_ends_once },
+  CU_TEST_INFO_NULL,
+};
