request: each request ends in one place, request/response.c

request/response.c owns the sink, the time-out and the end: response_end is the only way to free a request. It frees it first and then gives its caller the end, once; a whole response or refusal that comes when a stream has begun aborts that, and is counted and logged (common/ending). What the caller has is asked of the response: enum request_step, of which only that was ever read, is gone. A pipeline that is destroyed with requests under way ends them and counts ends_missing.

--- a/include/request/request.h
+++ b/include/request/request.h
@@ -17,6 +17,7 @@
 #include "request/path_monitor.h"
 #include "request/pool.h"
 #include "request/relay_client.h"
+#include "request/response.h"
 #include "request/routing.h"
 #include "request/stream_index.h"
 #include <ev.h>
@@ -25,12 +26,6 @@
 struct request;
 struct pipeline;
 
-struct header
-{
-  char *name;
-  char *value;
-};
-
 /* A caller's request.  Numbers are negative if the caller did not set them. */
 struct request_input
 {
@@ -58,29 +53,6 @@
   struct buf body;
 };
 
-/* Status and headers of an endpoint's response. */
-struct response_head
-{
-  long status;
-  char *request_id; /* id of the request to which it responds; may be NULL */
-  bool not_run;     /* the endpoint states that it has not run the request */
-  bool is_from_endpoint; /* has a header that only endpoints send */
-  bool is_leaving;       /* the endpoint states that it is shutting down */
-  bool has_content_type;
-  bool is_event_stream; /* by its content type */
-  bool is_encoded;      /* has a content encoding, which was not requested */
-  int64_t running;      /* negative if the endpoint reports no load */
-  int64_t waiting;
-  int64_t work_percent; /* how long work takes on its machine now, 100: as
-                           usual; 0 if it does not tell */
-  /* Requests per 1,000 s that the endpoint takes from all hosts together;
-     negative if it names no limit. */
-  int64_t limit_milli;
-  bool has_malformed_limit;
-  struct header *headers; /* forwarded to the caller */
-  size_t header_count;
-};
-
 /* One send of a request to an endpoint. */
 struct request_send
 {
@@ -102,25 +74,6 @@
                        const char *value);
 };
 
-/* Receives the response: begin, write for each part and end or abort if it is
-   streamed; or else respond or refuse.  The request no longer exists when end,
-   abort, refuse or respond is called. */
-struct request_sink
-{
-  /* Starts a streamed response. */
-  void (*begin) (struct request_sink *sink, const struct response_head *head);
-  /* Returns false to stop the stream. */
-  bool (*write) (struct request_sink *sink, const char *bytes, size_t len);
-  void (*end) (struct request_sink *sink);
-  /* Reports that a streamed response will stay incomplete. */
-  void (*abort) (struct request_sink *sink);
-  /* Reports that the request failed before any response. */
-  void (*refuse) (struct request_sink *sink, const struct error *error);
-  /* Delivers a complete response in one call. */
-  void (*respond) (struct request_sink *sink, const struct response_head *head,
-                   const struct buf *body);
-};
-
 /* Called when a request seems to have crashed an endpoint.  CRASHES is the
    number of crashes with this fingerprint, as far as this host knows. */
 typedef void pipeline_crash_handler (void *data, uint64_t fingerprint,
@@ -176,9 +129,5 @@
                                struct request_sink *sink);
 void request_cancel (struct request *request);
 void request_input_destroy (struct request_input *input);
-void response_head_init (struct response_head *head);
-void response_head_release (struct response_head *head);
-void headers_add (struct header **headers, size_t *count, const char *name,
-                  const char *value);
 
 #endif
--- a/request/request.c
+++ b/request/request.c
@@ -58,30 +58,17 @@
   STATUS_UNAVAILABLE = 503,
 };
 
-enum request_step
-{
-  STEP_ORIGIN,  /* waiting to know where the stream began */
-  STEP_CHAIN,   /* waiting for the turns before */
-  STEP_LIMIT,   /* waiting for a rate limit token */
-  STEP_BUDGET,  /* waiting for the ledger */
-  STEP_PERMIT,  /* waiting for a permit of an endpoint with a limit */
-  STEP_BACKOFF, /* waiting for the next send */
-  STEP_SENT,    /* sent to an endpoint */
-  STEP_STREAM,  /* the response head has been forwarded to the sink */
-};
-
 /* Owned by the pipeline. */
 struct request
 {
   struct pipeline *pipeline;
   struct request_input *input;
-  struct request_sink *sink;
+  struct response *response; /* its end ends the request */
   struct chosen_route *chosen;
   const struct route *route; /* owned by chosen; NULL until it is found */
   const struct customer *customer; /* owned by chosen; NULL on open routes */
   const struct service *service;   /* of the current send; owned by chosen */
   uint64_t generation; /* of the configuration that was looked up last */
-  enum request_step step;
   uint64_t program;
   struct stream_key stream; /* content is 0 if it cannot be resumed */
   uint64_t fingerprint; /* hash of the content, equal for repeated attempts */
@@ -90,7 +77,6 @@
   int64_t sent_ms;        /* start of the current send */
   int64_t first_event_ms; /* arrival of its first event; 0 for none */
   int64_t cached_tokens;  /* prompt tokens expected in the endpoint's cache */
-  ev_timer deadline;
   ev_timer backoff;
   bool begins_program; /* no turn of the program has run before */
   bool is_weighed;     /* admission has decided on it */
@@ -161,28 +147,6 @@
 
 static void dispatch (struct request *request);
 
-static void
-headers_destroy (struct header *headers, size_t count)
-{
-  for (size_t i = 0; i < count; i++)
-    {
-      free (headers[i].name);
-      free (headers[i].value);
-    }
-  free (headers);
-}
-
-/* Appends copies of NAME and VALUE.  */
-void
-headers_add (struct header **headers, size_t *count, const char *name,
-             const char *value)
-{
-  *headers = xrealloc (*headers, (*count + 1) * sizeof **headers);
-  (*headers)[*count].name = xstrdup (name);
-  (*headers)[*count].value = xstrdup (value);
-  (*count)++;
-}
-
 /* Frees INPUT.  */
 void
 request_input_destroy (struct request_input *input)
@@ -204,24 +168,6 @@
   free (input);
 }
 
-/* Initializes a head that tells nothing yet.  */
-void
-response_head_init (struct response_head *head)
-{
-  *head = (struct response_head){ .running = -1,
-                                  .waiting = -1,
-                                  .limit_milli = -1 };
-}
-
-/* Frees the content of HEAD and initializes it again.  */
-void
-response_head_release (struct response_head *head)
-{
-  free (head->request_id);
-  headers_destroy (head->headers, head->header_count);
-  response_head_init (head);
-}
-
 static struct log_ids
 log_ids (const struct request *request)
 {
@@ -247,6 +193,7 @@
   request->endpoint = NULL;
 }
 
+/* Called by the end of the request's response, and by nothing else.  */
 static void
 request_destroy (struct request *request)
 {
@@ -258,7 +205,6 @@
   limits_cancel (request->token_wait);
   endpoint_limiter_cancel (request->permit_ask);
   ledger_settle (request->reservation, request->tokens_forwarded);
-  ev_timer_stop (pipeline->options.loop, &request->deadline);
   ev_timer_stop (pipeline->options.loop, &request->backoff);
   g_queue_unlink (&pipeline->requests, &request->link);
   response_head_release (&request->head);
@@ -323,14 +269,27 @@
                                         : RETRY_AFTER_MS;
 }
 
-/* Refuses the request; a stream that has begun is aborted instead, as its
-   caller has the head of a response.  */
+static void
+release_request (void *data)
+{
+  request_destroy (data);
+}
+
+/* Ends the request: all of its ends pass here.  */
+static void
+end_request (struct request *request, const struct response_end *end)
+{
+  struct log_ids ids = log_ids (request);
+
+  response_end (request->response, end, &ids);
+}
+
+/* Refuses the request.  */
 static void
 refuse (struct request *request, const struct error *error)
 {
-  struct request_sink *sink = request->sink;
+  struct response_end end = { .way = ENDING_WHOLE, .error = error };
   struct log_ids ids = log_ids (request);
-  bool has_begun = request->step == STEP_STREAM;
 
   counter_add_refusal (error->kind);
   log_write (LOG_INFO, "request", &ids,
@@ -339,11 +298,7 @@
              error_kind_name (error->kind), error->message,
              error_run_name (error->run), request->sends,
              clock_now_ms () - request->started_ms);
-  request_destroy (request);
-  if (has_begun)
-    sink->abort (sink);
-  else
-    sink->refuse (sink, error);
+  end_request (request, &end);
 }
 
 static void
@@ -364,16 +319,15 @@
 static void
 fail_request (struct request *request, const char *reason)
 {
-  struct request_sink *sink = request->sink;
+  static const struct response_end abort_end = { .way = ENDING_ABORT };
   struct log_ids ids = log_ids (request);
 
-  if (request->step == STEP_STREAM)
+  if (response_has_begun (request->response))
     {
       log_write (LOG_WARN, "request", &ids,
                  "stream aborted after event %" G_GINT64_FORMAT ": %s",
                  request->last_event_id, reason);
-      request_destroy (request);
-      sink->abort (sink);
+      end_request (request, &abort_end);
       return;
     }
   if (request->possible_runs > 0)
@@ -409,10 +363,10 @@
 }
 
 static void
-handle_deadline (struct ev_loop *loop, ev_timer *timer, int events)
+handle_deadline (void *data)
 {
-  log_silence (timer->data);
-  fail_request (timer->data, "the request's deadline has passed");
+  log_silence (data);
+  fail_request (data, "the request's deadline has passed");
 }
 
 static void
@@ -426,7 +380,6 @@
 {
   int64_t wait_ms = (int64_t)BACKOFF_MS * request->failed_sends;
 
-  request->step = request->step == STEP_STREAM ? STEP_STREAM : STEP_BACKOFF;
   ev_timer_set (&request->backoff, (double)wait_ms / 1000.0, 0);
   ev_timer_start (request->pipeline->options.loop, &request->backoff);
 }
@@ -507,7 +460,7 @@
 
   request->possible_runs--;
   request->failed_sends++;
-  if (request->step != STEP_STREAM)
+  if (!response_has_begun (request->response))
     request->last_endpoint_hash = 0;
   counter_add (COUNTER_ENDPOINT_RETRIES, 1);
   if (endpoint && !request->is_relayed)
@@ -552,7 +505,7 @@
 static bool
 can_go_on (const struct request *request)
 {
-  return request->step != STEP_STREAM
+  return !response_has_begun (request->response)
          || (request->last_event_id >= 0 && !request->lacks_unnamed_event);
 }
 
@@ -758,12 +711,12 @@
 begin_stream (struct request *request)
 {
   const struct pipeline_options *options = &request->pipeline->options;
+  struct log_ids ids = log_ids (request);
 
-  request->step = STEP_STREAM;
   request->build = request->endpoint->build;
   if (options->streams && request->stream.content)
     stream_index_record (options->streams, &request->stream, request->build);
-  request->sink->begin (request->sink, &request->head);
+  response_begin (request->response, &request->head, &ids);
 }
 
 /* Whether what an endpoint sends as an event is none of the stream: bytes of
@@ -796,9 +749,9 @@
   if (id >= 0 && request->last_event_id >= 0
       && id != request->last_event_id + 1)
     return false;
-  if (request->step != STEP_STREAM)
+  if (!response_has_begun (request->response))
     begin_stream (request);
-  if (!request->sink->write (request->sink, bytes, len))
+  if (!response_write (request->response, bytes, len))
     {
       request->lacks_room = true;
       request->lacks_unnamed_event = request->lacks_unnamed_event || id < 0;
@@ -917,12 +870,12 @@
 static void
 forward_response (struct request *request, const struct buf *body)
 {
-  struct request_sink *sink = request->sink;
   struct response_head head = request->head;
+  struct response_end end
+      = { .way = ENDING_WHOLE, .head = &head, .body = body };
 
   request->head = (struct response_head){ 0 };
-  request_destroy (request);
-  sink->respond (sink, &head, body);
+  end_request (request, &end);
   response_head_release (&head);
 }
 
@@ -930,13 +883,12 @@
 static void
 end_stream (struct request *request)
 {
-  struct request_sink *sink = request->sink;
+  static const struct response_end complete = { .way = ENDING_COMPLETE };
   struct buf pending = request->events.pending;
 
-  if (request->step == STEP_STREAM)
+  if (response_has_begun (request->response))
     {
-      request_destroy (request);
-      sink->end (sink);
+      end_request (request, &complete);
       return;
     }
   request->events.pending = (struct buf){ 0 };
@@ -1129,7 +1081,7 @@
   record_speed (request, request->head.status < STATUS_SERVER_ERROR);
   crash_notices_record_success (request->pipeline->options.crashes,
                                 request->fingerprint, clock_now_ms ());
-  if (request->step == STEP_STREAM)
+  if (response_has_begun (request->response))
     {
       if (!is_success (request->head.status))
         {
@@ -1312,8 +1264,6 @@
   response_head_release (&request->head);
   request->is_first_response = false;
   request->was_refused_here = was_refused_here;
-  if (request->step != STEP_STREAM)
-    request->step = STEP_SENT;
   event_splitter_release (&request->events);
   dependencies->wire->write_headers (&send, lines);
   g_ptr_array_add (lines, NULL);
@@ -1330,9 +1280,9 @@
   request->sent_events = 0;
   request->has_new_event = false;
   request->lacks_room = false;
-  request->goes_on
-      = is_stream
-        && (request->step == STEP_STREAM || input->resume_after >= 0);
+  request->goes_on = is_stream
+                     && (response_has_begun (request->response)
+                         || input->resume_after >= 0);
   request->cached_tokens
       = pool_cached_tokens (endpoint, &query, request->sent_ms);
   pool_acquire (endpoint, &query, request->sent_ms);
@@ -1625,9 +1575,6 @@
                                       &request->permit_ask);
   if (verdict == PERMIT_DENIED)
     record_denial (request, endpoint);
-  else if ((verdict == PERMIT_PENDING || *wait_ms > 0)
-           && request->step != STEP_STREAM)
-    request->step = STEP_PERMIT;
   return verdict;
 }
 
@@ -1679,7 +1626,8 @@
 {
   /* A configuration that was applied meanwhile may have left the route without
      a service. */
-  if (request->service && request->denials > 0 && request->step != STEP_STREAM
+  if (request->service && request->denials > 0
+      && !response_has_begun (request->response)
       && request->possible_runs == 0)
     refuse_with_message (request, ERROR_OVERLOADED, permit_retry_ms (request),
                          "the limits of the service's endpoints are used up");
@@ -1733,7 +1681,7 @@
 
   if (verdict == CRASH_SEND || verdict == CRASH_TRY)
     return false;
-  if (request->step == STEP_STREAM)
+  if (response_has_begun (request->response))
     fail_request (request, "identical requests have crashed endpoints");
   else if (verdict == CRASH_REFUSE)
     refuse_with_message (request, ERROR_CRASHES_ENDPOINTS,
@@ -1876,7 +1824,6 @@
 static void
 find_chain (struct request *request)
 {
-  request->step = STEP_CHAIN;
   handle_chain (request, conversation_step_begin (&request->conversation,
                                                   request->deadline_at_ms,
                                                   handle_chain, request));
@@ -1919,7 +1866,6 @@
 {
   struct stream_index *streams = request->pipeline->options.streams;
 
-  request->step = STEP_ORIGIN;
   if (!streams)
     {
       refuse_unknown_origin (request);
@@ -1967,7 +1913,6 @@
 static void
 reserve_budget (struct request *request)
 {
-  request->step = STEP_BUDGET;
   request->reservation = ledger_reserve (
       request->pipeline->options.ledger, request->program,
       request->input->token_budget, turn_tokens_limit (request),
@@ -2005,7 +1950,6 @@
                       request->begins_program, max_token_wait_ms (request),
                       handle_token_acquired, request, &request->token_wait);
 
-  request->step = STEP_LIMIT;
   if (verdict != LIMITS_PENDING)
     handle_token_acquired (request, verdict == LIMITS_ADMITTED);
 }
@@ -2029,13 +1973,16 @@
   return pipeline;
 }
 
-/* Frees the pipeline.  There must be no active requests, and none may be
-   started afterwards.  */
+/* Frees the pipeline.  Active requests, of which there should be none, end;
+   none may be started afterwards.  */
 void
 pipeline_destroy (struct pipeline *pipeline)
 {
   if (!pipeline)
     return;
+  for (uint32_t i = 0; i < pipeline->requests.length; i++)
+    ending_record_missing ("a request", NULL);
+  pipeline_abort (pipeline);
   routing_unref (pipeline->routing);
   admission_step_destroy (pipeline->admission);
   crash_notices_destroy (pipeline->own_crashes);
@@ -2153,17 +2100,20 @@
                 struct request_sink *sink)
 {
   struct request *request = xcalloc (1, sizeof *request);
+  struct response_options response = { .loop = pipeline->options.loop,
+                                       .sink = sink,
+                                       .handle_timeout = handle_deadline,
+                                       .release = release_request,
+                                       .data = request };
 
   request->pipeline = pipeline;
   request->input = input;
-  request->sink = sink;
   request->started_ms = clock_now_ms ();
   request->last_event_id = input->resume_after >= 0 ? input->resume_after : -1;
   response_head_init (&request->head);
   if (input->program)
     request->program = id_hash_text (input->program);
-  ev_timer_init (&request->deadline, handle_deadline, 0, 0);
-  request->deadline.data = request;
+  request->response = response_create (&response);
   ev_timer_init (&request->backoff, handle_backoff, 0, 0);
   request->backoff.data = request;
   request->link.data = request;
@@ -2194,8 +2144,7 @@
       = route_limit_ms (request->route, request->input->deadline_ms);
 
   request->deadline_at_ms = request->started_ms + limit_ms;
-  ev_timer_set (&request->deadline, (double)limit_ms / 1000.0, 0);
-  ev_timer_start (request->pipeline->options.loop, &request->deadline);
+  response_set_timeout (request->response, limit_ms);
 }
 
 /* Sets *CUSTOMER to the request's customer, or to NULL on an open ROUTE.
@@ -2313,10 +2262,11 @@
 void
 request_cancel (struct request *request)
 {
+  static const struct response_end left = { .way = ENDING_LEFT };
   struct log_ids ids = log_ids (request);
 
   log_write (LOG_INFO, "request", &ids,
              "cancelled by its caller after %" G_GINT64_FORMAT " ms",
              clock_now_ms () - request->started_ms);
-  request_destroy (request);
+  end_request (request, &left);
 }
