program, peer: an answer for which the caller has no room is aborted

Callers of the own interface could get a stream, or a response by way of another host, that ended as complete without the rest of the answer: the results of api_write were ignored at the end of a call, for want of room at a slow caller or on the link between hosts, and a head that could not be sent was forgotten.

Now what the caller lacks a part of is aborted, and the host that serves a call for another one remembers that its head was not sent.

--- a/caller/api.c
+++ b/caller/api.c
@@ -96,8 +96,10 @@
   if (way == ENDING_WHOLE)
     {
       request->impl->begin (request, status, content_type, false);
-      request->impl->write (request, body, len);
-      request->impl->end (request);
+      if (request->impl->write (request, body, len))
+        request->impl->end (request);
+      else
+        request->impl->abort (request);
     }
   else if (way == ENDING_ABORT)
     request->impl->abort (request);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -23,8 +23,9 @@
 {
   struct api_request request;
   struct forwarder *forwarder;
-  uint64_t id; /* given by the forwarding host */
-  char *host;  /* that forwarded the request */
+  uint64_t id;      /* given by the forwarding host */
+  char *host;       /* that forwarded the request */
+  bool lacks_frame; /* the head of the response could not be sent */
   struct incoming *next;
 };
 
@@ -94,7 +95,7 @@
   head.program = string_or_empty (request->answer_program);
   frame.body_case = PEER__FRAME__BODY_CALL_HEAD;
   frame.call_head = &head;
-  send_frame (incoming, &frame);
+  incoming->lacks_frame = !send_frame (incoming, &frame);
 }
 
 static bool
@@ -104,6 +105,8 @@
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__CallData body = PEER__CALL_DATA__INIT;
 
+  if (incoming->lacks_frame)
+    return false;
   if (len == 0)
     return true;
   body.id = incoming->id;
--- a/program/waiter.c
+++ b/program/waiter.c
@@ -196,10 +196,13 @@
                     usage_to_json (answer, answer_metadata));
 }
 
-static void
+/* Sends the event that ends a stream.  Returns false if the client has no room
+   for it.  */
+static bool
 send_stream_end (struct waiter *waiter, const struct answer *answer,
                  const struct answer_metadata *answer_metadata)
 {
+  bool is_taken;
   struct buf out = { 0 };
   json_t *root = metadata_to_json (answer, answer_metadata);
   char *text = json_dumps (root, JSON_COMPACT);
@@ -217,22 +220,35 @@
   free (text);
   if (!waiter->streaming)
     api_begin (waiter->request, HTTP_OK, "text/event-stream", true);
-  api_write (waiter->request, out.data, out.len);
+  is_taken = api_write (waiter->request, out.data, out.len);
   buf_release (&out);
+  return is_taken;
 }
 
-static void
+static bool
 send_json (struct waiter *waiter, const struct answer *answer,
            const struct answer_metadata *answer_metadata)
 {
   json_t *root = answer_to_json (waiter->format, waiter->request->id, answer,
                                  answer_metadata);
   char *text = json_dumps (root, JSON_COMPACT);
+  bool is_taken;
 
   json_decref (root);
   api_begin (waiter->request, HTTP_OK, "application/json", false);
-  api_write (waiter->request, text, strlen (text));
+  is_taken = api_write (waiter->request, text, strlen (text));
   free (text);
+  return is_taken;
+}
+
+/* Ends the response, or aborts one of which the client lacks a part.  */
+static void
+end_response (struct api_request *request, bool is_taken)
+{
+  if (is_taken)
+    api_end (request);
+  else
+    api_abort (request);
 }
 
 /* Sends WAITER the rest of the answer and its metadata, ends the response and
@@ -243,23 +259,22 @@
                const struct answer_metadata *answer_metadata)
 {
   struct api_request *request = waiter->request;
+  bool is_taken;
 
   api_set_string (&request->answer_cursor, answer_metadata->cursor);
   api_set_string (&request->answer_program, answer_metadata->program);
   if (kind == CALL_TOOL)
     {
       api_begin (request, answer->status, answer->content_type, false);
-      api_write (request, answer->text.data, answer->text.len);
+      is_taken = api_write (request, answer->text.data, answer->text.len);
     }
   else if (is_streaming_format (waiter->format))
-    {
-      send_tokens (waiter, answer);
-      send_stream_end (waiter, answer, answer_metadata);
-    }
+    is_taken = send_tokens (waiter, answer)
+               && send_stream_end (waiter, answer, answer_metadata);
   else
-    send_json (waiter, answer, answer_metadata);
+    is_taken = send_json (waiter, answer, answer_metadata);
   waiter_destroy (waiter);
-  api_end (request);
+  end_response (request, is_taken);
 }
 
 /* Sends WAITER an error and frees it.  The error is sent as an event if part
@@ -271,6 +286,7 @@
 {
   struct api_request *request = waiter->request;
   bool streaming = waiter->streaming;
+  bool is_taken;
   char *text;
   struct buf out = { 0 };
 
@@ -287,8 +303,8 @@
   buf_printf (&out, "event: error\ndata: %s\n\n", text);
   if (cursor)
     buf_printf (&out, "event: cursor\ndata: {\"cursor\":\"%s\"}\n\n", cursor);
-  api_write (request, out.data, out.len);
+  is_taken = api_write (request, out.data, out.len);
   buf_release (&out);
   free (text);
-  api_end (request);
+  end_response (request, is_taken);
 }
--- a/test/unit/test_api_ends.c
+++ b/test/unit/test_api_ends.c
@@ -1,6 +1,7 @@
 #include "caller/api.h"
 #include "common/counters.h"
 #include "common/id.h"
+#include "program/waiter.h"
 #include "suites.h"
 #include <stdlib.h>
 #include <string.h>
@@ -163,7 +164,6 @@
 {
   uint32_t sequences = 1;
 
-  log_init ("test", (enum log_level) - 1);
   for (int count = 1; count <= MAX_OPERATIONS; count++)
     {
       sequences *= OPERATIONS;
@@ -172,7 +172,57 @@
     }
 }
 
+/* Ends the response to a model call in FORMAT whose caller takes nothing
+   more.  */
+static void
+check_full_caller (enum call_format format, bool is_failure)
+{
+  struct counted counted
+      = { .request = { .impl = &counting }, .is_full = true };
+  struct engine_usage usage = { .prompt_tokens = 1 };
+  struct answer_metadata metadata = {
+    .cursor = "c", .program = "p", .turn = 1, .replicas = 2, .usage = &usage
+  };
+  struct waiter *list = NULL;
+  struct answer answer = { .status = 200 };
+  struct error error;
+
+  answer_append_token (&answer, "word", 4);
+  waiter_add (&list, &counted.request, format);
+  list->streaming = is_failure;
+  counted.request.ending.has_begun = is_failure;
+  error_set (&error, ERROR_ENDPOINT, RUN_MAY_HAVE_RUN, "failed");
+  if (is_failure)
+    waiter_fail (list, &error, "c");
+  else
+    waiter_finish (list, CALL_MODEL, &answer, &metadata);
+  CU_ASSERT_PTR_NULL (list);
+  CU_ASSERT_EQUAL (counted.ends, 0);
+  CU_ASSERT_EQUAL (counted.aborts, 1);
+  answer_release (&answer);
+  api_set_string (&counted.request.answer_cursor, NULL);
+  api_set_string (&counted.request.answer_program, NULL);
+}
+
+/* Guards against responses that end as complete without the rest of the
+   answer, for which the caller, or the link to the host that serves it, had no
+   room.  */
+static void
+response_without_room_is_aborted (void)
+{
+  struct counted counted
+      = { .request = { .impl = &counting }, .is_full = true };
+
+  for (int format = CALL_EVENTS; format <= CALL_CHAT_JSON; format++)
+    check_full_caller ((enum call_format)format, false);
+  check_full_caller (CALL_EVENTS, true);
+  api_respond (&counted.request, 200, "text/plain", "x", 1);
+  CU_ASSERT_EQUAL (counted.ends, 0);
+  CU_ASSERT_EQUAL (counted.aborts, 1);
+}
+
 CU_TestInfo api_ends_tests[] = {
   { "a response ends once", response_ends_once },
+  { "a response without room is aborted", response_without_room_is_aborted },
   CU_TEST_INFO_NULL,
 };
