--- a/test/unit/http_caller.c
+++ b/test/unit/http_caller.c
@@ -109,6 +109,22 @@
   return caller;
 }
 
+/* Returns a port of this machine that nobody listens on, for tests that run
+   side by side.  */
+uint16_t
+http_caller_free_port (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&address, len), 0);
+  getsockname (fd, (struct sockaddr *)&address, &len);
+  close (fd);
+  return ntohs (address.sin_port);
+}
+
 /* Reads nothing until http_caller_resume is called.  */
 void
 http_caller_pause (struct http_caller *caller)
--- a/test/unit/http_caller.h
+++ b/test/unit/http_caller.h
@@ -30,6 +30,7 @@
 
 struct http_caller *http_caller_create (struct ev_loop *loop, uint16_t port,
                                         const char *request);
+uint16_t http_caller_free_port (void);
 void http_caller_pause (struct http_caller *caller);
 void http_caller_resume (struct http_caller *caller);
 void http_caller_leave (struct http_caller *caller);
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -418,6 +418,8 @@
       = { .wire = &platform_wire, .handle_crash = count_crash, .data = local };
 
   pipeline.conversations = options->conversations;
+  pipeline.ledger = options->ledger;
+  pipeline.crashes = options->crashes;
   pipeline.admits_programs = true;
   local->host = limits.host;
   local->fleet = options->shared ? options->shared->fleet : local;
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -60,6 +60,8 @@
   uint32_t endpoint_count;             /* 0 for one */
   const char *const *versions;         /* of the endpoints; NULL for none */
   struct conversations *conversations; /* may be NULL */
+  struct ledger *ledger;               /* of budgets; may be NULL */
+  struct crash_notices *crashes;       /* may be NULL */
   /* This host recorded that the first endpoint began the stream that further
      requests may resume. */
   bool knows_origin;
--- a/test/unit/test_api_ends.c
+++ b/test/unit/test_api_ends.c
@@ -1,6 +1,10 @@
 #include "caller/api.h"
+#include "caller/listener.h"
+#include "common/buf.h"
 #include "common/counters.h"
 #include "common/id.h"
+#include "galenashored/server.h"
+#include "http_caller.h"
 #include "program/waiter.h"
 #include "suites.h"
 #include <stdlib.h>
@@ -221,8 +225,100 @@
   CU_ASSERT_EQUAL (counted.aborts, 1);
 }
 
+enum
+{
+  CONFIG_WAIT_MS = 3500, /* longer than requests wait for a configuration */
+  END_MS = 500,
+};
+
+enum listener_event
+{
+  EVENT_TICK, /* long after the request came */
+  EVENT_DESTROY,
+  EVENT_LEAVE,
+  EVENT_TICK_AND_DESTROY,
+  EVENT_LEAVE_AND_DESTROY,
+  EVENT_COUNT,
+};
+
+static void
+run_until_end (struct ev_loop *loop, const struct http_caller *caller)
+{
+  int64_t until_ms = clock_now_ms () + END_MS;
+
+  while (caller->end == HTTP_PENDING && clock_now_ms () < until_ms)
+    {
+      ev_run (loop, EVRUN_NOWAIT);
+      ev_sleep (0.001);
+    }
+}
+
+/* Has EVENT happen to a request that waits for the first configuration.  */
+static void
+check_waiting (enum listener_event event, const char *request)
+{
+  uint16_t port = http_caller_free_port ();
+  char *listen = xasprintf ("127.0.0.1:%u", port);
+  struct settings settings = { .caller_listen = listen,
+                               .max_body_bytes = 1024,
+                               .max_connections = 8 };
+  struct server server
+      = { .settings = &settings, .loop = ev_loop_new (EVFLAG_AUTO) };
+  struct error error;
+  struct listener *listener = listener_create (&server, &error);
+  int64_t late = counter_get (COUNTER_RESPONSES_LATE);
+  bool leaves = event == EVENT_LEAVE || event == EVENT_LEAVE_AND_DESTROY;
+  struct http_caller *caller;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (listener);
+  caller = http_caller_create (server.loop, port, request);
+  for (int i = 0; i < 20 && listener_is_idle (listener); i++)
+    {
+      ev_run (server.loop, EVRUN_NOWAIT);
+      ev_sleep (0.002);
+    }
+  for (int i = 0; i < 5; i++)
+    ev_run (server.loop, EVRUN_NOWAIT);
+  if (leaves)
+    http_caller_leave (caller);
+  if (event == EVENT_TICK || event == EVENT_TICK_AND_DESTROY)
+    listener_tick (listener, clock_now_ms () + CONFIG_WAIT_MS);
+  if (event == EVENT_TICK)
+    run_until_end (server.loop, caller);
+  listener_destroy (listener);
+  if (!leaves)
+    {
+      run_until_end (server.loop, caller);
+      CU_ASSERT_NOT_EQUAL (caller->end, HTTP_PENDING);
+      CU_ASSERT_TRUE (caller->status >= 500);
+    }
+  CU_ASSERT_EQUAL (caller->excess, 0);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_RESPONSES_LATE), late);
+  http_caller_destroy (caller);
+  ev_loop_destroy (server.loop);
+  free (listen);
+}
+
+/* Guards against requests of the own interface without an end, or with two,
+   that wait for a configuration while their host stops, gives up waiting, or
+   their callers leave.  */
+static void
+waiting_request_ends_once (void)
+{
+  for (int event = 0; event < EVENT_COUNT; event++)
+    {
+      check_waiting ((enum listener_event)event,
+                     "POST /v1/programs HTTP/1.1\r\nHost: h\r\n"
+                     "Content-Length: 2\r\n\r\n{}");
+      check_waiting ((enum listener_event)event,
+                     "POST /v1/programs HTTP/1.0\r\n"
+                     "Content-Length: 2\r\n\r\n{}");
+    }
+}
+
 CU_TestInfo api_ends_tests[] = {
   { "a response ends once", response_ends_once },
+  { "a waiting request ends once", waiting_request_ends_once },
   { "a response without room is aborted", response_without_room_is_aborted },
   CU_TEST_INFO_NULL,
 };
