test: a gate keeps its port while it refuses connections

unit-cut-off-hosts ended once at gate.c:142, as the gate's port was taken when it opened again. The gate had closed its only socket to refuse connections, for seconds; its port lies in the range from which the system takes those of outgoing connections, and the suites run beside it make many.

A second socket, bound and never listening, keeps the port now.

--- a/test/unit/gate.c
+++ b/test/unit/gate.c
@@ -42,6 +42,7 @@
   enum gate_mode mode;
   uint16_t endpoint_port;
   uint16_t port;
+  int reserved; /* bound only: keeps the port while connections are refused */
   int listener; /* -1 while connections are refused */
   ev_io acceptor;
   GPtrArray *connections;
@@ -129,21 +130,28 @@
     close_connection (connection, true);
 }
 
-static void
-start_listening (struct gate *gate)
+/* Returns a socket that is bound to the gate's port, a free one at first.  */
+static int
+bind_port (struct gate *gate)
 {
   struct sockaddr_in address = loopback (gate->port);
   socklen_t len = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int enable = 1;
 
-  gate->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (gate->listener, SOL_SOCKET, SO_REUSEADDR, &enable,
-              sizeof enable);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof enable);
   CU_ASSERT_EQUAL_FATAL (
-      bind (gate->listener, (struct sockaddr *)&address, sizeof address), 0);
-  listen (gate->listener, LISTEN_BACKLOG);
-  getsockname (gate->listener, (struct sockaddr *)&address, &len);
+      bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  getsockname (fd, (struct sockaddr *)&address, &len);
   gate->port = ntohs (address.sin_port);
+  return fd;
+}
+
+static void
+start_listening (struct gate *gate)
+{
+  gate->listener = bind_port (gate);
+  listen (gate->listener, LISTEN_BACKLOG);
   ev_io_init (&gate->acceptor, handle_connection, gate->listener, EV_READ);
   gate->acceptor.data = gate;
   ev_io_start (gate->loop, &gate->acceptor);
@@ -191,6 +199,7 @@
   gate->loop = loop;
   gate->endpoint_port = endpoint_port;
   gate->connections = g_ptr_array_new ();
+  gate->reserved = bind_port (gate);
   start_listening (gate);
   return gate;
 }
@@ -203,6 +212,7 @@
   while (gate->connections->len > 0)
     close_connection (gate->connections->pdata[0], false);
   g_ptr_array_free (gate->connections, TRUE);
+  close (gate->reserved);
   free (gate);
 }
 
--- a/test/unit/test_cut_off_hosts.c
+++ b/test/unit/test_cut_off_hosts.c
@@ -2,7 +2,10 @@
 #include "gate.h"
 #include "local_pipeline.h"
 #include "suites.h"
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
@@ -443,7 +446,35 @@
   release_fleet (&fleet);
 }
 
+/* Guards against a gate that cannot open again, as another program has got its
+   port for a connection of its own while it refused connections.  */
+static void
+test_gate_keeps_its_port (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  struct gate *gate = gate_create (loop, 1);
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (gate_port (gate)),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int other = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  gate_set_mode (gate, GATE_RESET);
+  CU_ASSERT_NOT_EQUAL (
+      bind (other, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_NOT_EQUAL (
+      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  gate_set_mode (gate, GATE_OPEN);
+  CU_ASSERT_EQUAL (
+      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  close (other);
+  close (caller);
+  gate_destroy (gate);
+  ev_loop_destroy (loop);
+}
+
 CU_TestInfo cut_off_hosts_tests[] = {
+  { "a gate keeps its port", test_gate_keeps_its_port },
   { "connections that hang", test_hanging_connections },
   { "connections that are reset", test_reset_connections },
   { "new connections that are refused", test_refused_connections },
