test: the planted fault of lost ends leaves no request behind

It plants the loss one step later now, where the HTTP server is told to end the stream; the caller has no end, as before.

--- a/test/unit/test_request_ends.c
+++ b/test/unit/test_request_ends.c
@@ -153,6 +153,8 @@
                                   int64_t timeout_ms);
 void __wrap_response_set_timeout (struct response *response,
                                   int64_t timeout_ms);
+void __real_httpd_stream_end (struct httpd_request *request);
+void __wrap_httpd_stream_end (struct httpd_request *request);
 void __real_httpd_stream_abort (struct httpd_request *request);
 void __wrap_httpd_stream_abort (struct httpd_request *request);
 void __real_httpd_respond (struct httpd_request *request, unsigned status,
@@ -162,18 +164,12 @@
                            const char *content_type, const char *body,
                            size_t len);
 
-/* "lost-ends": an end frees the request, and its caller gets nothing.  */
 void
 __wrap_response_end (struct response *response, const struct response_end *end,
                      const struct log_ids *ids)
 {
-  static const struct response_end left = { .way = ENDING_LEFT };
-
   ends++;
-  __real_response_end (
-      response,
-      is_planted ("lost-ends") && end->way == ENDING_COMPLETE ? &left : end,
-      ids);
+  __real_response_end (response, end, ids);
 }
 
 /* "refused-streams": a stream that has begun is refused, as in the review's
@@ -192,6 +188,13 @@
     __real_response_set_timeout (response, timeout_ms);
 }
 
+void
+__wrap_httpd_stream_end (struct httpd_request *request)
+{
+  if (!is_planted ("lost-ends"))
+    __real_httpd_stream_end (request);
+}
+
 void
 __wrap_httpd_stream_abort (struct httpd_request *request)
 {
