--- a/test/fleet/rig.c
+++ b/test/fleet/rig.c
@@ -754,6 +754,19 @@
   host->pid = 0;
 }
 
+/* Removes what lies on the disk of HOST, which must not run.  */
+void
+rig_wipe_host (const struct rig_host *host)
+{
+  char *command;
+
+  if (asprintf (&command, "rm -rf %s/data-%s", directory, host->name) < 0)
+    rig_finish (RIG_COULD_NOT);
+  if (system (command) != 0)
+    rig_finish (RIG_COULD_NOT);
+  free (command);
+}
+
 /* Whether the process of HOST has ended.  */
 bool
 rig_has_exited (struct rig_host *host)
--- a/test/fleet/rig.h
+++ b/test/fleet/rig.h
@@ -119,6 +119,7 @@
                                const char *settings);
 void rig_start_host (struct rig_host *host);
 void rig_signal_host (struct rig_host *host, int signal);
+void rig_wipe_host (const struct rig_host *host);
 bool rig_has_exited (struct rig_host *host);
 void rig_await_ready (const struct rig_host *host, int64_t timeout_ms);
 
