caller: an aborted response is logged

In a run of functional-stop beside load a caller got 502 endpoint_failed, and no log of the five hosts told who had aborted its response: api_abort was silent. Each abort of the own interface now logs its request, and whether the response had begun, as refusals do.

unit api ends green; the failed run is being traced.

--- a/caller/api.c
+++ b/caller/api.c
@@ -41,6 +41,32 @@
   return way;
 }
 
+/* Returns the path for a log line.  It may contain any bytes of the caller;
+   the result is freed with g_free.  */
+static char *
+loggable_path (const struct api_request *request)
+{
+  const char *path = request->path ? request->path : "";
+
+  return g_utf8_make_valid (path,
+                            (gssize)strnlen (path, MAX_LOGGED_PATH_BYTES));
+}
+
+/* Aborts the response, whose end is claimed.  */
+static void
+abort_claimed (struct api_request *request)
+{
+  struct log_ids ids = log_ids (request);
+  char *path = loggable_path (request);
+
+  log_write (LOG_INFO, "caller", &ids,
+             "response aborted %s it had begun (%s %s, %u hops)",
+             request->ending.has_begun ? "after" : "before",
+             request->method ? request->method : "", path, request->hops);
+  g_free (path);
+  request->impl->abort (request);
+}
+
 /* Starts the response.  One that has begun is aborted, which may free the
    request.  */
 void
@@ -73,7 +99,7 @@
   if (way == ENDING_COMPLETE)
     request->impl->end (request);
   else if (way == ENDING_ABORT)
-    request->impl->abort (request);
+    abort_claimed (request);
 }
 
 /* Aborts the response in a way that the client can detect as truncated.  May
@@ -82,7 +108,7 @@
 api_abort (struct api_request *request)
 {
   if (claim_end (request, ENDING_ABORT) == ENDING_ABORT)
-    request->impl->abort (request);
+    abort_claimed (request);
 }
 
 /* Sends a complete response, or aborts one that has begun.  May free the
@@ -99,23 +125,20 @@
       if (request->impl->write (request, body, len))
         request->impl->end (request);
       else
-        request->impl->abort (request);
+        abort_claimed (request);
     }
   else if (way == ENDING_ABORT)
-    request->impl->abort (request);
+    abort_claimed (request);
 }
 
 /* Counts ERROR, which REQUEST ends with, and logs which request this host
-   refused and why.  The path and the message may contain any bytes of the
-   caller.  */
+   refused and why.  The message may contain any bytes of the caller.  */
 void
 api_record_refusal (const struct api_request *request,
                     const struct error *error)
 {
   struct log_ids ids = log_ids (request);
-  const char *full_path = request->path ? request->path : "";
-  char *path = g_utf8_make_valid (
-      full_path, (gssize)strnlen (full_path, MAX_LOGGED_PATH_BYTES));
+  char *path = loggable_path (request);
   char *message = g_utf8_make_valid (error->message, -1);
 
   counter_add_refusal (error->kind);
