caller, galenashored: a host that stops takes no request that it would cut

Logs of the five hosts name no refusal, so the response was aborted before it began.

Cause, by reading: the host counts as drained after 300 ms without open work, and its listener is destroyed when another thread has heard of that; a request that comes on a kept connection in between is taken, handled and cut. Now the drain is complete only when no connection is left: idle ones are closed first. A request that no handler has got when the listener goes is refused as not run, in place of an abort.

--- a/caller/listener.c
+++ b/caller/listener.c
@@ -473,21 +473,44 @@
          && httpd_open_requests (listener->httpd) == 0;
 }
 
-/* Aborts all open requests and frees the listener.  */
+/* Closes the connections on which no request is open.  Returns whether none is
+   left, so that no further request can come.  */
+bool
+listener_close_idle (struct listener *listener, int64_t now_ms)
+{
+  httpd_drop_idle (listener->httpd, 0, now_ms);
+  return httpd_open_connections (listener->httpd) == 0;
+}
+
+/* Ends a request whose listener goes.  One that no handler has got has
+   certainly not run.  */
+static void
+end_stopped (struct local_request *local)
+{
+  struct error error;
+
+  if (local->request.handle_disconnect)
+    local->request.handle_disconnect (&local->request);
+  local->request.handle_disconnect = NULL;
+  if (local->dispatched || local->request.ending.has_begun)
+    {
+      api_abort (&local->request);
+      return;
+    }
+  error_set (&error, ERROR_STOPPING, RUN_NOT_RUN,
+             "the host is stopping; retry on another host");
+  error.retry_after_ms = RETRY_MS;
+  api_respond_error (&local->request, &error);
+}
+
+/* Ends all open requests and frees the listener.  */
 void
 listener_destroy (struct listener *listener)
 {
   if (!listener)
     return;
   while (listener->requests)
-    {
-      struct local_request *local = listener->requests;
-
-      if (local->request.handle_disconnect)
-        local->request.handle_disconnect (&local->request);
-      local->request.handle_disconnect = NULL;
-      api_abort (&local->request);
-    }
+    end_stopped (listener->requests);
   httpd_destroy (listener->httpd);
   free (listener->cert_pem);
   free (listener->key_pem);
--- a/galenashored/traffic.c
+++ b/galenashored/traffic.c
@@ -288,9 +288,10 @@
 }
 
 /* During a shutdown, announces it again after the programs are handed over,
-   and reports to control once no work has been open for DRAIN_IDLE_MS.  Until
-   then a new configuration clears the leaving status that begin_stop set, so
-   that other hosts find each program on the host where they look for it.  */
+   and reports to control once no work has been open for DRAIN_IDLE_MS and no
+   connection is left on which a request could still come.  Until then a new
+   configuration clears the leaving status that begin_stop set, so that other
+   hosts find each program on the host where they look for it.  */
 static void
 check_drain (struct traffic *traffic, int64_t now_ms)
 {
@@ -311,7 +312,8 @@
       traffic->idle_since_ms = now_ms;
       return;
     }
-  if (now_ms - traffic->idle_since_ms < DRAIN_IDLE_MS)
+  if (now_ms - traffic->idle_since_ms < DRAIN_IDLE_MS
+      || !listener_close_idle (traffic->listener, now_ms))
     return;
   traffic->drained = true;
   notify_control (traffic, create_message (CONTROL_DRAINED, 0));
--- a/include/caller/listener.h
+++ b/include/caller/listener.h
@@ -15,6 +15,7 @@
 struct listener *listener_create (struct server *server, struct error *error);
 void listener_begin_destroy (struct listener *listener);
 bool listener_is_idle (const struct listener *listener);
+bool listener_close_idle (struct listener *listener, int64_t now_ms);
 void listener_destroy (struct listener *listener);
 void listener_resume_requests (struct listener *listener);
 void listener_tick (struct listener *listener, int64_t now_ms);
--- a/test/unit/test_api_ends.c
+++ b/test/unit/test_api_ends.c
@@ -291,6 +291,7 @@
       run_until_end (server.loop, caller);
       CU_ASSERT_NOT_EQUAL (caller->end, HTTP_PENDING);
       CU_ASSERT_TRUE (caller->status >= 500);
+      CU_ASSERT_TRUE (http_caller_has (caller, "not_run"));
     }
   CU_ASSERT_EQUAL (caller->excess, 0);
   CU_ASSERT_EQUAL (counter_get (COUNTER_RESPONSES_LATE), late);
@@ -299,6 +300,41 @@
   free (listen);
 }
 
+/* Guards against a planned stop that takes a request on a kept connection once
+   it has found that no work is left, and then cuts it: the connection is
+   closed before.  */
+static void
+stopping_listener_closes_kept_connections (void)
+{
+  uint16_t port = http_caller_free_port ();
+  char *listen = xasprintf ("127.0.0.1:%u", port);
+  struct settings settings = { .caller_listen = listen,
+                               .max_body_bytes = 1024,
+                               .max_connections = 8 };
+  struct server server
+      = { .settings = &settings, .loop = ev_loop_new (EVFLAG_AUTO) };
+  struct error error;
+  struct listener *listener = listener_create (&server, &error);
+  struct http_caller *caller;
+  int64_t until_ms = clock_now_ms () + END_MS;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (listener);
+  caller = http_caller_create (server.loop, port, "");
+  for (int i = 0; i < 10; i++)
+    ev_run (server.loop, EVRUN_NOWAIT);
+  CU_ASSERT_FALSE (listener_close_idle (listener, clock_now_ms ()));
+  while (!listener_close_idle (listener, clock_now_ms ())
+         && clock_now_ms () < until_ms)
+    ev_run (server.loop, EVRUN_NOWAIT);
+  CU_ASSERT_TRUE (listener_close_idle (listener, clock_now_ms ()));
+  run_until_end (server.loop, caller);
+  CU_ASSERT_EQUAL (caller->end, HTTP_CUT);
+  listener_destroy (listener);
+  http_caller_destroy (caller);
+  ev_loop_destroy (server.loop);
+  free (listen);
+}
+
 /* Guards against requests of the own interface without an end, or with two,
    that wait for a configuration while their host stops, gives up waiting, or
    their callers leave.  */
@@ -319,6 +355,8 @@
 CU_TestInfo api_ends_tests[] = {
   { "a response ends once", response_ends_once },
   { "a waiting request ends once", waiting_request_ends_once },
+  { "a stopping listener closes kept connections",
+    stopping_listener_closes_kept_connections },
   { "a response without room is aborted", response_without_room_is_aborted },
   CU_TEST_INFO_NULL,
 };
