--- a/test/unit/raw_endpoint.c
+++ b/test/unit/raw_endpoint.c
@@ -306,6 +306,17 @@
   return endpoint;
 }
 
+/* Whether the peer has closed the connection, which this side has not read
+   yet.  */
+static bool
+is_closed_by_peer (const struct raw_connection *connection)
+{
+  char byte;
+  ssize_t got = recv (connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  return got == 0 || (got < 0 && errno != EAGAIN);
+}
+
 /* Sends BYTES, which may be empty, on all open connections, which then end as
    END says.  */
 void
@@ -319,7 +330,9 @@
     {
       struct raw_connection *connection = endpoint->connections->pdata[i];
 
-      if (connection->fd >= 0)
+      if (connection->fd >= 0 && is_closed_by_peer (connection))
+        close_connection (connection);
+      else if (connection->fd >= 0)
         write_answer (connection, &answer);
     }
 }
