request, common: a request is freed by one function, a server's own end in one place

Reading the change as a newcomer: request_destroy is itself what the end of the response calls, and httpd records in respond and cut_response that a response has ended, not at each of their callers. unit httpd, api ends, stream ends and request ends pairs green.

--- a/common/httpd.c
+++ b/common/httpd.c
@@ -108,7 +108,6 @@
   request->handle_disconnect = NULL;
   if (handle_disconnect)
     handle_disconnect (request);
-  request->ending.has_ended = true;
   if (request->state == HTTPD_WAITING && !request->buffering)
     respond (request, MHD_HTTP_BAD_GATEWAY, NULL, "", 0);
   else
@@ -739,10 +738,7 @@
   for (struct httpd_request *request = httpd->requests; request;
        request = request->next)
     if (request->buffering || (request->streaming && !request->stream_ended))
-      {
-        request->ending.has_ended = true;
-        cut_response (request);
-      }
+      cut_response (request);
     else if (request->state == HTTPD_WAITING)
       httpd_respond_error (request, &error);
 }
@@ -858,10 +854,12 @@
   return way == ENDING_WHOLE;
 }
 
+/* Sends a complete response, on the server's own account or with a claim.  */
 static void
 respond (struct httpd_request *request, unsigned status,
          const char *content_type, const char *body, size_t len)
 {
+  request->ending.has_ended = true;
   set_status (request, status, content_type);
   request->response_body.len = 0;
   buf_append (&request->response_body, body, len);
@@ -998,7 +996,6 @@
   request->handle_disconnect = NULL;
   if (handle_disconnect)
     handle_disconnect (request);
-  request->ending.has_ended = true;
   cut_response (request);
   /* libmicrohttpd would wait until the socket can be written. */
   shutdown (info->connect_fd, SHUT_RDWR);
@@ -1103,11 +1100,13 @@
   respond_error (request, &error);
 }
 
-/* Closes the connection without a proper end of the body.  A client without
-   the head of a response is told that it was broken off.  */
+/* Closes the connection without a proper end of the body, on the server's own
+   account or with a claim.  A client without the head of a response is told
+   that it was broken off.  */
 static void
 cut_response (struct httpd_request *request)
 {
+  request->ending.has_ended = true;
   if (request->state == HTTPD_READING || request->state == HTTPD_WAITING)
     {
       respond_broken_off (request);
--- a/request/request.c
+++ b/request/request.c
@@ -195,8 +195,9 @@
 
 /* Called by the end of the request's response, and by nothing else.  */
 static void
-request_destroy (struct request *request)
+request_destroy (void *data)
 {
+  struct request *request = data;
   struct pipeline *pipeline = request->pipeline;
 
   release_endpoint (request);
@@ -269,12 +270,6 @@
                                         : RETRY_AFTER_MS;
 }
 
-static void
-release_request (void *data)
-{
-  request_destroy (data);
-}
-
 /* Ends the request: all of its ends pass here.  */
 static void
 end_request (struct request *request, const struct response_end *end)
@@ -2103,7 +2098,7 @@
   struct response_options response = { .loop = pipeline->options.loop,
                                        .sink = sink,
                                        .handle_timeout = handle_deadline,
-                                       .release = release_request,
+                                       .release = request_destroy,
                                        .data = request };
 
   request->pipeline = pipeline;
