--- a/test/unit/test_api_ends.c
+++ b/test/unit/test_api_ends.c
@@ -3,10 +3,14 @@
 #include "common/buf.h"
 #include "common/counters.h"
 #include "common/id.h"
+#include "endpoint/dispatcher.h"
 #include "galenashored/server.h"
 #include "http_caller.h"
+#include "policy/retry.h"
 #include "program/waiter.h"
+#include "raw_endpoint.h"
 #include "suites.h"
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -229,6 +233,7 @@
 {
   CONFIG_WAIT_MS = 3500, /* longer than requests wait for a configuration */
   END_MS = 500,
+  CALL_TIMEOUT_MS = 120, /* of the route, for each attempt */
 };
 
 enum listener_event
@@ -352,9 +357,233 @@
     }
 }
 
+/* How far a call to a service is when something happens to it. */
+enum call_step
+{
+  CALL_WAITING, /* the endpoint refuses it, and it is sent again */
+  CALL_SENT,
+  CALL_HEAD,
+  CALL_STEPS,
+};
+
+enum call_way
+{
+  CALL_COMPLETES,
+  CALL_CLOSES,
+  CALL_RESETS,
+  CALL_FAILS,    /* status 500 */
+  CALL_NONSENSE, /* bytes that are no response */
+  CALL_TIMES_OUT,
+  CALL_LEAVES,      /* the caller does */
+  CALL_STOPS,       /* the listener is destroyed */
+  CALL_NO_ROUTE,    /* the route and its endpoints are removed */
+  CALL_NO_LISTENER, /* refuses connections */
+  CALL_WAYS,
+};
+
+struct service_play
+{
+  struct server server;
+  struct settings settings;
+  struct listener *listener;
+  struct raw_endpoint *endpoint;
+  struct http_caller *caller;
+  enum call_step step;
+  uint32_t sends;
+  char *listen;
+};
+
+static struct raw_answer
+answer_call (void *data, struct raw_endpoint *endpoint, const char *request)
+{
+  static const char full[] = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+  static const char head[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+  struct service_play *play = data;
+  const char *bytes = play->step == CALL_WAITING ? full
+                      : play->step == CALL_HEAD  ? head
+                                                 : "";
+
+  play->sends++;
+  return (struct raw_answer){ .bytes = bytes,
+                              .len = strlen (bytes),
+                              .end = RAW_KEEP };
+}
+
+static struct config *
+build_config (const struct service_play *play, bool has_route)
+{
+  json_t *objects = json_array ();
+  struct config *config;
+
+  if (has_route)
+    {
+      char *url = xasprintf ("http://127.0.0.1:%u", play->endpoint->port);
+
+      json_array_append_new (objects,
+                             json_pack ("{s:s,s:s,s:{s:b,s:b,s:i}}", "kind",
+                                        "route", "name", "public", "data",
+                                        "idempotent", 1, "open_to_all", 1,
+                                        "timeout_ms", CALL_TIMEOUT_MS));
+      json_array_append_new (
+          objects, json_pack ("{s:s,s:s,s:{s:s,s:s,s:s}}", "kind", "endpoint",
+                              "name", "s", "data", "kind", "service", "route",
+                              "public", "url", url));
+      free (url);
+    }
+  config = config_build (objects, has_route ? 1 : 2);
+  json_decref (objects);
+  return config;
+}
+
+static void
+apply_config (struct service_play *play, bool has_route)
+{
+  struct config *old = play->server.config;
+
+  play->server.config = build_config (play, has_route);
+  dispatcher_apply (play->server.dispatcher, play->server.config);
+  config_destroy (old);
+}
+
+static void
+service_play_open (struct service_play *play, enum call_step step)
+{
+  uint16_t port = http_caller_free_port ();
+  char request[] = "GET /v1/services/public/x HTTP/1.1\r\nHost: h\r\n\r\n";
+  struct error error;
+
+  *play = (struct service_play){ .step = step };
+  play->listen = xasprintf ("127.0.0.1:%u", port);
+  play->settings = (struct settings){ .caller_listen = play->listen,
+                                      .max_body_bytes = 1024,
+                                      .max_connections = 8 };
+  play->server.settings = &play->settings;
+  play->server.loop = ev_loop_new (EVFLAG_AUTO);
+  play->server.fetcher = fetcher_create (play->server.loop);
+  play->server.dispatcher = dispatcher_create (&play->server);
+  play->server.serving = true;
+  play->endpoint = raw_endpoint_create (play->server.loop, answer_call, play);
+  apply_config (play, true);
+  play->listener = listener_create (&play->server, &error);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (play->listener);
+  play->caller = http_caller_create (play->server.loop, port, request);
+}
+
+static void
+service_play_close (struct service_play *play)
+{
+  listener_destroy (play->listener);
+  dispatcher_destroy (play->server.dispatcher);
+  fetcher_destroy (play->server.fetcher);
+  config_destroy (play->server.config);
+  raw_endpoint_destroy (play->endpoint);
+  http_caller_destroy (play->caller);
+  ev_loop_destroy (play->server.loop);
+  free (play->listen);
+}
+
+static void
+service_play_run (struct service_play *play, int64_t ms)
+{
+  int64_t until_ms = clock_now_ms () + ms;
+
+  while (clock_now_ms () < until_ms)
+    {
+      ev_run (play->server.loop, EVRUN_NOWAIT);
+      dispatcher_tick (play->server.dispatcher, clock_now_ms ());
+      ev_sleep (0.0005);
+    }
+}
+
+static void
+end_call (struct service_play *play, enum call_way way)
+{
+  static const char whole[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  const char *rest = play->step == CALL_HEAD ? "ok" : whole;
+
+  switch (way)
+    {
+    case CALL_COMPLETES:
+      raw_endpoint_end_all (play->endpoint, RAW_KEEP, rest);
+      break;
+    case CALL_CLOSES:
+    case CALL_RESETS:
+      raw_endpoint_end_all (play->endpoint,
+                            way == CALL_CLOSES ? RAW_CLOSE : RAW_RESET, "");
+      break;
+    case CALL_FAILS:
+      raw_endpoint_end_all (
+          play->endpoint, RAW_KEEP,
+          "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n");
+      break;
+    case CALL_NONSENSE:
+      raw_endpoint_end_all (play->endpoint, RAW_KEEP, "nonsense\r\n\r\n");
+      break;
+    case CALL_LEAVES:
+      http_caller_leave (play->caller);
+      break;
+    case CALL_STOPS:
+      listener_destroy (play->listener);
+      play->listener = NULL;
+      break;
+    case CALL_NO_ROUTE:
+      apply_config (play, false);
+      break;
+    case CALL_NO_LISTENER:
+      raw_endpoint_crash (play->endpoint);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Plays one way at one step.  Returns whether the call ends once.  */
+static bool
+call_ends_once (enum call_step step, enum call_way way)
+{
+  struct service_play play;
+  int64_t late = counter_get (COUNTER_RESPONSES_LATE);
+  bool is_right = true;
+  int64_t until_ms;
+
+  service_play_open (&play, step);
+  for (int i = 0; i < END_MS && play.sends == 0; i++)
+    service_play_run (&play, 1);
+  service_play_run (&play, 5);
+  CU_ASSERT_TRUE (play.sends > 0);
+  end_call (&play, way);
+  until_ms
+      = play.caller->sent_ms + RETRY_MAX_ATTEMPTS * CALL_TIMEOUT_MS + END_MS;
+  while (way != CALL_LEAVES && play.caller->end == HTTP_PENDING
+         && clock_now_ms () < until_ms)
+    service_play_run (&play, 1);
+  if (way != CALL_LEAVES && play.caller->end == HTTP_PENDING)
+    is_right = false;
+  service_play_run (&play, 5);
+  is_right = is_right && play.caller->excess == 0
+             && counter_get (COUNTER_RESPONSES_LATE) == late;
+  service_play_close (&play);
+  return is_right && counter_get (COUNTER_RESPONSES_LATE) == late;
+}
+
+/* Guards against calls of the own interface without an end, or with two,
+   whatever ends them, before and after the head of the endpoint's response. */
+static void
+each_way_ends_a_call_once (void)
+{
+  for (int step = 0; step < CALL_STEPS; step++)
+    for (int way = 0; way < CALL_WAYS; way++)
+      if (!call_ends_once ((enum call_step)step, (enum call_way)way))
+        {
+          fprintf (stderr, "step %d, way %d\n", step, way);
+          CU_FAIL ("a call does not end once");
+        }
+}
+
 CU_TestInfo api_ends_tests[] = {
   { "a response ends once", response_ends_once },
   { "a waiting request ends once", waiting_request_ends_once },
+  { "each way ends a call once", each_way_ends_a_call_once },
   { "a stopping listener closes kept connections",
     stopping_listener_closes_kept_connections },
   { "a response without room is aborted", response_without_room_is_aborted },
