soak: an endpoint whose entry says that it is no longer cold is not counted as cold

The check went on to count until the end that the fault had been drawn with.

The span ends with that entry now. While the entry says cold the bound is as before.

--- a/soak/main.c
+++ b/soak/main.c
@@ -453,6 +453,21 @@
   fault->ends_ms = span.to_ms;
 }
 
+/* Has the registry's entry say that an endpoint is no longer cold.  If faults
+   end before their time, hosts learn so from the entry, and what the endpoint
+   may get ends with it.  */
+static void
+end_cold (struct soak *soak, const struct fault *fault)
+{
+  int endpoint = fault->target - 1;
+  GArray *spans = soak->limits[endpoint].cold;
+  struct limit_span *last
+      = &g_array_index (spans, struct limit_span, spans->len - 1);
+
+  last->to_ms = MIN (last->to_ms, clock_now_ms ());
+  write_entry (soak, endpoint, "PUT", 0);
+}
+
 static void
 evacuate (struct soak *soak, struct fault *fault)
 {
@@ -604,7 +619,7 @@
       reject_host (soak, -1);
       break;
     case FAULT_COLD:
-      write_entry (soak, fault->target - 1, "PUT", 0);
+      end_cold (soak, fault);
       break;
     case FAULT_EVACUATE:
       end_evacuation (soak, fault);
