--- a/test/unit/http_caller.c
+++ b/test/unit/http_caller.c
@@ -78,6 +78,7 @@
       finish (caller, HTTP_CUT);
       return;
     }
+  caller->heard_ms = clock_now_ms ();
   buf_append (&caller->got, bytes, (size_t)got);
   buf_append (&caller->got, "", 1);
   caller->got.len--;
--- a/test/unit/http_caller.h
+++ b/test/unit/http_caller.h
@@ -24,6 +24,7 @@
   int status; /* 0 until the head has arrived */
   enum http_end end;
   int64_t sent_ms;
+  int64_t heard_ms; /* when it last got bytes */
   int64_t end_ms;
   size_t excess; /* bytes that followed a complete response */
 };
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -45,6 +45,7 @@
 /* The only route; see struct route. */
 struct local_route
 {
+  const char *host; /* NULL for "h" */
   enum route_retry_mode retry_mode;
   bool resumable;
   int64_t timeout_ms;
