review: kept turns are lost after a planned replacement and one lost disk

Cause: a keeper that has left stays on the host list until it has been silent for 8 s, and counts as a preferred keeper for so long, so that each of its turns has one copy though its successor is ready. One lost disk in that time loses them.

--- a/review/rig-2/budget.c
+++ b/review/rig-2/budget.c
@@ -1,4 +1,4 @@
-/* Case 6: a program spends a part of its budget while one store machine alone
+/* Case 7: a program spends a part of its budget while one store machine alone
    answers, and that machine then loses its disk.  */
 #include "rig.h"
 #include <stdio.h>
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -896,6 +896,27 @@
   rig_record ("killed %s", host->name);
 }
 
+/* Stops the process of HOST with SIGTERM, and kills it after WAIT_MS.  */
+void
+rig_stop_host (struct rig_host *host, int wait_ms)
+{
+  int64_t until_ms = rig_now_ms () + wait_ms;
+
+  rig_record ("SIGTERM to %s", host->name);
+  kill (host->pid, SIGTERM);
+  while (waitpid (host->pid, NULL, WNOHANG) == 0)
+    {
+      if (rig_now_ms () >= until_ms)
+        {
+          rig_kill_host (host);
+          return;
+        }
+      rig_sleep_ms (5);
+    }
+  host->pid = 0;
+  rig_record ("%s has ended", host->name);
+}
+
 /* Empties the disk of HOST, which is down.  */
 void
 rig_wipe_host (const struct rig_host *host)
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -92,6 +92,7 @@
 void rig_set_hosts (struct rig_host *hosts, int count);
 void rig_start_host (struct rig_host *host);
 void rig_kill_host (struct rig_host *host);
+void rig_stop_host (struct rig_host *host, int wait_ms);
 void rig_wipe_host (const struct rig_host *host);
 void rig_wait_ready (void);
 
