--- a/review/rig-2/kept.c
+++ b/review/rig-2/kept.c
@@ -135,10 +135,13 @@
   for (int i = 0; i < CHAINS; i++)
     {
       char program[RIG_ID_BYTES];
+      int status = 0;
 
       snprintf (program, sizeof program, "program-%02d", i);
-      if (send_turn (&hosts[i % ENTRIES], program, NULL, first_turns[i])
-          != 200)
+      for (int k = 0; k < TRIES && status != 200; k++)
+        status = send_turn (&hosts[(i + k) % ENTRIES], program, NULL,
+                            first_turns[i]);
+      if (status != 200)
         rig_end (RIG_CANNOT_RUN);
     }
 }
--- a/review/rig-2/quota.c
+++ b/review/rig-2/quota.c
@@ -19,7 +19,9 @@
   /* The tenant's usual rate is its quota / 1.6; it sends 7.5 times that. */
   DEMAND_PER_S = RATE_PER_S * 75 / 16,
   DEMAND_MS = 6500,
-  KILL_AT_MS = 1200, /* the whole quota of the window has been used by then */
+  USED_PERCENT
+  = 97, /* of the quota of the window, when the process is killed */
+  USED_WITHIN_MS = 3000,
   DOWN_MS = 200,
   THREADS = 60,
   CALL_TIMEOUT_MS = 2000,
@@ -127,6 +129,14 @@
   return most;
 }
 
+static void
+wait_until_used (double quota)
+{
+  while (rig_run_count () * 100.0 < quota * USED_PERCENT
+         && rig_now_ms () - begun_ms < USED_WITHIN_MS)
+    rig_sleep_ms (5);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -152,7 +162,7 @@
       rig_end (RIG_CANNOT_RUN);
   if (rig_has_trouble ())
     {
-      rig_sleep_ms (KILL_AT_MS);
+      wait_until_used (quota);
       rig_kill_host (&hosts[0]);
       rig_sleep_ms (DOWN_MS);
       rig_start_host (&hosts[0]);
