review: a stream goes on at another software version after a restart

The store is silent for 4.5 s; a worker starts again within 50 ms, with new software under the id that it had.

The quota is case 9 now, the GET with a body case 10.

--- a/review/rig-2/method.c
+++ b/review/rig-2/method.c
@@ -1,4 +1,4 @@
-/* Case 9: a GET with a body, in which another request is smuggled, reaches the
+/* Case 10: a GET with a body, in which another request is smuggled, reaches the
    worker as a POST.  */
 #include "rig.h"
 #include <stdio.h>
--- a/review/rig-2/quota.c
+++ b/review/rig-2/quota.c
@@ -1,4 +1,4 @@
-/* Case 8: the process that holds a part of a tenant's quota is killed after it
+/* Case 9: the process that holds a part of a tenant's quota is killed after it
    has granted all of it, and the next one grants again in the same window.  */
 #include "rig.h"
 #include <pthread.h>
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -24,6 +24,7 @@
   MAX_HEAD_BYTES = 64 * 1024,
   MAX_RUNS = 100 * 1000,
   MAX_EVENTS = 10 * 1000,
+  MAX_CONNECTIONS = 1024,
   BACKLOG = 512,
   READY_MS = 15000,
   TIME_LIMIT_S = 115,
@@ -47,6 +48,7 @@
 static json_t *store_events; /* {kind, rev, removed, object} */
 static json_int_t store_revision = 10;
 static int store_port;
+static bool is_store_down;
 static pthread_mutex_t store_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t store_changed;
 
@@ -167,14 +169,18 @@
   rig_record ("%s the disruption", has_trouble ? "with" : "without");
 }
 
+/* Listens on *PORT, or on a free port if that is 0.  */
 static int
-listen_on_free_port (int *port)
+listen_on (int *port)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)*port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t len = sizeof address;
+  int on = 1;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
       || listen (fd, BACKLOG) != 0
       || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
@@ -188,9 +194,9 @@
 static int
 find_free_port (void)
 {
-  int port;
+  int port = 0;
 
-  close (listen_on_free_port (&port));
+  close (listen_on (&port));
   return port;
 }
 
@@ -329,24 +335,40 @@
 typedef bool request_handler (void *data, int fd,
                               const struct rig_message *message);
 
-struct server
+struct rig_server
 {
   int listener;
   request_handler *handle;
   void *data;
+  pthread_mutex_t lock;
+  int fds[MAX_CONNECTIONS]; /* open ones; 0: free */
 };
 
 struct server_connection
 {
-  const struct server *server;
+  struct rig_server *server;
   int fd;
 };
 
+/* Replaces the connection FROM of SERVER by TO; 0 stands for none.  */
+static void
+replace_connection (struct rig_server *server, int from, int to)
+{
+  pthread_mutex_lock (&server->lock);
+  for (int i = 0; i < MAX_CONNECTIONS; i++)
+    if (server->fds[i] == from)
+      {
+        server->fds[i] = to;
+        break;
+      }
+  pthread_mutex_unlock (&server->lock);
+}
+
 static void *
 run_connection (void *pointer)
 {
   struct server_connection *connection = pointer;
-  const struct server *server = connection->server;
+  struct rig_server *server = connection->server;
   FILE *stream = fdopen (connection->fd, "r");
   struct rig_message message;
 
@@ -360,6 +382,7 @@
       if (!goes_on)
         break;
     }
+  replace_connection (server, connection->fd, 0);
   fclose (stream);
   free (connection);
   return NULL;
@@ -368,7 +391,7 @@
 static void *
 run_server (void *pointer)
 {
-  const struct server *server = pointer;
+  struct rig_server *server = pointer;
   int on = 1;
 
   for (;;)
@@ -380,25 +403,41 @@
       if (connection->fd < 0)
         {
           free (connection);
-          continue;
+          return NULL;
         }
+      replace_connection (server, 0, connection->fd);
       setsockopt (connection->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       start_thread (run_connection, connection);
     }
   return NULL;
 }
 
-static int
-start_server (request_handler *handle, void *data)
+/* Starts a server on *PORT, or on a free port if that is 0.  */
+static struct rig_server *
+start_server (request_handler *handle, void *data, int *port)
 {
-  struct server *server = calloc (1, sizeof *server);
-  int port;
+  struct rig_server *server = calloc (1, sizeof *server);
 
-  server->listener = listen_on_free_port (&port);
+  pthread_mutex_init (&server->lock, NULL);
+  server->listener = listen_on (port);
   server->handle = handle;
   server->data = data;
   start_thread (run_server, server);
-  return port;
+  return server;
+}
+
+/* Stops listening and ends all connections.  SERVER is not freed, as its
+   threads may still run.  */
+static void
+stop_server (struct rig_server *server)
+{
+  shutdown (server->listener, SHUT_RDWR);
+  close (server->listener);
+  pthread_mutex_lock (&server->lock);
+  for (int i = 0; i < MAX_CONNECTIONS; i++)
+    if (server->fds[i] > 0)
+      shutdown (server->fds[i], SHUT_RDWR);
+  pthread_mutex_unlock (&server->lock);
 }
 
 /* The platform's store.  */
@@ -529,7 +568,7 @@
                                  json_object_get (event, "object"), "removed",
                                  json_object_get (event, "removed")));
       }
-      if (json_array_size (events) > 0
+      if ((!is_store_down && json_array_size (events) > 0)
           || pthread_cond_timedwait (&store_changed, &store_lock, &until)
                  == ETIMEDOUT)
         return json_pack ("{s:o, s:I}", "events", events, "store_revision",
@@ -599,6 +638,14 @@
   return json_incref (known);
 }
 
+/* A store that is down is silent.  The caller holds the lock.  */
+static void
+wait_until_up (void)
+{
+  while (is_store_down)
+    pthread_cond_wait (&store_changed, &store_lock);
+}
+
 static bool
 handle_store_request (void *data, int fd, const struct rig_message *message)
 {
@@ -626,9 +673,11 @@
   if (rest)
     *rest = '\0';
   pthread_mutex_lock (&store_lock);
+  wait_until_up ();
   reply = call_store (method, kind, name, query, body, &status);
   if (strcmp (method, "GET") != 0)
     rig_record ("store: %s %s/%s: %d", method, kind, name ? name : "", status);
+  wait_until_up ();
   reply = json_deep_copy (reply);
   pthread_mutex_unlock (&store_lock);
   json_decref (body);
@@ -640,7 +689,7 @@
 {
   store_kinds = json_object ();
   store_events = json_array ();
-  store_port = start_server (handle_store_request, NULL);
+  start_server (handle_store_request, NULL, &store_port);
 }
 
 /* Writes an object, as the operator or a worker does.  */
@@ -653,6 +702,17 @@
   json_decref (spec);
 }
 
+/* Makes the store silent, or has it answer again.  */
+void
+rig_set_store_down (bool is_down)
+{
+  pthread_mutex_lock (&store_lock);
+  is_store_down = is_down;
+  pthread_cond_broadcast (&store_changed);
+  pthread_mutex_unlock (&store_lock);
+  rig_record ("the store %s", is_down ? "is silent" : "answers again");
+}
+
 /* Workers.  */
 
 static void
@@ -693,10 +753,17 @@
   return run;
 }
 
+static const char *
+version_of (const struct rig_worker *worker)
+{
+  return worker->version ? worker->version : "v1";
+}
+
 static bool
 send_stream (const struct rig_worker *worker, int fd, const char *headers,
              int first)
 {
+  const char *version = version_of (worker);
   char text[512];
   int len = snprintf (text, sizeof text,
                       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -708,8 +775,8 @@
   for (int i = first; i < worker->events; i++)
     {
       char event[64];
-      int event_len
-          = snprintf (event, sizeof event, "id: %d\ndata: e%d\n\n", i, i);
+      int event_len = snprintf (event, sizeof event, "id: %d\ndata: %s-%d\n\n",
+                                i, version, i);
 
       rig_sleep_ms (worker->work_ms);
       len = snprintf (text, sizeof text, "%x\r\n%s\r\n", (unsigned)event_len,
@@ -752,23 +819,44 @@
   return write_all (fd, text, (size_t)len);
 }
 
-/* Starts WORKER, which must stay valid, and registers it.  */
+/* Writes the entry of WORKER into the store, which must be up.  */
 void
-rig_start_worker (struct rig_worker *worker)
+rig_register_worker (const struct rig_worker *worker)
 {
   char address[32];
   struct timespec now;
 
-  worker->port = start_server (handle_work, worker);
   clock_gettime (CLOCK_REALTIME, &now);
   snprintf (address, sizeof address, "127.0.0.1:%d", worker->port);
-  rig_store_put ("servers", worker->id,
-                 json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
-                            "backend", worker->service, "address", address,
-                            "zone", worker->zone, "version", "v1",
-                            "max_concurrency", worker->slots, "state", "ready",
-                            "cold_remaining_ms", 0, "seq", 1, "born",
-                            (json_int_t)now.tv_sec * 1000));
+  rig_store_put (
+      "servers", worker->id,
+      json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "backend",
+                 worker->service, "address", address, "zone", worker->zone,
+                 "version", "v1", "max_concurrency", worker->slots, "state",
+                 "ready", "cold_remaining_ms", 0, "seq", 1, "born",
+                 (json_int_t)now.tv_sec * 1000 + now.tv_nsec / 1000000));
+}
+
+/* Starts WORKER, which must stay valid, and registers it.  */
+void
+rig_start_worker (struct rig_worker *worker)
+{
+  worker->server = start_server (handle_work, worker, &worker->port);
+  rig_register_worker (worker);
+}
+
+/* Has WORKER start again, under the id and at the address that it had, with
+   another VERSION of its software.  It is not registered yet.  */
+void
+rig_restart_worker (struct rig_worker *worker, const char *version,
+                    int down_ms)
+{
+  stop_server (worker->server);
+  rig_record ("%s ends", worker->id);
+  rig_sleep_ms (down_ms);
+  worker->version = version;
+  worker->server = start_server (handle_work, worker, &worker->port);
+  rig_record ("%s has started again, version %s", worker->id, version);
 }
 
 /* Hosts.  */
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -42,8 +42,12 @@
   int work_ms; /* of a call, and between two events */
   int events;  /* of a turn */
   int slots;
+  const char *version; /* of its software; v1 if NULL */
+  struct rig_server *server;
 };
 
+struct rig_server;
+
 /* A request that a worker began to work on. */
 struct rig_run
 {
@@ -85,7 +89,11 @@
 
 void rig_start_store (void);
 void rig_store_put (const char *kind, const char *name, json_t *spec);
+void rig_set_store_down (bool is_down);
 void rig_start_worker (struct rig_worker *worker);
+void rig_register_worker (const struct rig_worker *worker);
+void rig_restart_worker (struct rig_worker *worker, const char *version,
+                         int down_ms);
 size_t rig_run_count (void);
 struct rig_run rig_run_at (size_t index);
 
