--- a/review/rig-2/method.c
+++ b/review/rig-2/method.c
@@ -1,5 +1,5 @@
-/* Case 10: a GET with a body, in which another request is smuggled, reaches the
-   worker as a POST.  */
+/* Case 10: a GET with a body, in which another request is smuggled, reaches
+   the worker as a POST.  */
 #include "rig.h"
 #include <stdio.h>
 #include <stdlib.h>
