review: count only calls that were both sent and run in the window

Cause: the rule of case 9 counts requests that are both sent and arrive in some window; the script counted those that ran in it.

--- a/review/rig-2/quota.c
+++ b/review/rig-2/quota.c
@@ -26,6 +26,7 @@
   THREADS = 60,
   CALL_TIMEOUT_MS = 2000,
   SLACK = 20,
+  MAX_CALLS = 10 * 1000,
 };
 
 static struct rig_host hosts[HOSTS] = {
@@ -56,6 +57,7 @@
 };
 
 static int64_t begun_ms;
+static int64_t sent_ms[MAX_CALLS]; /* of each call */
 static atomic_int next_call;
 static atomic_int statuses[600];
 
@@ -91,7 +93,7 @@
       char head[512];
       struct rig_answer answer;
 
-      if (due_ms - begun_ms >= DEMAND_MS)
+      if (due_ms - begun_ms >= DEMAND_MS || number >= MAX_CALLS)
         return NULL;
       if (due_ms > rig_now_ms ())
         rig_sleep_ms (due_ms - rig_now_ms ());
@@ -101,6 +103,7 @@
                 "Program-Id: program-%d\r\nSession-Id: session-%d\r\n"
                 "Program-Deadline-Ms: 20000\r\nDeadline-Ms: %d\r\n",
                 number, number, number / 8, number / 8, CALL_TIMEOUT_MS);
+      sent_ms[number] = rig_now_ms ();
       answer = rig_call (entry->caller_port, head, NULL, CALL_TIMEOUT_MS);
       atomic_fetch_add (&statuses[answer.status], 1);
       rig_record ("attempt-%05d through %s: %d", number, entry->name,
@@ -109,21 +112,36 @@
     }
 }
 
+/* Returns how many calls were both sent and run in the window that ends with
+   the run LAST.  */
+static int
+count_runs (size_t last)
+{
+  int64_t start_ms = rig_run_at (last).at_ms - WINDOW_MS;
+  int count = 0;
+
+  for (size_t i = last + 1; i > 0 && rig_run_at (i - 1).at_ms > start_ms; i--)
+    {
+      int number = atoi (rig_run_at (i - 1).attempt + strlen ("attempt-"));
+
+      count += sent_ms[number] > start_ms;
+    }
+  return count;
+}
+
 /* Returns the most runs in some window, and sets *END_MS to its end.  */
 static int
 count_most_runs (int64_t *end_ms)
 {
-  size_t count = rig_run_count ();
-  size_t first = 0;
   int most = 0;
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < rig_run_count (); i++)
     {
-      while (rig_run_at (first).at_ms <= rig_run_at (i).at_ms - WINDOW_MS)
-        first++;
-      if ((int)(i - first + 1) <= most)
+      int count = count_runs (i);
+
+      if (count <= most)
         continue;
-      most = (int)(i - first + 1);
+      most = count;
       *end_ms = rig_run_at (i).at_ms - begun_ms;
     }
   return most;
