conversation: copies of turns belong to keepers that would answer

Cause: the keepers of a group of turns were selected from the whole list of hosts, on which one that has ended stays for 8 s and more. A silent keeper went on to count as a holder, and a planned stop handed nothing over. What another keeper was known to hold was not forgotten when it came back with an empty disk.

Evidence: the new unit-conversation-losses looks at the disks while planned leaves, restarts, kills for good and lost disks come by lot.

Change: copies are placed on keepers that are heard and not about to stop; when these change, groups are offered to those that have come to hold them. A keeper that gets SIGTERM tells the others (TurnListAsk.is_leaving) and hands its groups over before it ends.

--- a/conversation/keeper_repair.c
+++ b/conversation/keeper_repair.c
@@ -34,7 +34,8 @@
   /* A retiring keeper waits for the lists of the others so long, and then
      sends groups that they may have. */
   LISTS_WAIT_MS = 3000,
-  HAND_OVER_STEP = 400,       /* groups looked at in a tick */
+  OFFER_STEP = 400,           /* groups looked at in a tick */
+  HAND_OVER_STEP = 400,       /* likewise */
   HAND_OVER_ANSWER_STEP = 32, /* likewise, after an acknowledgement */
   HAND_OVER_MAX = 16,         /* groups sent and not acknowledged */
   HOLDERS_MAX = 64,           /* bits of turn_group.holders */
@@ -62,17 +63,62 @@
   return remote ? (int32_t)(remote - keeper->remotes) : -1;
 }
 
-/* Returns the preferred keepers of GROUP.  */
+/* Whether REMOTE would answer now and goes on to.  */
+static bool
+is_present (const struct turn_remote *remote)
+{
+  return !remote->is_silent && !remote->is_leaving;
+}
+
+/* Recomputes which keepers hold copies.  With IS_NEW_LIST the indexes have
+   changed, too.  */
+static void
+update_placement (struct conversation_keeper *keeper, bool is_new_list)
+{
+  struct turn_placement *placement = &keeper->placement;
+  uint32_t *keepers = xcalloc (keeper->remote_count + 1, sizeof *keepers);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < keeper->remote_count; i++)
+    if (is_present (&keeper->remotes[i]))
+      keepers[count++] = i;
+  if (!keeper->hand_over.is_active && keeper->set.count > 0)
+    keepers[count++] = (uint32_t)keeper->remote_count;
+  if (!is_new_list && count == placement->count
+      && (count == 0
+          || memcmp (keepers, placement->keepers, count * sizeof *keepers)
+                 == 0))
+    {
+      free (keepers);
+      return;
+    }
+  free (placement->keepers);
+  free (placement->hosts);
+  placement->keepers = keepers;
+  placement->count = count;
+  placement->hosts = xcalloc (count + 1, sizeof *placement->hosts);
+  for (uint32_t i = 0; i < count; i++)
+    placement->hosts[i] = keeper->set.hosts[keepers[i]];
+  keeper->generation++;
+}
+
+/* Returns the keepers that are to hold GROUP: of those that would answer.  */
 static const struct keeper_replicas *
 group_replicas (const struct conversation_keeper *keeper,
                 struct turn_group *group)
 {
-  if (group->replicas_generation != keeper->generation)
-    {
-      group->replicas = keeper_set_replicas (&keeper->set, group->id);
-      group->replicas_generation = keeper->generation;
-    }
-  return &group->replicas;
+  const struct turn_placement *placement = &keeper->placement;
+  struct keeper_replicas *replicas = &group->replicas;
+
+  if (group->replicas_generation == keeper->generation)
+    return replicas;
+  replicas->count
+      = replicas_select (group->id, placement->hosts, placement->count,
+                         keeper->set.wanted, replicas->keepers);
+  for (uint32_t i = 0; i < replicas->count; i++)
+    replicas->keepers[i] = placement->keepers[replicas->keepers[i]];
+  group->replicas_generation = keeper->generation;
+  return replicas;
 }
 
 static uint64_t
@@ -81,6 +127,27 @@
   return remote < HOLDERS_MAX ? 1ULL << remote : 0;
 }
 
+/* Has the hand-over look at all groups again.  */
+static void
+begin_sweep (struct conversation_keeper *keeper)
+{
+  struct turn_hand_over *hand_over = &keeper->hand_over;
+
+  hand_over->next = 0;
+  hand_over->is_missing = hand_over->is_done = false;
+  hand_over->sweep_ms = keeper->now_ms;
+  hand_over->generation = keeper->generation;
+}
+
+/* Forgets which groups the keepers of the bits REMOTES are known to have.  */
+static void
+forget_holders (struct conversation_keeper *keeper, uint64_t remotes)
+{
+  for (struct turn_group *group = turn_index_next_group (&keeper->index, 0);
+       group; group = turn_index_next_group (&keeper->index, group->id))
+    group->holders &= ~remotes;
+}
+
 /* Id under which GROUP is handed over in its present state.  */
 static uint64_t
 hand_over_id (const struct turn_group *group)
@@ -129,6 +196,7 @@
   remote->last_request_ms = keeper->now_ms;
   remote->is_awaiting_page = true;
   ask.after = remote->page_after;
+  ask.is_leaving = keeper->hand_over.is_active;
   frame.body_case = PEER__FRAME__BODY_TURN_LIST_ASK;
   frame.turn_list_ask = &ask;
   keeper_send (keeper, remote->name, &frame);
@@ -186,19 +254,42 @@
   list->count = 0;
 }
 
-/* Answers a keeper with the groups after AFTER of which it is a preferred
-   keeper.  A keeper that is not on this host's list yet gets no answer, and
-   asks again; the same while turns are being loaded.  */
+/* Notes what the question of REMOTE for a list tells of it: it is heard, may
+   be about to stop, or has started with another disk.  */
+static void
+note_list_ask (struct conversation_keeper *keeper, struct turn_remote *remote,
+               const Peer__TurnListAsk *ask)
+{
+  remote->is_silent = false;
+  if (remote->is_leaving != ask->is_leaving)
+    log_write (LOG_INFO, "conversations", NULL, "keeper %s %s", remote->name,
+               ask->is_leaving ? "is about to stop" : "has started again");
+  remote->is_leaving = ask->is_leaving;
+  update_placement (keeper, false);
+  if (ask->after != 0)
+    return;
+  forget_holders (keeper, holder_bit ((size_t)(remote - keeper->remotes)));
+  if (keeper->hand_over.is_active)
+    begin_sweep (keeper);
+}
+
+/* Answers a keeper with the groups after AFTER that it is to hold; one that is
+   about to stop, with all, so that it knows who has its own.  A keeper that is
+   not on this host's list yet gets no answer, and asks again; the same while
+   turns are being loaded.  */
 static void
 handle_list_ask (struct conversation_keeper *keeper, const char *host,
-                 uint64_t after)
+                 const Peer__TurnListAsk *ask)
 {
   int32_t remote = find_remote_index (keeper, host);
   struct turn_group *group = NULL;
   struct state_list list = { .count = 0 };
-  uint64_t next = after;
+  uint64_t next = ask->after;
 
-  if (remote < 0 || !keeper->is_loaded)
+  if (remote < 0)
+    return;
+  note_list_ask (keeper, &keeper->remotes[remote], ask);
+  if (!keeper->is_loaded)
     return;
   for (int i = 0; i < PAGE_SCAN && list.count < PAGE_GROUPS; i++)
     {
@@ -207,8 +298,9 @@
         break;
       next = group->id;
       if (group->durable_turns > 0
-          && keeper_replicas_contain (group_replicas (keeper, group),
-                                      (uint32_t)remote))
+          && (ask->is_leaving
+              || keeper_replicas_contain (group_replicas (keeper, group),
+                                          (uint32_t)remote)))
         add_state (&list, group);
     }
   send_states (keeper, host, &list, next, group == NULL);
@@ -488,7 +580,6 @@
     keeper_repair_finish_receipt (receipt);
 }
 
-static bool has_present_receivers (const struct conversation_keeper *keeper);
 static void continue_hand_over (struct conversation_keeper *keeper,
                                 uint32_t step);
 
@@ -512,7 +603,7 @@
   if (group && kept->is_kept && kept->id == hand_over_id (group))
     group->holders |= holder_bit ((size_t)index);
   if (keeper->hand_over.is_active && !keeper->hand_over.is_done
-      && has_present_receivers (keeper))
+      && keeper->hand_over.generation == keeper->generation)
     continue_hand_over (keeper, HAND_OVER_ANSWER_STEP);
 }
 
@@ -524,7 +615,7 @@
   switch (frame->body_case)
     {
     case PEER__FRAME__BODY_TURN_LIST_ASK:
-      handle_list_ask (keeper, host, frame->turn_list_ask->after);
+      handle_list_ask (keeper, host, frame->turn_list_ask);
       break;
     case PEER__FRAME__BODY_TURN_LIST:
       handle_list (keeper, host, frame->turn_list);
@@ -621,8 +712,8 @@
 {
   release_remotes (keeper);
   keeper_set_release (&keeper->set);
-  free (keeper->hand_over.receivers);
-  free (keeper->hand_over.hosts);
+  free (keeper->placement.keepers);
+  free (keeper->placement.hosts);
 }
 
 /* Replaces the state of the other keepers.  The lists of all are read again,
@@ -642,6 +733,7 @@
       if (!known)
         continue;
       remotes[i].is_silent = known->is_silent;
+      remotes[i].is_leaving = known->is_leaving;
       remotes[i].has_retired = known->has_retired;
       remotes[i].is_awaiting_page = remotes[i].ignores_page
           = known->is_awaiting_page;
@@ -653,10 +745,8 @@
   release_remotes (keeper);
   keeper->remotes = remotes;
   keeper->remote_count = count;
-  keeper->generation++;
-  for (struct turn_group *group = turn_index_next_group (&keeper->index, 0);
-       group; group = turn_index_next_group (&keeper->index, group->id))
-    group->holders = 0;
+  update_placement (keeper, true);
+  forget_holders (keeper, UINT64_MAX);
 }
 
 /* Sets the list of other keepers.  */
@@ -684,13 +774,15 @@
 
 /* Updates which keepers are silent, and pings all of them.  One that was
    silent and is heard again may have been without contact to this host only,
-   so that its list is read anew.  What was wanted from a silent one may be on
-   the lists of others, which are read again.  */
+   so that its list is read anew; it may have lost its disk, too.  What was
+   wanted from a silent one may be on the lists of others, which are read
+   again.  */
 static void
 probe_remotes (struct conversation_keeper *keeper)
 {
   struct transport *transport = keeper->options.transport;
   bool has_lost_wants = false;
+  uint64_t silenced = 0;
 
   if (keeper->now_ms - keeper->last_probe_ms < PROBE_INTERVAL_MS)
     return;
@@ -708,6 +800,7 @@
       else if (!remote->is_silent)
         {
           remote->is_silent = true;
+          silenced |= holder_bit (i);
           restart_list (remote);
           has_lost_wants |= remote->wants.length > 0;
           clear_wants (keeper, remote);
@@ -716,125 +809,140 @@
     }
   for (size_t i = 0; has_lost_wants && i < keeper->remote_count; i++)
     restart_list (&keeper->remotes[i]);
+  if (silenced)
+    forget_holders (keeper, silenced);
+  update_placement (keeper, false);
+}
+
+/* Lists of states for the other keepers, one each by their indexes.  */
+static struct state_list *
+create_offers (const struct conversation_keeper *keeper)
+{
+  return xcalloc (keeper->remote_count + 1, sizeof (struct state_list));
+}
+
+/* Adds GROUP to the OFFERS for those that are to hold it and are not known to
+   have it.  Full lists are sent.  */
+static void
+add_offer (struct conversation_keeper *keeper, struct state_list *offers,
+           struct turn_group *group)
+{
+  const struct keeper_replicas *replicas = group_replicas (keeper, group);
+
+  if (group->durable_turns == 0)
+    return;
+  for (uint32_t i = 0; i < replicas->count; i++)
+    {
+      uint32_t remote = replicas->keepers[i];
+
+      if (remote >= keeper->remote_count
+          || (group->holders & holder_bit (remote)) != 0)
+        continue;
+      add_state (&offers[remote], group);
+      if (offers[remote].count == PAGE_GROUPS)
+        send_states (keeper, keeper->remotes[remote].name, &offers[remote], 0,
+                     false);
+    }
+}
+
+/* Sends what is left of OFFERS and frees them.  */
+static void
+send_offers (struct conversation_keeper *keeper, struct state_list *offers)
+{
+  for (size_t i = 0; i < keeper->remote_count; i++)
+    if (offers[i].count > 0)
+      send_states (keeper, keeper->remotes[i].name, &offers[i], 0, false);
+  free (offers);
 }
 
-/* Sends the other preferred keepers the states of groups that changed a short
-   time ago.  Those that lack a turn, because they were slow or the frame was
-   lost, ask for it.  */
+/* Offers the others the groups that changed a short time ago.  Those that lack
+   a turn, because they were slow or the frame was lost, ask for it.  */
 static void
-offer_groups (struct conversation_keeper *keeper)
+offer_changed_groups (struct conversation_keeper *keeper)
 {
-  struct state_list *lists;
+  struct state_list *offers;
 
   if (keeper->now_ms - keeper->last_offer_ms < OFFER_INTERVAL_MS
       || keeper->remote_count == 0)
     return;
   keeper->last_offer_ms = keeper->now_ms;
-  lists = xcalloc (keeper->remote_count, sizeof *lists);
+  offers = create_offers (keeper);
   for (const GList *link = keeper->index.by_change.tail; link;
        link = link->prev)
     {
       struct turn_group *group = link->data;
-      const struct keeper_replicas *replicas;
 
       if (keeper->now_ms - group->changed_ms > OFFER_UNTIL_MS)
         break;
-      if (keeper->now_ms - group->changed_ms < OFFER_FROM_MS
-          || group->durable_turns == 0)
-        continue;
-      replicas = group_replicas (keeper, group);
-      for (uint32_t i = 0; i < replicas->count; i++)
-        {
-          uint32_t remote = replicas->keepers[i];
-
-          if (remote >= keeper->remote_count
-              || keeper->remotes[remote].is_silent
-              || (group->holders & holder_bit (remote)) != 0)
-            continue;
-          add_state (&lists[remote], group);
-          if (lists[remote].count == PAGE_GROUPS)
-            send_states (keeper, keeper->remotes[remote].name, &lists[remote],
-                         0, false);
-        }
+      if (keeper->now_ms - group->changed_ms >= OFFER_FROM_MS)
+        add_offer (keeper, offers, group);
     }
-  for (size_t i = 0; i < keeper->remote_count; i++)
-    if (lists[i].count > 0)
-      send_states (keeper, keeper->remotes[i].name, &lists[i], 0, false);
-  free (lists);
-}
-
-/* Probes the other keepers, reads their lists and the groups that this one
-   lacks, and offers them its own.  */
-void
-keeper_repair_tick (struct conversation_keeper *keeper)
-{
-  accrue_credit (keeper);
-  probe_remotes (keeper);
-  if (!keeper->is_loaded)
-    return;
-  request_pages (keeper);
-  request_groups (keeper);
-  offer_groups (keeper);
-  keeper_repair_check_complete (keeper);
+  send_offers (keeper, offers);
 }
 
+/* Begins another pass over all groups if the keepers that hold copies have
+   changed, or did a short time ago, as offers may be lost.  Returns whether
+   there are groups left to look at.  */
 static bool
-is_present (const struct conversation_keeper *keeper, uint32_t remote)
+begin_pass (struct conversation_keeper *keeper)
 {
-  return !keeper->remotes[remote].is_silent;
-}
+  struct turn_offer_pass *pass = &keeper->offer_pass;
 
-/* Whether the keepers that get the groups are still those that are present.
- */
-static bool
-has_present_receivers (const struct conversation_keeper *keeper)
-{
-  const struct turn_hand_over *hand_over = &keeper->hand_over;
-  uint32_t count = 0;
-
-  if (hand_over->generation != keeper->generation)
+  if (pass->generation != keeper->generation)
+    {
+      pass->generation = keeper->generation;
+      pass->until_ms = keeper->now_ms + OFFER_UNTIL_MS;
+    }
+  else if (pass->is_active)
+    return true;
+  else if (keeper->now_ms >= pass->until_ms
+           || keeper->now_ms - pass->begun_ms < OFFER_INTERVAL_MS)
     return false;
-  for (uint32_t i = 0; i < keeper->remote_count; i++)
-    if (is_present (keeper, i))
-      {
-        if (count == hand_over->count || hand_over->receivers[count] != i)
-          return false;
-        count++;
-      }
-  return count == hand_over->count;
+  pass->is_active = true;
+  pass->begun_ms = keeper->now_ms;
+  pass->next = 0;
+  return true;
 }
 
+/* Offers groups to the keepers that have come to hold them because others are
+   silent, leave, or are back.  Looks at a bounded number at a time.  */
 static void
-begin_sweep (struct conversation_keeper *keeper)
+offer_moved_groups (struct conversation_keeper *keeper)
 {
-  struct turn_hand_over *hand_over = &keeper->hand_over;
+  struct turn_offer_pass *pass = &keeper->offer_pass;
+  struct state_list *offers;
 
-  hand_over->next = 0;
-  hand_over->is_missing = hand_over->is_done = false;
-  hand_over->sweep_ms = keeper->now_ms;
+  if (keeper->remote_count == 0 || !begin_pass (keeper))
+    return;
+  offers = create_offers (keeper);
+  for (int i = 0; i < OFFER_STEP && pass->is_active; i++)
+    {
+      struct turn_group *group
+          = turn_index_next_group (&keeper->index, pass->next);
+
+      pass->is_active = group != NULL;
+      if (!group)
+        break;
+      pass->next = group->id;
+      add_offer (keeper, offers, group);
+    }
+  send_offers (keeper, offers);
 }
 
-/* Sets the keepers that get the groups: the present ones.  */
-static void
-set_receivers (struct conversation_keeper *keeper)
+/* Probes the other keepers, reads their lists and the groups that this one
+   lacks, and offers them its own.  */
+void
+keeper_repair_tick (struct conversation_keeper *keeper)
 {
-  struct turn_hand_over *hand_over = &keeper->hand_over;
-
-  free (hand_over->receivers);
-  free (hand_over->hosts);
-  hand_over->receivers
-      = xcalloc (keeper->remote_count + 1, sizeof *hand_over->receivers);
-  hand_over->hosts
-      = xcalloc (keeper->remote_count + 1, sizeof *hand_over->hosts);
-  hand_over->count = 0;
-  for (uint32_t i = 0; i < keeper->remote_count; i++)
-    if (is_present (keeper, i))
-      {
-        hand_over->hosts[hand_over->count] = keeper->set.hosts[i];
-        hand_over->receivers[hand_over->count++] = i;
-      }
-  hand_over->generation = keeper->generation;
-  begin_sweep (keeper);
+  accrue_credit (keeper);
+  probe_remotes (keeper);
+  if (!keeper->is_loaded)
+    return;
+  request_pages (keeper);
+  request_groups (keeper);
+  offer_changed_groups (keeper);
+  offer_moved_groups (keeper);
+  keeper_repair_check_complete (keeper);
 }
 
 /* Sends GROUP to those of its keepers, once this host is gone, that are not
@@ -843,18 +951,15 @@
 hand_group_over (struct conversation_keeper *keeper, struct turn_group *group)
 {
   struct turn_hand_over *hand_over = &keeper->hand_over;
-  uint32_t selected[REPLICAS_MAX];
-  uint32_t count
-      = replicas_select (group->id, hand_over->hosts, hand_over->count,
-                         keeper->set.wanted, selected);
+  const struct keeper_replicas *replicas = group_replicas (keeper, group);
   bool may_send = hand_over->in_flight < HAND_OVER_MAX
                   && (group->sent_ms == 0
                       || keeper->now_ms - group->sent_ms >= GROUP_RETRY_MS);
   bool is_missing = false;
 
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < replicas->count; i++)
     {
-      uint32_t remote = hand_over->receivers[selected[i]];
+      uint32_t remote = replicas->keepers[i];
 
       if ((group->holders & holder_bit (remote)) != 0)
         continue;
@@ -948,20 +1053,34 @@
              g_tree_nnodes (keeper->index.groups));
   keeper->hand_over.is_active = true;
   keeper->hand_over.begun_ms = keeper->now_ms;
-  /* Their lists tell what they have already.  */
+  update_placement (keeper, false);
+  /* Their lists tell what they have already, and the questions for these that
+     this host is about to stop.  */
+  forget_holders (keeper, UINT64_MAX);
   for (size_t i = 0; i < keeper->remote_count; i++)
     {
       clear_wants (keeper, &keeper->remotes[i]);
       restart_list (&keeper->remotes[i]);
     }
+  request_pages (keeper);
 }
 
-/* Sends every group to the keepers that are preferred without this one.
-   Returns true once they have acknowledged all groups as written to disk.  To
-   be called again and again, beside the ticks.  */
-bool
-conversation_keeper_hand_over (struct conversation_keeper *keeper,
-                               int64_t now_ms)
+/* Whether the list of a present keeper is still awaited.  */
+static bool
+is_awaiting_lists (const struct conversation_keeper *keeper)
+{
+  if (keeper->now_ms - keeper->hand_over.begun_ms >= LISTS_WAIT_MS)
+    return false;
+  for (uint32_t i = 0; i < keeper->remote_count; i++)
+    if (is_present (&keeper->remotes[i]) && !keeper->remotes[i].is_listed)
+      return true;
+  return false;
+}
+
+/* Sends every group to the keepers that hold it without this one.  Returns
+   true once they have acknowledged all groups as written to disk.  */
+static bool
+hand_groups_over (struct conversation_keeper *keeper, int64_t now_ms)
 {
   struct turn_hand_over *hand_over = &keeper->hand_over;
 
@@ -970,17 +1089,37 @@
   keeper->now_ms = now_ms;
   if (!hand_over->is_active)
     begin_hand_over (keeper);
-  for (uint32_t i = 0; i < keeper->remote_count; i++)
-    if (is_present (keeper, i) && !keeper->remotes[i].is_listed
-        && now_ms - hand_over->begun_ms < LISTS_WAIT_MS)
-      return false;
-  if (!has_present_receivers (keeper))
-    set_receivers (keeper);
-  if (keeper->remote_count > 0 && hand_over->count == 0)
+  if (is_awaiting_lists (keeper))
+    return false;
+  if (keeper->remote_count > 0 && keeper->placement.count == 0)
     return false;
-  if (hand_over->is_done && has_changed_in_sweep (keeper))
+  if (hand_over->generation != keeper->generation
+      || (hand_over->is_done && has_changed_in_sweep (keeper)))
     begin_sweep (keeper);
   if (!hand_over->is_done)
     continue_hand_over (keeper, HAND_OVER_STEP);
-  return hand_over->is_done && announce_retirement (keeper);
+  return hand_over->is_done;
+}
+
+/* Hands all groups over, so that this host can be retired.  Returns true once
+   the others have them on disk and know it.  To be called again and again,
+   beside the ticks.  */
+bool
+conversation_keeper_hand_over (struct conversation_keeper *keeper,
+                               int64_t now_ms)
+{
+  return hand_groups_over (keeper, now_ms) && announce_retirement (keeper);
+}
+
+/* Hands all groups over before the process stops, as it may not come back.
+   Returns true once the others have them on disk, or no other keeper would
+   take them.  To be called again and again, beside the ticks.  */
+bool
+conversation_keeper_leave (struct conversation_keeper *keeper, int64_t now_ms)
+{
+  bool has_nothing = keeper->is_loaded && keeper->index.turn_count == 0
+                     && keeper->pending_appends == 0;
+
+  return has_nothing || !keeper->has_list || hand_groups_over (keeper, now_ms)
+         || (keeper->hand_over.is_active && keeper->placement.count == 0);
 }
--- a/include/conversation/keeper.h
+++ b/include/conversation/keeper.h
@@ -43,6 +43,8 @@
                                int64_t now_ms);
 bool conversation_keeper_hand_over (struct conversation_keeper *keeper,
                                     int64_t now_ms);
+bool conversation_keeper_leave (struct conversation_keeper *keeper,
+                                int64_t now_ms);
 json_t *conversation_keeper_to_json (const struct conversation_keeper *keeper);
 
 #endif
--- a/include/conversation/keeper_state.h
+++ b/include/conversation/keeper_state.h
@@ -27,6 +27,7 @@
   bool ignores_page;       /* the next page answers an earlier request */
   bool is_listed;          /* its list was read since it was last silent */
   bool is_silent;
+  bool is_leaving;       /* it hands its groups over and then stops */
   bool has_retired;      /* it has handed over all of its groups */
   bool knows_retirement; /* it has acknowledged that this host has */
   int64_t last_notice_ms;
@@ -39,11 +40,7 @@
 {
   bool is_active;
   int64_t begun_ms;
-  /* The present keepers, indexes of remotes and what they are selected by. */
-  uint32_t *receivers;
-  struct replica_host *hosts;
-  uint32_t count;
-  uint64_t generation; /* of the list that they are on */
+  uint64_t generation; /* of the placement that the sweep goes by */
   uint64_t next;       /* the sweep goes on after this group */
   int64_t sweep_ms;    /* when it began */
   bool is_missing;     /* a group of this sweep is not held elsewhere */
@@ -52,6 +49,25 @@
   int64_t last_sent_ms;
 };
 
+/* The keepers that hold copies: those that would answer now, without this host
+   once it hands its groups over. */
+struct turn_placement
+{
+  uint32_t *keepers; /* indexes of remotes; this host follows them */
+  struct replica_host *hosts;
+  uint32_t count;
+};
+
+/* A pass over all groups, which offers them to keepers that lack them. */
+struct turn_offer_pass
+{
+  bool is_active;
+  uint64_t generation; /* of the placement */
+  uint64_t next;       /* the pass goes on after this group */
+  int64_t begun_ms;
+  int64_t until_ms; /* passes are repeated */
+};
+
 struct conversation_keeper
 {
   struct conversation_keeper_options options;
@@ -84,12 +100,14 @@
 
   /* Other keepers. */
   struct keeper_set set; /* this host follows the others */
-  uint64_t generation;   /* of the list */
+  struct turn_placement placement;
+  uint64_t generation; /* of the placement */
   struct turn_remote *remotes;
   size_t remote_count;
   GHashTable *wanted; /* keys of all wants */
   int64_t last_probe_ms;
   int64_t last_offer_ms;
+  struct turn_offer_pass offer_pass;
   int64_t restore_credit; /* bytes that may be asked for */
   int64_t restore_credit_ms;
   struct turn_hand_over hand_over;
--- a/include/conversation/turn_index.h
+++ b/include/conversation/turn_index.h
@@ -57,7 +57,7 @@
   uint64_t disk_bytes;     /* of its records */
   uint64_t covered_digest; /* another keeper's state, all of which is here */
   struct keeper_replicas replicas;
-  uint64_t replicas_generation; /* of the list that they are selected from */
+  uint64_t replicas_generation; /* of the placement that they are by */
   uint64_t holders; /* bits of the other keepers known to have the digest */
   int64_t sent_ms;  /* when it was last handed over; 0 if never */
   GSList *fetch_waiters; /* of the keeper, until the group is read from disk */
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -1144,10 +1144,14 @@
 {
   ProtobufCMessage base;
   uint64_t after;
+  /*
+   * the sender is about to stop, and asks for all groups
+   */
+  protobuf_c_boolean is_leaving;
 };
 #define PEER__TURN_LIST_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__turn_list_ask__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Peer__TurnGroupState
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -7332,7 +7332,7 @@
   (ProtobufCMessageInit) peer__turn_text__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__turn_list_ask__field_descriptors[1] =
+static const ProtobufCFieldDescriptor peer__turn_list_ask__field_descriptors[2] =
 {
   {
     "after",
@@ -7346,14 +7346,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_leaving",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__TurnListAsk, is_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__turn_list_ask__field_indices_by_name[] = {
   0,   /* field[0] = after */
+  1,   /* field[1] = is_leaving */
 };
 static const ProtobufCIntRange peer__turn_list_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor peer__turn_list_ask__descriptor =
 {
@@ -7363,7 +7376,7 @@
   "Peer__TurnListAsk",
   "peer",
   sizeof(Peer__TurnListAsk),
-  1,
+  2,
   peer__turn_list_ask__field_descriptors,
   peer__turn_list_ask__field_indices_by_name,
   1,  peer__turn_list_ask__number_ranges,
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -70,6 +70,7 @@
 static CU_SuiteInfo separate_suites[] = {
   { "broken answers", NULL, NULL, NULL, NULL, broken_answers_tests },
   { "conversation keeper", NULL, NULL, NULL, NULL, conversation_keeper_tests },
+  { "conversation losses", NULL, NULL, NULL, NULL, conversation_losses_tests },
   { "conversation requests", NULL, NULL, NULL, NULL,
     conversation_requests_tests },
   { "cold endpoints", NULL, NULL, NULL, NULL, cold_fleet_tests },
--- a/test/unit/test_conversation_keeper.c
+++ b/test/unit/test_conversation_keeper.c
@@ -1203,3 +1203,342 @@
   { "host with an old list", test_host_with_old_list },
   CU_TEST_INFO_NULL,
 };
+
+/* Planned leaves, kills and lost disks by lot.  */
+
+enum
+{
+  LOT_STARTED = 5,
+  LOT_PROGRAMS = 400,
+  LOT_MS = 40 * 1000,
+  LOT_WRITE_MS = 100,
+  CATCH_UP_MS = 4000,  /* a lost keeper counts as lost until so long after */
+  GRACE_MS = 8000,     /* in which a stopping process must end */
+  ABSENT_MS = 8000,    /* a keeper that is gone leaves the list */
+  MAX_DOWN_MS = 2000,  /* of a keeper that comes back */
+  MAX_PAUSE_MS = 5000, /* between two events */
+};
+
+/* What becomes of a keeper. */
+enum lot_state
+{
+  LOT_ABSENT, /* may be started as a new one */
+  LOT_RUNNING,
+  LOT_LEAVING,
+  LOT_DOWN, /* comes back */
+  LOT_GONE, /* for good, but listed */
+};
+
+struct lot_keeper
+{
+  enum lot_state state;
+  int64_t until_ms; /* of the state */
+  int64_t lost_until_ms;
+  bool comes_back;
+};
+
+struct lot
+{
+  struct sim *sim;
+  GRand *random;
+  uint32_t losses;
+  struct lot_keeper keepers[KEEPERS];
+  bool is_kept[LOT_PROGRAMS];
+  int64_t unplanned_ms; /* when a keeper was last lost without notice */
+  int programs;
+  char trace[1024]; /* of the last events */
+};
+
+static int64_t
+lot_draw (struct lot *lot, int64_t from_ms, int64_t until_ms)
+{
+  return from_ms
+         + g_rand_int_range (lot->random, 0, (gint32)(until_ms - from_ms + 1));
+}
+
+static void
+lot_note (struct lot *lot, const char *event, int index)
+{
+  size_t len = strlen (lot->trace);
+
+  if (len > sizeof lot->trace - 64)
+    {
+      memmove (lot->trace, lot->trace + len / 2, len - len / 2 + 1);
+      len = strlen (lot->trace);
+    }
+  snprintf (lot->trace + len, sizeof lot->trace - len, " %lld:%s-k%d",
+            (long long)(lot->sim->now_ms % 1000000), event, index);
+}
+
+/* Returns a random keeper in STATE, or -1.  */
+static int
+lot_pick (struct lot *lot, enum lot_state state)
+{
+  int first = g_rand_int_range (lot->random, 0, KEEPERS);
+
+  for (int i = 0; i < KEEPERS; i++)
+    if (lot->keepers[(first + i) % KEEPERS].state == state)
+      return (first + i) % KEEPERS;
+  return -1;
+}
+
+static uint32_t
+lot_count (const struct lot *lot, enum lot_state state)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < KEEPERS; i++)
+    count += lot->keepers[i].state == state;
+  return count;
+}
+
+/* Returns how many keepers count as lost.  */
+static uint32_t
+lot_count_lost (const struct lot *lot)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < KEEPERS; i++)
+    count += lot->keepers[i].lost_until_ms > lot->sim->now_ms;
+  return count;
+}
+
+/* Whether keeper INDEX would answer for PROGRAM's turn from its disk.  */
+static bool
+lot_holds (const struct lot *lot, int index, int program)
+{
+  const struct conversation_keeper *keeper = lot->sim->keepers[index].keeper;
+  const struct kept_turn *turn;
+  char id[32];
+
+  if (!keeper)
+    return false;
+  snprintf (id, sizeof id, "t%d-0", program);
+  turn = turn_index_find (&keeper->index, CUSTOMER, id);
+  return turn && turn->state == KEPT_TURN_DURABLE;
+}
+
+static uint32_t
+lot_count_copies (const struct lot *lot, int program)
+{
+  uint32_t copies = 0;
+
+  for (int i = 0; i < KEEPERS; i++)
+    copies += lot_holds (lot, i, program);
+  return copies;
+}
+
+/* Returns how many kept turns have fewer than COPIES.  */
+static int
+lot_count_short (const struct lot *lot, uint32_t copies)
+{
+  int count = 0;
+
+  for (int i = 0; i < lot->programs; i++)
+    count += lot->is_kept[i] && lot_count_copies (lot, i) < copies;
+  return count;
+}
+
+/* Writes the turn of a new program as an entry host does: to the preferred
+   keepers, and to others in place of those that do not take it.  */
+static void
+lot_write (struct lot *lot)
+{
+  int program = lot->programs;
+  struct sim_turn turn = { .program = program };
+  uint32_t held = 0;
+
+  if (program == LOT_PROGRAMS)
+    return;
+  lot->programs++;
+  for (int pass = 0; pass < 2; pass++)
+    for (int i = 0; i < KEEPERS && held <= lot->losses; i++)
+      if (lot->sim->keepers[i].keeper
+          && is_preferred (lot->sim, i, program) == (pass == 0))
+        held += write_turn (lot->sim, i, &turn) == TURN_STORED;
+  lot->is_kept[program] = held > lot->losses;
+}
+
+static void
+lot_start (struct lot *lot, int index)
+{
+  lot->sim->options.first_start = false;
+  start_keeper (lot->sim, index);
+  apply_list (lot->sim);
+  lot->keepers[index].state = LOT_RUNNING;
+}
+
+/* Ends the process of keeper INDEX.  One that does not come back is to be
+   removed from the list later.  */
+static void
+lot_stop (struct lot *lot, int index, bool comes_back)
+{
+  struct lot_keeper *keeper = &lot->keepers[index];
+
+  stop_keeper (lot->sim, index);
+  keeper->state = comes_back ? LOT_DOWN : LOT_GONE;
+  keeper->until_ms
+      = lot->sim->now_ms
+        + (comes_back ? lot_draw (lot, STEP_MS, MAX_DOWN_MS) : ABSENT_MS);
+  if (comes_back)
+    keeper->lost_until_ms = keeper->until_ms + CATCH_UP_MS;
+}
+
+/* Lets time pass as far as each keeper's state goes.  */
+static void
+lot_advance (struct lot *lot)
+{
+  for (int i = 0; i < KEEPERS; i++)
+    {
+      struct lot_keeper *keeper = &lot->keepers[i];
+      bool is_due = keeper->until_ms <= lot->sim->now_ms;
+
+      if (keeper->state == LOT_LEAVING
+          && (conversation_keeper_leave (lot->sim->keepers[i].keeper,
+                                         lot->sim->now_ms)
+              || is_due))
+        {
+          lot_stop (lot, i, keeper->comes_back);
+          if (lot->sim->now_ms - lot->unplanned_ms >= CATCH_UP_MS)
+            CU_ASSERT_EQUAL (lot_count_short (lot, lot->losses + 1), 0);
+        }
+      else if (keeper->state == LOT_DOWN && is_due)
+        lot_start (lot, i);
+      else if (keeper->state == LOT_GONE && is_due)
+        {
+          empty_directory (lot->sim->keepers[i].directory);
+          lot->sim->keepers[i].is_listed = false;
+          apply_list (lot->sim);
+          keeper->state = LOT_ABSENT;
+        }
+    }
+}
+
+/* Has a keeper be replaced: its successor has caught up when it leaves.  */
+static void
+lot_begin_replacement (struct lot *lot)
+{
+  int successor = lot_pick (lot, LOT_ABSENT);
+
+  if (successor < 0)
+    return;
+  lot_note (lot, "start", successor);
+  lot_start (lot, successor);
+  lot->keepers[successor].lost_until_ms = 0;
+}
+
+static void
+lot_leave (struct lot *lot, int index, bool comes_back)
+{
+  struct lot_keeper *keeper = &lot->keepers[index];
+
+  lot_note (lot, comes_back ? "restart" : "leave", index);
+  keeper->state = LOT_LEAVING;
+  keeper->comes_back = comes_back;
+  keeper->until_ms = lot->sim->now_ms + GRACE_MS;
+}
+
+/* Loses a keeper without notice: for good, its disk, or its process.  */
+static void
+lot_lose (struct lot *lot, int index)
+{
+  struct lot_keeper *keeper = &lot->keepers[index];
+  int kind = g_rand_int_range (lot->random, 0, 3);
+
+  lot->unplanned_ms = lot->sim->now_ms;
+  lot_note (lot, kind == 0 ? "gone" : kind == 1 ? "wiped" : "killed", index);
+  lot_stop (lot, index, kind != 0);
+  if (kind == 1)
+    empty_directory (lot->sim->keepers[index].directory);
+  if (kind == 0)
+    keeper->lost_until_ms = lot->sim->now_ms + CATCH_UP_MS;
+}
+
+/* Plays one event that the rules of a deployment allow now.  */
+static void
+lot_play (struct lot *lot)
+{
+  int index = lot_pick (lot, LOT_RUNNING);
+  bool has_spare = lot_count (lot, LOT_RUNNING) > LOT_STARTED;
+
+  if (lot_count (lot, LOT_RUNNING) < LOT_STARTED)
+    return;
+  switch (g_rand_int_range (lot->random, 0, 4))
+    {
+    case 0:
+      if (has_spare && lot_count (lot, LOT_LEAVING) == 0)
+        lot_leave (lot, index, false);
+      else
+        lot_begin_replacement (lot);
+      break;
+    case 1:
+      if (lot_count_lost (lot) < lot->losses
+          && lot_count (lot, LOT_LEAVING) == 0)
+        {
+          lot_leave (lot, index, true);
+          lot->keepers[index].lost_until_ms = lot->sim->now_ms + GRACE_MS;
+        }
+      break;
+    default:
+      if (lot_count_lost (lot) < lot->losses)
+        lot_lose (lot, index);
+      break;
+    }
+}
+
+/* Guards against kept turns that are lost, or have too few copies once a
+   lost keeper counts as back, whatever the order and distance of planned
+   leaves, kills for good and lost disks.  */
+static void
+play_losses (uint32_t losses, guint32 seed)
+{
+  struct lot lot = { .sim = create_sim (LOT_STARTED, losses),
+                     .random = g_rand_new_with_seed (seed),
+                     .losses = losses };
+  int64_t end_ms = lot.sim->now_ms + LOT_MS;
+  int64_t event_ms = lot.sim->now_ms + 1000;
+  int lost = 0;
+  int short_of = 0;
+
+  for (int i = 0; i < LOT_STARTED; i++)
+    lot.keepers[i].state = LOT_RUNNING;
+  while (lot.sim->now_ms < end_ms && lost + short_of == 0)
+    {
+      run (lot.sim, TICK_MS);
+      lot_advance (&lot);
+      if (lot.sim->now_ms % LOT_WRITE_MS == 0)
+        lot_write (&lot);
+      if (lot.sim->now_ms >= event_ms)
+        {
+          lot_play (&lot);
+          event_ms = lot.sim->now_ms + lot_draw (&lot, TICK_MS, MAX_PAUSE_MS);
+        }
+      lost += lot_count_short (&lot, 1);
+      if (lot.sim->now_ms - lot.unplanned_ms >= CATCH_UP_MS
+          && lot_count_lost (&lot) == 0)
+        short_of += lot_count_short (&lot, losses + 1);
+    }
+  if (lost + short_of > 0)
+    fprintf (stderr,
+             "losses %u, seed %u: %d lost, %d with too few copies:%s\n",
+             losses, seed, lost, short_of, lot.trace);
+  CU_ASSERT_EQUAL (lost, 0);
+  CU_ASSERT_EQUAL (short_of, 0);
+  g_rand_free (lot.random);
+  destroy_sim (lot.sim);
+}
+
+static void
+test_losses (void)
+{
+  const char *first = getenv ("LOSSES_SEED");
+  guint32 seed = first ? (guint32)strtoul (first, NULL, 10) : 1;
+
+  for (guint32 i = 0; i < 12; i++)
+    play_losses (1 + i % 2, seed + i);
+}
+
+CU_TestInfo conversation_losses_tests[] = {
+  { "planned leaves, kills and lost disks", test_losses },
+  CU_TEST_INFO_NULL,
+};
