fetch: a method decides what is sent and what is awaited

Cause: libcurl takes a request with a body for a POST, and fetch_start named the method only where it was not GET. HEAD was named without telling libcurl that its response has no body.

Evidence: the new unit-methods plays nine methods, each without a body, with an empty one, by length and in chunks, on three kinds of route, directly and by a helping host.

Change: set_method is the one rule. The method is always named; HEAD has no body to wait for, with and without one of its own. The length that a response to HEAD states is passed on.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -63,6 +63,8 @@
   size_t request_body_len;
   size_t request_body_sent;
   uint32_t sends; /* of the request, with libcurl's own retries */
+  /* The response has no body, which libcurl does not know: it sends one. */
+  bool ends_with_head;
   bool refuses_resend;
   bool resend_refused;
   curl_socket_t opened;  /* last socket opened for it */
@@ -71,6 +73,7 @@
   size_t head_bytes;     /* received */
   long head_status;      /* of the head that is being received */
   bool is_head_complete; /* the head of the final response has arrived */
+  bool is_refused;       /* by handle_head */
   enum fetch_framing framing;
   struct buf body;
   size_t buffered_bytes; /* received into the body */
@@ -164,6 +167,8 @@
   curl_easy_getinfo (fetch->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_easy_getinfo (fetch->easy, CURLINFO_OS_ERRNO, &system_error);
   result.framing = fetch->framing;
+  if (fetch->ends_with_head && fetch->is_head_complete && !fetch->is_refused)
+    code = CURLE_OK;
   /* libcurl also reports success for a connection that closes inside the
      head.  */
   result.complete = code == CURLE_OK && fetch->is_head_complete;
@@ -404,8 +409,10 @@
 end_head (struct fetch *fetch)
 {
   fetch->is_head_complete = fetch->head_status >= FIRST_FINAL_STATUS;
-  return !fetch->is_head_complete || !fetch->handle_head
-         || fetch->handle_head (fetch->data);
+  if (!fetch->is_head_complete)
+    return true;
+  fetch->is_refused = fetch->handle_head && !fetch->handle_head (fetch->data);
+  return !fetch->is_refused && !fetch->ends_with_head;
 }
 
 /* Whether TEXT contains the beginning of a head.  */
@@ -642,6 +649,28 @@
   curl_easy_setopt (fetch->easy, CURLOPT_READDATA, fetch);
 }
 
+/* Has the request be sent with its method and body, and a response be awaited
+   as the method says: that to HEAD has no body.  libcurl sends no body with
+   what it knows as HEAD, so that one with a body ends with its head here.  */
+static void
+set_method (struct fetch *fetch, const struct fetch_options *options)
+{
+  bool is_head = strcmp (options->method, "HEAD") == 0;
+
+  if (options->body || strcmp (options->method, "POST") == 0)
+    {
+      set_body (fetch, options);
+      fetch->ends_with_head = is_head;
+    }
+  else if (is_head)
+    curl_easy_setopt (fetch->easy, CURLOPT_NOBODY, 1L);
+  /* The length that a response to HEAD states is that of no body. */
+  if (!fetch->handle_data && !is_head)
+    curl_easy_setopt (fetch->easy, CURLOPT_MAXFILESIZE_LARGE,
+                      (curl_off_t)fetch->max_body_bytes);
+  curl_easy_setopt (fetch->easy, CURLOPT_CUSTOMREQUEST, options->method);
+}
+
 /* Returns whether OPTIONS has the header NAME, which ends with a colon.  */
 static bool
 has_header (const struct fetch_options *options, const char *name)
@@ -733,9 +762,6 @@
   curl_easy_setopt (fetch->easy, CURLOPT_WRITEFUNCTION, handle_body);
   curl_easy_setopt (fetch->easy, CURLOPT_WRITEDATA, fetch);
   curl_easy_setopt (fetch->easy, CURLOPT_PRIVATE, fetch);
-  if (!fetch->handle_data)
-    curl_easy_setopt (fetch->easy, CURLOPT_MAXFILESIZE_LARGE,
-                      (curl_off_t)fetch->max_body_bytes);
   curl_easy_setopt (fetch->easy, CURLOPT_HEADERFUNCTION, handle_header_line);
   curl_easy_setopt (fetch->easy, CURLOPT_HEADERDATA, fetch);
   curl_easy_setopt (fetch->easy, CURLOPT_PREREQFUNCTION, handle_send);
@@ -748,10 +774,7 @@
   curl_easy_setopt (fetch->easy, CURLOPT_CLOSESOCKETDATA, fetcher);
   if (options->target)
     curl_easy_setopt (fetch->easy, CURLOPT_REQUEST_TARGET, options->target);
-  if (options->body || strcmp (options->method, "POST") == 0)
-    set_body (fetch, options);
-  if (strcmp (options->method, "GET") != 0)
-    curl_easy_setopt (fetch->easy, CURLOPT_CUSTOMREQUEST, options->method);
+  set_method (fetch, options);
   set_headers (fetch, options);
   set_connection_options (fetch->easy, options);
   curl_multi_add_handle (fetcher->multi, fetch->easy);
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -250,6 +250,7 @@
   request->httpd = httpd;
   request->connection = connection;
   request->on = find_connection (connection);
+  request->head_length = -1;
   begin_on_connection (httpd, request->on);
   request->target = xstrdup (target);
   request->next = httpd->requests;
@@ -319,7 +320,11 @@
 
   if (!request->streaming)
     charge_whole (request);
-  if (request->streaming)
+  if (request->head_length >= 0)
+    response = MHD_create_response_from_callback (
+        (uint64_t)request->head_length, STREAM_BLOCK_BYTES, read_stream,
+        request, NULL);
+  else if (request->streaming)
     response = MHD_create_response_from_callback (
         MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, request, NULL);
   else if (request->whole_bytes > 0)
@@ -804,6 +809,15 @@
                                       MHD_GET_ARGUMENT_KIND, name);
 }
 
+/* Sets the length of the body that a response to HEAD does not have; none if
+   it is negative.  Other responses state that of their body.  */
+void
+httpd_set_head_length (struct httpd_request *request, int64_t length)
+{
+  if (strcmp (request->method, MHD_HTTP_METHOD_HEAD) == 0)
+    request->head_length = length;
+}
+
 /* Adds a header to the response.  Headers beyond HTTPD_MAX_HEADERS are
    dropped.  */
 void
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -75,10 +75,12 @@
   struct buf body;          /* received request body */
   struct buf response_body; /* of a stream: the part not sent yet */
   size_t charged_bytes;     /* to the budget of the server */
-  size_t whole_bytes;       /* of them, a large response in one piece */
-  int64_t read_ms;  /* when the client last took a part of the stream, or its
-                       backlog began */
-  int unread_bytes; /* in the kernel's buffer, when last looked */
+  /* That a response to HEAD states; negative for that of its body. */
+  int64_t head_length;
+  size_t whole_bytes; /* of them, a large response in one piece */
+  int64_t read_ms;    /* when the client last took a part of the stream, or its
+                         backlog began */
+  int unread_bytes;   /* in the kernel's buffer, when last looked */
   char *content_type;
   char *header_names[HTTPD_MAX_HEADERS];
   char *header_values[HTTPD_MAX_HEADERS];
@@ -117,6 +119,7 @@
                            httpd_header_handler *handle, void *data);
 const char *httpd_query (const struct httpd_request *request,
                          const char *name);
+void httpd_set_head_length (struct httpd_request *request, int64_t length);
 void httpd_add_header (struct httpd_request *request, const char *name,
                        const char *value);
 void httpd_add_retry_after (struct httpd_request *request,
--- a/include/request/response.h
+++ b/include/request/response.h
@@ -41,6 +41,7 @@
      negative if it names no limit. */
   int64_t limit_milli;
   bool has_malformed_limit;
+  int64_t content_length; /* negative if it states none */
   struct header *headers; /* forwarded to the caller */
   size_t header_count;
 };
--- a/request/response.c
+++ b/request/response.c
@@ -127,9 +127,9 @@
 void
 response_head_init (struct response_head *head)
 {
-  *head = (struct response_head){ .running = -1,
-                                  .waiting = -1,
-                                  .limit_milli = -1 };
+  *head = (struct response_head){
+    .running = -1, .waiting = -1, .limit_milli = -1, .content_length = -1
+  };
 }
 
 /* Frees the content of HEAD and initializes it again.  */
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -76,6 +76,7 @@
   { "cold endpoints", NULL, NULL, NULL, NULL, cold_fleet_tests },
   { "cut-off hosts", NULL, NULL, NULL, NULL, cut_off_hosts_tests },
   { "link memory", NULL, NULL, NULL, NULL, link_memory_tests },
+  { "methods", NULL, NULL, NULL, NULL, methods_tests },
   { "lossy paths", NULL, NULL, NULL, NULL, lossy_paths_tests },
   { "speed", NULL, NULL, NULL, NULL, speed_tests },
   { "speed fleet", NULL, NULL, NULL, NULL, speed_fleet_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -14,6 +14,7 @@
 extern CU_TestInfo config_versions_tests[];
 extern CU_TestInfo conversation_keeper_tests[];
 extern CU_TestInfo conversation_losses_tests[];
+extern CU_TestInfo methods_tests[];
 extern CU_TestInfo conversation_client_tests[];
 extern CU_TestInfo conversation_requests_tests[];
 extern CU_TestInfo crash_fleet_tests[];
