httpd: refuse heads that can be read in two ways

Lines that the host overlooked were passed on to the endpoint as they were.

Cause: libmicrohttpd reads heads leniently, and nothing looked at what it had read.

Evidence: the new unit-hidden-requests sends 63 heads with a request hidden behind each.

Change: common/request_head.c checks each head before a handler sees it. As libmicrohttpd parses in place, the addresses of the parts tell whether they are all that arrived. A request that fails is answered 400, its connection closed, counted as heads_refused and logged. A helping host refuses such lines of a build before.

Measured: all 63 are refused within 500 ms and nothing runs; 12 unusual but sound heads are served.

--- a/common/counters.c
+++ b/common/counters.c
@@ -73,6 +73,7 @@
   [COUNTER_HOPELESS_REFUSED] = "hopeless_refused",
   [COUNTER_BUFFERED_BYTES] = "buffered_bytes",
   [COUNTER_READERS_CUT] = "readers_cut",
+  [COUNTER_HEADS_REFUSED] = "heads_refused",
   [COUNTER_BODIES_REFUSED] = "bodies_refused",
   [COUNTER_REFUSED_MEMORY] = "requests_refused_memory",
   [COUNTER_IDLE_CONNECTIONS_DROPPED] = "idle_connections_dropped",
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -4,6 +4,7 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "common/memory.h"
+#include "common/request_head.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <linux/sockios.h>
@@ -402,6 +403,40 @@
   httpd_respond_error (request, &error);
 }
 
+/* Refuses a request whose head can be read in more than one way, and closes
+   its connection, so that nothing that follows the head runs.  */
+static void
+refuse_head (struct httpd_request *request, const char *fault)
+{
+  struct error error;
+
+  counter_add (COUNTER_HEADS_REFUSED, 1);
+  log_write (LOG_INFO, "httpd", NULL, "refused the head of a request: %s",
+             fault);
+  error_set (&error, ERROR_BAD_REQUEST, RUN_NOT_RUN,
+             "the head of the request is not valid: %s", fault);
+  httpd_add_header (request, "Connection", "close");
+  httpd_respond_error (request, &error);
+}
+
+/* Handles the head of REQUEST, which has arrived as a whole.  */
+static void
+handle_head (struct httpd_request *request, const struct request_head *head)
+{
+  struct httpd *httpd = request->httpd;
+  const char *fault = request_head_find_fault (head);
+
+  request->method = xstrdup (head->method);
+  request->lacks_chunks = strcmp (head->version, MHD_HTTP_VERSION_1_0) == 0;
+  request->path = xstrdup (head->url);
+  if (fault)
+    refuse_head (request, fault);
+  else if (httpd->destroying)
+    refuse_while_destroying (request);
+  else if (httpd->options.handle_headers)
+    httpd->options.handle_headers (httpd->options.data, request);
+}
+
 /* libmicrohttpd calls this once after the headers, then for each part of the
    body, and then without data until a response is queued.  */
 static enum MHD_Result
@@ -414,13 +449,14 @@
 
   if (!request->method)
     {
-      request->method = xstrdup (method);
-      request->lacks_chunks = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
-      request->path = xstrdup (url);
-      if (httpd->destroying)
-        refuse_while_destroying (request);
-      else if (httpd->options.handle_headers)
-        httpd->options.handle_headers (httpd->options.data, request);
+      handle_head (request,
+                   &(struct request_head){ .connection = connection,
+                                           .method = method,
+                                           .url = url,
+                                           .version = version,
+                                           .target = request->target,
+                                           .single_headers
+                                           = httpd->options.single_headers });
       if (request->state == HTTPD_RESPONDED)
         return queue_response (request);
       return MHD_YES;
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -81,6 +81,7 @@
   COUNTER_HOPELESS_REFUSED, /* deadlines shorter than any answer takes */
   COUNTER_BUFFERED_BYTES,   /* a gauge */
   COUNTER_READERS_CUT,      /* callers that did not read */
+  COUNTER_HEADS_REFUSED,    /* that can be read in more than one way */
   COUNTER_BODIES_REFUSED,   /* for which there was no memory */
   COUNTER_REFUSED_MEMORY,   /* requests, before anything was held for them */
   COUNTER_IDLE_CONNECTIONS_DROPPED, /* of callers, for lack of memory */
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -38,6 +38,9 @@
   const char *cert_pem; /* NULL for plain HTTP */
   const char *key_pem;  /* NULL for plain HTTP */
   const char *ca_pem;   /* requests client certificates; may be NULL */
+  /* Names of headers that may come once, beside those of HTTP;
+     NULL-terminated or NULL. */
+  const char *const *single_headers;
   /* May respond early, or call httpd_discard_body; may be NULL. */
   httpd_handler *handle_headers;
   httpd_handler *handle_request;
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -28,6 +28,8 @@
    work takes now. */
 #define WIRE_ENDPOINT_LOAD "Server-Load"
 
+extern const char *const wire_single_headers[];
+
 bool wire_is_hop_by_hop_header (const char *name);
 bool wire_is_reserved_header (const char *name);
 
--- a/request/relay_server.c
+++ b/request/relay_server.c
@@ -3,6 +3,7 @@
 #include "common/id.h"
 #include "common/log.h"
 #include "common/memory.h"
+#include "common/request_head.h"
 #include "policy/failure_detector.h"
 #include "request/observation.h"
 #include "request/relay.h"
@@ -394,6 +395,17 @@
   return RELAY_BYTES + (int64_t)send->body.len;
 }
 
+/* Whether the headers can be read in one way only: a host of a build before
+   passes on what its caller sent.  */
+static bool
+has_sound_headers (const Peer__RelaySend *send)
+{
+  for (size_t i = 0; i < send->n_headers; i++)
+    if (!request_head_is_field (send->headers[i]))
+      return false;
+  return true;
+}
+
 /* Returns why a request is not sent, or RELAY_NOT_REFUSED.  */
 static enum relay_refusal
 check (const struct relay_server *server, const Peer__RelaySend *send,
@@ -411,7 +423,8 @@
     return RELAY_NO_PATH;
   if (endpoint->limit_milli >= 0 && !send->has_permit)
     return RELAY_NO_PERMIT;
-  if (!*send->method || !*send->target || send->timeout_ms == 0)
+  if (!*send->method || !*send->target || send->timeout_ms == 0
+      || !has_sound_headers (send))
     return RELAY_MALFORMED;
   return RELAY_NOT_REFUSED;
 }
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -75,6 +75,8 @@
     conversation_requests_tests },
   { "cold endpoints", NULL, NULL, NULL, NULL, cold_fleet_tests },
   { "cut-off hosts", NULL, NULL, NULL, NULL, cut_off_hosts_tests },
+  { "hidden requests", NULL, NULL, NULL, NULL, hidden_requests_tests },
+  { "null line ends", NULL, NULL, NULL, NULL, null_line_ends_tests },
   { "link memory", NULL, NULL, NULL, NULL, link_memory_tests },
   { "methods", NULL, NULL, NULL, NULL, methods_tests },
   { "lossy paths", NULL, NULL, NULL, NULL, lossy_paths_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -14,6 +14,8 @@
 extern CU_TestInfo config_versions_tests[];
 extern CU_TestInfo conversation_keeper_tests[];
 extern CU_TestInfo conversation_losses_tests[];
+extern CU_TestInfo hidden_requests_tests[];
+extern CU_TestInfo null_line_ends_tests[];
 extern CU_TestInfo methods_tests[];
 extern CU_TestInfo conversation_client_tests[];
 extern CU_TestInfo conversation_requests_tests[];
