ledger: a minority's part of a budget is left alone after a lost disk

Two of three keepers were killed, the third one granted 198 tokens alone and lost its disk.

Cause: what fewer than a majority grant is on few disks until a cut ends. When they are lost before, the others hand the same part of the budget out again. Besides, a turn could begin below 45 %, so that two minorities exceeded the budget together, and a keeper granted alone by what it had known before an earlier cut.

Change: a keeper that starts with an empty disk tells the others, which keep that on disk and tell each other. As long as programs are kept, a majority then grants 55 % at most and fewer nothing. Below a majority charges reach 45 % at most, and only where all that are silent fell silent at the same time.

--- a/common/id.c
+++ b/common/id.c
@@ -62,3 +62,13 @@
 {
   return clock_now_us () / 1000;
 }
+
+/* Returns the time of day in milliseconds since 1970.  */
+int64_t
+clock_unix_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
--- a/include/common/id.h
+++ b/include/common/id.h
@@ -16,5 +16,6 @@
 uint64_t id_hash_text (const char *text);
 int64_t clock_now_ms (void);
 int64_t clock_now_us (void);
+int64_t clock_unix_ms (void);
 
 #endif
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -508,7 +508,8 @@
    */
   protobuf_c_boolean behind;
   /*
-   * it has not read the others since it started
+   * It may not know what others granted below a majority: it has not read them
+   * since it started, or a disk with such grants was lost.
    */
   protobuf_c_boolean unsynced;
 };
@@ -553,10 +554,18 @@
    * hash of the list of keepers that the sender has
    */
   uint64_t list;
+  /*
+   * the sender started with an empty one
+   */
+  protobuf_c_boolean has_lost_disk;
+  /*
+   * as in a page
+   */
+  uint32_t doubtful_ms;
 };
 #define PEER__LEDGER_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_ask__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Peer__LedgerPage
@@ -574,10 +583,14 @@
    * of the question, if the page holds all that it asks for
    */
   uint64_t list;
+  /*
+   * For how much longer programs may have charges that were lost with a disk.
+   */
+  uint32_t doubtful_ms;
 };
 #define PEER__LEDGER_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__ledger_page__descriptor) \
-    , 0,NULL, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/include/policy/charges.h
+++ b/include/policy/charges.h
@@ -39,12 +39,25 @@
 {
   /* Unless all keepers answer, the network may be partitioned and both sides
      may charge the same program. The side with a majority may charge up to the
-     first percentage of the budget; on the minority side a turn may begin
-     below the second. Together they exceed the budget by at most one turn.
-     Two sides with half of the keepers may each charge up to the third.  */
+     first percentage of the budget, others up to the second, so that two sides
+     that do not know of each other stay within the budget.  */
   CHARGES_MAJORITY_PERCENT = 55,
   CHARGES_MINORITY_PERCENT = 45,
-  CHARGES_HALF_PERCENT = 50,
+};
+
+/* Whether a turn may run. */
+struct charges_question
+{
+  int64_t total; /* charged by the answers, with this reservation */
+  int64_t budget;
+  uint32_t answers; /* of keepers that have it on their disks */
+  uint32_t keepers;
+  /* Charges may be missing from the total: a keeper did not answer, or
+     answered that it is behind. */
+  bool has_missing_answers;
+  /* A keeper that answered may not know what others granted below a majority.
+   */
+  bool is_unsynced;
 };
 
 bool charges_merge (struct charges *charges, const struct charge *entry);
@@ -54,10 +67,6 @@
 void charges_release (struct charges *charges);
 uint32_t charges_quorum (uint32_t keepers);
 uint32_t charges_read_quorum (uint32_t keepers);
-enum charges_verdict charges_decide (int64_t total, int64_t budget,
-                                     int64_t turn_tokens, uint32_t answers,
-                                     uint32_t keepers,
-                                     bool has_missing_answers,
-                                     bool is_unsynced);
+enum charges_verdict charges_decide (const struct charges_question *question);
 
 #endif
--- a/ledger/keeper.c
+++ b/ledger/keeper.c
@@ -40,6 +40,12 @@
      practice. */
   MARKER_PROGRAM = 1,
   MARKER_SOURCE = 1,
+  /* Of charges that may be lost with a disk, see note_lost_charges. */
+  DOUBT_SOURCE = 2,
+  DOUBT_STEP_MS = 1000, /* a longer doubt is recorded in such steps */
+  /* Keepers that a cut makes silent are last heard within this time: pings are
+     PROBE_INTERVAL_MS apart. */
+  CUT_SPREAD_MS = 1200,
   /* A full disk refuses charges for a while. */
   REWRITE_INTERVAL_MS = 250,
   REWRITTEN_PROGRAMS = 256, /* at a time */
@@ -64,6 +70,9 @@
   bool is_read;            /* read in full since it was last silent, by the
                               list that both have */
   bool is_silent;        /* for SILENT_MS; it may hold charges unknown here */
+  int64_t heard_ms;      /* when it was last heard, as of the last probe */
+  bool was_complete;     /* it has been read as complete since this host
+                            started, or was listed before */
   bool is_complete;      /* its own is_complete, as of its last page */
   bool has_ledger;       /* it has acknowledged the ledger that was sent */
   uint64_t hand_over_id; /* id of the last item of the ledger as sent */
@@ -90,8 +99,12 @@
   uint64_t synced_list;
   bool is_caught_up; /* has read the others since it started */
   int64_t list_changed_ms;
-  bool is_complete;          /* see keeper_is_complete */
-  bool is_disk_lost;         /* the store had no marker on a restart */
+  bool is_complete;  /* see keeper_is_complete */
+  bool is_disk_lost; /* the store had no marker on a restart */
+  /* Until then, programs may have charges that were lost with a disk. */
+  int64_t doubtful_until_ms;
+  /* The same, as this host may have replaced a disk itself. */
+  int64_t own_doubt_until_ms;
   uint32_t programs_loading; /* programs not yet read from the store */
   uint32_t reads_storing;    /* charges that were read, not yet on disk */
   GHashTable *refused;       /* programs with charges that the store refused */
@@ -232,14 +245,22 @@
                      &account->charges.entries[i]);
 }
 
-/* Returns whether another keeper of ACCOUNT may hold charges that this one
-   lacks.  */
+static int64_t
+doubt_left_ms (const struct keeper *keeper)
+{
+  return MAX (keeper->doubtful_until_ms - clock_now_ms (), 0);
+}
+
+/* Whether charges of a program may have been lost with a disk, or another
+   keeper of ACCOUNT may hold charges that this one lacks.  */
 static bool
 is_behind (const struct keeper *keeper, struct account *account)
 {
   const struct keeper_replicas *replicas = account_replicas (keeper, account);
 
-  if (keeper->list == 0 || keeper->list != keeper->synced_list)
+  if (keeper->list == 0 || keeper->list != keeper->synced_list
+      || doubt_left_ms (keeper) > 0
+      || keeper->own_doubt_until_ms > clock_now_ms ())
     return true;
   for (uint32_t i = 0; i < replicas->count; i++)
     {
@@ -253,6 +274,36 @@
   return false;
 }
 
+/* Whether this keeper knows what was charged to ACCOUNT up to the cut that
+   parts it from others now: it had read them, and they fell silent at the same
+   time.  Those that fell silent earlier may since have been with the others,
+   and these with them.  */
+static bool
+knows_charges_before_cut (const struct keeper *keeper, struct account *account)
+{
+  const struct keeper_replicas *replicas = account_replicas (keeper, account);
+  int64_t first_ms = INT64_MAX;
+  int64_t last_ms = 0;
+
+  if (!keeper->is_caught_up || doubt_left_ms (keeper) > 0)
+    return false;
+  for (uint32_t i = 0; i < replicas->count; i++)
+    {
+      const struct remote_keeper *remote;
+
+      if (replicas->keepers[i] >= keeper->remote_count)
+        continue;
+      remote = &keeper->remotes[replicas->keepers[i]];
+      if (!remote->is_read || !remote->is_complete)
+        return false;
+      if (!remote->is_silent)
+        continue;
+      first_ms = MIN (first_ms, remote->heard_ms);
+      last_ms = MAX (last_ms, remote->heard_ms);
+    }
+  return last_ms - first_ms <= CUT_SPREAD_MS || last_ms == 0;
+}
+
 /* Whether this host is one of the keepers of ACCOUNT by SET.  */
 static bool
 is_own_by (const struct keeper *keeper, const struct keeper_set *set,
@@ -299,7 +350,7 @@
   answer.entries = list;
   answer.n_entries = count;
   answer.behind = is_behind (keeper, account);
-  answer.unsynced = !keeper->is_caught_up;
+  answer.unsynced = !knows_charges_before_cut (keeper, account);
   answers.answers = &only;
   answers.n_answers = 1;
   frame.body_case = PEER__FRAME__BODY_LEDGER_ANSWERS;
@@ -419,6 +470,36 @@
   append_item (keeper, item, handle_answered_item_stored, pending);
 }
 
+/* Notes that charges may have been lost with a disk, which matters as long as
+   programs may go on that were charged there, for another LEFT_MS.  Few
+   keepers may have granted them, so that no other one knows of them: until
+   then a majority leaves their part of each budget alone, and fewer grant
+   nothing.  */
+static void
+note_lost_charges (struct keeper *keeper, int64_t left_ms, const char *name)
+{
+  int64_t until_ms
+      = clock_now_ms () + MIN (left_ms, keeper->options.retention_ms);
+  Peer__LedgerItem item;
+  struct charge charge = { .source = DOUBT_SOURCE };
+
+  if (until_ms <= keeper->doubtful_until_ms + DOUBT_STEP_MS)
+    return;
+  if (doubt_left_ms (keeper) == 0)
+    log_write (
+        LOG_WARN, "keeper", NULL,
+        "the disk of keeper %s was lost, as this host knows or %s says; "
+        "parts of budgets are withheld for %" PRId64 " ms",
+        name, name, until_ms - clock_now_ms ());
+  keeper->doubtful_until_ms = until_ms;
+  /* Kept over restarts, by the time of day. */
+  charge.version = (uint64_t)clock_unix_ms ();
+  charge.tokens = clock_unix_ms () + until_ms - clock_now_ms ();
+  ledger_item_set (&item, MARKER_PROGRAM, &charge);
+  if (merge_item (keeper, &item))
+    store_item (keeper, &item, false);
+}
+
 /* Returns the index of the keeper NAME, or -1 if it is not on the list.  */
 static int32_t
 find_remote_index (const struct keeper *keeper, const char *name)
@@ -493,6 +574,19 @@
   return FALSE;
 }
 
+/* Notes what the question of HOST tells of its disk.  One that is new on the
+   list has none to lose.  */
+static void
+note_ask (struct keeper *keeper, const char *host, const Peer__LedgerAsk *ask)
+{
+  const struct remote_keeper *remote = find_remote (keeper, host);
+
+  if (ask->doubtful_ms > 0)
+    note_lost_charges (keeper, ask->doubtful_ms, host);
+  if (ask->has_lost_disk && remote && remote->was_complete)
+    note_lost_charges (keeper, keeper->options.retention_ms, host);
+}
+
 /* Sends the page that ASK asks for to the keeper on HOST.  Sends nothing while
    the ledger is being loaded, and none to a host with another list: what it
    has to hold depends on that, and this keeper may still answer by its own.  A
@@ -509,6 +603,7 @@
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LedgerPage answer = PEER__LEDGER_PAGE__INIT;
 
+  note_ask (keeper, host, ask);
   if (keeper->programs_loading > 0 || (ask->list && ask->list != keeper->list))
     return;
   g_tree_foreach (keeper->accounts, add_to_page, &page);
@@ -519,6 +614,7 @@
   answer.last = !page.has_more;
   answer.whole = keeper->is_complete;
   answer.list = keeper->list;
+  answer.doubtful_ms = (uint32_t)doubt_left_ms (keeper);
   frame.body_case = PEER__FRAME__BODY_LEDGER_PAGE;
   frame.ledger_page = &answer;
   send_frame (keeper, host, &frame);
@@ -684,6 +780,8 @@
   for (size_t i = 0; i < page->n_items; i++)
     if (merge_item (keeper, page->items[i]))
       store_item (keeper, page->items[i], true);
+  if (page->doubtful_ms > 0)
+    note_lost_charges (keeper, page->doubtful_ms, host);
   if (!remote)
     return;
   remote->last_request_ms = 0;
@@ -695,6 +793,7 @@
   is_whole = page->whole && (remote->page_after == 0 || remote->is_complete);
   remote->page_after = page->next;
   remote->is_complete = is_whole;
+  remote->was_complete = remote->was_complete || is_whole;
   if (page->last && !remote->is_read)
     log_write (LOG_INFO, "keeper", NULL,
                "read the ledger of keeper %s, which is %s: %zu charges on the "
@@ -761,17 +860,35 @@
   check_synced (keeper);
 }
 
+/* Reads for how long charges may be missing, as of before the start.  */
+static void
+restore_doubt (struct keeper *keeper)
+{
+  uint64_t program = MARKER_PROGRAM;
+  const struct account *account = g_tree_lookup (keeper->accounts, &program);
+  const struct charge *doubt
+      = account ? charges_find (&account->charges, DOUBT_SOURCE) : NULL;
+
+  if (keeper->is_disk_lost)
+    keeper->own_doubt_until_ms
+        = clock_now_ms () + keeper->options.retention_ms;
+  if (doubt && doubt->tokens > clock_unix_ms ())
+    keeper->doubtful_until_ms = clock_now_ms ()
+                                + MIN (doubt->tokens - clock_unix_ms (),
+                                       keeper->options.retention_ms);
+}
+
 /* Decides, when the last program has been read from the store, whether the
    disk was lost.  */
 static void
 finish_loading (struct keeper *keeper)
 {
-  uint64_t marker = MARKER_PROGRAM;
-  bool has_marker = g_tree_lookup (keeper->accounts, &marker) != NULL;
+  bool has_marker = find_marker (keeper) != NULL;
 
   keeper->is_disk_lost = !has_marker && !keeper->options.first_start;
+  restore_doubt (keeper);
   keeper->is_complete = !keeper->is_disk_lost;
-  if (find_marker (keeper))
+  if (has_marker)
     keeper->synced_list = (uint64_t)find_marker (keeper)->tokens;
   keeper->is_caught_up = keeper->options.first_start && !has_marker;
   if (keeper->is_complete && !has_marker)
@@ -872,6 +989,8 @@
 
       if (known)
         remotes[i] = *known;
+      else
+        remotes[i].was_complete = keeper->generation == 0;
       remotes[i].name = xstrdup (keeper->set.names[i]);
       if (!is_selective)
         continue;
@@ -881,6 +1000,18 @@
     }
 }
 
+/* Notes the keepers that are no longer listed.  One that was silent has not
+   handed its ledger over.  */
+static void
+note_removals (struct keeper *keeper)
+{
+  for (size_t i = 0; i < keeper->remote_count; i++)
+    if (keeper->remotes[i].is_silent
+        && keeper_set_find (&keeper->set, keeper->remotes[i].name) < 0)
+      note_lost_charges (keeper, keeper->options.retention_ms,
+                         keeper->remotes[i].name);
+}
+
 /* Sets the list of other keepers.  */
 void
 keeper_set_others (struct keeper *keeper, const struct host_location *others,
@@ -901,6 +1032,7 @@
   if (keeper_set_assign (&keeper->set, all, count + 1, keeper->options.losses))
     {
       keeper->list = keeper_set_hash (&keeper->set);
+      note_removals (keeper);
       carry_remotes_over (keeper, remotes);
       release_remotes (keeper->remotes, keeper->remote_count);
       keeper->remotes = remotes;
@@ -931,6 +1063,8 @@
   frame.body_case = PEER__FRAME__BODY_LEDGER_ASK;
   frame.ledger_ask = &ask;
   ask.list = keeper->list;
+  ask.has_lost_disk = keeper->is_disk_lost && !keeper->is_complete;
+  ask.doubtful_ms = (uint32_t)doubt_left_ms (keeper);
   for (size_t i = 0; i < keeper->remote_count; i++)
     {
       struct remote_keeper *remote = &keeper->remotes[i];
@@ -1176,6 +1310,7 @@
 
       if (heard_ms < keeper->started_ms)
         heard_ms = keeper->started_ms;
+      remote->heard_ms = heard_ms;
       if (now_ms - heard_ms > SILENT_MS)
         remote->is_silent = true;
       else if (remote->is_silent)
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -324,11 +324,14 @@
       &reservation->state->ledger->set, reservation->state->program);
   uint32_t answers = count_answers (reservation, &replicas);
 
-  return charges_decide (charges_total (&reservation->state->charges),
-                         reservation->budget, reservation->tokens, answers,
-                         replicas.count,
-                         reservation->is_behind || answers < replicas.count,
-                         reservation->is_unsynced);
+  return charges_decide (&(struct charges_question){
+      .total = charges_total (&reservation->state->charges),
+      .budget = reservation->budget,
+      .answers = answers,
+      .keepers = replicas.count,
+      .has_missing_answers
+      = reservation->is_behind || answers < replicas.count,
+      .is_unsynced = reservation->is_unsynced });
 }
 
 /* Handles the timeout of a reservation.  The first time, sends the request
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -5095,7 +5095,7 @@
   (ProtobufCMessageInit) peer__ledger_relay__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ledger_ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__ledger_ask__field_descriptors[4] =
 {
   {
     "after",
@@ -5121,15 +5121,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_lost_disk",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerAsk, has_lost_disk),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "doubtful_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerAsk, doubtful_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__ledger_ask__field_indices_by_name[] = {
   0,   /* field[0] = after */
+  3,   /* field[3] = doubtful_ms */
+  2,   /* field[2] = has_lost_disk */
   1,   /* field[1] = list */
 };
 static const ProtobufCIntRange peer__ledger_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer__ledger_ask__descriptor =
 {
@@ -5139,14 +5165,14 @@
   "Peer__LedgerAsk",
   "peer",
   sizeof(Peer__LedgerAsk),
-  2,
+  4,
   peer__ledger_ask__field_descriptors,
   peer__ledger_ask__field_indices_by_name,
   1,  peer__ledger_ask__number_ranges,
   (ProtobufCMessageInit) peer__ledger_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__ledger_page__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__ledger_page__field_descriptors[6] =
 {
   {
     "items",
@@ -5208,8 +5234,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "doubtful_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LedgerPage, doubtful_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__ledger_page__field_indices_by_name[] = {
+  5,   /* field[5] = doubtful_ms */
   0,   /* field[0] = items */
   2,   /* field[2] = last */
   4,   /* field[4] = list */
@@ -5219,7 +5258,7 @@
 static const ProtobufCIntRange peer__ledger_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__ledger_page__descriptor =
 {
@@ -5229,7 +5268,7 @@
   "Peer__LedgerPage",
   "peer",
   sizeof(Peer__LedgerPage),
-  5,
+  6,
   peer__ledger_page__field_descriptors,
   peer__ledger_page__field_indices_by_name,
   1,  peer__ledger_page__number_ranges,
--- a/policy/charges.c
+++ b/policy/charges.c
@@ -66,32 +66,26 @@
   return keepers - charges_quorum (keepers) + 1;
 }
 
-/* Decides whether a turn may run that reserves TURN_TOKENS of its program's
-   BUDGET.  TOTAL is all that is charged to the program, with this reservation,
-   by the ANSWERS of the KEEPERS.  HAS_MISSING_ANSWERS: charges may be missing
-   from TOTAL, because a keeper did not answer or answered that it is behind.
-   IS_UNSYNCED: a keeper that answered has not read the others since it
-   started, so that fewer than a majority decide nothing: after a loss of power
-   of all, the first ones to answer may lack most of a program's charges. Of
-   two turns that are reserved concurrently, at least one keeper sees both
-   reservations, so both are granted only if both fit.  */
+/* Decides QUESTION.  Fewer than a majority decide nothing where a keeper that
+   answered may not know what others granted, or what was forgotten with a lost
+   disk.  Of two turns that are reserved concurrently, at least one keeper sees
+   both reservations, so both are granted only if both fit.  */
 enum charges_verdict
-charges_decide (int64_t total, int64_t budget, int64_t turn_tokens,
-                uint32_t answers, uint32_t keepers, bool has_missing_answers,
-                bool is_unsynced)
+charges_decide (const struct charges_question *question)
 {
+  uint32_t keepers = question->keepers;
+  uint32_t answers = question->answers;
+  int64_t budget = question->budget;
   bool has_majority = keepers > 0 && answers >= charges_quorum (keepers);
   int64_t limit = budget;
 
-  if (total > budget)
+  if (question->total > budget)
     return CHARGES_EXHAUSTED;
-  if (answers == 0 || (!has_majority && is_unsynced))
+  if (answers == 0 || (!has_majority && question->is_unsynced))
     return CHARGES_UNDECIDED;
-  if (!has_majority && 2 * answers == keepers)
-    limit = budget * CHARGES_HALF_PERCENT / 100;
-  else if (!has_majority)
-    limit = budget * CHARGES_MINORITY_PERCENT / 100 + turn_tokens;
-  else if (has_missing_answers)
+  if (!has_majority)
+    limit = budget * CHARGES_MINORITY_PERCENT / 100;
+  else if (question->has_missing_answers)
     limit = budget * CHARGES_MAJORITY_PERCENT / 100;
-  return total <= limit ? CHARGES_GRANTED : CHARGES_UNDECIDED;
+  return question->total <= limit ? CHARGES_GRANTED : CHARGES_UNDECIDED;
 }
--- a/test/fleet/keeper_fleet.c
+++ b/test/fleet/keeper_fleet.c
@@ -8,11 +8,14 @@
 
    After each step: of the keepers that store a program by the list, fewer than
    a majority answer for it without an acknowledged charge, so that any
-   majority of answers has it.
+   majority of answers has it.  Entry hosts on both sides of a cut spend
+   budgets, and forget at once what they have spent: no program is granted more
+   than its budget and one turn.
 
    Usage: keeper-fleet FIRST_SEED COUNT [FAULT]
    A planted FAULT must be found, so that the program then succeeds if some
-   seed fails: unsynced-answers, lost-writes, blind-lists, few-answers.  */
+   seed fails: unsynced-answers, lost-writes, blind-lists, few-answers,
+   untold-losses.  */
 #include "common/buf.h"
 #include "common/id.h"
 #include "common/log.h"
@@ -42,12 +45,25 @@
   LIST_LAG_MS = 1500, /* within which all hosts get a new list */
   CATCH_UP_MS = 4000, /* after which a lost machine counts as back */
   EVENT_MS = 700,     /* mean time between events */
+  /* The same of every other seed: there, cuts find keepers that may grant
+     parts of budgets below a majority, as no disk was lost for long. */
+  RARE_EVENT_MS = 7000,
   RUN_MS = 60000,
-  RETENTION_MS = 180000,
+  /* Longer than a program is charged, or rests between its charges. */
+  RETENTION_MS = 20000,
   ABSENT_MS = 8000,
   CHECK_MS = 20,
   LOST_FRAMES = 3, /* one of so many frames to a keeper */
+  SPENDERS = 4,    /* entry hosts that spend budgets */
+  BUDGETS = 64,    /* programs with one */
+  BUDGET_TOKENS = 1000,
+  MAX_TURN_TOKENS = 300,
+  SPEND_MS = 60,        /* between turns of a spender */
+  SPEND_ANSWER_MS = 40, /* after which it decides */
+  BUDGET_MS = 1500,     /* after which the next program begins */
+  BUDGETS_AT_ONCE = 6,  /* programs that run at a time */
   ACTIVE_MS = 700,
+  DOWN_MS = 900, /* of keepers that are killed together */
   WRITE_MS = 12, /* between charges of a writer */
 };
 
@@ -87,6 +103,8 @@
   bool is_retiring;
   bool has_started;
   int64_t lost_until_ms; /* counts as a lost disk before */
+  int64_t wipe_due_ms;   /* loses its disk then; 0 for never */
+  int64_t start_due_ms;  /* is down until then; 0 if it is not */
   int64_t list_due_ms;
   uint64_t list; /* that it has: bits of slots */
   int64_t heard_ms[SLOTS];
@@ -108,6 +126,7 @@
   uint64_t id;
   int writer;
   int program;
+  uint64_t source;
   uint64_t version;
   uint64_t answered; /* bits of slots */
   uint64_t replicas; /* by the writer's list when it was sent */
@@ -133,9 +152,32 @@
   void *data_arg;
 };
 
+/* A program whose turns spend a budget. */
+struct budget
+{
+  int64_t turn_tokens;
+  int64_t granted_tokens;
+};
+
+/* A turn that waits for the keepers' answers. */
+struct spending
+{
+  uint64_t id;
+  int spender;
+  int program;
+  uint64_t source;
+  uint64_t replicas; /* bits of slots */
+  uint64_t answered;
+  struct charges charges;
+  bool is_behind;
+  bool is_unsynced;
+  int64_t decide_ms;
+};
+
 struct fleet
 {
   int64_t now_ms;
+  int64_t event_ms; /* mean time between events */
   uint64_t seed;
   struct node nodes[SLOTS];
   struct writer writers[WRITERS];
@@ -147,8 +189,12 @@
       cut; /* bits of slots that do not reach the others, nor these them */
   int64_t cut_until_ms;
   bool refuses_writes; /* disks take RING_JOBS only */
+  struct budget budgets[BUDGETS];
+  GQueue spendings; /* struct spending, in the order of decide_ms */
   uint32_t acks;
   uint32_t violations;
+  uint32_t grants;
+  uint32_t small_grants; /* below a majority */
 };
 
 static struct fleet *the_fleet;
@@ -163,6 +209,14 @@
   return the_fleet->now_ms;
 }
 
+int64_t __wrap_clock_unix_ms (void);
+
+int64_t
+__wrap_clock_unix_ms (void)
+{
+  return the_fleet->now_ms;
+}
+
 static bool
 has_fault (const char *name)
 {
@@ -393,9 +447,16 @@
 
 /* Hosts.  */
 
+static bool is_spender_cut (const struct fleet *fleet, int spender, int slot);
+
 static bool
 is_cut (const struct fleet *fleet, int from, int to)
 {
+  if (from >= SLOTS + WRITERS)
+    return is_spender_cut (fleet, from - SLOTS - WRITERS, to);
+  if (to >= SLOTS + WRITERS)
+    return is_spender_cut (fleet, to - SLOTS - WRITERS, from);
+
   bool a = from < SLOTS && (fleet->cut >> from & 1);
   bool b = to < SLOTS && (fleet->cut >> to & 1);
 
@@ -611,6 +672,7 @@
   *pending = (struct pending_charge){ .id = next_random (fleet),
                                       .writer = index,
                                       .program = program,
+                                      .source = entry.source,
                                       .version = entry.version,
                                       .replicas = replicas_of (
                                           fleet, writer->list, program) };
@@ -656,8 +718,10 @@
           < (int)charges_quorum ((uint32_t)count_bits (pending->replicas)))
         continue;
       fleet->acks++;
-      if (pending->version
-              <= fleet->writers[pending->writer].version[pending->program]
+      /* What an entry host charged before it started anew has another source.
+       */
+      if (pending->source
+              == fleet->writers[pending->writer].source[pending->program]
           && pending->version
                  > fleet->acknowledged[pending->writer][pending->program])
         fleet->acknowledged[pending->writer][pending->program]
@@ -666,6 +730,176 @@
     }
 }
 
+/* Budgets.  */
+
+static uint64_t
+budget_hash (int program)
+{
+  return program_hash (PROGRAMS + program);
+}
+
+/* Half of the spenders are on the side of those that are cut off.  */
+static bool
+is_spender_cut (const struct fleet *fleet, int spender, int slot)
+{
+  bool is_slot_cut = (fleet->cut >> slot & 1) != 0;
+
+  return fleet->cut && is_slot_cut != (spender >= SPENDERS / 2);
+}
+
+static void
+send_charge (struct fleet *fleet, const struct spending *spending,
+             const struct charge *entry, uint64_t id)
+{
+  Peer__LedgerItem item;
+  Peer__LedgerItem *only = &item;
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LedgerWrite write = PEER__LEDGER_WRITE__INIT;
+
+  ledger_item_set (&item, budget_hash (spending->program), entry);
+  item.id = id;
+  write.items = &only;
+  write.n_items = 1;
+  frame.body_case = PEER__FRAME__BODY_LEDGER_WRITE;
+  frame.ledger_write = &write;
+  for (int i = 0; i < SLOTS; i++)
+    {
+      struct event *event;
+
+      if (!(spending->replicas >> i & 1)
+          || is_spender_cut (fleet, spending->spender, i))
+        continue;
+      event = xcalloc (1, sizeof *event);
+      event->kind = EVENT_FRAME;
+      event->from = SLOTS + WRITERS + spending->spender;
+      event->to = i;
+      packed_frame_append (&event->bytes, &frame);
+      schedule (fleet, event, 1 + draw (fleet, 4));
+    }
+}
+
+/* Has a spender reserve a turn, under a source of its own, as if each turn
+   were of an entry host that has started anew.  */
+static void
+spend (struct fleet *fleet, int spender)
+{
+  struct spending *spending = xcalloc (1, sizeof *spending);
+  int newest = (int)(fleet->now_ms / BUDGET_MS % BUDGETS);
+  struct charge entry;
+
+  spending->program
+      = (int)((newest + BUDGETS - draw (fleet, BUDGETS_AT_ONCE)) % BUDGETS);
+  spending->id = next_random (fleet);
+  spending->source = next_random (fleet);
+  spending->spender = spender;
+  spending->replicas
+      = replicas_of (fleet, fleet->list, PROGRAMS + spending->program);
+  spending->decide_ms = fleet->now_ms + SPEND_ANSWER_MS;
+  entry = (struct charge){
+    .source = spending->source,
+    .version = 1,
+    .tokens = fleet->budgets[spending->program].turn_tokens,
+  };
+  charges_merge (&spending->charges, &entry);
+  send_charge (fleet, spending, &entry, spending->id);
+  g_queue_push_tail (&fleet->spendings, spending);
+}
+
+static void
+take_spending_answer (struct fleet *fleet, int from,
+                      const Peer__LedgerAnswer *answer)
+{
+  for (GList *at = fleet->spendings.head; at; at = at->next)
+    {
+      struct spending *spending = at->data;
+
+      if (spending->id != answer->id)
+        continue;
+      spending->answered |= UINT64_C (1) << from;
+      spending->is_behind = spending->is_behind || answer->behind;
+      spending->is_unsynced = spending->is_unsynced || answer->unsynced;
+      for (size_t i = 0; i < answer->n_entries; i++)
+        {
+          struct charge entry = ledger_item_charge (answer->entries[i]);
+
+          charges_merge (&spending->charges, &entry);
+        }
+      return;
+    }
+}
+
+static void
+decide_spending (struct fleet *fleet, struct spending *spending)
+{
+  struct budget *budget = &fleet->budgets[spending->program];
+  uint32_t answers
+      = (uint32_t)count_bits (spending->answered & spending->replicas);
+  uint32_t keepers = (uint32_t)count_bits (spending->replicas);
+  struct charges_question question
+      = { .total = charges_total (&spending->charges),
+          .budget = BUDGET_TOKENS,
+          .answers = answers,
+          .keepers = keepers,
+          .has_missing_answers = spending->is_behind || answers < keepers,
+          .is_unsynced = spending->is_unsynced };
+  struct charge none = { .source = spending->source, .version = 2 };
+
+  if (has_fault ("untold-losses"))
+    {
+      question.has_missing_answers = answers < keepers;
+      question.is_unsynced = false;
+    }
+
+  if (charges_decide (&question) == CHARGES_GRANTED)
+    {
+      budget->granted_tokens += budget->turn_tokens;
+      tell (fleet,
+            "program %d: spender %d is granted %d, %d in sum, known "
+            "%d, by %llx of %llx, behind %d, unsynced %d",
+            spending->program, spending->spender, (int)budget->turn_tokens,
+            (int)budget->granted_tokens, (int)question.total,
+            (unsigned long long)spending->answered,
+            (unsigned long long)spending->replicas, spending->is_behind,
+            spending->is_unsynced);
+      fleet->grants++;
+      fleet->small_grants += answers < charges_quorum (keepers);
+    }
+  else
+    send_charge (fleet, spending, &none, 0);
+  if (budget->granted_tokens > BUDGET_TOKENS + budget->turn_tokens)
+    {
+      fleet->violations++;
+      tell (fleet, "program %d of %d a turn: %d tokens were granted",
+            spending->program, (int)budget->turn_tokens,
+            (int)budget->granted_tokens);
+      budget->granted_tokens = -BUDGET_TOKENS * BUDGETS; /* told once */
+    }
+}
+
+static void
+spending_destroy (gpointer data)
+{
+  struct spending *spending = data;
+
+  charges_release (&spending->charges);
+  free (spending);
+}
+
+static void
+decide_due_spendings (struct fleet *fleet)
+{
+  const struct spending *next;
+
+  while ((next = g_queue_peek_head (&fleet->spendings))
+         && next->decide_ms <= fleet->now_ms)
+    {
+      struct spending *spending = g_queue_pop_head (&fleet->spendings);
+
+      decide_spending (fleet, spending);
+      spending_destroy (spending);
+    }
+}
+
 /* Has hosts take any list for their own.  */
 static void
 blind (struct node *node, Peer__Frame *frame)
@@ -704,7 +938,15 @@
       if (has_fault ("blind-lists"))
         blind (node, frame);
       if (!node && frame->body_case == PEER__FRAME__BODY_LEDGER_ANSWERS)
-        handle_answers (fleet, event->from, frame->ledger_answers);
+        {
+          if (event->to < SLOTS + WRITERS)
+            handle_answers (fleet, event->from, frame->ledger_answers);
+          for (size_t i = 0; event->to >= SLOTS + WRITERS
+                             && i < frame->ledger_answers->n_answers;
+               i++)
+            take_spending_answer (fleet, event->from,
+                                  frame->ledger_answers->answers[i]);
+        }
       if (node && node->keeper)
         {
           if (event->from < SLOTS)
@@ -792,10 +1034,8 @@
 }
 
 static void
-wipe (struct fleet *fleet)
+wipe_node (struct fleet *fleet, struct node *node)
 {
-  struct node *node = &fleet->nodes[random_listed (fleet)];
-
   if (count_lost (fleet) >= LOSSES || node->is_retiring)
     return;
   tell (fleet, "k%d loses its disk", node->index);
@@ -806,6 +1046,12 @@
   node->lost_until_ms = fleet->now_ms + CATCH_UP_MS;
 }
 
+static void
+wipe (struct fleet *fleet)
+{
+  wipe_node (fleet, &fleet->nodes[random_listed (fleet)]);
+}
+
 static void
 lose_all_power (struct fleet *fleet)
 {
@@ -906,11 +1152,76 @@
   tell (fleet, "cut off: %llx", (unsigned long long)fleet->cut);
 }
 
+/* Kills all keepers of a random set but one, which loses its disk while the
+   others are down.  They are back within a second.  */
+static void
+kill_others (struct fleet *fleet)
+{
+  struct node *left = &fleet->nodes[random_listed (fleet)];
+
+  if (count_lost (fleet) >= LOSSES || !left->keeper || left->is_retiring)
+    return;
+  tell (fleet, "all but k%d are killed", left->index);
+  for (int i = 0; i < SLOTS; i++)
+    if (fleet->nodes[i].keeper && &fleet->nodes[i] != left
+        && !fleet->nodes[i].is_retiring)
+      {
+        stop_node (&fleet->nodes[i]);
+        fleet->nodes[i].start_due_ms = fleet->now_ms + DOWN_MS;
+      }
+  left->wipe_due_ms = fleet->now_ms + 1 + draw (fleet, DOWN_MS);
+}
+
+/* Cuts some off, of which one loses its disk before the end of the cut.  */
+static void
+cut_and_wipe (struct fleet *fleet)
+{
+  if (fleet->cut)
+    return;
+  cut_some (fleet);
+  for (int i = 0; i < SLOTS; i++)
+    if (fleet->cut >> i & 1)
+      {
+        fleet->nodes[i].wipe_due_ms = fleet->cut_until_ms - draw (fleet, 500);
+        return;
+      }
+}
+
+/* Starts the keepers that are due, and has those lose their disks that are.
+ */
+static void
+play_due (struct fleet *fleet)
+{
+  for (int i = 0; i < SLOTS; i++)
+    {
+      struct node *node = &fleet->nodes[i];
+
+      if (node->start_due_ms && node->start_due_ms <= fleet->now_ms)
+        {
+          node->start_due_ms = 0;
+          if (!node->keeper && !node->is_gone)
+            start_node (node, false);
+        }
+      if (!node->wipe_due_ms || node->wipe_due_ms > fleet->now_ms)
+        continue;
+      node->wipe_due_ms = 0;
+      if (!node->is_gone && node->is_listed)
+        wipe_node (fleet, node);
+    }
+}
+
 static void
 play_event (struct fleet *fleet)
 {
-  switch (draw (fleet, 9))
+  switch (draw (fleet, 12))
     {
+    case 9:
+      kill_others (fleet);
+      break;
+    case 10:
+    case 11:
+      cut_and_wipe (fleet);
+      break;
     case 0:
       wipe (fleet);
       break;
@@ -996,15 +1307,20 @@
           (event = g_queue_pop_head (&fleet->ring[fleet->now_ms % RING_MS])))
         handle_event (fleet, event);
       apply_due_lists (fleet);
+      play_due (fleet);
       tick_nodes (fleet);
       if (fleet->cut && fleet->now_ms >= fleet->cut_until_ms)
         fleet->cut = 0;
       for (int i = 0; i < WRITERS; i++)
         if ((fleet->now_ms + i * 3) % WRITE_MS == 0)
           charge (fleet, i);
+      decide_due_spendings (fleet);
+      for (int i = 0; i < SPENDERS; i++)
+        if ((fleet->now_ms + i * 7) % SPEND_MS == 0)
+          spend (fleet, i);
       if (fleet->now_ms >= event_at_ms)
         {
-          event_at_ms = fleet->now_ms + 1 + draw (fleet, 2 * EVENT_MS);
+          event_at_ms = fleet->now_ms + 1 + draw (fleet, 2 * fleet->event_ms);
           /* Now and then all is calm, so that what was begun comes to its
              end. */
           if (draw (fleet, 12) == 0)
@@ -1023,6 +1339,7 @@
 
   the_fleet = fleet;
   fleet->seed = seed;
+  fleet->event_ms = seed % 2 == 0 ? RARE_EVENT_MS : EVENT_MS;
   fleet->now_ms = 100000;
   fleet->pending
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free);
@@ -1055,6 +1372,8 @@
       for (int p = 0; p < PROGRAMS; p++)
         fleet->writers[i].source[p] = next_random (fleet);
     }
+  for (int i = 0; i < BUDGETS; i++)
+    fleet->budgets[i].turn_tokens = 10 + draw (fleet, MAX_TURN_TOKENS);
   return fleet;
 }
 
@@ -1071,6 +1390,7 @@
   for (int i = 0; i < RING_MS; i++)
     g_queue_clear_full (&fleet->ring[i], event_destroy);
   g_hash_table_destroy (fleet->pending);
+  g_queue_clear_full (&fleet->spendings, spending_destroy);
   free (fleet);
 }
 
@@ -1090,8 +1410,11 @@
       struct fleet *fleet = create_fleet (seed);
 
       run (fleet);
-      printf ("seed %" PRIu64 ": %u acknowledged, %u violations\n", seed,
-              fleet->acks, fleet->violations);
+      printf ("seed %" PRIu64
+              ": %u acknowledged, %u turns granted, %u of them "
+              "below a majority, %u violations\n",
+              seed, fleet->acks, fleet->grants, fleet->small_grants,
+              fleet->violations);
       failed += fleet->violations > 0;
       destroy_fleet (fleet);
     }
--- a/test/unit/test_charges.c
+++ b/test/unit/test_charges.c
@@ -34,19 +34,29 @@
                > keepers - 1);
 }
 
+static enum charges_verdict
+decide (int64_t total, int64_t budget, uint32_t answers, uint32_t keepers,
+        bool has_missing_answers, bool is_unsynced)
+{
+  struct charges_question question
+      = { .total = total,
+          .budget = budget,
+          .answers = answers,
+          .keepers = keepers,
+          .has_missing_answers = has_missing_answers,
+          .is_unsynced = is_unsynced };
+
+  return charges_decide (&question);
+}
+
 static void
 test_decision_by_answers (void)
 {
-  CU_ASSERT_EQUAL (charges_decide (1000, 1000, 90, 3, 4, false, false),
-                   CHARGES_GRANTED);
-  CU_ASSERT_EQUAL (charges_decide (1001, 1000, 90, 3, 4, false, false),
-                   CHARGES_EXHAUSTED);
-  CU_ASSERT_EQUAL (charges_decide (1000, 1000, 90, 2, 4, false, false),
-                   CHARGES_UNDECIDED);
-  CU_ASSERT_EQUAL (charges_decide (10, 1000, 10, 0, 4, true, false),
-                   CHARGES_UNDECIDED);
-  CU_ASSERT_EQUAL (charges_decide (10, 1000, 10, 0, 0, false, false),
-                   CHARGES_UNDECIDED);
+  CU_ASSERT_EQUAL (decide (1000, 1000, 3, 4, false, false), CHARGES_GRANTED);
+  CU_ASSERT_EQUAL (decide (1001, 1000, 3, 4, false, false), CHARGES_EXHAUSTED);
+  CU_ASSERT_EQUAL (decide (1000, 1000, 2, 4, false, false), CHARGES_UNDECIDED);
+  CU_ASSERT_EQUAL (decide (10, 1000, 0, 4, true, false), CHARGES_UNDECIDED);
+  CU_ASSERT_EQUAL (decide (10, 1000, 0, 0, false, false), CHARGES_UNDECIDED);
 }
 
 /* Both sides of a network partition know what was charged before it, and
@@ -63,13 +73,11 @@
         int64_t majority = before;
         int64_t minority = before;
 
-        while (
-            charges_decide (majority + turn, budget, turn, 3, 4, true, false)
-            == CHARGES_GRANTED)
+        while (decide (majority + turn, budget, 3, 4, true, false)
+               == CHARGES_GRANTED)
           majority += turn;
-        while (
-            charges_decide (minority + turn, budget, turn, 1, 4, true, false)
-            == CHARGES_GRANTED)
+        while (decide (minority + turn, budget, 1, 4, true, false)
+               == CHARGES_GRANTED)
           minority += turn;
         CU_ASSERT (majority + minority - before <= budget + turn);
       }
@@ -87,7 +95,7 @@
       {
         int64_t side = before;
 
-        while (charges_decide (side + turn, budget, turn, 3, 6, true, false)
+        while (decide (side + turn, budget, 3, 6, true, false)
                == CHARGES_GRANTED)
           side += turn;
         CU_ASSERT (2 * side - before <= budget + turn);
@@ -100,19 +108,58 @@
 static void
 test_unsynced_minority_decides_nothing (void)
 {
-  CU_ASSERT_EQUAL (charges_decide (10, 1000, 10, 2, 6, true, true),
-                   CHARGES_UNDECIDED);
-  CU_ASSERT_EQUAL (charges_decide (10, 1000, 10, 3, 6, true, true),
-                   CHARGES_UNDECIDED);
-  CU_ASSERT_EQUAL (charges_decide (10, 1000, 10, 2, 6, true, false),
-                   CHARGES_GRANTED);
-  CU_ASSERT_EQUAL (charges_decide (10, 1000, 10, 4, 6, true, true),
-                   CHARGES_GRANTED);
-  CU_ASSERT_EQUAL (charges_decide (1001, 1000, 10, 2, 6, true, true),
-                   CHARGES_EXHAUSTED);
+  CU_ASSERT_EQUAL (decide (10, 1000, 2, 6, true, true), CHARGES_UNDECIDED);
+  CU_ASSERT_EQUAL (decide (10, 1000, 3, 6, true, true), CHARGES_UNDECIDED);
+  CU_ASSERT_EQUAL (decide (10, 1000, 2, 6, true, false), CHARGES_GRANTED);
+  CU_ASSERT_EQUAL (decide (10, 1000, 4, 6, true, true), CHARGES_GRANTED);
+  CU_ASSERT_EQUAL (decide (1001, 1000, 2, 6, true, true), CHARGES_EXHAUSTED);
+}
+
+/* Guards against a majority that does not know what a half granted, as one of
+   the half has lost its disk and the other one is down.  */
+static void
+test_forgotten_half_exceeds_budget_by_one_turn (void)
+{
+  const int64_t budget = 1000;
+
+  for (int64_t turn = 1; turn <= 300; turn++)
+    {
+      int64_t half = 0;
+      int64_t majority = 0;
+
+      while (decide (half + turn, budget, 2, 4, true, false)
+             == CHARGES_GRANTED)
+        half += turn;
+      while (decide (majority + turn, budget, 3, 4, true, false)
+             == CHARGES_GRANTED)
+        majority += turn;
+      CU_ASSERT (half + majority <= budget + turn);
+    }
+}
+
+/* Guards against two minorities that do not know of each other, where one more
+   keeper is down beside a cut.  */
+static void
+test_two_minorities_stay_within_budget (void)
+{
+  const int64_t budget = 1000;
+
+  for (int64_t turn = 1; turn <= 600; turn++)
+    {
+      int64_t minority = 0;
+
+      while (decide (minority + turn, budget, 1, 3, true, false)
+             == CHARGES_GRANTED)
+        minority += turn;
+      CU_ASSERT (2 * minority <= budget + turn);
+    }
 }
 
 CU_TestInfo charges_tests[] = {
+  { "a forgotten half exceeds the budget by at most one turn",
+    test_forgotten_half_exceeds_budget_by_one_turn },
+  { "two minorities stay within the budget",
+    test_two_minorities_stay_within_budget },
   { "the newer version wins", test_newer_version_wins },
   { "two majorities share a keeper", test_two_majorities_share_a_keeper },
   { "a read quorum intersects each majority",
