fetch: a status that HTTP does not define as final is no answer

Cause: the status was what libcurl made of the line. It takes any three digits, HTTP/2 on a plain connection, and waits for another protocol after 101.

Evidence: the new unit-statuses plays 30 status lines in six framings on three kinds of route, directly and by a helping host.

Change: each status line is read in common/fetch.c and ends the transfer at once unless it is HTTP/1.0 or 1.1 with an interim or final status. 101 is neither, as no request asks for it. The caller of a relay checks the status, too, for helping hosts of a build before.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -28,7 +28,10 @@
   /* If the process has no limit: of all bodies while one of them is long. */
   MAX_LONG_BODIES_BYTES = 24 * 1024 * 1024,
   STATUS_DIGITS = 3,
-  FIRST_FINAL_STATUS = 200, /* lower ones are of interim responses */
+  FIRST_INTERIM_STATUS = 100,
+  FIRST_FINAL_STATUS = 200,
+  LAST_FINAL_STATUS = 599,
+  SWITCHING_PROTOCOLS = 101, /* which no request asks for */
 };
 
 struct socket_watch
@@ -71,7 +74,8 @@
   bool is_plain;         /* without TLS, so that a connection has one user */
   bool has_found_bytes;  /* unread ones, on the connection chosen for it */
   size_t head_bytes;     /* received */
-  long head_status;      /* of the head that is being received */
+  long head_status;      /* of the head that is being received; 0: none */
+  bool is_malformed;     /* the bytes are no response */
   bool is_head_complete; /* the head of the final response has arrived */
   bool is_refused;       /* by handle_head */
   enum fetch_framing framing;
@@ -163,7 +167,7 @@
   long system_error = 0;
   long connections = 0;
 
-  curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &result.status);
+  result.status = fetch_status (fetch);
   curl_easy_getinfo (fetch->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_easy_getinfo (fetch->easy, CURLINFO_OS_ERRNO, &system_error);
   result.framing = fetch->framing;
@@ -187,6 +191,8 @@
   result.resend_refused = fetch->resend_refused;
   result.reason = code == CURLE_OK && !result.complete
                       ? "the head of the response is incomplete"
+                  : fetch->is_malformed
+                      ? "the response has a status that is none"
                       : curl_easy_strerror (code);
   if (!fetch->is_cancelled && fetch->handle_done)
     fetch->handle_done (fetch->data, &result);
@@ -386,12 +392,48 @@
   return len;
 }
 
-/* Starts the head of a response, which follows those of any interim ones.  */
-static void
+/* Returns the status that LINE states, or 0 if it is no status line of
+   HTTP/1.0 or 1.1.  */
+static long
+parse_status_line (const char *line)
+{
+  static const char version[] = "HTTP/1.";
+  const char *status = line + strlen (version) + 2;
+
+  if (strncmp (line, version, strlen (version)) != 0
+      || (line[strlen (version)] != '0' && line[strlen (version)] != '1')
+      || status[-1] != ' ' || strspn (status, "0123456789") != STATUS_DIGITS
+      || (status[STATUS_DIGITS] != ' ' && status[STATUS_DIGITS] != '\0'))
+    return 0;
+  return strtol (status, NULL, 10);
+}
+
+/* Whether a response may have STATUS, as its last one.  */
+bool
+fetch_is_final_status (long status)
+{
+  return status >= FIRST_FINAL_STATUS && status <= LAST_FINAL_STATUS;
+}
+
+static bool
+is_interim_status (long status)
+{
+  return status >= FIRST_INTERIM_STATUS && status < FIRST_FINAL_STATUS
+         && status != SWITCHING_PROTOCOLS;
+}
+
+/* Starts the head of a response, which follows those of any interim ones.
+   Returns false to abort the transfer.  */
+static bool
 read_status_line (struct fetch *fetch, const char *line)
 {
-  fetch->head_status = strtol (line + strcspn (line, " "), NULL, 10);
+  long status = parse_status_line (line);
+
+  fetch->is_malformed
+      = !fetch_is_final_status (status) && !is_interim_status (status);
+  fetch->head_status = status;
   fetch->framing = FETCH_FRAMING_CLOSE;
+  return !fetch->is_malformed;
 }
 
 static void
@@ -408,9 +450,12 @@
 static bool
 end_head (struct fetch *fetch)
 {
-  fetch->is_head_complete = fetch->head_status >= FIRST_FINAL_STATUS;
+  fetch->is_head_complete = fetch_is_final_status (fetch->head_status);
   if (!fetch->is_head_complete)
-    return true;
+    {
+      fetch->head_status = 0;
+      return true;
+    }
   fetch->is_refused = fetch->handle_head && !fetch->handle_head (fetch->data);
   return !fetch->is_refused && !fetch->ends_with_head;
 }
@@ -436,18 +481,17 @@
 static bool
 read_head_line (struct fetch *fetch, char *line)
 {
-  static const char version[] = "HTTP/";
   char *value = strchr (line, ':');
 
   line[strcspn (line, "\r\n")] = '\0';
   /* The head of another response, where one has broken off. */
-  if (*line && has_status_line (line + 1))
+  if (*line && has_status_line (line + (fetch->head_status == 0)))
     return false;
-  if (strncmp (line, version, strlen (version)) == 0)
-    read_status_line (fetch, line);
-  else if (!*line)
+  if (fetch->head_status == 0)
+    return read_status_line (fetch, line);
+  if (!*line)
     return end_head (fetch);
-  else if (value && fetch->head_status >= FIRST_FINAL_STATUS)
+  if (value && fetch_is_final_status (fetch->head_status))
     {
       *value++ = '\0';
       value += strspn (value, " ");
@@ -808,7 +852,7 @@
   long status = 0;
 
   curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &status);
-  return status;
+  return fetch->is_malformed ? 0 : status;
 }
 
 /* Whether the request was sent on a connection that was opened for it, so that
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -86,6 +86,7 @@
 struct fetch *fetch_start (struct fetcher *fetcher,
                            const struct fetch_options *options);
 void fetch_cancel (struct fetch *fetch);
+bool fetch_is_final_status (long status);
 long fetch_status (const struct fetch *fetch);
 bool fetch_has_opened_connection (const struct fetch *fetch);
 const char *fetch_framing_name (enum fetch_framing framing);
--- a/request/relay_client.c
+++ b/request/relay_client.c
@@ -433,18 +433,19 @@
     relay->handle_header (relay->data, names[i], values[i]);
 }
 
-/* Delivers a part of the response.  Returns false if the relay has ended.  */
+/* Delivers a part of the response.  Helping hosts of a build before pass on
+   any status.  Returns false if the relay has ended.  */
 static bool
 deliver_data (struct relay *relay, const Peer__RelayData *data)
 {
-  bool is_accepted = true;
+  bool is_accepted = fetch_is_final_status ((long)data->status);
 
-  relay->status = (long)data->status;
+  relay->status = is_accepted ? (long)data->status : 0;
   relay->is_first_response = data->is_first_response;
   relay->is_delivering = true;
-  if (data->n_names == data->n_values)
+  if (is_accepted && data->n_names == data->n_values)
     deliver_headers (relay, data->n_names, data->names, data->values);
-  if (!relay->is_cancelled && data->bytes.len > 0)
+  if (is_accepted && !relay->is_cancelled && data->bytes.len > 0)
     is_accepted = relay->handle_data (
         relay->data, (const char *)data->bytes.data, data->bytes.len);
   relay->is_delivering = false;
@@ -477,12 +478,18 @@
                                  .body = &body };
 
   g_strlcpy (reason, done->reason, sizeof reason);
+  if (result.status != 0 && !fetch_is_final_status (result.status))
+    {
+      result.status = 0;
+      result.complete = false;
+      result.aborted = true;
+    }
   if (refusal != RELAY_NOT_REFUSED || !done->is_sent)
     relay->helper->avoid_until_ms
         = refusal == RELAY_BUSY || refusal == RELAY_STOPPING
               ? relay->heard_ms + REFUSED_MS
               : relay->helper->avoid_until_ms;
-  relay->status = (long)done->status;
+  relay->status = result.status;
   relay->is_first_response = done->is_first_response;
   relay->is_delivering = true;
   if (done->n_names == done->n_values)
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -89,6 +89,7 @@
   { "request ends old", NULL, NULL, NULL, NULL, request_ends_old_tests },
   { "request ends pairs", NULL, NULL, NULL, NULL, request_ends_pairs_tests },
   { "request ends relay", NULL, NULL, NULL, NULL, request_ends_relay_tests },
+  { "statuses", NULL, NULL, NULL, NULL, statuses_tests },
   { "stream ends", NULL, NULL, NULL, NULL, stream_ends_tests },
   { "stream versions", NULL, NULL, NULL, NULL, stream_versions_tests },
   { "wide configuration", NULL, NULL, NULL, NULL, wide_config_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -17,6 +17,7 @@
 extern CU_TestInfo hidden_requests_tests[];
 extern CU_TestInfo null_line_ends_tests[];
 extern CU_TestInfo methods_tests[];
+extern CU_TestInfo statuses_tests[];
 extern CU_TestInfo conversation_client_tests[];
 extern CU_TestInfo conversation_requests_tests[];
 extern CU_TestInfo crash_fleet_tests[];
--- a/test/unit/test_hidden_requests.c
+++ b/test/unit/test_hidden_requests.c
@@ -39,85 +39,80 @@
   }
 
 /* Heads that can be read in two ways.  */
-static const struct raw_request ambiguous[]
-    = {
-        RAW (WITH ("Content-Length : 5\r\n") EVIL),
-        RAW (WITH ("Content-Length\t: 5\r\n") EVIL),
-        RAW (WITH ("Transfer-Encoding : chunked\r\n") "0\r\n\r\n" EVIL),
-        RAW (WITH (" Content-Length: 5\r\n") EVIL),
-        RAW (WITH (
-            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") "0\r\n\r"
-                                                                   "\n" EVIL),
-        RAW (WITH (
-            "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n") "0\r\n\r"
-                                                                   "\n" EVIL),
-        RAW (WITH ("Content-Length: 0\r\nContent-Length: 5\r\n") EVIL),
-        RAW (WITH ("Content-Length: 5\r\nContent-Length: 0\r\n") EVIL),
-        RAW (WITH ("Content-Length: 0\r\ncontent-length: 0\r\n") EVIL),
-        RAW (WITH ("Content-Length: 0, 5\r\n") EVIL),
-        RAW (WITH ("Content-Length: +0\r\n") EVIL),
-        RAW (WITH ("Content-Length: 0x5\r\n") EVIL),
-        RAW (WITH ("Content-Length: \r\n") EVIL),
-        RAW (WITH ("Content-Length: 0 \r\n") EVIL),
-        RAW (WITH ("Transfer-Encoding: chunked\r\nTransfer-Encoding: "
-                   "identity\r\n") "0\r\n"
-                                   "\r\n" EVIL),
-        RAW (WITH ("Transfer-Encoding: identity\r\nTransfer-Encoding: "
-                   "chunked\r\n") "0\r\n"
-                                  "\r\n" EVIL),
-        RAW (WITH ("Transfer-Encoding: identity\r\n") EVIL),
-        RAW (WITH ("Transfer-Encoding: gzip, chunked\r\n") "0\r\n\r\n" EVIL),
-        RAW (
-            WITH ("Transfer-Encoding: chunked, chunked\r\n") "0\r\n\r\n" EVIL),
-        RAW (WITH ("Transfer-Encoding: xchunked\r\n") "0\r\n\r\n" EVIL),
-        RAW (WITH ("Transfer-Encoding: chunked \r\n") "0\r\n\r\n" EVIL),
-        RAW (WITH ("Transfer-Encoding: \"chunked\"\r\n") "0\r\n\r\n" EVIL),
-        RAW (WITH ("Transfer-Encoding:\x0b"
-                   "chunked\r\n") "0\r\n\r\n" EVIL),
-        RAW (WITH ("Transfer-Encoding:\r\n chunked\r\n") "0\r\n\r\n" EVIL),
-        RAW (
-            WITH ("X: a\r\n Transfer-Encoding: chunked\r\n") "0\r\n\r\n" EVIL),
-        RAW (WITH ("X: a\r\n\tContent-Length: 5\r\n") EVIL),
-        RAW (WITH ("X: a\r\n \r\n") EVIL),
-        RAW (WITH ("X: a\rContent-Length: 5\r\n") EVIL),
-        RAW (WITH ("X: a\r\rContent-Length: 5\r\n") EVIL),
-        RAW (WITH ("X: a\nContent-Length: 5\r\n") EVIL),
-        RAW (WITH ("X: a\n") EVIL),
-        RAW (WITH ("X: a\r\n\n") EVIL),
-        RAW (WITH ("X: a\0b\r\n") EVIL),
-        RAW (WITH ("X: a\0\r\n") EVIL),
-        RAW (WITH ("X\0Y: a\r\n") EVIL),
-        RAW (WITH ("X Y: a\r\n") EVIL),
-        RAW (WITH ("X\x01: a\r\n") EVIL),
-        RAW (WITH ("X: a\x01\r\n") EVIL),
-        RAW (WITH ("X: a\x7f\r\n") EVIL),
-        RAW (WITH (": a\r\n") EVIL),
-        RAW (WITH ("no colon\r\n") EVIL),
-        RAW (WITH ("Host: i\r\n") EVIL),
-        RAW (WITH ("Attempt-Id: 2\r\n") EVIL),
-        RAW (WITH ("Credential: a\r\nCredential: b\r\n") EVIL),
-        RAW (WITH ("Deadline-Ms: 1000\r\nDeadline-Ms: 2000\r\n") EVIL),
-        RAW ("POST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\n" EVIL),
-        RAW ("POST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\n\r\n" EVIL),
-        RAW ("POST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\n\n" EVIL),
-        RAW ("POST /x HTTP/1.1\nHost: h\nAttempt-Id: 1\n\n" EVIL),
-        RAW ("POST /x HTTP/1.1\n\n" EVIL),
-        RAW ("POST /x y HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("POST /x\ty HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("POST /x\0y HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("POST /x\ry HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("POST  /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("POST /x  HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("POST\t/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("PO\0ST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("PO(ST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("POST /x HTTP/1.7\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("POST /x HTTP/1.1 \r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-        RAW ("POST /x HTTP/1.0\r\nHost: h\r\nAttempt-Id: "
-             "1\r\nTransfer-Encoding: "
-             "chunked\r\n\r\n0\r\n\r\n" EVIL),
-        RAW ("POST /x\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
-      };
+static const struct raw_request ambiguous[] = {
+  RAW (WITH ("Content-Length : 5\r\n") EVIL),
+  RAW (WITH ("Content-Length\t: 5\r\n") EVIL),
+  RAW (WITH ("Transfer-Encoding : chunked\r\n") "0\r\n\r\n" EVIL),
+  RAW (WITH (" Content-Length: 5\r\n") EVIL),
+  RAW (WITH ("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") "0\r\n\r"
+                                                                    "\n" EVIL),
+  RAW (WITH ("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n") "0\r\n\r"
+                                                                    "\n" EVIL),
+  RAW (WITH ("Content-Length: 0\r\nContent-Length: 5\r\n") EVIL),
+  RAW (WITH ("Content-Length: 5\r\nContent-Length: 0\r\n") EVIL),
+  RAW (WITH ("Content-Length: 0\r\ncontent-length: 0\r\n") EVIL),
+  RAW (WITH ("Content-Length: 0, 5\r\n") EVIL),
+  RAW (WITH ("Content-Length: +0\r\n") EVIL),
+  RAW (WITH ("Content-Length: 0x5\r\n") EVIL),
+  RAW (WITH ("Content-Length: \r\n") EVIL),
+  RAW (WITH ("Content-Length: 0 \r\n") EVIL),
+  RAW (WITH ("Transfer-Encoding: chunked\r\nTransfer-Encoding: "
+             "identity\r\n") "0\r\n"
+                             "\r\n" EVIL),
+  RAW (WITH ("Transfer-Encoding: identity\r\nTransfer-Encoding: "
+             "chunked\r\n") "0\r\n"
+                            "\r\n" EVIL),
+  RAW (WITH ("Transfer-Encoding: identity\r\n") EVIL),
+  RAW (WITH ("Transfer-Encoding: gzip, chunked\r\n") "0\r\n\r\n" EVIL),
+  RAW (WITH ("Transfer-Encoding: chunked, chunked\r\n") "0\r\n\r\n" EVIL),
+  RAW (WITH ("Transfer-Encoding: xchunked\r\n") "0\r\n\r\n" EVIL),
+  RAW (WITH ("Transfer-Encoding: chunked \r\n") "0\r\n\r\n" EVIL),
+  RAW (WITH ("Transfer-Encoding: \"chunked\"\r\n") "0\r\n\r\n" EVIL),
+  RAW (WITH ("Transfer-Encoding:\x0b"
+             "chunked\r\n") "0\r\n\r\n" EVIL),
+  RAW (WITH ("Transfer-Encoding:\r\n chunked\r\n") "0\r\n\r\n" EVIL),
+  RAW (WITH ("X: a\r\n Transfer-Encoding: chunked\r\n") "0\r\n\r\n" EVIL),
+  RAW (WITH ("X: a\r\n\tContent-Length: 5\r\n") EVIL),
+  RAW (WITH ("X: a\r\n \r\n") EVIL),
+  RAW (WITH ("X: a\rContent-Length: 5\r\n") EVIL),
+  RAW (WITH ("X: a\r\rContent-Length: 5\r\n") EVIL),
+  RAW (WITH ("X: a\nContent-Length: 5\r\n") EVIL),
+  RAW (WITH ("X: a\n") EVIL),
+  RAW (WITH ("X: a\r\n\n") EVIL),
+  RAW (WITH ("X: a\0b\r\n") EVIL),
+  RAW (WITH ("X: a\0\r\n") EVIL),
+  RAW (WITH ("X\0Y: a\r\n") EVIL),
+  RAW (WITH ("X Y: a\r\n") EVIL),
+  RAW (WITH ("X\x01: a\r\n") EVIL),
+  RAW (WITH ("X: a\x01\r\n") EVIL),
+  RAW (WITH ("X: a\x7f\r\n") EVIL),
+  RAW (WITH (": a\r\n") EVIL),
+  RAW (WITH ("no colon\r\n") EVIL),
+  RAW (WITH ("Host: i\r\n") EVIL),
+  RAW (WITH ("Attempt-Id: 2\r\n") EVIL),
+  RAW (WITH ("Credential: a\r\nCredential: b\r\n") EVIL),
+  RAW (WITH ("Deadline-Ms: 1000\r\nDeadline-Ms: 2000\r\n") EVIL),
+  RAW ("POST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\n" EVIL),
+  RAW ("POST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\n\r\n" EVIL),
+  RAW ("POST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\n\n" EVIL),
+  RAW ("POST /x HTTP/1.1\nHost: h\nAttempt-Id: 1\n\n" EVIL),
+  RAW ("POST /x HTTP/1.1\n\n" EVIL),
+  RAW ("POST /x y HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("POST /x\ty HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("POST /x\0y HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("POST /x\ry HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("POST  /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("POST /x  HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("POST\t/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("PO\0ST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("PO(ST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("POST /x HTTP/1.7\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("POST /x HTTP/1.1 \r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+  RAW ("POST /x HTTP/1.0\r\nHost: h\r\nAttempt-Id: "
+       "1\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n0\r\n\r\n" EVIL),
+  RAW ("POST /x\r\nHost: h\r\nAttempt-Id: 1\r\n\r\n" EVIL),
+};
 
 /* Likewise: a null byte stands in place of a carriage return.  */
 static const struct raw_request disguised[] = {
--- a/test/unit/test_methods.c
+++ b/test/unit/test_methods.c
@@ -134,6 +134,97 @@
   play_methods (ROUTE_STREAM, true);
 }
 
+/* Status lines that no answer may have, and how it is framed after them.  */
+static const char *const no_statuses[]
+    = { "HTTP/1.1 000 X",
+        "HTTP/1.1 001 X",
+        "HTTP/1.1 099 X",
+        "HTTP/1.1 101 X",
+        "HTTP/1.1 600 X",
+        "HTTP/1.1 777 X",
+        "HTTP/1.1 999 X",
+        "HTTP/1.1 1000 X",
+        "HTTP/1.1 20 X",
+        "HTTP/1.1 2000 X",
+        "HTTP/1.1 +200 X",
+        "HTTP/1.1 -200 X",
+        "HTTP/1.1 2x0 X",
+        "HTTP/1.1 200X",
+        "HTTP/1.1  200 X",
+        "HTTP/1.1\t200 X",
+        "HTTP/1.1 ",
+        "HTTP/1.1",
+        "HTTP/2 200 X",
+        "HTTP/2.0 200 X",
+        "HTTP/3 200 X",
+        "HTTP/0.9 200 X",
+        "HTTP/1.7 200 X",
+        "HTTP/1.10 200 X",
+        "ICY 200 X",
+        "http/1.1 200 X",
+        "200 X",
+        "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 600 X",
+        "HTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 000 X",
+        "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 101 X" };
+
+static const char *const framings[]
+    = { "Content-Length: 4\r\n\r\nbody",
+        "Content-Length: 0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "\r\nbody",
+        "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n",
+        "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n" };
+
+static void
+play_statuses (enum route_retry_mode retry_mode, bool is_relayed)
+{
+  struct local_route route = { .retry_mode = retry_mode,
+                               .timeout_ms = ROUTE_TIMEOUT_MS,
+                               .max_attempts = 1 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (no_statuses); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (framings); k += is_relayed ? 5 : 1)
+      {
+        struct local_front front;
+        char *request = make_request ("POST", WITH_LENGTH, 1);
+        struct front_answer got;
+        bool is_refused;
+
+        local_front_open (&front, &route, is_relayed);
+        front.status_line = no_statuses[i];
+        front.answer = framings[k];
+        got = local_front_ask (&front, request, strlen (request));
+        is_refused = (got.status == 502 || (got.status == 0 && got.is_closed))
+                     && got.took_ms < AT_ONCE_MS;
+        if (!is_refused)
+          fprintf (stderr,
+                   "%s, framing %zu, mode %d, relayed %d: %d after "
+                   "%d ms\n",
+                   no_statuses[i], k, (int)retry_mode, is_relayed, got.status,
+                   (int)got.took_ms);
+        CU_ASSERT_TRUE (is_refused);
+        free (request);
+        local_front_close (&front);
+      }
+}
+
+/* Guards against an answer whose status HTTP does not define as final: it must
+   not reach a caller, nor wait for the time-out.  */
+static void
+test_statuses (void)
+{
+  play_statuses (ROUTE_ONCE, false);
+  play_statuses (ROUTE_STREAM, false);
+  play_statuses (ROUTE_IDEMPOTENT, false);
+  play_statuses (ROUTE_ONCE, true);
+  play_statuses (ROUTE_STREAM, true);
+}
+
+CU_TestInfo statuses_tests[] = {
+  { "statuses that are none", test_statuses },
+  CU_TEST_INFO_NULL,
+};
+
 CU_TestInfo methods_tests[] = {
   { "methods", test_methods },
   { "methods through a helping host", test_relayed_methods },
