fetch: heads occupy an account, and long ones are not kept

Cause: libcurl records each header line, about 200 bytes beside its text, and keeps them in the handles that the fetcher keeps for reuse. Heads were bounded by their bytes and on no account.

Change: each line is charged with what it occupies before it is kept, parts of a line before libcurl reads them. Handles with long heads are not kept.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,7 +19,15 @@
   MAX_IDLE_HANDLES = 256,
   MAX_CACHED_CONNECTIONS = 1024,
   DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024,
-  MAX_HEAD_BYTES = 64 * 1024, /* of all heads of a transfer, with trailers */
+  /* What all heads of a transfer may occupy, with trailers. */
+  MAX_HEAD_BYTES = 160 * 1024,
+  /* A line occupies so much beside its copies: libcurl's record of it, and
+     those of the name and the value that are passed on. */
+  HEAD_LINE_BYTES = 256,
+  HEAD_LINE_COPIES = 2,
+  /* Heads up to this are taken whatever the host holds: they are many, and the
+     responses of endpoints that are sound have no longer ones. */
+  SMALL_HEAD_BYTES = 8 * 1024,
   /* Part of the share of all bodies that is left to those on which the host
      depends, and to those that are not longer than LONG_BODY_BYTES, so that a
      few long ones cannot stop all others. */
@@ -38,6 +47,7 @@
 {
   ev_io io;
   struct fetcher *fetcher;
+  CURL *easy; /* of the transfer that uses the socket */
 };
 
 struct fetcher
@@ -73,7 +83,8 @@
   curl_socket_t opened;  /* last socket opened for it */
   bool is_plain;         /* without TLS, so that a connection has one user */
   bool has_found_bytes;  /* unread ones, on the connection chosen for it */
-  size_t head_bytes;     /* received */
+  size_t head_bytes;     /* that its heads occupy; charged */
+  bool lacks_line_end;   /* libcurl holds a part of a line */
   long head_status;      /* of the head that is being received; 0: none */
   bool is_malformed;     /* the bytes are no response */
   bool is_head_complete; /* the head of the final response has arrived */
@@ -129,15 +140,18 @@
 
   unlink_fetch (fetch);
   fetcher->buffered_bytes -= fetch->buffered_bytes;
-  memory_add (MEMORY_RESPONSES, -(int64_t)fetch->charged_bytes);
   curl_multi_remove_handle (fetcher->multi, fetch->easy);
-  if (fetcher->idle_count < MAX_IDLE_HANDLES)
+  /* A handle keeps the heads of its last transfer, and a part of a line.  */
+  if (fetcher->idle_count < MAX_IDLE_HANDLES && fetch->is_head_complete
+      && fetch->head_bytes <= SMALL_HEAD_BYTES)
     {
       curl_easy_reset (fetch->easy);
       fetcher->idle[fetcher->idle_count++] = fetch->easy;
     }
   else
     curl_easy_cleanup (fetch->easy);
+  memory_add (MEMORY_RESPONSES,
+              -(int64_t)(fetch->charged_bytes + fetch->head_bytes));
   curl_slist_free_all (fetch->headers);
   free (fetch->request_body);
   buf_release (&fetch->body);
@@ -233,14 +247,92 @@
     }
 }
 
+/* Returns by how much the answers that callers have not read yet exceed their
+   share: an answer that is ready is held whatever the share has.  */
+static int64_t
+callers_excess (void)
+{
+  int64_t share_bytes = memory_share (MEMORY_CALLERS);
+
+  return share_bytes > 0 ? MAX (memory_used (MEMORY_CALLERS) - share_bytes, 0)
+                         : 0;
+}
+
+/* Returns how much all bodies may occupy if FETCH's needs CAPACITY.  Long ones
+   leave room for what slow callers hold beyond their share, into which they
+   would turn.  */
+static int64_t
+bodies_limit (const struct fetch *fetch, size_t capacity)
+{
+  int64_t share_bytes = memory_share (MEMORY_RESPONSES);
+  int64_t percent = 100 - ESSENTIAL_PERCENT;
+
+  if (fetch->is_essential)
+    return share_bytes;
+  if (capacity > LONG_BODY_BYTES)
+    percent -= SHORT_PERCENT;
+  share_bytes = share_bytes / 100 * percent;
+  if (capacity <= LONG_BODY_BYTES)
+    return share_bytes;
+  return MIN (share_bytes, MAX_LONG_BODIES_BYTES) - callers_excess ();
+}
+
+/* Charges BYTES more that the heads of a transfer occupy.  Returns false if
+   they may not be kept.  */
+static bool
+charge_head (struct fetch *fetch, size_t bytes)
+{
+  size_t head_bytes = fetch->head_bytes + bytes;
+
+  if (head_bytes > MAX_HEAD_BYTES)
+    return false;
+  if (head_bytes <= SMALL_HEAD_BYTES)
+    memory_add (MEMORY_RESPONSES, (int64_t)bytes);
+  /* As of long bodies, so that they leave room for others.  */
+  else if ((int64_t)bytes > bodies_limit (fetch, LONG_BODY_BYTES + 1)
+                                - memory_used (MEMORY_RESPONSES)
+           || !memory_take (MEMORY_RESPONSES, (int64_t)bytes))
+    {
+      counter_add (COUNTER_RESPONSES_REFUSED, 1);
+      return false;
+    }
+  fetch->head_bytes = head_bytes;
+  return true;
+}
+
+/* Charges what libcurl is about to read from FD for a head whose last part had
+   no end of a line: it keeps such parts.  Returns false if they may not be
+   kept.  */
+static bool
+charge_part_of_line (struct fetch *fetch, int fd)
+{
+  int bytes = 0;
+
+  if (fetch->is_head_complete || fetch->is_cancelled)
+    return true;
+  if (fetch->lacks_line_end
+      && (ioctl (fd, FIONREAD, &bytes) != 0
+          || !charge_head (fetch, (size_t)bytes)))
+    return false;
+  fetch->lacks_line_end = true;
+  return true;
+}
+
 static void
 handle_socket_ready (struct ev_loop *loop, ev_io *watcher, int events)
 {
   struct socket_watch *watch = watcher->data;
   struct fetcher *fetcher = watch->fetcher;
+  struct fetch *fetch = NULL;
   int action = 0;
   int running;
 
+  curl_easy_getinfo (watch->easy, CURLINFO_PRIVATE, &fetch);
+  if ((events & EV_READ) && fetch && !charge_part_of_line (fetch, watcher->fd))
+    {
+      complete_fetch (fetch, CURLE_WRITE_ERROR);
+      return;
+    }
   if (events & EV_READ)
     action |= CURL_CSELECT_IN;
   if (events & EV_WRITE)
@@ -277,6 +369,7 @@
       watch->io.data = watch;
       curl_multi_assign (fetcher->multi, fd, watch);
     }
+  watch->easy = easy;
   ev_io_stop (fetcher->loop, &watch->io);
   ev_io_set (&watch->io, fd, events);
   ev_io_start (fetcher->loop, &watch->io);
@@ -322,36 +415,6 @@
     }
 }
 
-/* Returns by how much the answers that callers have not read yet exceed their
-   share: an answer that is ready is held whatever the share has.  */
-static int64_t
-callers_excess (void)
-{
-  int64_t share_bytes = memory_share (MEMORY_CALLERS);
-
-  return share_bytes > 0 ? MAX (memory_used (MEMORY_CALLERS) - share_bytes, 0)
-                         : 0;
-}
-
-/* Returns how much all bodies may occupy if FETCH's needs CAPACITY.  Long ones
-   leave room for what slow callers hold beyond their share, into which they
-   would turn.  */
-static int64_t
-bodies_limit (const struct fetch *fetch, size_t capacity)
-{
-  int64_t share_bytes = memory_share (MEMORY_RESPONSES);
-  int64_t percent = 100 - ESSENTIAL_PERCENT;
-
-  if (fetch->is_essential)
-    return share_bytes;
-  if (capacity > LONG_BODY_BYTES)
-    percent -= SHORT_PERCENT;
-  share_bytes = share_bytes / 100 * percent;
-  if (capacity <= LONG_BODY_BYTES)
-    return share_bytes;
-  return MIN (share_bytes, MAX_LONG_BODIES_BYTES) - callers_excess ();
-}
-
 /* Charges what the body occupies with LEN more bytes.  Returns false if they
    may not be buffered.  */
 static bool
@@ -512,8 +575,9 @@
   bool should_continue = true;
   char *line;
 
-  fetch->head_bytes += len;
-  if (fetch->is_cancelled || fetch->head_bytes > MAX_HEAD_BYTES)
+  fetch->lacks_line_end = false;
+  if (fetch->is_cancelled
+      || !charge_head (fetch, HEAD_LINE_BYTES + HEAD_LINE_COPIES * len))
     return 0;
   if (fetch->is_head_complete)
     return len;
--- a/test/fleet/rig.c
+++ b/test/fleet/rig.c
@@ -693,14 +693,16 @@
     fprintf (file, "\"memory_limit_mb\": 120, \"data_dir\": \"%s/data-%s\"}\n",
              directory, name);
   else
-    fprintf (
-        file,
-        "\"caller_listen\": \"127.0.0.1:%d\", \"health_listen\": "
-        "\"127.0.0.1:%d\", \"limit_window_s\": 5, \"memory_limit_mb\": 110, "
-        "\"contracts\": [\"base\", \"drain\", \"config\", \"cost\", "
-        "\"recover\", \"agent\", \"stream\", \"engine\", \"tenants\", "
-        "\"quota\", \"platform\"]}\n",
-        host->caller_port, host->health_port);
+    fprintf (file,
+             "\"caller_listen\": \"127.0.0.1:%d\", \"health_listen\": "
+             "\"127.0.0.1:%d\", \"limit_window_s\": 5, %s"
+             "\"contracts\": [\"base\", \"drain\", \"config\", \"cost\", "
+             "\"recover\", \"agent\", \"stream\", \"engine\", \"tenants\", "
+             "\"quota\", \"platform\"]}\n",
+             host->caller_port, host->health_port,
+             strstr (settings, "memory_limit_mb")
+                 ? ""
+                 : "\"memory_limit_mb\": 110, ");
   fclose (file);
   return host;
 }
