fleet-keepers: plant the fault of blind lists where lists differ for long

With this fault the hosts now get a list within 4 s, and the events are changes of the list, lost disks and kills.

--- a/test/fleet/keeper_fleet.c
+++ b/test/fleet/keeper_fleet.c
@@ -43,6 +43,7 @@
   SYNC_MS = 20,       /* longest sync */
   RING_JOBS = 24,     /* that a disk takes before it refuses more */
   LIST_LAG_MS = 1500, /* within which all hosts get a new list */
+  LONG_LIST_LAG_MS = 4000,
   CATCH_UP_MS = 4000, /* after which a lost machine counts as back */
   EVENT_MS = 700,     /* mean time between events */
   /* The same of every other seed: there, cuts find keepers that may grant
@@ -591,16 +592,24 @@
   node->keeper = NULL;
 }
 
+/* Returns within which time all hosts get a new list.  The fault that lists
+   are not compared shows where they differ for long.  */
+static int64_t
+list_lag_ms (void)
+{
+  return has_fault ("blind-lists") ? LONG_LIST_LAG_MS : LIST_LAG_MS;
+}
+
 /* Has all hosts get the new list, each after a time of its own.  */
 static void
 spread_list (struct fleet *fleet)
 {
   for (int i = 0; i < SLOTS; i++)
     fleet->nodes[i].list_due_ms
-        = fleet->now_ms + 1 + draw (fleet, LIST_LAG_MS);
+        = fleet->now_ms + 1 + draw (fleet, list_lag_ms ());
   for (int i = 0; i < WRITERS; i++)
     fleet->writers[i].list_due_ms
-        = fleet->now_ms + 1 + draw (fleet, LIST_LAG_MS);
+        = fleet->now_ms + 1 + draw (fleet, list_lag_ms ());
 }
 
 static void
@@ -1213,7 +1222,14 @@
 static void
 play_event (struct fleet *fleet)
 {
-  switch (draw (fleet, 12))
+  /* Those that this planted fault needs: changes of the list beside lost disks
+     and kills.  */
+  static const int list_events[] = { 0, 2, 3, 4, 4, 5, 5, 6, 8 };
+  int64_t kind = has_fault ("blind-lists")
+                     ? list_events[draw (fleet, G_N_ELEMENTS (list_events))]
+                     : draw (fleet, 12);
+
+  switch (kind)
     {
     case 9:
       kill_others (fleet);
