conversation: a keeper that was held up does not stop without handing over

Cause: a stopping keeper gave up at once if it heard no other one. A process that is held up for over 1.2 s looks at its timers first, and takes all others for silent before it has read what they sent.

Evidence: "leave after a stall" fails without the change: the keeper stops at once, and its groups have one copy.

--- a/conversation/keeper_repair.c
+++ b/conversation/keeper_repair.c
@@ -34,6 +34,10 @@
   /* A retiring keeper waits for the lists of the others so long, and then
      sends groups that they may have. */
   LISTS_WAIT_MS = 3000,
+  /* One that stops gives up if it has heard no other keeper for so much longer
+     than makes them silent: it may only have been held up itself, and not have
+     read what they sent. */
+  ALONE_MS = SILENT_MS + 2 * PROBE_INTERVAL_MS,
   OFFER_STEP = 400,           /* groups looked at in a tick */
   HAND_OVER_STEP = 400,       /* likewise */
   HAND_OVER_ANSWER_STEP = 32, /* likewise, after an acknowledgement */
@@ -1053,6 +1057,7 @@
              g_tree_nnodes (keeper->index.groups));
   keeper->hand_over.is_active = true;
   keeper->hand_over.begun_ms = keeper->now_ms;
+  keeper->hand_over.alone_since_ms = keeper->now_ms;
   update_placement (keeper, false);
   /* Their lists tell what they have already, and the questions for these that
      this host is about to stop.  */
@@ -1117,9 +1122,14 @@
 bool
 conversation_keeper_leave (struct conversation_keeper *keeper, int64_t now_ms)
 {
+  struct turn_hand_over *hand_over = &keeper->hand_over;
   bool has_nothing = keeper->is_loaded && keeper->index.turn_count == 0
                      && keeper->pending_appends == 0;
 
-  return has_nothing || !keeper->has_list || hand_groups_over (keeper, now_ms)
-         || (keeper->hand_over.is_active && keeper->placement.count == 0);
+  if (has_nothing || !keeper->has_list || hand_groups_over (keeper, now_ms))
+    return true;
+  if (keeper->placement.count > 0)
+    hand_over->alone_since_ms = now_ms;
+  return hand_over->is_active
+         && now_ms - hand_over->alone_since_ms >= ALONE_MS;
 }
--- a/include/conversation/keeper_state.h
+++ b/include/conversation/keeper_state.h
@@ -40,12 +40,13 @@
 {
   bool is_active;
   int64_t begun_ms;
-  uint64_t generation; /* of the placement that the sweep goes by */
-  uint64_t next;       /* the sweep goes on after this group */
-  int64_t sweep_ms;    /* when it began */
-  bool is_missing;     /* a group of this sweep is not held elsewhere */
-  bool is_done;        /* a whole sweep has found none */
-  uint32_t in_flight;  /* groups sent and not acknowledged */
+  int64_t alone_since_ms; /* when another keeper was last present */
+  uint64_t generation;    /* of the placement that the sweep goes by */
+  uint64_t next;          /* the sweep goes on after this group */
+  int64_t sweep_ms;       /* when it began */
+  bool is_missing;        /* a group of this sweep is not held elsewhere */
+  bool is_done;           /* a whole sweep has found none */
+  uint32_t in_flight;     /* groups sent and not acknowledged */
   int64_t last_sent_ms;
 };
 
--- a/test/unit/test_conversation_keeper.c
+++ b/test/unit/test_conversation_keeper.c
@@ -822,6 +822,31 @@
   destroy_sim (sim);
 }
 
+/* Guards against a keeper that stops without handing its groups over because
+   it was held up, and takes the others for silent that it has not read yet. */
+static void
+test_leave_after_stall (void)
+{
+  struct sim *sim = create_sim (4, 1);
+  struct conversation_keeper *keeper = sim->keepers[2].keeper;
+  bool is_done = false;
+
+  write_programs (sim, 0, 100);
+  sim->now_ms += 4 * 1000;
+  conversation_keeper_tick (keeper, sim->now_ms);
+  CU_ASSERT_FALSE (conversation_keeper_leave (keeper, sim->now_ms));
+  for (int i = 0; i < RESTORED_MS / TICK_MS && !is_done; i++)
+    {
+      run (sim, TICK_MS);
+      is_done = conversation_keeper_leave (keeper, sim->now_ms);
+    }
+  CU_ASSERT (is_done);
+  stop_keeper (sim, 2);
+  sim->keepers[2].is_listed = false;
+  CU_ASSERT_EQUAL (count_missing (sim, 0, 100), 0);
+  destroy_sim (sim);
+}
+
 /* Guards against a group that stays with keepers that are not preferred, and
    is lost with them.  */
 static void
@@ -1193,6 +1218,7 @@
   { "cut off", test_cut_off },
   { "list changes", test_list_changes },
   { "retirement", test_retirement },
+  { "leave after a stall", test_leave_after_stall },
   { "other keeper", test_other_keeper },
   { "expiry", test_expiry },
   { "no room", test_no_room },
