--- a/review/11/case.c
+++ b/review/11/case.c
@@ -1,5 +1,6 @@
 /* One endpoint of three answers one request in 63 with bytes that are no
-   response of HTTP/1.1: a status line of another version.  The next two
+   response of HTTP/1.1: a status line of another version.  This goes on for
+   less than 5.5 s.  The next two
    requests to it, of two customers, are written to one connection at the same
    time.  The endpoint gets one inside the body of the other.  */
 #include "rig.h"
@@ -13,7 +14,7 @@
 
 enum
 {
-  ROUNDS = 8,
+  ROUNDS = 3, /* within 5.5 s */
   SHORT_CALLERS = 4,
   SHORT_CALLS = 15, /* of each caller in a round */
   SHORT_BYTES = 20,
--- a/review/12/case.c
+++ b/review/12/case.c
@@ -1,8 +1,9 @@
 /* One endpoint of three answers one request in 50 with bytes that are no
-   response of HTTP/1.1: a status line of another version.  Callers send calls
-   and streams on kept connections. Seen are the connections that a host closes
-   without an answer to a request that a sound endpoint has got, events of
-   other streams, and hosts that end by themselves.  */
+   response of HTTP/1.1: a status line of another version.  It does so for 5.5
+   s at a time, with as long a pause between.  Callers send calls and streams
+   on kept connections. Seen are the connections that a host closes without an
+   answer to a request that a sound endpoint has got, events of other streams,
+   and hosts that end by themselves.  */
 #include "rig.h"
 #include <signal.h>
 #include <stdio.h>
@@ -28,8 +29,10 @@
   MAX_EVENTS = 9,
   MOST_LOST = 3, /* by the rule */
   SETTLE_MS = 4000,
-  DURATION_MS = 90000,
-  LAST_MS = 4000, /* for answers after that */
+  DURATION_MS = 88000,
+  TROUBLE_MS = 5500, /* that the trouble lasts */
+  PERIOD_MS = 11000, /* from its begin to the next one */
+  LAST_MS = 4000,    /* for answers after that */
   DEADLINE_MS = 3000,
 };
 
@@ -40,9 +43,10 @@
 static char endpoint_ids[ENDPOINTS][16];
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static bool is_over;
+static int64_t begun_ms;
 static unsigned last_request;
 static bool is_at_sound[MAX_REQUESTS]; /* a sound endpoint has got it */
-static int answers;                    /* of faulty endpoints */
+static int answers;                    /* of faulty endpoints, in trouble */
 static int wrong;                      /* of these */
 static int answered;
 static int lost;
@@ -92,7 +96,8 @@
   static unsigned seed = 1;
   bool is_wrong;
 
-  if (server != &endpoints[0])
+  if (server != &endpoints[0]
+      || (rig_now_ms () - begun_ms) % PERIOD_MS >= TROUBLE_MS)
     return false;
   pthread_mutex_lock (&lock);
   is_wrong = rig_has_trouble && draw (&seed, WRONG_ONE_IN) == 0;
@@ -363,9 +368,11 @@
   for (int i = 0; i < ENTRIES; i++)
     rig_await_ready (entries[i], 20000);
   rig_sleep_ms (SETTLE_MS);
+  begun_ms = rig_now_ms ();
+  rig_record ("the traffic begins");
   for (int i = 0; i < CALLERS; i++)
     rig_thread (run_caller, (void *)(intptr_t)i);
-  until_ms = rig_now_ms () + DURATION_MS;
+  until_ms = begun_ms + DURATION_MS;
   while (rig_now_ms () < until_ms && (lost <= MOST_LOST || foreign == 0))
     {
       rig_sleep_ms (50);
