fetch: a connection of HTTP/1.1 has one transfer at a time

Cause: libcurl shares a connection among transfers by default once its peer has claimed HTTP/2 in a status line, an interim head or a TLS handshake. Nothing set the version or the sharing, and the watch of a socket pointed at the transfer that libcurl had named last, which was freed before the socket.

Change: version, sharing, ALPN and each other default that callers rely on are set. common/connections.c knows the one user of each socket; a second one is stopped before a byte is written, counted (shared_connections), logged and sent on a new connection. Watches point at no transfer.

--- a/common/counters.c
+++ b/common/counters.c
@@ -53,6 +53,7 @@
   [COUNTER_PERMITS_DENIED] = "permits_denied",
   [COUNTER_RESENDS] = "resends",
   [COUNTER_DIRTY_CONNECTIONS] = "dirty_connections",
+  [COUNTER_SHARED_CONNECTIONS] = "shared_connections",
   [COUNTER_UNFINISHED_EVENTS] = "unfinished_events",
   [COUNTER_RESPONSES_LATE] = "responses_late",
   [COUNTER_ENDS_MISSING] = "ends_missing",
--- a/common/fetch.c
+++ b/common/fetch.c
@@ -1,6 +1,8 @@
 #include "common/fetch.h"
+#include "common/connections.h"
 #include "common/counters.h"
 #include "common/deferred.h"
+#include "common/log.h"
 #include "common/memory.h"
 #include <errno.h>
 #include <glib.h>
@@ -18,6 +20,9 @@
   RECEIVE_BUFFER_BYTES = 4096,
   MAX_IDLE_HANDLES = 256,
   MAX_CACHED_CONNECTIONS = 1024,
+  /* Of a reused connection: servers close theirs after two minutes or less. */
+  DEFAULT_MAX_IDLE_S = 118,
+  MAX_DNS_AGE_S = 60,
   DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024,
   /* What all heads of a transfer may occupy, with trailers. */
   MAX_HEAD_BYTES = 160 * 1024,
@@ -43,19 +48,19 @@
   SWITCHING_PROTOCOLS = 101, /* which no request asks for */
 };
 
+/* Which transfer uses the socket is asked of the connections: it may end
+   before the watch does. */
 struct socket_watch
 {
   ev_io io;
   struct fetcher *fetcher;
-  CURL *easy; /* of the transfer that uses the socket */
 };
 
 struct fetcher
 {
   struct ev_loop *loop;
   CURLM *multi;
-  GHashTable *sockets; /* addresses of both ends -> fd, of connections */
-  GHashTable *ends;    /* fd -> the same addresses */
+  struct connections *connections;
   ev_timer timer;
   struct deferred deferred_destroy;
   struct fetch *cancelled;      /* linked by next_cancelled */
@@ -69,6 +74,7 @@
 /* A transfer.  Owned by its fetcher. */
 struct fetch
 {
+  struct connection_user user; /* first member */
   struct fetcher *fetcher;
   CURL *easy;
   struct curl_slist *headers;
@@ -80,9 +86,10 @@
   bool ends_with_head;
   bool refuses_resend;
   bool resend_refused;
-  curl_socket_t opened;  /* last socket opened for it */
-  bool is_plain;         /* without TLS, so that a connection has one user */
-  bool has_found_bytes;  /* unread ones, on the connection chosen for it */
+  curl_socket_t opened; /* last socket opened for it */
+  bool is_plain;        /* without TLS */
+  /* The connection chosen for it must not be used: nothing has been sent. */
+  bool needs_other_connection;
   size_t head_bytes;     /* that its heads occupy; charged */
   bool lacks_line_end;   /* libcurl holds a part of a line */
   long head_status;      /* of the head that is being received; 0: none */
@@ -141,6 +148,7 @@
   unlink_fetch (fetch);
   fetcher->buffered_bytes -= fetch->buffered_bytes;
   curl_multi_remove_handle (fetcher->multi, fetch->easy);
+  connection_user_release (&fetch->user);
   /* A handle keeps the heads of its last transfer, and a part of a line.  */
   if (fetcher->idle_count < MAX_IDLE_HANDLES && fetch->is_head_complete
       && fetch->head_bytes <= SMALL_HEAD_BYTES)
@@ -221,8 +229,9 @@
 {
   CURLM *multi = fetch->fetcher->multi;
 
-  fetch->has_found_bytes = false;
+  fetch->needs_other_connection = false;
   curl_multi_remove_handle (multi, fetch->easy);
+  connection_user_release (&fetch->user);
   curl_easy_setopt (fetch->easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_multi_add_handle (multi, fetch->easy);
 }
@@ -240,7 +249,7 @@
       if (message->msg != CURLMSG_DONE)
         continue;
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &fetch);
-      if (fetch->has_found_bytes && !fetch->is_cancelled)
+      if (fetch->needs_other_connection && !fetch->is_cancelled)
         restart_fetch (fetch);
       else
         complete_fetch (fetch, message->data.result);
@@ -318,16 +327,25 @@
   return true;
 }
 
+/* Returns the transfer that uses the socket FD, or NULL.  */
+static struct fetch *
+find_user (const struct fetcher *fetcher, int fd)
+{
+  const struct connection *connection
+      = connections_find (fetcher->connections, fd);
+
+  return connection ? (struct fetch *)connection_get_user (connection) : NULL;
+}
+
 static void
 handle_socket_ready (struct ev_loop *loop, ev_io *watcher, int events)
 {
   struct socket_watch *watch = watcher->data;
   struct fetcher *fetcher = watch->fetcher;
-  struct fetch *fetch = NULL;
+  struct fetch *fetch = find_user (fetcher, watcher->fd);
   int action = 0;
   int running;
 
-  curl_easy_getinfo (watch->easy, CURLINFO_PRIVATE, &fetch);
   if ((events & EV_READ) && fetch && !charge_part_of_line (fetch, watcher->fd))
     {
       complete_fetch (fetch, CURLE_WRITE_ERROR);
@@ -347,10 +365,15 @@
 {
   struct fetcher *fetcher = data;
   struct socket_watch *watch = socket_data;
+  struct connection *connection = connections_find (fetcher->connections, fd);
+  struct fetch *fetch = NULL;
   int events = 0;
 
   if (what == CURL_POLL_REMOVE)
     {
+      /* libcurl says so before it lets another transfer use it. */
+      if (connection)
+        connection_leave (connection);
       if (watch)
         ev_io_stop (fetcher->loop, &watch->io);
       curl_multi_assign (fetcher->multi, fd, NULL);
@@ -369,7 +392,9 @@
       watch->io.data = watch;
       curl_multi_assign (fetcher->multi, fd, watch);
     }
-  watch->easy = easy;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &fetch);
+  if (connection)
+    connection_take (connection, &fetch->user);
   ev_io_stop (fetcher->loop, &watch->io);
   ev_io_set (&watch->io, fd, events);
   ev_io_start (fetcher->loop, &watch->io);
@@ -596,6 +621,8 @@
 
   fetch->opened = socket (address->family, address->socktype | SOCK_CLOEXEC,
                           address->protocol);
+  if (fetch->opened != CURL_SOCKET_BAD)
+    connections_add (fetch->fetcher->connections, fetch->opened, &fetch->user);
   return fetch->opened;
 }
 
@@ -603,11 +630,8 @@
 handle_socket_close (void *data, curl_socket_t fd)
 {
   struct fetcher *fetcher = data;
-  const char *ends = g_hash_table_lookup (fetcher->ends, GINT_TO_POINTER (fd));
 
-  if (ends)
-    g_hash_table_remove (fetcher->sockets, ends);
-  g_hash_table_remove (fetcher->ends, GINT_TO_POINTER (fd));
+  connections_remove (fetcher->connections, fd);
   return close (fd);
 }
 
@@ -630,47 +654,56 @@
          == port;
 }
 
-/* Whether a connection that was used before has brought bytes since.  libcurl
-   does not tell which socket it has chosen, only the addresses ENDS of its
-   ends.  */
 static bool
-has_unread_bytes (const struct fetch *fetch, const char *ends)
+has_unread_bytes (const struct connection *connection)
 {
-  struct pollfd poll_fd = { .events = POLLIN };
-  gpointer fd;
+  struct pollfd poll_fd
+      = { .fd = connection_fd (connection), .events = POLLIN };
 
-  if (!g_hash_table_lookup_extended (fetch->fetcher->sockets, ends, NULL, &fd))
-    return false;
-  poll_fd.fd = GPOINTER_TO_INT (fd);
   return poll (&poll_fd, 1, 0) > 0;
 }
 
-/* Called whenever libcurl is about to send the request.  What has arrived on
-   an idle connection is no response to it, and not the last of such bytes.  */
+/* Whether FETCH may send its request on CONNECTION, which was used before.
+   What has arrived on an idle connection is no response to it, and not the
+   last of such bytes.  */
+static bool
+may_reuse (struct fetch *fetch, struct connection *connection)
+{
+  if (connection && !connection_take (connection, &fetch->user))
+    {
+      counter_add (COUNTER_SHARED_CONNECTIONS, 1);
+      log_write (LOG_ERROR, "fetch", NULL,
+                 "a request was to be sent on a connection that another one "
+                 "uses; it is sent on a new one");
+      return false;
+    }
+  if (!connection || (fetch->is_plain && has_unread_bytes (connection)))
+    {
+      counter_add (COUNTER_DIRTY_CONNECTIONS, 1);
+      return false;
+    }
+  return true;
+}
+
+/* Called whenever libcurl is about to send the request.  It does not tell
+   which socket it has chosen, only the addresses of its ends.  */
 static int
 handle_send (void *data, char *peer_address, char *local_address,
              int peer_port, int local_port)
 {
   struct fetch *fetch = data;
-  struct fetcher *fetcher = fetch->fetcher;
+  struct connections *connections = fetch->fetcher->connections;
   char *ends = xasprintf ("%s:%d %s:%d", local_address, local_port,
                           peer_address, peer_port);
 
   if (!fetch_has_opened_connection (fetch))
-    fetch->has_found_bytes = fetch->is_plain && has_unread_bytes (fetch, ends);
+    fetch->needs_other_connection
+        = !may_reuse (fetch, connections_find_ends (connections, ends));
   else if (has_local_port (fetch->opened, local_port))
-    {
-      g_hash_table_insert (fetcher->sockets, xstrdup (ends),
-                           GINT_TO_POINTER (fetch->opened));
-      g_hash_table_insert (fetcher->ends, GINT_TO_POINTER (fetch->opened),
-                           xstrdup (ends));
-    }
+    connections_name (connections, fetch->opened, ends);
   free (ends);
-  if (fetch->has_found_bytes)
-    {
-      counter_add (COUNTER_DIRTY_CONNECTIONS, 1);
-      return CURL_PREREQFUNC_ABORT;
-    }
+  if (fetch->needs_other_connection)
+    return CURL_PREREQFUNC_ABORT;
   if (fetch->sends++ == 0)
     return CURL_PREREQFUNC_OK;
   fetch->resend_refused = fetch->refuses_resend;
@@ -680,6 +713,24 @@
   return CURL_PREREQFUNC_OK;
 }
 
+/* Sets what keeps a connection to one transfer at a time: libcurl shares those
+   of a peer that says it speaks HTTP/2.  */
+static void
+set_multi_options (struct fetcher *fetcher)
+{
+  CURLM *multi = fetcher->multi;
+
+  curl_multi_setopt (multi, CURLMOPT_SOCKETFUNCTION, handle_socket_change);
+  curl_multi_setopt (multi, CURLMOPT_SOCKETDATA, fetcher);
+  curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, handle_timer_change);
+  curl_multi_setopt (multi, CURLMOPT_TIMERDATA, fetcher);
+  curl_multi_setopt (multi, CURLMOPT_MAXCONNECTS,
+                     (long)MAX_CACHED_CONNECTIONS);
+  curl_multi_setopt (multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+  curl_multi_setopt (multi, CURLMOPT_MAX_HOST_CONNECTIONS, 0L);
+  curl_multi_setopt (multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, 0L);
+}
+
 /* Creates an HTTP client on LOOP.  */
 struct fetcher *
 fetcher_create (struct ev_loop *loop)
@@ -688,17 +739,8 @@
 
   fetcher->loop = loop;
   fetcher->multi = curl_multi_init ();
-  fetcher->sockets
-      = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
-  fetcher->ends = g_hash_table_new_full (NULL, NULL, NULL, free);
-  curl_multi_setopt (fetcher->multi, CURLMOPT_SOCKETFUNCTION,
-                     handle_socket_change);
-  curl_multi_setopt (fetcher->multi, CURLMOPT_SOCKETDATA, fetcher);
-  curl_multi_setopt (fetcher->multi, CURLMOPT_TIMERFUNCTION,
-                     handle_timer_change);
-  curl_multi_setopt (fetcher->multi, CURLMOPT_TIMERDATA, fetcher);
-  curl_multi_setopt (fetcher->multi, CURLMOPT_MAXCONNECTS,
-                     (long)MAX_CACHED_CONNECTIONS);
+  fetcher->connections = connections_create ();
+  set_multi_options (fetcher);
   ev_timer_init (&fetcher->timer, handle_timer, 0, 0);
   fetcher->timer.data = fetcher;
   deferred_init (&fetcher->deferred_destroy, loop, destroy_cancelled, fetcher);
@@ -716,8 +758,7 @@
   for (uint32_t i = 0; i < fetcher->idle_count; i++)
     curl_easy_cleanup (fetcher->idle[i]);
   curl_multi_cleanup (fetcher->multi);
-  g_hash_table_destroy (fetcher->sockets);
-  g_hash_table_destroy (fetcher->ends);
+  connections_destroy (fetcher->connections);
   ev_timer_stop (fetcher->loop, &fetcher->timer);
   deferred_cancel (&fetcher->deferred_destroy);
   free (fetcher);
@@ -831,9 +872,45 @@
       curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL,
                         (long)options->tcp_keepalive_s);
     }
-  if (options->max_idle_ms > 0)
-    curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
-                      (long)((options->max_idle_ms + 999) / 1000));
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
+                    options->max_idle_ms > 0
+                        ? (long)((options->max_idle_ms + 999) / 1000)
+                        : (long)DEFAULT_MAX_IDLE_S);
+}
+
+/* Sets what callers of the client rely on, whatever libcurl's defaults are:
+   requests go as they are to the peer that the URL names, over HTTP/1.1, and
+   responses come as they were sent.  Alt-Svc, cookies and proxies are off
+   while nothing names a file or an address for them.  */
+static void
+set_protocol_options (CURL *easy)
+{
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  /* Without the extension a peer cannot choose HTTP/2 in a TLS handshake. */
+  curl_easy_setopt (easy, CURLOPT_SSL_ENABLE_ALPN, 0L);
+  curl_easy_setopt (easy, CURLOPT_SSL_VERIFYPEER, 1L);
+  curl_easy_setopt (easy, CURLOPT_SSL_VERIFYHOST, 2L);
+  curl_easy_setopt (easy, CURLOPT_PIPEWAIT, 0L);
+  curl_easy_setopt (easy, CURLOPT_HTTP09_ALLOWED, 0L);
+  curl_easy_setopt (easy, CURLOPT_HTTP200ALIASES, NULL);
+  curl_easy_setopt (easy, CURLOPT_HSTS_CTRL, 0L);
+  curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt (easy, CURLOPT_UNRESTRICTED_AUTH, 0L);
+  curl_easy_setopt (easy, CURLOPT_NETRC, (long)CURL_NETRC_IGNORED);
+  curl_easy_setopt (easy, CURLOPT_FAILONERROR, 0L);
+  /* A peer that refuses before it has read a body gets no more of it: its
+     connection is closed. */
+  curl_easy_setopt (easy, CURLOPT_KEEP_SENDING_ON_ERROR, 0L);
+  curl_easy_setopt (easy, CURLOPT_IGNORE_CONTENT_LENGTH, 0L);
+  curl_easy_setopt (easy, CURLOPT_ACCEPT_ENCODING, NULL);
+  curl_easy_setopt (easy, CURLOPT_TRANSFER_ENCODING, 0L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_TRANSFER_DECODING, 1L);
+  curl_easy_setopt (easy, CURLOPT_DNS_CACHE_TIMEOUT, (long)MAX_DNS_AGE_S);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
 }
 
 /* Starts a transfer.  OPTIONS need not outlive the call.  The handlers run on
@@ -861,10 +938,7 @@
                                                   : DEFAULT_MAX_BODY_BYTES;
   link_fetch (fetch);
   curl_easy_setopt (fetch->easy, CURLOPT_URL, options->url);
-  curl_easy_setopt (fetch->easy, CURLOPT_PROTOCOLS_STR, "http,https");
-  curl_easy_setopt (fetch->easy, CURLOPT_NOPROXY, "*");
-  curl_easy_setopt (fetch->easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (fetch->easy, CURLOPT_TCP_NODELAY, 1L);
+  set_protocol_options (fetch->easy);
   curl_easy_setopt (fetch->easy, CURLOPT_BUFFERSIZE,
                     (long)RECEIVE_BUFFER_BYTES);
   curl_easy_setopt (fetch->easy, CURLOPT_WRITEFUNCTION, handle_body);
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -636,6 +636,8 @@
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)options->idle_timeout_s,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned)options->max_connections,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)LISTEN_BACKLOG,
+      /* The check of request_head.c is the stricter one. */
+      MHD_OPTION_STRICT_FOR_CLIENT, 0, MHD_OPTION_PER_IP_CONNECTION_LIMIT, 0U,
       MHD_OPTION_ARRAY, options->cert_pem ? tls : none, MHD_OPTION_END);
 }
 
--- a/galenactl/client.c
+++ b/galenactl/client.c
@@ -58,6 +58,7 @@
     headers = curl_slist_append (headers, authorization);
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   if (ca_file)
     curl_easy_setopt (easy, CURLOPT_CAINFO, ca_file);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -61,6 +61,8 @@
   COUNTER_PERMITS_DENIED,
   COUNTER_RESENDS,           /* by libcurl, on its own */
   COUNTER_DIRTY_CONNECTIONS, /* idle ones that had brought bytes */
+  /* Times that a second request was to be sent on a connection in use. */
+  COUNTER_SHARED_CONNECTIONS,
   COUNTER_UNFINISHED_EVENTS, /* responses that ended inside an event */
   COUNTER_RESPONSES_LATE, /* to requests whose response had begun or ended */
   COUNTER_ENDS_MISSING,   /* requests freed without an end */
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -67,7 +67,7 @@
      reused, and the result tells whether a resend was refused. */
   bool refuses_resend;
   bool new_connection; /* reuses none */
-  int64_t max_idle_ms; /* of a reused connection; 0 for libcurl's default */
+  int64_t max_idle_ms; /* of a reused connection; 0 for the default */
   const char *target; /* of the request line; NULL to derive it from the URL */
   int64_t tcp_keepalive_s; /* TCP keepalive interval; 0 for none */
   bool exact_headers;      /* suppresses libcurl's Accept and Content-Type */
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -12,6 +12,7 @@
 extern CU_TestInfo config_reader_tests[];
 extern CU_TestInfo config_tests[];
 extern CU_TestInfo config_versions_tests[];
+extern CU_TestInfo connection_users_tests[];
 extern CU_TestInfo conversation_keeper_tests[];
 extern CU_TestInfo conversation_losses_tests[];
 extern CU_TestInfo hidden_requests_tests[];
