request: what a request is follows from one configuration

Cause: route and customer were looked up anew before each send, while the conversation, the stream's key, the token of the quota and the decision about the program stayed. Nothing saw a version that came and went during a wait.

Change: each version is compared with all requests when it is taken, before a step that waits goes on. One that is no longer what it was ends at once (401, 404, 503 not run, or 502 if it may have run) unless an endpoint has it, and is not sent again. Targets and weights are still those of the latest version; a program whose targets have changed is weighed anew.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -102,6 +102,7 @@
   size_t charged_bytes;  /* that the body occupies */
   size_t max_body_bytes;
   bool is_essential;
+  fetch_may_send_handler *may_send;
   fetch_data_handler *handle_data;
   fetch_header_handler *handle_header;
   fetch_head_handler *handle_head;
@@ -693,16 +694,20 @@
 {
   struct fetch *fetch = data;
   struct connections *connections = fetch->fetcher->connections;
-  char *ends = xasprintf ("%s:%d %s:%d", local_address, local_port,
-                          peer_address, peer_port);
+  char *ends;
 
+  if (fetch->is_cancelled)
+    return CURL_PREREQFUNC_ABORT;
+  ends = xasprintf ("%s:%d %s:%d", local_address, local_port, peer_address,
+                    peer_port);
   if (!fetch_has_opened_connection (fetch))
     fetch->needs_other_connection
         = !may_reuse (fetch, connections_find_ends (connections, ends));
   else if (has_local_port (fetch->opened, local_port))
     connections_name (connections, fetch->opened, ends);
   free (ends);
-  if (fetch->needs_other_connection)
+  if (fetch->needs_other_connection
+      || (fetch->may_send && !fetch->may_send (fetch->data)))
     return CURL_PREREQFUNC_ABORT;
   if (fetch->sends++ == 0)
     return CURL_PREREQFUNC_OK;
@@ -924,6 +929,7 @@
   fetch->fetcher = fetcher;
   fetch->easy = fetcher->idle_count > 0 ? fetcher->idle[--fetcher->idle_count]
                                         : curl_easy_init ();
+  fetch->may_send = options->may_send;
   fetch->handle_data = options->handle_data;
   fetch->handle_header = options->handle_header;
   fetch->handle_head = options->handle_head;
--- a/include/common/fetch.h
+++ b/include/common/fetch.h
@@ -46,6 +46,9 @@
 /* Called at the end of the final response's head.  Returns false to abort the
    transfer, whose connection is closed then. */
 typedef bool fetch_head_handler (void *data);
+/* Called when a connection is ready and nothing has been sent.  Returns false
+   to end the transfer unsent. */
+typedef bool fetch_may_send_handler (void *data);
 typedef void fetch_done_handler (void *data,
                                  const struct fetch_result *result);
 
@@ -71,6 +74,7 @@
   const char *target; /* of the request line; NULL to derive it from the URL */
   int64_t tcp_keepalive_s; /* TCP keepalive interval; 0 for none */
   bool exact_headers;      /* suppresses libcurl's Accept and Content-Type */
+  fetch_may_send_handler *may_send;    /* may be NULL */
   fetch_data_handler *handle_data;     /* NULL to buffer the body */
   fetch_header_handler *handle_header; /* may be NULL */
   fetch_head_handler *handle_head;     /* may be NULL */
--- a/include/request/chosen_route.h
+++ b/include/request/chosen_route.h
@@ -15,9 +15,25 @@
   size_t bytes;             /* as accounted */
 };
 
+/* What a later configuration makes of what a request is. */
+enum chosen_route_change
+{
+  CHOSEN_ROUTE_SAME,
+  CHOSEN_ROUTE_GONE,        /* no route matches */
+  CHOSEN_ROUTE_KEY_UNKNOWN, /* the route needs a key that belongs to nobody */
+  CHOSEN_ROUTE_CHANGED,     /* another customer, or a route of another kind */
+};
+
 struct chosen_route *chosen_route_create (const struct routing *routing,
                                           const struct route *route,
                                           const struct customer *customer);
+enum chosen_route_change
+chosen_route_compare (const struct chosen_route *chosen,
+                      const struct route *route,
+                      const struct customer *customer);
+bool chosen_route_has_targets (const struct chosen_route *chosen,
+                               const struct routing *routing,
+                               const struct route *route);
 void chosen_route_destroy (struct chosen_route *chosen);
 
 #endif
--- a/request/chosen_route.c
+++ b/request/chosen_route.c
@@ -1,6 +1,7 @@
 #include "request/chosen_route.h"
 #include "common/buf.h"
 #include "common/memory.h"
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -68,6 +69,43 @@
   return chosen;
 }
 
+/* Compares what a request is by CHOSEN and by ROUTE and CUSTOMER, NULL for
+   none, of a later configuration: what was read for the request, and may be
+   done with it, depends on these.  */
+enum chosen_route_change
+chosen_route_compare (const struct chosen_route *chosen,
+                      const struct route *route,
+                      const struct customer *customer)
+{
+  const struct route *own = &chosen->route;
+
+  if (g_strcmp0 (chosen->customer.name, customer ? customer->name : NULL) != 0
+      || own->is_open != route->is_open || own->retry_mode != route->retry_mode
+      || own->resumable != route->resumable || own->retained != route->retained
+      || own->retention_s != route->retention_s)
+    return CHOSEN_ROUTE_CHANGED;
+  return CHOSEN_ROUTE_SAME;
+}
+
+/* Whether ROUTE of ROUTING has the targets of CHOSEN.  */
+bool
+chosen_route_has_targets (const struct chosen_route *chosen,
+                          const struct routing *routing,
+                          const struct route *route)
+{
+  const struct route *own = &chosen->route;
+
+  if (own->target_count != route->target_count)
+    return false;
+  for (uint32_t i = 0; i < own->target_count; i++)
+    if (own->targets[i].weight != route->targets[i].weight
+        || strcmp (chosen->services[i].name,
+                   routing->services[route->targets[i].service].name)
+               != 0)
+      return false;
+  return true;
+}
+
 /* Frees CHOSEN, which may be NULL.  */
 void
 chosen_route_destroy (struct chosen_route *chosen)
--- a/request/request.c
+++ b/request/request.c
@@ -46,6 +46,7 @@
   BUDGET_RETRY_MS = 500, /* while too few of the ledger's keepers respond */
   /* For streams that cannot be resumed: the caller can start them again. */
   RESUME_RETRY_MS = 50,
+  CHANGED_RETRY_MS = 50, /* the new configuration is in force already */
   MAX_RESPONSE_BYTES = 8 * 1024 * 1024,
 };
 
@@ -69,6 +70,10 @@
   const struct customer *customer; /* owned by chosen; NULL on open routes */
   const struct service *service;   /* of the current send; owned by chosen */
   uint64_t generation; /* of the configuration that was looked up last */
+  /* What a later configuration made of what the request is; it is not sent
+     any more then. */
+  enum chosen_route_change change;
+  bool is_keeping_turn; /* its response is whole, the turn is written */
   uint64_t program;
   struct stream_key stream; /* content is 0 if it cannot be resumed */
   uint64_t fingerprint; /* hash of the content, equal for repeated attempts */
@@ -145,7 +150,7 @@
   GQueue requests;
 };
 
-static void dispatch (struct request *request);
+static void continue_admission (struct request *request);
 
 /* Frees INPUT.  */
 void
@@ -367,7 +372,7 @@
 static void
 handle_backoff (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  dispatch (timer->data);
+  continue_admission (timer->data);
 }
 
 static void
@@ -909,6 +914,7 @@
   enum conversation_end end;
 
   release_endpoint (request);
+  request->is_keeping_turn = true;
   end = conversation_step_end (&request->conversation, handle_turn_written,
                                request);
   if (end == CONVERSATION_END_AT_ONCE)
@@ -1105,11 +1111,22 @@
       handle_sent (request, result);
       return;
     }
-  record_connect_failure (request->pipeline, request->endpoint,
-                          result->connection_refused);
+  if (request->change == CHOSEN_ROUTE_SAME)
+    record_connect_failure (request->pipeline, request->endpoint,
+                            result->connection_refused);
   retry_not_run (request, "no endpoint could be reached");
 }
 
+/* Whether the request, for which a connection has been opened or chosen, may
+   still be sent.  */
+static bool
+may_send (void *data)
+{
+  const struct request *request = data;
+
+  return request->change == CHOSEN_ROUTE_SAME;
+}
+
 static void
 handle_relay_done (void *data, const struct fetch_result *result,
                    enum relay_refusal refusal)
@@ -1250,6 +1267,7 @@
           .max_idle_ms = request->route->retry_mode == ROUTE_IDEMPOTENT
                              ? MAX_IDLE_MS
                              : MAX_IDLE_NON_IDEMPOTENT_MS,
+          .may_send = may_send,
           .handle_header = handle_header,
           .handle_head = handle_head,
           .handle_data = is_stream ? handle_stream_data : NULL,
@@ -1287,6 +1305,20 @@
   free (url);
 }
 
+/* Sets *CUSTOMER to the request's customer, or to NULL on an open ROUTE.
+   Returns false if its key is unknown.  */
+static bool
+find_customer (const struct request *request, const struct route *route,
+               const struct customer **customer)
+{
+  const char *key = request->input->key;
+
+  *customer = !route->is_open && key
+                  ? routing_find_customer (request->pipeline->routing, key)
+                  : NULL;
+  return route->is_open || *customer;
+}
+
 /* Makes the request run by ROUTE and CUSTOMER, which may be NULL, of the
    configuration in force.  It keeps copies: a request may outlive many
    versions of thousands of routes.  */
@@ -1305,29 +1337,83 @@
   request->generation = request->pipeline->generation;
 }
 
-/* Looks the route up again so that a request that waited uses the latest
-   configuration.  Returns false if its route or key no longer exists.  */
-static bool
+/* Returns what the configuration in force makes of what the request is.  */
+static enum chosen_route_change
+find_change (const struct request *request)
+{
+  const struct routing *latest = request->pipeline->routing;
+  const struct route *route = routing_find_route (latest, request->input->host,
+                                                  request->input->path);
+  const struct customer *customer;
+
+  if (!route)
+    return CHOSEN_ROUTE_GONE;
+  if (!find_customer (request, route, &customer))
+    return CHOSEN_ROUTE_KEY_UNKNOWN;
+  return chosen_route_compare (request->chosen, route, customer);
+}
+
+/* Ends a request that a later configuration has made another one.  All that
+   was read for it holds for what it was.  */
+static void
+end_changed (struct request *request)
+{
+  if (response_has_begun (request->response))
+    fail_request (request, "the configuration has changed what it is");
+  else if (request->change == CHOSEN_ROUTE_GONE)
+    refuse_with_message (request, ERROR_NOT_FOUND, 0,
+                         "the request's route has been removed");
+  else if (request->change == CHOSEN_ROUTE_KEY_UNKNOWN)
+    refuse_with_message (request, ERROR_UNAUTHORIZED, 0,
+                         "the request's API key has been removed");
+  else if (request->possible_runs == 0)
+    refuse_with_message (request, ERROR_OVERLOADED, CHANGED_RETRY_MS,
+                         "the request's route or customer has changed; send "
+                         "it again");
+  else
+    fail_request (request, "the request's route or customer has changed");
+}
+
+/* Ends the requests that wait and have become other ones.  The end of one may
+   end others, so that the list is read from its begin each time.  Those that
+   an endpoint has got go on.  */
+static void
+end_changed_requests (struct pipeline *pipeline)
+{
+  GList *at = pipeline->requests.head;
+
+  while (at)
+    {
+      struct request *request = at->data;
+
+      at = at->next;
+      if (request->change == CHOSEN_ROUTE_SAME || request->endpoint
+          || request->is_keeping_turn)
+        continue;
+      end_changed (request);
+      at = pipeline->requests.head;
+    }
+}
+
+/* Looks the route up again so that a request that waited, and is what it was,
+   uses the latest configuration.  A program that would go to other services
+   is weighed anew.  */
+static void
 refresh_route (struct request *request)
 {
   const struct routing *latest = request->pipeline->routing;
-  const struct customer *customer = NULL;
+  const struct customer *customer;
   const struct route *route;
 
   if (request->pipeline->generation == request->generation)
-    return true;
+    return;
   route = routing_find_route (latest, request->input->host,
                               request->input->path);
-  if (!route)
-    return false;
-  if (request->customer)
-    {
-      customer = routing_find_customer (latest, request->input->key);
-      if (!customer)
-        return false;
-    }
+  find_customer (request, route, &customer);
+  if (request->sends == 0
+      && !chosen_route_has_targets (request->chosen, latest, route))
+    request->is_weighed = false;
   choose_route (request, route, customer);
-  return true;
 }
 
 /* Returns the route's target that has endpoints of the stream's build, or
@@ -1508,7 +1594,7 @@
   request->permitted_ms = clock_now_ms ();
   if (wait_ms <= 0)
     {
-      dispatch (request);
+      continue_admission (request);
       return;
     }
   ev_timer_set (&request->backoff, (double)wait_ms / 1000.0, 0);
@@ -1546,7 +1632,7 @@
                               request->permit_endpoint);
   record_denial (request, endpoint);
   record_silent_holder (request, endpoint);
-  dispatch (request);
+  continue_admission (request);
 }
 
 /* Acquires a permit to send the request to ENDPOINT within MAX_WAIT_MS.  */
@@ -1693,11 +1779,6 @@
 static void
 dispatch (struct request *request)
 {
-  if (!refresh_route (request))
-    {
-      fail_request (request, "the request's route or key has been removed");
-      return;
-    }
   if (ends_for_crashes (request))
     return;
   if (!request->service)
@@ -1733,8 +1814,6 @@
 static void reserve_budget (struct request *request);
 static void acquire_token (struct request *request);
 
-static void continue_admission (struct request *request);
-
 /* Has admission decide whether the turn may be sent.  */
 static void
 weigh (struct request *request, bool has_budget)
@@ -1774,19 +1853,26 @@
 static void
 continue_admission (struct request *request)
 {
-  bool has_budget = request->input->program
-                    && request->input->token_budget >= 0
-                    && request->route->retry_mode == ROUTE_STREAM;
-  bool is_program_known
-      = has_budget
-        && ledger_has_turns (request->pipeline->options.ledger,
-                             request->program);
+  bool has_budget;
+  bool is_program_known;
 
+  if (request->change != CHOSEN_ROUTE_SAME)
+    {
+      end_changed (request);
+      return;
+    }
+  refresh_route (request);
+  has_budget = request->input->program && request->input->token_budget >= 0
+               && request->route->retry_mode == ROUTE_STREAM;
+  is_program_known = has_budget
+                     && ledger_has_turns (request->pipeline->options.ledger,
+                                          request->program);
   if (!conversation_step_is_ready (&request->conversation))
     find_chain (request);
   else if (!request->has_origin)
     find_origin (request);
-  else if (!request->is_weighed && has_program_deadline (request)
+  else if (!request->is_weighed && request->sends == 0
+           && has_program_deadline (request)
            && (!has_budget || is_program_known || request->reservation))
     weigh (request, has_budget);
   else if (!request->has_token && request->customer
@@ -1984,13 +2070,25 @@
   free (pipeline);
 }
 
-/* Applies a configuration, taking ownership of the caller's reference.  */
+/* Applies a configuration, taking ownership of the caller's reference.
+   Requests that wait and have become other ones end, before any of the steps
+   that they wait for goes on.  */
 void
 pipeline_apply (struct pipeline *pipeline, struct routing *routing)
 {
   routing_unref (pipeline->routing);
   pipeline->routing = routing;
   pipeline->generation++;
+  for (GList *at = pipeline->requests.head; at; at = at->next)
+    {
+      struct request *request = at->data;
+
+      /* One that was another request for a time does not become itself
+         again. */
+      if (request->change == CHOSEN_ROUTE_SAME)
+        request->change = find_change (request);
+    }
+  end_changed_requests (pipeline);
   limits_apply (pipeline->options.limits, routing);
   admission_step_apply (pipeline->admission, routing);
 }
@@ -2142,20 +2240,6 @@
   response_set_timeout (request->response, limit_ms);
 }
 
-/* Sets *CUSTOMER to the request's customer, or to NULL on an open ROUTE.
-   Returns false if its key is unknown.  */
-static bool
-find_customer (const struct request *request, const struct route *route,
-               const struct customer **customer)
-{
-  const char *key = request->input->key;
-
-  *customer = !route->is_open && key
-                  ? routing_find_customer (request->pipeline->routing, key)
-                  : NULL;
-  return route->is_open || *customer;
-}
-
 /* Returns a hash of what all attempts at a request have in common, also those
    that resume its stream.  */
 static uint64_t
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -88,9 +88,9 @@
 }
 
 /* Returns a configuration with one open route, of all paths of its host to the
-   service "app".  */
+   service "app", whose index is to be built.  */
 struct routing *
-local_routing_create (const struct local_route *route)
+local_routing_begin (const struct local_route *route)
 {
   struct routing *routing = routing_create ();
 
@@ -114,6 +114,15 @@
                         .targets = xcalloc (1, sizeof (struct route_target)),
                         .target_count = 1 };
   routing->routes[0].targets[0].weight = 1;
+  return routing;
+}
+
+/* Returns the same, with its index.  */
+struct routing *
+local_routing_create (const struct local_route *route)
+{
+  struct routing *routing = local_routing_begin (route);
+
   routing_build_index (routing);
   return routing;
 }
@@ -417,6 +426,7 @@
   struct pipeline_options pipeline
       = { .wire = &platform_wire, .handle_crash = count_crash, .data = local };
 
+  limits.window_ms = options->window_ms;
   pipeline.conversations = options->conversations;
   pipeline.ledger = options->ledger;
   pipeline.crashes = options->crashes;
--- a/test/unit/local_pipeline.h
+++ b/test/unit/local_pipeline.h
@@ -62,6 +62,7 @@
   const char *const *versions;         /* of the endpoints; NULL for none */
   struct conversations *conversations; /* may be NULL */
   struct ledger *ledger;               /* of budgets; may be NULL */
+  int64_t window_ms;                   /* of rate limits */
   struct crash_notices *crashes;       /* may be NULL */
   /* This host recorded that the first endpoint began the stream that further
      requests may resume. */
@@ -116,6 +117,7 @@
   uint32_t crashes; /* of endpoints, that requests are taken to have caused */
 };
 
+struct routing *local_routing_begin (const struct local_route *route);
 struct routing *local_routing_create (const struct local_route *route);
 struct local_pipeline *
 local_pipeline_create (const struct local_pipeline_options *options);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -69,6 +69,8 @@
 /* Suites that run only if their name is the program's argument. */
 static CU_SuiteInfo separate_suites[] = {
   { "broken answers", NULL, NULL, NULL, NULL, broken_answers_tests },
+  { "changes while waiting", NULL, NULL, NULL, NULL,
+    changes_while_waiting_tests },
   { "connection users", NULL, NULL, NULL, NULL, connection_users_tests },
   { "conversation keeper", NULL, NULL, NULL, NULL, conversation_keeper_tests },
   { "conversation losses", NULL, NULL, NULL, NULL, conversation_losses_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -7,6 +7,7 @@
 extern CU_TestInfo admission_tests[];
 extern CU_TestInfo api_ends_tests[];
 extern CU_TestInfo broken_answers_tests[];
+extern CU_TestInfo changes_while_waiting_tests[];
 extern CU_TestInfo charges_tests[];
 extern CU_TestInfo cold_fleet_tests[];
 extern CU_TestInfo config_reader_tests[];
