request: a keeper's memory of streams has an age

Cause: keepers hold the version that began a stream in memory only and answered "none" after a restart as if for certain; a keeper that was back did not ask the others.

Evidence: unit "forgetful keepers" simulates three keepers and two hosts; with answers that lack their ages, as before, streams are joined.

Change: an answer says for how long its keeper has known everything it is asked for, and counts in a majority only if that is as long as records are kept. A keeper that starts, or whose list changes, copies the records of the others. request/stream_memory.c is cut out of stream_index.c.

--- a/common/recent_table.c
+++ b/common/recent_table.c
@@ -9,6 +9,7 @@
   uint64_t key;
   uint64_t value;
   int64_t recorded_ms;
+  uint64_t sequence;
   GList link;
 };
 
@@ -17,6 +18,8 @@
   struct recent_table_options options;
   GHashTable *entries; /* key -> struct recent_entry */
   GQueue by_age;       /* struct recent_entry, oldest first */
+  uint64_t sequence;   /* of the last record */
+  int64_t dropped_ms;  /* when the last entry dropped for room was recorded */
 };
 
 /* Creates an empty table.  */
@@ -26,6 +29,7 @@
   struct recent_table *table = xcalloc (1, sizeof *table);
 
   table->options = *options;
+  table->dropped_ms = INT64_MIN;
   table->entries
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free);
   g_queue_init (&table->by_age);
@@ -60,7 +64,11 @@
   while ((oldest = g_queue_peek_head (&table->by_age))
          && (now_ms - oldest->recorded_ms > table->options.ttl_ms
              || table->by_age.length > table->options.capacity))
-    remove_oldest (table);
+    {
+      if (now_ms - oldest->recorded_ms <= table->options.ttl_ms)
+        table->dropped_ms = oldest->recorded_ms;
+      remove_oldest (table);
+    }
 }
 
 /* Records VALUE, which is not 0, under KEY.  A key that is known keeps its
@@ -84,6 +92,7 @@
       g_hash_table_insert (table->entries, &entry->key, entry);
     }
   entry->recorded_ms = now_ms;
+  entry->sequence = ++table->sequence;
   g_queue_push_tail_link (&table->by_age, &entry->link);
   expire (table, now_ms);
 }
@@ -113,6 +122,34 @@
   return entry ? entry->value : 0;
 }
 
+/* Writes up to MAX entries that were recorded last after the sequence AFTER,
+   in this order, to RECORDS and returns their number.  */
+size_t
+recent_table_list (const struct recent_table *table, uint64_t after,
+                   struct recent_record *records, size_t max)
+{
+  size_t count = 0;
+
+  for (const GList *at = table->by_age.head; at && count < max; at = at->next)
+    {
+      const struct recent_entry *entry = at->data;
+
+      if (entry->sequence > after)
+        records[count++] = (struct recent_record){
+          .key = entry->key, .value = entry->value, .sequence = entry->sequence
+        };
+    }
+  return count;
+}
+
+/* Returns a time so that all entries that were recorded after it are here but
+   for those that have expired; INT64_MIN if none was dropped for room.  */
+int64_t
+recent_table_dropped_ms (const struct recent_table *table)
+{
+  return table->dropped_ms;
+}
+
 /* Returns the number of entries.  */
 uint32_t
 recent_table_count (const struct recent_table *table)
--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -51,6 +51,8 @@
 typedef struct Peer__FeedObject Peer__FeedObject;
 typedef struct Peer__FeedUpdate Peer__FeedUpdate;
 typedef struct Peer__StreamOrigin Peer__StreamOrigin;
+typedef struct Peer__StreamCopyAsk Peer__StreamCopyAsk;
+typedef struct Peer__StreamCopy Peer__StreamCopy;
 typedef struct Peer__StreamAsk Peer__StreamAsk;
 typedef struct Peer__EndpointCold Peer__EndpointCold;
 typedef struct Peer__EndpointAsk Peer__EndpointAsk;
@@ -715,10 +717,61 @@
    * an answer that takes the attempt into account
    */
   protobuf_c_boolean is_by_attempt;
+  /*
+   * In an answer: all records of so long are known to the keeper.  Keepers of
+   * a build before do not say so, and may have forgotten some.
+   */
+  uint32_t known_ms;
 };
 #define PEER__STREAM_ORIGIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__stream_origin__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Asks a keeper for the records of streams that it holds.
+ */
+struct  Peer__StreamCopyAsk
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * sequence of the last record of the page before; 0 for
+   */
+  uint64_t after;
+};
+#define PEER__STREAM_COPY_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__stream_copy_ask__descriptor) \
+    , 0, 0 }
+
+
+struct  Peer__StreamCopy
+{
+  ProtobufCMessage base;
+  /*
+   * of the question
+   */
+  uint64_t id;
+  size_t n_keys;
+  uint64_t *keys;
+  size_t n_builds;
+  uint64_t *builds;
+  /*
+   * sequence of the last record of the page
+   */
+  uint64_t last;
+  /*
+   * page
+   */
+  protobuf_c_boolean is_last;
+  /*
+   * all that was sent to this keeper in so long is there
+   */
+  uint32_t known_ms;
+};
+#define PEER__STREAM_COPY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__stream_copy__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Peer__StreamAsk
@@ -1360,7 +1413,9 @@
   PEER__FRAME__BODY_TURN_GROUP = 48,
   PEER__FRAME__BODY_TURN_GROUP_KEPT = 49,
   PEER__FRAME__BODY_SPEED_NOTICE = 50,
-  PEER__FRAME__BODY_DEMAND_NOTICE = 51
+  PEER__FRAME__BODY_DEMAND_NOTICE = 51,
+  PEER__FRAME__BODY_STREAM_COPY_ASK = 52,
+  PEER__FRAME__BODY_STREAM_COPY = 53
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -1420,6 +1475,8 @@
     Peer__TurnGroupKept *turn_group_kept;
     Peer__SpeedNotice *speed_notice;
     Peer__DemandNotice *demand_notice;
+    Peer__StreamCopyAsk *stream_copy_ask;
+    Peer__StreamCopy *stream_copy;
   };
 };
 #define PEER__FRAME__INIT \
@@ -2111,6 +2168,44 @@
 void   peer__stream_origin__free_unpacked
                      (Peer__StreamOrigin *message,
                       ProtobufCAllocator *allocator);
+/* Peer__StreamCopyAsk methods */
+void   peer__stream_copy_ask__init
+                     (Peer__StreamCopyAsk         *message);
+size_t peer__stream_copy_ask__get_packed_size
+                     (const Peer__StreamCopyAsk   *message);
+size_t peer__stream_copy_ask__pack
+                     (const Peer__StreamCopyAsk   *message,
+                      uint8_t             *out);
+size_t peer__stream_copy_ask__pack_to_buffer
+                     (const Peer__StreamCopyAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__StreamCopyAsk *
+       peer__stream_copy_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__stream_copy_ask__free_unpacked
+                     (Peer__StreamCopyAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__StreamCopy methods */
+void   peer__stream_copy__init
+                     (Peer__StreamCopy         *message);
+size_t peer__stream_copy__get_packed_size
+                     (const Peer__StreamCopy   *message);
+size_t peer__stream_copy__pack
+                     (const Peer__StreamCopy   *message,
+                      uint8_t             *out);
+size_t peer__stream_copy__pack_to_buffer
+                     (const Peer__StreamCopy   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__StreamCopy *
+       peer__stream_copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__stream_copy__free_unpacked
+                     (Peer__StreamCopy *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__StreamAsk methods */
 void   peer__stream_ask__init
                      (Peer__StreamAsk         *message);
@@ -2753,6 +2848,12 @@
 typedef void (*Peer__StreamOrigin_Closure)
                  (const Peer__StreamOrigin *message,
                   void *closure_data);
+typedef void (*Peer__StreamCopyAsk_Closure)
+                 (const Peer__StreamCopyAsk *message,
+                  void *closure_data);
+typedef void (*Peer__StreamCopy_Closure)
+                 (const Peer__StreamCopy *message,
+                  void *closure_data);
 typedef void (*Peer__StreamAsk_Closure)
                  (const Peer__StreamAsk *message,
                   void *closure_data);
@@ -2879,6 +2980,8 @@
 extern const ProtobufCMessageDescriptor peer__feed_object__descriptor;
 extern const ProtobufCMessageDescriptor peer__feed_update__descriptor;
 extern const ProtobufCMessageDescriptor peer__stream_origin__descriptor;
+extern const ProtobufCMessageDescriptor peer__stream_copy_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__stream_copy__descriptor;
 extern const ProtobufCMessageDescriptor peer__stream_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__endpoint_cold__descriptor;
 extern const ProtobufCMessageDescriptor peer__endpoint_ask__descriptor;
--- a/include/request/stream_index.h
+++ b/include/request/stream_index.h
@@ -2,8 +2,8 @@
    also if it began at another host.
 
    A host records each stream, with its first event, in its own table and at
-   the keepers that the hash of its request's content selects.  Keepers hold
-   the records in memory.
+   the keepers that the hash of its request's content selects, which hold the
+   records in memory (request/stream_memory.h).
 
    A caller that resumes a stream may name the attempt that began it.  If it
    does not, the equal content of its requests tells which stream it resumes,
@@ -11,30 +11,15 @@
 #ifndef GALENA_REQUEST_STREAM_INDEX_H
 #define GALENA_REQUEST_STREAM_INDEX_H
 
-#include "common/recent_table.h"
 #include "peer/host.h"
-#include "peer/mesh.h"
+#include "peer/transport.h"
 #include <ev.h>
 #include <stddef.h>
 #include <stdint.h>
 
-enum
-{
-  /* Longer than a caller takes to resume a stream. */
-  STREAM_TTL_MS = 60 * 1000,
-};
-
 struct stream_index;
 struct stream_lookup;
-
-/* Identifies a stream on all hosts. */
-struct stream_key
-{
-  uint64_t content; /* hash of what all attempts at the request have in common
-                     */
-  uint64_t attempt; /* hash of the id of the attempt that began the stream; 0
-                       if it is not known */
-};
+struct stream_key;
 
 enum stream_origin
 {
@@ -51,7 +36,7 @@
 struct stream_index_options
 {
   struct ev_loop *loop;
-  struct mesh *mesh;
+  struct transport *transport;
   uint32_t losses; /* of keepers at once, which the records survive */
 };
 
@@ -75,10 +60,4 @@
 void stream_index_handle_frame (struct stream_index *index, const char *host,
                                 const Peer__Frame *frame);
 
-void stream_table_record (struct recent_table *table,
-                          const struct stream_key *key, uint64_t build,
-                          int64_t now_ms);
-void stream_keeper_handle_frame (struct recent_table *table, struct mesh *mesh,
-                                 const char *host, const Peer__Frame *frame);
-
 #endif
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1627,6 +1627,96 @@
   assert(message->base.descriptor == &peer__stream_origin__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__stream_copy_ask__init
+                     (Peer__StreamCopyAsk         *message)
+{
+  static const Peer__StreamCopyAsk init_value = PEER__STREAM_COPY_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__stream_copy_ask__get_packed_size
+                     (const Peer__StreamCopyAsk *message)
+{
+  assert(message->base.descriptor == &peer__stream_copy_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__stream_copy_ask__pack
+                     (const Peer__StreamCopyAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__stream_copy_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__stream_copy_ask__pack_to_buffer
+                     (const Peer__StreamCopyAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__stream_copy_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__StreamCopyAsk *
+       peer__stream_copy_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__StreamCopyAsk *)
+     protobuf_c_message_unpack (&peer__stream_copy_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__stream_copy_ask__free_unpacked
+                     (Peer__StreamCopyAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__stream_copy_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__stream_copy__init
+                     (Peer__StreamCopy         *message)
+{
+  static const Peer__StreamCopy init_value = PEER__STREAM_COPY__INIT;
+  *message = init_value;
+}
+size_t peer__stream_copy__get_packed_size
+                     (const Peer__StreamCopy *message)
+{
+  assert(message->base.descriptor == &peer__stream_copy__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__stream_copy__pack
+                     (const Peer__StreamCopy *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__stream_copy__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__stream_copy__pack_to_buffer
+                     (const Peer__StreamCopy *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__stream_copy__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__StreamCopy *
+       peer__stream_copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__StreamCopy *)
+     protobuf_c_message_unpack (&peer__stream_copy__descriptor,
+                                allocator, len, data);
+}
+void   peer__stream_copy__free_unpacked
+                     (Peer__StreamCopy *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__stream_copy__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__stream_ask__init
                      (Peer__StreamAsk         *message)
 {
@@ -5634,7 +5724,7 @@
   (ProtobufCMessageInit) peer__feed_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__stream_origin__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__stream_origin__field_descriptors[6] =
 {
   {
     "id",
@@ -5696,18 +5786,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamOrigin, known_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__stream_origin__field_indices_by_name[] = {
   3,   /* field[3] = attempt */
   2,   /* field[2] = build */
   0,   /* field[0] = id */
   4,   /* field[4] = is_by_attempt */
+  5,   /* field[5] = known_ms */
   1,   /* field[1] = stream */
 };
 static const ProtobufCIntRange peer__stream_origin__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__stream_origin__descriptor =
 {
@@ -5717,13 +5820,167 @@
   "Peer__StreamOrigin",
   "peer",
   sizeof(Peer__StreamOrigin),
-  5,
+  6,
   peer__stream_origin__field_descriptors,
   peer__stream_origin__field_indices_by_name,
   1,  peer__stream_origin__number_ranges,
   (ProtobufCMessageInit) peer__stream_origin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__stream_copy_ask__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamCopyAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamCopyAsk, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__stream_copy_ask__field_indices_by_name[] = {
+  1,   /* field[1] = after */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer__stream_copy_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__stream_copy_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StreamCopyAsk",
+  "StreamCopyAsk",
+  "Peer__StreamCopyAsk",
+  "peer",
+  sizeof(Peer__StreamCopyAsk),
+  2,
+  peer__stream_copy_ask__field_descriptors,
+  peer__stream_copy_ask__field_indices_by_name,
+  1,  peer__stream_copy_ask__number_ranges,
+  (ProtobufCMessageInit) peer__stream_copy_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__stream_copy__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamCopy, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__StreamCopy, n_keys),
+    offsetof(Peer__StreamCopy, keys),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "builds",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Peer__StreamCopy, n_builds),
+    offsetof(Peer__StreamCopy, builds),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamCopy, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_last",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamCopy, is_last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__StreamCopy, known_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__stream_copy__field_indices_by_name[] = {
+  2,   /* field[2] = builds */
+  0,   /* field[0] = id */
+  4,   /* field[4] = is_last */
+  1,   /* field[1] = keys */
+  5,   /* field[5] = known_ms */
+  3,   /* field[3] = last */
+};
+static const ProtobufCIntRange peer__stream_copy__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer__stream_copy__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.StreamCopy",
+  "StreamCopy",
+  "Peer__StreamCopy",
+  "peer",
+  sizeof(Peer__StreamCopy),
+  6,
+  peer__stream_copy__field_descriptors,
+  peer__stream_copy__field_indices_by_name,
+  1,  peer__stream_copy__number_ranges,
+  (ProtobufCMessageInit) peer__stream_copy__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__stream_ask__field_descriptors[3] =
 {
   {
@@ -7933,7 +8190,7 @@
   (ProtobufCMessageInit) peer__demand_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[51] =
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[53] =
 {
   {
     "ping",
@@ -8547,6 +8804,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_copy_ask",
+    52,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, stream_copy_ask),
+    &peer__stream_copy_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_copy",
+    53,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, stream_copy),
+    &peer__stream_copy__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -8590,6 +8871,8 @@
   13,   /* field[13] = store_records */
   29,   /* field[29] = stream_answer */
   28,   /* field[28] = stream_ask */
+  52,   /* field[52] = stream_copy */
+  51,   /* field[51] = stream_copy_ask */
   27,   /* field[27] = stream_record */
   47,   /* field[47] = turn_group */
   46,   /* field[46] = turn_group_ask */
@@ -8604,7 +8887,7 @@
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 51 }
+  { 0, 53 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -8614,7 +8897,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  51,
+  53,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/request/request.c
+++ b/request/request.c
@@ -9,6 +9,7 @@
 #include "request/conversation_step.h"
 #include "request/event_splitter.h"
 #include "request/observation.h"
+#include "request/stream_memory.h"
 #include <stdlib.h>
 #include <string.h>
 
--- a/request/stream_index.c
+++ b/request/stream_index.c
@@ -3,6 +3,7 @@
 #include "common/counters.h"
 #include "common/id.h"
 #include "ledger/keeper_set.h"
+#include "request/stream_memory.h"
 #include <glib.h>
 #include <stdlib.h>
 
@@ -17,9 +18,6 @@
   SILENT_ROUNDS = 5, /* while no keeper has answered: a stream may be lost */
 };
 
-/* Recorded for equal requests that began at different builds. */
-static const uint64_t AMBIGUOUS_BUILD = UINT64_MAX;
-
 struct stream_index
 {
   struct stream_index_options options;
@@ -38,7 +36,7 @@
   struct stream_key key;
   uint64_t build; /* that some keeper knows; 0 for none */
   struct keeper_replicas replicas;
-  bool has_answered[REPLICAS_MAX]; /* in this round */
+  bool has_answered[REPLICAS_MAX]; /* in this round, for certain */
   bool is_answered;                /* by any keeper in any round */
   uint32_t round;
   ev_timer timer;
@@ -104,24 +102,11 @@
                   const struct keeper_replicas *replicas,
                   const Peer__Frame *frame)
 {
-  for (uint32_t i = 0; i < replicas->count; i++)
-    mesh_send (index->options.mesh, index->set.names[replicas->keepers[i]],
-               frame);
-}
+  struct transport *transport = index->options.transport;
 
-/* Records the build of a stream by its attempt and by its content.  Content
-   that began at different builds does not tell which stream is resumed.  */
-void
-stream_table_record (struct recent_table *table, const struct stream_key *key,
-                     uint64_t build, int64_t now_ms)
-{
-  uint64_t known = recent_table_find (table, key->content, now_ms);
-
-  recent_table_replace (table, key->content,
-                        known && known != build ? AMBIGUOUS_BUILD : build,
-                        now_ms);
-  if (key->attempt)
-    recent_table_record (table, key->attempt, build, now_ms);
+  for (uint32_t i = 0; i < replicas->count; i++)
+    transport->vtable->send (transport, index->set.names[replicas->keepers[i]],
+                             frame);
 }
 
 /* Records that the stream KEY began at BUILD.  Must be called before its first
@@ -205,8 +190,9 @@
 }
 
 /* Ends a lookup for which no keeper has decided.  Keepers that know the
-   content decide together with a majority: a keeper that does not answer may
-   know that an equal request began at another build.  */
+   content decide together with a majority: a keeper that does not answer, or
+   has forgotten, may have known that an equal request began at another build.
+ */
 static void
 finish_undecided (struct stream_lookup *lookup)
 {
@@ -214,7 +200,7 @@
   bool is_certain
       = lookup->is_answered || (lookup->index->knows_keepers && !has_keepers);
 
-  if (lookup->build == AMBIGUOUS_BUILD)
+  if (lookup->build == STREAM_BUILD_AMBIGUOUS)
     finish_lookup (lookup, STREAM_ORIGIN_AMBIGUOUS, 0);
   else if (lookup->build
            && count_answers (lookup) > lookup->replicas.count / 2)
@@ -275,20 +261,22 @@
 
 /* A keeper that knows the attempt decides.  One that knows only the content
    decides unless another one knows of a different build.  Those that know
-   nothing may have missed the record.  */
+   nothing may have missed the record, and one that has not known everything
+   for KNOWN_MS may have forgotten it: it counts for no majority.  */
 static void
-handle_answer (struct stream_lookup *lookup, const char *host, uint64_t build)
+handle_answer (struct stream_lookup *lookup, const char *host, uint64_t build,
+               int64_t known_ms)
 {
   int32_t keeper = keeper_set_find (&lookup->index->set, host);
 
-  if (build && lookup->key.attempt)
+  if (build && build != STREAM_BUILD_AMBIGUOUS && lookup->key.attempt)
     {
       finish_lookup (lookup, STREAM_ORIGIN_FOUND, build);
       return;
     }
   if (build && lookup->build && build != lookup->build)
-    build = AMBIGUOUS_BUILD;
-  if (build == AMBIGUOUS_BUILD)
+    build = STREAM_BUILD_AMBIGUOUS;
+  if (build == STREAM_BUILD_AMBIGUOUS)
     {
       finish_lookup (lookup, STREAM_ORIGIN_AMBIGUOUS, 0);
       return;
@@ -297,7 +285,8 @@
     lookup->build = build;
   lookup->is_answered = true;
   for (uint32_t i = 0; i < lookup->replicas.count; i++)
-    if ((int32_t)lookup->replicas.keepers[i] == keeper)
+    if ((int32_t)lookup->replicas.keepers[i] == keeper
+        && known_ms >= STREAM_TTL_MS)
       lookup->has_answered[i] = true;
   if (lookup->round >= ROUNDS
       && count_answers (lookup) == lookup->replicas.count)
@@ -316,36 +305,6 @@
   lookup = g_hash_table_lookup (index->lookups, &frame->stream_answer->id);
   /* Keepers of earlier versions know only one build of equal requests. */
   if (lookup && frame->stream_answer->is_by_attempt)
-    handle_answer (lookup, host, frame->stream_answer->build);
-}
-
-/* On a keeper: stores records in TABLE, answers questions from it and ignores
-   all other frames.  */
-void
-stream_keeper_handle_frame (struct recent_table *table, struct mesh *mesh,
-                            const char *host, const Peer__Frame *frame)
-{
-  Peer__Frame reply = PEER__FRAME__INIT;
-  Peer__StreamOrigin origin = PEER__STREAM_ORIGIN__INIT;
-  int64_t now_ms = clock_now_ms ();
-
-  if (frame->body_case == PEER__FRAME__BODY_STREAM_RECORD
-      && frame->stream_record->build)
-    {
-      struct stream_key key = { .content = frame->stream_record->stream,
-                                .attempt = frame->stream_record->attempt };
-
-      stream_table_record (table, &key, frame->stream_record->build, now_ms);
-    }
-  if (frame->body_case != PEER__FRAME__BODY_STREAM_ASK)
-    return;
-  origin.id = frame->stream_ask->id;
-  origin.stream = frame->stream_ask->stream;
-  origin.attempt = frame->stream_ask->attempt;
-  origin.is_by_attempt = true;
-  origin.build = recent_table_find (
-      table, origin.attempt ? origin.attempt : origin.stream, now_ms);
-  reply.body_case = PEER__FRAME__BODY_STREAM_ANSWER;
-  reply.stream_answer = &origin;
-  mesh_send (mesh, host, &reply);
+    handle_answer (lookup, host, frame->stream_answer->build,
+                   frame->stream_answer->known_ms);
 }
--- a/test/unit/local_pipeline.c
+++ b/test/unit/local_pipeline.c
@@ -2,6 +2,7 @@
 #include "common/id.h"
 #include "peer/packed_frame.h"
 #include "platform/wire.h"
+#include "request/stream_memory.h"
 #include <CUnit/CUnit.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -22,6 +22,7 @@
   { "failure detector", NULL, NULL, NULL, NULL, failure_detector_tests },
   { "feed", NULL, NULL, NULL, NULL, feed_tests },
   { "fields", NULL, NULL, NULL, NULL, fields_tests },
+  { "forgetful keepers", NULL, NULL, NULL, NULL, forgetful_keepers_tests },
   { "history", NULL, NULL, NULL, NULL, history_tests },
   { "holders", NULL, NULL, NULL, NULL, holders_tests },
   { "httpd", NULL, NULL, NULL, NULL, httpd_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -38,6 +38,7 @@
 extern CU_TestInfo feed_tests[];
 extern CU_TestInfo fields_tests[];
 extern CU_TestInfo foreign_events_tests[];
+extern CU_TestInfo forgetful_keepers_tests[];
 extern CU_TestInfo history_tests[];
 extern CU_TestInfo holders_tests[];
 extern CU_TestInfo httpd_tests[];
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -2,7 +2,7 @@
 #include "common/buf.h"
 #include "common/memory.h"
 #include "request/pool.h"
-#include "request/stream_index.h"
+#include "request/stream_memory.h"
 #include "suites.h"
 #include <stdlib.h>
 
--- a/test/unit/test_stream_index.c
+++ b/test/unit/test_stream_index.c
@@ -1,6 +1,7 @@
 #include "common/id.h"
 #include "local_mesh.h"
 #include "request/stream_index.h"
+#include "request/stream_memory.h"
 #include "suites.h"
 #include <string.h>
 
@@ -17,7 +18,7 @@
 
 static const struct stream_key key = { CONTENT, ATTEMPT };
 
-/* An entry host's index and a keeper's table. */
+/* An entry host's index and a keeper's memory. */
 struct fixture
 {
   struct ev_loop *loop;
@@ -25,7 +26,9 @@
   struct mesh *entry;
   struct mesh *keeper;
   struct stream_index *index;
-  struct recent_table *table;
+  struct mesh_transport entry_transport;
+  struct mesh_transport keeper_transport;
+  struct stream_memory *memory;
   int asked;       /* questions that the keeper received */
   int deaf_rounds; /* it does not store records before so many questions */
   bool is_silent;  /* the keeper does not answer */
@@ -41,6 +44,23 @@
   stream_index_handle_frame (fixture->index, host, frame);
 }
 
+/* Tells the keeper that the stream WANTED began at BUILD.  */
+static void
+record (const struct fixture *fixture, const struct stream_key *wanted,
+        uint64_t build)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__StreamOrigin origin = PEER__STREAM_ORIGIN__INIT;
+
+  origin.stream = wanted->content;
+  origin.attempt = wanted->attempt;
+  origin.build = build;
+  frame.body_case = PEER__FRAME__BODY_STREAM_RECORD;
+  frame.stream_record = &origin;
+  stream_memory_handle_frame (fixture->memory, "entry", &frame,
+                              clock_now_ms ());
+}
+
 static void
 handle_keeper_frame (void *data, const char *host, const Peer__Frame *frame)
 {
@@ -48,9 +68,9 @@
 
   if (frame->body_case == PEER__FRAME__BODY_STREAM_ASK
       && ++fixture->asked == fixture->deaf_rounds)
-    stream_table_record (fixture->table, &key, BUILD, clock_now_ms ());
+    record (fixture, &key, BUILD);
   if (!fixture->is_silent)
-    stream_keeper_handle_frame (fixture->table, fixture->keeper, host, frame);
+    stream_memory_handle_frame (fixture->memory, host, frame, clock_now_ms ());
 }
 
 static void
@@ -67,8 +87,8 @@
   struct mesh_host hosts[]
       = { { "entry", "127.0.0.1:24041" }, { "keeper", "127.0.0.1:24042" } };
   struct stream_index_options options = { .losses = 1 };
-  struct recent_table_options table
-      = { .capacity = CAPACITY, .ttl_ms = STREAM_TTL_MS };
+  struct stream_memory_options memory
+      = { .capacity = CAPACITY, .losses = 1, .first_start = true };
 
   memset (fixture, 0, sizeof *fixture);
   fixture->keyring.count = 1;
@@ -76,12 +96,16 @@
   entry.keyring = keeper.keyring = &fixture->keyring;
   entry.loop = keeper.loop = options.loop = fixture->loop
       = ev_loop_new (EVFLAG_AUTO);
-  options.mesh = fixture->entry = local_mesh_open (&entry);
+  fixture->entry = local_mesh_open (&entry);
   fixture->keeper = local_mesh_open (&keeper);
+  mesh_transport_init (&fixture->entry_transport, fixture->entry);
+  mesh_transport_init (&fixture->keeper_transport, fixture->keeper);
+  options.transport = &fixture->entry_transport.base;
+  memory.transport = &fixture->keeper_transport.base;
   mesh_set_hosts (fixture->entry, hosts, 2);
   mesh_set_hosts (fixture->keeper, hosts, 2);
   fixture->index = stream_index_create (&options);
-  fixture->table = recent_table_create (&table);
+  fixture->memory = stream_memory_create (&memory, clock_now_ms ());
 }
 
 static void
@@ -96,7 +120,7 @@
 teardown (struct fixture *fixture)
 {
   stream_index_destroy (fixture->index);
-  recent_table_destroy (fixture->table);
+  stream_memory_destroy (fixture->memory);
   mesh_destroy (fixture->entry);
   mesh_destroy (fixture->keeper);
   ev_loop_destroy (fixture->loop);
@@ -194,10 +218,10 @@
 
   setup (&fixture);
   list_keeper (&fixture);
-  stream_table_record (fixture.table, &key, BUILD, clock_now_ms ());
+  record (&fixture, &key, BUILD);
   CU_ASSERT_EQUAL (find_key (&fixture, &unnamed), STREAM_ORIGIN_FOUND);
   CU_ASSERT_EQUAL (fixture.build, BUILD);
-  stream_table_record (fixture.table, &other, BUILD + 1, clock_now_ms ());
+  record (&fixture, &other, BUILD + 1);
   CU_ASSERT_EQUAL (find_key (&fixture, &unnamed), STREAM_ORIGIN_AMBIGUOUS);
   CU_ASSERT_EQUAL (find_key (&fixture, &other), STREAM_ORIGIN_FOUND);
   CU_ASSERT_EQUAL (fixture.build, BUILD + 1);
