limits: a new holder of a share knows what was granted before

Cause: grants are counted in memory only, and a holder that started granted what accrues as if nothing had been granted before.

Change: holders tell their grants to three witnesses, and ask them when they begin to hold a share. A witness that has not known everything for a window does not count.

Open: holder and all witnesses killed at once.

--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -25,6 +25,9 @@
 typedef struct Peer__CallCancel Peer__CallCancel;
 typedef struct Peer__LimitAsk Peer__LimitAsk;
 typedef struct Peer__LimitLoan Peer__LimitLoan;
+typedef struct Peer__LimitGranted Peer__LimitGranted;
+typedef struct Peer__LimitHistoryAsk Peer__LimitHistoryAsk;
+typedef struct Peer__LimitHistory Peer__LimitHistory;
 typedef struct Peer__LimitConfirm Peer__LimitConfirm;
 typedef struct Peer__StoreAppend Peer__StoreAppend;
 typedef struct Peer__StoreAck Peer__StoreAck;
@@ -241,6 +244,58 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Tells a witness of a customer's share in a data centre that its holder has
+ * granted tokens since it told so last.
+ */
+struct  Peer__LimitGranted
+{
+  ProtobufCMessage base;
+  /*
+   * hash of both names
+   */
+  uint64_t share;
+  uint32_t tokens;
+};
+#define PEER__LIMIT_GRANTED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__limit_granted__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Asks a witness what has been granted of a share.
+ */
+struct  Peer__LimitHistoryAsk
+{
+  ProtobufCMessage base;
+  uint64_t share;
+};
+#define PEER__LIMIT_HISTORY_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__limit_history_ask__descriptor) \
+    , 0 }
+
+
+struct  Peer__LimitHistory
+{
+  ProtobufCMessage base;
+  uint64_t share;
+  /*
+   * of all that was told to witnesses for so long
+   */
+  uint32_t known_ms;
+  /*
+   * at least, of the grants
+   */
+  size_t n_ages_ms;
+  uint32_t *ages_ms;
+  size_t n_tokens;
+  uint32_t *tokens;
+};
+#define PEER__LIMIT_HISTORY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__limit_history__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
 struct  Peer__LimitConfirm
 {
   ProtobufCMessage base;
@@ -1415,7 +1470,10 @@
   PEER__FRAME__BODY_SPEED_NOTICE = 50,
   PEER__FRAME__BODY_DEMAND_NOTICE = 51,
   PEER__FRAME__BODY_STREAM_COPY_ASK = 52,
-  PEER__FRAME__BODY_STREAM_COPY = 53
+  PEER__FRAME__BODY_STREAM_COPY = 53,
+  PEER__FRAME__BODY_LIMIT_GRANTED = 54,
+  PEER__FRAME__BODY_LIMIT_HISTORY_ASK = 55,
+  PEER__FRAME__BODY_LIMIT_HISTORY = 56
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__FRAME__BODY__CASE)
 } Peer__Frame__BodyCase;
 
@@ -1477,6 +1535,9 @@
     Peer__DemandNotice *demand_notice;
     Peer__StreamCopyAsk *stream_copy_ask;
     Peer__StreamCopy *stream_copy;
+    Peer__LimitGranted *limit_granted;
+    Peer__LimitHistoryAsk *limit_history_ask;
+    Peer__LimitHistory *limit_history;
   };
 };
 #define PEER__FRAME__INIT \
@@ -1674,6 +1735,63 @@
 void   peer__limit_loan__free_unpacked
                      (Peer__LimitLoan *message,
                       ProtobufCAllocator *allocator);
+/* Peer__LimitGranted methods */
+void   peer__limit_granted__init
+                     (Peer__LimitGranted         *message);
+size_t peer__limit_granted__get_packed_size
+                     (const Peer__LimitGranted   *message);
+size_t peer__limit_granted__pack
+                     (const Peer__LimitGranted   *message,
+                      uint8_t             *out);
+size_t peer__limit_granted__pack_to_buffer
+                     (const Peer__LimitGranted   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LimitGranted *
+       peer__limit_granted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__limit_granted__free_unpacked
+                     (Peer__LimitGranted *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LimitHistoryAsk methods */
+void   peer__limit_history_ask__init
+                     (Peer__LimitHistoryAsk         *message);
+size_t peer__limit_history_ask__get_packed_size
+                     (const Peer__LimitHistoryAsk   *message);
+size_t peer__limit_history_ask__pack
+                     (const Peer__LimitHistoryAsk   *message,
+                      uint8_t             *out);
+size_t peer__limit_history_ask__pack_to_buffer
+                     (const Peer__LimitHistoryAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LimitHistoryAsk *
+       peer__limit_history_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__limit_history_ask__free_unpacked
+                     (Peer__LimitHistoryAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LimitHistory methods */
+void   peer__limit_history__init
+                     (Peer__LimitHistory         *message);
+size_t peer__limit_history__get_packed_size
+                     (const Peer__LimitHistory   *message);
+size_t peer__limit_history__pack
+                     (const Peer__LimitHistory   *message,
+                      uint8_t             *out);
+size_t peer__limit_history__pack_to_buffer
+                     (const Peer__LimitHistory   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LimitHistory *
+       peer__limit_history__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__limit_history__free_unpacked
+                     (Peer__LimitHistory *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__LimitConfirm methods */
 void   peer__limit_confirm__init
                      (Peer__LimitConfirm         *message);
@@ -2770,6 +2888,15 @@
 typedef void (*Peer__LimitLoan_Closure)
                  (const Peer__LimitLoan *message,
                   void *closure_data);
+typedef void (*Peer__LimitGranted_Closure)
+                 (const Peer__LimitGranted *message,
+                  void *closure_data);
+typedef void (*Peer__LimitHistoryAsk_Closure)
+                 (const Peer__LimitHistoryAsk *message,
+                  void *closure_data);
+typedef void (*Peer__LimitHistory_Closure)
+                 (const Peer__LimitHistory *message,
+                  void *closure_data);
 typedef void (*Peer__LimitConfirm_Closure)
                  (const Peer__LimitConfirm *message,
                   void *closure_data);
@@ -2954,6 +3081,9 @@
 extern const ProtobufCMessageDescriptor peer__call_cancel__descriptor;
 extern const ProtobufCMessageDescriptor peer__limit_ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__limit_loan__descriptor;
+extern const ProtobufCMessageDescriptor peer__limit_granted__descriptor;
+extern const ProtobufCMessageDescriptor peer__limit_history_ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__limit_history__descriptor;
 extern const ProtobufCMessageDescriptor peer__limit_confirm__descriptor;
 extern const ProtobufCMessageDescriptor peer__store_append__descriptor;
 extern const ProtobufCMessageDescriptor peer__store_ack__descriptor;
--- a/include/policy/window.h
+++ b/include/policy/window.h
@@ -35,6 +35,12 @@
 void window_restart (struct window *window, int64_t now_ms);
 int64_t window_available (struct window *window, int64_t now_ms);
 void window_charge (struct window *window, int64_t tokens, int64_t now_ms);
+void window_charge_before (struct window *window, int64_t tokens,
+                           int64_t age_ms, int64_t now_ms);
+void window_set_known (struct window *window, int64_t known_ms,
+                       int64_t now_ms);
+int64_t window_grants (struct window *window, int64_t index, int64_t now_ms,
+                       int64_t *age_ms);
 int64_t window_take (struct window *window, int64_t tokens, int64_t now_ms);
 int64_t window_wait_ms (struct window *window, int64_t now_ms);
 
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -457,6 +457,141 @@
   assert(message->base.descriptor == &peer__limit_loan__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__limit_granted__init
+                     (Peer__LimitGranted         *message)
+{
+  static const Peer__LimitGranted init_value = PEER__LIMIT_GRANTED__INIT;
+  *message = init_value;
+}
+size_t peer__limit_granted__get_packed_size
+                     (const Peer__LimitGranted *message)
+{
+  assert(message->base.descriptor == &peer__limit_granted__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__limit_granted__pack
+                     (const Peer__LimitGranted *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__limit_granted__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__limit_granted__pack_to_buffer
+                     (const Peer__LimitGranted *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__limit_granted__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LimitGranted *
+       peer__limit_granted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LimitGranted *)
+     protobuf_c_message_unpack (&peer__limit_granted__descriptor,
+                                allocator, len, data);
+}
+void   peer__limit_granted__free_unpacked
+                     (Peer__LimitGranted *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__limit_granted__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__limit_history_ask__init
+                     (Peer__LimitHistoryAsk         *message)
+{
+  static const Peer__LimitHistoryAsk init_value = PEER__LIMIT_HISTORY_ASK__INIT;
+  *message = init_value;
+}
+size_t peer__limit_history_ask__get_packed_size
+                     (const Peer__LimitHistoryAsk *message)
+{
+  assert(message->base.descriptor == &peer__limit_history_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__limit_history_ask__pack
+                     (const Peer__LimitHistoryAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__limit_history_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__limit_history_ask__pack_to_buffer
+                     (const Peer__LimitHistoryAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__limit_history_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LimitHistoryAsk *
+       peer__limit_history_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LimitHistoryAsk *)
+     protobuf_c_message_unpack (&peer__limit_history_ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__limit_history_ask__free_unpacked
+                     (Peer__LimitHistoryAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__limit_history_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__limit_history__init
+                     (Peer__LimitHistory         *message)
+{
+  static const Peer__LimitHistory init_value = PEER__LIMIT_HISTORY__INIT;
+  *message = init_value;
+}
+size_t peer__limit_history__get_packed_size
+                     (const Peer__LimitHistory *message)
+{
+  assert(message->base.descriptor == &peer__limit_history__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__limit_history__pack
+                     (const Peer__LimitHistory *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__limit_history__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__limit_history__pack_to_buffer
+                     (const Peer__LimitHistory *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__limit_history__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LimitHistory *
+       peer__limit_history__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LimitHistory *)
+     protobuf_c_message_unpack (&peer__limit_history__descriptor,
+                                allocator, len, data);
+}
+void   peer__limit_history__free_unpacked
+                     (Peer__LimitHistory *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__limit_history__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__limit_confirm__init
                      (Peer__LimitConfirm         *message)
 {
@@ -3799,6 +3934,172 @@
   (ProtobufCMessageInit) peer__limit_loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__limit_granted__field_descriptors[2] =
+{
+  {
+    "share",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitGranted, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitGranted, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__limit_granted__field_indices_by_name[] = {
+  0,   /* field[0] = share */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange peer__limit_granted__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__limit_granted__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LimitGranted",
+  "LimitGranted",
+  "Peer__LimitGranted",
+  "peer",
+  sizeof(Peer__LimitGranted),
+  2,
+  peer__limit_granted__field_descriptors,
+  peer__limit_granted__field_indices_by_name,
+  1,  peer__limit_granted__number_ranges,
+  (ProtobufCMessageInit) peer__limit_granted__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__limit_history_ask__field_descriptors[1] =
+{
+  {
+    "share",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitHistoryAsk, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__limit_history_ask__field_indices_by_name[] = {
+  0,   /* field[0] = share */
+};
+static const ProtobufCIntRange peer__limit_history_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__limit_history_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LimitHistoryAsk",
+  "LimitHistoryAsk",
+  "Peer__LimitHistoryAsk",
+  "peer",
+  sizeof(Peer__LimitHistoryAsk),
+  1,
+  peer__limit_history_ask__field_descriptors,
+  peer__limit_history_ask__field_indices_by_name,
+  1,  peer__limit_history_ask__number_ranges,
+  (ProtobufCMessageInit) peer__limit_history_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__limit_history__field_descriptors[4] =
+{
+  {
+    "share",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitHistory, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitHistory, known_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages_ms",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__LimitHistory, n_ages_ms),
+    offsetof(Peer__LimitHistory, ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__LimitHistory, n_tokens),
+    offsetof(Peer__LimitHistory, tokens),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__limit_history__field_indices_by_name[] = {
+  2,   /* field[2] = ages_ms */
+  1,   /* field[1] = known_ms */
+  0,   /* field[0] = share */
+  3,   /* field[3] = tokens */
+};
+static const ProtobufCIntRange peer__limit_history__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__limit_history__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LimitHistory",
+  "LimitHistory",
+  "Peer__LimitHistory",
+  "peer",
+  sizeof(Peer__LimitHistory),
+  4,
+  peer__limit_history__field_descriptors,
+  peer__limit_history__field_indices_by_name,
+  1,  peer__limit_history__number_ranges,
+  (ProtobufCMessageInit) peer__limit_history__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__limit_confirm__field_descriptors[4] =
 {
   {
@@ -8190,7 +8491,7 @@
   (ProtobufCMessageInit) peer__demand_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__frame__field_descriptors[53] =
+static const ProtobufCFieldDescriptor peer__frame__field_descriptors[56] =
 {
   {
     "ping",
@@ -8828,6 +9129,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_granted",
+    54,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, limit_granted),
+    &peer__limit_granted__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_history_ask",
+    55,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, limit_history_ask),
+    &peer__limit_history_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_history",
+    56,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Frame, body_case),
+    offsetof(Peer__Frame, limit_history),
+    &peer__limit_history__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__frame__field_indices_by_name[] = {
   6,   /* field[6] = call_cancel */
@@ -8854,6 +9191,9 @@
   19,   /* field[19] = ledger_write */
   7,   /* field[7] = limit_ask */
   9,   /* field[9] = limit_confirm */
+  53,   /* field[53] = limit_granted */
+  55,   /* field[55] = limit_history */
+  54,   /* field[54] = limit_history_ask */
   8,   /* field[8] = limit_loan */
   0,   /* field[0] = ping */
   1,   /* field[1] = pong */
@@ -8887,7 +9227,7 @@
 static const ProtobufCIntRange peer__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 53 }
+  { 0, 56 }
 };
 const ProtobufCMessageDescriptor peer__frame__descriptor =
 {
@@ -8897,7 +9237,7 @@
   "Peer__Frame",
   "peer",
   sizeof(Peer__Frame),
-  53,
+  56,
   peer__frame__field_descriptors,
   peer__frame__field_indices_by_name,
   1,  peer__frame__number_ranges,
--- a/policy/window.c
+++ b/policy/window.c
@@ -1,4 +1,5 @@
 #include "policy/window.h"
+#include <glib.h>
 #include <string.h>
 
 enum
@@ -96,6 +97,48 @@
   window->total_utokens += tokens * UTOKENS_PER_TOKEN;
 }
 
+/* Records a grant of TOKENS whole tokens that another holder made AGE_MS ago,
+   unless it has left the window.  */
+void
+window_charge_before (struct window *window, int64_t tokens, int64_t age_ms,
+                      int64_t now_ms)
+{
+  int64_t step = (now_ms - age_ms) / step_ms (window);
+
+  advance (window, now_ms);
+  if (window->step - step > WINDOW_STEPS)
+    return;
+  window->granted_utokens[step % (WINDOW_STEPS + 1)]
+      += tokens * UTOKENS_PER_TOKEN;
+  window->total_utokens += tokens * UTOKENS_PER_TOKEN;
+}
+
+/* States that all grants of the last KNOWN_MS are recorded.  */
+void
+window_set_known (struct window *window, int64_t known_ms, int64_t now_ms)
+{
+  window->started_ms = MIN (window->started_ms, now_ms - known_ms);
+}
+
+/* Returns the whole tokens, rounded up, that were granted in the step INDEX of
+   the window, 0 to WINDOW_STEPS, and sets *AGE_MS to the least age of these
+   grants.  */
+int64_t
+window_grants (struct window *window, int64_t index, int64_t now_ms,
+               int64_t *age_ms)
+{
+  int64_t step;
+
+  advance (window, now_ms);
+  step = window->step - index;
+  *age_ms = MAX (now_ms - (step + 1) * step_ms (window), 0);
+  if (step < 0)
+    return 0;
+  return (window->granted_utokens[step % (WINDOW_STEPS + 1)]
+          + UTOKENS_PER_TOKEN - 1)
+         / UTOKENS_PER_TOKEN;
+}
+
 /* Grants up to TOKENS whole tokens.  Returns the number granted.  */
 int64_t
 window_take (struct window *window, int64_t tokens, int64_t now_ms)
--- a/request/limits.c
+++ b/request/limits.c
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "common/memory.h"
 #include "policy/window.h"
+#include "request/grant_witness.h"
 #include "request/host_set.h"
 #include <glib.h>
 #include <stdlib.h>
@@ -35,6 +36,15 @@
   MIN_RETRY_MS = 100,  /* an earlier retry would find the window still full */
   MAX_RETRY_MS = 1500, /* callers wait a few seconds in total */
   MAX_DATA_CENTRES = 32,
+  /* Hosts that are told what a holder grants, which may be one of them; one
+     more may be lost with it. */
+  WITNESSES = 3,
+  /* Of a share's limit, that a holder may have granted without having told
+     its witnesses. */
+  UNTOLD_PERCENT = 5,
+  /* Between questions to the witnesses, which answer within milliseconds once
+     the links are up. */
+  HISTORY_RETRY_MS = 50,
   DEMAND_INTERVAL_MS = 1000, /* interval over which requests are counted */
   /* Beside the struct and the name: three blocks and a table's entry. */
   ENTRY_BYTES = 128,
@@ -64,6 +74,8 @@
   struct window committed; /* tokens committed to programs admitted here */
   int64_t wait_ms; /* until a token is expected, as reported by holders */
   bool is_holder;
+  bool lacks_history;    /* its witnesses have not told all of the window */
+  int64_t untold_tokens; /* granted here, not told to them yet */
   int64_t rate_milli;
   int64_t burst;
   int64_t borrowed;            /* whole tokens, for programs that have begun */
@@ -93,13 +105,23 @@
   uint32_t data_centre_count;
   bool is_member_list_known; /* the list of hosts is known, so shares can be
                                 assigned */
-  uint64_t generation;       /* counts the configurations applied */
+  struct grant_witness *witness; /* of shares that other hosts hold */
+  ev_timer history_timer;
+  uint64_t generation; /* counts the configurations applied */
   /* Counted over all customers: programs of a customer that is often refused
      end before they have sent all of their requests. */
   int64_t granted; /* tokens granted to the programs counted below */
   int64_t counted_programs;
 };
 
+/* Length of the windows of this host: tokens may be used for as long after
+   they were lent.  */
+static int64_t
+share_window_ms (const struct limits *limits)
+{
+  return limits->options.window_ms + LOAN_LIFETIME_MS;
+}
+
 static void
 rate_limit_destroy (gpointer data)
 {
@@ -114,6 +136,9 @@
   free (rate_limit);
 }
 
+static void ask_for_histories (struct ev_loop *loop, ev_timer *timer,
+                               int events);
+
 /* Creates limits for a host that knows no other hosts and holds no shares.  */
 struct limits *
 limits_create (const struct limits_options *options)
@@ -124,6 +149,11 @@
   limits->rate_limits = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                                rate_limit_destroy);
   limits->rounds = g_hash_table_new (g_int64_hash, g_int64_equal);
+  limits->witness
+      = grant_witness_create (share_window_ms (limits), clock_now_ms ());
+  ev_timer_init (&limits->history_timer, ask_for_histories, 0,
+                 HISTORY_RETRY_MS / 1000.0);
+  limits->history_timer.data = limits;
   return limits;
 }
 
@@ -136,6 +166,8 @@
   g_hash_table_destroy (limits->rounds);
   g_hash_table_destroy (limits->rate_limits);
   host_set_release (&limits->hosts);
+  ev_timer_stop (limits->options.loop, &limits->history_timer);
+  grant_witness_destroy (limits->witness);
   free (limits);
 }
 
@@ -163,6 +195,114 @@
   return holder && strcmp (holder->name, limits->options.host) == 0;
 }
 
+/* Returns what names a customer's share in a data centre.  */
+static uint64_t
+share_id (const struct rate_limit *rate_limit)
+{
+  const uint64_t *data_centre = &rate_limit->limits->data_centres[0];
+
+  return id_hash64 (data_centre, sizeof *data_centre, rate_limit->hash);
+}
+
+/* Sends FRAME to the witnesses of a share that this host holds.  */
+static void
+send_to_witnesses (const struct rate_limit *rate_limit,
+                   const Peer__Frame *frame)
+{
+  const struct limits *limits = rate_limit->limits;
+  struct host_choice choice = { .item = share_id (rate_limit) };
+  const struct host_member *chosen[WITNESSES];
+  uint32_t count
+      = host_set_choose (&limits->hosts, &choice, chosen, WITNESSES);
+
+  for (uint32_t i = 0; i < count && limits->options.mesh; i++)
+    if (strcmp (chosen[i]->name, limits->options.host) != 0)
+      mesh_send (limits->options.mesh, chosen[i]->name, frame);
+}
+
+/* Whether this host is a witness of SHARE.  */
+static bool
+is_witness (void *data, uint64_t share)
+{
+  const struct limits *limits = data;
+  struct host_choice choice = { .item = share };
+  const struct host_member *chosen[WITNESSES];
+  uint32_t count
+      = host_set_choose (&limits->hosts, &choice, chosen, WITNESSES);
+
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (chosen[i]->name, limits->options.host) == 0)
+      return true;
+  return false;
+}
+
+static void handle_history (struct limits *limits,
+                            const Peer__LimitHistory *history);
+
+static void
+handle_own_history (void *data, const Peer__Frame *frame)
+{
+  handle_history (data, frame->limit_history);
+}
+
+/* Asks the witnesses what was granted of a share before this host held it.  */
+static void
+ask_for_history (struct rate_limit *rate_limit)
+{
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LimitHistoryAsk ask = PEER__LIMIT_HISTORY_ASK__INIT;
+
+  ask.share = share_id (rate_limit);
+  frame.body_case = PEER__FRAME__BODY_LIMIT_HISTORY_ASK;
+  frame.limit_history_ask = &ask;
+  send_to_witnesses (rate_limit, &frame);
+  if (is_witness (rate_limit->limits, ask.share))
+    grant_witness_tell (rate_limit->limits->witness, ask.share,
+                        clock_now_ms (), handle_own_history,
+                        rate_limit->limits);
+}
+
+/* Asks again where witnesses have not told all, until the window has passed in
+   which something may be unknown.  */
+static void
+ask_for_histories (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct limits *limits = timer->data;
+  int64_t now_ms = clock_now_ms ();
+  bool is_asking = false;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, limits->rate_limits);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rate_limit *rate_limit = value;
+
+      if (now_ms - rate_limit->share.started_ms >= share_window_ms (limits))
+        rate_limit->lacks_history = false;
+      if (rate_limit->lacks_history && rate_limit->is_holder)
+        ask_for_history (rate_limit);
+      is_asking |= rate_limit->lacks_history && rate_limit->is_holder;
+    }
+  if (!is_asking)
+    ev_timer_stop (loop, timer);
+}
+
+/* Begins to hold a share of which this host does not know what was granted
+   before.  Until a witness tells, it grants only what accrues.  */
+static void
+begin_share (struct rate_limit *rate_limit, int64_t now_ms)
+{
+  struct limits *limits = rate_limit->limits;
+
+  window_restart (&rate_limit->share, now_ms);
+  window_restart (&rate_limit->committed, now_ms);
+  rate_limit->lacks_history = rate_limit->rate_milli > 0;
+  rate_limit->untold_tokens = 0;
+  if (rate_limit->lacks_history && limits->options.mesh)
+    ev_timer_start (limits->options.loop, &limits->history_timer);
+}
+
 /* Recomputes the share held by this host.  A share that moves to this host
    starts empty, since its previous holder may have used it up.  WAS_HELD_HERE
    is set if no other host can have held the share before.  */
@@ -184,10 +324,7 @@
               + rate_limit->burst * UTOKENS_PER_TOKEN / share_count;
     }
   if (is_holder && !rate_limit->is_holder && !was_held_here)
-    {
-      window_restart (&rate_limit->share, now_ms);
-      window_restart (&rate_limit->committed, now_ms);
-    }
+    begin_share (rate_limit, now_ms);
   rate_limit->is_holder = is_holder;
   window_configure (&rate_limit->share, limit, per_s, now_ms);
 }
@@ -202,6 +339,18 @@
     limits->data_centres[limits->data_centre_count++] = hash;
 }
 
+static bool
+has_other_members (const struct limits *limits,
+                   const struct host_location *hosts, size_t count)
+{
+  if (limits->hosts.count != count)
+    return true;
+  for (size_t i = 0; i < count; i++)
+    if (!host_set_find (&limits->hosts, hosts[i].name))
+      return true;
+  return false;
+}
+
 /* Sets the list of all entry hosts.  Shares newly assigned to this host start
    empty, since this host or their previous holder may have used them up.  */
 void
@@ -211,7 +360,12 @@
   GHashTableIter iter;
   gpointer value;
 
+  bool is_changed = has_other_members (limits, hosts, count);
+
   host_set_assign (&limits->hosts, hosts, count);
+  if (is_changed)
+    grant_witness_change_hosts (limits->witness, is_witness, limits,
+                                clock_now_ms ());
   limits->data_centre_count = 0;
   add_data_centre (limits, id_hash_text (limits->options.data_centre));
   for (size_t i = 0; i < count; i++)
@@ -255,10 +409,9 @@
   rate_limit->customer = xstrdup (customer->name);
   rate_limit->hash = id_hash_text (customer->name);
   rate_limit->waiters = g_ptr_array_new ();
-  window_init (&rate_limit->share,
-               limits->options.window_ms + LOAN_LIFETIME_MS, clock_now_ms ());
-  window_init (&rate_limit->committed,
-               limits->options.window_ms + LOAN_LIFETIME_MS, clock_now_ms ());
+  window_init (&rate_limit->share, share_window_ms (limits), clock_now_ms ());
+  window_init (&rate_limit->committed, share_window_ms (limits),
+               clock_now_ms ());
   ev_timer_init (&rate_limit->timer, handle_timer,
                  (double)LOAN_TIMEOUT_MS / 1000.0, 0);
   rate_limit->timer.data = rate_limit;
@@ -338,6 +491,26 @@
          / program_tokens;
 }
 
+/* Tells the witnesses of a share of TOKENS that were granted, once they are
+   too many to be left out.  */
+static void
+tell_witnesses (struct rate_limit *rate_limit, int64_t tokens)
+{
+  int64_t limit = rate_limit->share.limit_utokens / UTOKENS_PER_TOKEN;
+  Peer__Frame frame = PEER__FRAME__INIT;
+  Peer__LimitGranted granted = PEER__LIMIT_GRANTED__INIT;
+
+  rate_limit->untold_tokens += tokens;
+  if (rate_limit->untold_tokens <= limit * UNTOLD_PERCENT / 100)
+    return;
+  granted.share = share_id (rate_limit);
+  granted.tokens = (uint32_t)rate_limit->untold_tokens;
+  rate_limit->untold_tokens = 0;
+  frame.body_case = PEER__FRAME__BODY_LIMIT_GRANTED;
+  frame.limit_granted = &granted;
+  send_to_witnesses (rate_limit, &frame);
+}
+
 /* Grants up to TOKENS of the local share and returns how many were granted. */
 static int64_t
 grant (struct rate_limit *rate_limit, int64_t tokens, bool begins_program,
@@ -350,6 +523,8 @@
   if (tokens <= 0)
     return 0;
   tokens = window_take (&rate_limit->share, tokens, now_ms);
+  if (tokens > 0)
+    tell_witnesses (rate_limit, tokens);
   limits->granted += tokens;
   if (!begins_program)
     return tokens;
@@ -767,6 +942,7 @@
     return preview;
   copy = *rate_limit;
   copy.limits = &counts;
+  counts.options.mesh = NULL; /* nobody is told of what it takes */
   preview.is_limited = true;
   preview.is_holder = rate_limit->is_holder;
   preview.retry_after_ms = retry_after_ms (&copy, begins_program);
@@ -822,13 +998,93 @@
     finish_round (rate_limit);
 }
 
-/* Handles loan requests and loans of other hosts; ignores other frames.  */
+static struct rate_limit *
+find_share (const struct limits *limits, uint64_t share)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, limits->rate_limits);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (share_id (value) == share)
+      return value;
+  return NULL;
+}
+
+/* Charges what a witness tells of the grants before this host held the share,
+   and what their holder may not have told.  */
+static void
+handle_history (struct limits *limits, const Peer__LimitHistory *history)
+{
+  struct rate_limit *rate_limit = find_share (limits, history->share);
+  int64_t now_ms = clock_now_ms ();
+  int64_t told = 0;
+  struct window *share;
+
+  if (!rate_limit || !rate_limit->lacks_history || !rate_limit->is_holder
+      || history->known_ms < share_window_ms (limits)
+      || history->n_ages_ms != history->n_tokens)
+    return;
+  share = &rate_limit->share;
+  for (size_t i = 0; i < history->n_tokens; i++)
+    {
+      window_charge_before (share, history->tokens[i], history->ages_ms[i],
+                            now_ms);
+      told += history->tokens[i];
+    }
+  window_charge (
+      share, share->limit_utokens / UTOKENS_PER_TOKEN * UNTOLD_PERCENT / 100,
+      now_ms);
+  window_set_known (share, share_window_ms (limits), now_ms);
+  rate_limit->lacks_history = false;
+  log_write (LOG_INFO, "limits", NULL,
+             "customer %s: %" G_GINT64_FORMAT " tokens were granted before "
+             "this host held its share",
+             rate_limit->customer, told);
+}
+
+/* A host to which an answer goes. */
+struct addressee
+{
+  struct limits *limits;
+  const char *host;
+};
+
+static void
+send_to_addressee (void *data, const Peer__Frame *frame)
+{
+  const struct addressee *addressee = data;
+
+  mesh_send (addressee->limits->options.mesh, addressee->host, frame);
+}
+
+/* Handles what other hosts ask and tell of shares; ignores other frames.  */
 void
 limits_handle_frame (struct limits *limits, const char *host,
                      const Peer__Frame *frame)
 {
-  if (frame->body_case == PEER__FRAME__BODY_LIMIT_ASK)
-    handle_loan_request (limits, host, frame->limit_ask);
-  else if (frame->body_case == PEER__FRAME__BODY_LIMIT_LOAN)
-    handle_loan (limits, frame->limit_loan);
+  struct addressee addressee = { .limits = limits, .host = host };
+
+  switch (frame->body_case)
+    {
+    case PEER__FRAME__BODY_LIMIT_ASK:
+      handle_loan_request (limits, host, frame->limit_ask);
+      break;
+    case PEER__FRAME__BODY_LIMIT_LOAN:
+      handle_loan (limits, frame->limit_loan);
+      break;
+    case PEER__FRAME__BODY_LIMIT_GRANTED:
+      grant_witness_record (limits->witness, frame->limit_granted->share,
+                            frame->limit_granted->tokens, clock_now_ms ());
+      break;
+    case PEER__FRAME__BODY_LIMIT_HISTORY_ASK:
+      grant_witness_tell (limits->witness, frame->limit_history_ask->share,
+                          clock_now_ms (), send_to_addressee, &addressee);
+      break;
+    case PEER__FRAME__BODY_LIMIT_HISTORY:
+      handle_history (limits, frame->limit_history);
+      break;
+    default:
+      break;
+    }
 }
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -32,6 +32,7 @@
   { "ledger", NULL, NULL, NULL, NULL, ledger_tests },
   { "leaving endpoints", NULL, NULL, NULL, NULL, leaving_endpoints_tests },
   { "limited fleet", NULL, NULL, NULL, NULL, limited_fleet_tests },
+  { "limit history", NULL, NULL, NULL, NULL, limit_history_tests },
   { "limits", NULL, NULL, NULL, NULL, limits_tests },
   { "memory", NULL, NULL, NULL, NULL, memory_tests },
   { "memory pressure", NULL, NULL, NULL, NULL, memory_pressure_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -48,6 +48,7 @@
 extern CU_TestInfo leaving_endpoints_tests[];
 extern CU_TestInfo ledger_tests[];
 extern CU_TestInfo limited_fleet_tests[];
+extern CU_TestInfo limit_history_tests[];
 extern CU_TestInfo limits_tests[];
 extern CU_TestInfo memory_tests[];
 extern CU_TestInfo memory_pressure_tests[];
