--- a/common/counters.c
+++ b/common/counters.c
@@ -78,6 +78,7 @@
   [COUNTER_BODIES_REFUSED] = "bodies_refused",
   [COUNTER_REFUSED_MEMORY] = "requests_refused_memory",
   [COUNTER_IDLE_CONNECTIONS_DROPPED] = "idle_connections_dropped",
+  [COUNTER_OLD_CONNECTIONS_DROPPED] = "old_connections_dropped",
   [COUNTER_RESPONSES_REFUSED] = "responses_refused",
   [COUNTER_HOLDS_PLACED] = "holds_placed",
   [COUNTER_HOLDS_SWEPT] = "holds_swept",
--- a/common/httpd.c
+++ b/common/httpd.c
@@ -35,6 +35,12 @@
 };
 
 /* A client's connection.  Owned by its server. */
+enum
+{
+  /* An eighth of the connections is kept free for new ones. */
+  SPARE_SHARE = 8,
+};
+
 struct httpd_connection
 {
   struct httpd_connection *previous;
@@ -561,6 +567,26 @@
                strerror (errno));
 }
 
+/* Closes the connection that has been without a complete request for longest,
+   whatever a part of one has arrived.  */
+static void
+drop_oldest (struct httpd *httpd)
+{
+  struct httpd_connection *oldest = NULL;
+
+  for (struct httpd_connection *connection = httpd->connections; connection;
+       connection = connection->next)
+    if (!connection->is_dropped
+        && (!oldest || connection->idle_since_ms <= oldest->idle_since_ms))
+      oldest = connection;
+  if (!oldest)
+    return;
+  oldest->is_dropped = true;
+  counter_add (COUNTER_OLD_CONNECTIONS_DROPPED, 1);
+  /* libmicrohttpd notices the end and closes. */
+  shutdown (oldest->fd, SHUT_RDWR);
+}
+
 static struct httpd_connection *
 open_connection (struct httpd *httpd, int fd)
 {
@@ -576,6 +602,10 @@
   httpd->open_connections++;
   charge_connection (httpd, connection, HTTPD_CONNECTION_BYTES);
   bound_send_buffer (httpd, fd);
+  if (httpd->options.drops_oldest
+      && httpd->open_connections * SPARE_SHARE
+             > httpd->options.max_connections * (SPARE_SHARE - 1))
+    drop_oldest (httpd);
   return connection;
 }
 
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -87,6 +87,7 @@
   COUNTER_BODIES_REFUSED,   /* for which there was no memory */
   COUNTER_REFUSED_MEMORY,   /* requests, before anything was held for them */
   COUNTER_IDLE_CONNECTIONS_DROPPED, /* of callers, for lack of memory */
+  COUNTER_OLD_CONNECTIONS_DROPPED,  /* of the status listeners, for new ones */
   COUNTER_RESPONSES_REFUSED,        /* of endpoints: too long, or no memory */
   COUNTER_HOLDS_PLACED,
   COUNTER_HOLDS_SWEPT, /* deleted from endpoints as orphans */
--- a/include/common/httpd.h
+++ b/include/common/httpd.h
@@ -29,6 +29,10 @@
   uint32_t idle_timeout_s;
   bool detect_disconnect; /* of clients whose request is suspended */
   uint32_t max_connections;
+  /* Near max_connections, closes the connection that has been without a
+     complete request for longest, so that clients that send nothing keep no
+     others out.  For requests that are answered at once. */
+  bool drops_oldest;
   size_t send_buffer_bytes; /* of each connection, in the kernel; 0 for the
                                system's default */
   /* Bounds the bodies and backlogs of all requests; may be NULL.  With it,
--- a/test/unit/test_httpd.c
+++ b/test/unit/test_httpd.c
@@ -18,6 +18,8 @@
   SLOW_READ_MS = 100,
   RESPONSE_BYTES = 4 * 1024 * 1024,
   SLOW_READ_BYTES = 16 * 1024,
+  STATUS_CONNECTIONS = 16,
+  STATUS_RUNS = 50, /* a second: the probe's time */
 };
 
 static const char request_text[] = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
@@ -511,6 +513,74 @@
   teardown (&fixture);
 }
 
+static void
+respond_at_once (void *data, struct httpd_request *request)
+{
+  ((struct fixture *)data)->handled++;
+  httpd_respond (request, 200, "text/plain", "", 0);
+}
+
+/* Starts a server of short answers that drops its oldest connections.  */
+static void
+setup_status (struct fixture *fixture)
+{
+  struct httpd_options options = { .address = "127.0.0.1",
+                                   .connection_memory_bytes = 8192,
+                                   .max_body_bytes = 8192,
+                                   .max_connections = STATUS_CONNECTIONS,
+                                   .drops_oldest = true,
+                                   .handle_request = respond_at_once,
+                                   .data = fixture };
+  struct error error;
+
+  memset (fixture, 0, sizeof *fixture);
+  options.loop = fixture->loop = ev_loop_new (EVFLAG_AUTO);
+  fixture->httpd = httpd_create (&options, &error);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fixture->httpd);
+}
+
+static void
+run_shortly (const struct fixture *fixture)
+{
+  for (int i = 0; i < 20; i++)
+    {
+      ev_run (fixture->loop, EVRUN_NOWAIT);
+      ev_sleep (0.001);
+    }
+}
+
+/* Guards against strangers, idle or with a part of a request, that keep the
+   platform's probe out.  */
+static void
+strangers_keep_no_probe_out (void)
+{
+  static const char *const parts[] = { "", "GE", "GET / HTTP/1.1\r\nHost: te",
+                                       "POST / HTTP/1.1\r\nHost: "
+                                       "test\r\nContent-Length: 9\r\n\r\nx" };
+  int strangers[3 * STATUS_CONNECTIONS];
+  struct fixture fixture;
+
+  setup_status (&fixture);
+  for (int i = 0; i < 3 * STATUS_CONNECTIONS; i++)
+    {
+      const char *part = parts[i % 4];
+
+      strangers[i] = connect_client (&fixture);
+      send (strangers[i], part, strlen (part), MSG_NOSIGNAL);
+      run_shortly (&fixture);
+    }
+  fixture.client = connect_client (&fixture);
+  send_request (&fixture);
+  for (int i = 0; i < STATUS_RUNS && fixture.handled == 0; i++)
+    run_shortly (&fixture);
+  CU_ASSERT_EQUAL (fixture.handled, 1);
+  CU_ASSERT (httpd_open_connections (fixture.httpd) <= STATUS_CONNECTIONS);
+  for (int i = 0; i < 3 * STATUS_CONNECTIONS; i++)
+    close (strangers[i]);
+  httpd_destroy (fixture.httpd);
+  teardown (&fixture);
+}
+
 CU_TestInfo httpd_tests[] = {
   { "answers a waiting request", answers_a_waiting_request },
   { "refuses a request that arrives last",
@@ -526,5 +596,6 @@
   { "cuts a stalled reader of a whole response",
     cuts_a_stalled_reader_of_a_whole_response },
   { "refuses a body beyond the budget", refuses_a_body_beyond_the_budget },
+  { "strangers keep no probe out", strangers_keep_no_probe_out },
   CU_TEST_INFO_NULL
 };
