limits: a holder does not charge its own grants twice

Customers were held below their limit for a window after a holder had begun: a witness that had begun a little earlier told it of the grants that it had made itself, since.

Cause: what a witness tells was charged whole, also what the asking host had granted and charged since it began to hold the share.

Change: grants that are younger than that are left out.

--- a/request/limits.c
+++ b/request/limits.c
@@ -75,6 +75,7 @@
   int64_t wait_ms; /* until a token is expected, as reported by holders */
   bool is_holder;
   bool lacks_history;    /* its witnesses have not told all of the window */
+  int64_t begun_ms;      /* when this host began to hold the share */
   int64_t untold_tokens; /* granted here, not told to them yet */
   int64_t rate_milli;
   int64_t burst;
@@ -298,6 +299,7 @@
   window_restart (&rate_limit->share, now_ms);
   window_restart (&rate_limit->committed, now_ms);
   rate_limit->lacks_history = rate_limit->rate_milli > 0;
+  rate_limit->begun_ms = now_ms;
   rate_limit->untold_tokens = 0;
   if (rate_limit->lacks_history && limits->options.mesh)
     ev_timer_start (limits->options.loop, &limits->history_timer);
@@ -1028,6 +1030,9 @@
   share = &rate_limit->share;
   for (size_t i = 0; i < history->n_tokens; i++)
     {
+      /* What this host has granted since is charged already. */
+      if (now_ms - (int64_t)history->ages_ms[i] > rate_limit->begun_ms)
+        continue;
       window_charge_before (share, history->tokens[i], history->ages_ms[i],
                             now_ms);
       told += history->tokens[i];
--- a/test/unit/test_limit_history.c
+++ b/test/unit/test_limit_history.c
@@ -13,8 +13,10 @@
   WINDOW_MS = 600,
   RATE_PER_S = 300,
   LIMIT_TOKENS = RATE_PER_S * WINDOW_MS / 1000,
-  FILL_MS = 2000, /* until a new share may be granted whole */
-  LINK_MS = 200,  /* until a started host has its links and their news */
+  FILL_MS = 2000,         /* until a new share may be granted whole */
+  LOAN_LIFETIME_MS = 150, /* by which a holder's window is longer */
+  MOST_PERCENT = 95,      /* of what the windows allow */
+  LINK_MS = 200, /* until a started host has its links and their news */
   /* What the users' rule leaves beyond a limit. */
   OVERRUN_PERCENT = 10,
   SLACK_TOKENS = 20,
@@ -208,8 +210,40 @@
   fleet_release (&fleet);
 }
 
+/* Guards against grants that a holder charges twice: it has made them itself,
+   and a witness that has begun a little earlier tells it of them.  */
+static void
+test_own_grants_are_charged_once (void)
+{
+  struct fleet fleet;
+  int64_t begin_ms;
+  int taken = 0;
+
+  fleet_init (&fleet);
+  stop_node (&fleet, fleet.holder);
+  for (int i = 0; i < HOSTS; i++)
+    if (i != fleet.holder)
+      {
+        stop_node (&fleet, i);
+        start_node (&fleet, i);
+      }
+  run_for (&fleet, LINK_MS);
+  start_node (&fleet, fleet.holder);
+  begin_ms = clock_now_ms ();
+  while (clock_now_ms () - begin_ms < 2 * WINDOW_MS)
+    {
+      run_for (&fleet, 5);
+      taken += take_tokens (&fleet, fleet.holder, LIMIT_TOKENS);
+    }
+  CU_ASSERT (taken >= LIMIT_TOKENS * 2 * WINDOW_MS
+                          / (WINDOW_MS + LOAN_LIFETIME_MS) * MOST_PERCENT
+                          / 100);
+  fleet_release (&fleet);
+}
+
 CU_TestInfo limit_history_tests[] = {
   { "a killed holder", test_killed_holder },
   { "an unused share is granted", test_unused_share_is_granted },
+  { "own grants are charged once", test_own_grants_are_charged_once },
   CU_TEST_INFO_NULL,
 };
