limits: a witness that missed a report does not decide alone

A report of the asking host's own grants within a step of the window was taken for the holder's before.

Change: reports carry the sum of the holder's time, so that the next one makes up for one that was lost; the most that two witnesses tell counts; what the asking host has told itself is left out by the name of its time, not by age. Questions end after a second, when witnesses that have started with the whole fleet still know too little.

--- a/include/peer/peer.pb-c.h
+++ b/include/peer/peer.pb-c.h
@@ -245,8 +245,8 @@
 
 
 /*
- * Tells a witness of a customer's share in a data centre that its holder has
- * granted tokens since it told so last.
+ * Tells a witness what the holder of a customer's share in a data centre has
+ * granted.  The sum makes up for frames that were lost.
  */
 struct  Peer__LimitGranted
 {
@@ -255,11 +255,18 @@
    * hash of both names
    */
   uint64_t share;
-  uint32_t tokens;
+  /*
+   * random, of the time for which it holds the share
+   */
+  uint64_t holder;
+  /*
+   * tokens in that time
+   */
+  uint64_t total;
 };
 #define PEER__LIMIT_GRANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__limit_granted__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -284,16 +291,24 @@
    */
   uint32_t known_ms;
   /*
-   * at least, of the grants
+   * at least, of the grants; the youngest first
    */
   size_t n_ages_ms;
   uint32_t *ages_ms;
   size_t n_tokens;
   uint32_t *tokens;
+  /*
+   * that told last
+   */
+  uint64_t holder;
+  /*
+   * of the tokens, that it has granted
+   */
+  uint64_t total;
 };
 #define PEER__LIMIT_HISTORY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__limit_history__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Peer__LimitConfirm
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -3934,7 +3934,7 @@
   (ProtobufCMessageInit) peer__limit_loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__limit_granted__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__limit_granted__field_descriptors[3] =
 {
   {
     "share",
@@ -3949,12 +3949,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tokens",
+    "holder",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__LimitGranted, tokens),
+    offsetof(Peer__LimitGranted, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitGranted, total),
     NULL,
     NULL,
     0,             /* flags */
@@ -3962,13 +3974,14 @@
   },
 };
 static const unsigned peer__limit_granted__field_indices_by_name[] = {
+  1,   /* field[1] = holder */
   0,   /* field[0] = share */
-  1,   /* field[1] = tokens */
+  2,   /* field[2] = total */
 };
 static const ProtobufCIntRange peer__limit_granted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__limit_granted__descriptor =
 {
@@ -3978,7 +3991,7 @@
   "Peer__LimitGranted",
   "peer",
   sizeof(Peer__LimitGranted),
-  2,
+  3,
   peer__limit_granted__field_descriptors,
   peer__limit_granted__field_indices_by_name,
   1,  peer__limit_granted__number_ranges,
@@ -4023,7 +4036,7 @@
   (ProtobufCMessageInit) peer__limit_history_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__limit_history__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__limit_history__field_descriptors[6] =
 {
   {
     "share",
@@ -4073,17 +4086,43 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holder",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitHistory, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__LimitHistory, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__limit_history__field_indices_by_name[] = {
   2,   /* field[2] = ages_ms */
+  4,   /* field[4] = holder */
   1,   /* field[1] = known_ms */
   0,   /* field[0] = share */
   3,   /* field[3] = tokens */
+  5,   /* field[5] = total */
 };
 static const ProtobufCIntRange peer__limit_history__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__limit_history__descriptor =
 {
@@ -4093,7 +4132,7 @@
   "Peer__LimitHistory",
   "peer",
   sizeof(Peer__LimitHistory),
-  4,
+  6,
   peer__limit_history__field_descriptors,
   peer__limit_history__field_indices_by_name,
   1,  peer__limit_history__number_ranges,
--- a/request/grant_witness.c
+++ b/request/grant_witness.c
@@ -1,6 +1,6 @@
 #include "request/grant_witness.h"
 #include "common/buf.h"
-#include "policy/window.h"
+#include "common/id.h"
 #include <glib.h>
 #include <stdlib.h>
 
@@ -17,6 +17,8 @@
   struct window window;
   int64_t since_ms; /* from when on this host was told everything */
   int64_t told_ms;  /* last */
+  uint64_t holder;  /* that told last */
+  uint64_t total;   /* that it has told */
 };
 
 struct grant_witness
@@ -83,12 +85,13 @@
     }
 }
 
-/* Records that the holder of SHARE has granted TOKENS.  Without room for it,
+/* Records what the holder of a share has granted.  Without room for it,
    nothing that this witness knows counts as known any more.  */
 void
-grant_witness_record (struct grant_witness *witness, uint64_t share,
-                      int64_t tokens, int64_t now_ms)
+grant_witness_record (struct grant_witness *witness,
+                      const Peer__LimitGranted *granted, int64_t now_ms)
 {
+  uint64_t share = granted->share;
   struct witnessed *witnessed = g_hash_table_lookup (witness->shares, &share);
 
   if (!witnessed && g_hash_table_size (witness->shares) >= MAX_SHARES)
@@ -106,8 +109,14 @@
       window_init (&witnessed->window, witness->window_ms, now_ms);
       g_hash_table_insert (witness->shares, &witnessed->share, witnessed);
     }
+  if (witnessed->holder != granted->holder)
+    witnessed->total = 0;
+  if (granted->total > witnessed->total)
+    window_charge (&witnessed->window,
+                   (int64_t)(granted->total - witnessed->total), now_ms);
+  witnessed->holder = granted->holder;
+  witnessed->total = MAX (granted->total, witnessed->total);
   witnessed->told_ms = now_ms;
-  window_charge (&witnessed->window, tokens, now_ms);
 }
 
 /* Calls SEND with what is known of SHARE.  */
@@ -127,6 +136,8 @@
   history.known_ms = (uint32_t)CLAMP (
       now_ms - (witnessed ? witnessed->since_ms : witness->since_ms), 0,
       witness->window_ms);
+  history.holder = witnessed ? witnessed->holder : 0;
+  history.total = witnessed ? witnessed->total : 0;
   history.ages_ms = ages_ms;
   history.tokens = tokens;
   for (int64_t i = 0; witnessed && i <= WINDOW_STEPS; i++)
@@ -143,3 +154,74 @@
   frame.limit_history = &history;
   send (data, &frame);
 }
+
+struct past_grant
+{
+  int64_t at_ms;
+  int64_t tokens;
+};
+
+/* Frees the content of HISTORY and makes it empty.  */
+void
+grant_history_release (struct grant_history *history)
+{
+  if (history->granted)
+    g_array_free (history->granted, TRUE);
+  *history = (struct grant_history){ 0 };
+}
+
+/* Adds what the witness HOST has TOLD, unless it has answered before, but for
+   what the asking host has granted itself: it has told that as HOLDING.  */
+void
+grant_history_add (struct grant_history *history, const char *host,
+                   const Peer__LimitHistory *told, uint64_t holding,
+                   int64_t now_ms)
+{
+  uint64_t hash = id_hash_text (host);
+  int64_t own = told->holder == holding ? (int64_t)told->total : 0;
+  int64_t sum = 0;
+  GArray *granted;
+
+  if (history->answer_count == GRANT_WITNESSES
+      || told->n_ages_ms != told->n_tokens)
+    return;
+  for (uint32_t i = 0; i < history->answer_count; i++)
+    if (history->answered[i] == hash)
+      return;
+  history->answered[history->answer_count++] = hash;
+  granted = g_array_new (FALSE, FALSE, sizeof (struct past_grant));
+  for (size_t i = 0; i < told->n_tokens; i++)
+    {
+      int64_t taken = MIN (own, (int64_t)told->tokens[i]);
+      struct past_grant grant = { .at_ms = now_ms - (int64_t)told->ages_ms[i],
+                                  .tokens = told->tokens[i] - taken };
+
+      own -= taken;
+      sum += grant.tokens;
+      g_array_append_val (granted, grant);
+    }
+  if (history->granted && sum <= history->told)
+    {
+      g_array_free (granted, TRUE);
+      return;
+    }
+  if (history->granted)
+    g_array_free (history->granted, TRUE);
+  history->granted = granted;
+  history->told = sum;
+}
+
+/* Charges the grants to WINDOW.  */
+void
+grant_history_charge (const struct grant_history *history,
+                      struct window *window, int64_t now_ms)
+{
+  for (guint i = 0; history->granted && i < history->granted->len; i++)
+    {
+      const struct past_grant *grant
+          = &g_array_index (history->granted, struct past_grant, i);
+
+      window_charge_before (window, grant->tokens, now_ms - grant->at_ms,
+                            now_ms);
+    }
+}
--- a/request/limits.c
+++ b/request/limits.c
@@ -36,15 +36,17 @@
   MIN_RETRY_MS = 100,  /* an earlier retry would find the window still full */
   MAX_RETRY_MS = 1500, /* callers wait a few seconds in total */
   MAX_DATA_CENTRES = 32,
-  /* Hosts that are told what a holder grants, which may be one of them; one
-     more may be lost with it. */
-  WITNESSES = 3,
+  /* Witnesses that must have told all: one may have missed a part. */
+  TOLD_WITNESSES = 2,
   /* Of a share's limit, that a holder may have granted without having told
      its witnesses. */
   UNTOLD_PERCENT = 5,
   /* Between questions to the witnesses, which answer within milliseconds once
      the links are up. */
   HISTORY_RETRY_MS = 50,
+  /* Until a witness that has not told all is taken to know no more, as where
+     the whole fleet has started. */
+  HISTORY_ASK_MS = 1000,
   DEMAND_INTERVAL_MS = 1000, /* interval over which requests are counted */
   /* Beside the struct and the name: three blocks and a table's entry. */
   ENTRY_BYTES = 128,
@@ -76,7 +78,10 @@
   bool is_holder;
   bool lacks_history;    /* its witnesses have not told all of the window */
   int64_t begun_ms;      /* when this host began to hold the share */
-  int64_t untold_tokens; /* granted here, not told to them yet */
+  uint64_t holding;      /* random, of that time */
+  int64_t granted;       /* tokens, since then */
+  int64_t untold_tokens; /* of these, not told to the witnesses yet */
+  struct grant_history history; /* of the time before */
   int64_t rate_milli;
   int64_t burst;
   int64_t borrowed;            /* whole tokens, for programs that have begun */
@@ -133,6 +138,7 @@
     free (rate_limit->waiters->pdata[i]);
   g_ptr_array_free (rate_limit->waiters, TRUE);
   memory_add (MEMORY_CONFIG, -(int64_t)rate_limit->bytes);
+  grant_history_release (&rate_limit->history);
   free (rate_limit->customer);
   free (rate_limit);
 }
@@ -212,9 +218,9 @@
 {
   const struct limits *limits = rate_limit->limits;
   struct host_choice choice = { .item = share_id (rate_limit) };
-  const struct host_member *chosen[WITNESSES];
+  const struct host_member *chosen[GRANT_WITNESSES];
   uint32_t count
-      = host_set_choose (&limits->hosts, &choice, chosen, WITNESSES);
+      = host_set_choose (&limits->hosts, &choice, chosen, GRANT_WITNESSES);
 
   for (uint32_t i = 0; i < count && limits->options.mesh; i++)
     if (strcmp (chosen[i]->name, limits->options.host) != 0)
@@ -227,9 +233,9 @@
 {
   const struct limits *limits = data;
   struct host_choice choice = { .item = share };
-  const struct host_member *chosen[WITNESSES];
+  const struct host_member *chosen[GRANT_WITNESSES];
   uint32_t count
-      = host_set_choose (&limits->hosts, &choice, chosen, WITNESSES);
+      = host_set_choose (&limits->hosts, &choice, chosen, GRANT_WITNESSES);
 
   for (uint32_t i = 0; i < count; i++)
     if (strcmp (chosen[i]->name, limits->options.host) == 0)
@@ -237,13 +243,15 @@
   return false;
 }
 
-static void handle_history (struct limits *limits,
+static void handle_history (struct limits *limits, const char *host,
                             const Peer__LimitHistory *history);
 
 static void
 handle_own_history (void *data, const Peer__Frame *frame)
 {
-  handle_history (data, frame->limit_history);
+  struct limits *limits = data;
+
+  handle_history (limits, limits->options.host, frame->limit_history);
 }
 
 /* Asks the witnesses what was granted of a share before this host held it.  */
@@ -263,8 +271,7 @@
                         rate_limit->limits);
 }
 
-/* Asks again where witnesses have not told all, until the window has passed in
-   which something may be unknown.  */
+/* Asks again where witnesses have not told all.  */
 static void
 ask_for_histories (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -279,7 +286,7 @@
     {
       struct rate_limit *rate_limit = value;
 
-      if (now_ms - rate_limit->share.started_ms >= share_window_ms (limits))
+      if (now_ms - rate_limit->begun_ms > HISTORY_ASK_MS)
         rate_limit->lacks_history = false;
       if (rate_limit->lacks_history && rate_limit->is_holder)
         ask_for_history (rate_limit);
@@ -300,7 +307,9 @@
   window_restart (&rate_limit->committed, now_ms);
   rate_limit->lacks_history = rate_limit->rate_milli > 0;
   rate_limit->begun_ms = now_ms;
-  rate_limit->untold_tokens = 0;
+  rate_limit->holding = id_random64 ();
+  rate_limit->granted = rate_limit->untold_tokens = 0;
+  grant_history_release (&rate_limit->history);
   if (rate_limit->lacks_history && limits->options.mesh)
     ev_timer_start (limits->options.loop, &limits->history_timer);
 }
@@ -502,11 +511,13 @@
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LimitGranted granted = PEER__LIMIT_GRANTED__INIT;
 
+  rate_limit->granted += tokens;
   rate_limit->untold_tokens += tokens;
   if (rate_limit->untold_tokens <= limit * UNTOLD_PERCENT / 100)
     return;
   granted.share = share_id (rate_limit);
-  granted.tokens = (uint32_t)rate_limit->untold_tokens;
+  granted.holder = rate_limit->holding;
+  granted.total = (uint64_t)rate_limit->granted;
   rate_limit->untold_tokens = 0;
   frame.body_case = PEER__FRAME__BODY_LIMIT_GRANTED;
   frame.limit_granted = &granted;
@@ -1013,39 +1024,35 @@
   return NULL;
 }
 
-/* Charges what a witness tells of the grants before this host held the share,
-   and what their holder may not have told.  */
+/* Takes what the witness HOST tells of the grants before this host held the
+   share.  Once enough have told, the most of it is charged, with what their
+   holder may not have told.  */
 static void
-handle_history (struct limits *limits, const Peer__LimitHistory *history)
+handle_history (struct limits *limits, const char *host,
+                const Peer__LimitHistory *history)
 {
   struct rate_limit *rate_limit = find_share (limits, history->share);
   int64_t now_ms = clock_now_ms ();
-  int64_t told = 0;
   struct window *share;
 
   if (!rate_limit || !rate_limit->lacks_history || !rate_limit->is_holder
-      || history->known_ms < share_window_ms (limits)
-      || history->n_ages_ms != history->n_tokens)
+      || history->known_ms < share_window_ms (limits))
+    return;
+  grant_history_add (&rate_limit->history, host, history, rate_limit->holding,
+                     now_ms);
+  if (rate_limit->history.answer_count < TOLD_WITNESSES)
     return;
   share = &rate_limit->share;
-  for (size_t i = 0; i < history->n_tokens; i++)
-    {
-      /* What this host has granted since is charged already. */
-      if (now_ms - (int64_t)history->ages_ms[i] > rate_limit->begun_ms)
-        continue;
-      window_charge_before (share, history->tokens[i], history->ages_ms[i],
-                            now_ms);
-      told += history->tokens[i];
-    }
+  grant_history_charge (&rate_limit->history, share, now_ms);
   window_charge (
       share, share->limit_utokens / UTOKENS_PER_TOKEN * UNTOLD_PERCENT / 100,
       now_ms);
   window_set_known (share, share_window_ms (limits), now_ms);
   rate_limit->lacks_history = false;
   log_write (LOG_INFO, "limits", NULL,
-             "customer %s: %" G_GINT64_FORMAT " tokens were granted before "
-             "this host held its share",
-             rate_limit->customer, told);
+             "customer %s: %" G_GINT64_FORMAT " tokens were granted in the "
+             "window before this host held its share",
+             rate_limit->customer, rate_limit->history.told);
 }
 
 /* A host to which an answer goes. */
@@ -1079,15 +1086,15 @@
       handle_loan (limits, frame->limit_loan);
       break;
     case PEER__FRAME__BODY_LIMIT_GRANTED:
-      grant_witness_record (limits->witness, frame->limit_granted->share,
-                            frame->limit_granted->tokens, clock_now_ms ());
+      grant_witness_record (limits->witness, frame->limit_granted,
+                            clock_now_ms ());
       break;
     case PEER__FRAME__BODY_LIMIT_HISTORY_ASK:
       grant_witness_tell (limits->witness, frame->limit_history_ask->share,
                           clock_now_ms (), send_to_addressee, &addressee);
       break;
     case PEER__FRAME__BODY_LIMIT_HISTORY:
-      handle_history (limits, frame->limit_history);
+      handle_history (limits, host, frame->limit_history);
       break;
     default:
       break;
