--- a/request/stream_memory.c
+++ b/request/stream_memory.c
@@ -222,7 +222,7 @@
       memory->since_ms = MIN (memory->since_ms, copied_since_ms);
       memory->whole_since_ms = copied_since_ms;
       memory->is_copying = whole < others;
-      log_write (LOG_INFO, "streams", NULL,
+      log_write (LOG_DEBUG, "streams", NULL,
                  "copied %u records of streams from %u of %u keepers",
                  recent_table_count (memory->table), whole, others);
     }
