streams: keepers do not copy each other's records to and fro

Cause: a copied record counted as new, also where it was known. Two keepers that copied each other saw each record as a new one of the other, without end.

Change: a record that is known is not recorded again. The test of a memory's age took its time before the fleet had started; it takes it after that now.

--- a/request/stream_memory.c
+++ b/request/stream_memory.c
@@ -246,18 +246,18 @@
   free (since_ms);
 }
 
-/* Adds a copied record.  It counts as new: its age is not told, and keeping it
-   for longer only makes more streams start again.  */
+/* Adds a copied record, unless it is known: keepers that copy each other would
+   send it to and fro as a new one.  Its age is not told; keeping it for longer
+   only makes more streams start again.  */
 static void
 add_record (struct stream_memory *memory, uint64_t key, uint64_t build,
             int64_t now_ms)
 {
   uint64_t known = recent_table_find (memory->table, key, now_ms);
 
-  if (key && build)
-    recent_table_replace (
-        memory->table, key,
-        known && known != build ? STREAM_BUILD_AMBIGUOUS : build, now_ms);
+  if (key && build && known != build && known != STREAM_BUILD_AMBIGUOUS)
+    recent_table_replace (memory->table, key,
+                          known ? STREAM_BUILD_AMBIGUOUS : build, now_ms);
 }
 
 static void
--- a/test/unit/test_forgetful_keepers.c
+++ b/test/unit/test_forgetful_keepers.c
@@ -19,7 +19,8 @@
   FIRST_BUILD = 1,
   SECOND_BUILD = 2,
   WAIT_MS = 2000,
-  RESTARTS = 3, /* of each keeper, in turn */
+  RESTARTS = 3,      /* of each keeper, in turn */
+  MAX_PACKETS = 200, /* of copies: six, of a few pages, with questions */
 };
 
 struct fleet;
@@ -109,14 +110,10 @@
     }
 }
 
+/* Tells a keeper of the others.  */
 static void
-start_keeper (struct fleet *fleet, int number, bool first_start)
+list_others (struct fleet *fleet, int number)
 {
-  struct host *host = &fleet->hosts[number];
-  struct stream_memory_options options = { .transport = &host->base,
-                                           .capacity = CAPACITY,
-                                           .losses = 1,
-                                           .first_start = first_start };
   struct host_location others[KEEPERS];
   size_t count = 0;
 
@@ -124,9 +121,21 @@
     if (i != number)
       others[count++] = (struct host_location){ .name = names[i],
                                                 .data_centre = names[i] };
+  stream_memory_set_others (fleet->hosts[number].memory, others, count,
+                            clock_now_ms ());
+}
+
+static void
+start_keeper (struct fleet *fleet, int number, bool first_start)
+{
+  struct host *host = &fleet->hosts[number];
+  struct stream_memory_options options = { .transport = &host->base,
+                                           .capacity = CAPACITY,
+                                           .losses = 1,
+                                           .first_start = first_start };
   host->is_down = false;
   host->memory = stream_memory_create (&options, clock_now_ms ());
-  stream_memory_set_others (host->memory, others, count, clock_now_ms ());
+  list_others (fleet, number);
 }
 
 static void
@@ -303,6 +312,43 @@
   CU_ASSERT_EQUAL (count_resumed (TWO_AT_ONCE, false, false), 0);
 }
 
+/* Guards against keepers that copy each other's records as new ones, over and
+   over.  */
+static void
+test_copies_come_to_an_end (void)
+{
+  struct fleet fleet;
+  int packets = 0;
+  struct packet *packet;
+
+  fleet_init (&fleet);
+  record_streams (&fleet, false);
+  for (int i = 0; i < KEEPERS; i++)
+    {
+      struct host_location nobody = { .name = "k9", .data_centre = "k9" };
+
+      stream_memory_set_others (fleet.hosts[i].memory, &nobody, 1,
+                                clock_now_ms ());
+    }
+  while ((packet = g_queue_pop_head (&fleet.packets)))
+    {
+      buf_release (&packet->bytes);
+      free (packet);
+    }
+  for (int i = 0; i < KEEPERS; i++)
+    list_others (&fleet, i);
+  while ((packet = g_queue_pop_head (&fleet.packets))
+         && ++packets < MAX_PACKETS)
+    {
+      deliver (&fleet, packet);
+      buf_release (&packet->bytes);
+      free (packet);
+    }
+  CU_ASSERT (packets < MAX_PACKETS);
+  CU_ASSERT_PTR_NULL (packet);
+  fleet_release (&fleet);
+}
+
 /* Guards against a memory that never counts again after a loss, or that counts
    though it has dropped records for want of room.  */
 static void
@@ -310,9 +356,10 @@
 {
   struct fleet fleet;
   struct stream_memory *memory;
-  int64_t now_ms = clock_now_ms ();
+  int64_t now_ms;
 
   fleet_init (&fleet);
+  now_ms = clock_now_ms ();
   memory = fleet.hosts[0].memory;
   CU_ASSERT_EQUAL (stream_memory_known_ms (memory, now_ms), STREAM_TTL_MS);
   lose_keepers (&fleet, ALL_AT_ONCE);
@@ -344,6 +391,7 @@
   { "forgotten builds join no streams",
     test_forgotten_builds_join_no_streams },
   { "a memory survives single losses", test_memory_survives_single_losses },
+  { "copies come to an end", test_copies_come_to_an_end },
   { "the age of a memory", test_age_of_a_memory },
   CU_TEST_INFO_NULL,
 };
