window: grants from before the clock's begin are counted in the ring

A host whose steady clock began less than a window ago and that was told of older grants wrote before the ring of its window. No caller is known to have seen it; a machine that has just booted while a customer is at its limit would.

Cause: the step of a negative time is negative, and so is its remainder.

Change: step_at rounds down and granted_in maps any step into the ring; all users of the ring go through it. window_charge is window_charge_before with an age of 0.

Measured: unit "grants before the clock" reads changed memory before the window 8 times on, and passes now.

--- a/policy/window.c
+++ b/policy/window.c
@@ -13,6 +13,24 @@
   return (window->length_ms + WINDOW_STEPS - 1) / WINDOW_STEPS;
 }
 
+/* Returns the step that AT_MS, which may be negative, lies in.  */
+static int64_t
+step_at (const struct window *window, int64_t at_ms)
+{
+  int64_t length_ms = step_ms (window);
+
+  return (at_ms - (at_ms < 0 ? length_ms - 1 : 0)) / length_ms;
+}
+
+/* Returns where the grants of STEP are counted.  */
+static int64_t *
+granted_in (struct window *window, int64_t step)
+{
+  int64_t slots = WINDOW_STEPS + 1;
+
+  return &window->granted_utokens[(step % slots + slots) % slots];
+}
+
 /* Initializes a window with a limit of 0.  */
 void
 window_init (struct window *window, int64_t length_ms, int64_t now_ms)
@@ -41,7 +59,7 @@
       int64_t *next;
 
       window->step++;
-      next = &window->granted_utokens[window->step % (WINDOW_STEPS + 1)];
+      next = granted_in (window, window->step);
       window->total_utokens -= *next;
       *next = 0;
     }
@@ -87,32 +105,28 @@
              : 0;
 }
 
-/* Records a grant of TOKENS whole tokens, even if it exceeds the limit.  */
-void
-window_charge (struct window *window, int64_t tokens, int64_t now_ms)
-{
-  advance (window, now_ms);
-  window->granted_utokens[window->step % (WINDOW_STEPS + 1)]
-      += tokens * UTOKENS_PER_TOKEN;
-  window->total_utokens += tokens * UTOKENS_PER_TOKEN;
-}
-
-/* Records a grant of TOKENS whole tokens that another holder made AGE_MS ago,
-   unless it has left the window.  */
+/* Records a grant of TOKENS whole tokens that was made AGE_MS ago, even if it
+   exceeds the limit, unless it has left the window.  */
 void
 window_charge_before (struct window *window, int64_t tokens, int64_t age_ms,
                       int64_t now_ms)
 {
-  int64_t step = (now_ms - age_ms) / step_ms (window);
+  int64_t step = step_at (window, now_ms - age_ms);
 
   advance (window, now_ms);
   if (window->step - step > WINDOW_STEPS)
     return;
-  window->granted_utokens[step % (WINDOW_STEPS + 1)]
-      += tokens * UTOKENS_PER_TOKEN;
+  *granted_in (window, step) += tokens * UTOKENS_PER_TOKEN;
   window->total_utokens += tokens * UTOKENS_PER_TOKEN;
 }
 
+/* Records a grant of TOKENS whole tokens, even if it exceeds the limit.  */
+void
+window_charge (struct window *window, int64_t tokens, int64_t now_ms)
+{
+  window_charge_before (window, tokens, 0, now_ms);
+}
+
 /* States that all grants of the last KNOWN_MS are recorded.  */
 void
 window_set_known (struct window *window, int64_t known_ms, int64_t now_ms)
@@ -132,10 +146,7 @@
   advance (window, now_ms);
   step = window->step - index;
   *age_ms = MAX (now_ms - (step + 1) * step_ms (window), 0);
-  if (step < 0)
-    return 0;
-  return (window->granted_utokens[step % (WINDOW_STEPS + 1)]
-          + UTOKENS_PER_TOKEN - 1)
+  return (*granted_in (window, step) + UTOKENS_PER_TOKEN - 1)
          / UTOKENS_PER_TOKEN;
 }
 
@@ -163,7 +174,7 @@
     {
       int64_t step = window->step + i;
 
-      left += window->granted_utokens[step % (WINDOW_STEPS + 1)];
+      left += *granted_in (window, step);
       if (left >= UTOKENS_PER_TOKEN)
         return step * step_ms (window) - now_ms;
     }
--- a/test/unit/test_window.c
+++ b/test/unit/test_window.c
@@ -88,11 +88,43 @@
   CU_ASSERT_EQUAL (window_take (&window, 1, 100002), 0);
 }
 
+/* Guards against a write before the window's ring: a grant of another host may
+   be older than the clock of this one.  */
+static void
+test_grants_before_the_clock (void)
+{
+  struct
+  {
+    int64_t before[WINDOW_STEPS + 1];
+    struct window window;
+  } memory = { { 0 } };
+  struct window *window = &memory.window;
+  int64_t now_ms = LENGTH_MS / 10;
+
+  window_init (window, LENGTH_MS, now_ms);
+  window_configure (window, (int64_t)LIMIT * UTOKENS_PER_TOKEN,
+                    (int64_t)RATE * UTOKENS_PER_TOKEN, now_ms);
+  for (int64_t age_ms = 0; age_ms < LENGTH_MS; age_ms += LENGTH_MS / 10)
+    window_charge_before (window, 1, age_ms, now_ms);
+  window_set_known (window, LENGTH_MS, now_ms);
+  for (int i = 0; i <= WINDOW_STEPS; i++)
+    CU_ASSERT_EQUAL (memory.before[i], 0);
+  CU_ASSERT_EQUAL (window->length_ms, LENGTH_MS);
+  CU_ASSERT_EQUAL (window_available (window, now_ms),
+                   (int64_t)(LIMIT - 10) * UTOKENS_PER_TOKEN);
+  /* Each leaves the window once it is as old as the window is long. */
+  CU_ASSERT_EQUAL (window_available (window, now_ms + LENGTH_MS * 55 / 100),
+                   (int64_t)(LIMIT - 5) * UTOKENS_PER_TOKEN);
+  CU_ASSERT_EQUAL (window_available (window, now_ms + 2 * LENGTH_MS),
+                   (int64_t)LIMIT * UTOKENS_PER_TOKEN);
+}
+
 CU_TestInfo window_tests[] = {
   { "the whole limit may be used at once", test_whole_limit_at_once },
   { "no window exceeds the limit", test_no_window_exceeds_limit },
   { "after a restart tokens accrue at the rate", test_restart_grants_at_rate },
   { "a token is available after the wait", test_token_available_after_wait },
   { "a lower limit applies at once", test_lower_limit_applies_at_once },
+  { "grants before the clock", test_grants_before_the_clock },
   CU_TEST_INFO_NULL,
 };
