streams: every change of the list of keepers copies again

A list that differs by several keepers at once counted as a single change besides, so that a majority could have consisted of keepers that were never told.

--- a/request/stream_memory.c
+++ b/request/stream_memory.c
@@ -37,7 +37,6 @@
      tells which, so that a new list makes it ask the others again. */
   int64_t whole_since_ms;
   bool is_copying;
-  int64_t listed_ms; /* when the list last changed; INT64_MIN for never */
 };
 
 /* Records the build of a stream by its attempt and by its content.  Content
@@ -76,7 +75,6 @@
   memory->options = *options;
   memory->table = recent_table_create (&table);
   memory->copies = g_ptr_array_new_with_free_func (copy_destroy);
-  memory->listed_ms = INT64_MIN;
   memory->since_ms = memory->whole_since_ms
       = options->first_start ? now_ms - STREAM_TTL_MS : now_ms;
   return memory;
@@ -134,27 +132,15 @@
   transport->vtable->send (transport, copy->host, &frame);
 }
 
-/* Whether a list that changes now may give this keeper streams of which no
-   majority knows: after a single change within the time of the records, each
-   majority has a keeper that was told.  */
-static bool
-needs_copy (const struct stream_memory *memory, int64_t now_ms)
-{
-  return memory->is_copying || memory->listed_ms == INT64_MIN
-         || now_ms - memory->listed_ms < STREAM_TTL_MS;
-}
-
-/* Sets the other keepers, and copies their records if that may be needed.  */
+/* Sets the other keepers.  A list that has changed may give this one streams
+   that it was not told of, so that it copies all records again.  */
 void
 stream_memory_set_others (struct stream_memory *memory,
                           const struct host_location *locations, size_t count,
                           int64_t now_ms)
 {
-  bool is_needed = needs_copy (memory, now_ms);
-
   if (has_same_others (memory, locations, count))
     return;
-  memory->listed_ms = now_ms;
   g_ptr_array_set_size (memory->copies, 0);
   for (size_t i = 0; i < count; i++)
     {
@@ -163,11 +149,8 @@
       copy->host = xstrdup (locations[i].name);
       copy->id = id_random64 ();
       g_ptr_array_add (memory->copies, copy);
-      if (is_needed)
-        ask_page (memory, copy, now_ms);
+      ask_page (memory, copy, now_ms);
     }
-  if (!is_needed)
-    return;
   memory->is_copying = count > 0;
   memory->whole_since_ms = count > 0 ? now_ms : memory->since_ms;
 }
