httpd: one way to drop a connection

httpd_drop_idle and drop_oldest ended connections with the same lines, and the constant of the latter stood between a comment and its struct. No change of behaviour; unit "httpd" passes.

--- a/common/httpd.c
+++ b/common/httpd.c
@@ -32,15 +32,12 @@
   /* Runs of libmicrohttpd in which open requests end before the server is
      destroyed.  A response takes one for its headers and one for its body. */
   FINAL_RUNS = 8,
-};
-
-/* A client's connection.  Owned by its server. */
-enum
-{
-  /* An eighth of the connections is kept free for new ones. */
+  /* Of a server that drops its oldest connections, one in so many is kept free
+     for new ones. */
   SPARE_SHARE = 8,
 };
 
+/* A client's connection.  Owned by its server. */
 struct httpd_connection
 {
   struct httpd_connection *previous;
@@ -567,8 +564,16 @@
                strerror (errno));
 }
 
-/* Closes the connection that has been without a complete request for longest,
-   whatever a part of one has arrived.  */
+/* Ends a connection.  libmicrohttpd notices the end and closes it.  */
+static void
+drop_connection (struct httpd_connection *connection)
+{
+  connection->is_dropped = true;
+  shutdown (connection->fd, SHUT_RDWR);
+}
+
+/* Drops the connection that has been without a complete request for longest,
+   whatever part of one has arrived.  */
 static void
 drop_oldest (struct httpd *httpd)
 {
@@ -581,10 +586,8 @@
       oldest = connection;
   if (!oldest)
     return;
-  oldest->is_dropped = true;
+  drop_connection (oldest);
   counter_add (COUNTER_OLD_CONNECTIONS_DROPPED, 1);
-  /* libmicrohttpd notices the end and closes. */
-  shutdown (oldest->fd, SHUT_RDWR);
 }
 
 static struct httpd_connection *
@@ -769,10 +772,8 @@
           || now_ms - connection->idle_since_ms < idle_ms
           || has_unread_bytes (connection->fd))
         continue;
-      connection->is_dropped = true;
+      drop_connection (connection);
       dropped++;
-      /* libmicrohttpd notices the end and closes. */
-      shutdown (connection->fd, SHUT_RDWR);
     }
   counter_add (COUNTER_IDLE_CONNECTIONS_DROPPED, dropped);
   return dropped;
