fetch: a socket callback without a transfer is no fault

Later versions of libcurl let an internal handle, which has no transfer, watch a socket that is being closed; its private pointer is null and would have been read as a transfer.

--- a/common/fetch.c
+++ b/common/fetch.c
@@ -394,7 +394,8 @@
       curl_multi_assign (fetcher->multi, fd, watch);
     }
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &fetch);
-  if (connection)
+  /* libcurl may have a handle of its own close a connection. */
+  if (connection && fetch)
     connection_take (connection, &fetch->user);
   ev_io_stop (fetcher->loop, &watch->io);
   ev_io_set (&watch->io, fd, events);
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -60,7 +60,8 @@
   COUNTER_PERMITS_GRANTED, /* by this host */
   COUNTER_PERMITS_DENIED,
   COUNTER_RESENDS,           /* by libcurl, on its own */
-  COUNTER_DIRTY_CONNECTIONS, /* idle ones that had brought bytes */
+  COUNTER_DIRTY_CONNECTIONS, /* idle ones that had brought bytes, or are
+                                not known */
   /* Times that a second request was to be sent on a connection in use. */
   COUNTER_SHARED_CONNECTIONS,
   COUNTER_UNFINISHED_EVENTS, /* responses that ended inside an event */
