request: whether a turn is being written is asked of its step

The request kept a flag beside the conversation step, which knows it. No change of behaviour; unit-changes-while-waiting and -conversation-requests pass.

--- a/include/request/conversation_step.h
+++ b/include/request/conversation_step.h
@@ -61,6 +61,7 @@
                              struct request_input *input);
 void conversation_step_release (struct conversation_step *step);
 bool conversation_step_is_ready (const struct conversation_step *step);
+bool conversation_step_is_writing (const struct conversation_step *step);
 enum conversation_verdict
 conversation_step_begin (struct conversation_step *step,
                          int64_t deadline_at_ms,
--- a/request/conversation_step.c
+++ b/request/conversation_step.c
@@ -58,6 +58,13 @@
   return true;
 }
 
+/* Whether the response is whole and waits for its turn to be written.  */
+bool
+conversation_step_is_writing (const struct conversation_step *step)
+{
+  return step->handle_written != NULL;
+}
+
 /* Puts the text of the chain before the caller's input.  */
 static enum conversation_verdict
 build_body (struct conversation_step *step, const char *text, size_t len)
--- a/request/request.c
+++ b/request/request.c
@@ -74,7 +74,6 @@
   /* What a later configuration made of what the request is; it is not sent
      any more then. */
   enum chosen_route_change change;
-  bool is_keeping_turn; /* its response is whole, the turn is written */
   uint64_t program;
   struct stream_key stream; /* content is 0 if it cannot be resumed */
   uint64_t fingerprint; /* hash of the content, equal for repeated attempts */
@@ -915,7 +914,6 @@
   enum conversation_end end;
 
   release_endpoint (request);
-  request->is_keeping_turn = true;
   end = conversation_step_end (&request->conversation, handle_turn_written,
                                request);
   if (end == CONVERSATION_END_AT_ONCE)
@@ -1389,7 +1387,7 @@
 
       at = at->next;
       if (request->change == CHOSEN_ROUTE_SAME || request->endpoint
-          || request->is_keeping_turn)
+          || conversation_step_is_writing (&request->conversation))
         continue;
       end_changed (request);
       at = pipeline->requests.head;
