streams: a keeper that never answers is not asked for ever

A keeper asked each of the others for its records every 300 ms until all had answered; one of the build before, or one that is down but listed, never does.

Change: the questions end once the memory knows everything for as long as records are kept, be it by its own age.

Measured: unit "a silent keeper is not asked for ever" is red before.

--- a/request/stream_memory.c
+++ b/request/stream_memory.c
@@ -2,7 +2,6 @@
 #include "common/buf.h"
 #include "common/id.h"
 #include "common/log.h"
-#include "ledger/keeper_set.h"
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -155,10 +154,13 @@
   memory->whole_since_ms = count > 0 ? now_ms : memory->since_ms;
 }
 
-/* Must be called at least every 100 ms.  */
+/* Asks again for the pages that have not come, until the memory knows as much
+   without them.  Must be called at least every 100 ms.  */
 void
 stream_memory_tick (struct stream_memory *memory, int64_t now_ms)
 {
+  if (now_ms - memory->whole_since_ms >= STREAM_TTL_MS)
+    memory->is_copying = false;
   for (guint i = 0; i < memory->copies->len && memory->is_copying; i++)
     {
       struct stream_copy *copy = memory->copies->pdata[i];
--- a/test/unit/test_forgetful_keepers.c
+++ b/test/unit/test_forgetful_keepers.c
@@ -349,6 +349,32 @@
   fleet_release (&fleet);
 }
 
+/* Guards against questions without end to a keeper that never answers, as one
+   of a build before.  */
+static void
+test_silent_keeper_is_not_asked_for_ever (void)
+{
+  struct fleet fleet;
+  struct stream_memory *memory;
+  int64_t now_ms;
+
+  fleet_init (&fleet);
+  stop_keeper (&fleet, 0);
+  stop_keeper (&fleet, 1);
+  start_keeper (&fleet, 0, false);
+  settle (&fleet);
+  memory = fleet.hosts[0].memory;
+  now_ms = clock_now_ms ();
+  stream_memory_tick (memory, now_ms + STREAM_TTL_MS / 2);
+  CU_ASSERT_EQUAL (g_queue_get_length (&fleet.packets), 1);
+  settle (&fleet);
+  stream_memory_tick (memory, now_ms + 2 * STREAM_TTL_MS);
+  CU_ASSERT_EQUAL (g_queue_get_length (&fleet.packets), 0);
+  CU_ASSERT_EQUAL (stream_memory_known_ms (memory, now_ms + 2 * STREAM_TTL_MS),
+                   STREAM_TTL_MS);
+  fleet_release (&fleet);
+}
+
 /* Guards against a memory that never counts again after a loss, or that counts
    though it has dropped records for want of room.  */
 static void
@@ -392,6 +418,8 @@
     test_forgotten_builds_join_no_streams },
   { "a memory survives single losses", test_memory_survives_single_losses },
   { "copies come to an end", test_copies_come_to_an_end },
+  { "a silent keeper is not asked for ever",
+    test_silent_keeper_is_not_asked_for_ever },
   { "the age of a memory", test_age_of_a_memory },
   CU_TEST_INFO_NULL,
 };
