limits: witnesses of a share are chosen with the list of hosts

Each report ranked all hosts three times, for customers with low limits at each request. They are kept with the share now, as is its id. A witness answers with a value where it took two callbacks to tell a peer or this host; host_set_assign says whether the members are others, as keeper_set_assign does, where limits.c compared them again. What witnesses hold is charged to the configuration's account, and a history is freed once it is charged.

No change of what is granted; unit "limit history" and "limits" pass.

--- a/include/request/grant_witness.h
+++ b/include/request/grant_witness.h
@@ -31,8 +31,17 @@
   GArray *granted; /* struct past_grant, by the same; NULL for none */
 };
 
+/* An answer of a witness, which its memory backs. */
+struct grant_answer
+{
+  Peer__LimitHistory history;
+  uint32_t ages_ms[WINDOW_STEPS + 1];
+  uint32_t tokens[WINDOW_STEPS + 1];
+};
+
 struct grant_witness *grant_witness_create (int64_t window_ms, int64_t now_ms);
 void grant_witness_destroy (struct grant_witness *witness);
+
 /* Whether this host is a witness of SHARE. */
 typedef bool grant_witness_filter (void *data, uint64_t share);
 
@@ -41,10 +50,8 @@
                                  int64_t now_ms);
 void grant_witness_record (struct grant_witness *witness,
                            const Peer__LimitGranted *granted, int64_t now_ms);
-void grant_witness_tell (struct grant_witness *witness, uint64_t share,
-                         int64_t now_ms,
-                         void (*send) (void *data, const Peer__Frame *frame),
-                         void *data);
+void grant_witness_answer (struct grant_witness *witness, uint64_t share,
+                           int64_t now_ms, struct grant_answer *answer);
 
 void grant_history_release (struct grant_history *history);
 void grant_history_add (struct grant_history *history, const char *host,
--- a/include/request/host_set.h
+++ b/include/request/host_set.h
@@ -30,7 +30,7 @@
   uint64_t excluded; /* hash of a data centre that is left out; 0 for none */
 };
 
-void host_set_assign (struct host_set *set, const struct host_location *hosts,
+bool host_set_assign (struct host_set *set, const struct host_location *hosts,
                       size_t count);
 void host_set_release (struct host_set *set);
 const struct host_member *host_set_find (const struct host_set *set,
--- a/request/grant_witness.c
+++ b/request/grant_witness.c
@@ -1,13 +1,14 @@
 #include "request/grant_witness.h"
 #include "common/buf.h"
 #include "common/id.h"
+#include "common/memory.h"
 #include <glib.h>
 #include <stdlib.h>
 
 enum
 {
-  MAX_SHARES
-  = 2048, /* 1.2 MB; a host is a witness of a few of each customer */
+  /* 1.2 MB; a host is a witness of a few of each customer. */
+  MAX_SHARES = 2048,
 };
 
 /* The grants of a share. */
@@ -28,6 +29,13 @@
   GHashTable *shares; /* share -> struct witnessed */
 };
 
+static void
+witnessed_destroy (gpointer data)
+{
+  memory_add (MEMORY_CONFIG, -(int64_t)sizeof (struct witnessed));
+  free (data);
+}
+
 /* Creates a witness of grants within WINDOW_MS.  */
 struct grant_witness *
 grant_witness_create (int64_t window_ms, int64_t now_ms)
@@ -36,8 +44,8 @@
 
   witness->window_ms = window_ms;
   witness->since_ms = now_ms;
-  witness->shares
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free);
+  witness->shares = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                           witnessed_destroy);
   return witness;
 }
 
@@ -107,6 +115,7 @@
       witnessed->share = share;
       witnessed->since_ms = witness->since_ms;
       window_init (&witnessed->window, witness->window_ms, now_ms);
+      memory_add (MEMORY_CONFIG, (int64_t)sizeof *witnessed);
       g_hash_table_insert (witness->shares, &witnessed->share, witnessed);
     }
   if (witnessed->holder != granted->holder)
@@ -119,40 +128,35 @@
   witnessed->told_ms = now_ms;
 }
 
-/* Calls SEND with what is known of SHARE.  */
+/* Sets ANSWER to what is known of SHARE.  */
 void
-grant_witness_tell (struct grant_witness *witness, uint64_t share,
-                    int64_t now_ms,
-                    void (*send) (void *data, const Peer__Frame *frame),
-                    void *data)
+grant_witness_answer (struct grant_witness *witness, uint64_t share,
+                      int64_t now_ms, struct grant_answer *answer)
 {
   struct witnessed *witnessed = g_hash_table_lookup (witness->shares, &share);
-  uint32_t ages_ms[WINDOW_STEPS + 1];
-  uint32_t tokens[WINDOW_STEPS + 1];
-  Peer__Frame frame = PEER__FRAME__INIT;
-  Peer__LimitHistory history = PEER__LIMIT_HISTORY__INIT;
-
-  history.share = share;
-  history.known_ms = (uint32_t)CLAMP (
-      now_ms - (witnessed ? witnessed->since_ms : witness->since_ms), 0,
-      witness->window_ms);
-  history.holder = witnessed ? witnessed->holder : 0;
-  history.total = witnessed ? witnessed->total : 0;
-  history.ages_ms = ages_ms;
-  history.tokens = tokens;
-  for (int64_t i = 0; witnessed && i <= WINDOW_STEPS; i++)
+  int64_t since_ms = witnessed ? witnessed->since_ms : witness->since_ms;
+  Peer__LimitHistory *history = &answer->history;
+
+  peer__limit_history__init (history);
+  history->share = share;
+  history->known_ms
+      = (uint32_t)CLAMP (now_ms - since_ms, 0, witness->window_ms);
+  history->ages_ms = answer->ages_ms;
+  history->tokens = answer->tokens;
+  if (!witnessed)
+    return;
+  history->holder = witnessed->holder;
+  history->total = witnessed->total;
+  for (int64_t i = 0; i <= WINDOW_STEPS; i++)
     {
       int64_t age_ms;
       int64_t granted = window_grants (&witnessed->window, i, now_ms, &age_ms);
 
       if (granted == 0)
         continue;
-      ages_ms[history.n_ages_ms++] = (uint32_t)age_ms;
-      tokens[history.n_tokens++] = (uint32_t)granted;
+      answer->ages_ms[history->n_ages_ms++] = (uint32_t)age_ms;
+      answer->tokens[history->n_tokens++] = (uint32_t)granted;
     }
-  frame.body_case = PEER__FRAME__BODY_LIMIT_HISTORY;
-  frame.limit_history = &history;
-  send (data, &frame);
 }
 
 struct past_grant
--- a/request/host_set.c
+++ b/request/host_set.c
@@ -14,11 +14,25 @@
   *set = (struct host_set){ 0 };
 }
 
-/* Replaces the hosts.  */
-void
+static bool
+has_same_members (const struct host_set *set,
+                  const struct host_location *hosts, size_t count)
+{
+  if (set->count != count)
+    return false;
+  for (size_t i = 0; i < count; i++)
+    if (!host_set_find (set, hosts[i].name))
+      return false;
+  return true;
+}
+
+/* Replaces the hosts.  Returns whether they are others than before.  */
+bool
 host_set_assign (struct host_set *set, const struct host_location *hosts,
                  size_t count)
 {
+  bool is_changed = !has_same_members (set, hosts, count);
+
   host_set_release (set);
   set->members = xcalloc (count + 1, sizeof *set->members);
   set->count = count;
@@ -28,6 +42,7 @@
       .hash = id_hash_text (hosts[i].name),
       .data_centre_hash = id_hash_text (hosts[i].data_centre),
     };
+  return is_changed;
 }
 
 /* Returns the host NAME, or NULL.  */
--- a/request/limits.c
+++ b/request/limits.c
@@ -71,6 +71,10 @@
   struct limits *limits;
   char *customer;
   uint64_t hash;
+  uint64_t share_id; /* names the share in this data centre */
+  /* Of this share, chosen from the hosts. */
+  const struct host_member *witnesses[GRANT_WITNESSES];
+  uint32_t witness_count;
   /* Of this data centre; its limit is 0 if another host holds it. */
   struct window share;
   struct window committed; /* tokens committed to programs admitted here */
@@ -202,29 +206,20 @@
   return holder && strcmp (holder->name, limits->options.host) == 0;
 }
 
-/* Returns what names a customer's share in a data centre.  */
-static uint64_t
-share_id (const struct rate_limit *rate_limit)
+/* Stores the hosts that are witnesses of SHARE and returns their number.  */
+static uint32_t
+choose_witnesses (const struct limits *limits, uint64_t share,
+                  const struct host_member **chosen)
 {
-  const uint64_t *data_centre = &rate_limit->limits->data_centres[0];
+  struct host_choice choice = { .item = share };
 
-  return id_hash64 (data_centre, sizeof *data_centre, rate_limit->hash);
+  return host_set_choose (&limits->hosts, &choice, chosen, GRANT_WITNESSES);
 }
 
-/* Sends FRAME to the witnesses of a share that this host holds.  */
-static void
-send_to_witnesses (const struct rate_limit *rate_limit,
-                   const Peer__Frame *frame)
+static bool
+is_self (const struct limits *limits, const struct host_member *member)
 {
-  const struct limits *limits = rate_limit->limits;
-  struct host_choice choice = { .item = share_id (rate_limit) };
-  const struct host_member *chosen[GRANT_WITNESSES];
-  uint32_t count
-      = host_set_choose (&limits->hosts, &choice, chosen, GRANT_WITNESSES);
-
-  for (uint32_t i = 0; i < count && limits->options.mesh; i++)
-    if (strcmp (chosen[i]->name, limits->options.host) != 0)
-      mesh_send (limits->options.mesh, chosen[i]->name, frame);
+  return strcmp (member->name, limits->options.host) == 0;
 }
 
 /* Whether this host is a witness of SHARE.  */
@@ -232,13 +227,11 @@
 is_witness (void *data, uint64_t share)
 {
   const struct limits *limits = data;
-  struct host_choice choice = { .item = share };
   const struct host_member *chosen[GRANT_WITNESSES];
-  uint32_t count
-      = host_set_choose (&limits->hosts, &choice, chosen, GRANT_WITNESSES);
+  uint32_t count = choose_witnesses (limits, share, chosen);
 
   for (uint32_t i = 0; i < count; i++)
-    if (strcmp (chosen[i]->name, limits->options.host) == 0)
+    if (is_self (limits, chosen[i]))
       return true;
   return false;
 }
@@ -246,29 +239,27 @@
 static void handle_history (struct limits *limits, const char *host,
                             const Peer__LimitHistory *history);
 
-static void
-handle_own_history (void *data, const Peer__Frame *frame)
-{
-  struct limits *limits = data;
-
-  handle_history (limits, limits->options.host, frame->limit_history);
-}
-
 /* Asks the witnesses what was granted of a share before this host held it.  */
 static void
 ask_for_history (struct rate_limit *rate_limit)
 {
+  struct limits *limits = rate_limit->limits;
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LimitHistoryAsk ask = PEER__LIMIT_HISTORY_ASK__INIT;
+  struct grant_answer answer;
 
-  ask.share = share_id (rate_limit);
+  ask.share = rate_limit->share_id;
   frame.body_case = PEER__FRAME__BODY_LIMIT_HISTORY_ASK;
   frame.limit_history_ask = &ask;
-  send_to_witnesses (rate_limit, &frame);
-  if (is_witness (rate_limit->limits, ask.share))
-    grant_witness_tell (rate_limit->limits->witness, ask.share,
-                        clock_now_ms (), handle_own_history,
-                        rate_limit->limits);
+  for (uint32_t i = 0; i < rate_limit->witness_count; i++)
+    if (!is_self (limits, rate_limit->witnesses[i]))
+      mesh_send (limits->options.mesh, rate_limit->witnesses[i]->name, &frame);
+    else
+      {
+        grant_witness_answer (limits->witness, ask.share, clock_now_ms (),
+                              &answer);
+        handle_history (limits, limits->options.host, &answer.history);
+      }
 }
 
 /* Asks again where witnesses have not told all.  */
@@ -324,6 +315,7 @@
   int64_t share_count = limits->data_centre_count;
   int64_t now_ms = clock_now_ms ();
   bool is_holder = limits->is_member_list_known && holds_share (rate_limit);
+  uint64_t data_centre = limits->data_centres[0];
   int64_t per_s = 0;
   int64_t limit = 0;
 
@@ -334,6 +326,10 @@
       limit = per_s * limits->options.window_ms / 1000
               + rate_limit->burst * UTOKENS_PER_TOKEN / share_count;
     }
+  rate_limit->share_id
+      = id_hash64 (&data_centre, sizeof data_centre, rate_limit->hash);
+  rate_limit->witness_count
+      = choose_witnesses (limits, rate_limit->share_id, rate_limit->witnesses);
   if (is_holder && !rate_limit->is_holder && !was_held_here)
     begin_share (rate_limit, now_ms);
   rate_limit->is_holder = is_holder;
@@ -350,18 +346,6 @@
     limits->data_centres[limits->data_centre_count++] = hash;
 }
 
-static bool
-has_other_members (const struct limits *limits,
-                   const struct host_location *hosts, size_t count)
-{
-  if (limits->hosts.count != count)
-    return true;
-  for (size_t i = 0; i < count; i++)
-    if (!host_set_find (&limits->hosts, hosts[i].name))
-      return true;
-  return false;
-}
-
 /* Sets the list of all entry hosts.  Shares newly assigned to this host start
    empty, since this host or their previous holder may have used them up.  */
 void
@@ -371,10 +355,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  bool is_changed = has_other_members (limits, hosts, count);
-
-  host_set_assign (&limits->hosts, hosts, count);
-  if (is_changed)
+  if (host_set_assign (&limits->hosts, hosts, count))
     grant_witness_change_hosts (limits->witness, is_witness, limits,
                                 clock_now_ms ());
   limits->data_centre_count = 0;
@@ -507,21 +488,25 @@
 static void
 tell_witnesses (struct rate_limit *rate_limit, int64_t tokens)
 {
+  struct limits *limits = rate_limit->limits;
   int64_t limit = rate_limit->share.limit_utokens / UTOKENS_PER_TOKEN;
   Peer__Frame frame = PEER__FRAME__INIT;
   Peer__LimitGranted granted = PEER__LIMIT_GRANTED__INIT;
 
   rate_limit->granted += tokens;
   rate_limit->untold_tokens += tokens;
-  if (rate_limit->untold_tokens <= limit * UNTOLD_PERCENT / 100)
+  if (!limits->options.mesh
+      || rate_limit->untold_tokens <= limit * UNTOLD_PERCENT / 100)
     return;
-  granted.share = share_id (rate_limit);
+  granted.share = rate_limit->share_id;
   granted.holder = rate_limit->holding;
   granted.total = (uint64_t)rate_limit->granted;
   rate_limit->untold_tokens = 0;
   frame.body_case = PEER__FRAME__BODY_LIMIT_GRANTED;
   frame.limit_granted = &granted;
-  send_to_witnesses (rate_limit, &frame);
+  for (uint32_t i = 0; i < rate_limit->witness_count; i++)
+    if (!is_self (limits, rate_limit->witnesses[i]))
+      mesh_send (limits->options.mesh, rate_limit->witnesses[i]->name, &frame);
 }
 
 /* Grants up to TOKENS of the local share and returns how many were granted. */
@@ -1019,7 +1004,7 @@
 
   g_hash_table_iter_init (&iter, limits->rate_limits);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (share_id (value) == share)
+    if (((struct rate_limit *)value)->share_id == share)
       return value;
   return NULL;
 }
@@ -1053,21 +1038,20 @@
              "customer %s: %" G_GINT64_FORMAT " tokens were granted in the "
              "window before this host held its share",
              rate_limit->customer, rate_limit->history.told);
+  grant_history_release (&rate_limit->history);
 }
 
-/* A host to which an answer goes. */
-struct addressee
-{
-  struct limits *limits;
-  const char *host;
-};
-
 static void
-send_to_addressee (void *data, const Peer__Frame *frame)
+answer_history_ask (const struct limits *limits, const char *host,
+                    uint64_t share)
 {
-  const struct addressee *addressee = data;
+  struct grant_answer answer;
+  Peer__Frame frame = PEER__FRAME__INIT;
 
-  mesh_send (addressee->limits->options.mesh, addressee->host, frame);
+  grant_witness_answer (limits->witness, share, clock_now_ms (), &answer);
+  frame.body_case = PEER__FRAME__BODY_LIMIT_HISTORY;
+  frame.limit_history = &answer.history;
+  mesh_send (limits->options.mesh, host, &frame);
 }
 
 /* Handles what other hosts ask and tell of shares; ignores other frames.  */
@@ -1075,8 +1059,6 @@
 limits_handle_frame (struct limits *limits, const char *host,
                      const Peer__Frame *frame)
 {
-  struct addressee addressee = { .limits = limits, .host = host };
-
   switch (frame->body_case)
     {
     case PEER__FRAME__BODY_LIMIT_ASK:
@@ -1090,8 +1072,7 @@
                             clock_now_ms ());
       break;
     case PEER__FRAME__BODY_LIMIT_HISTORY_ASK:
-      grant_witness_tell (limits->witness, frame->limit_history_ask->share,
-                          clock_now_ms (), send_to_addressee, &addressee);
+      answer_history_ask (limits, host, frame->limit_history_ask->share);
       break;
     case PEER__FRAME__BODY_LIMIT_HISTORY:
       handle_history (limits, host, frame->limit_history);
