limits: the holder of a share is one of its own witnesses

Change: a holder that ranks among the witnesses records what it tells the others, so that it can answer once it does not hold the share any more.

--- a/request/limits.c
+++ b/request/limits.c
@@ -484,7 +484,8 @@
 }
 
 /* Tells the witnesses of a share of TOKENS that were granted, once they are
-   too many to be left out.  */
+   too many to be left out.  This host may be one of them: it is asked once it
+   does not hold the share any more.  */
 static void
 tell_witnesses (struct rate_limit *rate_limit, int64_t tokens)
 {
@@ -505,7 +506,9 @@
   frame.body_case = PEER__FRAME__BODY_LIMIT_GRANTED;
   frame.limit_granted = &granted;
   for (uint32_t i = 0; i < rate_limit->witness_count; i++)
-    if (!is_self (limits, rate_limit->witnesses[i]))
+    if (is_self (limits, rate_limit->witnesses[i]))
+      grant_witness_record (limits->witness, &granted, clock_now_ms ());
+    else
       mesh_send (limits->options.mesh, rate_limit->witnesses[i]->name, &frame);
 }
 
--- a/test/unit/test_limit_history.c
+++ b/test/unit/test_limit_history.c
@@ -15,7 +15,7 @@
   LIMIT_TOKENS = RATE_PER_S * WINDOW_MS / 1000,
   FILL_MS = 4000, /* until all links are up and shares may be granted whole */
   LOAN_LIFETIME_MS = 150, /* by which a holder's window is longer */
-  MOST_PERCENT = 95,      /* of what the windows allow */
+  MOST_PERCENT = 95, /* of what the windows allow: the rest may be untold */
   LINK_MS = 500,     /* until a started host has its links and their news */
   EARLIER_MS = 1500, /* start of the witnesses before that of a holder */
   /* What the users' rule leaves beyond a limit. */
@@ -136,6 +136,19 @@
   return taken;
 }
 
+/* Returns the host that holds the customer's share.  */
+static int
+find_holder (const struct fleet *fleet)
+{
+  const struct customer *customer = &fleet->routing->customers[0];
+
+  for (int i = 0; i < HOSTS; i++)
+    if (limits_preview (fleet->nodes[i].limits, customer, false).is_holder)
+      return i;
+  CU_FAIL_FATAL ("no host holds the share");
+  return -1;
+}
+
 static void
 fleet_init (struct fleet *fleet)
 {
@@ -151,11 +164,7 @@
   for (int i = 0; i < HOSTS; i++)
     start_node (fleet, i);
   run_for (fleet, FILL_MS);
-  for (int i = 0; i < HOSTS; i++)
-    if (limits_preview (fleet->nodes[i].limits, &fleet->routing->customers[0],
-                        false)
-            .is_holder)
-      fleet->holder = i;
+  fleet->holder = find_holder (fleet);
 }
 
 static void
@@ -242,9 +251,48 @@
   fleet_release (&fleet);
 }
 
+/* Guards against a limit that is granted again where the share passes to
+   another host as the list of hosts changes.  */
+static void
+test_moved_share (void)
+{
+  struct host_location others[HOSTS];
+  struct fleet fleet;
+  size_t count = 0;
+  int64_t begin_ms;
+  int taken;
+  int next;
+
+  fleet_init (&fleet);
+  next = fleet.holder;
+  for (int i = 0; i < HOSTS; i++)
+    if (i != next)
+      others[count++] = locations[i];
+  for (int i = 0; i < HOSTS; i++)
+    limits_set_hosts (fleet.nodes[i].limits, others, count);
+  run_for (&fleet, FILL_MS);
+  fleet.holder = find_holder (&fleet);
+  CU_ASSERT_NOT_EQUAL (fleet.holder, next);
+  begin_ms = clock_now_ms ();
+  taken = take_tokens (&fleet, fleet.holder, LIMIT_TOKENS);
+  CU_ASSERT (taken > LIMIT_TOKENS / 2);
+  run_for (&fleet, 20);
+  for (int i = 0; i < HOSTS; i++)
+    limits_set_hosts (fleet.nodes[i].limits, locations, HOSTS);
+  while (clock_now_ms () - begin_ms < WINDOW_MS - 50)
+    {
+      run_for (&fleet, 5);
+      taken += take_tokens (&fleet, next, LIMIT_TOKENS);
+    }
+  CU_ASSERT (taken
+             <= LIMIT_TOKENS * (100 + OVERRUN_PERCENT) / 100 + SLACK_TOKENS);
+  fleet_release (&fleet);
+}
+
 CU_TestInfo limit_history_tests[] = {
   { "a killed holder", test_killed_holder },
   { "an unused share is granted", test_unused_share_is_granted },
   { "own grants are charged once", test_own_grants_are_charged_once },
+  { "a share that moves", test_moved_share },
   CU_TEST_INFO_NULL,
 };
